--- /dev/null
+++ b/verbenacore/vrrecord/entry.go
@@ -0,0 +1,145 @@
+// Package vrrecord is the record of requests: one terminal entry for each request,
+// in hash-chained blocks that an auditor can verify.
+package vrrecord
+
+import (
+	"fmt"
+
+	"verbenaroute.example/verbenacore/vrid"
+)
+
+// EntryKind says what an entry tells.
+type EntryKind uint32
+
+// Kinds of entries.
+const (
+	EntryAnswered EntryKind = iota + 1
+	EntryRefused
+	// EntryGap stands for numbered requests whose entries died with a VM.
+	EntryGap
+	EntryCommand
+	EntryLoad
+	EntryUnload
+	EntryTakeover
+)
+
+var _entryNames = map[EntryKind]string{
+	EntryAnswered: "answered",
+	EntryRefused:  "refused",
+	EntryGap:      "gap",
+	EntryCommand:  "command",
+	EntryLoad:     "load",
+	EntryUnload:   "unload",
+	EntryTakeover: "takeover",
+}
+
+// String returns the name in queries.
+func (k EntryKind) String() string {
+	if name, ok := _entryNames[k]; ok {
+		return name
+	}
+	return fmt.Sprintf("entry(%d)", uint32(k))
+}
+
+// Terminal reports whether the entry ends a request.
+func (k EntryKind) Terminal() bool { return k == EntryAnswered || k == EntryRefused }
+
+// Ran says whether a request ran at a back end.
+type Ran uint32
+
+// Values of Ran. RanNo is claimed only when the request was provably not sent or
+// the back end provably did not start it.
+const (
+	RanNo Ran = iota + 1
+	RanUnknown
+	RanYes
+)
+
+// String returns the value in problem details.
+func (r Ran) String() string {
+	switch r {
+	case RanNo:
+		return "no"
+	case RanYes:
+		return "yes"
+	case RanUnknown:
+		return "unknown"
+	}
+	return "unknown"
+}
+
+// Entry is one line of the record. Times are milliseconds of Unix time, lengths of
+// time are microseconds.
+type Entry struct {
+	Kind EntryKind `protobuf:"varint,1,opt,name=kind" json:"kind"`
+	// Number counts the entries of one run of a daemon, from 1 without gaps.
+	Number  uint64         `protobuf:"varint,2,opt,name=number" json:"number"`
+	Request vrid.RequestID `protobuf:"bytes,3,opt,name=request" json:"request,omitempty"`
+	Daemon  vrid.DaemonID  `protobuf:"bytes,4,opt,name=daemon" json:"daemon"`
+	Boot    vrid.BootID    `protobuf:"bytes,5,opt,name=boot" json:"boot"`
+	Zone    vrid.ZoneID    `protobuf:"bytes,6,opt,name=zone" json:"zone"`
+	At      int64          `protobuf:"varint,7,opt,name=at" json:"at"`
+
+	Caller  vrid.CallerID       `protobuf:"bytes,8,opt,name=caller" json:"caller,omitempty"`
+	Rank    vrid.Rank           `protobuf:"varint,9,opt,name=rank" json:"rank"`
+	KindID  vrid.KindID         `protobuf:"bytes,10,opt,name=kindId" json:"kindId,omitempty"`
+	Model   vrid.ModelID        `protobuf:"bytes,11,opt,name=model" json:"model,omitempty"`
+	Adapter vrid.AdapterID      `protobuf:"bytes,12,opt,name=adapter" json:"adapter,omitempty"`
+	Service vrid.ServiceID      `protobuf:"bytes,13,opt,name=service" json:"service,omitempty"`
+	Key     vrid.IdempotencyKey `protobuf:"bytes,14,opt,name=key" json:"key,omitempty"`
+
+	// Reason is the refusal's stable code; empty for answers.
+	Reason string `protobuf:"bytes,15,opt,name=reason" json:"reason,omitempty"`
+	Ran    Ran    `protobuf:"varint,16,opt,name=ran" json:"ran"`
+	Status uint32 `protobuf:"varint,17,opt,name=status" json:"status,omitempty"`
+
+	Server     vrid.ServerID `protobuf:"bytes,18,opt,name=server" json:"server,omitempty"`
+	ServerZone vrid.ZoneID   `protobuf:"bytes,19,opt,name=serverZone" json:"serverZone,omitempty"`
+	Attempts   uint32        `protobuf:"varint,20,opt,name=attempts" json:"attempts,omitempty"`
+	// Cold is set when the request waited for a load.
+	Cold   bool   `protobuf:"varint,21,opt,name=cold" json:"cold,omitempty"`
+	Tokens uint32 `protobuf:"varint,22,opt,name=tokens" json:"tokens,omitempty"`
+	// Queued, FirstToken and Total run from the arrival.
+	Queued     int64 `protobuf:"varint,23,opt,name=queued" json:"queued,omitempty"`
+	FirstToken int64 `protobuf:"varint,24,opt,name=firstToken" json:"firstToken,omitempty"`
+	Total      int64 `protobuf:"varint,25,opt,name=total" json:"total,omitempty"`
+
+	Config vrid.ConfigVersion `protobuf:"varint,26,opt,name=config" json:"config,omitempty"`
+	Order  vrid.OrderID       `protobuf:"bytes,27,opt,name=order" json:"order,omitempty"`
+	Epoch  vrid.Epoch         `protobuf:"varint,28,opt,name=epoch" json:"epoch,omitempty"`
+
+	// Text holds a command, or the reason of a load.
+	Text     string `protobuf:"bytes,29,opt,name=text" json:"text,omitempty"`
+	Operator string `protobuf:"bytes,30,opt,name=operator" json:"operator,omitempty"`
+	// GapFirst and GapLast bound the missing numbers of a gap.
+	GapFirst uint64 `protobuf:"varint,31,opt,name=gapFirst" json:"gapFirst,omitempty"`
+	GapLast  uint64 `protobuf:"varint,32,opt,name=gapLast" json:"gapLast,omitempty"`
+}
+
+// EntryError says which field of an entry broke a rule.
+type EntryError struct {
+	Field   string
+	Problem string
+}
+
+func (e *EntryError) Error() string { return fmt.Sprintf("entry.%s: %s", e.Field, e.Problem) }
+
+// Validate checks that the entry can stand in a block.
+func (e *Entry) Validate() error {
+	if _, ok := _entryNames[e.Kind]; !ok {
+		return &EntryError{Field: "kind", Problem: e.Kind.String()}
+	}
+	if e.Daemon == "" || e.Boot == "" {
+		return &EntryError{Field: "daemon", Problem: "daemon or boot id is empty"}
+	}
+	if e.Kind.Terminal() && e.Request == "" {
+		return &EntryError{Field: "request", Problem: "is empty"}
+	}
+	if e.Kind == EntryRefused && e.Reason == "" {
+		return &EntryError{Field: "reason", Problem: "is empty"}
+	}
+	if e.Kind == EntryGap && (e.GapFirst == 0 || e.GapLast < e.GapFirst) {
+		return &EntryError{Field: "gapFirst", Problem: "the bounds are not in order"}
+	}
+	return nil
+}
--- /dev/null
+++ b/verbenacore/vrwire/claim.go
@@ -0,0 +1,135 @@
+package vrwire
+
+import "verbenaroute.example/verbenacore/vrid"
+
+// ClaimState is the state of an idempotency key.
+type ClaimState uint32
+
+// States of a key. ClaimGranted is a reply only: the requester may dispatch once.
+const (
+	ClaimGranted ClaimState = iota + 1
+	ClaimClaimed
+	ClaimDone
+	ClaimUnknown
+	ClaimReleased
+	ClaimMismatch
+	ClaimUnavailable
+)
+
+// String returns the name in logs and the record.
+func (s ClaimState) String() string {
+	switch s {
+	case ClaimGranted:
+		return "granted"
+	case ClaimClaimed:
+		return "claimed"
+	case ClaimDone:
+		return "done"
+	case ClaimUnknown:
+		return "unknown"
+	case ClaimReleased:
+		return "released"
+	case ClaimMismatch:
+		return "mismatch"
+	case ClaimUnavailable:
+		return "unavailable"
+	}
+	return "invalid"
+}
+
+// ClaimEntry is one line of a claim segment on the platform.
+type ClaimEntry struct {
+	Service vrid.ServiceID      `protobuf:"bytes,1,opt,name=service"`
+	Key     vrid.IdempotencyKey `protobuf:"bytes,2,opt,name=key"`
+	// State is ClaimClaimed, ClaimDone, ClaimUnknown or ClaimReleased.
+	State   ClaimState     `protobuf:"varint,3,opt,name=state"`
+	Daemon  vrid.DaemonID  `protobuf:"bytes,4,opt,name=daemon"`
+	Boot    vrid.BootID    `protobuf:"bytes,5,opt,name=boot"`
+	Request vrid.RequestID `protobuf:"bytes,6,opt,name=request"`
+	// Digest is the hash of method, path and body of the first call.
+	Digest      uint64 `protobuf:"varint,7,opt,name=digest"`
+	Status      uint32 `protobuf:"varint,8,opt,name=status"`
+	ContentType string `protobuf:"bytes,9,opt,name=contentType"`
+	Body        []byte `protobuf:"bytes,10,opt,name=body"`
+	// At is the time of the entry, in milliseconds of Unix time.
+	At int64 `protobuf:"varint,11,opt,name=at"`
+}
+
+// Validate checks names and state.
+func (c *ClaimEntry) Validate() error {
+	if c.Key == "" || c.Service == "" {
+		return &DecodeError{Message: "ClaimEntry", Field: "key", Problem: "key or service is empty"}
+	}
+	switch c.State {
+	case ClaimClaimed, ClaimDone, ClaimUnknown, ClaimReleased:
+		return nil
+	case ClaimGranted, ClaimMismatch, ClaimUnavailable:
+	}
+	return &DecodeError{Message: "ClaimEntry", Field: "state", Problem: "can't stand in a segment"}
+}
+
+// ClaimSegment is the value of one claim object.
+type ClaimSegment struct {
+	// Closed segments are never written again.
+	Closed  bool         `protobuf:"varint,1,opt,name=closed"`
+	Entries []ClaimEntry `protobuf:"bytes,2,rep,name=entries"`
+}
+
+// Validate checks each entry.
+func (c *ClaimSegment) Validate() error {
+	for i := range c.Entries {
+		if err := c.Entries[i].Validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ClaimRequest asks the owner of a shard to claim a key.
+type ClaimRequest struct {
+	Shard uint32     `protobuf:"varint,1,opt,name=shard"`
+	Entry ClaimEntry `protobuf:"bytes,2,opt,name=entry"`
+	// Deadline is when the requester stops waiting, in milliseconds of Unix time.
+	Deadline int64 `protobuf:"varint,3,opt,name=deadline"`
+}
+
+// Validate checks the entry.
+func (c *ClaimRequest) Validate() error { return c.Entry.Validate() }
+
+// ClaimReply answers a ClaimRequest.
+type ClaimReply struct {
+	Shard   uint32         `protobuf:"varint,1,opt,name=shard"`
+	Request vrid.RequestID `protobuf:"bytes,2,opt,name=request"`
+	State   ClaimState     `protobuf:"varint,3,opt,name=state"`
+	// Entry is the standing entry of the key unless the claim was granted.
+	Entry *ClaimEntry `protobuf:"bytes,4,opt,name=entry"`
+	// HolderGone is set when the claiming daemon's run is known to have ended.
+	HolderGone bool `protobuf:"varint,5,opt,name=holderGone"`
+}
+
+// Validate checks the state.
+func (c *ClaimReply) Validate() error {
+	if c.State < ClaimGranted || c.State > ClaimUnavailable {
+		return &DecodeError{Message: "ClaimReply", Field: "state", Problem: "is unknown"}
+	}
+	if c.Entry != nil {
+		return c.Entry.Validate()
+	}
+	return nil
+}
+
+// OutcomeReport tells the owner of a shard how claimed calls ended.
+type OutcomeReport struct {
+	Shard   uint32       `protobuf:"varint,1,opt,name=shard"`
+	Entries []ClaimEntry `protobuf:"bytes,2,rep,name=entries"`
+}
+
+// Validate checks each entry.
+func (o *OutcomeReport) Validate() error {
+	for i := range o.Entries {
+		if err := o.Entries[i].Validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/verbenacore/vrwire/control.go
@@ -0,0 +1,85 @@
+package vrwire
+
+import "verbenaroute.example/verbenacore/vrid"
+
+// ConfigOffer carries a whole configuration, compressed.
+type ConfigOffer struct {
+	Version vrid.ConfigVersion `protobuf:"varint,1,opt,name=version"`
+	// Document is the zstd-compressed JSON of the configuration.
+	Document []byte `protobuf:"bytes,2,opt,name=document"`
+	// Confirmed is set when the sender has it from the platform, directly or not.
+	Confirmed bool `protobuf:"varint,3,opt,name=confirmed"`
+}
+
+// Validate checks that there is a document.
+func (c *ConfigOffer) Validate() error {
+	if c.Version == 0 || len(c.Document) == 0 {
+		return &DecodeError{Message: "ConfigOffer", Field: "document", Problem: "version or document is missing"}
+	}
+	return nil
+}
+
+// ConfigFetch asks a peer for its configuration if it is newer.
+type ConfigFetch struct {
+	Have vrid.ConfigVersion `protobuf:"varint,1,opt,name=have"`
+}
+
+// Validate accepts every version.
+func (c *ConfigFetch) Validate() error { return nil }
+
+// RecordBatch carries record entries to a writer.
+type RecordBatch struct {
+	Daemon vrid.DaemonID `protobuf:"bytes,1,opt,name=daemon"`
+	Boot   vrid.BootID   `protobuf:"bytes,2,opt,name=boot"`
+	// First is the number of the batch's first entry in the daemon's own log.
+	First uint64 `protobuf:"varint,3,opt,name=first"`
+	// Entries are encoded record entries.
+	Entries [][]byte `protobuf:"bytes,4,rep,name=entries"`
+	// Opened counts the requests that the daemon has numbered so far.
+	Opened uint64 `protobuf:"varint,5,opt,name=opened"`
+}
+
+// Validate checks the origin.
+func (r *RecordBatch) Validate() error {
+	if r.Daemon == "" || r.Boot == "" {
+		return &DecodeError{Message: "RecordBatch", Field: "daemon", Problem: "daemon or boot id is empty"}
+	}
+	return nil
+}
+
+// RecordAck tells a daemon how far its entries are durable.
+type RecordAck struct {
+	Boot    vrid.BootID `protobuf:"bytes,1,opt,name=boot"`
+	Durable uint64      `protobuf:"varint,2,opt,name=durable"`
+}
+
+// Validate accepts every count.
+func (r *RecordAck) Validate() error { return nil }
+
+// QueryRequest asks a daemon for its part of an operator's query.
+type QueryRequest struct {
+	ID    uint64 `protobuf:"varint,1,opt,name=id"`
+	Query string `protobuf:"bytes,2,opt,name=query"`
+	// WholeZone asks the receiver to answer for its zone.
+	WholeZone bool `protobuf:"varint,3,opt,name=wholeZone"`
+}
+
+// Validate checks the query.
+func (q *QueryRequest) Validate() error {
+	if q.Query == "" {
+		return &DecodeError{Message: "QueryRequest", Field: "query", Problem: "is empty"}
+	}
+	return nil
+}
+
+// QueryReply carries rows as JSON lines.
+type QueryReply struct {
+	ID      uint64      `protobuf:"varint,1,opt,name=id"`
+	Zone    vrid.ZoneID `protobuf:"bytes,2,opt,name=zone"`
+	Rows    []byte      `protobuf:"bytes,3,opt,name=rows"`
+	Error   string      `protobuf:"bytes,4,opt,name=error"`
+	Partial bool        `protobuf:"varint,5,opt,name=partial"`
+}
+
+// Validate accepts every answer.
+func (q *QueryReply) Validate() error { return nil }
--- /dev/null
+++ b/verbenacore/vrwire/member.go
@@ -0,0 +1,311 @@
+package vrwire
+
+import "verbenaroute.example/verbenacore/vrid"
+
+// MemberState is a daemon's state in the zone view.
+type MemberState uint32
+
+// States of a member.
+const (
+	MemberAlive MemberState = iota + 1
+	MemberSuspect
+	MemberLeaving
+	MemberRemoved
+)
+
+// ServerState is a server's state in the zone view.
+type ServerState uint32
+
+// States of a server.
+const (
+	ServerLive ServerState = iota + 1
+	ServerLeaving
+	ServerDrained
+	ServerUnreachable
+	ServerGone
+)
+
+// ReplicaState is the state of a model or adapter on a server.
+type ReplicaState uint32
+
+// States of a ledger entry; every one of them occupies memory.
+const (
+	ReplicaGranted ReplicaState = iota + 1
+	ReplicaLoading
+	ReplicaLoaded
+	ReplicaUnloading
+)
+
+// String returns the name in logs and queries.
+func (s ReplicaState) String() string {
+	switch s {
+	case ReplicaGranted:
+		return "granted"
+	case ReplicaLoading:
+		return "loading"
+	case ReplicaLoaded:
+		return "loaded"
+	case ReplicaUnloading:
+		return "unloading"
+	}
+	return "unknown"
+}
+
+// MemberItem is one daemon in the zone view.
+type MemberItem struct {
+	Daemon vrid.DaemonID `protobuf:"bytes,1,opt,name=daemon"`
+	Boot   vrid.BootID   `protobuf:"bytes,2,opt,name=boot"`
+	// Peer is the IP address and port for other daemons.
+	Peer        string      `protobuf:"bytes,3,opt,name=peer"`
+	State       MemberState `protobuf:"varint,4,opt,name=state"`
+	Incarnation uint64      `protobuf:"varint,5,opt,name=incarnation"`
+	// Share is the member's part of every server's slots, in thousandths.
+	Share uint32 `protobuf:"varint,6,opt,name=share"`
+	// Opened counts the requests that the daemon has numbered.
+	Opened uint64 `protobuf:"varint,7,opt,name=opened"`
+	// Sequence is the view's counter when the item last changed.
+	Sequence uint64 `protobuf:"varint,15,opt,name=sequence"`
+}
+
+// ReplicaItem is a model on a server.
+type ReplicaItem struct {
+	Model    vrid.ModelID     `protobuf:"bytes,1,opt,name=model"`
+	State    ReplicaState     `protobuf:"varint,2,opt,name=state"`
+	Adapters []vrid.AdapterID `protobuf:"bytes,3,rep,name=adapters"`
+	// ReadyAt is the expected end of a load, in milliseconds of Unix time.
+	ReadyAt int64 `protobuf:"varint,4,opt,name=readyAt"`
+}
+
+// ServerItem is one server in the zone view.
+type ServerItem struct {
+	Server   vrid.ServerID `protobuf:"bytes,1,opt,name=server"`
+	Pool     vrid.PoolID   `protobuf:"bytes,2,opt,name=pool"`
+	Zone     vrid.ZoneID   `protobuf:"bytes,3,opt,name=zone"`
+	Address  string        `protobuf:"bytes,4,opt,name=address"`
+	State    ServerState   `protobuf:"varint,5,opt,name=state"`
+	Running  uint32        `protobuf:"varint,6,opt,name=running"`
+	Waiting  uint32        `protobuf:"varint,7,opt,name=waiting"`
+	Slots    uint32        `protobuf:"varint,8,opt,name=slots"`
+	Replicas []ReplicaItem `protobuf:"bytes,9,rep,name=replicas"`
+	Sequence uint64        `protobuf:"varint,15,opt,name=sequence"`
+}
+
+// LoadReport is what the poller of a server passes up the tree.
+type LoadReport struct {
+	Server vrid.ServerID `protobuf:"bytes,1,opt,name=server"`
+	Boot   vrid.BootID   `protobuf:"bytes,2,opt,name=boot"`
+	// Failed counts the polls that failed in a row.
+	Failed        uint32           `protobuf:"varint,3,opt,name=failed"`
+	Leaving       bool             `protobuf:"varint,4,opt,name=leaving"`
+	Running       uint32           `protobuf:"varint,5,opt,name=running"`
+	Waiting       uint32           `protobuf:"varint,6,opt,name=waiting"`
+	Slots         uint32           `protobuf:"varint,7,opt,name=slots"`
+	MemoryUsed    vrid.Bytes       `protobuf:"varint,8,opt,name=memoryUsed"`
+	Models        []LoadedModel    `protobuf:"bytes,9,rep,name=models"`
+	AppliedOrders []vrid.OrderID   `protobuf:"bytes,10,rep,name=appliedOrders"`
+	HighestEpoch  vrid.Epoch       `protobuf:"varint,11,opt,name=highestEpoch"`
+	Role          string           `protobuf:"bytes,12,opt,name=role"`
+	CachedMemory  []vrid.ModelID   `protobuf:"bytes,13,rep,name=cachedMemory"`
+	CachedDisk    []vrid.ModelID   `protobuf:"bytes,14,rep,name=cachedDisk"`
+	// TakenAt is the poller's time of the report, in milliseconds of Unix time.
+	TakenAt int64 `protobuf:"varint,15,opt,name=takenAt"`
+}
+
+// LoadedModel is a model that the engine reports.
+type LoadedModel struct {
+	Model    vrid.ModelID     `protobuf:"bytes,1,opt,name=model"`
+	State    ReplicaState     `protobuf:"varint,2,opt,name=state"`
+	Adapters []vrid.AdapterID `protobuf:"bytes,3,rep,name=adapters"`
+}
+
+// ModelDemand is the demand for a model, summed over a subtree.
+type ModelDemand struct {
+	Model   vrid.ModelID   `protobuf:"bytes,1,opt,name=model"`
+	Adapter vrid.AdapterID `protobuf:"bytes,2,opt,name=adapter"`
+	Rank    vrid.Rank      `protobuf:"varint,3,opt,name=rank"`
+	Waiting uint32         `protobuf:"varint,4,opt,name=waiting"`
+	// Arrived counts the requests since the previous message.
+	Arrived uint32 `protobuf:"varint,5,opt,name=arrived"`
+	// Deadline is the earliest of the waiting requests, in milliseconds of Unix time.
+	Deadline int64 `protobuf:"varint,6,opt,name=deadline"`
+	// Daemon is the origin; a subtree's sum leaves it empty.
+	Daemon vrid.DaemonID `protobuf:"bytes,7,opt,name=daemon"`
+}
+
+// Heartbeat goes from a daemon to its parent each second.
+type Heartbeat struct {
+	// Self and the members below it.
+	Members []MemberItem  `protobuf:"bytes,1,rep,name=members"`
+	Reports []LoadReport  `protobuf:"bytes,2,rep,name=reports"`
+	Demands []ModelDemand `protobuf:"bytes,3,rep,name=demands"`
+	// ViewEpoch and ViewSequence say which view the sender has.
+	ViewEpoch    vrid.Epoch         `protobuf:"varint,4,opt,name=viewEpoch"`
+	ViewSequence uint64             `protobuf:"varint,5,opt,name=viewSequence"`
+	Config       vrid.ConfigVersion `protobuf:"varint,6,opt,name=config"`
+	// SubtreeConfig is the lowest version in the sender's subtree.
+	SubtreeConfig vrid.ConfigVersion `protobuf:"varint,7,opt,name=subtreeConfig"`
+}
+
+// Validate checks the members and reports.
+func (h *Heartbeat) Validate() error {
+	if len(h.Members) == 0 {
+		return &DecodeError{Message: "Heartbeat", Field: "members", Problem: "is empty"}
+	}
+	for _, member := range h.Members {
+		if member.Daemon == "" || member.Boot == "" {
+			return &DecodeError{Message: "Heartbeat", Field: "members", Problem: "a member without id or boot id"}
+		}
+	}
+	for _, report := range h.Reports {
+		if report.Server == "" {
+			return &DecodeError{Message: "Heartbeat", Field: "reports", Problem: "a report without a server"}
+		}
+	}
+	return validateDemands("Heartbeat", h.Demands)
+}
+
+// HeartbeatReply answers a heartbeat.
+type HeartbeatReply struct {
+	// Removed is set when the sender's incarnation was removed: it must drop its
+	// rights and return with a higher incarnation.
+	Removed bool               `protobuf:"varint,1,opt,name=removed"`
+	Config  vrid.ConfigVersion `protobuf:"varint,2,opt,name=config"`
+	Delta   *ViewDelta         `protobuf:"bytes,3,opt,name=delta"`
+}
+
+// Validate checks the enclosed view.
+func (h *HeartbeatReply) Validate() error {
+	if h.Delta == nil {
+		return nil
+	}
+	return h.Delta.Validate()
+}
+
+// ViewDelta carries the items of the zone view that changed after a sequence.
+type ViewDelta struct {
+	Zone  vrid.ZoneID   `protobuf:"bytes,1,opt,name=zone"`
+	Owner vrid.DaemonID `protobuf:"bytes,2,opt,name=owner"`
+	Epoch vrid.Epoch    `protobuf:"varint,3,opt,name=epoch"`
+	// Base is the sequence after which the items changed; 0 means the whole view.
+	Base     uint64             `protobuf:"varint,4,opt,name=base"`
+	Sequence uint64             `protobuf:"varint,5,opt,name=sequence"`
+	Members  []MemberItem       `protobuf:"bytes,6,rep,name=members"`
+	Servers  []ServerItem       `protobuf:"bytes,7,rep,name=servers"`
+	Config   vrid.ConfigVersion `protobuf:"varint,8,opt,name=config"`
+	// Remote are the summaries of other zones.
+	Remote []ZoneSummary `protobuf:"bytes,9,rep,name=remote"`
+}
+
+// Validate checks the order of sequences.
+func (v *ViewDelta) Validate() error {
+	if v.Zone == "" {
+		return &DecodeError{Message: "ViewDelta", Field: "zone", Problem: "is empty"}
+	}
+	if v.Base > v.Sequence {
+		return &DecodeError{Message: "ViewDelta", Field: "base", Problem: "is above the sequence"}
+	}
+	return nil
+}
+
+// Demand goes straight to the zone owner when a request meets a cold model.
+type Demand struct {
+	Demands []ModelDemand `protobuf:"bytes,1,rep,name=demands"`
+}
+
+// Validate checks each demand.
+func (d *Demand) Validate() error { return validateDemands("Demand", d.Demands) }
+
+func validateDemands(message string, demands []ModelDemand) error {
+	for _, demand := range demands {
+		if demand.Model == "" {
+			return &DecodeError{Message: message, Field: "demands", Problem: "a demand without a model"}
+		}
+		if !demand.Rank.Valid() {
+			return &DecodeError{Message: message, Field: "demands", Problem: "an unknown rank"}
+		}
+	}
+	return nil
+}
+
+// ZoneSummary goes from a zone owner to the other zone owners each second.
+type ZoneSummary struct {
+	Zone    vrid.ZoneID        `protobuf:"bytes,1,opt,name=zone"`
+	Epoch   vrid.Epoch         `protobuf:"varint,2,opt,name=epoch"`
+	Owner   vrid.DaemonID      `protobuf:"bytes,3,opt,name=owner"`
+	Peer    string             `protobuf:"bytes,4,opt,name=peer"`
+	Config  vrid.ConfigVersion `protobuf:"varint,5,opt,name=config"`
+	Servers []ServerItem       `protobuf:"bytes,6,rep,name=servers"`
+	Members []MemberItem       `protobuf:"bytes,7,rep,name=members"`
+	// SentAt is the owner's time, in milliseconds of Unix time.
+	SentAt int64 `protobuf:"varint,8,opt,name=sentAt"`
+	// InForce is the version that all live members of the zone hold.
+	InForce vrid.ConfigVersion `protobuf:"varint,9,opt,name=inForce"`
+}
+
+// Validate checks the names.
+func (z *ZoneSummary) Validate() error {
+	if z.Zone == "" || z.Owner == "" {
+		return &DecodeError{Message: "ZoneSummary", Field: "zone", Problem: "zone or owner is empty"}
+	}
+	return nil
+}
+
+// EpochAck tells a zone owner that a daemon holds no unsent order of an earlier epoch.
+type EpochAck struct {
+	Epoch vrid.Epoch `protobuf:"varint,1,opt,name=epoch"`
+}
+
+// Validate checks the epoch.
+func (e *EpochAck) Validate() error {
+	if e.Epoch == 0 {
+		return &DecodeError{Message: "EpochAck", Field: "epoch", Problem: "is zero"}
+	}
+	return nil
+}
+
+// Handover tells the next daemon in the order that the owner released its lease.
+type Handover struct {
+	Epoch vrid.Epoch `protobuf:"varint,1,opt,name=epoch"`
+}
+
+// Validate checks the epoch.
+func (h *Handover) Validate() error {
+	if h.Epoch == 0 {
+		return &DecodeError{Message: "Handover", Field: "epoch", Problem: "is zero"}
+	}
+	return nil
+}
+
+// SlotRequest asks the fleet owner for places at the weight store.
+type SlotRequest struct {
+	Loads []SlotLoad `protobuf:"bytes,1,rep,name=loads"`
+}
+
+// SlotLoad is one load that waits for or holds a place.
+type SlotLoad struct {
+	Order    vrid.OrderID `protobuf:"bytes,1,opt,name=order"`
+	Rank     vrid.Rank    `protobuf:"varint,2,opt,name=rank"`
+	Deadline int64        `protobuf:"varint,3,opt,name=deadline"`
+	Adapter  bool         `protobuf:"varint,4,opt,name=adapter"`
+	Holding  bool         `protobuf:"varint,5,opt,name=holding"`
+}
+
+// Validate checks each load.
+func (s *SlotRequest) Validate() error {
+	for _, load := range s.Loads {
+		if load.Order == "" || !load.Rank.Valid() {
+			return &DecodeError{Message: "SlotRequest", Field: "loads", Problem: "a load without order or rank"}
+		}
+	}
+	return nil
+}
+
+// SlotGrant lists the loads of a zone that hold a place.
+type SlotGrant struct {
+	Orders []vrid.OrderID `protobuf:"bytes,1,rep,name=orders"`
+	// Until is when unused grants lapse, in milliseconds of Unix time.
+	Until int64 `protobuf:"varint,2,opt,name=until"`
+}
+
+// Validate accepts every grant: an empty one means that nothing is granted.
+func (s *SlotGrant) Validate() error { return nil }
