--- /dev/null
+++ b/verbenabench/main.go
@@ -0,0 +1,4 @@
+// Command verbenabench runs stand-ins and experiments.
+package main
+
+func main() {}
--- a/verbenacore/vrwire/member.go
+++ b/verbenacore/vrwire/member.go
@@ -95,18 +95,18 @@
 	Server vrid.ServerID `protobuf:"bytes,1,opt,name=server"`
 	Boot   vrid.BootID   `protobuf:"bytes,2,opt,name=boot"`
 	// Failed counts the polls that failed in a row.
-	Failed        uint32           `protobuf:"varint,3,opt,name=failed"`
-	Leaving       bool             `protobuf:"varint,4,opt,name=leaving"`
-	Running       uint32           `protobuf:"varint,5,opt,name=running"`
-	Waiting       uint32           `protobuf:"varint,6,opt,name=waiting"`
-	Slots         uint32           `protobuf:"varint,7,opt,name=slots"`
-	MemoryUsed    vrid.Bytes       `protobuf:"varint,8,opt,name=memoryUsed"`
-	Models        []LoadedModel    `protobuf:"bytes,9,rep,name=models"`
-	AppliedOrders []vrid.OrderID   `protobuf:"bytes,10,rep,name=appliedOrders"`
-	HighestEpoch  vrid.Epoch       `protobuf:"varint,11,opt,name=highestEpoch"`
-	Role          string           `protobuf:"bytes,12,opt,name=role"`
-	CachedMemory  []vrid.ModelID   `protobuf:"bytes,13,rep,name=cachedMemory"`
-	CachedDisk    []vrid.ModelID   `protobuf:"bytes,14,rep,name=cachedDisk"`
+	Failed        uint32         `protobuf:"varint,3,opt,name=failed"`
+	Leaving       bool           `protobuf:"varint,4,opt,name=leaving"`
+	Running       uint32         `protobuf:"varint,5,opt,name=running"`
+	Waiting       uint32         `protobuf:"varint,6,opt,name=waiting"`
+	Slots         uint32         `protobuf:"varint,7,opt,name=slots"`
+	MemoryUsed    vrid.Bytes     `protobuf:"varint,8,opt,name=memoryUsed"`
+	Models        []LoadedModel  `protobuf:"bytes,9,rep,name=models"`
+	AppliedOrders []vrid.OrderID `protobuf:"bytes,10,rep,name=appliedOrders"`
+	HighestEpoch  vrid.Epoch     `protobuf:"varint,11,opt,name=highestEpoch"`
+	Role          string         `protobuf:"bytes,12,opt,name=role"`
+	CachedMemory  []vrid.ModelID `protobuf:"bytes,13,rep,name=cachedMemory"`
+	CachedDisk    []vrid.ModelID `protobuf:"bytes,14,rep,name=cachedDisk"`
 	// TakenAt is the poller's time of the report, in milliseconds of Unix time.
 	TakenAt int64 `protobuf:"varint,15,opt,name=takenAt"`
 }
--- /dev/null
+++ b/verbenactl/main.go
@@ -0,0 +1,4 @@
+// Command verbenactl is the command line of operators.
+package main
+
+func main() {}
--- /dev/null
+++ b/verbenaroute/main.go
@@ -0,0 +1,4 @@
+// Command verbenaroute is the daemon on an entry VM.
+package main
+
+func main() {}
