Add events and effects of configuration changes

Change: ConfigProposed, ConfigDecided and a counter for platform calls. Conclusion: the commit protocol can be built on them.

--- a/verbenacore/vrevent/vrevent.go
+++ b/verbenacore/vrevent/vrevent.go
@@ -206,6 +206,17 @@
 	// PeerUnreachable says that a message to a peer could not be delivered.
 	PeerUnreachable struct{ Peer vrid.DaemonID }
 
+	// ConfigProposed is an operator's checked change of the configuration.
+	ConfigProposed struct {
+		Proposal uint64
+		// Base is the version that the change was made from.
+		Base     vrid.ConfigVersion
+		Index    *vrconfig.Index
+		Document []byte
+		Operator string
+		Command  string
+	}
+
 	// DrainServer is the operator's order to stop new work on a server at once; the
 	// configuration that makes it last follows.
 	DrainServer struct{ Server vrid.ServerID }
@@ -233,9 +244,31 @@
 func (OrderAnswered) isEvent()       {}
 func (PeerMessage) isEvent()         {}
 func (PeerUnreachable) isEvent()     {}
+func (ConfigProposed) isEvent()      {}
 func (DrainServer) isEvent()         {}
 func (ShutdownRequested) isEvent()   {}
 
+// ConfigDecision is how a proposed configuration ended.
+type ConfigDecision uint8
+
+// Decisions on a proposed configuration. ConfigUndecided is returned when the
+// platform did not answer in time: the change may still take effect.
+const (
+	ConfigAccepted ConfigDecision = iota + 1
+	ConfigConflict
+	ConfigUnavailable
+	ConfigUndecided
+)
+
+// Ops hands out numbers for calls to the platform.
+type Ops struct{ last Op }
+
+// Next returns a number that was not handed out before.
+func (o *Ops) Next() Op {
+	o.last++
+	return o.last
+}
+
 // TickInterval is the longest time between two Tick events.
 const TickInterval = 50 * time.Millisecond
 
@@ -346,6 +379,14 @@
 		Envelope *vrwire.Envelope
 	}
 
+	// ConfigDecided answers ConfigProposed.
+	ConfigDecided struct {
+		Proposal uint64
+		Decision ConfigDecision
+		// Version that is now at the head, as far as it is known.
+		Version vrid.ConfigVersion
+	}
+
 	// AppendEntry hands an entry to the record.
 	AppendEntry struct{ Entry vrrecord.Entry }
 
@@ -396,6 +437,7 @@
 func (PollServer) isEffect()    {}
 func (SendOrder) isEffect()     {}
 func (SendPeer) isEffect()      {}
+func (ConfigDecided) isEffect() {}
 func (AppendEntry) isEffect()   {}
 func (SetReady) isEffect()      {}
 func (Stopped) isEffect()       {}
