--- a/verbenacore/vrconfig/check.go
+++ b/verbenacore/vrconfig/check.go
@@ -16,9 +16,14 @@
 	Found string
 	// Allowed says what may stand there.
 	Allowed string
+	// Line and Column are the place in the file, or 0 when it is not known.
+	Line, Column int
 }
 
 func (e *FieldError) Error() string {
+	if e.Line > 0 {
+		return fmt.Sprintf("%d:%d: %s: found %s, allowed: %s", e.Line, e.Column, e.Field, e.Found, e.Allowed)
+	}
 	return fmt.Sprintf("%s: found %s, allowed: %s", e.Field, e.Found, e.Allowed)
 }
 
@@ -57,6 +62,9 @@
 	c.fields = append(c.fields, &FieldError{Field: field, Found: fmt.Sprintf("%v", found), Allowed: allowed})
 }
 
+// Add notes a mistake with its place.
+func (c *Checker) Add(mistake *FieldError) { c.fields = append(c.fields, mistake) }
+
 // Merge adds the mistakes of an error from another check.
 func (c *Checker) Merge(err error) {
 	var check *CheckError
@@ -208,11 +216,12 @@
 	for i, caller := range f.Callers {
 		c.Require(caller.ID != "" && !callers[caller.ID], at("callers", i, "id"), quote(caller.ID), "a name that stands once")
 		callers[caller.ID] = true
-		c.Require(isHexSHA256(caller.TokenHash), at("callers", i, "tokenHash"), "a malformed hash", "64 hex digits")
+		c.Require(IsHexSHA256(caller.TokenHash), at("callers", i, "tokenHash"), "a malformed hash", "64 hex digits")
 	}
 }
 
-func isHexSHA256(hash string) bool {
+// IsHexSHA256 reports whether a text is a SHA-256 hash in hexadecimal digits.
+func IsHexSHA256(hash string) bool {
 	const hexDigits = 64
 	return len(hash) == hexDigits && strings.Trim(strings.ToLower(hash), "0123456789abcdef") == ""
 }
