--- /dev/null
+++ b/verbenacore/vrengine/wire.go
@@ -0,0 +1,53 @@
+package vrengine
+
+import "verbenaroute.example/verbenacore/vrid"
+
+// Paths of the language servers' HTTP interface.
+const (
+	PathGenerate    = "/v1/generate"
+	PathCancel      = "/v1/cancel"
+	PathOrders      = "/v1/orders"
+	PathReport      = "/v1/report"
+	PathCacheEvents = "/v1/cacheEvents"
+	PathKVExport    = "/v1/kv/export"
+	PathKVImport    = "/v1/kv/import"
+)
+
+// Headers that a call to an application server carries.
+const (
+	HeaderRequestID      = "X-Request-Id"
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// MaxTokenLine is the largest line of the answer to POST /v1/generate in bytes.
+const MaxTokenLine = 64 << 10
+
+// CancelRequest is the body of POST /v1/cancel.
+type CancelRequest struct {
+	RequestID vrid.RequestID `json:"requestId"`
+}
+
+// KVExport is the body of POST /v1/kv/export; the answer is the bytes themselves.
+type KVExport struct {
+	RequestID vrid.RequestID `json:"requestId"`
+}
+
+// KVImport is the body of POST /v1/kv/import.
+type KVImport struct {
+	RequestID vrid.RequestID `json:"requestId"`
+	Bytes     []byte         `json:"bytes"`
+}
+
+// Validate checks what a list of cache events needs to be used. Numbers have gaps and
+// start again when the server restarts, so their order is not checked.
+func (c *CacheEvents) Validate() error {
+	for _, event := range c.Events {
+		if event.Model == "" {
+			return &FieldError{Message: "cacheEvents", Field: "model", Problem: "is empty"}
+		}
+		if event.Tokens < 0 {
+			return &FieldError{Message: "cacheEvents", Field: "tokens", Problem: "is negative"}
+		}
+	}
+	return nil
+}
