--- /dev/null
+++ b/verbenacore/vrpeer/tls.go
@@ -0,0 +1,123 @@
+package vrpeer
+
+import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"os"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrsettings"
+)
+
+// IdentityError says that a certificate names another daemon than expected.
+type IdentityError struct {
+	Found, Want vrid.DaemonID
+}
+
+func (e *IdentityError) Error() string {
+	return fmt.Sprintf("the certificate names %q, want %q", e.Found, e.Want)
+}
+
+// credentials are the key files. They are read at each handshake, which is rare, so a
+// replaced certificate is used by the next session without a restart.
+type credentials struct {
+	files vrsettings.TLSFiles
+	log   *zap.Logger
+
+	mu          sync.Mutex
+	raw         [3][]byte
+	certificate tls.Certificate
+	authorities *x509.CertPool
+}
+
+func newCredentials(files vrsettings.TLSFiles, log *zap.Logger) (*credentials, error) {
+	c := &credentials{files: files, log: log}
+	if err := c.reload(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *credentials) reload() error {
+	var raw [3][]byte
+	for i, path := range [...]string{c.files.Certificate, c.files.Key, c.files.Authority} {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return fmt.Errorf("read peer TLS file: %w", err)
+		}
+		raw[i] = data
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if equalFiles(raw, c.raw) {
+		return nil
+	}
+	certificate, err := tls.X509KeyPair(raw[0], raw[1])
+	if err != nil {
+		return fmt.Errorf("peer certificate %s: %w", c.files.Certificate, err)
+	}
+	authorities := x509.NewCertPool()
+	if !authorities.AppendCertsFromPEM(raw[2]) {
+		return fmt.Errorf("peer authority %s: no certificate in the file", c.files.Authority)
+	}
+	c.raw, c.certificate, c.authorities = raw, certificate, authorities
+	return nil
+}
+
+func equalFiles(a, b [3][]byte) bool {
+	for i := range a {
+		if !bytes.Equal(a[i], b[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// config returns the configuration of one handshake. A file that is being replaced and
+// can't be read leaves the former certificate in use.
+func (c *credentials) config(verify func(vrid.DaemonID) error) *tls.Config {
+	if err := c.reload(); err != nil {
+		c.log.Warn("peer TLS files not reloaded", zap.Error(err))
+	}
+	c.mu.Lock()
+	certificate, authorities := c.certificate, c.authorities
+	c.mu.Unlock()
+	return &tls.Config{
+		MinVersion:             tls.VersionTLS13,
+		Certificates:           []tls.Certificate{certificate},
+		ClientAuth:             tls.RequireAnyClientCert,
+		SessionTicketsDisabled: true,
+		// Daemons are named by the common name and reached by IP address, so the check
+		// of host names is replaced by VerifyConnection, which checks the chain.
+		InsecureSkipVerify: true,
+		VerifyConnection: func(state tls.ConnectionState) error {
+			peer, err := verifyChain(state.PeerCertificates, authorities)
+			if err != nil {
+				return err
+			}
+			return verify(peer)
+		},
+	}
+}
+
+func verifyChain(chain []*x509.Certificate, authorities *x509.CertPool) (vrid.DaemonID, error) {
+	if len(chain) == 0 {
+		return "", &IdentityError{Want: "a certificate"}
+	}
+	intermediates := x509.NewCertPool()
+	for _, certificate := range chain[1:] {
+		intermediates.AddCert(certificate)
+	}
+	_, err := chain[0].Verify(x509.VerifyOptions{
+		Roots: authorities, Intermediates: intermediates, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	})
+	if err != nil {
+		return "", fmt.Errorf("verify peer certificate: %w", err)
+	}
+	return vrid.DaemonID(chain[0].Subject.CommonName), nil
+}
