--- /dev/null
+++ b/verbenacore/vrclaim/vrclaim.go
@@ -0,0 +1,74 @@
+// Package vrclaim keeps idempotency keys. A claim is durable on the platform before
+// its call is sent; a shard's segments are a log that any daemon may extend by
+// conditional update. The shard's owner makes batches, the versions make it correct.
+package vrclaim
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+const (
+	// segmentEntries closes a segment before it nears the platform's largest value.
+	segmentEntries = 2000
+	// segmentBytes closes a segment by size.
+	segmentBytes = 384 << 10
+	// flushDelay gathers outcomes, which nobody waits for, into the next write.
+	flushDelay = 100 * time.Millisecond
+	// retryDelay is the pause after a call to the platform that was not answered.
+	retryDelay = 200 * time.Millisecond
+	// bodyLimit is the largest stored answer; a longer one is kept as its status only.
+	bodyLimit = 16 << 10
+)
+
+// Shard returns the shard of a key.
+func Shard(service vrid.ServiceID, key vrid.IdempotencyKey, shards int) uint32 {
+	if shards <= 1 {
+		return 0
+	}
+	digest := xxhash.New()
+	_, _ = digest.WriteString(string(service))
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(string(key))
+	return uint32(digest.Sum64() % uint64(shards))
+}
+
+// HomeZone returns the zone whose owner makes the batches of a shard.
+func HomeZone(shard uint32, zones []vrid.ZoneID) vrid.ZoneID {
+	if len(zones) == 0 {
+		return ""
+	}
+	return zones[int(shard)%len(zones)]
+}
+
+// name identifies a key within its service.
+type name struct {
+	service vrid.ServiceID
+	key     vrid.IdempotencyKey
+}
+
+func nameOf(entry *vrwire.ClaimEntry) name {
+	return name{service: entry.Service, key: entry.Key}
+}
+
+// Answer is the state of a key after a request to claim it.
+type Answer struct {
+	Request vrid.RequestID
+	// Daemon and Boot are those of the requester.
+	Daemon vrid.DaemonID
+	State  vrwire.ClaimState
+	// Entry is the standing entry unless the claim was granted or is unavailable.
+	Entry *vrwire.ClaimEntry
+}
+
+// TrimBody drops an answer's body that is too long to keep.
+func TrimBody(body []byte) []byte {
+	if len(body) > bodyLimit {
+		return nil
+	}
+	return body
+}
--- a/verbenacore/vrconfig/index.go
+++ b/verbenacore/vrconfig/index.go
@@ -173,3 +173,7 @@
 		}
 	}
 }
+
+// Replace takes a configuration without comparing versions. Only the fuzz test's
+// planted fault uses it.
+func (s *Store) Replace(index *Index) { s.current.Store(index) }
--- a/verbenacore/vrengine/types.go
+++ b/verbenacore/vrengine/types.go
@@ -70,17 +70,21 @@
 // OrderStatus is how an order ended.
 type OrderStatus uint8
 
-// Ends of an order. OrderUnanswered means that nothing is known.
+// Ends of an order. OrderDone also stands for a load that was accepted and goes on.
+// OrderUnanswered means that nothing is known.
 const (
 	OrderDone OrderStatus = iota + 1
 	OrderFenced
 	OrderNoMemory
 	OrderRefused
 	OrderUnanswered
+	// OrderNotSent means that no byte of the order left.
+	OrderNotSent
 )
 
 // OrderAnswer is the body of the answer to an order.
 type OrderAnswer struct {
+	// State is "loading", "loaded", "unloading" or "unloaded" after the order.
 	State           string     `json:"state,omitempty"`
 	HighestEpoch    vrid.Epoch `json:"highestEpoch,omitempty"`
 	HighestSequence uint64     `json:"highestSequence,omitempty"`
@@ -152,6 +156,14 @@
 	Error        string         `json:"error,omitempty"`
 }
 
+// States of a model in an OrderAnswer and in a ModelReport.
+const (
+	StateLoading   = "loading"
+	StateLoaded    = "loaded"
+	StateUnloading = "unloading"
+	StateUnloaded  = "unloaded"
+)
+
 // Error codes of POST /v1/generate before any token: the request did not run.
 const (
 	ErrorNotLoaded = "notLoaded"
--- /dev/null
+++ b/verbenacore/vrfault/vrfault.go
@@ -0,0 +1,64 @@
+// Package vrfault names the planted faults of the fuzz test. In a normal build On is
+// constant false and the compiler removes every planted fault; only the build tag
+// vrfault, which tests use, lets one be switched on.
+package vrfault
+
+// Fault is one safety rule that the fuzz test can disable.
+type Fault uint8
+
+// Planted faults.
+const (
+	None Fault = iota
+	// SendBeforeDurable sends an order before its record is on the platform.
+	SendBeforeDurable
+	// ForgetUnknown removes an entry whose order's outcome is unknown.
+	ForgetUnknown
+	// SkipTakeoverWrite treats a ledger chunk as taken over after only reading it.
+	SkipTakeoverWrite
+	// IgnorePin unloads entries that have unsettled attempts.
+	IgnorePin
+	// IgnoreCap loads past the decided replicas.
+	IgnoreCap
+	// SkipFence does not wait until engines acknowledged the epoch.
+	SkipFence
+	// IgnoreMemory loads without counting orders of unknown outcome.
+	IgnoreMemory
+	// ActAfterLapse ignores the loss of the lease.
+	ActAfterLapse
+	// DispatchBeforeClaim sends a non-idempotent call before its claim is durable.
+	DispatchBeforeClaim
+	// RetryUnknown repeats a non-idempotent call after an unknown outcome.
+	RetryUnknown
+	// FalseNotRun refuses with notRun after a dispatch.
+	FalseNotRun
+	// ForgetClaims starts a claim log without reading its segments.
+	ForgetClaims
+	// StaleConfig takes an older configuration back.
+	StaleConfig
+	// DropOnPeerLoss forgets a waiting request when a peer is lost.
+	DropOnPeerLoss
+	// RouteToLeaving sends new work to leaving servers.
+	RouteToLeaving
+	// AcceptEarly accepts a configuration before the platform acknowledged it.
+	AcceptEarly
+)
+
+// Names lists every planted fault.
+var Names = map[Fault]string{
+	SendBeforeDurable:   "sendBeforeDurable",
+	ForgetUnknown:       "forgetUnknown",
+	SkipTakeoverWrite:   "skipTakeoverWrite",
+	IgnorePin:           "ignorePin",
+	IgnoreCap:           "ignoreCap",
+	SkipFence:           "skipFence",
+	IgnoreMemory:        "ignoreMemory",
+	ActAfterLapse:       "actAfterLapse",
+	DispatchBeforeClaim: "dispatchBeforeClaim",
+	RetryUnknown:        "retryUnknown",
+	FalseNotRun:         "falseNotRun",
+	ForgetClaims:        "forgetClaims",
+	StaleConfig:         "staleConfig",
+	DropOnPeerLoss:      "dropOnPeerLoss",
+	RouteToLeaving:      "routeToLeaving",
+	AcceptEarly:         "acceptEarly",
+}
--- /dev/null
+++ b/verbenacore/vrlease/vrlease.go
@@ -0,0 +1,286 @@
+// Package vrlease is the state machine of a lease that is one object of the
+// platform. Safety of what the holder does never rests on the lease's time: each
+// decision is a conditional update of an object that a successor rewrites first. The
+// time only says when a successor may try.
+package vrlease
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrplatform"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+// Times of a lease.
+const (
+	// Duration is how long a holder counts as alive after its last renewal.
+	Duration = 3 * time.Second
+	// RenewInterval leaves two renewals that may fail before a lapse.
+	RenewInterval = time.Second
+	// maxStagger spreads candidates so that mostly one tries.
+	maxStagger = 300 * time.Millisecond
+)
+
+// Record is the value of the lease object.
+type Record struct {
+	Holder vrid.DaemonID `protobuf:"bytes,1,opt,name=holder"`
+	Boot   vrid.BootID   `protobuf:"bytes,2,opt,name=boot"`
+	Peer   string        `protobuf:"bytes,3,opt,name=peer"`
+	Epoch  vrid.Epoch    `protobuf:"varint,4,opt,name=epoch"`
+	// Renewal makes each write differ, so that observers see the version change.
+	Renewal uint64 `protobuf:"varint,5,opt,name=renewal"`
+	// Released is set when the holder gave the lease up; a successor need not wait.
+	Released bool `protobuf:"varint,6,opt,name=released"`
+	// Chunks is the number of ledger objects of the zone; it never changes.
+	Chunks uint32 `protobuf:"varint,7,opt,name=chunks"`
+}
+
+// Validate checks that the holder is named.
+func (r *Record) Validate() error {
+	if r.Holder == "" || r.Boot == "" {
+		return &vrwire.DecodeError{Message: "Lease", Field: "holder", Problem: "holder or boot id is empty"}
+	}
+	if r.Epoch == 0 {
+		return &vrwire.DecodeError{Message: "Lease", Field: "epoch", Problem: "is zero"}
+	}
+	return nil
+}
+
+// Change is what an event did to this daemon's hold on the lease.
+type Change uint8
+
+// Changes of the hold.
+const (
+	ChangeNone Change = iota
+	ChangeAcquired
+	ChangeLost
+)
+
+// Options of a lease.
+type Options struct {
+	Key    string
+	Daemon vrid.DaemonID
+	Boot   vrid.BootID
+	Peer   string
+	Ops    *vrevent.Ops
+	Random *rand.Rand
+}
+
+// Lease is one daemon's view of a lease object.
+type Lease struct {
+	opts Options
+	// known is the newest record seen; its epoch never decreases.
+	known   Record
+	version vrid.ObjectVersion
+	seen    bool
+	// changed is the local time at which the version was first seen.
+	changed time.Time
+	stagger time.Duration
+	// holding is true from an acknowledged acquisition until a newer epoch is seen.
+	holding bool
+	// confirmed is when the last acknowledged write was sent.
+	confirmed time.Time
+	op        vrevent.Op
+	opSent    time.Time
+	proposed  Record
+	nextRead  time.Time
+	releasing bool
+}
+
+// New returns a lease that has not been read yet.
+func New(opts Options) *Lease { return &Lease{opts: opts} }
+
+// Known returns the newest record seen, and whether there is one.
+func (l *Lease) Known() (Record, bool) { return l.known, l.seen && l.known.Holder != "" }
+
+// Holding reports whether this daemon holds the lease as far as it knows.
+func (l *Lease) Holding() bool { return l.holding }
+
+// Confirmed reports whether the hold was acknowledged within the lease's duration.
+func (l *Lease) Confirmed(now time.Time) bool {
+	return l.holding && now.Sub(l.confirmed) < Duration
+}
+
+// Epoch returns the newest epoch seen.
+func (l *Lease) Epoch() vrid.Epoch { return l.known.Epoch }
+
+// Request says how this daemon takes part in the lease.
+type Request struct {
+	// Observe reads the object each RenewInterval.
+	Observe bool
+	// Candidate may acquire a free or lapsed lease.
+	Candidate bool
+	// Chunks is written into the first record.
+	Chunks uint32
+}
+
+// Tick renews a held lease, reads an observed one and acquires a lapsed one.
+func (l *Lease) Tick(now time.Time, request Request, out *vrevent.Effects) {
+	if l.op != 0 {
+		return
+	}
+	if l.holding {
+		l.renew(now, out)
+		return
+	}
+	if l.free(now) && request.Candidate && !l.releasing {
+		l.acquire(now, request.Chunks, out)
+		return
+	}
+	if request.Observe && !now.Before(l.nextRead) {
+		l.read(now, out)
+	}
+}
+
+// free reports whether a candidate may try to acquire.
+func (l *Lease) free(now time.Time) bool {
+	if !l.seen {
+		return false
+	}
+	if l.version == 0 || l.known.Released {
+		return true
+	}
+	return now.Sub(l.changed) >= Duration+l.stagger
+}
+
+func (l *Lease) renew(now time.Time, out *vrevent.Effects) {
+	if now.Sub(l.confirmed) < RenewInterval || now.Before(l.nextRead) {
+		return
+	}
+	record := l.known
+	record.Renewal++
+	record.Released = l.releasing
+	l.write(now, record, out)
+}
+
+func (l *Lease) acquire(now time.Time, chunks uint32, out *vrevent.Effects) {
+	record := Record{
+		Holder: l.opts.Daemon,
+		Boot:   l.opts.Boot,
+		Peer:   l.opts.Peer,
+		Epoch:  l.known.Epoch + 1,
+		Chunks: max(l.known.Chunks, 1),
+	}
+	if l.known.Chunks == 0 {
+		record.Chunks = max(chunks, 1)
+	}
+	l.write(now, record, out)
+}
+
+// Release gives a held lease up, so that the next daemon need not wait for the lapse.
+func (l *Lease) Release(now time.Time, out *vrevent.Effects) {
+	l.releasing = true
+	if !l.holding || l.op != 0 {
+		return
+	}
+	record := l.known
+	record.Renewal++
+	record.Released = true
+	l.write(now, record, out)
+}
+
+// Released reports whether a shutdown may go on.
+func (l *Lease) Released() bool { return !l.holding && l.op == 0 }
+
+func (l *Lease) write(now time.Time, record Record, out *vrevent.Effects) {
+	value, err := vrwire.Marshal(&record)
+	if err != nil {
+		out.Warn("lease record can't be encoded", vrevent.Field("error", err.Error()))
+		return
+	}
+	l.op = l.opts.Ops.Next()
+	l.opSent = now
+	l.proposed = record
+	out.Add(vrevent.WriteObject{Op: l.op, Key: l.opts.Key, IfVersion: l.version, Value: value})
+}
+
+func (l *Lease) read(now time.Time, out *vrevent.Effects) {
+	l.op = l.opts.Ops.Next()
+	l.opSent = now
+	l.nextRead = now.Add(RenewInterval)
+	out.Add(vrevent.ReadObject{Op: l.op, Key: l.opts.Key})
+}
+
+// Owns reports whether an answer belongs to this lease.
+func (l *Lease) Owns(op vrevent.Op) bool { return op != 0 && op == l.op }
+
+// HandleWritten takes the answer to a write.
+func (l *Lease) HandleWritten(now time.Time, event vrevent.ObjectWritten, out *vrevent.Effects) Change {
+	l.op = 0
+	switch event.Outcome {
+	case vrplatform.OutcomeOK:
+		return l.accept(now, l.proposed, event.Version, l.opSent)
+	case vrplatform.OutcomeConflict, vrplatform.OutcomeUnknown:
+		// A lost answer may hide a write that took effect: only a read can tell.
+		l.read(now, out)
+	default:
+		l.nextRead = now.Add(RenewInterval / 2)
+	}
+	return ChangeNone
+}
+
+// HandleRead takes the answer to a read.
+func (l *Lease) HandleRead(now time.Time, event vrevent.ObjectRead, out *vrevent.Effects) Change {
+	sent := l.opSent
+	l.op = 0
+	switch event.Outcome {
+	case vrplatform.OutcomeNotFound:
+		l.seen = true
+		l.version = 0
+		return ChangeNone
+	case vrplatform.OutcomeOK:
+	default:
+		return ChangeNone
+	}
+	record, err := vrwire.Unmarshal[Record](event.Value)
+	if err != nil {
+		out.Warn("lease record is malformed", vrevent.Field("key", l.opts.Key), vrevent.Field("error", err.Error()))
+		return ChangeNone
+	}
+	return l.accept(now, *record, event.Version, sent)
+}
+
+// accept takes a record that is known to stand at a version.
+func (l *Lease) accept(now time.Time, record Record, version vrid.ObjectVersion, sent time.Time) Change {
+	if version < l.version {
+		return ChangeNone
+	}
+	if version != l.version || !l.seen {
+		l.changed = now
+		l.stagger = time.Duration(l.opts.Random.Int64N(int64(maxStagger)))
+	}
+	l.seen = true
+	l.version = version
+	l.known = record
+	mine := record.Holder == l.opts.Daemon && record.Boot == l.opts.Boot && !record.Released
+	wasHolding := l.holding
+	l.holding = mine
+	if mine {
+		l.confirmed = sent
+	}
+	if mine && !wasHolding {
+		return ChangeAcquired
+	}
+	if !mine && wasHolding {
+		return ChangeLost
+	}
+	return ChangeNone
+}
+
+// Superseded takes word from a peer of a newer epoch: the holder steps down at once
+// and reads the object to learn the rest.
+func (l *Lease) Superseded(now time.Time, epoch vrid.Epoch) Change {
+	if epoch <= l.known.Epoch {
+		return ChangeNone
+	}
+	wasHolding := l.holding
+	l.holding = false
+	l.nextRead = now
+	if wasHolding {
+		return ChangeLost
+	}
+	return ChangeNone
+}
--- /dev/null
+++ b/verbenacore/vrledger/view.go
@@ -0,0 +1,111 @@
+package vrledger
+
+import (
+	"time"
+
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+// Snapshot is the planner's picture of one server.
+type Snapshot struct {
+	Info ServerInfo
+	Free vrid.Bytes
+	// Entries are copies; their Attempts must not be changed.
+	Entries []Entry
+	Report  *vrwire.LoadReport
+	// Busy is set while a load, unload or change of role is under way.
+	Busy bool
+}
+
+// Snapshots returns every server in the order of ids.
+func (l *Ledger) Snapshots() []Snapshot {
+	snapshots := make([]Snapshot, 0, len(l.order))
+	for _, id := range l.order {
+		s := l.servers[id]
+		snapshot := Snapshot{
+			Info:   s.info,
+			Free:   s.info.Memory - s.reserved(),
+			Report: s.report,
+			Busy:   s.orderConflict(false) != RefusalNone,
+		}
+		for _, entry := range s.entries {
+			snapshot.Entries = append(snapshot.Entries, *entry)
+		}
+		snapshots = append(snapshots, snapshot)
+	}
+	return snapshots
+}
+
+// Items returns the servers for the zone view.
+func (l *Ledger) Items(zone vrid.ZoneID) []vrwire.ServerItem {
+	items := make([]vrwire.ServerItem, 0, len(l.order))
+	for _, id := range l.order {
+		s := l.servers[id]
+		item := vrwire.ServerItem{
+			Server: id, Pool: s.info.Pool, Zone: zone, Address: s.info.Address,
+			State: s.info.State, Slots: uint32(s.info.Slots),
+		}
+		if s.report != nil {
+			item.Running = s.report.Running
+			item.Waiting = s.report.Waiting
+		}
+		item.Replicas = s.replicaItems()
+		items = append(items, item)
+	}
+	return items
+}
+
+func (s *server) replicaItems() []vrwire.ReplicaItem {
+	var items []vrwire.ReplicaItem
+	for _, entry := range s.entries {
+		if entry.Adapter != "" {
+			continue
+		}
+		item := vrwire.ReplicaItem{Model: entry.Model, State: entry.State}
+		for _, other := range s.entries {
+			if other.Model == entry.Model && other.Adapter != "" && other.State == vrwire.ReplicaLoaded {
+				item.Adapters = append(item.Adapters, other.Adapter)
+			}
+		}
+		items = append(items, item)
+	}
+	return items
+}
+
+// Loading returns the servers with an entry that is being loaded or unloaded; their
+// reports are awaited with a shorter interval.
+func (l *Ledger) Loading() []vrid.ServerID {
+	var ids []vrid.ServerID
+	for _, id := range l.order {
+		if l.servers[id].orderConflict(false) != RefusalNone {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Address returns a server's address, or "".
+func (l *Ledger) Address(id vrid.ServerID) string {
+	if s, ok := l.servers[id]; ok {
+		return s.info.Address
+	}
+	return ""
+}
+
+// ReportAge returns how long ago the newest report of a server came.
+func (l *Ledger) ReportAge(now time.Time, id vrid.ServerID) time.Duration {
+	s, ok := l.servers[id]
+	if !ok || s.report == nil {
+		return time.Hour
+	}
+	return now.Sub(s.reported)
+}
+
+// Report returns the newest report of a server, or nil.
+func (l *Ledger) Report(id vrid.ServerID) *vrwire.LoadReport {
+	if s, ok := l.servers[id]; ok {
+		return s.report
+	}
+	return nil
+}
--- /dev/null
+++ b/verbenacore/vrmember/view.go
@@ -0,0 +1,205 @@
+// Package vrmember keeps the members of a zone and the zone view. The zone's owner
+// publishes the view; a tree with the owner as its root carries heartbeats and reports
+// up and the view's changes down.
+package vrmember
+
+import (
+	"reflect"
+	"slices"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+// fanOut is the largest number of children of a daemon in the tree. With 100 daemons
+// the tree has four levels.
+const fanOut = 4
+
+// View is what a daemon knows of its zone. Only the zone's owner changes items; the
+// others apply what they receive in the order of (epoch, sequence).
+type View struct {
+	Zone  vrid.ZoneID
+	Owner vrid.DaemonID
+	// Epoch and Sequence never decrease together: a lower pair is refused.
+	Epoch    vrid.Epoch
+	Sequence uint64
+	Members  map[vrid.DaemonID]vrwire.MemberItem
+	Servers  map[vrid.ServerID]vrwire.ServerItem
+	Remote   map[vrid.ZoneID]vrwire.ZoneSummary
+	// remoteSequence is the sequence at which a remote summary last changed.
+	remoteSequence map[vrid.ZoneID]uint64
+	Config         vrid.ConfigVersion
+}
+
+func newView(zone vrid.ZoneID) *View {
+	return &View{
+		Zone:           zone,
+		Members:        make(map[vrid.DaemonID]vrwire.MemberItem),
+		Servers:        make(map[vrid.ServerID]vrwire.ServerItem),
+		Remote:         make(map[vrid.ZoneID]vrwire.ZoneSummary),
+		remoteSequence: make(map[vrid.ZoneID]uint64),
+	}
+}
+
+// delta returns the items that changed after base; 0 means all of them.
+func (v *View) delta(base uint64) *vrwire.ViewDelta {
+	delta := &vrwire.ViewDelta{
+		Zone: v.Zone, Owner: v.Owner, Epoch: v.Epoch,
+		Base: base, Sequence: v.Sequence, Config: v.Config,
+	}
+	for _, item := range v.Members {
+		if item.Sequence > base {
+			delta.Members = append(delta.Members, item)
+		}
+	}
+	for _, item := range v.Servers {
+		if item.Sequence > base {
+			delta.Servers = append(delta.Servers, item)
+		}
+	}
+	for zone, summary := range v.Remote {
+		if v.remoteSequence[zone] > base {
+			delta.Remote = append(delta.Remote, summary)
+		}
+	}
+	sort.Slice(delta.Members, func(i, j int) bool { return delta.Members[i].Daemon < delta.Members[j].Daemon })
+	sort.Slice(delta.Servers, func(i, j int) bool { return delta.Servers[i].Server < delta.Servers[j].Server })
+	sort.Slice(delta.Remote, func(i, j int) bool { return delta.Remote[i].Zone < delta.Remote[j].Zone })
+	return delta
+}
+
+// apply takes a delta and reports whether the view changed. A delta that starts after
+// the held sequence, or that comes from an earlier epoch, is refused.
+func (v *View) apply(delta *vrwire.ViewDelta) bool {
+	if delta.Zone != v.Zone || delta.Epoch < v.Epoch {
+		return false
+	}
+	if delta.Epoch > v.Epoch {
+		if delta.Base != 0 {
+			return false
+		}
+		v.reset(delta)
+	} else if delta.Base > v.Sequence || delta.Sequence <= v.Sequence {
+		return false
+	}
+	if delta.Base == 0 {
+		v.reset(delta)
+	}
+	v.Sequence = delta.Sequence
+	v.Config = max(v.Config, delta.Config)
+	for _, item := range delta.Members {
+		v.putMember(item)
+	}
+	for _, item := range delta.Servers {
+		v.putServer(item)
+	}
+	for _, summary := range delta.Remote {
+		v.Remote[summary.Zone] = summary
+		v.remoteSequence[summary.Zone] = delta.Sequence
+	}
+	return true
+}
+
+func (v *View) reset(delta *vrwire.ViewDelta) {
+	v.Epoch = delta.Epoch
+	v.Owner = delta.Owner
+	clear(v.Members)
+	clear(v.Servers)
+	clear(v.Remote)
+	clear(v.remoteSequence)
+}
+
+func (v *View) putMember(item vrwire.MemberItem) {
+	v.Members[item.Daemon] = item
+}
+
+func (v *View) putServer(item vrwire.ServerItem) {
+	v.Servers[item.Server] = item
+}
+
+// publishMember changes a member as the owner.
+func (v *View) publishMember(item vrwire.MemberItem) bool {
+	held, ok := v.Members[item.Daemon]
+	item.Sequence = held.Sequence
+	if ok && held == item {
+		return false
+	}
+	v.Sequence++
+	item.Sequence = v.Sequence
+	v.Members[item.Daemon] = item
+	return true
+}
+
+// publishServer changes a server as the owner.
+func (v *View) publishServer(item vrwire.ServerItem) bool {
+	held, ok := v.Servers[item.Server]
+	item.Sequence = held.Sequence
+	if ok && reflect.DeepEqual(held, item) {
+		return false
+	}
+	v.Sequence++
+	item.Sequence = v.Sequence
+	v.Servers[item.Server] = item
+	return true
+}
+
+// publishRemote changes another zone's summary as the owner.
+func (v *View) publishRemote(summary vrwire.ZoneSummary) {
+	v.Sequence++
+	v.Remote[summary.Zone] = summary
+	v.remoteSequence[summary.Zone] = v.Sequence
+}
+
+// Order returns the live members in the order of dissemination, the owner first.
+func (v *View) Order() []vrid.DaemonID {
+	var order []vrid.DaemonID
+	for id, item := range v.Members {
+		if item.State == vrwire.MemberAlive || item.State == vrwire.MemberSuspect {
+			order = append(order, id)
+		}
+	}
+	sort.Slice(order, func(i, j int) bool {
+		if (order[i] == v.Owner) != (order[j] == v.Owner) {
+			return order[i] == v.Owner
+		}
+		return rendezvous(string(v.Zone), string(order[i])) < rendezvous(string(v.Zone), string(order[j]))
+	})
+	return order
+}
+
+// Poller returns the live member that polls a server.
+func (v *View) Poller(server vrid.ServerID) vrid.DaemonID {
+	var best vrid.DaemonID
+	var highest uint64
+	for id, item := range v.Members {
+		if item.State != vrwire.MemberAlive {
+			continue
+		}
+		weight := rendezvous(string(server), string(id))
+		if best == "" || weight > highest || (weight == highest && id < best) {
+			best, highest = id, weight
+		}
+	}
+	return best
+}
+
+// Parent returns the parent of a member, or "" for the root and for unknown members.
+func (v *View) Parent(self vrid.DaemonID) vrid.DaemonID {
+	order := v.Order()
+	index := slices.Index(order, self)
+	if index <= 0 {
+		return ""
+	}
+	return order[(index-1)/fanOut]
+}
+
+func rendezvous(key, candidate string) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(key)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(candidate)
+	return digest.Sum64()
+}
--- /dev/null
+++ b/verbenacore/vrmember/vrmember.go
@@ -0,0 +1,299 @@
+package vrmember
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+const (
+	// heartbeatInterval is the pause between two heartbeats to the parent.
+	heartbeatInterval = time.Second
+	// suspectAfter is three missed heartbeats.
+	suspectAfter = 3 * heartbeatInterval
+	// removeAfter leaves a suspect as long again to refute the suspicion.
+	removeAfter = 2 * suspectAfter
+	// parentTimeout is how long a parent may be silent before the root is asked.
+	parentTimeout = 2500 * time.Millisecond
+	// ownerTimeout is how long the root may be silent before any peer is asked.
+	ownerTimeout = 4 * time.Second
+	// pushInterval gathers view changes before they are pushed to children.
+	pushInterval = 20 * time.Millisecond
+	// reportKeepAlive sends an unchanged report after this time.
+	reportKeepAlive = 5 * time.Second
+	// remoteTimeout is how long another zone may be silent before it is not routed to.
+	remoteTimeout = 3 * time.Second
+)
+
+// Options of a member.
+type Options struct {
+	Daemon vrid.DaemonID
+	Boot   vrid.BootID
+	Zone   vrid.ZoneID
+	Peer   string
+	Random *rand.Rand
+}
+
+// child is a daemon that sends its heartbeats here.
+type child struct {
+	heard time.Time
+	// address is where pushes go.
+	address  string
+	epoch    vrid.Epoch
+	sequence uint64
+	// members of the child's subtree.
+	members []vrwire.MemberItem
+	// config is the lowest version in the subtree.
+	config vrid.ConfigVersion
+}
+
+// Peer is a daemon that can be asked when no owner is known.
+type Peer struct {
+	Daemon  vrid.DaemonID
+	Address string
+}
+
+// Membership is one daemon's part in its zone.
+type Membership struct {
+	opts        Options
+	view        *View
+	incarnation uint64
+	leaving     bool
+	opened      uint64
+	children    map[vrid.DaemonID]*child
+	// heard is when the root last had word of a member.
+	heard   map[vrid.DaemonID]time.Time
+	removed map[vrid.DaemonID]uint64
+	// departed are members that the root removed since TakeDeparted.
+	departed  []vrwire.MemberItem
+	reports   map[vrid.ServerID]vrwire.LoadReport
+	sent      map[vrid.ServerID]sentReport
+	demands   []vrwire.ModelDemand
+	beatAt    time.Time
+	replied   time.Time
+	started   time.Time
+	pushAt    time.Time
+	dirty     bool
+	root      bool
+	owner     Peer
+	ownEpoch  vrid.Epoch
+	seeds     []Peer
+	config    vrid.ConfigVersion
+	collected []vrwire.LoadReport
+	wanted    []vrwire.ModelDemand
+}
+
+type sentReport struct {
+	report vrwire.LoadReport
+	at     time.Time
+}
+
+// New returns a member that knows nobody.
+func New(now time.Time, opts Options) *Membership {
+	return &Membership{
+		opts:        opts,
+		view:        newView(opts.Zone),
+		incarnation: 1,
+		children:    make(map[vrid.DaemonID]*child),
+		heard:       make(map[vrid.DaemonID]time.Time),
+		removed:     make(map[vrid.DaemonID]uint64),
+		reports:     make(map[vrid.ServerID]vrwire.LoadReport),
+		sent:        make(map[vrid.ServerID]sentReport),
+		started:     now,
+		replied:     now,
+	}
+}
+
+// View returns the zone view; callers must not change it.
+func (m *Membership) View() *View { return m.view }
+
+// Root reports whether this daemon publishes the view.
+func (m *Membership) Root() bool { return m.root }
+
+// SetSeeds names the daemons to ask when no owner is known.
+func (m *Membership) SetSeeds(seeds []Peer) { m.seeds = seeds }
+
+// SetConfig tells which configuration this daemon holds.
+func (m *Membership) SetConfig(version vrid.ConfigVersion) { m.config = max(m.config, version) }
+
+// SetOpened tells how many requests this daemon has numbered.
+func (m *Membership) SetOpened(opened uint64) { m.opened = opened }
+
+// Leave marks this daemon as leaving.
+func (m *Membership) Leave() {
+	m.leaving = true
+	m.beatAt = time.Time{}
+}
+
+// SetOwner takes what the lease object says of the zone's owner.
+func (m *Membership) SetOwner(owner Peer, epoch vrid.Epoch) {
+	if epoch < m.ownEpoch {
+		return
+	}
+	if epoch > m.ownEpoch {
+		m.beatAt = time.Time{}
+	}
+	m.ownEpoch = epoch
+	m.owner = owner
+}
+
+// Owner returns the zone's owner as far as it is known.
+func (m *Membership) Owner() Peer {
+	if m.view.Epoch > m.ownEpoch {
+		item := m.view.Members[m.view.Owner]
+		return Peer{Daemon: m.view.Owner, Address: item.Peer}
+	}
+	return m.owner
+}
+
+// BecomeRoot starts publishing the view under a new epoch. The members and servers of
+// the last view stay until they are seen to have changed.
+func (m *Membership) BecomeRoot(now time.Time, epoch vrid.Epoch) {
+	m.root = true
+	m.ownEpoch = epoch
+	m.owner = Peer{Daemon: m.opts.Daemon, Address: m.opts.Peer}
+	m.view.Epoch = epoch
+	m.view.Owner = m.opts.Daemon
+	m.view.Sequence++
+	for id, item := range m.view.Members {
+		item.Sequence = m.view.Sequence
+		m.view.Members[id] = item
+		m.heard[id] = now
+	}
+	for id, item := range m.view.Servers {
+		item.Sequence = m.view.Sequence
+		m.view.Servers[id] = item
+	}
+	m.view.publishMember(m.self())
+	m.dirty = true
+}
+
+// StopRoot ends publishing after the lease was lost.
+func (m *Membership) StopRoot(now time.Time) {
+	m.root = false
+	m.replied = now
+	m.beatAt = time.Time{}
+}
+
+// self is this daemon's own item.
+func (m *Membership) self() vrwire.MemberItem {
+	state := vrwire.MemberAlive
+	if m.leaving {
+		state = vrwire.MemberLeaving
+	}
+	return vrwire.MemberItem{
+		Daemon: m.opts.Daemon, Boot: m.opts.Boot, Peer: m.opts.Peer, State: state,
+		Incarnation: m.incarnation, Opened: m.opened,
+	}
+}
+
+// Observes reports whether this daemon reads the lease object: the owner's two
+// deputies do, and whoever has had no word from its zone for a while.
+func (m *Membership) Observes(now time.Time) bool {
+	const deputies = 2
+	if now.Sub(m.replied) > suspectAfter || m.view.Epoch == 0 || m.ownEpoch > m.view.Epoch {
+		return true
+	}
+	index := slices.Index(m.view.Order(), m.opts.Daemon)
+	return index >= 0 && index <= deputies
+}
+
+// QueueReport takes a report of a server that this daemon polls.
+func (m *Membership) QueueReport(now time.Time, report vrwire.LoadReport, urgent bool) {
+	m.reports[report.Server] = report
+	if m.root {
+		m.collected = append(m.collected, report)
+	}
+	if urgent {
+		m.beatAt = now
+	}
+}
+
+// QueueDemand takes demand for the next heartbeat.
+func (m *Membership) QueueDemand(demand vrwire.ModelDemand) {
+	if m.root {
+		m.wanted = append(m.wanted, demand)
+		return
+	}
+	const mostDemands = 512
+	if len(m.demands) < mostDemands {
+		m.demands = append(m.demands, demand)
+	}
+}
+
+// TakeReports returns the reports that reached the root.
+func (m *Membership) TakeReports() []vrwire.LoadReport {
+	reports := m.collected
+	m.collected = nil
+	return reports
+}
+
+// TakeDemands returns the demands that reached the root.
+func (m *Membership) TakeDemands() []vrwire.ModelDemand {
+	demands := m.wanted
+	m.wanted = nil
+	return demands
+}
+
+// TakeDeparted returns the members that the root removed.
+func (m *Membership) TakeDeparted() []vrwire.MemberItem {
+	departed := m.departed
+	m.departed = nil
+	return departed
+}
+
+// PublishServers replaces the servers of the view, as the root.
+func (m *Membership) PublishServers(items []vrwire.ServerItem) {
+	seen := make(map[vrid.ServerID]bool, len(items))
+	for _, item := range items {
+		seen[item.Server] = true
+		if m.view.publishServer(item) {
+			m.dirty = true
+		}
+	}
+	for id, item := range m.view.Servers {
+		if seen[id] || item.State == vrwire.ServerGone {
+			continue
+		}
+		item.State = vrwire.ServerGone
+		item.Replicas = nil
+		m.dirty = m.view.publishServer(item) || m.dirty
+	}
+}
+
+// PublishRemote takes another zone's summary, as the root.
+func (m *Membership) PublishRemote(summary vrwire.ZoneSummary) {
+	held, ok := m.view.Remote[summary.Zone]
+	if ok && (held.Epoch > summary.Epoch || held.SentAt > summary.SentAt) {
+		return
+	}
+	m.view.publishRemote(summary)
+	m.dirty = true
+}
+
+// RemoteTimeout is how long another zone's servers stay in use without a summary.
+func RemoteTimeout() time.Duration { return remoteTimeout }
+
+// Silent reports whether a daemon other than the root had no word from its zone.
+func (m *Membership) Silent(now time.Time) bool {
+	return !m.root && now.Sub(m.replied) > suspectAfter
+}
+
+// Complete reports, at the root, whether every live member reports through the tree.
+func (m *Membership) Complete() bool {
+	covered := map[vrid.DaemonID]bool{m.opts.Daemon: true}
+	for _, c := range m.children {
+		for _, item := range c.members {
+			covered[item.Daemon] = true
+		}
+	}
+	for _, id := range m.view.Order() {
+		if !covered[id] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/verbenacore/vrplace/vrplace.go
@@ -0,0 +1,360 @@
+// Package vrplace decides which models and adapters a zone holds: what to load for
+// waiting requests, what to evict for it, what to unload when it is idle, and what to
+// reserve for an outage of the platform.
+package vrplace
+
+import (
+	"slices"
+	"time"
+
+	"verbenaroute.example/verbenacore/vrconfig"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrledger"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+const (
+	// demandTimeout is how long a daemon's demand counts after its last message; it
+	// spans two heartbeats and a delay.
+	demandTimeout = 2500 * time.Millisecond
+	// keepAlive is how long an idle model stays loaded at least, so that a pause in a
+	// conversation does not cost a load.
+	keepAlive = 5 * time.Minute
+	// settleTime is how long a loaded model is not evicted for another, so that two
+	// models don't drive each other out.
+	settleTime = 10 * time.Second
+	// useHalfLife is how fast the memory of a model's use fades.
+	useHalfLife = 30 * time.Minute
+	// retryLoad is the pause after a load that failed on a server.
+	retryLoad = 2 * time.Second
+)
+
+// name is a model or an adapter on its model.
+type name struct {
+	model   vrid.ModelID
+	adapter vrid.AdapterID
+}
+
+// use is what the planner remembers of a model or adapter.
+type use struct {
+	// rate is the recent number of requests, fading with useHalfLife.
+	rate    float64
+	fadedAt time.Time
+	last    time.Time
+	loaded  time.Time
+	waits   map[vrid.DaemonID]wait
+	failed  time.Time
+}
+
+type wait struct {
+	rank     vrid.Rank
+	count    int
+	deadline time.Time
+	heard    time.Time
+}
+
+// Planner is the zone owner's memory of use.
+type Planner struct {
+	uses map[name]*use
+}
+
+// New returns a planner that knows of no use.
+func New() *Planner { return &Planner{uses: make(map[name]*use)} }
+
+func (p *Planner) use(n name) *use {
+	u := p.uses[n]
+	if u == nil {
+		u = &use{waits: make(map[vrid.DaemonID]wait)}
+		p.uses[n] = u
+	}
+	return u
+}
+
+// Want takes a daemon's demand.
+func (p *Planner) Want(now time.Time, demand vrwire.ModelDemand) {
+	u := p.use(name{model: demand.Model, adapter: demand.Adapter})
+	u.fade(now)
+	u.rate += float64(demand.Arrived)
+	if demand.Arrived > 0 || demand.Waiting > 0 {
+		u.last = now
+	}
+	if demand.Waiting == 0 {
+		delete(u.waits, demand.Daemon)
+		return
+	}
+	u.waits[demand.Daemon] = wait{
+		rank: demand.Rank, count: int(demand.Waiting),
+		deadline: time.UnixMilli(demand.Deadline), heard: now,
+	}
+}
+
+func (u *use) fade(now time.Time) {
+	if elapsed := now.Sub(u.fadedAt); elapsed > 0 && !u.fadedAt.IsZero() {
+		u.rate *= exp2(-float64(elapsed) / float64(useHalfLife))
+	}
+	u.fadedAt = now
+}
+
+// Failed notes that a load ended without the model being loaded.
+func (p *Planner) Failed(now time.Time, model vrid.ModelID, adapter vrid.AdapterID) {
+	p.use(name{model: model, adapter: adapter}).failed = now
+}
+
+// Input is what a plan is made from.
+type Input struct {
+	Index    *vrconfig.Index
+	Servers  []vrledger.Snapshot
+	Replicas func(vrid.ModelID) int
+	// LoadSlots is how many loads the zone may have in flight at the weight store.
+	LoadSlots int
+	// AdapterSlots is the same for adapters.
+	AdapterSlots int
+	Zone         vrid.ZoneID
+}
+
+// want is one model or adapter that requests wait for.
+type want struct {
+	name
+	rank     vrid.Rank
+	deadline time.Time
+	waiting  int
+}
+
+// plan is the work of one call.
+type plan struct {
+	Input
+	planner      *Planner
+	now          time.Time
+	actions      []vrledger.Action
+	loads        int
+	adapterLoads int
+	busy         map[vrid.ServerID]bool
+	free         map[vrid.ServerID]vrid.Bytes
+	added        map[vrid.ModelID]int
+}
+
+// Plan returns the actions for this moment, the most urgent first.
+func (p *Planner) Plan(now time.Time, input Input) []vrledger.Action {
+	work := &plan{
+		Input: input, planner: p, now: now,
+		busy:  make(map[vrid.ServerID]bool),
+		free:  make(map[vrid.ServerID]vrid.Bytes),
+		added: make(map[vrid.ModelID]int),
+	}
+	for i := range input.Servers {
+		work.count(&input.Servers[i])
+	}
+	for _, w := range p.wants(now) {
+		if w.adapter != "" {
+			work.serveAdapter(w)
+			continue
+		}
+		work.serveModel(w)
+	}
+	work.unloadIdle()
+	return work.actions
+}
+
+func (w *plan) count(server *vrledger.Snapshot) {
+	id := server.Info.ID
+	w.free[id] = server.Free
+	w.busy[id] = server.Busy
+	for i := range server.Entries {
+		entry := &server.Entries[i]
+		if entry.State != vrwire.ReplicaLoading {
+			continue
+		}
+		if entry.Adapter != "" {
+			w.adapterLoads++
+		} else {
+			w.loads++
+		}
+	}
+}
+
+// wants lists what is waited for, the most urgent first.
+func (p *Planner) wants(now time.Time) []want {
+	var wants []want
+	for n, u := range p.uses {
+		w := want{name: n, rank: vrid.RankDeferred}
+		for daemon, waiting := range u.waits {
+			if now.Sub(waiting.heard) > demandTimeout || !now.Before(waiting.deadline) {
+				delete(u.waits, daemon)
+				continue
+			}
+			if w.waiting == 0 || waiting.rank < w.rank || (waiting.rank == w.rank && waiting.deadline.Before(w.deadline)) {
+				w.rank, w.deadline = waiting.rank, waiting.deadline
+			}
+			w.waiting += waiting.count
+		}
+		if w.waiting > 0 && now.Sub(u.failed) >= retryLoad {
+			wants = append(wants, w)
+		}
+	}
+	slices.SortFunc(wants, compareWants)
+	return wants
+}
+
+func compareWants(a, b want) int {
+	if a.rank != b.rank {
+		return int(a.rank) - int(b.rank)
+	}
+	if !a.deadline.Equal(b.deadline) {
+		return a.deadline.Compare(b.deadline)
+	}
+	if a.model != b.model {
+		return compareIDs(a.model, b.model)
+	}
+	return compareIDs(a.adapter, b.adapter)
+}
+
+func compareIDs[T ~string](a, b T) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// serveModel loads a replica when there is none, or one more when the waiting requests
+// exceed what the loaded ones take at once.
+func (w *plan) serveModel(wanted want) {
+	model := w.Index.Model(wanted.model)
+	if model == nil || !model.AllowedIn(w.Zone) {
+		return
+	}
+	replicas := w.Replicas(wanted.model) + w.added[wanted.model]
+	if replicas >= model.ReplicasPerZone || !w.needsReplica(wanted, replicas) {
+		return
+	}
+	if w.loads >= w.LoadSlots {
+		return
+	}
+	if server := w.place(model); server != nil {
+		w.load(server, vrledger.Action{
+			Kind: vrledger.ActionLoad, Server: server.Info.ID, Model: model.ID,
+			Bytes: model.Memory, Cap: model.ReplicasPerZone, Source: source(server, model.ID),
+		})
+		w.loads++
+		w.added[model.ID]++
+		return
+	}
+	w.evictFor(wanted, model)
+}
+
+func (w *plan) needsReplica(wanted want, replicas int) bool {
+	if replicas == 0 {
+		return true
+	}
+	slots, loading := 0, false
+	for i := range w.Servers {
+		entry := findEntry(&w.Servers[i], wanted.model, "")
+		if entry == nil {
+			continue
+		}
+		switch entry.State {
+		case vrwire.ReplicaLoading, vrwire.ReplicaUnloading:
+			loading = true
+		case vrwire.ReplicaGranted:
+			return true
+		case vrwire.ReplicaLoaded:
+			slots += w.Servers[i].Info.Slots
+		}
+	}
+	return !loading && wanted.waiting > slots
+}
+
+func (w *plan) load(server *vrledger.Snapshot, action vrledger.Action) {
+	w.actions = append(w.actions, action)
+	w.busy[server.Info.ID] = true
+	w.free[server.Info.ID] -= action.Bytes
+}
+
+// place returns the live server with room that has the nearest copy, then the one with
+// the most free memory.
+func (w *plan) place(model *vrconfig.Model) *vrledger.Snapshot {
+	var best *vrledger.Snapshot
+	bestScore := -1
+	for i := range w.Servers {
+		server := &w.Servers[i]
+		id := server.Info.ID
+		if server.Info.State != vrwire.ServerLive || server.Info.Pool != model.Pool || w.busy[id] {
+			continue
+		}
+		entry := findEntry(server, model.ID, "")
+		granted := entry != nil && entry.State == vrwire.ReplicaGranted
+		if entry != nil && !granted {
+			continue
+		}
+		if !granted && w.free[id] < model.Memory {
+			continue
+		}
+		score := nearness(server, model.ID)
+		if granted {
+			score += grantedScore
+		}
+		if score > bestScore || (score == bestScore && w.free[id] > w.free[best.Info.ID]) {
+			best, bestScore = server, score
+		}
+	}
+	return best
+}
+
+// Nearness of a copy; a granted pair comes first because its record is durable already.
+const (
+	memoryScore  = 2
+	diskScore    = 1
+	grantedScore = 4
+)
+
+func nearness(server *vrledger.Snapshot, model vrid.ModelID) int {
+	switch source(server, model) {
+	case sourceMemory:
+		return memoryScore
+	case sourceDisk:
+		return diskScore
+	}
+	return 0
+}
+
+// Sources of a checkpoint.
+const (
+	sourceMemory = "memory"
+	sourceDisk   = "disk"
+	sourceRemote = "remote"
+)
+
+func source(server *vrledger.Snapshot, model vrid.ModelID) string {
+	if server.Report == nil {
+		return sourceRemote
+	}
+	if slices.Contains(server.Report.CachedMemory, model) {
+		return sourceMemory
+	}
+	if slices.Contains(server.Report.CachedDisk, model) {
+		return sourceDisk
+	}
+	return sourceRemote
+}
+
+func findEntry(server *vrledger.Snapshot, model vrid.ModelID, adapter vrid.AdapterID) *vrledger.Entry {
+	for i := range server.Entries {
+		if server.Entries[i].Model == model && server.Entries[i].Adapter == adapter {
+			return &server.Entries[i]
+		}
+	}
+	return nil
+}
+
+// Waiting returns the models that requests wait for, the most urgent first.
+func (p *Planner) Waiting(now time.Time) []vrid.ModelID {
+	var models []vrid.ModelID
+	for _, w := range p.wants(now) {
+		if w.adapter == "" {
+			models = append(models, w.model)
+		}
+	}
+	return models
+}
--- a/verbenacore/vrplatform/types.go
+++ b/verbenacore/vrplatform/types.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 
 	"verbenaroute.example/verbenacore/vrid"
 )
@@ -140,6 +142,16 @@
 	return numbered(ClaimPrefix(shard), segment)
 }
 
+// ClaimNumber returns the segment's number in a key of a shard.
+func ClaimNumber(shard uint32, key string) (uint64, bool) {
+	text, ok := strings.CutPrefix(key, ClaimPrefix(shard))
+	if !ok {
+		return 0, false
+	}
+	number, err := strconv.ParseUint(text, 10, 64)
+	return number, err == nil
+}
+
 // numbered pads the number so that keys sort in order.
 func numbered(prefix string, number uint64) string {
 	return fmt.Sprintf("%s%0*d", prefix, numberedKeyWidth, number)
--- /dev/null
+++ b/verbenacore/vrreducer/peers.go
@@ -0,0 +1,200 @@
+package vrreducer
+
+import (
+	"time"
+
+	"verbenaroute.example/verbenacore/vrconfig"
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrmember"
+	"verbenaroute.example/verbenacore/vrroute"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+// peerMessage takes a message of another daemon.
+func (s *State) peerMessage(now time.Time, envelope *vrwire.Envelope, out *vrevent.Effects) {
+	switch {
+	case envelope.Heartbeat != nil:
+		s.heartbeat(now, envelope, out)
+	case envelope.HeartbeatReply != nil:
+		s.heartbeatReply(now, envelope, out)
+	case envelope.ViewDelta != nil:
+		s.viewDelta(now, envelope.ViewDelta, out)
+	case envelope.Demand != nil:
+		s.demand(now, envelope, out)
+	case envelope.ClaimRequest != nil:
+		s.claimRequested(now, envelope, out)
+	case envelope.ClaimReply != nil:
+		s.claimReply(now, envelope.ClaimReply, out)
+	case envelope.OutcomeReport != nil:
+		s.outcomeReported(now, envelope, out)
+	case envelope.ConfigFetch != nil:
+		s.configFetch(envelope, out)
+	case envelope.RecordBatch != nil:
+		s.journal.HandleBatch(now, envelope, out)
+	case envelope.RecordAck != nil:
+		s.journal.HandleAck(now, envelope.RecordAck)
+	case envelope.ZoneSummary != nil:
+		s.zoneSummary(now, envelope.ZoneSummary)
+	case envelope.EpochAck != nil:
+		s.zone.acks[run{daemon: envelope.From, boot: envelope.Boot}] = envelope.EpochAck.Epoch
+	case envelope.Handover != nil:
+		s.leaseChanged(now, s.lease.Superseded(now, envelope.Handover.Epoch), out)
+	}
+}
+
+func (s *State) heartbeat(now time.Time, envelope *vrwire.Envelope, out *vrevent.Effects) {
+	if envelope.Zone != "" && envelope.Zone != s.opts.Zone {
+		return
+	}
+	s.member.HandleHeartbeat(now, envelope, out)
+	if envelope.Heartbeat.Config < s.store.Version() {
+		s.offerConfig(vrmember.Peer{Daemon: envelope.From, Address: envelope.Heartbeat.Members[0].Peer}, out)
+	}
+	s.fetchNewer(envelope.Heartbeat.Config, envelope.From, envelope.Heartbeat.Members[0].Peer, out)
+}
+
+func (s *State) heartbeatReply(now time.Time, envelope *vrwire.Envelope, out *vrevent.Effects) {
+	reply := envelope.HeartbeatReply
+	s.member.HandleReply(now, reply)
+	s.ownerSeen(now, out)
+	s.fetchNewer(reply.Config, envelope.From, s.peerOf(envelope.From).Address, out)
+}
+
+func (s *State) viewDelta(now time.Time, delta *vrwire.ViewDelta, out *vrevent.Effects) {
+	s.member.HandleDelta(delta)
+	s.ownerSeen(now, out)
+}
+
+// ownerSeen steps down when the view shows a newer owner.
+func (s *State) ownerSeen(now time.Time, out *vrevent.Effects) {
+	if epoch := s.member.View().Epoch; s.lease.Holding() && epoch > s.lease.Epoch() {
+		s.superseded(now, epoch, out)
+	}
+}
+
+func (s *State) demand(now time.Time, envelope *vrwire.Envelope, out *vrevent.Effects) {
+	for _, demand := range envelope.Demand.Demands {
+		s.sendDemand(now, demand, out)
+	}
+	s.plan(now, out)
+}
+
+// zoneSummary takes what another zone's owner can serve.
+func (s *State) zoneSummary(_ time.Time, summary *vrwire.ZoneSummary) {
+	if s.member.Root() {
+		s.member.PublishRemote(*summary)
+	}
+	s.zone.owners[summary.Zone] = vrmember.Peer{Daemon: summary.Owner, Address: summary.Peer}
+}
+
+// peerOf finds the address of a daemon.
+func (s *State) peerOf(daemon vrid.DaemonID) vrmember.Peer {
+	view := s.member.View()
+	if item, ok := view.Members[daemon]; ok && item.Peer != "" {
+		return vrmember.Peer{Daemon: daemon, Address: item.Peer}
+	}
+	if vm, ok := s.zone.vms[vrid.VMID(daemon)]; ok {
+		return vrmember.Peer{Daemon: daemon, Address: vm.Address}
+	}
+	for _, remote := range view.Remote {
+		for _, item := range remote.Members {
+			if item.Daemon == daemon {
+				return vrmember.Peer{Daemon: daemon, Address: item.Peer}
+			}
+		}
+	}
+	for _, seed := range s.opts.Seeds {
+		if seed.Daemon == daemon {
+			return vrmember.Peer{Daemon: daemon, Address: seed.Address}
+		}
+	}
+	return vrmember.Peer{Daemon: daemon}
+}
+
+// peerUnreachable asks for the claims that waited for a lost peer by a direct write.
+func (s *State) peerUnreachable(now time.Time, peer vrid.DaemonID, out *vrevent.Effects) {
+	if s.store.Current() == nil {
+		return
+	}
+	for _, id := range sortedKeys(s.requests) {
+		r := s.requests[id]
+		if r == nil || r.phase != phaseClaiming || r.claim.direct {
+			continue
+		}
+		if owner, own := s.shardOwner(r.claim.shard); !own && owner.Daemon == peer {
+			r.claim.direct = true
+			s.askClaim(now, r, out)
+		}
+	}
+}
+
+// refreshTable rebuilds the router's table when the zone view or the configuration
+// changed, and when other zones fall silent.
+func (s *State) refreshTable(now time.Time) {
+	view := s.member.View()
+	index := s.store.Current()
+	if index == nil {
+		return
+	}
+	same := view.Epoch == s.viewEpoch && view.Sequence == s.viewSequence && index.Fleet.Version == s.viewConfig
+	if same && now.Sub(s.tableAt) < vrmember.RemoteTimeout()/3 {
+		return
+	}
+	s.viewEpoch, s.viewSequence, s.viewConfig = view.Epoch, view.Sequence, index.Fleet.Version
+	s.tableAt = now
+	share := s.share(view)
+	region := index.Region(s.opts.Zone)
+	var updates []vrroute.Update
+	for _, id := range sortedKeys(view.Servers) {
+		updates = append(updates, vrroute.Update{Item: view.Servers[id], Distance: vrroute.SameZone, Share: share})
+	}
+	for _, zone := range sortedKeys(view.Remote) {
+		summary := view.Remote[zone]
+		if zone == s.opts.Zone || s.remoteSilent(now, zone, summary.SentAt) {
+			continue
+		}
+		distance := vrroute.OtherRegion
+		if index.Region(zone) == region {
+			distance = vrroute.SameRegion
+		}
+		for _, item := range summary.Servers {
+			updates = append(updates, vrroute.Update{Item: item, Distance: distance, Share: share})
+		}
+	}
+	s.markDrained(index, updates)
+	s.table.SetServers(updates)
+}
+
+// markDrained applies an operator's drain before the view carries it.
+func (s *State) markDrained(index *vrconfig.Index, updates []vrroute.Update) {
+	for i := range updates {
+		item := &updates[i].Item
+		drained := index.Drained(item.Server) || s.zone.drained[item.Server]
+		if drained && item.State == vrwire.ServerLive {
+			item.State = vrwire.ServerDrained
+		}
+	}
+}
+
+// remoteSilent reports whether a zone's summary is too old to route by. Its age is
+// measured from its arrival here, since clocks of other zones may differ.
+func (s *State) remoteSilent(now time.Time, zone vrid.ZoneID, sentAt int64) bool {
+	heard := s.remoteHeard[zone]
+	if heard.sentAt != sentAt {
+		heard = remoteZone{sentAt: sentAt, heard: now}
+		s.remoteHeard[zone] = heard
+	}
+	return now.Sub(heard.heard) > vrmember.RemoteTimeout()
+}
+
+// share is the part of each server that this daemon may fill. It is twice an equal
+// part, because load is uneven and engines queue by priority.
+func (s *State) share(view *vrmember.View) float64 {
+	const slack = 2.0
+	if item, ok := view.Members[s.opts.Daemon]; ok && item.Share > 0 {
+		const thousand = 1000.0
+		return min(1, float64(item.Share)/thousand)
+	}
+	return min(1, slack/float64(max(len(view.Order()), 1)))
+}
--- /dev/null
+++ b/verbenacore/vrreducer/ready.go
@@ -0,0 +1,144 @@
+package vrreducer
+
+import (
+	"time"
+
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+const (
+	// acceptAfterShutdown is how long requests are still taken after a shutdown was
+	// asked for, until the balancer has seen that the daemon is not ready.
+	acceptAfterShutdown = 3 * time.Second
+	// releaseAfter is when a shutting down owner gives its lease up.
+	releaseAfter = 500 * time.Millisecond
+	// recordGroup is the number of daemons that share a record writer.
+	recordGroup = 5
+	// flushTime bounds how long a shutdown waits for the record while the platform does
+	// not answer.
+	flushTime = 10 * time.Second
+)
+
+// tickReady tells the balancer whether this daemon takes requests.
+func (s *State) tickReady(now time.Time, out *vrevent.Effects) {
+	reason := s.notReady(now)
+	if ready := reason == ""; ready != s.ready {
+		s.ready = ready
+		out.Add(vrevent.SetReady{Ready: ready, Reason: reason})
+	}
+}
+
+func (s *State) notReady(now time.Time) string {
+	switch {
+	case s.shutdown.requested:
+		return "shutting down"
+	case s.store.Current() == nil:
+		return "no configuration"
+	case s.member.View().Epoch == 0:
+		return "no zone view"
+	case !s.confirmed && now.Sub(s.started) < ownerSilence:
+		return "configuration not confirmed by the platform"
+	}
+	return ""
+}
+
+// tickRecord names this daemon's record writer and moves the journal on.
+func (s *State) tickRecord(now time.Time, out *vrevent.Effects) {
+	writer := s.recordWriter()
+	s.journal.SetOpened(s.opened)
+	s.journal.SetWriter(writer, s.peerOf(writer).Address)
+	s.journal.Tick(now, out)
+}
+
+// recordWriter is the first member of this daemon's group in the order of
+// dissemination.
+func (s *State) recordWriter() vrid.DaemonID {
+	order := s.member.View().Order()
+	for i, id := range order {
+		if id == s.opts.Daemon {
+			return order[i-i%recordGroup]
+		}
+	}
+	return s.opts.Daemon
+}
+
+// shutdownRequested starts a graceful shutdown.
+func (s *State) shutdownRequested(now time.Time, out *vrevent.Effects) {
+	if s.shutdown.requested {
+		return
+	}
+	s.shutdown = shutdown{requested: true, since: now}
+	s.member.Leave()
+	s.tickReady(now, out)
+}
+
+// tickShutdown hands over what this daemon owns and ends when nothing is left.
+func (s *State) tickShutdown(now time.Time, out *vrevent.Effects) {
+	if !s.shutdown.requested || s.shutdown.stopped {
+		return
+	}
+	if s.lease.Holding() {
+		if now.Sub(s.shutdown.since) >= releaseAfter && s.ledger.Outstanding() == 0 {
+			s.lease.Release(now, out)
+		}
+		return
+	}
+	if now.Sub(s.shutdown.since) < acceptAfterShutdown || len(s.requests) > 0 || s.ledger.Outstanding() > 0 {
+		return
+	}
+	overdue := now.Sub(s.shutdown.since) > acceptAfterShutdown+flushTime
+	if s.pendingOutcomes() > 0 && !overdue {
+		return
+	}
+	s.journal.Flush(now, out)
+	if s.journal.Pending() > 0 && !overdue {
+		return
+	}
+	s.shutdown.stopped = true
+	out.Add(vrevent.Stopped{})
+}
+
+// Status is a snapshot for operators.
+type Status struct {
+	Daemon   vrid.DaemonID        `json:"daemon"`
+	Boot     vrid.BootID          `json:"boot"`
+	Zone     vrid.ZoneID          `json:"zone"`
+	Owner    vrid.DaemonID        `json:"owner"`
+	Epoch    vrid.Epoch           `json:"epoch"`
+	Holding  bool                 `json:"holding"`
+	Config   vrid.ConfigVersion   `json:"config"`
+	Queued   [vrid.RankCount]int  `json:"queued"`
+	Requests int                  `json:"requests"`
+	Members  []vrwire.MemberItem  `json:"members"`
+	Servers  []vrwire.ServerItem  `json:"servers"`
+	Remote   []vrwire.ZoneSummary `json:"remote"`
+}
+
+// Status returns a snapshot of what this daemon knows.
+func (s *State) Status() Status {
+	status := Status{
+		Daemon: s.opts.Daemon, Boot: s.opts.Boot, Zone: s.opts.Zone, Config: s.store.Version(),
+		Holding: s.lease.Holding(), Requests: len(s.requests),
+	}
+	for _, rank := range vrid.Ranks() {
+		status.Queued[rank] = s.queue.Waiting(rank)
+	}
+	if s.member == nil {
+		return status
+	}
+	view := s.member.View()
+	status.Owner = view.Owner
+	status.Epoch = view.Epoch
+	for _, id := range sortedKeys(view.Members) {
+		status.Members = append(status.Members, view.Members[id])
+	}
+	for _, id := range sortedKeys(view.Servers) {
+		status.Servers = append(status.Servers, view.Servers[id])
+	}
+	for _, zone := range sortedKeys(view.Remote) {
+		status.Remote = append(status.Remote, view.Remote[zone])
+	}
+	return status
+}
--- /dev/null
+++ b/verbenacore/vrreducer/requests.go
@@ -0,0 +1,393 @@
+package vrreducer
+
+import (
+	"time"
+
+	"verbenaroute.example/verbenacore/vradmit"
+	"verbenaroute.example/verbenacore/vrconfig"
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrfault"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrrecord"
+	"verbenaroute.example/verbenacore/vrroute"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+const (
+	// maxAttempts bounds the dispatches of one request.
+	maxAttempts = 5
+	// resumeTime is how long a broken stream may take to go on at another replica.
+	resumeTime = 5 * time.Second
+	// dispatchSlack is the time after a deadline in which the runtime has to report the
+	// end of an attempt; then the request is ended without it.
+	dispatchSlack = 5 * time.Second
+)
+
+// phase is where a request stands.
+type phase uint8
+
+const (
+	phaseClaiming phase = iota + 1
+	phaseQueued
+	phaseDispatched
+	phaseLookingUp
+)
+
+// request is one caller's request from its arrival to its terminal entry.
+type request struct {
+	vrevent.Request
+	phase   phase
+	attempt int
+	server  *vrroute.Server
+	exclude vrid.ServerID
+	// cold is set when the request met no loaded replica.
+	cold bool
+	// sent is set once an attempt was dispatched that is not proved to have run nothing.
+	sent bool
+	// uncertain is set once an attempt ended without proof that it ran nothing.
+	uncertain  bool
+	tokens     int
+	dispatched time.Time
+	firstToken time.Time
+	// until is the deadline of the present attempt.
+	until time.Time
+	claim claimWait
+	order vrid.OrderID
+}
+
+func (r *request) target() vradmit.Target {
+	return vradmit.Target{Model: r.Model, Adapter: r.Adapter, Service: r.Service}
+}
+
+// arrive admits a request or refuses it at once.
+func (s *State) arrive(now time.Time, arrived vrevent.Request, out *vrevent.Effects) {
+	r := &request{Request: arrived}
+	r.Arrived = now
+	s.opened++
+	index := s.store.Current()
+	if index == nil {
+		s.refuse(now, r, vrwire.ReasonNoConfiguration, 0, out)
+		return
+	}
+	if s.shutdown.requested && now.Sub(s.shutdown.since) > acceptAfterShutdown {
+		s.refuse(now, r, vrwire.ReasonShuttingDown, 0, out)
+		return
+	}
+	s.classify(now, r, index)
+	if r.Service != "" && !r.Idempotent && r.Key == "" {
+		s.refuse(now, r, vrwire.ReasonIdempotencyKeyMissing, 0, out)
+		return
+	}
+	s.requests[r.ID] = r
+	if r.Service != "" && !r.Idempotent {
+		s.startClaim(now, r, out)
+		return
+	}
+	s.enqueue(now, r, out)
+}
+
+// classify takes rank and deadline from the declaration. A caller's rank only counts
+// when it is lower.
+func (s *State) classify(now time.Time, r *request, index *vrconfig.Index) {
+	deadline := index.Fleet.RankPolicyOf(r.Rank).Deadline.Std()
+	if kind := index.Kind(r.Kind); kind != nil {
+		r.Rank = max(r.Rank, kind.Rank)
+		deadline = index.Fleet.DeadlineOf(*kind)
+	}
+	r.Deadline = now.Add(deadline)
+	r.until = r.Deadline
+}
+
+func (s *State) enqueue(now time.Time, r *request, out *vrevent.Effects) {
+	r.phase = phaseQueued
+	if r.Model != "" {
+		s.zone.arrived(r)
+	}
+	if !s.loaded(r) && r.Model != "" {
+		r.cold = true
+		if !s.reachable(now, r) {
+			s.refuse(now, r, vrwire.ReasonDeadlineUnreachable, s.loadTime(r), out)
+			return
+		}
+	}
+	reason, ok := s.queue.Offer(s.item(r))
+	if !ok {
+		s.refuse(now, r, reason, time.Second, out)
+		return
+	}
+	s.wantModel(now, r, out)
+}
+
+func (s *State) item(r *request) vradmit.Item {
+	return vradmit.Item{
+		Request: r.ID, Rank: r.Rank, Caller: r.Caller, Deadline: r.until, Size: r.Size, Target: r.target(),
+	}
+}
+
+func (s *State) loadTime(r *request) time.Duration {
+	index := s.store.Current()
+	if index == nil {
+		return 0
+	}
+	if model := index.Model(r.Model); model != nil {
+		return model.LoadTime.Std()
+	}
+	return 0
+}
+
+// reachable reports whether a cold request can be served before its deadline if its
+// load starts now.
+func (s *State) reachable(now time.Time, r *request) bool {
+	return now.Add(s.loadTime(r)).Before(r.Deadline)
+}
+
+func (s *State) query(r *request) vrroute.Query {
+	query := vrroute.Query{Model: r.Model, Adapter: r.Adapter, Exclude: r.exclude, CrossRegion: true}
+	if r.Service != "" {
+		if service := s.store.Current().Service(r.Service); service != nil {
+			query.Pool = service.Pool
+		}
+	}
+	return query
+}
+
+func (s *State) loaded(r *request) bool { return s.table.Loaded(s.query(r)) }
+
+// pump dispatches waiting requests while back ends have room.
+func (s *State) pump(now time.Time, out *vrevent.Effects) {
+	if s.queue.Len() == 0 {
+		return
+	}
+	available := func(target vradmit.Target) bool {
+		return s.table.Choose(now, s.targetQuery(target)) != nil
+	}
+	for {
+		item, ok := s.queue.Next(now, available)
+		if !ok {
+			return
+		}
+		r := s.requests[item.Request]
+		if r == nil {
+			continue
+		}
+		server := s.table.Choose(now, s.query(r))
+		if server == nil {
+			server = s.withoutExclusion(now, r)
+		}
+		if server == nil {
+			s.queue.Return(item)
+			return
+		}
+		s.dispatch(now, r, server, out)
+	}
+}
+
+// withoutExclusion allows the server of a failed attempt again when there is no other.
+func (s *State) withoutExclusion(now time.Time, r *request) *vrroute.Server {
+	query := s.query(r)
+	query.Exclude = ""
+	return s.table.Choose(now, query)
+}
+
+func (s *State) targetQuery(target vradmit.Target) vrroute.Query {
+	return s.query(&request{Request: vrevent.Request{
+		Model: target.Model, Adapter: target.Adapter, Service: target.Service,
+	}})
+}
+
+func (s *State) dispatch(now time.Time, r *request, server *vrroute.Server, out *vrevent.Effects) {
+	r.phase = phaseDispatched
+	r.attempt++
+	r.server = server
+	r.dispatched = now
+	r.sent = true
+	s.table.Start(server)
+	s.queue.Served(now, r.Rank)
+	out.Add(vrevent.Dispatch{
+		Request: r.ID, Attempt: r.attempt, Server: server.ID, Address: server.Address,
+		Model: r.Model, Adapter: r.Adapter, Resume: r.tokens > 0, Deadline: r.until,
+		CrossRegion: server.Distance == vrroute.OtherRegion,
+	})
+}
+
+func (s *State) firstToken(now time.Time, event vrevent.FirstToken) {
+	r := s.requests[event.Request]
+	if r == nil || !r.firstToken.IsZero() {
+		return
+	}
+	r.firstToken = now
+}
+
+// attemptEnded ends the request or sends it to another back end.
+func (s *State) attemptEnded(now time.Time, event vrevent.AttemptEnded, out *vrevent.Effects) {
+	r := s.requests[event.Request]
+	if r == nil || r.phase != phaseDispatched || event.Attempt != r.attempt {
+		return
+	}
+	// Being full or leaving is no fault of a server.
+	healthy := event.Result == vrevent.AttemptAnswered || event.Result == vrevent.AttemptBusy ||
+		event.Result == vrevent.AttemptCallerGone || event.Result == vrevent.AttemptNotLoaded
+	s.table.End(now, event.Server, healthy)
+	r.tokens = max(r.tokens, event.Tokens)
+	if event.Result == vrevent.AttemptNotLoaded {
+		s.table.Missing(event.Server, r.Model)
+	}
+	switch {
+	case event.Result == vrevent.AttemptAnswered:
+		s.answered(now, r, event, out)
+	case event.Result == vrevent.AttemptCallerGone:
+		s.claimOutcome(now, r, vrwire.ClaimUnknown, event, out)
+		s.finish(now, r, s.entry(now, r, vrwire.ReasonCallerGone, vrrecord.RanUnknown), out)
+	case event.Result.ProvesNotRun():
+		s.notRun(now, r, event, out)
+	case r.Service != "" && !r.Idempotent && !vrfault.On(vrfault.RetryUnknown):
+		s.lookUp(now, r, event, out)
+	default:
+		s.mayHaveRun(now, r, event, out)
+	}
+}
+
+func (s *State) answered(now time.Time, r *request, event vrevent.AttemptEnded, out *vrevent.Effects) {
+	s.claimOutcome(now, r, vrwire.ClaimDone, event, out)
+	entry := s.entry(now, r, "", vrrecord.RanYes)
+	entry.Status = uint32(event.Status)
+	out.Add(vrevent.Complete{Request: r.ID})
+	s.finish(now, r, entry, out)
+}
+
+// notRun sends a request elsewhere after an attempt that provably ran nothing.
+func (s *State) notRun(now time.Time, r *request, event vrevent.AttemptEnded, out *vrevent.Effects) {
+	r.sent = r.uncertain
+	if r.attempt < maxAttempts && now.Before(r.until) {
+		s.requeue(now, r, event.Server, out)
+		return
+	}
+	reason := vrwire.ReasonNoReplica
+	if !now.Before(r.until) {
+		reason = vrwire.ReasonDeadlineExceeded
+	}
+	s.refuse(now, r, reason, time.Second, out)
+}
+
+// mayHaveRun retries what may run again: idempotent calls, and streams from the token
+// after the last one that the caller has.
+func (s *State) mayHaveRun(now time.Time, r *request, event vrevent.AttemptEnded, out *vrevent.Effects) {
+	r.uncertain = true
+	if event.Result == vrevent.AttemptBroken && r.attempt < maxAttempts {
+		if r.tokens > 0 {
+			r.until = now.Add(resumeTime)
+		}
+		if now.Before(r.until) {
+			s.requeue(now, r, event.Server, out)
+			return
+		}
+	}
+	reason := vrwire.ReasonBackendFailed
+	if event.Result == vrevent.AttemptTimedOut {
+		reason = vrwire.ReasonDeadlineExceeded
+	}
+	s.refuse(now, r, reason, time.Second, out)
+}
+
+func (s *State) requeue(now time.Time, r *request, exclude vrid.ServerID, out *vrevent.Effects) {
+	r.phase = phaseQueued
+	r.exclude = exclude
+	r.server = nil
+	s.queue.Return(s.item(r))
+	s.wantModel(now, r, out)
+}
+
+func (s *State) callerGone(now time.Time, event vrevent.CallerGone, out *vrevent.Effects) {
+	r := s.requests[event.Request]
+	if r == nil || r.phase == phaseDispatched {
+		return
+	}
+	ran := vrrecord.RanNo
+	if r.sent {
+		ran = vrrecord.RanUnknown
+	}
+	s.releaseClaim(now, r, out)
+	s.finish(now, r, s.entry(now, r, vrwire.ReasonCallerGone, ran), out)
+}
+
+// reject records a request that the front refused before it was parsed.
+func (s *State) reject(now time.Time, event vrevent.RequestRejected, out *vrevent.Effects) {
+	s.opened++
+	r := &request{Request: event.Request}
+	r.Arrived = now
+	s.finish(now, r, s.entry(now, r, event.Reason, vrrecord.RanNo), out)
+}
+
+// refuse ends a request without an answer. It claims that nothing ran only when no
+// attempt is open that may have run.
+func (s *State) refuse(now time.Time, r *request, reason vrwire.Reason, retry time.Duration, out *vrevent.Effects) {
+	ran := vrrecord.RanNo
+	if r.sent && !vrfault.On(vrfault.FalseNotRun) {
+		ran = vrrecord.RanUnknown
+	}
+	if ran == vrrecord.RanNo {
+		s.releaseClaim(now, r, out)
+	}
+	s.end(now, r, reason, ran, retry, out)
+}
+
+func (s *State) end(now time.Time, r *request, reason vrwire.Reason, ran vrrecord.Ran, retry time.Duration, out *vrevent.Effects) {
+	out.Add(vrevent.Refuse{Request: r.ID, Reason: reason, Ran: ran, RetryAfter: retry})
+	s.finish(now, r, s.entry(now, r, reason, ran), out)
+}
+
+// entry is the terminal entry of a request.
+func (s *State) entry(now time.Time, r *request, reason vrwire.Reason, ran vrrecord.Ran) vrrecord.Entry {
+	entry := vrrecord.Entry{
+		Kind: vrrecord.EntryAnswered, Request: r.ID, Daemon: s.opts.Daemon, Boot: s.opts.Boot, Zone: s.opts.Zone,
+		At: now.UnixMilli(), Caller: r.Caller, Rank: r.Rank, KindID: r.Kind, Model: r.Model, Adapter: r.Adapter,
+		Service: r.Service, Key: r.Key, Reason: string(reason), Ran: ran, Attempts: uint32(r.attempt), Cold: r.cold,
+		Tokens: uint32(r.tokens), Total: now.Sub(r.Arrived).Microseconds(), Config: s.store.Version(),
+		Epoch: s.member.View().Epoch,
+	}
+	if reason != "" {
+		entry.Kind = vrrecord.EntryRefused
+		entry.Status = uint32(reason.Status())
+	}
+	if r.server != nil {
+		entry.Server = r.server.ID
+		entry.ServerZone = r.server.Zone
+	}
+	if !r.dispatched.IsZero() {
+		entry.Queued = r.dispatched.Sub(r.Arrived).Microseconds()
+	}
+	if !r.firstToken.IsZero() {
+		entry.FirstToken = r.firstToken.Sub(r.Arrived).Microseconds()
+	}
+	return entry
+}
+
+func (s *State) finish(_ time.Time, r *request, entry vrrecord.Entry, out *vrevent.Effects) {
+	s.queue.Remove(r.ID)
+	delete(s.requests, r.ID)
+	s.journal.Append(entry)
+	out.Add(vrevent.AppendEntry{Entry: entry})
+}
+
+// tickRequests refuses what waited past its deadline.
+func (s *State) tickRequests(now time.Time, out *vrevent.Effects) {
+	for _, item := range s.queue.Expired(now) {
+		r := s.requests[item.Request]
+		if r == nil {
+			continue
+		}
+		reason := vrwire.ReasonDeadlineExceeded
+		if !r.cold && !s.loaded(r) {
+			reason = vrwire.ReasonNoReplica
+		}
+		s.refuse(now, r, reason, s.loadTime(r), out)
+	}
+	for _, id := range sortedKeys(s.requests) {
+		r := s.requests[id]
+		if r != nil && r.phase == phaseDispatched && r.firstToken.IsZero() && now.After(r.until.Add(dispatchSlack)) {
+			s.attemptEnded(now, vrevent.AttemptEnded{
+				Request: r.ID, Attempt: r.attempt, Server: r.server.ID, Result: vrevent.AttemptTimedOut,
+			}, out)
+		}
+	}
+}
--- /dev/null
+++ b/verbenacore/vrreducer/vrreducer.go
@@ -0,0 +1,278 @@
+// Package vrreducer is the one place where a daemon decides. State holds everything
+// that a daemon knows; Reduce takes one event with its time, changes the state and
+// returns effects as data. It does no I/O, reads no clock and draws its randomness from
+// a seed, so that a run can be repeated exactly.
+package vrreducer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"verbenaroute.example/verbenacore/vradmit"
+	"verbenaroute.example/verbenacore/vrclaim"
+	"verbenaroute.example/verbenacore/vrconfig"
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrjournal"
+	"verbenaroute.example/verbenacore/vrlease"
+	"verbenaroute.example/verbenacore/vrledger"
+	"verbenaroute.example/verbenacore/vrmember"
+	"verbenaroute.example/verbenacore/vrplace"
+	"verbenaroute.example/verbenacore/vrplatform"
+	"verbenaroute.example/verbenacore/vrroute"
+	"verbenaroute.example/verbenacore/vrsettings"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+// Options of a daemon's state.
+type Options struct {
+	Daemon      vrid.DaemonID
+	Boot        vrid.BootID
+	Zone        vrid.ZoneID
+	PeerAddress string
+	Seeds       []vrsettings.Seed
+	// Random seeds the generator; a run with the same seed and events is the same.
+	Random uint64
+	// Queue and QueueMemory bound the waiting requests.
+	Queue       int
+	QueueMemory vrid.Bytes
+}
+
+// Defaults of the queue.
+const (
+	defaultQueue       = 10_000
+	defaultQueueMemory = 64 * vrid.MiB
+)
+
+// startSpread is the longest random wait before a starting daemon's first call to the
+// platform, so that a zone that is replaced at once does not call at one moment.
+const startSpread = 2 * time.Second
+
+// State is one daemon.
+type State struct {
+	opts   Options
+	ops    *vrevent.Ops
+	random *rand.Rand
+	store  vrconfig.Store
+	// document is the compressed form of the held configuration.
+	document []byte
+	// confirmed is set when the configuration came from the platform.
+	confirmed bool
+
+	member  *vrmember.Membership
+	lease   *vrlease.Lease
+	ledger  *vrledger.Ledger
+	planner *vrplace.Planner
+	queue   *vradmit.Queue
+	table   *vrroute.Table
+	journal *vrjournal.Journal
+
+	requests map[vrid.RequestID]*request
+	claims   claims
+	zone     zone
+	commits  commits
+	polls    map[vrid.ServerID]*poll
+
+	// opened counts the requests that this run has numbered.
+	opened   uint64
+	started  time.Time
+	firstUse time.Time
+	ready    bool
+	shutdown shutdown
+	// viewAt is the view from which the table was built.
+	viewEpoch    vrid.Epoch
+	viewSequence uint64
+	viewConfig   vrid.ConfigVersion
+	remoteHeard  map[vrid.ZoneID]remoteZone
+	tableAt      time.Time
+}
+
+type shutdown struct {
+	requested bool
+	since     time.Time
+	stopped   bool
+}
+
+// New returns the state of a daemon that has just started.
+func New(opts Options) *State {
+	if opts.Queue == 0 {
+		opts.Queue = defaultQueue
+	}
+	if opts.QueueMemory == 0 {
+		opts.QueueMemory = defaultQueueMemory
+	}
+	s := &State{
+		opts:        opts,
+		ops:         &vrevent.Ops{},
+		random:      rand.New(rand.NewPCG(opts.Random, uint64(len(opts.Daemon)))),
+		planner:     vrplace.New(),
+		requests:    make(map[vrid.RequestID]*request),
+		claims:      newClaims(),
+		polls:       make(map[vrid.ServerID]*poll),
+		remoteHeard: make(map[vrid.ZoneID]remoteZone),
+		zone:        newZone(),
+	}
+	s.queue = vradmit.New(vradmit.Options{Requests: opts.Queue, Memory: opts.QueueMemory})
+	s.table = vrroute.New(s.random)
+	s.lease = vrlease.New(vrlease.Options{
+		Key: vrplatform.LeaseKey(opts.Zone), Daemon: opts.Daemon, Boot: opts.Boot,
+		Peer: opts.PeerAddress, Ops: s.ops, Random: s.random,
+	})
+	s.ledger = vrledger.New(vrledger.Options{Zone: opts.Zone, Daemon: opts.Daemon, Boot: opts.Boot, Ops: s.ops})
+	s.journal = vrjournal.New(vrjournal.Options{
+		Daemon: opts.Daemon, Boot: opts.Boot, Zone: opts.Zone, Ops: s.ops, Random: s.random,
+	})
+	return s
+}
+
+// Reduce takes one event.
+func (s *State) Reduce(now time.Time, event vrevent.Event, out *vrevent.Effects) {
+	if s.member == nil {
+		s.start(now)
+	}
+	switch e := event.(type) {
+	case vrevent.Started:
+		out.Info("daemon started", vrevent.Field("daemon", s.opts.Daemon), vrevent.Field("zone", s.opts.Zone))
+	case vrevent.Tick:
+		s.tick(now, out)
+	case vrevent.RequestArrived:
+		s.arrive(now, e.Request, out)
+	case vrevent.RequestRejected:
+		s.reject(now, e, out)
+	case vrevent.FirstToken:
+		s.firstToken(now, e)
+	case vrevent.AttemptEnded:
+		s.attemptEnded(now, e, out)
+	case vrevent.OutcomeLookedUp:
+		s.outcomeLookedUp(now, e, out)
+	case vrevent.CallerGone:
+		s.callerGone(now, e, out)
+	case vrevent.ObjectRead:
+		s.objectRead(now, e, out)
+	case vrevent.ObjectWritten:
+		s.objectWritten(now, e, out)
+	case vrevent.ObjectsListed:
+		s.objectsListed(now, e, out)
+	case vrevent.VMsListed:
+		s.vmsListed(now, e)
+	case vrevent.ConfigSeen:
+		s.configSeen(now, e, out)
+	case vrevent.ConfigProposed:
+		s.configProposed(now, e, out)
+	case vrevent.ReportReceived:
+		s.reportReceived(now, e)
+	case vrevent.ReportFailed:
+		s.reportFailed(now, e)
+	case vrevent.OrderAnswered:
+		s.orderAnswered(now, e, out)
+	case vrevent.PeerMessage:
+		s.peerMessage(now, e.Envelope, out)
+	case vrevent.PeerUnreachable:
+		s.peerUnreachable(now, e.Peer, out)
+	case vrevent.DrainServer:
+		s.zone.drained[e.Server] = true
+	case vrevent.CacheEventsReceived:
+	case vrevent.ShutdownRequested:
+		s.shutdownRequested(now, out)
+	}
+	s.flush(now, out)
+}
+
+func (s *State) start(now time.Time) {
+	s.started = now
+	s.firstUse = now.Add(time.Duration(s.random.Int64N(int64(startSpread))))
+	s.member = vrmember.New(now, vrmember.Options{
+		Daemon: s.opts.Daemon, Boot: s.opts.Boot, Zone: s.opts.Zone, Peer: s.opts.PeerAddress, Random: s.random,
+	})
+	var seeds []vrmember.Peer
+	for _, seed := range s.opts.Seeds {
+		seeds = append(seeds, vrmember.Peer{Daemon: seed.Daemon, Address: seed.Address})
+	}
+	s.member.SetSeeds(seeds)
+}
+
+// flush passes on what the event made due, so that nothing waits for the next tick.
+func (s *State) flush(now time.Time, out *vrevent.Effects) {
+	s.refreshTable(now)
+	s.pump(now, out)
+	s.answerClaims(now, out)
+}
+
+func (s *State) tick(now time.Time, out *vrevent.Effects) {
+	s.tickZone(now, out)
+	s.tickPolls(now, out)
+	s.member.SetOpened(s.opened)
+	s.member.Tick(now, out)
+	s.tickConfig(now, out)
+	s.tickClaims(now, out)
+	s.tickRequests(now, out)
+	s.tickRecord(now, out)
+	s.tickReady(now, out)
+	s.tickShutdown(now, out)
+}
+
+// Configuration returns the held configuration, or nil.
+func (s *State) Configuration() *vrconfig.Index { return s.store.Current() }
+
+// objectRead finds the part of the state that waits for an answer.
+func (s *State) objectRead(now time.Time, event vrevent.ObjectRead, out *vrevent.Effects) {
+	switch {
+	case s.lease.Owns(event.Op):
+		s.leaseChanged(now, s.lease.HandleRead(now, event, out), out)
+	case s.ledger.Owns(event.Op):
+		if epoch := s.ledger.HandleRead(now, event, out); epoch > 0 {
+			s.superseded(now, epoch, out)
+		}
+	case s.commits.owns(event.Op):
+		s.commitRead(now, event, out)
+	default:
+		if log := s.claims.byOp(event.Op); log != nil {
+			log.HandleRead(now, event, out)
+		}
+	}
+}
+
+func (s *State) objectWritten(now time.Time, event vrevent.ObjectWritten, out *vrevent.Effects) {
+	switch {
+	case s.lease.Owns(event.Op):
+		s.leaseChanged(now, s.lease.HandleWritten(now, event, out), out)
+	case s.ledger.Owns(event.Op):
+		s.ledger.HandleWritten(now, event, out)
+	case s.commits.owns(event.Op):
+		s.commitWritten(now, event, out)
+	case s.zone.ackOp == event.Op && event.Op != 0:
+		s.ackWritten(now, event)
+	case s.journal.HandleWritten(now, event, out):
+	default:
+		if log := s.claims.byOp(event.Op); log != nil {
+			log.HandleWritten(now, event, out)
+		}
+	}
+}
+
+func (s *State) objectsListed(now time.Time, event vrevent.ObjectsListed, out *vrevent.Effects) {
+	if s.zone.leasesOp == event.Op && event.Op != 0 {
+		s.leasesListed(now, event)
+		return
+	}
+	if log := s.claims.byOp(event.Op); log != nil {
+		log.HandleListed(now, event, out)
+	}
+}
+
+func (s *State) send(to vrmember.Peer, envelope *vrwire.Envelope, out *vrevent.Effects) {
+	if to.Daemon == "" || to.Address == "" || to.Daemon == s.opts.Daemon {
+		return
+	}
+	out.Add(vrevent.SendPeer{Peer: to.Daemon, Address: to.Address, Envelope: envelope})
+}
+
+// byOp finds the log that waits for an answer of the platform.
+func (c *claims) byOp(op vrevent.Op) *vrclaim.Log {
+	for _, log := range c.logs {
+		if log.Owns(op) {
+			return log
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/verbenacore/vrreducer/zone.go
@@ -0,0 +1,400 @@
+package vrreducer
+
+import (
+	"strconv"
+	"time"
+
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrfault"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrlease"
+	"verbenaroute.example/verbenacore/vrledger"
+	"verbenaroute.example/verbenacore/vrmember"
+	"verbenaroute.example/verbenacore/vrplatform"
+	"verbenaroute.example/verbenacore/vrrecord"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+const (
+	// vmInterval is the pause between two readings of the platform's list by the owner.
+	vmInterval = 2 * time.Second
+	// planInterval is the pause between two plans of the owner.
+	planInterval = 100 * time.Millisecond
+	// summaryInterval is the pause between two summaries to other zones.
+	summaryInterval = time.Second
+	// leasesInterval is the pause between two readings of the other zones' leases.
+	leasesInterval = 5 * time.Second
+	// demandInterval is the pause between two messages of demand for one model.
+	demandInterval = time.Second
+	// epochAckInterval is the pause between two acknowledgements of a newer epoch.
+	epochAckInterval = 2 * time.Second
+	// ledgerServers is the number of servers in one ledger object.
+	ledgerServers = 32
+	// failedPolls in a row make a server unreachable.
+	failedPolls = 3
+	// ownerSilence is how long a daemon without any word from its zone waits before it
+	// may try for the lease.
+	ownerSilence = 3 * time.Second
+)
+
+// zone is a daemon's part in its zone: what it needs to be the owner or a candidate.
+type zone struct {
+	vms   map[vrid.VMID]vrplatform.VM
+	vmsAt time.Time
+	// listed is set once a list was asked for and answered under the held lease. Only
+	// such a list proves that a former owner's VM is gone.
+	listed  bool
+	listing bool
+	// early is set when the list that is awaited was asked for before the lease.
+	early bool
+	planAt  time.Time
+	// acks are the epochs that daemons acknowledged; they send nothing older.
+	acks map[run]vrid.Epoch
+	// issued is set once this run sent an order.
+	issued     bool
+	ackedAt    time.Time
+	summaryAt  time.Time
+	leasesAt   time.Time
+	leasesOp   vrevent.Op
+	owners     map[vrid.ZoneID]vrmember.Peer
+	ackOp      vrevent.Op
+	ackAt      time.Time
+	ackVersion vrid.ObjectVersion
+	ackWritten vrid.ConfigVersion
+	ackTrying  vrid.ConfigVersion
+	// wanted is when demand for a model was last sent.
+	wanted map[demandKey]time.Time
+	// arrivals count the requests since the last demand message.
+	arrivals   map[demandKey]uint32
+	arrivalsAt time.Time
+	drained    map[vrid.ServerID]bool
+	watching   bool
+}
+
+// run is one run of a daemon.
+type run struct {
+	daemon vrid.DaemonID
+	boot   vrid.BootID
+}
+
+type demandKey struct {
+	model   vrid.ModelID
+	adapter vrid.AdapterID
+	rank    vrid.Rank
+}
+
+// remoteZone is when another zone's summary was heard here.
+type remoteZone struct {
+	sentAt int64
+	heard  time.Time
+}
+
+func newZone() zone {
+	return zone{
+		vms:      make(map[vrid.VMID]vrplatform.VM),
+		acks:     make(map[run]vrid.Epoch),
+		owners:   make(map[vrid.ZoneID]vrmember.Peer),
+		wanted:   make(map[demandKey]time.Time),
+		arrivals: make(map[demandKey]uint32),
+		drained:  make(map[vrid.ServerID]bool),
+	}
+}
+
+// tickZone takes part in the lease and, as its holder, does the owner's work.
+func (s *State) tickZone(now time.Time, out *vrevent.Effects) {
+	if now.Before(s.firstUse) && s.member.View().Epoch == 0 {
+		return
+	}
+	s.listVMs(now, out)
+	s.lease.Tick(now, vrlease.Request{
+		Observe:   s.member.Observes(now),
+		Candidate: s.candidate(now),
+		Chunks:    uint32(s.zoneServers()/ledgerServers + 1),
+	}, out)
+	s.ackEpoch(now, out)
+	if !s.lease.Holding() {
+		s.sendArrivals(now)
+		return
+	}
+	s.takeReports(now)
+	s.ledger.SettleIssuers(s.provedSilent)
+	s.ledger.DropGone(s.serverGone)
+	s.plan(now, out)
+	s.ledger.Tick(now, out)
+	s.departures(now)
+	s.publish(now, out)
+	s.sendArrivals(now)
+}
+
+// candidate reports whether this daemon may become the owner. It has to stand in the
+// platform's list, so that its later absence from the list proves that it is gone.
+func (s *State) candidate(now time.Time) bool {
+	if s.shutdown.requested || s.store.Current() == nil {
+		return false
+	}
+	_, listed := s.zone.vms[vrid.VMID(s.opts.Daemon)]
+	return listed && s.member.Observes(now)
+}
+
+func (s *State) listVMs(now time.Time, out *vrevent.Effects) {
+	_, listed := s.zone.vms[vrid.VMID(s.opts.Daemon)]
+	needed := s.lease.Holding() || !listed
+	if s.zone.listing || !needed || now.Sub(s.zone.vmsAt) < vmInterval {
+		return
+	}
+	s.zone.vmsAt = now
+	s.zone.listing = true
+	out.Add(vrevent.ListVMs{})
+}
+
+func (s *State) zoneServers() int {
+	servers := 0
+	for _, vm := range s.zone.vms {
+		if vm.Zone == s.opts.Zone && vm.Kind != vrplatform.VMDaemon {
+			servers++
+		}
+	}
+	return servers
+}
+
+// vmsListed takes the platform's list of live and leaving VMs.
+func (s *State) vmsListed(now time.Time, event vrevent.VMsListed) {
+	s.zone.listing = false
+	if event.Outcome != vrplatform.OutcomeOK {
+		s.zone.early = false
+		return
+	}
+	previous := s.zone.vms
+	s.zone.vms = make(map[vrid.VMID]vrplatform.VM, len(event.VMs))
+	s.zone.listed = !s.zone.early
+	s.zone.early = false
+	var seeds []vrmember.Peer
+	for _, vm := range event.VMs {
+		s.zone.vms[vm.ID] = vm
+		if vm.Kind == vrplatform.VMDaemon && vm.Zone == s.opts.Zone {
+			seeds = append(seeds, vrmember.Peer{Daemon: vrid.DaemonID(vm.ID), Address: vm.Address})
+		}
+	}
+	s.member.SetSeeds(seeds)
+	for id, vm := range previous {
+		if _, still := s.zone.vms[id]; still {
+			continue
+		}
+		if vm.Kind == vrplatform.VMDaemon {
+			s.member.VMGone(vrid.DaemonID(id))
+			continue
+		}
+		s.ledger.RemoveServer(vrid.ServerID(id))
+	}
+	s.setServers(now)
+}
+
+// setServers tells the ledger of the zone's servers.
+func (s *State) setServers(now time.Time) {
+	index := s.store.Current()
+	if index == nil {
+		return
+	}
+	for _, id := range sortedKeys(s.zone.vms) {
+		vm := s.zone.vms[id]
+		pool := index.Pool(vm.Pool)
+		if vm.Zone != s.opts.Zone || vm.Kind == vrplatform.VMDaemon || pool == nil {
+			continue
+		}
+		s.ledger.SetServer(now, vrledger.ServerInfo{
+			ID: vrid.ServerID(id), Pool: vm.Pool, Address: vm.Address, Memory: pool.Memory,
+			Slots: pool.Slots, HonorsFencing: pool.HonorsFencing, State: s.serverState(vm),
+		})
+	}
+}
+
+// serverState is the worst of what the platform, the operators and the server say.
+func (s *State) serverState(vm vrplatform.VM) vrwire.ServerState {
+	id := vrid.ServerID(vm.ID)
+	report := s.ledger.Report(id)
+	switch {
+	case vm.State == vrplatform.VMLeaving, report != nil && report.Leaving:
+		return vrwire.ServerLeaving
+	case s.store.Current().Drained(id), s.zone.drained[id]:
+		return vrwire.ServerDrained
+	case report != nil && report.Failed >= failedPolls:
+		return vrwire.ServerUnreachable
+	}
+	return vrwire.ServerLive
+}
+
+// leaseChanged starts or ends this daemon's time as the zone's owner.
+func (s *State) leaseChanged(now time.Time, change vrlease.Change, out *vrevent.Effects) {
+	if record, ok := s.lease.Known(); ok && !record.Released {
+		s.member.SetOwner(vrmember.Peer{Daemon: record.Holder, Address: record.Peer}, record.Epoch)
+	}
+	switch change {
+	case vrlease.ChangeAcquired:
+		record, _ := s.lease.Known()
+		out.Info("zone lease acquired", vrevent.Field("zone", s.opts.Zone), epochField(record.Epoch))
+		s.member.BecomeRoot(now, record.Epoch)
+		s.ledger.Activate(now, record.Epoch, record.Chunks, out)
+		s.zone.leasesAt = time.Time{}
+		s.zone.listed = false
+		s.zone.early = s.zone.listing
+		s.zone.vmsAt = time.Time{}
+		s.appendOwn(now, vrrecord.Entry{Kind: vrrecord.EntryTakeover, Epoch: record.Epoch}, out)
+	case vrlease.ChangeLost:
+		if vrfault.On(vrfault.ActAfterLapse) {
+			return
+		}
+		out.Warn("zone lease lost", vrevent.Field("zone", s.opts.Zone), epochField(s.lease.Epoch()))
+		s.ledger.Deactivate()
+		s.member.StopRoot(now)
+	case vrlease.ChangeNone:
+	}
+}
+
+func epochField(epoch vrid.Epoch) vrevent.LogField {
+	return vrevent.Field("epoch", strconv.FormatUint(uint64(epoch), 10))
+}
+
+// superseded takes word that a newer owner exists.
+func (s *State) superseded(now time.Time, epoch vrid.Epoch, out *vrevent.Effects) {
+	s.leaseChanged(now, s.lease.Superseded(now, epoch), out)
+}
+
+// ackEpoch tells a newer owner that this run holds no unsent order of an earlier epoch.
+func (s *State) ackEpoch(now time.Time, out *vrevent.Effects) {
+	if !s.zone.issued || s.lease.Holding() || s.ledger.Outstanding() > 0 {
+		return
+	}
+	if now.Sub(s.zone.ackedAt) < epochAckInterval || s.lease.Epoch() == 0 {
+		return
+	}
+	s.zone.ackedAt = now
+	s.send(s.member.Owner(), &vrwire.Envelope{EpochAck: &vrwire.EpochAck{Epoch: s.lease.Epoch()}}, out)
+}
+
+// provedSilent reports whether a former owner's run can send no order of an epoch any
+// more: it acknowledged a newer epoch, its VM is gone, or another process has its port.
+func (s *State) provedSilent(issuer vrid.DaemonID, boot vrid.BootID, epoch vrid.Epoch) bool {
+	if s.zone.acks[run{daemon: issuer, boot: boot}] > epoch {
+		return true
+	}
+	if issuer == s.opts.Daemon {
+		return boot != s.opts.Boot
+	}
+	return s.runEnded(issuer, boot)
+}
+
+// runEnded reports whether a run of a daemon is known to have ended. Boot ids grow with
+// each start of a VM's daemon, and two runs can't listen on the same port: word of a
+// later run proves the end of an earlier one.
+func (s *State) runEnded(daemon vrid.DaemonID, boot vrid.BootID) bool {
+	if daemon == s.opts.Daemon {
+		return boot != s.opts.Boot
+	}
+	view := s.member.View()
+	if item, ok := view.Members[daemon]; ok {
+		return item.Boot > boot || s.vmGone(vrid.VMID(daemon))
+	}
+	for _, remote := range view.Remote {
+		for _, item := range remote.Members {
+			if item.Daemon == daemon {
+				return item.Boot > boot
+			}
+		}
+	}
+	return s.vmGone(vrid.VMID(daemon))
+}
+
+// vmGone reports whether a list that was read under this lease lacks the VM.
+func (s *State) vmGone(id vrid.VMID) bool {
+	_, listed := s.zone.vms[id]
+	return !listed && s.lease.Holding() && s.zone.listed
+}
+
+func (s *State) serverGone(id vrid.ServerID) bool { return s.vmGone(vrid.VMID(id)) }
+
+// takeReports passes reports and demand from the tree to the ledger and the planner.
+func (s *State) takeReports(now time.Time) {
+	reports := s.member.TakeReports()
+	for i := range reports {
+		s.ledger.HandleReport(now, &reports[i])
+	}
+	if len(reports) > 0 || len(s.zone.drained) > 0 {
+		s.setServers(now)
+	}
+	for _, demand := range s.member.TakeDemands() {
+		s.planner.Want(now, demand)
+	}
+}
+
+// departures closes the record of members that are gone.
+func (s *State) departures(now time.Time) {
+	for _, item := range s.member.TakeDeparted() {
+		s.journal.MemberRemoved(now, item.Daemon, item.Boot, item.Opened)
+	}
+}
+
+func (s *State) publish(now time.Time, out *vrevent.Effects) {
+	if s.ledger.TakeChanged() || now.Sub(s.zone.summaryAt) >= summaryInterval {
+		s.member.PublishServers(s.ledger.Items(s.opts.Zone))
+	}
+	if now.Sub(s.zone.leasesAt) >= leasesInterval && s.zone.leasesOp == 0 {
+		s.zone.leasesAt = now
+		s.zone.leasesOp = s.ops.Next()
+		out.Add(vrevent.ListObjects{Op: s.zone.leasesOp, Prefix: vrplatform.PrefixLeases, Values: true})
+	}
+	if now.Sub(s.zone.summaryAt) >= summaryInterval {
+		s.zone.summaryAt = now
+		s.sendSummaries(now, out)
+	}
+}
+
+// leasesListed learns the owners of the other zones.
+func (s *State) leasesListed(_ time.Time, event vrevent.ObjectsListed) {
+	s.zone.leasesOp = 0
+	if event.Outcome != vrplatform.OutcomeOK {
+		return
+	}
+	for _, item := range event.Items {
+		record, err := vrwire.Unmarshal[vrlease.Record](item.Value)
+		if err != nil {
+			continue
+		}
+		zone := vrid.ZoneID(item.Key[len(vrplatform.PrefixLeases):])
+		if zone != s.opts.Zone {
+			s.zone.owners[zone] = vrmember.Peer{Daemon: record.Holder, Address: record.Peer}
+		}
+	}
+}
+
+// sendSummaries tells the other zones' owners what this zone can serve.
+func (s *State) sendSummaries(now time.Time, out *vrevent.Effects) {
+	view := s.member.View()
+	summary := &vrwire.ZoneSummary{
+		Zone: s.opts.Zone, Epoch: view.Epoch, Owner: s.opts.Daemon, Peer: s.opts.PeerAddress,
+		Config: s.store.Version(), InForce: s.inForce(), SentAt: now.UnixMilli(),
+	}
+	for _, id := range sortedKeys(view.Servers) {
+		if item := view.Servers[id]; item.State == vrwire.ServerLive {
+			summary.Servers = append(summary.Servers, item)
+		}
+	}
+	for _, id := range sortedKeys(view.Members) {
+		summary.Members = append(summary.Members, view.Members[id])
+	}
+	for _, zone := range sortedKeys(s.zone.owners) {
+		s.send(s.zone.owners[zone], &vrwire.Envelope{ZoneSummary: summary}, out)
+	}
+}
+
+func (s *State) orderAnswered(now time.Time, event vrevent.OrderAnswered, out *vrevent.Effects) {
+	epoch := s.ledger.HandleOrder(now, event)
+	if epoch > 0 {
+		s.superseded(now, epoch, out)
+		return
+	}
+	s.recordOrder(now, event, out)
+	s.ledger.Flush(now, out)
+	if s.lease.Holding() {
+		s.publish(now, out)
+	}
+}
