Make every message with repeated fields decodable

The protobuf codec refuses vrid.Rank because it has no 8-bit integers, and its decoder fails on every repeated field with more than 10 elements: it grows the slice through the runtime's typedslicecopy with a signature that the runtime does not have. RecordBatch, Heartbeat and LoadReport failed with 11, 20, 21 and 50 elements and passed with 9 and 10.

Rank is 32 bits wide. Unmarshal counts the elements first and gives each repeated field its final capacity, so the codec never grows one. RecordBatch gains the number up to which the sender's entries are durable, from which a new writer counts on.

TestRepeatedFields passes with up to 300 elements.

--- a/verbenacore/vrid/vrid.go
+++ b/verbenacore/vrid/vrid.go
@@ -79,7 +79,8 @@
 }
 
 // Rank orders requests by worth. Lower values are served first.
-type Rank uint8
+// It is 32 bits wide because the protobuf codec has no narrower integers.
+type Rank uint32
 
 // The three ranks.
 const (
@@ -102,7 +103,7 @@
 // String returns the rank's name in configuration, queries and the record.
 func (r Rank) String() string {
 	if !r.Valid() {
-		return fmt.Sprintf("rank(%d)", uint8(r))
+		return fmt.Sprintf("rank(%d)", uint32(r))
 	}
 	return _rankNames[r]
 }
--- a/verbenacore/vrwire/control.go
+++ b/verbenacore/vrwire/control.go
@@ -37,6 +37,9 @@
 	Entries [][]byte `protobuf:"bytes,4,rep,name=entries"`
 	// Opened counts the requests that the daemon has numbered so far.
 	Opened uint64 `protobuf:"varint,5,opt,name=opened"`
+	// Durable is the number up to which the daemon holds acknowledgements; a writer
+	// that meets the run for the first time counts on from there.
+	Durable uint64 `protobuf:"varint,6,opt,name=durable"`
 }
 
 // Validate checks the origin.
--- a/verbenacore/vrwire/vrwire.go
+++ b/verbenacore/vrwire/vrwire.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"reflect"
 
 	"github.com/segmentio/encoding/proto"
 
@@ -52,6 +53,10 @@
 		}
 	}()
 	message = new(T)
+	value := reflect.ValueOf(message).Elem()
+	if err := presize(value, data, shapeOf(value.Type())); err != nil {
+		return nil, &DecodeError{Message: fmt.Sprintf("%T", *message), Field: "bytes", Problem: err.Error()}
+	}
 	if err := proto.Unmarshal(data, message); err != nil {
 		return nil, &DecodeError{Message: fmt.Sprintf("%T", *message), Field: "bytes", Problem: err.Error()}
 	}
