--- /dev/null
+++ b/verbenacore/vrrecord/numbers.go
@@ -0,0 +1,87 @@
+package vrrecord
+
+import (
+	"slices"
+	"sort"
+)
+
+// Span is a range of entry numbers, both ends included.
+type Span struct {
+	First uint64 `json:"first"`
+	Last  uint64 `json:"last"`
+}
+
+// Len returns how many numbers the span holds.
+func (s Span) Len() uint64 { return s.Last - s.First + 1 }
+
+// Numbers is a set of entry numbers, kept as sorted spans that neither touch nor
+// overlap. Numbers arrive nearly in order, so a few spans hold millions of them.
+type Numbers struct {
+	spans []Span
+}
+
+// Add puts the numbers from first to last into the set.
+func (n *Numbers) Add(first, last uint64) {
+	if last < first {
+		return
+	}
+	from := sort.Search(len(n.spans), func(i int) bool { return n.spans[i].Last+1 >= first })
+	to := from
+	merged := Span{First: first, Last: last}
+	for to < len(n.spans) && n.spans[to].First <= last+1 {
+		merged.First = min(merged.First, n.spans[to].First)
+		merged.Last = max(merged.Last, n.spans[to].Last)
+		to++
+	}
+	n.spans = slices.Replace(n.spans, from, to, merged)
+}
+
+// Has reports whether every number from first to last is in the set.
+func (n *Numbers) Has(first, last uint64) bool {
+	i := sort.Search(len(n.spans), func(i int) bool { return n.spans[i].Last >= last })
+	return i < len(n.spans) && n.spans[i].First <= first
+}
+
+// Missing returns the numbers between first and last that are not in the set.
+func (n *Numbers) Missing(first, last uint64) []Span {
+	var missing []Span
+	next := first
+	for _, span := range n.spans {
+		if span.Last < next {
+			continue
+		}
+		if span.First > last {
+			break
+		}
+		if span.First > next {
+			missing = append(missing, Span{First: next, Last: span.First - 1})
+		}
+		next = span.Last + 1
+	}
+	if next <= last {
+		missing = append(missing, Span{First: next, Last: last})
+	}
+	return missing
+}
+
+// Spans returns the set's spans in order. The slice must not be changed.
+func (n *Numbers) Spans() []Span { return n.spans }
+
+// Through returns the last number of the unbroken run that follows after, or after
+// itself when after+1 is absent.
+func (n *Numbers) Through(after uint64) uint64 {
+	for _, span := range n.spans {
+		if span.First <= after+1 && span.Last > after {
+			return span.Last
+		}
+	}
+	return after
+}
+
+// Last returns the highest number, 0 for an empty set.
+func (n *Numbers) Last() uint64 {
+	if len(n.spans) == 0 {
+		return 0
+	}
+	return n.spans[len(n.spans)-1].Last
+}
