--- /dev/null
+++ b/verbenaroute/internal/vrfront/openai.go
@@ -0,0 +1,151 @@
+package vrfront
+
+import (
+	"encoding/json"
+	"strings"
+
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+const (
+	// _defaultChatTokens and _defaultTextTokens apply when the caller names no limit.
+	_defaultChatTokens = 512
+	_defaultTextTokens = 16
+	// _maxTokens bounds what one request may ask for.
+	_maxTokens = 1 << 17
+	// _bytesPerToken estimates the prompt's tokens for the usage counts, because the
+	// language servers do not report them.
+	_bytesPerToken = 4
+)
+
+// modelBody is what is read of both model paths' bodies. Fields that the language
+// servers' API has no place for, such as temperature, are accepted and not used.
+type modelBody struct {
+	Model               string          `json:"model"`
+	Messages            []chatMessage   `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	Stream              bool            `json:"stream"`
+	StreamOptions       streamOptions   `json:"stream_options"`
+	N                   *int            `json:"n"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type chatMessage struct {
+	Role    string      `json:"role"`
+	Content chatContent `json:"content"`
+}
+
+// chatContent is a text, a list of text parts, or null.
+type chatContent string
+
+type contentPart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+// UnmarshalJSON reads any of the three forms.
+func (c *chatContent) UnmarshalJSON(data []byte) error {
+	if len(data) > 0 && data[0] != '[' {
+		return json.Unmarshal(data, (*string)(c))
+	}
+	var parts []contentPart
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return err
+	}
+	var text strings.Builder
+	for _, part := range parts {
+		if part.Type != "text" {
+			return reject(vrwire.ReasonInvalidRequest, "a message part is not a text")
+		}
+		text.WriteString(part.Text)
+	}
+	*c = chatContent(text.String())
+	return nil
+}
+
+// parseModelBody reads the body and checks what both paths share.
+func parseModelBody(data []byte) (*modelBody, *RejectError) {
+	body := &modelBody{}
+	if err := json.Unmarshal(data, body); err != nil {
+		return nil, reject(vrwire.ReasonInvalidRequest, "the body is not a valid JSON request: "+jsonDetail(err))
+	}
+	if body.Model == "" {
+		return nil, reject(vrwire.ReasonInvalidRequest, "model is missing")
+	}
+	if body.N != nil && *body.N != 1 {
+		return nil, reject(vrwire.ReasonInvalidRequest, "n must be 1")
+	}
+	return body, nil
+}
+
+// jsonDetail says what is wrong without repeating the caller's text.
+func jsonDetail(err error) string {
+	const longest = 120
+	text := err.Error()
+	if len(text) > longest {
+		text = text[:longest]
+	}
+	return text
+}
+
+// limit returns the largest number of tokens.
+func (b *modelBody) limit(standard int) (int, *RejectError) {
+	tokens := standard
+	if b.MaxTokens != nil {
+		tokens = *b.MaxTokens
+	}
+	if b.MaxCompletionTokens != nil {
+		tokens = *b.MaxCompletionTokens
+	}
+	if tokens < 1 || tokens > _maxTokens {
+		return 0, reject(vrwire.ReasonInvalidRequest, "max_tokens must be 1 to 131072")
+	}
+	return tokens, nil
+}
+
+// chatPrompt joins the messages, one line each, and opens the assistant's turn.
+func (b *modelBody) chatPrompt() (string, *RejectError) {
+	if len(b.Messages) == 0 {
+		return "", reject(vrwire.ReasonInvalidRequest, "messages is missing or empty")
+	}
+	var prompt strings.Builder
+	for _, message := range b.Messages {
+		if message.Role == "" {
+			return "", reject(vrwire.ReasonInvalidRequest, "a message has no role")
+		}
+		prompt.WriteString(message.Role)
+		prompt.WriteString(": ")
+		prompt.WriteString(string(message.Content))
+		prompt.WriteByte('\n')
+	}
+	prompt.WriteString("assistant: ")
+	return prompt.String(), nil
+}
+
+// textPrompt returns the prompt of /v1/completions: a text or a list with one text.
+func (b *modelBody) textPrompt() (string, *RejectError) {
+	var text string
+	if json.Unmarshal(b.Prompt, &text) == nil && text != "" {
+		return text, nil
+	}
+	var list []string
+	if json.Unmarshal(b.Prompt, &list) == nil && len(list) == 1 && list[0] != "" {
+		return list[0], nil
+	}
+	return "", reject(vrwire.ReasonInvalidRequest, "prompt must be one text")
+}
+
+// usage counts tokens as OpenAI's clients expect them.
+type usage struct {
+	prompt     int
+	completion int
+}
+
+func promptTokens(prompt string) int {
+	return (len(prompt) + _bytesPerToken - 1) / _bytesPerToken
+}
--- /dev/null
+++ b/verbenaroute/internal/vrfront/problem.go
@@ -0,0 +1,145 @@
+package vrfront
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrrecord"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+// _problemType is the prefix of the type field, followed by the reason.
+const _problemType = "urn:verbenaroute:problem:"
+
+// RejectError is a refusal that the front decides before the reducer sees a request.
+type RejectError struct {
+	Reason vrwire.Reason
+	Detail string
+	// RetryAfter is zero where retrying does not help.
+	RetryAfter time.Duration
+}
+
+func (e *RejectError) Error() string { return string(e.Reason) + ": " + e.Detail }
+
+func reject(reason vrwire.Reason, detail string) *RejectError {
+	return &RejectError{Reason: reason, Detail: detail}
+}
+
+// problemOf builds the body of a refusal.
+func problemOf(e vrevent.Refuse) vrwire.Problem {
+	return vrwire.Problem{
+		Type:      _problemType + string(e.Reason),
+		Title:     e.Reason.Title(),
+		Status:    e.Reason.Status(),
+		Detail:    e.Detail,
+		Reason:    e.Reason,
+		Ran:       e.Ran.String(),
+		NotRun:    e.Ran == vrrecord.RanNo,
+		RequestID: e.Request,
+	}
+}
+
+// appendProblem appends the JSON form of a refusal.
+func appendProblem(out []byte, e vrevent.Refuse) []byte {
+	// A struct of strings, a number and a flag always encodes.
+	data, _ := json.Marshal(problemOf(e))
+	return append(out, data...)
+}
+
+// writeProblem answers with a refusal.
+func writeProblem(ctx *fasthttp.RequestCtx, e vrevent.Refuse) {
+	ctx.Response.ResetBody()
+	ctx.SetStatusCode(e.Reason.Status())
+	ctx.SetContentType(vrwire.ContentTypeProblem)
+	ctx.Response.Header.Set(vrwire.HeaderRequestID, string(e.Request))
+	if e.RetryAfter > 0 {
+		seconds := int(math.Ceil(e.RetryAfter.Seconds()))
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(seconds))
+	}
+	if e.Reason == vrwire.ReasonUnauthorized {
+		ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, "Bearer")
+	}
+	ctx.SetBody(appendProblem(nil, e))
+}
+
+// refuse answers a request that never reached the reducer and has it recorded.
+func (f *Front) refuse(ctx *fasthttp.RequestCtx, request vrevent.Request, cause *RejectError) {
+	f.options.Submitter.Submit(vrevent.RequestRejected{Request: request, Reason: cause.Reason})
+	writeProblem(ctx, vrevent.Refuse{
+		Request:    request.ID,
+		Reason:     cause.Reason,
+		Detail:     cause.Detail,
+		Ran:        vrrecord.RanNo,
+		RetryAfter: cause.RetryAfter,
+	})
+}
+
+// unparsed is a request of which only the id is known. Its rank is normal, because no
+// declaration gives it another.
+func unparsed() vrevent.Request {
+	return vrevent.Request{ID: newRequestID(), Rank: vrid.RankNormal}
+}
+
+// handleProtocolError answers a request that could not be read as HTTP.
+func (f *Front) handleProtocolError(ctx *fasthttp.RequestCtx, err error) {
+	ctx.SetConnectionClose()
+	f.refuse(ctx, unparsed(), protocolCause(err))
+}
+
+func protocolCause(err error) *RejectError {
+	var small *fasthttp.ErrSmallBuffer
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return reject(vrwire.ReasonBodyTooLarge, "the body is larger than the limit")
+	case errors.As(err, &small):
+		return reject(vrwire.ReasonInvalidRequest, "the header is larger than 16 KiB")
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return reject(vrwire.ReasonInvalidRequest, "the request did not arrive in time")
+	}
+	return reject(vrwire.ReasonInvalidRequest, "the request is not well-formed HTTP")
+}
+
+// handleRouteError answers a path or method that no handler takes.
+func (f *Front) handleRouteError(c fiber.Ctx, err error) error {
+	detail := "the path does not exist"
+	var routing *fiber.Error
+	if errors.As(err, &routing) && routing.Code == fiber.StatusMethodNotAllowed {
+		detail = "the path does not take this method"
+	}
+	ctx := c.RequestCtx()
+	ctx.SetConnectionClose()
+	f.refuse(ctx, unparsed(), reject(vrwire.ReasonInvalidRequest, detail))
+	return nil
+}
+
+// guard answers a request whose handler panicked.
+func (f *Front) guard(next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		defer func() {
+			cause := recover()
+			if cause == nil {
+				return
+			}
+			f.panics.Add(1)
+			f.options.Log.Error("handler panicked", zap.Any("cause", cause), zap.Stack("stack"))
+			ctx.SetConnectionClose()
+			writeProblem(ctx, vrevent.Refuse{
+				Request: newRequestID(),
+				Reason:  vrwire.ReasonBackendFailed,
+				Detail:  "the daemon failed while it handled the request",
+				Ran:     vrrecord.RanUnknown,
+			})
+		}()
+		next(ctx)
+	}
+}
--- /dev/null
+++ b/verbenaroute/internal/vrserve/outside.go
@@ -0,0 +1,179 @@
+package vrserve
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"go.uber.org/zap"
+
+	"verbenaroute.example/verbenacore/vrcodec"
+	"verbenaroute.example/verbenacore/vrconfig"
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrplatform"
+)
+
+const (
+	// _watchWait is how long the platform holds an idle watch.
+	_watchWait = 30 * time.Second
+	// _watchRest keeps a store that answers every watch at once from being asked
+	// without a pause: its rate limits count each call.
+	_watchRest  = 200 * time.Millisecond
+	_watchFirst = 100 * time.Millisecond
+	_watchMost  = 5 * time.Second
+)
+
+func (r *Runtime) readObject(e vrevent.ReadObject) {
+	ctx, cancel := context.WithTimeout(r.base, _platformTimeout)
+	defer cancel()
+	value, version, outcome := r.options.Platform.Get(ctx, e.Key)
+	r.options.Observer.PlatformCall("get", outcome)
+	if e.Key == vrplatform.KeyConfigHead && outcome == vrplatform.OutcomeOK {
+		r.seeConfig(value, true)
+	}
+	r.Submit(vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: outcome, Version: version, Value: value})
+}
+
+func (r *Runtime) writeObject(e vrevent.WriteObject) {
+	ctx, cancel := context.WithTimeout(r.base, _platformTimeout)
+	defer cancel()
+	version, outcome := r.options.Platform.Put(ctx, e.Key, e.Value, e.IfVersion)
+	r.options.Observer.PlatformCall("put", outcome)
+	r.Submit(vrevent.ObjectWritten{Op: e.Op, Key: e.Key, Outcome: outcome, Version: version})
+}
+
+func (r *Runtime) listObjects(e vrevent.ListObjects) {
+	ctx, cancel := context.WithTimeout(r.base, _platformTimeout)
+	defer cancel()
+	items, outcome := r.options.Platform.List(ctx, e.Prefix, e.Values)
+	r.options.Observer.PlatformCall("list", outcome)
+	r.Submit(vrevent.ObjectsListed{Op: e.Op, Prefix: e.Prefix, Outcome: outcome, Items: items})
+}
+
+func (r *Runtime) listVMs() {
+	ctx, cancel := context.WithTimeout(r.base, _platformTimeout)
+	defer cancel()
+	vms, outcome := r.options.Platform.VMs(ctx)
+	r.options.Observer.PlatformCall("vms", outcome)
+	r.Submit(vrevent.VMsListed{Outcome: outcome, VMs: vms})
+}
+
+func (r *Runtime) pollServer(e vrevent.PollServer) {
+	ctx, cancel := context.WithTimeout(r.base, _pollTimeout)
+	defer cancel()
+	report, err := r.options.Engines.Report(ctx, e.Address)
+	if err != nil {
+		r.Submit(vrevent.ReportFailed{Server: e.Server})
+		return
+	}
+	r.Submit(vrevent.ReportReceived{Server: e.Server, Report: report})
+}
+
+func (r *Runtime) sendOrder(e vrevent.SendOrder) {
+	ctx, cancel := context.WithTimeout(r.base, _orderTimeout)
+	defer cancel()
+	status, answer := r.options.Engines.Order(ctx, e.Address, e.Order)
+	r.Submit(vrevent.OrderAnswered{Server: e.Server, Order: e.Order, Status: status, Answer: answer})
+}
+
+// seeConfig decodes a configuration and tells the reducer if it is new or confirms
+// the held one.
+func (r *Runtime) seeConfig(document []byte, confirmed bool) {
+	index, err := vrcodec.DecodeFleet(document)
+	if err != nil {
+		r.options.Log.Warn("configuration document is invalid", zap.Error(err))
+		return
+	}
+	r.Submit(vrevent.ConfigSeen{Index: index, Document: document, Confirmed: confirmed})
+}
+
+// advance makes a configuration known to the callers' interface.
+func (r *Runtime) advance(index *vrconfig.Index) {
+	if r.configs.Advance(index) {
+		r.options.Observer.ConfigVersion(index.Fleet.Version)
+	}
+}
+
+// watcher keeps at most one watch of the configuration.
+type watcher struct {
+	runtime *Runtime
+	mu      sync.Mutex
+	cancel  context.CancelFunc
+	// last is closed when the previous watch has ended, so that two never overlap.
+	last chan struct{}
+}
+
+func newWatcher(r *Runtime) *watcher {
+	ended := make(chan struct{})
+	close(ended)
+	return &watcher{runtime: r, last: ended}
+}
+
+// set starts or stops the watch without blocking.
+func (w *watcher) set(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !on {
+		if w.cancel != nil {
+			w.cancel()
+			w.cancel = nil
+		}
+		return
+	}
+	if w.cancel != nil || w.runtime.base.Err() != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(w.runtime.base)
+	w.cancel = cancel
+	previous, ended := w.last, make(chan struct{})
+	w.last = ended
+	w.runtime.loops.Go(func() {
+		defer close(ended)
+		<-previous
+		w.runtime.watchConfig(ctx)
+	})
+}
+
+func (r *Runtime) watchConfig(ctx context.Context) {
+	var after vrid.ObjectVersion
+	pause := &backoff.ExponentialBackOff{
+		InitialInterval:     _watchFirst,
+		RandomizationFactor: 1,
+		Multiplier:          2,
+		MaxInterval:         _watchMost,
+	}
+	pause.Reset()
+	for ctx.Err() == nil {
+		watch, outcome := r.options.Platform.Watch(ctx, vrplatform.PrefixConfig, after, _watchWait)
+		r.options.Observer.PlatformCall("watch", outcome)
+		if outcome != vrplatform.OutcomeOK {
+			rest(ctx, pause.NextBackOff())
+			continue
+		}
+		pause.Reset()
+		after = max(after, watch.Revision)
+		r.seeItems(watch.Items)
+		rest(ctx, rand.N(_watchRest))
+	}
+}
+
+// seeItems looks for a new head.
+func (r *Runtime) seeItems(items []vrplatform.Item) {
+	for _, item := range items {
+		if item.Key == vrplatform.KeyConfigHead && !item.Deleted {
+			r.seeConfig(item.Value, true)
+		}
+	}
+}
+
+func rest(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/verbenaroute/internal/vrserve/vrserve.go
@@ -0,0 +1,307 @@
+// Package vrserve is the runtime of the daemon: it feeds events to the reducer under
+// one lock and carries out the effects with bounded pools of goroutines.
+package vrserve
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
+	"go.uber.org/zap"
+
+	"verbenaroute.example/verbenacore/vrconfig"
+	"verbenaroute.example/verbenacore/vrengine"
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrplatform"
+	"verbenaroute.example/verbenacore/vrrecord"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+// Sizes of the pools. Platform calls are limited by section 3.9 of the design page. A
+// daemon polls about 3 servers; a zone owner alone in its zone polls all of them. An
+// order may take as long as a load, so a zone's orders need a worker each.
+const (
+	_platformWorkers = 4
+	_platformQueue   = 256
+	_pollWorkers     = 16
+	_pollQueue       = 512
+	_orderWorkers    = 64
+	_orderQueue      = 1024
+	_queryWorkers    = 4
+	_queryQueue      = 64
+)
+
+// Time limits of the calls that the runtime makes itself.
+const (
+	_platformTimeout = 5 * time.Second
+	_pollTimeout     = time.Second
+	_orderTimeout    = 2 * time.Minute
+)
+
+// Reducer decides; vrreducer.State implements it.
+type Reducer interface {
+	Reduce(now time.Time, event vrevent.Event, effects *vrevent.Effects)
+}
+
+// Platform calls the platform.
+type Platform interface {
+	Get(ctx context.Context, key string) (value []byte, version vrid.ObjectVersion, outcome vrplatform.Outcome)
+	Put(ctx context.Context, key string, value []byte, ifVersion vrid.ObjectVersion) (version vrid.ObjectVersion, outcome vrplatform.Outcome)
+	List(ctx context.Context, prefix string, values bool) (items []vrplatform.Item, outcome vrplatform.Outcome)
+	Watch(ctx context.Context, prefix string, after vrid.ObjectVersion, wait time.Duration) (watch vrplatform.Watch, outcome vrplatform.Outcome)
+	VMs(ctx context.Context) (vms []vrplatform.VM, outcome vrplatform.Outcome)
+}
+
+// Engines polls and orders language servers.
+type Engines interface {
+	Report(ctx context.Context, address string) (vrengine.Report, error)
+	Order(ctx context.Context, address string, order vrengine.Order) (vrengine.OrderStatus, vrengine.OrderAnswer)
+}
+
+// Peers sends messages to other daemons. Send does not block.
+type Peers interface {
+	Send(peer vrid.DaemonID, address string, envelope *vrwire.Envelope)
+}
+
+// Requests carries out the effects that belong to callers' requests without blocking;
+// it reports whether the effect was one of those.
+type Requests interface {
+	Handle(effect vrevent.Effect) bool
+}
+
+// Observer counts what happens for the metrics.
+type Observer interface {
+	Entry(entry *vrrecord.Entry, target time.Duration)
+	PlatformCall(call string, outcome vrplatform.Outcome)
+	ConfigVersion(version vrid.ConfigVersion)
+	EffectDropped(kind string)
+	EffectPanicked()
+	Ready(ready bool, reason string)
+}
+
+// Options construct a Runtime.
+type Options struct {
+	Reducer  Reducer
+	Platform Platform
+	Engines  Engines
+	Peers    Peers
+	Requests Requests
+	Observer Observer
+	Log      *zap.Logger
+	// Seed of the jitter between attempts of the configuration watch.
+	Seed uint64
+}
+
+// Runtime runs one reducer.
+type Runtime struct {
+	options Options
+	configs vrconfig.Store
+	base    context.Context
+	cancel  context.CancelFunc
+
+	// mu orders all events. Effects are handed over under it, so that two effects
+	// for one request or one peer keep their order; nothing under it blocks.
+	mu      sync.Mutex
+	effects vrevent.Effects
+	stopped chan struct{}
+	halted  bool
+
+	platform *lane
+	polls    *lane
+	orders   *lane
+	queries  *lane
+	loops    conc.WaitGroup
+	watch    *watcher
+
+	hooks     hooks
+	proposals proposals
+	events    atomic.Uint64
+}
+
+// New builds a Runtime; Start runs it.
+func New(options Options) *Runtime {
+	r := &Runtime{options: options, stopped: make(chan struct{})}
+	r.base, r.cancel = context.WithCancel(context.Background())
+	r.platform = r.newLane(_platformWorkers, _platformQueue)
+	r.polls = r.newLane(_pollWorkers, _pollQueue)
+	r.orders = r.newLane(_orderWorkers, _orderQueue)
+	r.queries = r.newLane(_queryWorkers, _queryQueue)
+	r.watch = newWatcher(r)
+	r.proposals.waiting = make(map[uint64]*proposal)
+	return r
+}
+
+func (r *Runtime) newLane(workers, queue int) *lane {
+	return newLane(laneOptions{Workers: workers, Queue: queue, OnPanic: r.notePanic})
+}
+
+func (r *Runtime) notePanic(caught *panics.Recovered) {
+	r.options.Observer.EffectPanicked()
+	r.options.Log.Error("effect panicked", zap.Error(caught.AsError()))
+}
+
+// Bind sets the parts that need the Runtime for their own construction. It is called
+// before Start.
+func (r *Runtime) Bind(requests Requests, peers Peers) {
+	r.options.Requests = requests
+	r.options.Peers = peers
+}
+
+// Configs gives the newest configuration.
+func (r *Runtime) Configs() *vrconfig.Store { return &r.configs }
+
+// Events counts the events so far.
+func (r *Runtime) Events() uint64 { return r.events.Load() }
+
+// Start submits Started and begins to tick.
+func (r *Runtime) Start() {
+	r.Submit(vrevent.Started{})
+	r.loops.Go(r.tick)
+}
+
+func (r *Runtime) tick() {
+	ticker := time.NewTicker(vrevent.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			r.Submit(vrevent.Tick{})
+		case <-r.base.Done():
+			return
+		}
+	}
+}
+
+// Stopped is closed after the reducer has finished its shutdown.
+func (r *Runtime) Stopped() <-chan struct{} { return r.stopped }
+
+// Close stops ticking and waits for running effects.
+func (r *Runtime) Close() {
+	r.cancel()
+	r.watch.set(false)
+	for _, l := range []*lane{r.platform, r.polls, r.orders, r.queries} {
+		l.close()
+	}
+	r.loops.Wait()
+}
+
+// Submit reduces an event and hands its effects over. Effects that can't be taken are
+// answered at once with an event of their own.
+func (r *Runtime) Submit(event vrevent.Event) {
+	if seen, ok := event.(vrevent.ConfigSeen); ok {
+		r.advance(seen.Index)
+	}
+	answers := r.reduce(event)
+	for len(answers) > 0 {
+		event, answers = answers[0], answers[1:]
+		answers = append(answers, r.reduce(event)...)
+	}
+}
+
+func (r *Runtime) reduce(event vrevent.Event) (answers []vrevent.Event) {
+	r.events.Add(1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	defer r.effects.Reset()
+	caught := panics.Try(func() { r.options.Reducer.Reduce(time.Now(), event, &r.effects) })
+	if caught != nil {
+		r.notePanic(caught)
+	}
+	for _, effect := range r.effects.List {
+		if answer := r.execute(effect); answer != nil {
+			answers = append(answers, answer)
+		}
+	}
+	return answers
+}
+
+// Inspect runs read-only code on the reducer's state between two events.
+func (r *Runtime) Inspect(read func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	read()
+}
+
+// execute hands one effect over; the answer is set when it can't be carried out.
+func (r *Runtime) execute(effect vrevent.Effect) (answer vrevent.Event) {
+	switch e := effect.(type) {
+	case vrevent.ReadObject:
+		return r.queue(r.platform, "readObject", func() { r.readObject(e) }, vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeUnavailable})
+	case vrevent.WriteObject:
+		return r.queue(r.platform, "writeObject", func() { r.writeObject(e) }, vrevent.ObjectWritten{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeUnavailable})
+	case vrevent.ListObjects:
+		return r.queue(r.platform, "listObjects", func() { r.listObjects(e) }, vrevent.ObjectsListed{Op: e.Op, Prefix: e.Prefix, Outcome: vrplatform.OutcomeUnavailable})
+	case vrevent.ListVMs:
+		return r.queue(r.platform, "listVMs", r.listVMs, vrevent.VMsListed{Outcome: vrplatform.OutcomeUnavailable})
+	case vrevent.PollServer:
+		return r.queue(r.polls, "pollServer", func() { r.pollServer(e) }, vrevent.ReportFailed{Server: e.Server})
+	case vrevent.SendOrder:
+		// Dropped before it was sent, but the reducer may only rely on "unanswered".
+		return r.queue(r.orders, "sendOrder", func() { r.sendOrder(e) }, vrevent.OrderAnswered{Server: e.Server, Order: e.Order, Status: vrengine.OrderUnanswered})
+	case vrevent.SendPeer:
+		r.options.Peers.Send(e.Peer, e.Address, e.Envelope)
+	case vrevent.WatchConfig:
+		r.watch.set(e.On)
+	case vrevent.ConfigDecided:
+		r.decide(e)
+	case vrevent.AppendEntry:
+		r.appendEntry(e.Entry)
+	case vrevent.SetReady:
+		r.options.Observer.Ready(e.Ready, e.Reason)
+	case vrevent.Stopped:
+		r.halt()
+	case vrevent.Log:
+		r.log(e)
+	default:
+		if !r.options.Requests.Handle(effect) {
+			r.options.Observer.EffectDropped("unknown")
+		}
+	}
+	return nil
+}
+
+func (r *Runtime) queue(l *lane, kind string, task func(), refused vrevent.Event) vrevent.Event {
+	if l.submit(task) {
+		return nil
+	}
+	r.options.Observer.EffectDropped(kind)
+	return refused
+}
+
+func (r *Runtime) halt() {
+	if r.halted {
+		return
+	}
+	r.halted = true
+	close(r.stopped)
+}
+
+func (r *Runtime) appendEntry(entry vrrecord.Entry) {
+	var target time.Duration
+	if index := r.configs.Current(); index != nil {
+		target = index.Fleet.RankPolicyOf(entry.Rank).Target.Std()
+	}
+	r.options.Observer.Entry(&entry, target)
+	if sink := r.hooks.entry.Load(); sink != nil {
+		(*sink)(entry)
+	}
+}
+
+func (r *Runtime) log(e vrevent.Log) {
+	fields := make([]zap.Field, len(e.Fields))
+	for i, field := range e.Fields {
+		fields[i] = zap.String(field.Name, field.Value)
+	}
+	switch e.Level {
+	case vrevent.LogWarn:
+		r.options.Log.Warn(e.Message, fields...)
+	case vrevent.LogError:
+		r.options.Log.Error(e.Message, fields...)
+	case vrevent.LogInfo:
+		r.options.Log.Info(e.Message, fields...)
+	}
+}
