--- /dev/null
+++ b/verbenaroute/internal/vrfront/hostile_test.go
@@ -0,0 +1,107 @@
+package vrfront
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+// Guards against input that reaches a back end, ends the process or gets an answer
+// without a problem document.
+func TestHostileRequests(t *testing.T) {
+	big := strings.Repeat("x", 1<<20)
+	chat, reserve := "/v1/chat/completions", "/v1/services/circles/reserve"
+	cases := []struct {
+		name    string
+		method  string
+		path    string
+		body    string
+		headers []string
+		want    vrwire.Reason
+	}{
+		{"empty body", "POST", chat, "", nil, vrwire.ReasonInvalidRequest},
+		{"no JSON", "POST", chat, "{", nil, vrwire.ReasonInvalidRequest},
+		{"JSON of another type", "POST", chat, "[1]", nil, vrwire.ReasonInvalidRequest},
+		{"deep JSON", "POST", chat, strings.Repeat("[", 200_000), nil, vrwire.ReasonInvalidRequest},
+		{"no model", "POST", chat, `{"messages":[]}`, nil, vrwire.ReasonInvalidRequest},
+		{"no messages", "POST", chat, `{"model":"prompt@2"}`, nil, vrwire.ReasonInvalidRequest},
+		{"no role", "POST", chat, `{"model":"prompt@2","messages":[{}]}`, nil, vrwire.ReasonInvalidRequest},
+		{"an image", "POST", chat, `{"model":"prompt@2","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, nil, vrwire.ReasonInvalidRequest},
+		{"several choices", "POST", chat, `{"model":"prompt@2","n":2,"messages":[{"role":"user"}]}`, nil, vrwire.ReasonInvalidRequest},
+		{"negative tokens", "POST", chat, `{"model":"prompt@2","max_tokens":-1,"messages":[{"role":"user"}]}`, nil, vrwire.ReasonInvalidRequest},
+		{"many tokens", "POST", chat, `{"model":"prompt@2","max_tokens":99999999,"messages":[{"role":"user"}]}`, nil, vrwire.ReasonInvalidRequest},
+		{"token numbers", "POST", "/v1/completions", `{"model":"prompt@2","prompt":[1,2]}`, nil, vrwire.ReasonInvalidRequest},
+		{"unknown model", "POST", chat, chatBody("gone", false), nil, vrwire.ReasonUnknownModel},
+		{"unknown kind", "POST", chat, chatBody("prompt@2", false), []string{"X-Verbena-Kind", "vip"}, vrwire.ReasonInvalidRequest},
+		{"unknown rank", "POST", chat, chatBody("prompt@2", false), []string{"X-Verbena-Rank", "first"}, vrwire.ReasonInvalidRequest},
+		{"large body", "POST", chat, big + "x", nil, vrwire.ReasonBodyTooLarge},
+		{"unknown path", "GET", "/v2", "", nil, vrwire.ReasonInvalidRequest},
+		{"other method", "GET", chat, "", nil, vrwire.ReasonInvalidRequest},
+		{"unknown service", "POST", "/v1/services/shop/x", "", nil, vrwire.ReasonUnknownService},
+		{"no service", "POST", "/v1/services/", "", nil, vrwire.ReasonUnknownService},
+		{"unknown call", "POST", "/v1/services/circles/delete", "", nil, vrwire.ReasonUnknownService},
+		{"dots out of the service", "POST", "/v1/services/circles/shelf/../../../x", "", nil, vrwire.ReasonUnknownService},
+		{"dots to another call", "POST", "/v1/services/circles/shelf/../delete", "", nil, vrwire.ReasonUnknownService},
+		{"no key", "POST", reserve, "", nil, vrwire.ReasonIdempotencyKeyMissing},
+		{"long key", "POST", reserve, "", []string{"Idempotency-Key", strings.Repeat("k", 256)}, vrwire.ReasonInvalidRequest},
+		{"key with bytes", "POST", reserve, "", []string{"Idempotency-Key", "caf\xe9"}, vrwire.ReasonInvalidRequest},
+		{"key with a tab", "POST", reserve, "", []string{"Idempotency-Key", "a\tb"}, vrwire.ReasonInvalidRequest},
+	}
+	s := newSite(t)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			before := len(s.reducer.seen())
+			answer := s.do(c.method, c.path, c.body, c.headers...)
+			require.Equal(t, c.want.Status(), answer.status, answer.body)
+			require.Equal(t, vrwire.ContentTypeProblem, answer.header.Get("Content-Type"))
+			require.Contains(t, answer.body, `"notRun":true`)
+			require.Len(t, answer.header.Get(vrwire.HeaderRequestID), 26)
+			events := s.reducer.seen()[before:]
+			require.Len(t, events, 1, "one entry for the record")
+			require.Equal(t, c.want, events[0].(vrevent.RequestRejected).Reason)
+		})
+	}
+	require.Zero(t, s.front.Running())
+	require.Zero(t, s.front.bodies.Load(), "memory of bodies is given back")
+	require.Zero(t, s.front.Panics())
+}
+
+// Guards against bytes on a connection that are not whole HTTP requests.
+func TestHostileBytes(t *testing.T) {
+	const head = "POST /v1/chat/completions HTTP/1.1\r\nHost: d\r\n"
+	cases := map[string]struct {
+		bytes string
+		want  string
+	}{
+		"no HTTP":         {"hello\r\n\r\n", "invalidRequest"},
+		"header flood":    {head + strings.Repeat("X-A: "+strings.Repeat("a", 100)+"\r\n", 300) + "\r\n", "invalidRequest"},
+		"huge length":     {head + "Content-Length: 99999999999\r\n\r\n{", "bodyTooLarge"},
+		"negative length": {head + "Content-Length: -5\r\n\r\n", "invalidRequest"},
+		"broken chunk":    {head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", "invalidRequest"},
+		"endless chunks":  {head + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat(fmt.Sprintf("%x\r\n%s\r\n", 1<<16, strings.Repeat("a", 1<<16)), 20), "bodyTooLarge"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			answer := newSite(t).raw(c.bytes)
+			require.Contains(t, answer, vrwire.ContentTypeProblem)
+			require.Contains(t, answer, c.want)
+		})
+	}
+}
+
+// Guards against waiting bodies that take more memory than the limit.
+func TestBodyMemory(t *testing.T) {
+	s := newSite(t)
+	s.front.options.Limits.QueueMemory = 8 << 10
+	answer := s.do("POST", "/v1/chat/completions", strings.Repeat(" ", 64<<10))
+	require.Equal(t, http.StatusTooManyRequests, answer.status)
+	require.Contains(t, answer.body, "queueFull")
+	require.NotEmpty(t, answer.header.Get("Retry-After"))
+	require.Zero(t, s.front.bodies.Load())
+}
--- a/verbenaroute/internal/vrfront/model.go
+++ b/verbenaroute/internal/vrfront/model.go
@@ -11,8 +11,6 @@
 	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrengine"
 	"verbenaroute.example/verbenacore/vrevent"
-	"verbenaroute.example/verbenacore/vrid"
-	"verbenaroute.example/verbenacore/vrrecord"
 	"verbenaroute.example/verbenacore/vrwire"
 )
 
@@ -211,8 +209,3 @@
 	}
 	return append(out, "]}"...)
 }
-
-// refusalOf builds the refusal of a stream that can't go on.
-func refusalOf(id vrid.RequestID, reason vrwire.Reason, detail string) vrevent.Refuse {
-	return vrevent.Refuse{Request: id, Reason: reason, Detail: detail, Ran: vrrecord.RanUnknown}
-}
--- a/verbenaroute/internal/vrfront/openai.go
+++ b/verbenaroute/internal/vrfront/openai.go
@@ -140,12 +140,6 @@
 	return "", reject(vrwire.ReasonInvalidRequest, "prompt must be one text")
 }
 
-// usage counts tokens as OpenAI's clients expect them.
-type usage struct {
-	prompt     int
-	completion int
-}
-
 func promptTokens(prompt string) int {
 	return (len(prompt) + _bytesPerToken - 1) / _bytesPerToken
 }
--- a/verbenaroute/internal/vrfront/parse.go
+++ b/verbenaroute/internal/vrfront/parse.go
@@ -84,7 +84,7 @@
 
 // reserve takes memory for bodies, or reports that the limit is reached.
 func (f *Front) reserve(n int) bool {
-	if f.bodies.Add(int64(n)) <= int64(f.options.QueueMemory) {
+	if f.bodies.Add(int64(n)) <= int64(f.options.Limits.QueueMemory) {
 		return true
 	}
 	f.bodies.Add(-int64(n))
@@ -97,7 +97,7 @@
 	if stream == nil {
 		return nil
 	}
-	limit := int(f.options.Body)
+	limit := int(f.options.Limits.Body)
 	body := &bodyBuffer{front: f}
 	a.release = body.release
 	for {
--- a/verbenaroute/internal/vrfront/vrfront.go
+++ b/verbenaroute/internal/vrfront/vrfront.go
@@ -21,6 +21,7 @@
 	"verbenaroute.example/verbenacore/vrengine"
 	"verbenaroute.example/verbenacore/vrevent"
 	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrsettings"
 )
 
 // Limits of the callers' interface, as in section 6 of the design page.
@@ -30,10 +31,7 @@
 	_bodyTimeout   = 30 * time.Second
 	_idleTimeout   = 2 * time.Minute
 	// _writeTimeout bounds one write, so that a caller that stops reading frees its slot.
-	_writeTimeout       = 30 * time.Second
-	_defaultBody        = vrid.MiB
-	_defaultQueue       = 10_000
-	_defaultQueueMemory = 64 * vrid.MiB
+	_writeTimeout = 30 * time.Second
 	// _spareConnections may be open beside the queued requests: running ones and idle ones.
 	_spareConnections = 8192
 )
@@ -88,11 +86,8 @@
 	Configs   Configs
 	Backends  Backends
 	Log       *zap.Logger
-	// Body is the largest body, Queue the largest number of waiting requests and
-	// QueueMemory the largest sum of bodies; zero takes the default.
-	Body        vrid.Bytes
-	Queue       int
-	QueueMemory vrid.Bytes
+	// Limits without a value take the default.
+	Limits vrsettings.Limits
 }
 
 // Front serves callers.
@@ -113,15 +108,8 @@
 
 // New builds a Front.
 func New(options Options) *Front {
-	if options.Body <= 0 {
-		options.Body = _defaultBody
-	}
-	if options.Queue <= 0 {
-		options.Queue = _defaultQueue
-	}
-	if options.QueueMemory <= 0 {
-		options.QueueMemory = _defaultQueueMemory
-	}
+	filled := (&vrsettings.Settings{Limits: options.Limits}).WithDefaults()
+	options.Limits = filled.Limits
 	f := &Front{options: options, flights: newFlights()}
 	f.base, f.stop = context.WithCancel(context.Background())
 	f.server = f.newServer()
@@ -133,13 +121,13 @@
 		Name:                          "verbenaroute",
 		Handler:                       f.guard(f.routes().Handler()),
 		ErrorHandler:                  f.handleProtocolError,
-		HeaderReceived:                allowBodyTime,
+		HeaderReceived:                f.allowBodyTime,
 		ReadBufferSize:                _headerBytes,
 		ReadTimeout:                   _headerTimeout,
 		WriteTimeout:                  _writeTimeout,
 		IdleTimeout:                   _idleTimeout,
-		MaxRequestBodySize:            int(f.options.Body),
-		Concurrency:                   f.options.Queue + _spareConnections,
+		MaxRequestBodySize:            int(f.options.Limits.Body),
+		Concurrency:                   f.options.Limits.Queue + _spareConnections,
 		StreamRequestBody:             true,
 		DisablePreParseMultipartForm:  true,
 		NoDefaultContentType:          true,
@@ -148,8 +136,12 @@
 	}
 }
 
-// allowBodyTime replaces the header's read deadline by the body's.
-func allowBodyTime(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+// allowBodyTime replaces the header's read deadline by the body's. Of a body that declares
+// too great a length, one byte is read: the library checks the length after it.
+func (f *Front) allowBodyTime(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if header.ContentLength() > int(f.options.Limits.Body) {
+		return fasthttp.RequestConfig{ReadTimeout: _bodyTimeout, MaxRequestBodySize: 1}
+	}
 	return fasthttp.RequestConfig{ReadTimeout: _bodyTimeout}
 }
 
@@ -163,7 +155,7 @@
 	app := fiber.New(fiber.Config{
 		AppName:           "verbenaroute",
 		StreamRequestBody: true,
-		BodyLimit:         int(f.options.Body),
+		BodyLimit:         int(f.options.Limits.Body),
 		ErrorHandler:      f.handleRouteError,
 	})
 	app.Post("/v1/chat/completions", f.handleChat)
