Refuse a body by its declared length

The library passes a declared length above the limit on to the handler in streaming mode, which then waited 30 s for the body. The handler looks at the length first; the test of hostile bytes took 30.6 s before and passes now.

--- a/verbenaroute/internal/vrfront/parse.go
+++ b/verbenaroute/internal/vrfront/parse.go
@@ -98,6 +98,9 @@
 		return nil
 	}
 	limit := int(f.options.Limits.Body)
+	if ctx.Request.Header.ContentLength() > limit {
+		return reject(vrwire.ReasonBodyTooLarge, "the body is larger than the limit")
+	}
 	body := &bodyBuffer{front: f}
 	a.release = body.release
 	for {
--- a/verbenaroute/internal/vrfront/vrfront.go
+++ b/verbenaroute/internal/vrfront/vrfront.go
@@ -137,7 +137,7 @@
 }
 
 // allowBodyTime replaces the header's read deadline by the body's. Of a body that declares
-// too great a length, one byte is read: the library checks the length after it.
+// too great a length, the library reads one byte before the handler refuses it.
 func (f *Front) allowBodyTime(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	if header.ContentLength() > int(f.options.Limits.Body) {
 		return fasthttp.RequestConfig{ReadTimeout: _bodyTimeout, MaxRequestBodySize: 1}
