Add the stand-ins and the two deployments

Experiments need back ends and a platform whose truth can be read. The stand-ins run in one process on loopback: object store with conditional updates, watches, a lagging list of VMs and rate limits; language servers with slots, fenced orders, shared weight store and deterministic tokens; application servers with outcomes.

--- /dev/null
+++ b/verbenabench/internal/vrcommand/vrcommand.go
@@ -0,0 +1,34 @@
+// Package vrcommand is the command line of verbenabench.
+package vrcommand
+
+import (
+	"github.com/spf13/cobra"
+
+	"verbenaroute.example/verbenabench/internal/vrdeploy"
+)
+
+// New returns the root command.
+func New() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "verbenabench",
+		Short:         "Run stand-ins and experiments of verbenaroute",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(newStandin())
+	return root
+}
+
+// deploymentFlags choose a deployment and its size.
+type deploymentFlags struct {
+	name string
+	size vrdeploy.Size
+}
+
+func (f *deploymentFlags) add(command *cobra.Command) {
+	flags := command.Flags()
+	flags.StringVar(&f.name, "deployment", vrdeploy.Shuyuan, "deployment: shuyuan or hayabusa")
+	flags.IntVar(&f.size.Models, "models", 0, "number of models, 0 for the deployment's own")
+	flags.IntVar(&f.size.Adapters, "adapters", 0, "number of adapters, 0 for the deployment's own")
+	flags.IntVar(&f.size.Servers, "servers", 0, "number of language servers, 0 for the deployment's own")
+}
--- /dev/null
+++ b/verbenabench/internal/vrstandin/world_test.go
@@ -0,0 +1,270 @@
+package vrstandin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenaroute.example/verbenabench/internal/vrdeploy"
+	"verbenaroute.example/verbenacore/vrengine"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrplatform"
+)
+
+// answer is what a handler did; broken is set when it closed the connection.
+type answer struct {
+	status  int
+	version string
+	body    string
+	broken  bool
+}
+
+// call runs a handler without a network, so that virtual time applies.
+func call(handler http.Handler, method, target, body string, headers ...string) (end answer) {
+	request := httptest.NewRequest(method, target, strings.NewReader(body))
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	recorder := httptest.NewRecorder()
+	defer func() {
+		if cause := recover(); cause != nil {
+			err, ok := cause.(error)
+			if !ok || !errors.Is(err, http.ErrAbortHandler) {
+				panic(cause)
+			}
+			end.broken = true
+			end.body = recorder.Body.String()
+		}
+	}()
+	handler.ServeHTTP(recorder, request)
+	return answer{
+		status:  recorder.Code,
+		version: recorder.Header().Get(vrplatform.HeaderVersion),
+		body:    recorder.Body.String(),
+	}
+}
+
+// inWorld runs a test in virtual time on a small deployment without ports.
+func inWorld(t *testing.T, name string, test func(t *testing.T, w *World)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		deployment, err := vrdeploy.ByName(name, vrdeploy.Size{})
+		require.NoError(t, err)
+		test(t, newWorld(Options{Deployment: deployment}))
+	})
+}
+
+// pass lets virtual time pass.
+func pass(length time.Duration) { pause(context.Background(), length) }
+
+const (
+	_fenced   = vrid.ServerID("lm-serve-1")
+	_unfenced = vrid.ServerID("fit-assist-1")
+)
+
+func (w *World) send(server vrid.ServerID, order vrengine.Order) answer {
+	data, err := json.Marshal(order)
+	if err != nil {
+		panic(err)
+	}
+	return call(w.engines[server], http.MethodPost, _pathOrders, string(data))
+}
+
+func (w *World) model(index int) vrid.ModelID { return w.deployment.Fleet.Models[index].ID }
+
+// load is an order with an id that no other order of the test has.
+func (w *World) load(index int, epoch vrid.Epoch, sequence uint64) vrengine.Order {
+	model := w.model(index)
+	return vrengine.Order{
+		OrderID: vrid.OrderID(string(model) + "#" + time.Now().String()), Epoch: epoch, Sequence: sequence,
+		Kind: vrengine.OrderLoad, Model: model, Source: sourceRemote,
+	}
+}
+
+func (w *World) journalled(kind EntryKind) int {
+	count := 0
+	for _, entry := range w.Journal.After(0) {
+		if entry.Kind == kind {
+			count++
+		}
+	}
+	return count
+}
+
+// TestConditionalUpdates guards against a store that accepts a write on an old version
+// or reuses a version after a deletion.
+func TestConditionalUpdates(t *testing.T) {
+	inWorld(t, vrdeploy.Shuyuan, func(t *testing.T, w *World) {
+		put := func(value, ifVersion string) answer {
+			return call(w.Platform, http.MethodPut, "/v1/objects/leases/a", value, vrplatform.HeaderIfVersion, ifVersion)
+		}
+		require.Equal(t, answer{status: 200, version: "1"}, put("one", "0"))
+		require.Equal(t, answer{status: 412, version: "1"}, put("again", "0"))
+		require.Equal(t, answer{status: 200, version: "2"}, put("two", "1"))
+		require.Equal(t, answer{status: 412, version: "2"}, put("late", "1"))
+		require.Equal(t, answer{status: 200, version: "2", body: "two"}, call(w.Platform, http.MethodGet, "/v1/objects/leases/a", ""))
+		gone := call(w.Platform, http.MethodDelete, "/v1/objects/leases/a", "", vrplatform.HeaderIfVersion, "2")
+		require.Equal(t, answer{status: 200, version: "3"}, gone)
+		require.Equal(t, 404, call(w.Platform, http.MethodGet, "/v1/objects/leases/a", "").status)
+		require.Equal(t, answer{status: 200, version: "4"}, put("new", "0"))
+		require.Equal(t, answer{status: 200, version: "5"}, call(w.Platform, http.MethodPut, "/v1/objects/leases/a", "any"))
+	})
+}
+
+// TestLostAnswer guards against a fault that loses the write together with its answer.
+func TestLostAnswer(t *testing.T) {
+	inWorld(t, vrdeploy.Shuyuan, func(t *testing.T, w *World) {
+		require.NoError(t, w.Apply(Fault{Kind: FaultPlatformLoseAnswers, Prefix: "ledgers/"}))
+		require.Equal(t, 200, call(w.Platform, http.MethodPut, "/v1/objects/leases/a", "x").status)
+		require.True(t, call(w.Platform, http.MethodPut, "/v1/objects/ledgers/a/0", "chunk").broken)
+		require.Equal(t, "chunk", call(w.Platform, http.MethodGet, "/v1/objects/ledgers/a/0", "").body)
+		require.Equal(t, 200, call(w.Platform, http.MethodPut, "/v1/objects/ledgers/a/0", "next").status)
+	})
+}
+
+// TestWatch guards against a watch that misses a change, wakes for another prefix or
+// never ends.
+func TestWatch(t *testing.T) {
+	inWorld(t, vrdeploy.Shuyuan, func(t *testing.T, w *World) {
+		watch := func() (time.Duration, vrplatform.Watch) {
+			began := time.Now()
+			end := call(w.Platform, http.MethodGet, "/v1/watch?prefix=config/&after=0&waitMs=5000", "")
+			var found vrplatform.Watch
+			require.NoError(t, json.Unmarshal([]byte(end.body), &found))
+			return time.Since(began), found
+		}
+		waited, found := watch()
+		require.Equal(t, 5*time.Second+_platformDelay, waited)
+		require.Empty(t, found.Items)
+		go func() {
+			pass(time.Second)
+			w.Platform.Put("leases/a", nil)
+			pass(time.Second)
+			w.Platform.Put("config/head", []byte("v1"))
+		}()
+		waited, found = watch()
+		require.Equal(t, 2*time.Second, waited)
+		require.Equal(t, vrplatform.Watch{Revision: 2, Items: []vrplatform.Item{{Key: "config/head", Version: 2, Value: []byte("v1")}}}, found)
+	})
+}
+
+// TestPlatformFaults guards against an outage or cut that lets calls through, and
+// against one that does not end.
+func TestPlatformFaults(t *testing.T) {
+	inWorld(t, vrdeploy.Shuyuan, func(t *testing.T, w *World) {
+		get := func(zone string) answer {
+			return call(w.Platform, http.MethodGet, "/v1/list?prefix=config/", "", HeaderZone, zone)
+		}
+		require.NoError(t, w.Apply(Fault{Kind: FaultPlatformOutage, For: vrid.Duration(time.Second)}))
+		require.Equal(t, 503, get("tw-north-a").status)
+		require.NoError(t, w.Apply(Fault{Kind: FaultZoneCut, Zone: "tw-north-a"}))
+		pass(time.Second)
+		require.True(t, get("tw-north-a").broken)
+		require.Equal(t, 200, get("tw-south-a").status)
+		require.NoError(t, w.Apply(Fault{Kind: FaultPlatformRateLimit, Rate: 1}))
+		pass(time.Second)
+		require.Equal(t, 200, get("tw-south-a").status)
+		require.Equal(t, 429, get("tw-south-a").status)
+		require.NoError(t, w.Apply(Fault{Kind: FaultClear}))
+		pass(time.Second)
+		require.Equal(t, 200, get("tw-north-a").status)
+		require.Equal(t, uint64(6), w.Platform.Counters()[CallList])
+		require.Equal(t, uint64(3), w.Platform.Counters()[CallRefused])
+	})
+}
+
+// TestFencing guards against an engine that honours fencing by setting but carries out
+// an old order, and against one that ignores it by setting but refuses.
+func TestFencing(t *testing.T) {
+	cases := []struct {
+		name, deployment string
+		server           vrid.ServerID
+		status           int
+		models           int
+	}{
+		{"honoured", vrdeploy.Shuyuan, _fenced, http.StatusConflict, 0},
+		{"ignored", vrdeploy.Hayabusa, _unfenced, http.StatusOK, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			inWorld(t, c.deployment, func(t *testing.T, w *World) {
+				fence := vrengine.Order{OrderID: "fence", Epoch: 2, Kind: vrengine.OrderFence}
+				require.Equal(t, 200, w.send(c.server, fence).status)
+				require.Equal(t, c.status, w.send(c.server, w.load(0, 1, 9)).status)
+				require.Len(t, w.engines[c.server].replicas, c.models)
+				require.Equal(t, 200, w.send(c.server, w.load(1, 2, 1)).status)
+				pass(_reportLag)
+				require.Equal(t, vrid.Epoch(2), w.engines[c.server].report().HighestEpoch)
+			})
+		})
+	}
+}
+
+// TestHeldOrder guards against a late order that is delivered early, twice, or after
+// the engine's restart ended its connection.
+func TestHeldOrder(t *testing.T) {
+	inWorld(t, vrdeploy.Hayabusa, func(t *testing.T, w *World) {
+		hold := Fault{Kind: FaultHoldOrders, Server: _unfenced, Order: vrengine.OrderLoad}
+		release := Fault{Kind: FaultReleaseOrders, Server: _unfenced}
+		require.NoError(t, w.Apply(hold))
+		require.True(t, w.send(_unfenced, w.load(0, 1, 1)).broken)
+		require.Empty(t, w.engines[_unfenced].replicas)
+		require.NoError(t, w.Apply(release))
+		require.NoError(t, w.Apply(release))
+		require.Equal(t, 1, w.journalled(JournalLoaded))
+		require.NoError(t, w.Apply(hold))
+		require.True(t, w.send(_unfenced, w.load(1, 1, 2)).broken)
+		require.NoError(t, w.Apply(Fault{Kind: FaultEngineRestart, Server: _unfenced}))
+		require.NoError(t, w.Apply(release))
+		require.Equal(t, 1, w.journalled(JournalLoaded))
+		require.Equal(t, vrid.BootID("fit-assist-1/2"), w.engines[_unfenced].report().Boot)
+	})
+}
+
+// TestMemoryRefusal guards against an engine that takes more than its memory or that
+// changes something when a loaded model is loaded again.
+func TestMemoryRefusal(t *testing.T) {
+	inWorld(t, vrdeploy.Shuyuan, func(t *testing.T, w *World) {
+		held := 0
+		for i := range w.deployment.Fleet.Models {
+			if w.send(_fenced, w.load(i, 1, uint64(i))).status != http.StatusOK {
+				break
+			}
+			held++
+		}
+		used := w.engines[_fenced].used
+		require.Equal(t, 1, w.journalled(JournalOvercommit))
+		require.LessOrEqual(t, used, w.engines[_fenced].Pool.Memory)
+		again := w.send(_fenced, w.load(0, 1, 99))
+		require.JSONEq(t, `{"state":"loaded"}`, again.body)
+		require.Equal(t, used, w.engines[_fenced].used)
+		require.Equal(t, 1, w.journalled(JournalLoadRepeated))
+		require.Equal(t, 507, w.send(_fenced, w.load(held, 1, 100)).status)
+		unload := w.load(0, 1, 101)
+		unload.Kind = vrengine.OrderUnload
+		require.Equal(t, 200, w.send(_fenced, unload).status)
+		require.Equal(t, used-w.deployment.Fleet.Models[0].Memory, w.engines[_fenced].used)
+	})
+}
+
+// TestLoadLostInTheMiddle guards against a load that survives the engine's restart.
+func TestLoadLostInTheMiddle(t *testing.T) {
+	inWorld(t, vrdeploy.Shuyuan, func(t *testing.T, w *World) {
+		go func() {
+			pass(50 * time.Millisecond)
+			w.engines[_fenced].restart()
+		}()
+		require.Equal(t, 503, w.send(_fenced, w.load(0, 1, 1)).status)
+		require.Equal(t, 1, w.journalled(JournalLoadLost))
+		require.Equal(t, 0, w.journalled(JournalLoaded))
+		require.Zero(t, w.engines[_fenced].used)
+	})
+}
--- a/verbenabench/main.go
+++ b/verbenabench/main.go
@@ -1,4 +1,17 @@
 // Command verbenabench runs stand-ins and experiments.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"verbenaroute.example/verbenabench/internal/vrcommand"
+)
+
+func main() {
+	if err := vrcommand.New().ExecuteContext(context.Background()); err != nil {
+		fmt.Fprintln(os.Stderr, "verbenabench:", err)
+		os.Exit(1)
+	}
+}
