--- /dev/null
+++ b/verbenabench/internal/vrinvariant/vrinvariant.go
@@ -0,0 +1,114 @@
+// Package vrinvariant judges a run by the nine invariants of the design. What happened
+// is taken from the stand-ins' journal, what was promised from the callers' views and
+// the record.
+package vrinvariant
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"verbenaroute.example/verbenabench/internal/vrload"
+	"verbenaroute.example/verbenabench/internal/vrstandin"
+	"verbenaroute.example/verbenacore/vrconfig"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrrecord"
+)
+
+// Evidence is everything that is known about a run after it ended.
+type Evidence struct {
+	Fleet   *vrconfig.Fleet
+	Servers map[vrid.ServerID]vrid.ZoneID
+	Journal []vrstandin.Entry
+	Views   []vrload.View
+	Record  []vrrecord.Entry
+	// Killed are the daemons that were ended without a warning, with the time.
+	Killed map[vrid.DaemonID]time.Time
+	// Stopping are the daemons that got SIGTERM, with the time.
+	Stopping map[vrid.DaemonID]time.Time
+	// StopFailures say which graceful shutdown went wrong.
+	StopFailures error
+	// Changed is when a second configuration was at the head; zero when none was.
+	Changed time.Time
+	// Version is the newest configuration.
+	Version vrid.ConfigVersion
+}
+
+// Check is the verdict on one invariant.
+type Check struct {
+	Name string
+	Rule string
+	// Seen is what was looked at, for example "41 loads of 17 models".
+	Seen string
+	// Violations is empty when the invariant held.
+	Violations []string
+}
+
+// Held reports whether the invariant held and something was looked at.
+func (c Check) Held() bool { return len(c.Violations) == 0 }
+
+// String prints the verdict with at most a few violations.
+func (c Check) String() string {
+	const shown = 5
+	verdict := "held"
+	if !c.Held() {
+		verdict = "BROKEN"
+	}
+	lines := []string{fmt.Sprintf("%-3s %-6s %s: %s", c.Name, verdict, c.Rule, c.Seen)}
+	for i, violation := range c.Violations {
+		if i == shown {
+			lines = append(lines, fmt.Sprintf("           and %d more", len(c.Violations)-shown))
+			break
+		}
+		lines = append(lines, "           "+violation)
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (c *Check) broken(format string, arguments ...any) {
+	c.Violations = append(c.Violations, fmt.Sprintf(format, arguments...))
+}
+
+// Judge checks every invariant.
+func Judge(evidence *Evidence) []Check {
+	return []Check{
+		checkReplicas(evidence),
+		checkMemory(evidence),
+		checkEnds(evidence),
+		checkAnswers(evidence),
+		checkNotRun(evidence),
+		checkAtMostOnce(evidence),
+		checkLeaving(evidence),
+		checkShutdown(evidence),
+		checkConfiguration(evidence),
+	}
+}
+
+// Held reports whether every check held.
+func Held(checks []Check) bool {
+	for _, check := range checks {
+		if !check.Held() {
+			return false
+		}
+	}
+	return true
+}
+
+// attempts calls visit for each attempt of each call.
+func (e *Evidence) attempts(visit func(call vrload.Call, attempt vrload.Attempt)) {
+	for _, view := range e.Views {
+		for _, attempt := range view.Attempts {
+			visit(view.Call, attempt)
+		}
+	}
+}
+
+func sortedKeys[K ~string, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(i, j int) bool { return keys[i] < keys[j] })
+	return keys
+}
--- /dev/null
+++ b/verbenabench/internal/vrload/vrload.go
@@ -0,0 +1,189 @@
+// Package vrload sends mixed traffic to the daemons as callers do, and checks each
+// answer against the tokens that the stand-ins generate.
+package vrload
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"verbenaroute.example/verbenacore/vrconfig"
+	"verbenaroute.example/verbenacore/vrid"
+)
+
+// Options bound one run of the load.
+type Options struct {
+	Fleet *vrconfig.Fleet
+	// Daemons are the callers' addresses.
+	Daemons map[vrid.DaemonID]string
+	Seed    uint64
+	// Rate is the mean number of calls a second beside the bursts.
+	Rate float64
+	For  time.Duration
+	// BurstEvery is the mean time between two bursts to an idle model; zero sends none.
+	BurstEvery time.Duration
+	// BurstSize is the number of calls of a burst.
+	BurstSize int
+	// Mix weighs the sorts of calls; nil takes DefaultMix.
+	Mix Mix
+}
+
+// Limits of the callers.
+const (
+	_maxInFlight = 600
+	_maxAttempts = 4
+	// _callTimeout is beyond every deadline of the two deployments.
+	_callTimeout = 45 * time.Second
+	_retryPause  = 200 * time.Millisecond
+)
+
+// Load is the traffic of one run.
+type Load struct {
+	options Options
+	client  *http.Client
+	places  chan struct{}
+	calls   conc.WaitGroup
+
+	mu      sync.Mutex
+	daemons []vrid.DaemonID
+	down    map[vrid.DaemonID]bool
+	views   []View
+	sent    int
+}
+
+// New prepares a run.
+func New(options Options) *Load {
+	if options.Mix == nil {
+		options.Mix = DefaultMix()
+	}
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: _maxInFlight,
+		DisableCompression:  true,
+	}
+	load := &Load{
+		options: options,
+		client:  &http.Client{Transport: transport, Timeout: _callTimeout},
+		places:  make(chan struct{}, _maxInFlight),
+		down:    make(map[vrid.DaemonID]bool),
+	}
+	for i := range len(options.Daemons) {
+		id := vrid.DaemonID(fmt.Sprintf("daemon-%d", i+1))
+		if _, ok := options.Daemons[id]; ok {
+			load.daemons = append(load.daemons, id)
+		}
+	}
+	return load
+}
+
+// MarkDown tells the callers' balancer that a daemon takes no new calls.
+func (l *Load) MarkDown(daemon vrid.DaemonID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down[daemon] = true
+}
+
+// MarkUp undoes MarkDown.
+func (l *Load) MarkUp(daemon vrid.DaemonID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.down, daemon)
+}
+
+// Run sends the planned calls at their times and returns when each one has ended.
+func (l *Load) Run(ctx context.Context) []View {
+	began := time.Now()
+	for _, planned := range Plan(l.options) {
+		if !sleepUntil(ctx, began.Add(planned.At)) {
+			break
+		}
+		l.Start(ctx, planned.Call)
+	}
+	return l.Wait()
+}
+
+// Start sends one call in the background.
+func (l *Load) Start(ctx context.Context, call Call) {
+	l.places <- struct{}{}
+	l.mu.Lock()
+	l.sent++
+	l.mu.Unlock()
+	l.calls.Go(func() {
+		defer func() { <-l.places }()
+		view := l.Do(ctx, call)
+		l.mu.Lock()
+		l.views = append(l.views, view)
+		l.mu.Unlock()
+	})
+}
+
+// Wait returns the views of all calls when each one has ended.
+func (l *Load) Wait() []View {
+	l.calls.Wait()
+	l.client.CloseIdleConnections()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.views
+}
+
+// Progress returns how many calls were sent and how many have ended.
+func (l *Load) Progress() (sent, ended int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sent, len(l.views)
+}
+
+// Do makes one call and repeats it with the same key at another daemon when its
+// connection broke.
+func (l *Load) Do(ctx context.Context, call Call) View {
+	view := View{Call: call}
+	choice := rand.New(rand.NewPCG(l.options.Seed, uint64(call.Number)))
+	var last vrid.DaemonID
+	for attempt := range _maxAttempts {
+		daemon := l.pick(choice, last, call.Daemon, attempt)
+		done := l.attempt(ctx, daemon, call)
+		view.Attempts = append(view.Attempts, done)
+		if !done.retry(call) {
+			break
+		}
+		last = daemon
+		if !sleepUntil(ctx, time.Now().Add(_retryPause)) {
+			break
+		}
+	}
+	return view
+}
+
+// pick returns the wanted daemon first, and another one after a broken connection.
+func (l *Load) pick(choice *rand.Rand, last, wanted vrid.DaemonID, attempt int) vrid.DaemonID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if wanted != "" && attempt == 0 {
+		return wanted
+	}
+	var open []vrid.DaemonID
+	for _, id := range l.daemons {
+		if id != last && !l.down[id] {
+			open = append(open, id)
+		}
+	}
+	if len(open) == 0 {
+		open = l.daemons
+	}
+	return open[choice.IntN(len(open))]
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
