Add verbenabench try

Each check is tested against a run that breaks its invariant (18 cases). No run against daemons was made yet, because there is no daemon to build.

--- a/verbenabench/internal/vrcommand/vrcommand.go
+++ b/verbenabench/internal/vrcommand/vrcommand.go
@@ -15,7 +15,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newStandin())
+	root.AddCommand(newStandin(), newTry())
 	return root
 }
 
--- a/verbenabench/internal/vrfleet/vrfleet.go
+++ b/verbenabench/internal/vrfleet/vrfleet.go
@@ -311,7 +311,9 @@
 	Bound time.Duration
 }
 
-func (e *BoundError) Error() string { return fmt.Sprintf("the condition did not hold within %s", e.Bound) }
+func (e *BoundError) Error() string {
+	return fmt.Sprintf("the condition did not hold within %s", e.Bound)
+}
 
 // Until waits until the condition holds.
 func Until(ctx context.Context, bound time.Duration, condition func() bool) error {
--- /dev/null
+++ b/verbenabench/internal/vrinvariant/record.go
@@ -0,0 +1,60 @@
+package vrinvariant
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"verbenaroute.example/verbenabench/internal/vrdeploy"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrplatform"
+	"verbenaroute.example/verbenacore/vrrecord"
+)
+
+// NewEvidence prepares the evidence of a run of a deployment.
+func NewEvidence(deployment *vrdeploy.Deployment) Evidence {
+	servers := make(map[vrid.ServerID]vrid.ZoneID, len(deployment.Servers))
+	for _, server := range deployment.Servers {
+		servers[server.ID] = server.Zone
+	}
+	return Evidence{
+		Fleet:    &deployment.Fleet,
+		Servers:  servers,
+		Version:  deployment.Fleet.Version,
+		Killed:   make(map[vrid.DaemonID]time.Time),
+		Stopping: make(map[vrid.DaemonID]time.Time),
+	}
+}
+
+// ReadRecord decodes the blocks of the record and audits them.
+func (e *Evidence) ReadRecord(blocks []vrplatform.Item) error {
+	stored := make([]vrrecord.Stored, 0, len(blocks))
+	type place struct {
+		run    vrrecord.Run
+		number uint64
+	}
+	seen := make(map[place]bool)
+	for _, item := range blocks {
+		stored = append(stored, vrrecord.Stored{Key: item.Key, Data: item.Value})
+		block, err := vrrecord.DecodeBlock(item.Value)
+		if err != nil {
+			return fmt.Errorf("%s: %w", item.Key, err)
+		}
+		for i := range block.Entries {
+			entry, err := block.Entry(i)
+			if err != nil {
+				return fmt.Errorf("%s: entry %d: %w", item.Key, i, err)
+			}
+			// An entry that was sent again to the next writer stands twice.
+			id := place{run: entry.RunOf(), number: entry.Number}
+			if entry.Kind != vrrecord.EntryGap && seen[id] {
+				continue
+			}
+			seen[id] = true
+			e.Record = append(e.Record, *entry)
+		}
+	}
+	slices.SortStableFunc(e.Record, func(a, b vrrecord.Entry) int { return int(a.At - b.At) })
+	e.Audit = vrrecord.Verify(stored)
+	return nil
+}
--- a/verbenabench/internal/vrinvariant/requests.go
+++ b/verbenabench/internal/vrinvariant/requests.go
@@ -44,7 +44,11 @@
 		}
 		e.checkEntry(&check, call, attempt, entries)
 	})
-	check.Seen = fmt.Sprintf("%d answered, %d refused, %d connections broken by killed daemons, %d terminal entries", answered, refused, lost, len(entries))
+	for _, finding := range e.Audit.Findings {
+		check.broken("record: %s", finding)
+	}
+	check.Seen = fmt.Sprintf("%d answered, %d refused, %d connections broken by killed daemons; record: %d blocks, %d terminal entries, %d lost in gaps",
+		answered, refused, lost, e.Audit.Blocks, len(entries), e.Audit.Lost)
 	return check
 }
 
--- a/verbenabench/internal/vrinvariant/vrinvariant.go
+++ b/verbenabench/internal/vrinvariant/vrinvariant.go
@@ -23,6 +23,8 @@
 	Journal []vrstandin.Entry
 	Views   []vrload.View
 	Record  []vrrecord.Entry
+	// Audit is the verdict on the record's chains and numbers.
+	Audit vrrecord.Report
 	// Killed are the daemons that were ended without a warning, with the time.
 	Killed map[vrid.DaemonID]time.Time
 	// Stopping are the daemons that got SIGTERM, with the time.
--- /dev/null
+++ b/verbenabench/internal/vrinvariant/vrinvariant_test.go
@@ -0,0 +1,143 @@
+package vrinvariant
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenaroute.example/verbenabench/internal/vrdeploy"
+	"verbenaroute.example/verbenabench/internal/vrload"
+	"verbenaroute.example/verbenabench/internal/vrstandin"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrrecord"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+var _start = time.Unix(1_700_000_000, 0)
+
+func at(seconds float64) time.Time {
+	return _start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// evidence is a short run in which every invariant holds: one load, one answer, one
+// reservation, one refusal.
+func evidence(t *testing.T) *Evidence {
+	t.Helper()
+	deployment, err := vrdeploy.ByName(vrdeploy.Shuyuan, vrdeploy.Size{})
+	require.NoError(t, err)
+	e := NewEvidence(deployment)
+	e.Journal = []vrstandin.Entry{
+		{Kind: vrstandin.JournalLoadStarted, Model: deployment.Fleet.Models[0].ID, Server: "lm-serve-1", Zone: "tw-north-a", At: at(1)},
+		{Kind: vrstandin.JournalRun, Object: vrdeploy.PathReservations, Key: "k", Request: "r2", Server: "circle-app-1", At: at(2)},
+	}
+	e.Views = []vrload.View{
+		view(vrload.Call{Deadline: time.Second}, vrload.Attempt{Request: "r1", End: vrload.EndAnswered}),
+		view(vrload.Call{Key: "k", Deadline: time.Second}, vrload.Attempt{Request: "r2", End: vrload.EndAnswered}),
+		view(vrload.Call{Deadline: time.Second}, vrload.Attempt{Request: "r3", End: vrload.EndRefused, Problem: vrwire.Problem{
+			Reason: vrwire.ReasonQueueFull, Ran: "no", NotRun: true,
+		}}),
+	}
+	for i, view := range e.Views {
+		entry := vrrecord.Entry{
+			Kind: vrrecord.EntryAnswered, Daemon: "daemon-1", Boot: "b", Number: uint64(i + 1), Request: view.Last().Request,
+			Config: 1, At: at(3).UnixMilli(), Ran: vrrecord.RanYes,
+		}
+		if view.Last().End == vrload.EndRefused {
+			entry.Kind, entry.Reason, entry.Ran = vrrecord.EntryRefused, string(view.Last().Problem.Reason), vrrecord.RanNo
+		}
+		e.Record = append(e.Record, entry)
+	}
+	return &e
+}
+
+func view(call vrload.Call, attempt vrload.Attempt) vrload.View {
+	attempt.Daemon, attempt.Began, attempt.Ended, attempt.First = "daemon-1", at(2), at(3), at(2.5)
+	attempt.Started = true
+	return vrload.View{Call: call, Attempts: []vrload.Attempt{attempt}}
+}
+
+// TestEachViolationIsFound guards against a check that holds whatever happened.
+func TestEachViolationIsFound(t *testing.T) {
+	require.True(t, Held(Judge(evidence(t))))
+	cases := []struct {
+		name   string
+		broken string
+		change func(e *Evidence)
+	}{
+		{"third replica in a zone", "I1", func(e *Evidence) {
+			for _, server := range []vrid.ServerID{"lm-serve-2", "lm-serve-3"} {
+				more := e.Journal[0]
+				more.Server = server
+				e.Journal = append(e.Journal, more)
+			}
+		}},
+		{"refused load", "I2", func(e *Evidence) {
+			e.Journal = append(e.Journal, vrstandin.Entry{Kind: vrstandin.JournalOvercommit})
+		}},
+		{"order beside another", "I2", func(e *Evidence) {
+			e.Journal = append(e.Journal, vrstandin.Entry{Kind: vrstandin.JournalOverlap})
+		}},
+		{"dropped request", "I3", func(e *Evidence) { e.Views[0].Attempts[0].End = vrload.EndBroken }},
+		{"late refusal", "I3", func(e *Evidence) { e.Views[2].Attempts[0].First = at(9) }},
+		{"no terminal entry", "I3", func(e *Evidence) { e.Record = e.Record[1:] }},
+		{"two terminal entries", "I3", func(e *Evidence) { e.Record = append(e.Record, e.Record[0]) }},
+		{"other reason in the record", "I3", func(e *Evidence) { e.Record[2].Reason = "noReplica" }},
+		{"altered record", "I3", func(e *Evidence) {
+			e.Audit.Findings = []vrrecord.Finding{{Kind: vrrecord.FindingAlteredBlock}}
+		}},
+		{"foreign answer", "I4", func(e *Evidence) { e.Views[0].Attempts[0].End = vrload.EndWrong }},
+		{"false notRun for the caller", "I5", func(e *Evidence) { e.Views[2].Attempts[0].Request = "r2" }},
+		{"false notRun in the record", "I5", func(e *Evidence) { e.Record[2].Request = "r2" }},
+		{"double run", "I6", func(e *Evidence) { e.Journal = append(e.Journal, e.Journal[1]) }},
+		{"confirmed without a run", "I6", func(e *Evidence) { e.Journal = e.Journal[:1] }},
+		{"late work for a leaving server", "I7", func(e *Evidence) {
+			leave := vrstandin.Entry{Kind: vrstandin.JournalLeaving, Server: "lm-serve-1", At: at(2)}
+			work := vrstandin.Entry{Kind: vrstandin.JournalGenerate, Server: "lm-serve-1", At: at(5.1)}
+			e.Journal = append(e.Journal, leave, work)
+		}},
+		{"interrupted by a shutdown", "I8", func(e *Evidence) {
+			e.Stopping["daemon-1"] = at(2.5)
+			e.Views[0].Attempts[0].End = vrload.EndBroken
+		}},
+		{"reverted configuration", "I9", func(e *Evidence) { e.Record[0].Config = 2 }},
+		{"slow configuration", "I9", func(e *Evidence) { e.Changed, e.Version = at(-5), 2 }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := evidence(t)
+			c.change(e)
+			for _, check := range Judge(e) {
+				if check.Name == c.broken {
+					require.False(t, check.Held(), check.String())
+				}
+			}
+		})
+	}
+}
+
+// TestExcuses guards against a verdict that blames a daemon for being killed.
+func TestExcuses(t *testing.T) {
+	e := evidence(t)
+	e.Killed["daemon-1"] = at(2.9)
+	e.Views[0].Attempts[0].End = vrload.EndBroken
+	e.Record = e.Record[1:]
+	require.True(t, Held(Judge(e)))
+}
+
+// TestReplay guards against counts that survive an unload or a restart.
+func TestReplay(t *testing.T) {
+	e := evidence(t)
+	load := e.Journal[0]
+	boot := vrstandin.Entry{Kind: vrstandin.JournalBoot, Server: load.Server}
+	unload := load
+	unload.Kind = vrstandin.JournalUnloaded
+	e.Journal = []vrstandin.Entry{load, unload, load, boot, load, boot, load}
+	require.True(t, checkReplicas(e).Held())
+	memory := newMemoryView(e)
+	for _, entry := range e.Journal {
+		memory.apply(entry)
+	}
+	require.Equal(t, e.Fleet.Models[0].Memory, memory.used[load.Server])
+	require.Equal(t, 1, memory.copies[zoneModel{load.Zone, load.Model}])
+}
--- /dev/null
+++ b/verbenabench/internal/vrload/vrload_test.go
@@ -0,0 +1,179 @@
+package vrload
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenaroute.example/verbenabench/internal/vrdeploy"
+	"verbenaroute.example/verbenabench/internal/vrstandin"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+func deployment(t *testing.T) *vrdeploy.Deployment {
+	t.Helper()
+	deployment, err := vrdeploy.ByName(vrdeploy.Shuyuan, vrdeploy.Size{})
+	require.NoError(t, err)
+	return deployment
+}
+
+// TestPlanRepeats guards against a seed that does not repeat a run and against a mix
+// that leaves a rank out.
+func TestPlanRepeats(t *testing.T) {
+	fleet := &deployment(t).Fleet
+	options := Options{Fleet: fleet, Seed: 7, Rate: 50, For: 20 * time.Second, BurstEvery: 2 * time.Second, BurstSize: 10}
+	plan := Plan(options)
+	require.Equal(t, plan, Plan(options))
+	options.Seed = 8
+	require.NotEqual(t, plan, Plan(options))
+	ranks := make(map[vrid.Rank]int)
+	keys := make(map[vrid.IdempotencyKey]bool)
+	bursts, numbers := 0, make(map[int]bool)
+	for _, call := range plan {
+		ranks[call.Rank]++
+		numbers[call.Number] = true
+		if call.Key != "" {
+			require.False(t, keys[call.Key])
+			keys[call.Key] = true
+		}
+		if call.Burst {
+			bursts++
+		}
+		require.Positive(t, call.Deadline)
+	}
+	require.Len(t, ranks, vrid.RankCount)
+	require.Len(t, numbers, len(plan))
+	require.NotEmpty(t, keys)
+	require.Zero(t, bursts%10)
+	require.Positive(t, bursts)
+}
+
+// fakeDaemon answers as a daemon would; spoil changes the text of an answer.
+type fakeDaemon struct {
+	spoil func(text string) string
+	// refuse ends calls with a problem, cut closes their connections.
+	refuse vrwire.Reason
+	cut    bool
+	calls  atomic.Int32
+}
+
+func (d *fakeDaemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.calls.Add(1)
+	w.Header().Set(vrwire.HeaderRequestID, "r1")
+	if d.cut {
+		panic(http.ErrAbortHandler)
+	}
+	if d.refuse != "" {
+		w.Header().Set("Content-Type", vrwire.ContentTypeProblem)
+		w.WriteHeader(d.refuse.Status())
+		fmt.Fprintf(w, `{"reason":%q,"ran":"no","notRun":true,"requestId":"r1"}`, d.refuse)
+		return
+	}
+	if strings.HasPrefix(r.URL.Path, "/v1/services/") {
+		d.service(w, r)
+		return
+	}
+	var body struct {
+		Model     vrid.ModelID                     `json:"model"`
+		MaxTokens int                              `json:"max_tokens"`
+		Stream    bool                             `json:"stream"`
+		Prompt    string                           `json:"prompt"`
+		Messages  []struct{ Role, Content string } `json:"messages"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		panic(err)
+	}
+	for _, message := range body.Messages {
+		body.Prompt += message.Role + ": " + message.Content + "\n"
+	}
+	text := vrstandin.Answer{Model: body.Model, Prompt: body.Prompt}.Text(body.MaxTokens)
+	if d.spoil != nil {
+		text = d.spoil(text)
+	}
+	if !body.Stream {
+		fmt.Fprintf(w, `{"choices":[{"message":{"content":%q}}]}`, text)
+		return
+	}
+	for _, token := range strings.SplitAfter(text, " ") {
+		fmt.Fprintf(w, "data: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", token)
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+func (d *fakeDaemon) service(w http.ResponseWriter, r *http.Request) {
+	if item, ok := strings.CutPrefix(r.URL.Path, "/v1/services/circles/stock/"); ok {
+		fmt.Fprintf(w, `{"item":%q,"count":%d}`, item, vrstandin.StockOf(item).Count)
+		return
+	}
+	body := make([]byte, r.ContentLength)
+	if _, err := r.Body.Read(body); err != nil && len(body) == 0 {
+		panic(err)
+	}
+	fmt.Fprintf(w, `{"key":%q,"digest":%q,"number":1}`, r.Header.Get(vrwire.HeaderIdempotencyKey), vrstandin.DigestOf(body))
+}
+
+// against runs one call at a first daemon, with a second one to retry at.
+func against(t *testing.T, first, second *fakeDaemon, call Call) View {
+	t.Helper()
+	daemons := make(map[vrid.DaemonID]string)
+	for id, handler := range map[vrid.DaemonID]*fakeDaemon{"daemon-1": first, "daemon-2": second} {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		daemons[id] = strings.TrimPrefix(server.URL, "http://")
+	}
+	load := New(Options{Fleet: &deployment(t).Fleet, Daemons: daemons})
+	call.Daemon = "daemon-1"
+	load.Start(context.Background(), call)
+	views := load.Wait()
+	require.Len(t, views, 1)
+	return views[0]
+}
+
+// TestAnswersAreChecked guards against a caller that takes a cut, doubled or foreign
+// answer for its own.
+func TestAnswersAreChecked(t *testing.T) {
+	planner := NewPlanner(&deployment(t).Fleet, 1, nil)
+	chat := planner.ForModel(planner.fleet.Models[0].ID, "")
+	stream := chat
+	chat.Stream, stream.Stream, chat.Chat, stream.Chat = false, true, true, true
+	good := &fakeDaemon{}
+	for _, call := range []Call{chat, stream, planner.Reserve(), planner.stock()} {
+		view := against(t, good, good, call)
+		require.Equal(t, EndAnswered, view.Last().End, view.Last().Detail)
+		require.Equal(t, vrid.RequestID("r1"), view.Last().Request)
+	}
+	spoils := map[string]func(string) string{
+		"cut":     func(text string) string { return text[:len(text)-4] },
+		"doubled": func(text string) string { return text + text },
+		"foreign": func(string) string { return "0:00000000 " },
+	}
+	for name, spoil := range spoils {
+		bad := &fakeDaemon{spoil: spoil}
+		require.Equal(t, EndWrong, against(t, bad, bad, chat).Last().End, name)
+		require.Equal(t, EndWrong, against(t, bad, bad, stream).Last().End, name)
+	}
+}
+
+// TestRetries guards against a client that repeats a call unseen, and against a caller
+// that gives up after a broken connection.
+func TestRetries(t *testing.T) {
+	planner := NewPlanner(&deployment(t).Fleet, 1, nil)
+	broken, good := &fakeDaemon{cut: true}, &fakeDaemon{}
+	view := against(t, broken, good, planner.Reserve())
+	require.Equal(t, int32(1), broken.calls.Load())
+	require.Equal(t, []End{EndBroken, EndAnswered}, []End{view.Attempts[0].End, view.Attempts[1].End})
+	full := &fakeDaemon{refuse: vrwire.ReasonQueueFull}
+	view = against(t, full, good, planner.Reserve())
+	require.Len(t, view.Attempts, 1)
+	require.Equal(t, EndRefused, view.Last().End)
+	require.True(t, view.Last().Problem.NotRun)
+}
