Acknowledge newer epochs after orders were sent, hand a released lease over

Cause: the flag that a run had sent orders was never set, so a former owner would not acknowledge its successor's epoch and pinned entries would stay pinned; the Handover message had no sender. Change: the ledger keeps the flag; a releasing owner tells the other members, which read the lease with their next tick instead of within a second. Conclusion: the fuzz test has to cover both.

--- a/verbenacore/vrlease/vrlease.go
+++ b/verbenacore/vrlease/vrlease.go
@@ -182,6 +182,10 @@
 	l.write(now, record, out)
 }
 
+// ReadSoon lets an observer read the object with the next tick, because its holder said
+// that it released it.
+func (l *Lease) ReadSoon(now time.Time) { l.nextRead = now }
+
 // Released reports whether a shutdown may go on.
 func (l *Lease) Released() bool { return !l.holding && l.op == 0 }
 
--- a/verbenacore/vrledger/vrledger.go
+++ b/verbenacore/vrledger/vrledger.go
@@ -60,6 +60,8 @@
 	replicas map[vrid.ModelID]int
 	// outstanding counts the orders of all servers that were sent and not answered.
 	outstanding int
+	// issued is set once this run sent an order.
+	issued bool
 	// changed is set when the replicas in the zone view are out of date.
 	changed bool
 }
@@ -110,6 +112,10 @@
 // An EpochAck may only be sent when it is zero.
 func (l *Ledger) Outstanding() int { return l.outstanding }
 
+// Issued reports whether this run ever sent an order, so that a successor waits for its
+// acknowledgement.
+func (l *Ledger) Issued() bool { return l.issued }
+
 // Active reports whether this daemon is the zone's owner.
 func (l *Ledger) Active() bool { return l.active }
 
@@ -463,5 +469,6 @@
 func (l *Ledger) send(now time.Time, s *server, order vrengine.Order, out *vrevent.Effects) {
 	s.inFlight[order.OrderID] = inFlight{order: order, adapter: order.Adapter != "", sent: now}
 	l.outstanding++
+	l.issued = true
 	out.Add(vrevent.SendOrder{Server: s.info.ID, Address: s.info.Address, Order: order})
 }
--- a/verbenacore/vrplace/vrplace.go
+++ b/verbenacore/vrplace/vrplace.go
@@ -41,7 +41,6 @@
 	rate    float64
 	fadedAt time.Time
 	last    time.Time
-	loaded  time.Time
 	waits   map[vrid.DaemonID]wait
 	failed  time.Time
 }
--- a/verbenacore/vrreducer/peers.go
+++ b/verbenacore/vrreducer/peers.go
@@ -39,7 +39,7 @@
 	case envelope.EpochAck != nil:
 		s.zone.acks[run{daemon: envelope.From, boot: envelope.Boot}] = envelope.EpochAck.Epoch
 	case envelope.Handover != nil:
-		s.leaseChanged(now, s.lease.Superseded(now, envelope.Handover.Epoch), out)
+		s.lease.ReadSoon(now)
 	}
 }
 
--- a/verbenacore/vrreducer/plan.go
+++ b/verbenacore/vrreducer/plan.go
@@ -267,4 +267,3 @@
 	p.last = report
 	s.member.QueueReport(now, report, p.failed == failedPolls)
 }
-
--- a/verbenacore/vrreducer/ready.go
+++ b/verbenacore/vrreducer/ready.go
@@ -80,11 +80,13 @@
 		return
 	}
 	if s.lease.Holding() {
+		s.shutdown.handover = s.lease.Epoch()
 		if now.Sub(s.shutdown.since) >= releaseAfter && s.ledger.Outstanding() == 0 {
 			s.lease.Release(now, out)
 		}
 		return
 	}
+	s.handOver(out)
 	if now.Sub(s.shutdown.since) < acceptAfterShutdown || len(s.requests) > 0 || s.ledger.Outstanding() > 0 {
 		return
 	}
@@ -100,6 +102,19 @@
 	out.Add(vrevent.Stopped{})
 }
 
+// handOver tells the other members that the lease is free, so that one of them need not
+// wait for its next reading.
+func (s *State) handOver(out *vrevent.Effects) {
+	if s.shutdown.handover == 0 {
+		return
+	}
+	epoch := s.shutdown.handover
+	s.shutdown.handover = 0
+	for _, id := range s.member.View().Order() {
+		s.send(s.peerOf(id), &vrwire.Envelope{Handover: &vrwire.Handover{Epoch: epoch}}, out)
+	}
+}
+
 // Status is a snapshot for operators.
 type Status struct {
 	Daemon   vrid.DaemonID        `json:"daemon"`
--- a/verbenacore/vrreducer/requests.go
+++ b/verbenacore/vrreducer/requests.go
@@ -52,7 +52,6 @@
 	// until is the deadline of the present attempt.
 	until time.Time
 	claim claimWait
-	order vrid.OrderID
 }
 
 func (r *request) target() vradmit.Target {
--- a/verbenacore/vrreducer/vrreducer.go
+++ b/verbenacore/vrreducer/vrreducer.go
@@ -91,6 +91,8 @@
 	requested bool
 	since     time.Time
 	stopped   bool
+	// handover is the epoch of the lease that this daemon gives up.
+	handover vrid.Epoch
 }
 
 // New returns the state of a daemon that has just started.
--- a/verbenacore/vrreducer/zone.go
+++ b/verbenacore/vrreducer/zone.go
@@ -46,12 +46,10 @@
 	listed  bool
 	listing bool
 	// early is set when the list that is awaited was asked for before the lease.
-	early bool
-	planAt  time.Time
+	early  bool
+	planAt time.Time
 	// acks are the epochs that daemons acknowledged; they send nothing older.
-	acks map[run]vrid.Epoch
-	// issued is set once this run sent an order.
-	issued     bool
+	acks       map[run]vrid.Epoch
 	ackedAt    time.Time
 	summaryAt  time.Time
 	leasesAt   time.Time
@@ -261,7 +259,7 @@
 
 // ackEpoch tells a newer owner that this run holds no unsent order of an earlier epoch.
 func (s *State) ackEpoch(now time.Time, out *vrevent.Effects) {
-	if !s.zone.issued || s.lease.Holding() || s.ledger.Outstanding() > 0 {
+	if !s.ledger.Issued() || s.lease.Holding() || s.ledger.Outstanding() > 0 {
 		return
 	}
 	if now.Sub(s.zone.ackedAt) < epochAckInterval || s.lease.Epoch() == 0 {
--- a/verbenacore/vrroute/vrroute.go
+++ b/verbenacore/vrroute/vrroute.go
@@ -56,8 +56,6 @@
 	failures int
 	ejected  time.Time
 	probing  bool
-	// latency is the smoothed time to the first token, for slow servers.
-	latency time.Duration
 }
 
 // Query is what a request needs.
