--- a/verbenabench/internal/vrpath/vrpath.go
+++ b/verbenabench/internal/vrpath/vrpath.go
@@ -123,7 +123,7 @@
 		point := s.compare(ctx, options, stream)
 		point.Declared = idle
 		point.IdleMemory = quiet.memory
-		point.IdleCPU = (quiet.cpu - before.cpu) / time.Duration(idleTime/time.Second)
+		point.IdleCPU = (quiet.cpu - before.cpu) / (idleTime / time.Second)
 		points = append(points, point)
 	}
 	return points, fleet.StopAll()
--- a/verbenacore/vrmember/view.go
+++ b/verbenacore/vrmember/view.go
@@ -32,6 +32,10 @@
 	// remoteSequence is the sequence at which a remote summary last changed.
 	remoteSequence map[vrid.ZoneID]uint64
 	Config         vrid.ConfigVersion
+	// order and pollers are computed from the members when they are first needed after a
+	// change; with 100 members and 290 servers they cost too much for each tick.
+	order   []vrid.DaemonID
+	pollers map[vrid.ServerID]vrid.DaemonID
 }
 
 func newView(zone vrid.ZoneID) *View {
@@ -106,6 +110,7 @@
 func (v *View) reset(delta *vrwire.ViewDelta) {
 	v.Epoch = delta.Epoch
 	v.Owner = delta.Owner
+	v.membersChanged()
 	clear(v.Members)
 	clear(v.Servers)
 	clear(v.Remote)
@@ -113,6 +118,9 @@
 }
 
 func (v *View) putMember(item vrwire.MemberItem) {
+	if held, ok := v.Members[item.Daemon]; !ok || held.State != item.State {
+		v.membersChanged()
+	}
 	v.Members[item.Daemon] = item
 }
 
@@ -129,7 +137,7 @@
 	}
 	v.Sequence++
 	item.Sequence = v.Sequence
-	v.Members[item.Daemon] = item
+	v.putMember(item)
 	return true
 }
 
@@ -153,25 +161,55 @@
 	v.remoteSequence[summary.Zone] = v.Sequence
 }
 
+// membersChanged forgets what was computed from the members.
+func (v *View) membersChanged() {
+	v.order = nil
+	v.pollers = nil
+}
+
 // Order returns the live members in the order of dissemination, the owner first.
+// Callers must not change it.
 func (v *View) Order() []vrid.DaemonID {
-	var order []vrid.DaemonID
+	if v.order == nil {
+		v.order = v.computeOrder()
+	}
+	return v.order
+}
+
+func (v *View) computeOrder() []vrid.DaemonID {
+	order := []vrid.DaemonID{}
 	for id, item := range v.Members {
 		if item.State == vrwire.MemberAlive || item.State == vrwire.MemberSuspect {
 			order = append(order, id)
 		}
 	}
+	weights := make(map[vrid.DaemonID]uint64, len(order))
+	for _, id := range order {
+		weights[id] = rendezvous(string(v.Zone), string(id))
+	}
 	sort.Slice(order, func(i, j int) bool {
 		if (order[i] == v.Owner) != (order[j] == v.Owner) {
 			return order[i] == v.Owner
 		}
-		return rendezvous(string(v.Zone), string(order[i])) < rendezvous(string(v.Zone), string(order[j]))
+		return weights[order[i]] < weights[order[j]]
 	})
 	return order
 }
 
 // Poller returns the live member that polls a server.
 func (v *View) Poller(server vrid.ServerID) vrid.DaemonID {
+	if poller, ok := v.pollers[server]; ok {
+		return poller
+	}
+	if v.pollers == nil {
+		v.pollers = make(map[vrid.ServerID]vrid.DaemonID)
+	}
+	poller := v.computePoller(server)
+	v.pollers[server] = poller
+	return poller
+}
+
+func (v *View) computePoller(server vrid.ServerID) vrid.DaemonID {
 	var best vrid.DaemonID
 	var highest uint64
 	for id, item := range v.Members {
--- a/verbenacore/vrmember/vrmember.go
+++ b/verbenacore/vrmember/vrmember.go
@@ -157,6 +157,7 @@
 	m.owner = Peer{Daemon: m.opts.Daemon, Address: m.opts.Peer}
 	m.view.Epoch = epoch
 	m.view.Owner = m.opts.Daemon
+	m.view.membersChanged()
 	m.view.Sequence++
 	for id, item := range m.view.Members {
 		item.Sequence = m.view.Sequence
