--- a/verbenacore/vrid/vrid.go
+++ b/verbenacore/vrid/vrid.go
@@ -66,8 +66,8 @@
 // Fencing is the fencing number of an order: the epoch of the lease under which it
 // was decided and the owner's own counter.
 type Fencing struct {
-	Epoch    Epoch  `json:"epoch" protobuf:"varint,1"`
-	Sequence uint64 `json:"sequence" protobuf:"varint,2"`
+	Epoch    Epoch  `json:"epoch" protobuf:"varint,1,opt,proto3"`
+	Sequence uint64 `json:"sequence" protobuf:"varint,2,opt,proto3"`
 }
 
 // Less reports whether f was issued before other.
--- a/verbenacore/vrlease/vrlease.go
+++ b/verbenacore/vrlease/vrlease.go
@@ -26,16 +26,16 @@
 
 // Record is the value of the lease object.
 type Record struct {
-	Holder vrid.DaemonID `protobuf:"bytes,1,opt,name=holder"`
-	Boot   vrid.BootID   `protobuf:"bytes,2,opt,name=boot"`
-	Peer   string        `protobuf:"bytes,3,opt,name=peer"`
-	Epoch  vrid.Epoch    `protobuf:"varint,4,opt,name=epoch"`
+	Holder vrid.DaemonID `protobuf:"bytes,1,opt,name=holder,proto3"`
+	Boot   vrid.BootID   `protobuf:"bytes,2,opt,name=boot,proto3"`
+	Peer   string        `protobuf:"bytes,3,opt,name=peer,proto3"`
+	Epoch  vrid.Epoch    `protobuf:"varint,4,opt,name=epoch,proto3"`
 	// Renewal makes each write differ, so that observers see the version change.
-	Renewal uint64 `protobuf:"varint,5,opt,name=renewal"`
+	Renewal uint64 `protobuf:"varint,5,opt,name=renewal,proto3"`
 	// Released is set when the holder gave the lease up; a successor need not wait.
-	Released bool `protobuf:"varint,6,opt,name=released"`
+	Released bool `protobuf:"varint,6,opt,name=released,proto3"`
 	// Chunks is the number of ledger objects of the zone; it never changes.
-	Chunks uint32 `protobuf:"varint,7,opt,name=chunks"`
+	Chunks uint32 `protobuf:"varint,7,opt,name=chunks,proto3"`
 }
 
 // Validate checks that the holder is named.
--- a/verbenacore/vrledger/types.go
+++ b/verbenacore/vrledger/types.go
@@ -12,46 +12,46 @@
 
 // Attempt is one copy of an order. It is recorded before it is sent.
 type Attempt struct {
-	Order    vrid.OrderID  `protobuf:"bytes,1,opt,name=order"`
-	Issuer   vrid.DaemonID `protobuf:"bytes,2,opt,name=issuer"`
-	Boot     vrid.BootID   `protobuf:"bytes,3,opt,name=boot"`
-	Epoch    vrid.Epoch    `protobuf:"varint,4,opt,name=epoch"`
-	Sequence uint64        `protobuf:"varint,5,opt,name=sequence"`
+	Order    vrid.OrderID  `protobuf:"bytes,1,opt,name=order,proto3"`
+	Issuer   vrid.DaemonID `protobuf:"bytes,2,opt,name=issuer,proto3"`
+	Boot     vrid.BootID   `protobuf:"bytes,3,opt,name=boot,proto3"`
+	Epoch    vrid.Epoch    `protobuf:"varint,4,opt,name=epoch,proto3"`
+	Sequence uint64        `protobuf:"varint,5,opt,name=sequence,proto3"`
 	// ServerBoot is the server's run when the attempt was recorded.
-	ServerBoot vrid.BootID `protobuf:"bytes,6,opt,name=serverBoot"`
+	ServerBoot vrid.BootID `protobuf:"bytes,6,opt,name=serverBoot,proto3"`
 }
 
 // Entry is a model, or an adapter on its base model, on a server.
 type Entry struct {
-	Model vrid.ModelID `protobuf:"bytes,1,opt,name=model"`
+	Model vrid.ModelID `protobuf:"bytes,1,opt,name=model,proto3"`
 	// Adapter is empty for the base model itself.
-	Adapter vrid.AdapterID      `protobuf:"bytes,2,opt,name=adapter"`
-	State   vrwire.ReplicaState `protobuf:"varint,3,opt,name=state"`
+	Adapter vrid.AdapterID      `protobuf:"bytes,2,opt,name=adapter,proto3"`
+	State   vrwire.ReplicaState `protobuf:"varint,3,opt,name=state,proto3"`
 	// Bytes are reserved in every state.
-	Bytes vrid.Bytes `protobuf:"varint,4,opt,name=bytes"`
+	Bytes vrid.Bytes `protobuf:"varint,4,opt,name=bytes,proto3"`
 	// Attempts are the copies of orders whose end is not known. While there is one, the
 	// entry can't be removed and its memory can't be given to another.
-	Attempts []Attempt `protobuf:"bytes,5,rep,name=attempts"`
+	Attempts []Attempt `protobuf:"bytes,5,rep,name=attempts,proto3"`
 	// Source is where the nearest copy of the weights was.
-	Source string `protobuf:"bytes,6,opt,name=source"`
+	Source string `protobuf:"bytes,6,opt,name=source,proto3"`
 	// Settled is the order whose answer came last; a report that lists it is younger.
-	Settled vrid.OrderID `protobuf:"bytes,7,opt,name=settled"`
+	Settled vrid.OrderID `protobuf:"bytes,7,opt,name=settled,proto3"`
 }
 
 // ServerLedger is the ledger of one server.
 type ServerLedger struct {
-	Server  vrid.ServerID `protobuf:"bytes,1,opt,name=server"`
-	Entries []Entry       `protobuf:"bytes,2,rep,name=entries"`
+	Server  vrid.ServerID `protobuf:"bytes,1,opt,name=server,proto3"`
+	Entries []Entry       `protobuf:"bytes,2,rep,name=entries,proto3"`
 }
 
 // Chunk is the value of one ledger object.
 type Chunk struct {
-	Epoch  vrid.Epoch    `protobuf:"varint,1,opt,name=epoch"`
-	Writer vrid.DaemonID `protobuf:"bytes,2,opt,name=writer"`
+	Epoch  vrid.Epoch    `protobuf:"varint,1,opt,name=epoch,proto3"`
+	Writer vrid.DaemonID `protobuf:"bytes,2,opt,name=writer,proto3"`
 	// Revision is the writer's counter; with the epoch it identifies a write whose
 	// answer was lost.
-	Revision uint64         `protobuf:"varint,3,opt,name=revision"`
-	Servers  []ServerLedger `protobuf:"bytes,4,rep,name=servers"`
+	Revision uint64         `protobuf:"varint,3,opt,name=revision,proto3"`
+	Servers  []ServerLedger `protobuf:"bytes,4,rep,name=servers,proto3"`
 }
 
 // Validate checks names and states.
--- a/verbenacore/vrrecord/block.go
+++ b/verbenacore/vrrecord/block.go
@@ -48,17 +48,17 @@
 
 // Coverage says which numbers of a run a block holds.
 type Coverage struct {
-	Daemon vrid.DaemonID `protobuf:"bytes,1,opt,name=daemon"`
-	Boot   vrid.BootID   `protobuf:"bytes,2,opt,name=boot"`
+	Daemon vrid.DaemonID `protobuf:"bytes,1,opt,name=daemon,proto3"`
+	Boot   vrid.BootID   `protobuf:"bytes,2,opt,name=boot,proto3"`
 	// First and Last bound an unbroken range; a broken one takes several lines. Both
 	// are 0 in a line that only states the end of a run.
-	First uint64 `protobuf:"varint,3,opt,name=first"`
-	Last  uint64 `protobuf:"varint,4,opt,name=last"`
+	First uint64 `protobuf:"varint,3,opt,name=first,proto3"`
+	Last  uint64 `protobuf:"varint,4,opt,name=last,proto3"`
 	// Opened is how many requests the run says it opened.
-	Opened uint64 `protobuf:"varint,5,opt,name=opened"`
+	Opened uint64 `protobuf:"varint,5,opt,name=opened,proto3"`
 	// Ended is set when the run is known to be over, so that every opened request
 	// must have its terminal entry or stand in a gap.
-	Ended bool `protobuf:"varint,6,opt,name=ended"`
+	Ended bool `protobuf:"varint,6,opt,name=ended,proto3"`
 }
 
 // Run returns the covered run.
--- a/verbenacore/vrrecord/columns.go
+++ b/verbenacore/vrrecord/columns.go
@@ -3,10 +3,9 @@
 import (
 	"bytes"
 	"encoding/binary"
-	"fmt"
 	"slices"
 
-	"github.com/segmentio/encoding/proto"
+	"google.golang.org/protobuf/encoding/protowire"
 
 	"verbenaroute.example/verbenacore/vrid"
 )
@@ -17,26 +16,26 @@
 
 // packedBlock is a Block as it is encoded.
 type packedBlock struct {
-	Zone     vrid.ZoneID   `protobuf:"bytes,1,opt,name=zone"`
-	Writer   vrid.DaemonID `protobuf:"bytes,2,opt,name=writer"`
-	Boot     vrid.BootID   `protobuf:"bytes,3,opt,name=boot"`
-	Sequence uint64        `protobuf:"varint,4,opt,name=sequence"`
-	Previous []byte        `protobuf:"bytes,5,opt,name=previous"`
-	From     int64         `protobuf:"varint,6,opt,name=from"`
-	Until    int64         `protobuf:"varint,7,opt,name=until"`
-	Coverage []Coverage    `protobuf:"bytes,8,rep,name=coverage"`
-	Digests  []byte        `protobuf:"bytes,9,opt,name=digests"`
+	Zone     vrid.ZoneID   `protobuf:"bytes,1,opt,name=zone,proto3"`
+	Writer   vrid.DaemonID `protobuf:"bytes,2,opt,name=writer,proto3"`
+	Boot     vrid.BootID   `protobuf:"bytes,3,opt,name=boot,proto3"`
+	Sequence uint64        `protobuf:"varint,4,opt,name=sequence,proto3"`
+	Previous []byte        `protobuf:"bytes,5,opt,name=previous,proto3"`
+	From     int64         `protobuf:"varint,6,opt,name=from,proto3"`
+	Until    int64         `protobuf:"varint,7,opt,name=until,proto3"`
+	Coverage []Coverage    `protobuf:"bytes,8,rep,name=coverage,proto3"`
+	Digests  []byte        `protobuf:"bytes,9,opt,name=digests,proto3"`
 	// Layouts are the distinct sequences of field tags; Rows holds the index of its
 	// layout for each entry.
-	Layouts [][]byte `protobuf:"bytes,10,rep,name=layouts"`
-	Rows    []byte   `protobuf:"bytes,11,opt,name=rows"`
-	Columns []column `protobuf:"bytes,12,rep,name=columns"`
+	Layouts [][]byte `protobuf:"bytes,10,rep,name=layouts,proto3"`
+	Rows    []byte   `protobuf:"bytes,11,opt,name=rows,proto3"`
+	Columns []column `protobuf:"bytes,12,rep,name=columns,proto3"`
 }
 
 // column holds the values of one field tag in the order of the entries.
 type column struct {
-	Tag  uint64 `protobuf:"varint,1,opt,name=tag"`
-	Data []byte `protobuf:"bytes,2,opt,name=data"`
+	Tag  uint64 `protobuf:"varint,1,opt,name=tag,proto3"`
+	Data []byte `protobuf:"bytes,2,opt,name=data,proto3"`
 }
 
 // Validate accepts every packed block; the unpacked one is checked.
@@ -50,8 +49,8 @@
 	wireBits = 3
 	wireMask = 1<<wireBits - 1
 	// Numbers and times grow steadily, so their columns hold differences.
-	tagNumber = 2<<wireBits | uint64(proto.Varint)
-	tagAt     = 7<<wireBits | uint64(proto.Varint)
+	tagNumber = 2<<wireBits | uint64(protowire.VarintType)
+	tagAt     = 7<<wireBits | uint64(protowire.VarintType)
 )
 
 func isDifference(tag uint64) bool { return tag == tagNumber || tag == tagAt }
@@ -88,14 +87,28 @@
 // give other bytes.
 func splitFields(entry []byte) ([]field, bool) {
 	var fields []field
-	err := proto.Scan(entry, func(number proto.FieldNumber, wire proto.WireType, value proto.RawValue) (bool, error) {
-		if wire != proto.Varint && wire != proto.Varlen {
-			return false, fmt.Errorf("wire type %d", wire)
+	for rest := entry; len(rest) > 0; {
+		number, wire, tagLength := protowire.ConsumeTag(rest)
+		if tagLength < 0 {
+			return nil, false
+		}
+		rest = rest[tagLength:]
+		length := protowire.ConsumeFieldValue(number, wire, rest)
+		if length < 0 {
+			return nil, false
+		}
+		value := rest[:length]
+		rest = rest[length:]
+		switch wire {
+		case protowire.VarintType:
+		case protowire.BytesType:
+			value, _ = protowire.ConsumeBytes(value)
+		default:
+			return nil, false
 		}
 		fields = append(fields, field{tag: uint64(number)<<wireBits | uint64(wire), value: value})
-		return true, nil
-	})
-	if err != nil || len(fields) == 0 {
+	}
+	if len(fields) == 0 {
 		return nil, false
 	}
 	var joined []byte
@@ -110,7 +123,7 @@
 		return append(data, value...)
 	}
 	data = binary.AppendUvarint(data, tag)
-	if proto.WireType(tag&wireMask) == proto.Varlen {
+	if protowire.Type(tag&wireMask) == protowire.BytesType {
 		data = binary.AppendUvarint(data, uint64(len(value)))
 		return append(data, value...)
 	}
@@ -148,7 +161,7 @@
 		number, _ := binary.Uvarint(f.value)
 		into.Data = binary.AppendVarint(into.Data, int64(number-w.last[f.tag]))
 		w.last[f.tag] = number
-	case proto.WireType(f.tag&wireMask) == proto.Varint && f.tag != rawTag:
+	case protowire.Type(f.tag&wireMask) == protowire.VarintType && f.tag != rawTag:
 		into.Data = append(into.Data, f.value...)
 	default:
 		into.Data = binary.AppendUvarint(into.Data, uint64(len(f.value)))
@@ -221,7 +234,7 @@
 	if n <= 0 {
 		return nil, false
 	}
-	if proto.WireType(tag&wireMask) == proto.Varint && tag != rawTag {
+	if protowire.Type(tag&wireMask) == protowire.VarintType && tag != rawTag {
 		r.columns[tag] = data[n:]
 		return data[:n], true
 	}
--- a/verbenacore/vrrecord/entry.go
+++ b/verbenacore/vrrecord/entry.go
@@ -71,49 +71,49 @@
 // Entry is one line of the record. Times are milliseconds of Unix time, lengths of
 // time are microseconds.
 type Entry struct {
-	Kind EntryKind `protobuf:"varint,1,opt,name=kind" json:"kind"`
+	Kind EntryKind `protobuf:"varint,1,opt,name=kind,proto3" json:"kind"`
 	// Number counts the entries of one run of a daemon, from 1 without gaps.
-	Number  uint64         `protobuf:"varint,2,opt,name=number" json:"number"`
-	Request vrid.RequestID `protobuf:"bytes,3,opt,name=request" json:"request,omitempty"`
-	Daemon  vrid.DaemonID  `protobuf:"bytes,4,opt,name=daemon" json:"daemon"`
-	Boot    vrid.BootID    `protobuf:"bytes,5,opt,name=boot" json:"boot"`
-	Zone    vrid.ZoneID    `protobuf:"bytes,6,opt,name=zone" json:"zone"`
-	At      int64          `protobuf:"varint,7,opt,name=at" json:"at"`
-
-	Caller  vrid.CallerID       `protobuf:"bytes,8,opt,name=caller" json:"caller,omitempty"`
-	Rank    vrid.Rank           `protobuf:"varint,9,opt,name=rank" json:"rank"`
-	KindID  vrid.KindID         `protobuf:"bytes,10,opt,name=kindId" json:"kindId,omitempty"`
-	Model   vrid.ModelID        `protobuf:"bytes,11,opt,name=model" json:"model,omitempty"`
-	Adapter vrid.AdapterID      `protobuf:"bytes,12,opt,name=adapter" json:"adapter,omitempty"`
-	Service vrid.ServiceID      `protobuf:"bytes,13,opt,name=service" json:"service,omitempty"`
-	Key     vrid.IdempotencyKey `protobuf:"bytes,14,opt,name=key" json:"key,omitempty"`
+	Number  uint64         `protobuf:"varint,2,opt,name=number,proto3" json:"number"`
+	Request vrid.RequestID `protobuf:"bytes,3,opt,name=request,proto3" json:"request,omitempty"`
+	Daemon  vrid.DaemonID  `protobuf:"bytes,4,opt,name=daemon,proto3" json:"daemon"`
+	Boot    vrid.BootID    `protobuf:"bytes,5,opt,name=boot,proto3" json:"boot"`
+	Zone    vrid.ZoneID    `protobuf:"bytes,6,opt,name=zone,proto3" json:"zone"`
+	At      int64          `protobuf:"varint,7,opt,name=at,proto3" json:"at"`
+
+	Caller  vrid.CallerID       `protobuf:"bytes,8,opt,name=caller,proto3" json:"caller,omitempty"`
+	Rank    vrid.Rank           `protobuf:"varint,9,opt,name=rank,proto3" json:"rank"`
+	KindID  vrid.KindID         `protobuf:"bytes,10,opt,name=kindId,proto3" json:"kindId,omitempty"`
+	Model   vrid.ModelID        `protobuf:"bytes,11,opt,name=model,proto3" json:"model,omitempty"`
+	Adapter vrid.AdapterID      `protobuf:"bytes,12,opt,name=adapter,proto3" json:"adapter,omitempty"`
+	Service vrid.ServiceID      `protobuf:"bytes,13,opt,name=service,proto3" json:"service,omitempty"`
+	Key     vrid.IdempotencyKey `protobuf:"bytes,14,opt,name=key,proto3" json:"key,omitempty"`
 
 	// Reason is the refusal's stable code; empty for answers.
-	Reason string `protobuf:"bytes,15,opt,name=reason" json:"reason,omitempty"`
-	Ran    Ran    `protobuf:"varint,16,opt,name=ran" json:"ran"`
-	Status uint32 `protobuf:"varint,17,opt,name=status" json:"status,omitempty"`
+	Reason string `protobuf:"bytes,15,opt,name=reason,proto3" json:"reason,omitempty"`
+	Ran    Ran    `protobuf:"varint,16,opt,name=ran,proto3" json:"ran"`
+	Status uint32 `protobuf:"varint,17,opt,name=status,proto3" json:"status,omitempty"`
 
-	Server     vrid.ServerID `protobuf:"bytes,18,opt,name=server" json:"server,omitempty"`
-	ServerZone vrid.ZoneID   `protobuf:"bytes,19,opt,name=serverZone" json:"serverZone,omitempty"`
-	Attempts   uint32        `protobuf:"varint,20,opt,name=attempts" json:"attempts,omitempty"`
+	Server     vrid.ServerID `protobuf:"bytes,18,opt,name=server,proto3" json:"server,omitempty"`
+	ServerZone vrid.ZoneID   `protobuf:"bytes,19,opt,name=serverZone,proto3" json:"serverZone,omitempty"`
+	Attempts   uint32        `protobuf:"varint,20,opt,name=attempts,proto3" json:"attempts,omitempty"`
 	// Cold is set when the request waited for a load.
-	Cold   bool   `protobuf:"varint,21,opt,name=cold" json:"cold,omitempty"`
-	Tokens uint32 `protobuf:"varint,22,opt,name=tokens" json:"tokens,omitempty"`
+	Cold   bool   `protobuf:"varint,21,opt,name=cold,proto3" json:"cold,omitempty"`
+	Tokens uint32 `protobuf:"varint,22,opt,name=tokens,proto3" json:"tokens,omitempty"`
 	// Queued, FirstToken and Total run from the arrival.
-	Queued     int64 `protobuf:"varint,23,opt,name=queued" json:"queued,omitempty"`
-	FirstToken int64 `protobuf:"varint,24,opt,name=firstToken" json:"firstToken,omitempty"`
-	Total      int64 `protobuf:"varint,25,opt,name=total" json:"total,omitempty"`
+	Queued     int64 `protobuf:"varint,23,opt,name=queued,proto3" json:"queued,omitempty"`
+	FirstToken int64 `protobuf:"varint,24,opt,name=firstToken,proto3" json:"firstToken,omitempty"`
+	Total      int64 `protobuf:"varint,25,opt,name=total,proto3" json:"total,omitempty"`
 
-	Config vrid.ConfigVersion `protobuf:"varint,26,opt,name=config" json:"config,omitempty"`
-	Order  vrid.OrderID       `protobuf:"bytes,27,opt,name=order" json:"order,omitempty"`
-	Epoch  vrid.Epoch         `protobuf:"varint,28,opt,name=epoch" json:"epoch,omitempty"`
+	Config vrid.ConfigVersion `protobuf:"varint,26,opt,name=config,proto3" json:"config,omitempty"`
+	Order  vrid.OrderID       `protobuf:"bytes,27,opt,name=order,proto3" json:"order,omitempty"`
+	Epoch  vrid.Epoch         `protobuf:"varint,28,opt,name=epoch,proto3" json:"epoch,omitempty"`
 
 	// Text holds a command, or the reason of a load.
-	Text     string `protobuf:"bytes,29,opt,name=text" json:"text,omitempty"`
-	Operator string `protobuf:"bytes,30,opt,name=operator" json:"operator,omitempty"`
+	Text     string `protobuf:"bytes,29,opt,name=text,proto3" json:"text,omitempty"`
+	Operator string `protobuf:"bytes,30,opt,name=operator,proto3" json:"operator,omitempty"`
 	// GapFirst and GapLast bound the missing numbers of a gap.
-	GapFirst uint64 `protobuf:"varint,31,opt,name=gapFirst" json:"gapFirst,omitempty"`
-	GapLast  uint64 `protobuf:"varint,32,opt,name=gapLast" json:"gapLast,omitempty"`
+	GapFirst uint64 `protobuf:"varint,31,opt,name=gapFirst,proto3" json:"gapFirst,omitempty"`
+	GapLast  uint64 `protobuf:"varint,32,opt,name=gapLast,proto3" json:"gapLast,omitempty"`
 }
 
 // EntryError says which field of an entry broke a rule.
--- a/verbenacore/vrwire/claim.go
+++ b/verbenacore/vrwire/claim.go
@@ -39,20 +39,20 @@
 
 // ClaimEntry is one line of a claim segment on the platform.
 type ClaimEntry struct {
-	Service vrid.ServiceID      `protobuf:"bytes,1,opt,name=service"`
-	Key     vrid.IdempotencyKey `protobuf:"bytes,2,opt,name=key"`
+	Service vrid.ServiceID      `protobuf:"bytes,1,opt,name=service,proto3"`
+	Key     vrid.IdempotencyKey `protobuf:"bytes,2,opt,name=key,proto3"`
 	// State is ClaimClaimed, ClaimDone, ClaimUnknown or ClaimReleased.
-	State   ClaimState     `protobuf:"varint,3,opt,name=state"`
-	Daemon  vrid.DaemonID  `protobuf:"bytes,4,opt,name=daemon"`
-	Boot    vrid.BootID    `protobuf:"bytes,5,opt,name=boot"`
-	Request vrid.RequestID `protobuf:"bytes,6,opt,name=request"`
+	State   ClaimState     `protobuf:"varint,3,opt,name=state,proto3"`
+	Daemon  vrid.DaemonID  `protobuf:"bytes,4,opt,name=daemon,proto3"`
+	Boot    vrid.BootID    `protobuf:"bytes,5,opt,name=boot,proto3"`
+	Request vrid.RequestID `protobuf:"bytes,6,opt,name=request,proto3"`
 	// Digest is the hash of method, path and body of the first call.
-	Digest      uint64 `protobuf:"varint,7,opt,name=digest"`
-	Status      uint32 `protobuf:"varint,8,opt,name=status"`
-	ContentType string `protobuf:"bytes,9,opt,name=contentType"`
-	Body        []byte `protobuf:"bytes,10,opt,name=body"`
+	Digest      uint64 `protobuf:"varint,7,opt,name=digest,proto3"`
+	Status      uint32 `protobuf:"varint,8,opt,name=status,proto3"`
+	ContentType string `protobuf:"bytes,9,opt,name=contentType,proto3"`
+	Body        []byte `protobuf:"bytes,10,opt,name=body,proto3"`
 	// At is the time of the entry, in milliseconds of Unix time.
-	At int64 `protobuf:"varint,11,opt,name=at"`
+	At int64 `protobuf:"varint,11,opt,name=at,proto3"`
 }
 
 // Validate checks names and state.
@@ -70,9 +70,9 @@
 
 // ClaimSegment is the value of one claim object.
 type ClaimSegment struct {
+	Entries []ClaimEntry `protobuf:"bytes,2,rep,name=entries,proto3"`
 	// Closed segments are never written again.
-	Closed  bool         `protobuf:"varint,1,opt,name=closed"`
-	Entries []ClaimEntry `protobuf:"bytes,2,rep,name=entries"`
+	Closed bool `protobuf:"varint,1,opt,name=closed,proto3"`
 }
 
 // Validate checks each entry.
@@ -87,10 +87,10 @@
 
 // ClaimRequest asks the owner of a shard to claim a key.
 type ClaimRequest struct {
-	Shard uint32     `protobuf:"varint,1,opt,name=shard"`
-	Entry ClaimEntry `protobuf:"bytes,2,opt,name=entry"`
+	Shard uint32     `protobuf:"varint,1,opt,name=shard,proto3"`
+	Entry ClaimEntry `protobuf:"bytes,2,opt,name=entry,proto3"`
 	// Deadline is when the requester stops waiting, in milliseconds of Unix time.
-	Deadline int64 `protobuf:"varint,3,opt,name=deadline"`
+	Deadline int64 `protobuf:"varint,3,opt,name=deadline,proto3"`
 }
 
 // Validate checks the entry.
@@ -98,13 +98,13 @@
 
 // ClaimReply answers a ClaimRequest.
 type ClaimReply struct {
-	Shard   uint32         `protobuf:"varint,1,opt,name=shard"`
-	Request vrid.RequestID `protobuf:"bytes,2,opt,name=request"`
-	State   ClaimState     `protobuf:"varint,3,opt,name=state"`
+	Shard   uint32         `protobuf:"varint,1,opt,name=shard,proto3"`
+	Request vrid.RequestID `protobuf:"bytes,2,opt,name=request,proto3"`
+	State   ClaimState     `protobuf:"varint,3,opt,name=state,proto3"`
 	// Entry is the standing entry of the key unless the claim was granted.
-	Entry *ClaimEntry `protobuf:"bytes,4,opt,name=entry"`
+	Entry *ClaimEntry `protobuf:"bytes,4,opt,name=entry,proto3"`
 	// HolderGone is set when the claiming daemon's run is known to have ended.
-	HolderGone bool `protobuf:"varint,5,opt,name=holderGone"`
+	HolderGone bool `protobuf:"varint,5,opt,name=holderGone,proto3"`
 }
 
 // Validate checks the state.
@@ -120,8 +120,8 @@
 
 // OutcomeReport tells the owner of a shard how claimed calls ended.
 type OutcomeReport struct {
-	Shard   uint32       `protobuf:"varint,1,opt,name=shard"`
-	Entries []ClaimEntry `protobuf:"bytes,2,rep,name=entries"`
+	Shard   uint32       `protobuf:"varint,1,opt,name=shard,proto3"`
+	Entries []ClaimEntry `protobuf:"bytes,2,rep,name=entries,proto3"`
 }
 
 // Validate checks each entry.
--- a/verbenacore/vrwire/control.go
+++ b/verbenacore/vrwire/control.go
@@ -4,11 +4,11 @@
 
 // ConfigOffer carries a whole configuration, compressed.
 type ConfigOffer struct {
-	Version vrid.ConfigVersion `protobuf:"varint,1,opt,name=version"`
+	Version vrid.ConfigVersion `protobuf:"varint,1,opt,name=version,proto3"`
 	// Document is the zstd-compressed JSON of the configuration.
-	Document []byte `protobuf:"bytes,2,opt,name=document"`
+	Document []byte `protobuf:"bytes,2,opt,name=document,proto3"`
 	// Confirmed is set when the sender has it from the platform, directly or not.
-	Confirmed bool `protobuf:"varint,3,opt,name=confirmed"`
+	Confirmed bool `protobuf:"varint,3,opt,name=confirmed,proto3"`
 }
 
 // Validate checks that there is a document.
@@ -21,7 +21,7 @@
 
 // ConfigFetch asks a peer for its configuration if it is newer.
 type ConfigFetch struct {
-	Have vrid.ConfigVersion `protobuf:"varint,1,opt,name=have"`
+	Have vrid.ConfigVersion `protobuf:"varint,1,opt,name=have,proto3"`
 }
 
 // Validate accepts every version.
@@ -29,17 +29,17 @@
 
 // RecordBatch carries record entries to a writer.
 type RecordBatch struct {
-	Daemon vrid.DaemonID `protobuf:"bytes,1,opt,name=daemon"`
-	Boot   vrid.BootID   `protobuf:"bytes,2,opt,name=boot"`
+	Daemon vrid.DaemonID `protobuf:"bytes,1,opt,name=daemon,proto3"`
+	Boot   vrid.BootID   `protobuf:"bytes,2,opt,name=boot,proto3"`
 	// First is the number of the batch's first entry in the daemon's own log.
-	First uint64 `protobuf:"varint,3,opt,name=first"`
+	First uint64 `protobuf:"varint,3,opt,name=first,proto3"`
 	// Entries are encoded record entries.
-	Entries [][]byte `protobuf:"bytes,4,rep,name=entries"`
+	Entries [][]byte `protobuf:"bytes,4,rep,name=entries,proto3"`
 	// Opened counts the requests that the daemon has numbered so far.
-	Opened uint64 `protobuf:"varint,5,opt,name=opened"`
+	Opened uint64 `protobuf:"varint,5,opt,name=opened,proto3"`
 	// Durable is the number up to which the daemon holds acknowledgements; a writer
 	// that meets the run for the first time counts on from there.
-	Durable uint64 `protobuf:"varint,6,opt,name=durable"`
+	Durable uint64 `protobuf:"varint,6,opt,name=durable,proto3"`
 }
 
 // Validate checks the origin.
@@ -52,8 +52,8 @@
 
 // RecordAck tells a daemon how far its entries are durable.
 type RecordAck struct {
-	Boot    vrid.BootID `protobuf:"bytes,1,opt,name=boot"`
-	Durable uint64      `protobuf:"varint,2,opt,name=durable"`
+	Boot    vrid.BootID `protobuf:"bytes,1,opt,name=boot,proto3"`
+	Durable uint64      `protobuf:"varint,2,opt,name=durable,proto3"`
 }
 
 // Validate accepts every count.
@@ -61,10 +61,10 @@
 
 // QueryRequest asks a daemon for its part of an operator's query.
 type QueryRequest struct {
-	ID    uint64 `protobuf:"varint,1,opt,name=id"`
-	Query string `protobuf:"bytes,2,opt,name=query"`
+	ID    uint64 `protobuf:"varint,1,opt,name=id,proto3"`
+	Query string `protobuf:"bytes,2,opt,name=query,proto3"`
 	// WholeZone asks the receiver to answer for its zone.
-	WholeZone bool `protobuf:"varint,3,opt,name=wholeZone"`
+	WholeZone bool `protobuf:"varint,3,opt,name=wholeZone,proto3"`
 }
 
 // Validate checks the query.
@@ -77,11 +77,11 @@
 
 // QueryReply carries rows as JSON lines.
 type QueryReply struct {
-	ID      uint64      `protobuf:"varint,1,opt,name=id"`
-	Zone    vrid.ZoneID `protobuf:"bytes,2,opt,name=zone"`
-	Rows    []byte      `protobuf:"bytes,3,opt,name=rows"`
-	Error   string      `protobuf:"bytes,4,opt,name=error"`
-	Partial bool        `protobuf:"varint,5,opt,name=partial"`
+	ID      uint64      `protobuf:"varint,1,opt,name=id,proto3"`
+	Zone    vrid.ZoneID `protobuf:"bytes,2,opt,name=zone,proto3"`
+	Rows    []byte      `protobuf:"bytes,3,opt,name=rows,proto3"`
+	Error   string      `protobuf:"bytes,4,opt,name=error,proto3"`
+	Partial bool        `protobuf:"varint,5,opt,name=partial,proto3"`
 }
 
 // Validate accepts every answer.
--- a/verbenacore/vrwire/member.go
+++ b/verbenacore/vrwire/member.go
@@ -53,97 +53,97 @@
 
 // MemberItem is one daemon in the zone view.
 type MemberItem struct {
-	Daemon vrid.DaemonID `protobuf:"bytes,1,opt,name=daemon"`
-	Boot   vrid.BootID   `protobuf:"bytes,2,opt,name=boot"`
+	Daemon vrid.DaemonID `protobuf:"bytes,1,opt,name=daemon,proto3"`
+	Boot   vrid.BootID   `protobuf:"bytes,2,opt,name=boot,proto3"`
 	// Peer is the IP address and port for other daemons.
-	Peer        string      `protobuf:"bytes,3,opt,name=peer"`
-	State       MemberState `protobuf:"varint,4,opt,name=state"`
-	Incarnation uint64      `protobuf:"varint,5,opt,name=incarnation"`
+	Peer        string      `protobuf:"bytes,3,opt,name=peer,proto3"`
+	State       MemberState `protobuf:"varint,4,opt,name=state,proto3"`
+	Incarnation uint64      `protobuf:"varint,5,opt,name=incarnation,proto3"`
 	// Share is the member's part of every server's slots, in thousandths.
-	Share uint32 `protobuf:"varint,6,opt,name=share"`
+	Share uint32 `protobuf:"varint,6,opt,name=share,proto3"`
 	// Opened counts the requests that the daemon has numbered.
-	Opened uint64 `protobuf:"varint,7,opt,name=opened"`
+	Opened uint64 `protobuf:"varint,7,opt,name=opened,proto3"`
 	// Sequence is the view's counter when the item last changed.
-	Sequence uint64 `protobuf:"varint,15,opt,name=sequence"`
+	Sequence uint64 `protobuf:"varint,15,opt,name=sequence,proto3"`
 }
 
 // ReplicaItem is a model on a server.
 type ReplicaItem struct {
-	Model    vrid.ModelID     `protobuf:"bytes,1,opt,name=model"`
-	State    ReplicaState     `protobuf:"varint,2,opt,name=state"`
-	Adapters []vrid.AdapterID `protobuf:"bytes,3,rep,name=adapters"`
+	Model    vrid.ModelID     `protobuf:"bytes,1,opt,name=model,proto3"`
+	State    ReplicaState     `protobuf:"varint,2,opt,name=state,proto3"`
+	Adapters []vrid.AdapterID `protobuf:"bytes,3,rep,name=adapters,proto3"`
 	// ReadyAt is the expected end of a load, in milliseconds of Unix time.
-	ReadyAt int64 `protobuf:"varint,4,opt,name=readyAt"`
+	ReadyAt int64 `protobuf:"varint,4,opt,name=readyAt,proto3"`
 }
 
 // ServerItem is one server in the zone view.
 type ServerItem struct {
-	Server   vrid.ServerID `protobuf:"bytes,1,opt,name=server"`
-	Pool     vrid.PoolID   `protobuf:"bytes,2,opt,name=pool"`
-	Zone     vrid.ZoneID   `protobuf:"bytes,3,opt,name=zone"`
-	Address  string        `protobuf:"bytes,4,opt,name=address"`
-	State    ServerState   `protobuf:"varint,5,opt,name=state"`
-	Running  uint32        `protobuf:"varint,6,opt,name=running"`
-	Waiting  uint32        `protobuf:"varint,7,opt,name=waiting"`
-	Slots    uint32        `protobuf:"varint,8,opt,name=slots"`
-	Replicas []ReplicaItem `protobuf:"bytes,9,rep,name=replicas"`
-	Sequence uint64        `protobuf:"varint,15,opt,name=sequence"`
+	Server   vrid.ServerID `protobuf:"bytes,1,opt,name=server,proto3"`
+	Pool     vrid.PoolID   `protobuf:"bytes,2,opt,name=pool,proto3"`
+	Zone     vrid.ZoneID   `protobuf:"bytes,3,opt,name=zone,proto3"`
+	Address  string        `protobuf:"bytes,4,opt,name=address,proto3"`
+	State    ServerState   `protobuf:"varint,5,opt,name=state,proto3"`
+	Running  uint32        `protobuf:"varint,6,opt,name=running,proto3"`
+	Waiting  uint32        `protobuf:"varint,7,opt,name=waiting,proto3"`
+	Slots    uint32        `protobuf:"varint,8,opt,name=slots,proto3"`
+	Replicas []ReplicaItem `protobuf:"bytes,9,rep,name=replicas,proto3"`
+	Sequence uint64        `protobuf:"varint,15,opt,name=sequence,proto3"`
 }
 
 // LoadReport is what the poller of a server passes up the tree.
 type LoadReport struct {
-	Server vrid.ServerID `protobuf:"bytes,1,opt,name=server"`
-	Boot   vrid.BootID   `protobuf:"bytes,2,opt,name=boot"`
+	Server vrid.ServerID `protobuf:"bytes,1,opt,name=server,proto3"`
+	Boot   vrid.BootID   `protobuf:"bytes,2,opt,name=boot,proto3"`
 	// Failed counts the polls that failed in a row.
-	Failed        uint32         `protobuf:"varint,3,opt,name=failed"`
-	Leaving       bool           `protobuf:"varint,4,opt,name=leaving"`
-	Running       uint32         `protobuf:"varint,5,opt,name=running"`
-	Waiting       uint32         `protobuf:"varint,6,opt,name=waiting"`
-	Slots         uint32         `protobuf:"varint,7,opt,name=slots"`
-	MemoryUsed    vrid.Bytes     `protobuf:"varint,8,opt,name=memoryUsed"`
-	Models        []LoadedModel  `protobuf:"bytes,9,rep,name=models"`
-	AppliedOrders []vrid.OrderID `protobuf:"bytes,10,rep,name=appliedOrders"`
-	HighestEpoch  vrid.Epoch     `protobuf:"varint,11,opt,name=highestEpoch"`
-	Role          string         `protobuf:"bytes,12,opt,name=role"`
-	CachedMemory  []vrid.ModelID `protobuf:"bytes,13,rep,name=cachedMemory"`
-	CachedDisk    []vrid.ModelID `protobuf:"bytes,14,rep,name=cachedDisk"`
+	Failed        uint32         `protobuf:"varint,3,opt,name=failed,proto3"`
+	Leaving       bool           `protobuf:"varint,4,opt,name=leaving,proto3"`
+	Running       uint32         `protobuf:"varint,5,opt,name=running,proto3"`
+	Waiting       uint32         `protobuf:"varint,6,opt,name=waiting,proto3"`
+	Slots         uint32         `protobuf:"varint,7,opt,name=slots,proto3"`
+	MemoryUsed    vrid.Bytes     `protobuf:"varint,8,opt,name=memoryUsed,proto3"`
+	Models        []LoadedModel  `protobuf:"bytes,9,rep,name=models,proto3"`
+	AppliedOrders []vrid.OrderID `protobuf:"bytes,10,rep,name=appliedOrders,proto3"`
+	HighestEpoch  vrid.Epoch     `protobuf:"varint,11,opt,name=highestEpoch,proto3"`
+	Role          string         `protobuf:"bytes,12,opt,name=role,proto3"`
+	CachedMemory  []vrid.ModelID `protobuf:"bytes,13,rep,name=cachedMemory,proto3"`
+	CachedDisk    []vrid.ModelID `protobuf:"bytes,14,rep,name=cachedDisk,proto3"`
 	// TakenAt is the poller's time of the report, in milliseconds of Unix time.
-	TakenAt int64 `protobuf:"varint,15,opt,name=takenAt"`
+	TakenAt int64 `protobuf:"varint,15,opt,name=takenAt,proto3"`
 }
 
 // LoadedModel is a model that the engine reports.
 type LoadedModel struct {
-	Model    vrid.ModelID     `protobuf:"bytes,1,opt,name=model"`
-	State    ReplicaState     `protobuf:"varint,2,opt,name=state"`
-	Adapters []vrid.AdapterID `protobuf:"bytes,3,rep,name=adapters"`
+	Model    vrid.ModelID     `protobuf:"bytes,1,opt,name=model,proto3"`
+	State    ReplicaState     `protobuf:"varint,2,opt,name=state,proto3"`
+	Adapters []vrid.AdapterID `protobuf:"bytes,3,rep,name=adapters,proto3"`
 }
 
 // ModelDemand is the demand for a model, summed over a subtree.
 type ModelDemand struct {
-	Model   vrid.ModelID   `protobuf:"bytes,1,opt,name=model"`
-	Adapter vrid.AdapterID `protobuf:"bytes,2,opt,name=adapter"`
-	Rank    vrid.Rank      `protobuf:"varint,3,opt,name=rank"`
-	Waiting uint32         `protobuf:"varint,4,opt,name=waiting"`
+	Model   vrid.ModelID   `protobuf:"bytes,1,opt,name=model,proto3"`
+	Adapter vrid.AdapterID `protobuf:"bytes,2,opt,name=adapter,proto3"`
+	Rank    vrid.Rank      `protobuf:"varint,3,opt,name=rank,proto3"`
+	Waiting uint32         `protobuf:"varint,4,opt,name=waiting,proto3"`
 	// Arrived counts the requests since the previous message.
-	Arrived uint32 `protobuf:"varint,5,opt,name=arrived"`
+	Arrived uint32 `protobuf:"varint,5,opt,name=arrived,proto3"`
 	// Deadline is the earliest of the waiting requests, in milliseconds of Unix time.
-	Deadline int64 `protobuf:"varint,6,opt,name=deadline"`
+	Deadline int64 `protobuf:"varint,6,opt,name=deadline,proto3"`
 	// Daemon is the origin; a subtree's sum leaves it empty.
-	Daemon vrid.DaemonID `protobuf:"bytes,7,opt,name=daemon"`
+	Daemon vrid.DaemonID `protobuf:"bytes,7,opt,name=daemon,proto3"`
 }
 
 // Heartbeat goes from a daemon to its parent each second.
 type Heartbeat struct {
 	// Self and the members below it.
-	Members []MemberItem  `protobuf:"bytes,1,rep,name=members"`
-	Reports []LoadReport  `protobuf:"bytes,2,rep,name=reports"`
-	Demands []ModelDemand `protobuf:"bytes,3,rep,name=demands"`
+	Members []MemberItem  `protobuf:"bytes,1,rep,name=members,proto3"`
+	Reports []LoadReport  `protobuf:"bytes,2,rep,name=reports,proto3"`
+	Demands []ModelDemand `protobuf:"bytes,3,rep,name=demands,proto3"`
 	// ViewEpoch and ViewSequence say which view the sender has.
-	ViewEpoch    vrid.Epoch         `protobuf:"varint,4,opt,name=viewEpoch"`
-	ViewSequence uint64             `protobuf:"varint,5,opt,name=viewSequence"`
-	Config       vrid.ConfigVersion `protobuf:"varint,6,opt,name=config"`
+	ViewEpoch    vrid.Epoch         `protobuf:"varint,4,opt,name=viewEpoch,proto3"`
+	ViewSequence uint64             `protobuf:"varint,5,opt,name=viewSequence,proto3"`
+	Config       vrid.ConfigVersion `protobuf:"varint,6,opt,name=config,proto3"`
 	// SubtreeConfig is the lowest version in the sender's subtree.
-	SubtreeConfig vrid.ConfigVersion `protobuf:"varint,7,opt,name=subtreeConfig"`
+	SubtreeConfig vrid.ConfigVersion `protobuf:"varint,7,opt,name=subtreeConfig,proto3"`
 }
 
 // Validate checks the members and reports.
@@ -166,11 +166,11 @@
 
 // HeartbeatReply answers a heartbeat.
 type HeartbeatReply struct {
+	Config vrid.ConfigVersion `protobuf:"varint,2,opt,name=config,proto3"`
 	// Removed is set when the sender's incarnation was removed: it must drop its
 	// rights and return with a higher incarnation.
-	Removed bool               `protobuf:"varint,1,opt,name=removed"`
-	Config  vrid.ConfigVersion `protobuf:"varint,2,opt,name=config"`
-	Delta   *ViewDelta         `protobuf:"bytes,3,opt,name=delta"`
+	Removed bool       `protobuf:"varint,1,opt,name=removed,proto3"`
+	Delta   *ViewDelta `protobuf:"bytes,3,opt,name=delta,proto3"`
 }
 
 // Validate checks the enclosed view.
@@ -183,17 +183,17 @@
 
 // ViewDelta carries the items of the zone view that changed after a sequence.
 type ViewDelta struct {
-	Zone  vrid.ZoneID   `protobuf:"bytes,1,opt,name=zone"`
-	Owner vrid.DaemonID `protobuf:"bytes,2,opt,name=owner"`
-	Epoch vrid.Epoch    `protobuf:"varint,3,opt,name=epoch"`
+	Zone  vrid.ZoneID   `protobuf:"bytes,1,opt,name=zone,proto3"`
+	Owner vrid.DaemonID `protobuf:"bytes,2,opt,name=owner,proto3"`
+	Epoch vrid.Epoch    `protobuf:"varint,3,opt,name=epoch,proto3"`
 	// Base is the sequence after which the items changed; 0 means the whole view.
-	Base     uint64             `protobuf:"varint,4,opt,name=base"`
-	Sequence uint64             `protobuf:"varint,5,opt,name=sequence"`
-	Members  []MemberItem       `protobuf:"bytes,6,rep,name=members"`
-	Servers  []ServerItem       `protobuf:"bytes,7,rep,name=servers"`
-	Config   vrid.ConfigVersion `protobuf:"varint,8,opt,name=config"`
+	Base     uint64             `protobuf:"varint,4,opt,name=base,proto3"`
+	Sequence uint64             `protobuf:"varint,5,opt,name=sequence,proto3"`
+	Members  []MemberItem       `protobuf:"bytes,6,rep,name=members,proto3"`
+	Servers  []ServerItem       `protobuf:"bytes,7,rep,name=servers,proto3"`
+	Config   vrid.ConfigVersion `protobuf:"varint,8,opt,name=config,proto3"`
 	// Remote are the summaries of other zones.
-	Remote []ZoneSummary `protobuf:"bytes,9,rep,name=remote"`
+	Remote []ZoneSummary `protobuf:"bytes,9,rep,name=remote,proto3"`
 }
 
 // Validate checks the order of sequences.
@@ -209,7 +209,7 @@
 
 // Demand goes straight to the zone owner when a request meets a cold model.
 type Demand struct {
-	Demands []ModelDemand `protobuf:"bytes,1,rep,name=demands"`
+	Demands []ModelDemand `protobuf:"bytes,1,rep,name=demands,proto3"`
 }
 
 // Validate checks each demand.
@@ -229,17 +229,17 @@
 
 // ZoneSummary goes from a zone owner to the other zone owners each second.
 type ZoneSummary struct {
-	Zone    vrid.ZoneID        `protobuf:"bytes,1,opt,name=zone"`
-	Epoch   vrid.Epoch         `protobuf:"varint,2,opt,name=epoch"`
-	Owner   vrid.DaemonID      `protobuf:"bytes,3,opt,name=owner"`
-	Peer    string             `protobuf:"bytes,4,opt,name=peer"`
-	Config  vrid.ConfigVersion `protobuf:"varint,5,opt,name=config"`
-	Servers []ServerItem       `protobuf:"bytes,6,rep,name=servers"`
-	Members []MemberItem       `protobuf:"bytes,7,rep,name=members"`
+	Zone    vrid.ZoneID        `protobuf:"bytes,1,opt,name=zone,proto3"`
+	Epoch   vrid.Epoch         `protobuf:"varint,2,opt,name=epoch,proto3"`
+	Owner   vrid.DaemonID      `protobuf:"bytes,3,opt,name=owner,proto3"`
+	Peer    string             `protobuf:"bytes,4,opt,name=peer,proto3"`
+	Config  vrid.ConfigVersion `protobuf:"varint,5,opt,name=config,proto3"`
+	Servers []ServerItem       `protobuf:"bytes,6,rep,name=servers,proto3"`
+	Members []MemberItem       `protobuf:"bytes,7,rep,name=members,proto3"`
 	// SentAt is the owner's time, in milliseconds of Unix time.
-	SentAt int64 `protobuf:"varint,8,opt,name=sentAt"`
+	SentAt int64 `protobuf:"varint,8,opt,name=sentAt,proto3"`
 	// InForce is the version that all live members of the zone hold.
-	InForce vrid.ConfigVersion `protobuf:"varint,9,opt,name=inForce"`
+	InForce vrid.ConfigVersion `protobuf:"varint,9,opt,name=inForce,proto3"`
 }
 
 // Validate checks the names.
@@ -252,7 +252,7 @@
 
 // EpochAck tells a zone owner that a daemon holds no unsent order of an earlier epoch.
 type EpochAck struct {
-	Epoch vrid.Epoch `protobuf:"varint,1,opt,name=epoch"`
+	Epoch vrid.Epoch `protobuf:"varint,1,opt,name=epoch,proto3"`
 }
 
 // Validate checks the epoch.
@@ -265,7 +265,7 @@
 
 // Handover tells the next daemon in the order that the owner released its lease.
 type Handover struct {
-	Epoch vrid.Epoch `protobuf:"varint,1,opt,name=epoch"`
+	Epoch vrid.Epoch `protobuf:"varint,1,opt,name=epoch,proto3"`
 }
 
 // Validate checks the epoch.
@@ -278,16 +278,16 @@
 
 // SlotRequest asks the fleet owner for places at the weight store.
 type SlotRequest struct {
-	Loads []SlotLoad `protobuf:"bytes,1,rep,name=loads"`
+	Loads []SlotLoad `protobuf:"bytes,1,rep,name=loads,proto3"`
 }
 
 // SlotLoad is one load that waits for or holds a place.
 type SlotLoad struct {
-	Order    vrid.OrderID `protobuf:"bytes,1,opt,name=order"`
-	Rank     vrid.Rank    `protobuf:"varint,2,opt,name=rank"`
-	Deadline int64        `protobuf:"varint,3,opt,name=deadline"`
-	Adapter  bool         `protobuf:"varint,4,opt,name=adapter"`
-	Holding  bool         `protobuf:"varint,5,opt,name=holding"`
+	Order    vrid.OrderID `protobuf:"bytes,1,opt,name=order,proto3"`
+	Rank     vrid.Rank    `protobuf:"varint,2,opt,name=rank,proto3"`
+	Deadline int64        `protobuf:"varint,3,opt,name=deadline,proto3"`
+	Adapter  bool         `protobuf:"varint,4,opt,name=adapter,proto3"`
+	Holding  bool         `protobuf:"varint,5,opt,name=holding,proto3"`
 }
 
 // Validate checks each load.
@@ -302,9 +302,9 @@
 
 // SlotGrant lists the loads of a zone that hold a place.
 type SlotGrant struct {
-	Orders []vrid.OrderID `protobuf:"bytes,1,rep,name=orders"`
+	Orders []vrid.OrderID `protobuf:"bytes,1,rep,name=orders,proto3"`
 	// Until is when unused grants lapse, in milliseconds of Unix time.
-	Until int64 `protobuf:"varint,2,opt,name=until"`
+	Until int64 `protobuf:"varint,2,opt,name=until,proto3"`
 }
 
 // Validate accepts every grant: an empty one means that nothing is granted.
--- a/verbenacore/vrwire/vrwire.go
+++ b/verbenacore/vrwire/vrwire.go
@@ -5,9 +5,9 @@
 
 import (
 	"fmt"
-	"reflect"
 
-	"github.com/segmentio/encoding/proto"
+	"github.com/gogo/protobuf/proto"
+	"google.golang.org/protobuf/encoding/protowire"
 
 	"verbenaroute.example/verbenacore/vrid"
 )
@@ -32,34 +32,52 @@
 	return fmt.Sprintf("%s.%s: %s", e.Message, e.Field, e.Problem)
 }
 
+// boxHeader is the largest header of a box: a tag and a length.
+const boxHeader = 6
+
+// box lets any struct with protobuf tags be a message of the codec, which asks for
+// three methods at the top only. The header of its single field is not part of the
+// encoded form.
+type box[T any] struct {
+	Value T `protobuf:"bytes,1,opt,name=value"`
+}
+
+// Reset implements the codec's message.
+func (b *box[T]) Reset() { *b = box[T]{} }
+
+// String implements the codec's message.
+func (b *box[T]) String() string { return fmt.Sprintf("%+v", b.Value) }
+
+// ProtoMessage implements the codec's message.
+func (b *box[T]) ProtoMessage() {}
+
 // Marshal encodes a message.
 func Marshal[T any](message *T) ([]byte, error) {
-	data, err := proto.Marshal(message)
+	data, err := proto.Marshal(&box[T]{Value: *message})
 	if err != nil {
 		return nil, fmt.Errorf("encode %T: %w", message, err)
 	}
-	return data, nil
+	_, _, header := protowire.ConsumeTag(data)
+	value, length := protowire.ConsumeBytes(data[header:])
+	if length < 0 {
+		return nil, fmt.Errorf("encode %T: %w", message, protowire.ParseError(length))
+	}
+	return value, nil
 }
 
 // Unmarshal decodes and checks a message.
 func Unmarshal[T any, P interface {
 	*T
 	Message
-}](data []byte) (message *T, err error) {
-	// The decoder indexes into the input; a malformed length must not end the process.
-	defer func() {
-		if cause := recover(); cause != nil {
-			message, err = nil, &DecodeError{Message: fmt.Sprintf("%T", *new(T)), Field: "bytes", Problem: fmt.Sprint(cause)}
-		}
-	}()
-	message = new(T)
-	value := reflect.ValueOf(message).Elem()
-	if err := presize(value, data, shapeOf(value.Type())); err != nil {
-		return nil, &DecodeError{Message: fmt.Sprintf("%T", *message), Field: "bytes", Problem: err.Error()}
-	}
-	if err := proto.Unmarshal(data, message); err != nil {
-		return nil, &DecodeError{Message: fmt.Sprintf("%T", *message), Field: "bytes", Problem: err.Error()}
+}](data []byte) (*T, error) {
+	decoded := &box[T]{}
+	boxed := make([]byte, 0, len(data)+boxHeader)
+	boxed = protowire.AppendTag(boxed, 1, protowire.BytesType)
+	boxed = protowire.AppendBytes(boxed, data)
+	if err := proto.Unmarshal(boxed, decoded); err != nil {
+		return nil, &DecodeError{Message: fmt.Sprintf("%T", decoded.Value), Field: "bytes", Problem: err.Error()}
 	}
+	message := &decoded.Value
 	if err := P(message).Validate(); err != nil {
 		return nil, err
 	}
@@ -68,28 +86,28 @@
 
 // Envelope is one frame between two daemons. Exactly one of the message fields is set.
 type Envelope struct {
-	From vrid.DaemonID `protobuf:"bytes,1,opt,name=from"`
-	Boot vrid.BootID   `protobuf:"bytes,2,opt,name=boot"`
-	Zone vrid.ZoneID   `protobuf:"bytes,3,opt,name=zone"`
-
-	Heartbeat      *Heartbeat      `protobuf:"bytes,10,opt,name=heartbeat"`
-	HeartbeatReply *HeartbeatReply `protobuf:"bytes,11,opt,name=heartbeatReply"`
-	ViewDelta      *ViewDelta      `protobuf:"bytes,12,opt,name=viewDelta"`
-	Demand         *Demand         `protobuf:"bytes,13,opt,name=demand"`
-	ClaimRequest   *ClaimRequest   `protobuf:"bytes,15,opt,name=claimRequest"`
-	ClaimReply     *ClaimReply     `protobuf:"bytes,16,opt,name=claimReply"`
-	OutcomeReport  *OutcomeReport  `protobuf:"bytes,17,opt,name=outcomeReport"`
-	ConfigOffer    *ConfigOffer    `protobuf:"bytes,18,opt,name=configOffer"`
-	ConfigFetch    *ConfigFetch    `protobuf:"bytes,19,opt,name=configFetch"`
-	RecordBatch    *RecordBatch    `protobuf:"bytes,20,opt,name=recordBatch"`
-	RecordAck      *RecordAck      `protobuf:"bytes,21,opt,name=recordAck"`
-	ZoneSummary    *ZoneSummary    `protobuf:"bytes,22,opt,name=zoneSummary"`
-	EpochAck       *EpochAck       `protobuf:"bytes,23,opt,name=epochAck"`
-	Handover       *Handover       `protobuf:"bytes,24,opt,name=handover"`
-	SlotRequest    *SlotRequest    `protobuf:"bytes,25,opt,name=slotRequest"`
-	SlotGrant      *SlotGrant      `protobuf:"bytes,26,opt,name=slotGrant"`
-	QueryRequest   *QueryRequest   `protobuf:"bytes,27,opt,name=queryRequest"`
-	QueryReply     *QueryReply     `protobuf:"bytes,28,opt,name=queryReply"`
+	From vrid.DaemonID `protobuf:"bytes,1,opt,name=from,proto3"`
+	Boot vrid.BootID   `protobuf:"bytes,2,opt,name=boot,proto3"`
+	Zone vrid.ZoneID   `protobuf:"bytes,3,opt,name=zone,proto3"`
+
+	Heartbeat      *Heartbeat      `protobuf:"bytes,10,opt,name=heartbeat,proto3"`
+	HeartbeatReply *HeartbeatReply `protobuf:"bytes,11,opt,name=heartbeatReply,proto3"`
+	ViewDelta      *ViewDelta      `protobuf:"bytes,12,opt,name=viewDelta,proto3"`
+	Demand         *Demand         `protobuf:"bytes,13,opt,name=demand,proto3"`
+	ClaimRequest   *ClaimRequest   `protobuf:"bytes,15,opt,name=claimRequest,proto3"`
+	ClaimReply     *ClaimReply     `protobuf:"bytes,16,opt,name=claimReply,proto3"`
+	OutcomeReport  *OutcomeReport  `protobuf:"bytes,17,opt,name=outcomeReport,proto3"`
+	ConfigOffer    *ConfigOffer    `protobuf:"bytes,18,opt,name=configOffer,proto3"`
+	ConfigFetch    *ConfigFetch    `protobuf:"bytes,19,opt,name=configFetch,proto3"`
+	RecordBatch    *RecordBatch    `protobuf:"bytes,20,opt,name=recordBatch,proto3"`
+	RecordAck      *RecordAck      `protobuf:"bytes,21,opt,name=recordAck,proto3"`
+	ZoneSummary    *ZoneSummary    `protobuf:"bytes,22,opt,name=zoneSummary,proto3"`
+	EpochAck       *EpochAck       `protobuf:"bytes,23,opt,name=epochAck,proto3"`
+	Handover       *Handover       `protobuf:"bytes,24,opt,name=handover,proto3"`
+	SlotRequest    *SlotRequest    `protobuf:"bytes,25,opt,name=slotRequest,proto3"`
+	SlotGrant      *SlotGrant      `protobuf:"bytes,26,opt,name=slotGrant,proto3"`
+	QueryRequest   *QueryRequest   `protobuf:"bytes,27,opt,name=queryRequest,proto3"`
+	QueryReply     *QueryReply     `protobuf:"bytes,28,opt,name=queryReply,proto3"`
 }
 
 // messages lists the fields of which exactly one is set.
