--- a/verbenacore/vrrecord/entry.go
+++ b/verbenacore/vrrecord/entry.go
@@ -80,13 +80,14 @@
 	Zone    vrid.ZoneID    `protobuf:"bytes,6,opt,name=zone" json:"zone"`
 	At      int64          `protobuf:"varint,7,opt,name=at" json:"at"`
 
-	Caller  vrid.CallerID       `protobuf:"bytes,8,opt,name=caller" json:"caller,omitempty"`
-	Rank    vrid.Rank           `protobuf:"varint,9,opt,name=rank" json:"rank"`
-	KindID  vrid.KindID         `protobuf:"bytes,10,opt,name=kindId" json:"kindId,omitempty"`
-	Model   vrid.ModelID        `protobuf:"bytes,11,opt,name=model" json:"model,omitempty"`
-	Adapter vrid.AdapterID      `protobuf:"bytes,12,opt,name=adapter" json:"adapter,omitempty"`
-	Service vrid.ServiceID      `protobuf:"bytes,13,opt,name=service" json:"service,omitempty"`
-	Key     vrid.IdempotencyKey `protobuf:"bytes,14,opt,name=key" json:"key,omitempty"`
+	Caller  vrid.CallerID  `protobuf:"bytes,8,opt,name=caller" json:"caller,omitempty"`
+	Rank    vrid.Rank      `protobuf:"varint,9,opt,name=rank" json:"rank"`
+	KindID  vrid.KindID    `protobuf:"bytes,10,opt,name=kindId" json:"kindId,omitempty"`
+	Model   vrid.ModelID   `protobuf:"bytes,11,opt,name=model" json:"model,omitempty"`
+	Adapter vrid.AdapterID `protobuf:"bytes,12,opt,name=adapter" json:"adapter,omitempty"`
+	Service vrid.ServiceID `protobuf:"bytes,13,opt,name=service" json:"service,omitempty"`
+	// Key is set only for calls that must not run twice.
+	Key vrid.IdempotencyKey `protobuf:"bytes,14,opt,name=key" json:"key,omitempty"`
 
 	// Reason is the refusal's stable code; empty for answers.
 	Reason string `protobuf:"bytes,15,opt,name=reason" json:"reason,omitempty"`
@@ -114,6 +115,8 @@
 	// GapFirst and GapLast bound the missing numbers of a gap.
 	GapFirst uint64 `protobuf:"varint,31,opt,name=gapFirst" json:"gapFirst,omitempty"`
 	GapLast  uint64 `protobuf:"varint,32,opt,name=gapLast" json:"gapLast,omitempty"`
+	// FromConfig is the version that a command changed; Config is what it led to.
+	FromConfig vrid.ConfigVersion `protobuf:"varint,33,opt,name=fromConfig" json:"fromConfig,omitempty"`
 }
 
 // EntryError says which field of an entry broke a rule.
--- a/verbenacore/vrwire/problem.go
+++ b/verbenacore/vrwire/problem.go
@@ -1,6 +1,11 @@
 package vrwire
 
-import "verbenaroute.example/verbenacore/vrid"
+import (
+	"maps"
+	"slices"
+
+	"verbenaroute.example/verbenacore/vrid"
+)
 
 // Reason is the stable code of a refusal.
 type Reason string
@@ -68,6 +73,9 @@
 	ReasonCallerGone:               {statusClientClosed, "The caller closed the connection"},
 }
 
+// Reasons lists every reason in alphabetical order.
+func Reasons() []Reason { return slices.Sorted(maps.Keys(_reasons)) }
+
 // Status returns the HTTP status of the refusal.
 func (r Reason) Status() int {
 	if info, ok := _reasons[r]; ok {
