Name record blocks by the hour of their last entry

A list of the platform has a prefix and no bounds, so with keys by writer a query for the last minutes would list every block of the retention time. The keys are now record/{zone}/{hour}/{writer}-{boot}/{sequence}.

The writer no longer forgets a run whose end waits for a block (TestManyRunsEnd), commands carry the version that they changed, and blocks are compressed by vrcodec.

--- a/verbenacore/vrjournal/vrjournal_test.go
+++ b/verbenacore/vrjournal/vrjournal_test.go
@@ -363,3 +363,25 @@
 	}
 	require.GreaterOrEqual(t, len(seen), int(z.nodes["d1"].appended))
 }
+
+// Guards against a writer that forgets a run whose end it still has to write: many
+// daemons end while a write is in flight.
+func TestManyRunsEnd(t *testing.T) {
+	z := newZone(t, 10, "d1")
+	z.setWriter("d1")
+	for i := range 3 * endedRuns {
+		fresh := z.start(vrid.DaemonID(fmt.Sprint("e", i)), "B1", Options{})
+		fresh.SetWriter("d1", "")
+		fresh.answer(z)
+		z.pass(1, 0)
+		fresh.dead = true
+		z.nodes["d1"].MemberRemoved(z.now, fresh.id, "B1", fresh.Opened()+uint64(i%2))
+	}
+	z.drain()
+	z.pass(3, 0)
+	report := z.audit()
+	require.Empty(t, report.Findings)
+	require.EqualValues(t, 3*endedRuns, report.Terminals)
+	require.EqualValues(t, 3*endedRuns/2, report.Lost)
+	require.LessOrEqual(t, len(z.nodes["d1"].writer.sources), endedRuns+1)
+}
--- a/verbenacore/vrjournal/writer.go
+++ b/verbenacore/vrjournal/writer.go
@@ -390,8 +390,15 @@
 	if len(w.sources) <= endedRuns {
 		return
 	}
+	used := make(map[vrrecord.Run]bool)
+	for _, run := range w.endings {
+		used[run] = true
+	}
+	for _, entry := range w.buffer {
+		used[entry.run] = true
+	}
 	for run, origin := range w.sources {
-		if origin.ended && origin.held.Last() <= origin.written.Last() {
+		if origin.ended && !used[run] && origin.held.Last() <= origin.written.Last() {
 			delete(w.sources, run)
 		}
 	}
--- a/verbenacore/vrrecord/block.go
+++ b/verbenacore/vrrecord/block.go
@@ -7,10 +7,9 @@
 	"fmt"
 	"strconv"
 	"strings"
-	"sync"
-
-	"github.com/klauspost/compress/zstd"
+	"time"
 
+	"verbenaroute.example/verbenacore/vrcodec"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrplatform"
 	"verbenaroute.example/verbenacore/vrwire"
@@ -117,7 +116,10 @@
 
 // Key returns the object's key.
 func (b *Block) Key() string {
-	return BlockName{Zone: b.Zone, Writer: b.Writer, Boot: b.Boot, Sequence: b.Sequence}.Key()
+	return BlockName{
+		Zone: b.Zone, Hour: time.UnixMilli(b.Until).UTC().Format(hourLayout),
+		Writer: b.Writer, Boot: b.Boot, Sequence: b.Sequence,
+	}.Key()
 }
 
 // Entry decodes and checks the entry at index i.
@@ -130,15 +132,6 @@
 	return binary.BigEndian.Uint32(sum[:digestSize])
 }
 
-var (
-	_encoder = sync.OnceValues(func() (*zstd.Encoder, error) {
-		return zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
-	})
-	_decoder = sync.OnceValues(func() (*zstd.Decoder, error) {
-		return zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(MaxBlock))
-	})
-)
-
 // EncodeBlock returns the value of the block's object. It fills in the digests.
 func EncodeBlock(block *Block) ([]byte, error) {
 	if err := block.Validate(); err != nil {
@@ -161,21 +154,13 @@
 	if err != nil {
 		return nil, err
 	}
-	encoder, err := _encoder()
-	if err != nil {
-		return nil, fmt.Errorf("zstd encoder: %w", err)
-	}
-	return encoder.EncodeAll(data, nil), nil
+	return vrcodec.Compress(nil, data), nil
 }
 
 // DecodeBlock reads the value of a block's object. It takes at most MaxBlock bytes
 // of memory for the decoded form, whatever the frame claims.
 func DecodeBlock(data []byte) (*Block, error) {
-	decoder, err := _decoder()
-	if err != nil {
-		return nil, fmt.Errorf("zstd decoder: %w", err)
-	}
-	plain, err := decoder.DecodeAll(data, nil)
+	plain, err := vrcodec.Decompress(data, MaxBlock)
 	if err != nil {
 		return nil, &BlockError{Problem: "it can't be decompressed", Err: err}
 	}
@@ -204,20 +189,30 @@
 
 func sameHash(a, b []byte) bool { return bytes.Equal(a, b) }
 
+// hourLayout names the hour of a block's last entry. Without it a query for the last
+// minutes would have to list every block of the retention time.
+const hourLayout = "2006-01-02T15"
+
 // BlockName holds the parts of a block's key.
 type BlockName struct {
 	Zone     vrid.ZoneID
+	Hour     string
 	Writer   vrid.DaemonID
 	Boot     vrid.BootID
 	Sequence uint64
 }
 
-// Key returns the key, for example "record/tw-north-a/vm-1-01J/000000000007".
+// Key returns the key, for example "record/tw-north-a/2026-12-04T03/vm-1-01J/000000000007".
 func (n BlockName) Key() string {
-	return fmt.Sprintf("%s%s-%s/%0*d", ZonePrefix(n.Zone), n.Writer, n.Boot, sequenceWidth, n.Sequence)
+	return fmt.Sprintf("%s%0*d", n.Prefix(), sequenceWidth, n.Sequence)
+}
+
+// Prefix returns the part of the key that the blocks of one writer's run and hour share.
+func (n BlockName) Prefix() string {
+	return fmt.Sprintf("%s%s/%s-%s/", ZonePrefix(n.Zone), n.Hour, n.Writer, n.Boot)
 }
 
-// Chain returns the part of the key that all blocks of one writer's run share.
+// Chain names the chain of the block: all blocks of one writer's run.
 func (n BlockName) Chain() string {
 	return fmt.Sprintf("%s%s-%s", ZonePrefix(n.Zone), n.Writer, n.Boot)
 }
@@ -227,23 +222,30 @@
 	return vrplatform.PrefixRecord + string(zone) + "/"
 }
 
+// HourPrefix is the prefix of a zone's blocks whose last entry is of an hour.
+func HourPrefix(zone vrid.ZoneID, hour time.Time) string {
+	return ZonePrefix(zone) + hour.UTC().Format(hourLayout) + "/"
+}
+
 // ParseKey reads a block's key. A boot id holds no "-", a daemon id may.
 func ParseKey(key string) (BlockName, error) {
 	rest, found := strings.CutPrefix(key, vrplatform.PrefixRecord)
 	parts := strings.Split(rest, "/")
-	const partCount = 3
+	const partCount = 4
 	if !found || len(parts) != partCount {
-		return BlockName{}, &BlockError{Problem: fmt.Sprintf("key %q is not record/{zone}/{writer}-{boot}/{sequence}", key)}
+		return BlockName{}, &BlockError{Problem: fmt.Sprintf("key %q is not record/{zone}/{hour}/{writer}-{boot}/{sequence}", key)}
 	}
-	dash := strings.LastIndexByte(parts[1], '-')
-	sequence, err := strconv.ParseUint(parts[2], 10, 64)
+	zone, hour, chain, number := parts[0], parts[1], parts[2], parts[3]
+	dash := strings.LastIndexByte(chain, '-')
+	sequence, err := strconv.ParseUint(number, 10, 64)
 	if dash < 0 || err != nil {
 		return BlockName{}, &BlockError{Problem: fmt.Sprintf("key %q has no boot id or sequence", key), Err: err}
 	}
 	return BlockName{
-		Zone:     vrid.ZoneID(parts[0]),
-		Writer:   vrid.DaemonID(parts[1][:dash]),
-		Boot:     vrid.BootID(parts[1][dash+1:]),
+		Zone:     vrid.ZoneID(zone),
+		Hour:     hour,
+		Writer:   vrid.DaemonID(chain[:dash]),
+		Boot:     vrid.BootID(chain[dash+1:]),
 		Sequence: sequence,
 	}, nil
 }
--- a/verbenacore/vrrecord/verify_test.go
+++ b/verbenacore/vrrecord/verify_test.go
@@ -87,7 +87,7 @@
 			changed.Total = 1
 			b[1].Entries[2] = encodeEntry(t, changed)
 			return b
-		}, []FindingKind{FindingAlteredBlock, FindingAlteredEntry}, "alteredEntry record/tw-north-a/vm-1-B1/000000000002 vm-1/B1 number 13 request 01JREQUEST0000000000000013: its digest differs"},
+		}, []FindingKind{FindingAlteredBlock, FindingAlteredEntry}, "alteredEntry record/tw-north-a/1970-01-01T00/vm-1-B1/000000000002 vm-1/B1 number 13 request 01JREQUEST0000000000000013: its digest differs"},
 		{"alter entry and its digest", func(t *testing.T, b []*Block) []*Block {
 			changed := entryOf(13)
 			changed.Total = 1
@@ -95,7 +95,7 @@
 			_, err := EncodeBlock(b[1])
 			require.NoError(t, err)
 			return b
-		}, []FindingKind{FindingAlteredBlock}, "alteredBlock record/tw-north-a/vm-1-B1/000000000002: its hash is not the one that the next block names"},
+		}, []FindingKind{FindingAlteredBlock}, "alteredBlock record/tw-north-a/1970-01-01T00/vm-1-B1/000000000002: its hash is not the one that the next block names"},
 		{"alter entry of the last block", func(t *testing.T, b []*Block) []*Block {
 			changed := entryOf(35)
 			changed.Ran = RanNo
@@ -105,11 +105,11 @@
 		{"drop entry", func(_ *testing.T, b []*Block) []*Block {
 			b[1].Entries = slices.Delete(b[1].Entries, 2, 3)
 			return b
-		}, []FindingKind{FindingAlteredBlock, FindingAlteredBlock, FindingMissingEntry}, "missingEntry record/tw-north-a/vm-1-B1/000000000002 vm-1/B1 number 13: the block says that it holds the entry"},
+		}, []FindingKind{FindingAlteredBlock, FindingAlteredBlock, FindingMissingEntry}, "missingEntry record/tw-north-a/1970-01-01T00/vm-1-B1/000000000002 vm-1/B1 number 13: the block says that it holds the entry"},
 		{"double entry", func(_ *testing.T, b []*Block) []*Block {
 			b[1].Entries = append(b[1].Entries, b[1].Entries[2])
 			return b
-		}, []FindingKind{FindingAlteredBlock, FindingAlteredBlock, FindingDoubledEntry}, "doubledEntry record/tw-north-a/vm-1-B1/000000000002 vm-1/B1 number 13"},
+		}, []FindingKind{FindingAlteredBlock, FindingAlteredBlock, FindingDoubledEntry}, "doubledEntry record/tw-north-a/1970-01-01T00/vm-1-B1/000000000002 vm-1/B1 number 13"},
 		{"second end of a request", func(t *testing.T, b []*Block) []*Block {
 			second := entryOf(31)
 			second.Request = entryOf(2).Request
@@ -120,7 +120,7 @@
 		}, []FindingKind{FindingDoubledRequest}, "the request ended already in vm-1/B1 number 2"},
 		{"drop block", func(_ *testing.T, b []*Block) []*Block {
 			return slices.Delete(b, 1, 2)
-		}, []FindingKind{FindingMissingEntry, FindingMissingBlock}, "missingBlock record/tw-north-a/vm-1-B1/000000000003: block 2 before it is missing"},
+		}, []FindingKind{FindingMissingEntry, FindingMissingBlock}, "missingBlock record/tw-north-a/1970-01-01T00/vm-1-B1/000000000003: block 2 before it is missing"},
 		{"drop first block", func(_ *testing.T, b []*Block) []*Block {
 			return b[1:]
 		}, []FindingKind{FindingMissingEntry, FindingMissingBlock}, "number 1 to 10"},
@@ -217,12 +217,12 @@
 
 // Guards against a key that doesn't lead back to its block.
 func TestKey(t *testing.T) {
-	name := BlockName{Zone: "tw-north-a", Writer: "vm-1", Boot: "01J", Sequence: 7}
-	require.Equal(t, "record/tw-north-a/vm-1-01J/000000000007", name.Key())
+	name := BlockName{Zone: "tw-north-a", Hour: "2026-12-04T03", Writer: "vm-1", Boot: "01J", Sequence: 7}
+	require.Equal(t, "record/tw-north-a/2026-12-04T03/vm-1-01J/000000000007", name.Key())
 	parsed, err := ParseKey(name.Key())
 	require.NoError(t, err)
 	require.Equal(t, name, parsed)
-	for _, bad := range []string{"", "record/z/w-b", "record/z/wb/1", "record/z/w-b/x", "claims/z/w-b/1"} {
+	for _, bad := range []string{"", "record/z/w-b", "record/z/w-b/1", "record/z/h/wb/1", "record/z/h/w-b/x", "claims/z/h/w-b/1"} {
 		_, err := ParseKey(bad)
 		require.Error(t, err, bad)
 	}
@@ -235,7 +235,7 @@
 	}
 	f.Add([]byte{})
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		Verify([]Stored{{Key: "record/z/w-b/000000000001", Data: data}})
+		Verify([]Stored{{Key: "record/z/h/w-b/000000000001", Data: data}})
 	})
 }
 
--- a/verbenacore/vrreducer/config.go
+++ b/verbenacore/vrreducer/config.go
@@ -305,7 +305,7 @@
 	out.Add(vrevent.ConfigDecided{Proposal: c.Proposal, Decision: decision, Version: max(c.head, s.store.Version())})
 	if decision == vrevent.ConfigAccepted {
 		s.appendOwn(now, vrrecord.Entry{
-			Kind: vrrecord.EntryCommand, Text: c.Command, Operator: c.Operator, Ran: vrrecord.RanYes,
+			Kind: vrrecord.EntryCommand, Text: c.Command, Operator: c.Operator, Ran: vrrecord.RanYes, FromConfig: c.Base,
 		}, out)
 	}
 }
