--- a/verbenacore/vrwire/vrwire.go
+++ b/verbenacore/vrwire/vrwire.go
@@ -39,7 +39,7 @@
 // three methods at the top only. The header of its single field is not part of the
 // encoded form.
 type box[T any] struct {
-	Value T `protobuf:"bytes,1,opt,name=value"`
+	Value T `protobuf:"bytes,1,opt,name=value,proto3"`
 }
 
 // Reset implements the codec's message.
