Wire the daemon: clients, addresses, shutdown, command line

The runtime follows the reducer's configuration, a stalled stream counts as broken so that it goes on elsewhere, and a lookup without an answer submits nothing.

--- a/verbenaroute/internal/vradmin/metrics.go
+++ b/verbenaroute/internal/vradmin/metrics.go
@@ -8,7 +8,6 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"verbenaroute.example/verbenacore/vrid"
-	"verbenaroute.example/verbenacore/vrplatform"
 	"verbenaroute.example/verbenacore/vrrecord"
 )
 
@@ -113,11 +112,6 @@
 	return entry.Status < callersFault || entry.Status == tooMany || entry.Status >= serversFault
 }
 
-// PlatformCall counts a call to the platform.
-func (m *Metrics) PlatformCall(call string, outcome vrplatform.Outcome) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`verbenaroute_platform_calls_total{call="%s",outcome="%s"}`, call, outcome)).Inc()
-}
-
 // ConfigVersion notes the version in force.
 func (m *Metrics) ConfigVersion(version vrid.ConfigVersion) { m.config.Set(uint64(version)) }
 
@@ -132,6 +126,9 @@
 // Ready notes whether the daemon takes requests.
 func (m *Metrics) Ready(ready bool, reason string) { m.status.Set(ready, reason) }
 
+// Set returns the set, so that clients add their own series.
+func (m *Metrics) Set() *metrics.Set { return m.set }
+
 // AddGauge adds a value that is read when the metrics are.
 func (m *Metrics) AddGauge(name string, read func() float64) { m.set.NewGauge(name, read) }
 
--- a/verbenaroute/internal/vrfront/attempt.go
+++ b/verbenaroute/internal/vrfront/attempt.go
@@ -19,6 +19,7 @@
 	// 75 ms, so this is far beyond any slow server that is still at work.
 	_stallTimeout  = 20 * time.Second
 	_cancelTimeout = 2 * time.Second
+	// _lookUpTimeout is also how long the reducer waits before it asks another server.
 	_lookUpTimeout = 2 * time.Second
 )
 
@@ -106,7 +107,7 @@
 	a := &attempt{number: e.Attempt, dispatch: e, cancel: cancel}
 	if !flight.begin(a) {
 		cancel()
-		f.run(func() { f.endUnsent(flight, a) })
+		f.run(func() { f.submitEnd(flight, a, vrevent.AttemptCallerGone) })
 		return
 	}
 	f.attempts.Go(func() {
@@ -115,12 +116,6 @@
 	})
 }
 
-// endUnsent answers a dispatch for a caller that is gone.
-func (f *Front) endUnsent(flight *flight, a *attempt) {
-	f.submitEnd(flight, a, vrevent.AttemptNotSent)
-	f.options.Submitter.Submit(vrevent.CallerGone{Request: flight.request.ID})
-}
-
 // attempt runs one dispatch and submits exactly one AttemptEnded.
 func (f *Front) attempt(ctx context.Context, flight *flight, a *attempt) {
 	stop := a.armDeadline(flight)
@@ -138,11 +133,8 @@
 		f.panics.Add(1)
 		f.options.Log.Error("attempt panicked", zap.String("request", string(flight.request.ID)), zap.Error(caught.AsError()))
 	}
-	result, gone := flight.leave(a, result)
+	result = flight.leave(a, result)
 	f.submitEnd(flight, a, result)
-	if gone && result.ProvesNotRun() {
-		f.options.Submitter.Submit(vrevent.CallerGone{Request: flight.request.ID})
-	}
 	if flight.call == nil && result != vrevent.AttemptAnswered && !result.ProvesNotRun() {
 		f.cancelAtEngine(flight, a)
 	}
@@ -207,10 +199,16 @@
 	return flight.waitForRoom(ctx)
 }
 
+// lookUp asks for an outcome. Without an answer nothing is submitted, because "not
+// found" would be taken as the service's word.
 func (f *Front) lookUp(e vrevent.LookUpOutcome) {
 	ctx, cancel := context.WithTimeout(f.base, _lookUpTimeout)
 	defer cancel()
-	answer, found := f.options.Backends.Outcome(ctx, e.Address, e.Path, e.Key)
+	answer, found, err := f.options.Backends.Outcome(ctx, e.Address, e.Path, e.Key)
+	if err != nil {
+		f.options.Log.Warn("outcome of a call is not known", zap.String("request", string(e.Request)), zap.Error(err))
+		return
+	}
 	f.options.Submitter.Submit(vrevent.OutcomeLookedUp{
 		Request:     e.Request,
 		Found:       found,
--- a/verbenaroute/internal/vrfront/flight.go
+++ b/verbenaroute/internal/vrfront/flight.go
@@ -91,7 +91,9 @@
 	dispatch vrevent.Dispatch
 	cancel   context.CancelFunc
 	timer    *time.Timer
-	// timedOut is guarded by the flight's mutex.
+	// spoke is set with the first line, timedOut when there was none by the deadline;
+	// both are guarded by the flight's mutex.
+	spoke    bool
 	timedOut bool
 }
 
@@ -131,11 +133,12 @@
 	}
 }
 
-// begin notes a new attempt; false when the caller is gone.
+// begin notes a new attempt; false when the caller is gone and nothing is lost by not
+// sending the request.
 func (f *flight) begin(a *attempt) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.gone || f.terminal != nil {
+	if f.gone && f.mayCancel() {
 		return false
 	}
 	f.attempts = append(f.attempts, a)
@@ -147,7 +150,8 @@
 	timer := time.AfterFunc(time.Until(a.dispatch.Deadline), func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		a.timedOut = true
+		// A stream that stalls later is broken and goes on elsewhere.
+		a.timedOut = !a.spoke
 		a.cancel()
 	})
 	f.mu.Lock()
@@ -158,7 +162,7 @@
 
 // leave removes an attempt that ended, frees the stream for the next one and refines
 // the result: a canceled call looks broken to the client.
-func (f *flight) leave(a *attempt, result vrevent.AttemptResult) (refined vrevent.AttemptResult, gone bool) {
+func (f *flight) leave(a *attempt, result vrevent.AttemptResult) vrevent.AttemptResult {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i, candidate := range f.attempts {
@@ -170,16 +174,14 @@
 	if f.owner == a {
 		f.owner = nil
 	}
-	if result != vrevent.AttemptBroken {
-		return result, f.gone
-	}
 	switch {
+	case result == vrevent.AttemptAnswered:
 	case f.gone && f.mayCancel():
-		return vrevent.AttemptCallerGone, true
-	case a.timedOut:
-		return vrevent.AttemptTimedOut, f.gone
+		return vrevent.AttemptCallerGone
+	case a.timedOut && !result.ProvesNotRun():
+		return vrevent.AttemptTimedOut
 	}
-	return result, f.gone
+	return result
 }
 
 // cancelAttempt stops one attempt.
@@ -214,7 +216,8 @@
 	if f.owner != nil && f.owner != a {
 		return false, errNotOwner
 	}
-	first = f.owner == nil
+	first = !a.spoke
+	a.spoke = true
 	f.owner = a
 	if line.Offset > f.next {
 		return false, &OffsetError{Want: f.next, Found: line.Offset}
--- a/verbenaroute/internal/vrfront/parse.go
+++ b/verbenaroute/internal/vrfront/parse.go
@@ -98,7 +98,12 @@
 		return nil
 	}
 	limit := int(f.options.Limits.Body)
-	if ctx.Request.Header.ContentLength() > limit {
+	if length := ctx.Request.Header.ContentLength(); length > limit {
+		// A client that is still writing does not read the answer, so a body of a
+		// tolerable length is read and dropped.
+		if length <= 2*limit {
+			_, _ = io.Copy(io.Discard, stream)
+		}
 		return reject(vrwire.ReasonBodyTooLarge, "the body is larger than the limit")
 	}
 	body := &bodyBuffer{front: f}
--- a/verbenaroute/internal/vrfront/vrfront.go
+++ b/verbenaroute/internal/vrfront/vrfront.go
@@ -76,8 +76,9 @@
 	Cancel(ctx context.Context, address string, request vrid.RequestID)
 	// Call sends the call once.
 	Call(ctx context.Context, address string, call *ServiceCall) (ServiceAnswer, vrevent.AttemptResult)
-	// Outcome asks how the call with a key ended.
-	Outcome(ctx context.Context, address, path string, key vrid.IdempotencyKey) (answer ServiceAnswer, found bool)
+	// Outcome asks how the call with a key ended. Without an error, found is false only
+	// when the service knows that no call ran under the key.
+	Outcome(ctx context.Context, address, path string, key vrid.IdempotencyKey) (answer ServiceAnswer, found bool, err error)
 }
 
 // Options construct a Front.
--- /dev/null
+++ b/verbenaroute/internal/vrserve/clients.go
@@ -0,0 +1,85 @@
+package vrserve
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"verbenaroute.example/verbenaroute/internal/vrfront"
+
+	"verbenaroute.example/verbenacore/vrclient"
+	"verbenaroute.example/verbenacore/vrengine"
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrid"
+)
+
+// _lookUpPause lies between two questions for an outcome that the service could not
+// answer. "Not found" must mean that nothing ran, so no answer is not passed on as one.
+const _lookUpPause = 200 * time.Millisecond
+
+// backends fits the clients to the callers' interface.
+type backends struct {
+	engine *vrclient.Engine
+	app    *vrclient.App
+}
+
+// Generate implements vrfront.Backends.
+func (b *backends) Generate(ctx context.Context, address string, request *vrengine.GenerateRequest, token func(*vrengine.Token) error) vrevent.AttemptResult {
+	stream, err := b.engine.Generate(ctx, address, *request)
+	if err != nil {
+		return attemptResult(err)
+	}
+	defer stream.Close()
+	for {
+		line, err := stream.Next()
+		if err != nil {
+			return attemptResult(err)
+		}
+		if err := token(&line); err != nil {
+			return vrevent.AttemptBroken
+		}
+		if line.Done {
+			return vrevent.AttemptAnswered
+		}
+	}
+}
+
+func attemptResult(err error) vrevent.AttemptResult {
+	var attempt *vrclient.AttemptError
+	if errors.As(err, &attempt) {
+		return attempt.Result
+	}
+	return vrevent.AttemptBroken
+}
+
+// Cancel implements vrfront.Backends. A lost cancellation only costs the server work.
+func (b *backends) Cancel(ctx context.Context, address string, request vrid.RequestID) {
+	_ = b.engine.Cancel(ctx, address, request)
+}
+
+// Call implements vrfront.Backends.
+func (b *backends) Call(ctx context.Context, address string, call *vrfront.ServiceCall) (vrfront.ServiceAnswer, vrevent.AttemptResult) {
+	result := b.app.Call(ctx, address, vrclient.AppRequest{
+		Method:      call.Method,
+		Path:        call.Target,
+		ContentType: call.ContentType,
+		Body:        call.Body,
+		RequestID:   call.Request,
+		Key:         call.Key,
+	})
+	return vrfront.ServiceAnswer{Status: result.Status, ContentType: result.ContentType, Body: result.Body}, result.Result
+}
+
+// Outcome implements vrfront.Backends. It asks until the service knows or ctx ends.
+func (b *backends) Outcome(ctx context.Context, address, path string, key vrid.IdempotencyKey) (answer vrfront.ServiceAnswer, found bool, err error) {
+	for {
+		result := b.app.LookUpOutcome(ctx, address, path, key)
+		if result.Known {
+			return vrfront.ServiceAnswer{Status: result.Status, ContentType: result.ContentType, Body: result.Body}, result.Found, nil
+		}
+		rest(ctx, _lookUpPause)
+		if ctx.Err() != nil {
+			return answer, false, errors.Join(result.Err, ctx.Err())
+		}
+	}
+}
--- /dev/null
+++ b/verbenaroute/internal/vrserve/daemon.go
@@ -0,0 +1,228 @@
+package vrserve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/oklog/ulid/v2"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"verbenaroute.example/verbenacore/vrclient"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrreducer"
+	"verbenaroute.example/verbenacore/vrsettings"
+
+	"verbenaroute.example/verbenaroute/internal/vradmin"
+	"verbenaroute.example/verbenaroute/internal/vrfront"
+)
+
+// ListenError says which address could not be opened.
+type ListenError struct {
+	// Field is the setting with the address.
+	Field   string
+	Address string
+	Err     error
+}
+
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("%s: listen on %s: %v", e.Field, e.Address, e.Err)
+}
+
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// CutOffError says that a shutdown ended before every request had.
+type CutOffError struct {
+	Requests int
+	// HandedOver is false when the reducer had not finished.
+	HandedOver bool
+}
+
+func (e *CutOffError) Error() string {
+	return fmt.Sprintf("shutdown grace ended with %d running requests, handed over: %t", e.Requests, e.HandedOver)
+}
+
+// DaemonOptions construct a Daemon.
+type DaemonOptions struct {
+	Settings *vrsettings.Settings
+	Log      *zap.Logger
+	// Mount adds handlers to the operators' address.
+	Mount func(d *Daemon, app *fiber.App)
+}
+
+// Daemon is a whole daemon: the runtime, the callers' and operators' addresses and the
+// sessions with peers.
+type Daemon struct {
+	settings *vrsettings.Settings
+	log      *zap.Logger
+	boot     vrid.BootID
+
+	// Runtime, State and Metrics are for the operators' handlers. State is only read
+	// inside Runtime.Inspect.
+	Runtime *Runtime
+	State   *vrreducer.State
+	Metrics *vradmin.Metrics
+
+	status   *vradmin.Status
+	front    *vrfront.Front
+	admin    *vradmin.Admin
+	clients  clients
+	peers    *peerHub
+	callers  net.Listener
+	operator net.Listener
+	serving  conc.WaitGroup
+}
+
+// clients are the outgoing connections.
+type clients struct {
+	platform *vrclient.Platform
+	engine   *vrclient.Engine
+	app      *vrclient.App
+}
+
+func (c *clients) close() {
+	c.platform.Close()
+	c.engine.Close()
+	c.app.Close()
+}
+
+// NewDaemon builds a daemon and opens its addresses.
+func NewDaemon(options DaemonOptions) (*Daemon, error) {
+	d := &Daemon{
+		settings: options.Settings,
+		log:      options.Log,
+		boot:     vrid.BootID(ulid.Make().String()),
+		status:   vradmin.NewStatus(),
+	}
+	d.Metrics = vradmin.NewMetrics(d.status)
+	if err := d.openClients(); err != nil {
+		return nil, err
+	}
+	d.buildRuntime()
+	if err := d.openAddresses(); err != nil {
+		d.closeAddresses()
+		return nil, err
+	}
+	d.admin = vradmin.New(vradmin.Options{
+		Status:  d.status,
+		Metrics: d.Metrics,
+		Mount: func(app *fiber.App) {
+			if options.Mount != nil {
+				options.Mount(d, app)
+			}
+		},
+	})
+	return d, nil
+}
+
+func (d *Daemon) openClients() error {
+	platform, err := vrclient.NewPlatform(vrclient.PlatformOptions{
+		BaseURL:     d.settings.Platform,
+		Rate:        d.settings.Limits.PlatformCalls,
+		Concurrency: d.settings.Limits.PlatformConcurrency,
+		Metrics:     d.Metrics.Set(),
+	})
+	if err != nil {
+		return fmt.Errorf("open platform client: %w", err)
+	}
+	d.clients = clients{
+		platform: platform,
+		engine:   vrclient.NewEngine(vrclient.EngineOptions{Metrics: d.Metrics.Set()}),
+		app:      vrclient.NewApp(vrclient.AppOptions{Metrics: d.Metrics.Set()}),
+	}
+	return nil
+}
+
+func (d *Daemon) buildRuntime() {
+	d.State = vrreducer.New(vrreducer.Options{
+		Daemon:      d.settings.Daemon,
+		Boot:        d.boot,
+		Zone:        d.settings.Zone,
+		PeerAddress: d.settings.Peers,
+		Seeds:       d.settings.Seeds,
+		Random:      rand.Uint64(),
+		Queue:       d.settings.Limits.Queue,
+		QueueMemory: d.settings.Limits.QueueMemory,
+	})
+	d.Runtime = New(Options{
+		Reducer:  d.State,
+		Platform: d.clients.platform,
+		Engines:  d.clients.engine,
+		Observer: d.Metrics,
+		Log:      d.log,
+		Workers:  d.settings.Limits.PlatformConcurrency,
+	})
+	d.front = vrfront.New(vrfront.Options{
+		Submitter: d.Runtime,
+		Configs:   d.Runtime.Configs(),
+		Backends:  &backends{engine: d.clients.engine, app: d.clients.app},
+		Log:       d.log,
+		Limits:    d.settings.Limits,
+	})
+	d.Metrics.AddGauge("verbenaroute_running_requests", func() float64 { return float64(d.front.Running()) })
+	d.Metrics.AddGauge("verbenaroute_events_total", func() float64 { return float64(d.Runtime.Events()) })
+	d.Metrics.AddGauge("verbenaroute_front_panics_total", func() float64 { return float64(d.front.Panics()) })
+}
+
+func (d *Daemon) openAddresses() (err error) {
+	if d.callers, err = listen("callers", d.settings.Callers, d.settings.CallerTLS); err != nil {
+		return err
+	}
+	if d.operator, err = listen("operators", d.settings.Operators, d.settings.OperatorTLS); err != nil {
+		return err
+	}
+	if d.peers, err = newPeerHub(d); err != nil {
+		return err
+	}
+	d.Runtime.Bind(d.front, d.peers)
+	return nil
+}
+
+func (d *Daemon) closeAddresses() {
+	for _, listener := range []net.Listener{d.callers, d.operator} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+// Run serves until ctx ends and then shuts down gracefully. It returns a CutOffError
+// when the grace was too short.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.log.Info("daemon starts",
+		zap.String("daemon", string(d.settings.Daemon)),
+		zap.String("zone", string(d.settings.Zone)),
+		zap.String("boot", string(d.boot)),
+		zap.String("callers", d.settings.Callers),
+		zap.String("operators", d.settings.Operators),
+		zap.String("peers", d.settings.Peers))
+	d.serve("operators", func() error { return d.admin.Serve(d.operator) })
+	d.serve("callers", func() error { return d.front.Serve(d.callers) })
+	d.Runtime.Start()
+	<-ctx.Done()
+	return d.shutdown()
+}
+
+// serve runs a server and logs why it ended.
+func (d *Daemon) serve(name string, run func() error) {
+	d.serving.Go(func() {
+		if err := run(); err != nil && !errors.Is(err, net.ErrClosed) {
+			d.log.Error("server ended", zap.String("server", name), zap.String("errorType", errorType(err)), zap.Error(err))
+		}
+	})
+}
+
+// errorType names the type of an error's cause for logs, for example "*net.OpError".
+func errorType(err error) string {
+	for {
+		cause := errors.Unwrap(err)
+		if cause == nil {
+			return fmt.Sprintf("%T", err)
+		}
+		err = cause
+	}
+}
--- a/verbenaroute/internal/vrserve/hook.go
+++ b/verbenaroute/internal/vrserve/hook.go
@@ -72,7 +72,6 @@
 }
 
 type proposal struct {
-	event vrevent.ConfigProposed
 	// decided has room for the one decision.
 	decided chan vrevent.ConfigDecided
 }
@@ -82,7 +81,6 @@
 func (r *Runtime) Propose(ctx context.Context, event vrevent.ConfigProposed) vrevent.ConfigDecided {
 	waiting := &proposal{decided: make(chan vrevent.ConfigDecided, 1)}
 	event.Proposal = r.proposals.add(waiting)
-	waiting.event = event
 	defer r.proposals.take(event.Proposal)
 	r.Submit(event)
 	select {
@@ -112,11 +110,7 @@
 // decide passes a decision to the operator's call.
 func (r *Runtime) decide(e vrevent.ConfigDecided) {
 	waiting := r.proposals.take(e.Proposal)
-	if waiting == nil {
-		return
-	}
-	if e.Decision == vrevent.ConfigAccepted {
-		r.advance(waiting.event.Index)
+	if waiting != nil {
+		waiting.decided <- e
 	}
-	waiting.decided <- e
 }
--- a/verbenaroute/internal/vrserve/outside.go
+++ b/verbenaroute/internal/vrserve/outside.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"verbenaroute.example/verbenacore/vrcodec"
-	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrevent"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrplatform"
@@ -29,36 +28,29 @@
 func (r *Runtime) readObject(e vrevent.ReadObject) {
 	ctx, cancel := context.WithTimeout(r.base, _platformTimeout)
 	defer cancel()
-	value, version, outcome := r.options.Platform.Get(ctx, e.Key)
-	r.options.Observer.PlatformCall("get", outcome)
-	if e.Key == vrplatform.KeyConfigHead && outcome == vrplatform.OutcomeOK {
-		r.seeConfig(value, true)
-	}
-	r.Submit(vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: outcome, Version: version, Value: value})
+	read := r.options.Platform.Read(ctx, e.Key)
+	r.Submit(vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: read.Outcome, Version: read.Version, Value: read.Value})
 }
 
 func (r *Runtime) writeObject(e vrevent.WriteObject) {
 	ctx, cancel := context.WithTimeout(r.base, _platformTimeout)
 	defer cancel()
-	version, outcome := r.options.Platform.Put(ctx, e.Key, e.Value, e.IfVersion)
-	r.options.Observer.PlatformCall("put", outcome)
-	r.Submit(vrevent.ObjectWritten{Op: e.Op, Key: e.Key, Outcome: outcome, Version: version})
+	written := r.options.Platform.Write(ctx, e.Key, e.IfVersion, e.Value)
+	r.Submit(vrevent.ObjectWritten{Op: e.Op, Key: e.Key, Outcome: written.Outcome, Version: written.Version})
 }
 
 func (r *Runtime) listObjects(e vrevent.ListObjects) {
 	ctx, cancel := context.WithTimeout(r.base, _platformTimeout)
 	defer cancel()
-	items, outcome := r.options.Platform.List(ctx, e.Prefix, e.Values)
-	r.options.Observer.PlatformCall("list", outcome)
-	r.Submit(vrevent.ObjectsListed{Op: e.Op, Prefix: e.Prefix, Outcome: outcome, Items: items})
+	list := r.options.Platform.List(ctx, e.Prefix, e.Values)
+	r.Submit(vrevent.ObjectsListed{Op: e.Op, Prefix: e.Prefix, Outcome: list.Outcome, Items: list.Items})
 }
 
 func (r *Runtime) listVMs() {
 	ctx, cancel := context.WithTimeout(r.base, _platformTimeout)
 	defer cancel()
-	vms, outcome := r.options.Platform.VMs(ctx)
-	r.options.Observer.PlatformCall("vms", outcome)
-	r.Submit(vrevent.VMsListed{Outcome: outcome, VMs: vms})
+	list := r.options.Platform.VMs(ctx)
+	r.Submit(vrevent.VMsListed{Outcome: list.Outcome, VMs: list.VMs})
 }
 
 func (r *Runtime) pollServer(e vrevent.PollServer) {
@@ -69,14 +61,14 @@
 		r.Submit(vrevent.ReportFailed{Server: e.Server})
 		return
 	}
-	r.Submit(vrevent.ReportReceived{Server: e.Server, Report: report})
+	r.Submit(vrevent.ReportReceived{Server: e.Server, Report: *report})
 }
 
 func (r *Runtime) sendOrder(e vrevent.SendOrder) {
 	ctx, cancel := context.WithTimeout(r.base, _orderTimeout)
 	defer cancel()
-	status, answer := r.options.Engines.Order(ctx, e.Address, e.Order)
-	r.Submit(vrevent.OrderAnswered{Server: e.Server, Order: e.Order, Status: status, Answer: answer})
+	result := r.options.Engines.Order(ctx, e.Address, e.Order)
+	r.Submit(vrevent.OrderAnswered{Server: e.Server, Order: e.Order, Status: result.Status, Answer: result.Answer})
 }
 
 // seeConfig decodes a configuration and tells the reducer if it is new or confirms
@@ -90,13 +82,6 @@
 	r.Submit(vrevent.ConfigSeen{Index: index, Document: document, Confirmed: confirmed})
 }
 
-// advance makes a configuration known to the callers' interface.
-func (r *Runtime) advance(index *vrconfig.Index) {
-	if r.configs.Advance(index) {
-		r.options.Observer.ConfigVersion(index.Fleet.Version)
-	}
-}
-
 // watcher keeps at most one watch of the configuration.
 type watcher struct {
 	runtime *Runtime
@@ -147,9 +132,8 @@
 	}
 	pause.Reset()
 	for ctx.Err() == nil {
-		watch, outcome := r.options.Platform.Watch(ctx, vrplatform.PrefixConfig, after, _watchWait)
-		r.options.Observer.PlatformCall("watch", outcome)
-		if outcome != vrplatform.OutcomeOK {
+		watch := r.options.Platform.Watch(ctx, vrplatform.PrefixConfig, after, _watchWait)
+		if watch.Outcome != vrplatform.OutcomeOK {
 			rest(ctx, pause.NextBackOff())
 			continue
 		}
--- a/verbenaroute/internal/vrserve/vrserve.go
+++ b/verbenaroute/internal/vrserve/vrserve.go
@@ -12,20 +12,21 @@
 	"github.com/sourcegraph/conc/panics"
 	"go.uber.org/zap"
 
+	"verbenaroute.example/verbenacore/vrclient"
 	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrengine"
 	"verbenaroute.example/verbenacore/vrevent"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrplatform"
 	"verbenaroute.example/verbenacore/vrrecord"
+	"verbenaroute.example/verbenacore/vrsettings"
 	"verbenaroute.example/verbenacore/vrwire"
 )
 
-// Sizes of the pools. Platform calls are limited by section 3.9 of the design page. A
+// Sizes of the pools. A
 // daemon polls about 3 servers; a zone owner alone in its zone polls all of them. An
 // order may take as long as a load, so a zone's orders need a worker each.
 const (
-	_platformWorkers = 4
 	_platformQueue   = 256
 	_pollWorkers     = 16
 	_pollQueue       = 512
@@ -45,21 +46,23 @@
 // Reducer decides; vrreducer.State implements it.
 type Reducer interface {
 	Reduce(now time.Time, event vrevent.Event, effects *vrevent.Effects)
+	// Configuration returns the configuration in force, or nil.
+	Configuration() *vrconfig.Index
 }
 
-// Platform calls the platform.
+// Platform calls the platform; vrclient.Platform implements it.
 type Platform interface {
-	Get(ctx context.Context, key string) (value []byte, version vrid.ObjectVersion, outcome vrplatform.Outcome)
-	Put(ctx context.Context, key string, value []byte, ifVersion vrid.ObjectVersion) (version vrid.ObjectVersion, outcome vrplatform.Outcome)
-	List(ctx context.Context, prefix string, values bool) (items []vrplatform.Item, outcome vrplatform.Outcome)
-	Watch(ctx context.Context, prefix string, after vrid.ObjectVersion, wait time.Duration) (watch vrplatform.Watch, outcome vrplatform.Outcome)
-	VMs(ctx context.Context) (vms []vrplatform.VM, outcome vrplatform.Outcome)
+	Read(ctx context.Context, key string) vrclient.ReadResult
+	Write(ctx context.Context, key string, ifVersion vrid.ObjectVersion, value []byte) vrclient.WriteResult
+	List(ctx context.Context, prefix string, values bool) vrclient.ListResult
+	Watch(ctx context.Context, prefix string, after vrid.ObjectVersion, wait time.Duration) vrclient.WatchResult
+	VMs(ctx context.Context) vrclient.VMsResult
 }
 
-// Engines polls and orders language servers.
+// Engines polls and orders language servers; vrclient.Engine implements it.
 type Engines interface {
-	Report(ctx context.Context, address string) (vrengine.Report, error)
-	Order(ctx context.Context, address string, order vrengine.Order) (vrengine.OrderStatus, vrengine.OrderAnswer)
+	Report(ctx context.Context, address string) (*vrengine.Report, error)
+	Order(ctx context.Context, address string, order vrengine.Order) vrclient.OrderResult
 }
 
 // Peers sends messages to other daemons. Send does not block.
@@ -76,7 +79,6 @@
 // Observer counts what happens for the metrics.
 type Observer interface {
 	Entry(entry *vrrecord.Entry, target time.Duration)
-	PlatformCall(call string, outcome vrplatform.Outcome)
 	ConfigVersion(version vrid.ConfigVersion)
 	EffectDropped(kind string)
 	EffectPanicked()
@@ -92,8 +94,9 @@
 	Requests Requests
 	Observer Observer
 	Log      *zap.Logger
-	// Seed of the jitter between attempts of the configuration watch.
-	Seed uint64
+	// Workers is how many platform calls run at once beside the configuration watch;
+	// zero takes the default.
+	Workers int
 }
 
 // Runtime runs one reducer.
@@ -126,7 +129,10 @@
 func New(options Options) *Runtime {
 	r := &Runtime{options: options, stopped: make(chan struct{})}
 	r.base, r.cancel = context.WithCancel(context.Background())
-	r.platform = r.newLane(_platformWorkers, _platformQueue)
+	if options.Workers <= 0 {
+		options.Workers = vrsettings.DefaultPlatformConcurrency
+	}
+	r.platform = r.newLane(options.Workers, _platformQueue)
 	r.polls = r.newLane(_pollWorkers, _pollQueue)
 	r.orders = r.newLane(_orderWorkers, _orderQueue)
 	r.queries = r.newLane(_queryWorkers, _queryQueue)
@@ -192,9 +198,6 @@
 // Submit reduces an event and hands its effects over. Effects that can't be taken are
 // answered at once with an event of their own.
 func (r *Runtime) Submit(event vrevent.Event) {
-	if seen, ok := event.(vrevent.ConfigSeen); ok {
-		r.advance(seen.Index)
-	}
 	answers := r.reduce(event)
 	for len(answers) > 0 {
 		event, answers = answers[0], answers[1:]
@@ -211,6 +214,7 @@
 	if caught != nil {
 		r.notePanic(caught)
 	}
+	r.followConfig()
 	for _, effect := range r.effects.List {
 		if answer := r.execute(effect); answer != nil {
 			answers = append(answers, answer)
@@ -219,6 +223,14 @@
 	return answers
 }
 
+// followConfig shows the callers' interface the configuration that the reducer holds.
+func (r *Runtime) followConfig() {
+	index := r.options.Reducer.Configuration()
+	if index != nil && r.configs.Advance(index) {
+		r.options.Observer.ConfigVersion(index.Fleet.Version)
+	}
+}
+
 // Inspect runs read-only code on the reducer's state between two events.
 func (r *Runtime) Inspect(read func()) {
 	r.mu.Lock()
--- a/verbenaroute/main.go
+++ b/verbenaroute/main.go
@@ -1,4 +1,96 @@
 // Command verbenaroute is the daemon on an entry VM.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"verbenaroute.example/verbenacore/vrconfig"
+	"verbenaroute.example/verbenacore/vrsettings"
+
+	"verbenaroute.example/verbenaroute/internal/vrserve"
+)
+
+// Exit codes by kind of failure.
+const (
+	_exitOther    = 1
+	_exitSettings = 3
+	_exitListen   = 4
+	_exitCutOff   = 5
+)
+
+func main() {
+	if err := newCommand().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func newCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "verbenaroute",
+		Short:         "Daemon of a serving system for rarely used models",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	var path string
+	root.PersistentFlags().StringVar(&path, "config", "verbenaroute.json", "settings file, JSON with comments")
+	root.AddCommand(
+		&cobra.Command{
+			Use:   "serve",
+			Short: "Run the daemon until SIGTERM or SIGINT",
+			Args:  cobra.NoArgs,
+			RunE:  func(*cobra.Command, []string) error { return serve(path) },
+		},
+		&cobra.Command{
+			Use:   "check",
+			Short: "Check the settings file and print every mistake",
+			Args:  cobra.NoArgs,
+			RunE: func(cmd *cobra.Command, _ []string) error {
+				if _, err := vrsettings.Load(path); err != nil {
+					return err
+				}
+				fmt.Fprintln(cmd.OutOrStdout(), "the settings are valid")
+				return nil
+			},
+		},
+	)
+	return root
+}
+
+func serve(path string) error {
+	settings, err := vrsettings.Load(path)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	log, flush := vrserve.NewLog(os.Stderr)
+	defer flush()
+	daemon, err := vrserve.NewDaemon(vrserve.DaemonOptions{Settings: settings, Log: log})
+	if err != nil {
+		return err
+	}
+	return daemon.Run(ctx)
+}
+
+func exitCode(err error) int {
+	var settings *vrconfig.CheckError
+	var listen *vrserve.ListenError
+	var cutOff *vrserve.CutOffError
+	switch {
+	case errors.As(err, &settings):
+		return _exitSettings
+	case errors.As(err, &listen):
+		return _exitListen
+	case errors.As(err, &cutOff):
+		return _exitCutOff
+	}
+	return _exitOther
+}
