--- a/verbenacore/vrreducer/plan.go
+++ b/verbenacore/vrreducer/plan.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrengine"
 	"verbenaroute.example/verbenacore/vrevent"
 	"verbenaroute.example/verbenacore/vrid"
@@ -179,7 +180,8 @@
 	}
 	for _, id := range sortedKeys(view.Servers) {
 		item := view.Servers[id]
-		if item.State == vrwire.ServerGone || (!loading[id] && view.Poller(id) != s.opts.Daemon) {
+		polled := item.State != vrwire.ServerGone && s.reportsLoad(item)
+		if !polled || (!loading[id] && view.Poller(id) != s.opts.Daemon) {
 			delete(s.polls, id)
 			continue
 		}
@@ -187,6 +189,17 @@
 	}
 }
 
+// reportsLoad is false for application servers: they have no report, so a poll would
+// make them unreachable. They are judged by their calls and the platform's list.
+func (s *State) reportsLoad(item vrwire.ServerItem) bool {
+	index := s.store.Current()
+	if index == nil {
+		return true
+	}
+	pool := index.Pool(item.Pool)
+	return pool == nil || pool.Kind != vrconfig.KindApplicationServer
+}
+
 func (s *State) pollServer(now time.Time, item vrwire.ServerItem, loading bool, out *vrevent.Effects) {
 	p := s.polls[item.Server]
 	if p == nil {
