--- a/verbenaroute/internal/vradmin/metrics.go
+++ b/verbenaroute/internal/vradmin/metrics.go
@@ -129,8 +129,8 @@
 // Set returns the set, so that clients add their own series.
 func (m *Metrics) Set() *metrics.Set { return m.set }
 
-// AddGauge adds a value that is read when the metrics are.
-func (m *Metrics) AddGauge(name string, read func() float64) { m.set.NewGauge(name, read) }
+// AddWriter adds series that are written when the metrics are read.
+func (m *Metrics) AddWriter(write func(out io.Writer)) { m.set.RegisterMetricsWriter(write) }
 
 // Write writes all series, with those of the process, in the Prometheus text format.
 func (m *Metrics) Write(out io.Writer) {
--- a/verbenaroute/internal/vrserve/daemon.go
+++ b/verbenaroute/internal/vrserve/daemon.go
@@ -163,9 +163,7 @@
 		Log:       d.log,
 		Limits:    d.settings.Limits,
 	})
-	d.Metrics.AddGauge("verbenaroute_running_requests", func() float64 { return float64(d.front.Running()) })
-	d.Metrics.AddGauge("verbenaroute_events_total", func() float64 { return float64(d.Runtime.Events()) })
-	d.Metrics.AddGauge("verbenaroute_front_panics_total", func() float64 { return float64(d.front.Panics()) })
+	d.Metrics.AddWriter(d.writeStatus)
 }
 
 func (d *Daemon) openAddresses() (err error) {
--- /dev/null
+++ b/verbenaroute/internal/vrserve/gauges.go
@@ -0,0 +1,31 @@
+package vrserve
+
+import (
+	"fmt"
+	"io"
+
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrreducer"
+)
+
+// writeStatus writes what only the reducer knows: it is read under the lock, when the
+// metrics are.
+func (d *Daemon) writeStatus(out io.Writer) {
+	var status vrreducer.Status
+	d.Runtime.Inspect(func() { status = d.State.Status() })
+	for _, rank := range vrid.Ranks() {
+		fmt.Fprintf(out, "verbenaroute_queue_length{rank=%q} %d\n", rank.String(), status.Queued[rank])
+	}
+	holding := 0
+	if status.Holding {
+		holding = 1
+	}
+	fmt.Fprintf(out, "verbenaroute_lease_held{zone=%q} %d\n", status.Zone, holding)
+	fmt.Fprintf(out, "verbenaroute_lease_epoch{zone=%q} %d\n", status.Zone, status.Epoch)
+	fmt.Fprintf(out, "verbenaroute_open_requests %d\n", status.Requests)
+	fmt.Fprintf(out, "verbenaroute_zone_members %d\n", len(status.Members))
+	fmt.Fprintf(out, "verbenaroute_zone_servers %d\n", len(status.Servers))
+	fmt.Fprintf(out, "verbenaroute_running_requests %d\n", d.front.Running())
+	fmt.Fprintf(out, "verbenaroute_events_total %d\n", d.Runtime.Events())
+	fmt.Fprintf(out, "verbenaroute_front_panics_total %d\n", d.front.Panics())
+}
--- a/verbenaroute/internal/vrserve/vrserve.go
+++ b/verbenaroute/internal/vrserve/vrserve.go
@@ -27,13 +27,13 @@
 // daemon polls about 3 servers; a zone owner alone in its zone polls all of them. An
 // order may take as long as a load, so a zone's orders need a worker each.
 const (
-	_platformQueue   = 256
-	_pollWorkers     = 16
-	_pollQueue       = 512
-	_orderWorkers    = 64
-	_orderQueue      = 1024
-	_queryWorkers    = 4
-	_queryQueue      = 64
+	_platformQueue = 256
+	_pollWorkers   = 16
+	_pollQueue     = 512
+	_orderWorkers  = 64
+	_orderQueue    = 1024
+	_queryWorkers  = 4
+	_queryQueue    = 64
 )
 
 // Time limits of the calls that the runtime makes itself.
