--- a/verbenabench/internal/vrcommand/vrcommand.go
+++ b/verbenabench/internal/vrcommand/vrcommand.go
@@ -15,7 +15,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newStandin(), newTry())
+	root.AddCommand(newStandin(), newTry(), newScenario())
 	return root
 }
 
--- a/verbenabench/internal/vrinvariant/vrinvariant.go
+++ b/verbenabench/internal/vrinvariant/vrinvariant.go
@@ -33,6 +33,8 @@
 	StopFailures error
 	// Changed is when a second configuration was at the head; zero when none was.
 	Changed time.Time
+	// Paused are the times at which daemons were stopped for a while.
+	Paused map[vrid.DaemonID][]time.Time
 	// Version is the newest configuration.
 	Version vrid.ConfigVersion
 }
--- a/verbenabench/internal/vrstandin/platform.go
+++ b/verbenabench/internal/vrstandin/platform.go
@@ -183,16 +183,16 @@
 	}
 	p.write(w, r, func(want condition) (vrid.ObjectVersion, bool) {
 		return p.store.put(keyOf(r), value, want)
-	}, len(value))
+	}, value)
 }
 
 func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
 	p.write(w, r, func(want condition) (vrid.ObjectVersion, bool) {
 		return p.store.remove(keyOf(r), want)
-	}, 0)
+	}, nil)
 }
 
-func (p *Platform) write(w http.ResponseWriter, r *http.Request, apply func(condition) (vrid.ObjectVersion, bool), size int) {
+func (p *Platform) write(w http.ResponseWriter, r *http.Request, apply func(condition) (vrid.ObjectVersion, bool), value []byte) {
 	want, err := conditionOf(r)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -201,10 +201,14 @@
 	key := keyOf(r)
 	version, ok := apply(want)
 	if ok {
-		p.journal.Add(Entry{
+		entry := Entry{
 			Kind: JournalWrite, Zone: vrid.ZoneID(r.Header.Get(HeaderZone)),
-			Object: key, Version: version, Bytes: vrid.Bytes(size), Detail: r.Method,
-		})
+			Object: key, Version: version, Bytes: vrid.Bytes(len(value)), Detail: r.Method,
+		}
+		if strings.HasPrefix(key, vrplatform.PrefixLedgers) {
+			entry.Value = value
+		}
+		p.journal.Add(entry)
 	}
 	if p.losesAnswer(key) {
 		panic(http.ErrAbortHandler)
