--- a/verbenabench/internal/vrinvariant/fleet.go
+++ b/verbenabench/internal/vrinvariant/fleet.go
@@ -101,10 +101,10 @@
 				check.broken("%s: entry %d holds configuration %d after %d", id.daemon, entry.Number, entry.Config, newest)
 			}
 			newest = max(newest, entry.Config)
-			after := e.arrival(entry).Sub(e.Changed)
 			if e.Changed.IsZero() || entry.Config >= e.Version {
 				continue
 			}
+			after := e.arrival(entry).Sub(e.inReach(entry.Daemon))
 			slowest = max(slowest, after)
 			if after > _configBound {
 				check.broken("%s: entry %d holds configuration %d %s after the change", id.daemon, entry.Number, entry.Config, after.Round(time.Millisecond))
@@ -116,6 +116,18 @@
 	return check
 }
 
+// inReach is from when on the daemon could learn of the change: a process that was
+// stopped can from its continuation on.
+func (e *Evidence) inReach(daemon vrid.DaemonID) time.Time {
+	reach := e.Changed
+	for _, pause := range e.Paused[daemon] {
+		if pause.Until.After(reach) {
+			reach = pause.Until
+		}
+	}
+	return reach
+}
+
 // arrival is when the entry's request came, because the version is taken then.
 func (e *Evidence) arrival(entry vrrecord.Entry) time.Time {
 	return time.UnixMilli(entry.At).Add(-time.Duration(entry.Total) * time.Microsecond)
--- a/verbenabench/internal/vrinvariant/record.go
+++ b/verbenabench/internal/vrinvariant/record.go
@@ -23,7 +23,7 @@
 		Version:  deployment.Fleet.Version,
 		Killed:   make(map[vrid.DaemonID]time.Time),
 		Stopping: make(map[vrid.DaemonID]time.Time),
-		Paused:   make(map[vrid.DaemonID][]time.Time),
+		Paused:   make(map[vrid.DaemonID][]Pause),
 	}
 }
 
--- a/verbenabench/internal/vrscenario/verbs.go
+++ b/verbenabench/internal/vrscenario/verbs.go
@@ -5,8 +5,10 @@
 	"strings"
 	"time"
 
+	"verbenaroute.example/verbenabench/internal/vrinvariant"
 	"verbenaroute.example/verbenabench/internal/vrload"
 	"verbenaroute.example/verbenabench/internal/vrstandin"
+	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrengine"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrplatform"
@@ -98,13 +100,39 @@
 
 const _ownerPrefix = "owner:"
 
-// daemon resolves an id or the owner of a zone.
+const _formerPrefix = "former:"
+
+// daemon resolves an id, the owner of a zone or the owner that was named last.
 func (s *scenario) daemon(name string) (vrid.DaemonID, error) {
+	if zone, ok := strings.CutPrefix(name, _formerPrefix); ok {
+		return s.former[vrid.ZoneID(zone)], nil
+	}
 	zone, isOwner := strings.CutPrefix(name, _ownerPrefix)
 	if !isOwner {
 		return vrid.DaemonID(name), nil
 	}
-	return s.fleet.Owner(vrid.ZoneID(zone))
+	owner, err := s.fleet.Owner(vrid.ZoneID(zone))
+	s.former[vrid.ZoneID(zone)] = owner
+	return owner, err
+}
+
+// serverNamed resolves an id, or the server where a load started or a request to
+// generate arrived last.
+func (s *scenario) serverNamed(name string) vrid.ServerID {
+	kinds := map[string]vrstandin.EntryKind{
+		"loading": vrstandin.JournalLoadStarted, "serving": vrstandin.JournalGenerate, "held": vrstandin.JournalHeld,
+	}
+	kind, ok := kinds[name]
+	if !ok {
+		return vrid.ServerID(name)
+	}
+	var found vrid.ServerID
+	for _, entry := range s.fleet.World.Journal.After(0) {
+		if entry.Kind == kind {
+			found = entry.Server
+		}
+	}
+	return found
 }
 
 func (s *scenario) crash(arguments []string) error {
@@ -130,7 +158,8 @@
 func (s *scenario) pause(arguments []string) error {
 	return s.onDaemon("pause DAEMON", arguments, func(daemon vrid.DaemonID) error {
 		s.load.MarkDown(daemon)
-		s.evidence.Paused[daemon] = append(s.evidence.Paused[daemon], time.Now())
+		pause := vrinvariant.Pause{From: time.Now()}
+		s.evidence.Paused[daemon] = append(s.evidence.Paused[daemon], pause)
 		return s.fleet.Pause(daemon)
 	})
 }
@@ -138,7 +167,12 @@
 func (s *scenario) resume(arguments []string) error {
 	return s.onDaemon("resume DAEMON", arguments, func(daemon vrid.DaemonID) error {
 		s.load.MarkUp(daemon)
-		return s.fleet.Resume(daemon)
+		if err := s.fleet.Resume(daemon); err != nil {
+			return err
+		}
+		pauses := s.evidence.Paused[daemon]
+		pauses[len(pauses)-1].Until = time.Now()
+		return nil
 	})
 }
 
@@ -215,8 +249,15 @@
 
 func (s *scenario) server(arguments []string) error {
 	line := read("server ID leave | gone | restart | stop | release | hold COUNT [KIND] | delay LENGTH COUNT | …", arguments)
-	fault := vrstandin.Fault{Server: vrid.ServerID(line.text())}
+	name := line.text()
 	word := line.text()
+	if line.err != nil {
+		return line.err
+	}
+	if name == "all" {
+		return s.everyServer(arguments)
+	}
+	fault := vrstandin.Fault{Server: s.serverNamed(name)}
 	if kind, ok := _serverFaults[word]; ok {
 		fault.Kind, fault.For = kind, line.optional()
 		return s.apply(line, fault)
@@ -236,6 +277,20 @@
 	return s.apply(line, fault)
 }
 
+// everyServer applies a line to each language server.
+func (s *scenario) everyServer(arguments []string) error {
+	for _, server := range s.fleet.Deployment.Servers {
+		if server.Kind != vrconfig.KindLanguageServer {
+			continue
+		}
+		one := append([]string{string(server.ID)}, arguments[1:]...)
+		if err := s.server(one); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (s *scenario) vm(arguments []string) error {
 	line := read("vm leaving | remove ID", arguments)
 	fault := vrstandin.Fault{Kind: vrstandin.FaultVMLeaving}
@@ -246,7 +301,11 @@
 	default:
 		line.fail()
 	}
-	fault.VM = vrplatform.VM{ID: vrid.VMID(line.text())}
+	daemon, err := s.daemon(line.text())
+	if err != nil {
+		return err
+	}
+	fault.VM = vrplatform.VM{ID: vrid.VMID(daemon)}
 	return s.apply(line, fault)
 }
 
--- a/verbenabench/internal/vrscenario/vrscenario.go
+++ b/verbenabench/internal/vrscenario/vrscenario.go
@@ -22,7 +22,9 @@
 //	change                         puts a new configuration at the head
 //	expect …                       see expect.go
 //
-// A daemon is named by its id or as owner:tw-north-a, the holder of the zone's lease.
+// A daemon is named by its id, as owner:tw-north-a, the holder of the zone's lease, or as
+// former:tw-north-a, the one that owner:tw-north-a meant last. A server is named by its
+// id, as "loading", "serving" or "held", where that happened last, or as "all".
 package vrscenario
 
 import (
@@ -153,10 +155,12 @@
 	// plans counts the background plans, so that each one has its own seed and keys.
 	plans uint64
 	last  vrload.View
+	// former are the owners of zones when a line named them last.
+	former map[vrid.ZoneID]vrid.DaemonID
 }
 
 func newScenario(options Options, dir string) *scenario {
-	s := &scenario{options: options, dir: dir, name: vrdeploy.Shuyuan}
+	s := &scenario{options: options, dir: dir, name: vrdeploy.Shuyuan, former: make(map[vrid.ZoneID]vrid.DaemonID)}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
 }
