--- /dev/null
+++ b/verbenabench/internal/vrcommand/scenario.go
@@ -0,0 +1,41 @@
+package vrcommand
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"verbenaroute.example/verbenabench/internal/vrfleet"
+	"verbenaroute.example/verbenabench/internal/vrscenario"
+)
+
+func newScenario() *cobra.Command {
+	options := vrscenario.Options{}
+	race := false
+	command := &cobra.Command{
+		Use:   "scenario FILE.txtar …",
+		Short: "Run scripted failures on real daemons",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(command *cobra.Command, files []string) error {
+			dir, err := os.MkdirTemp("", "verbenabench-")
+			if err != nil {
+				return err
+			}
+			defer func() { _ = os.RemoveAll(dir) }()
+			options.Program, err = vrfleet.Build(command.Context(), dir, race)
+			if err != nil {
+				return err
+			}
+			options.Files = files
+			failed := vrscenario.Run(options, command.OutOrStdout())
+			if failed > 0 {
+				return fmt.Errorf("%d of %d scenarios failed", failed, len(files))
+			}
+			return nil
+		},
+	}
+	command.Flags().Uint64Var(&options.Seed, "seed", 1, "seed of the traffic")
+	command.Flags().BoolVar(&race, "race", false, "build the daemon with the race detector")
+	return command
+}
--- a/verbenabench/internal/vrcommand/vrcommand.go
+++ b/verbenabench/internal/vrcommand/vrcommand.go
@@ -16,7 +16,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newStandin(), newTry(), vrpath.Command())
+	root.AddCommand(newStandin(), newTry(), newScenario(), vrpath.Command())
 	return root
 }
 
