Add vrworld: several reducers in virtual time

Cause: the proof of the invariants and the measurements need many daemons whose runs a seed repeats exactly.

--- /dev/null
+++ b/verbenabench/internal/vrworld/vrworld.go
@@ -0,0 +1,243 @@
+// Package vrworld runs the reducers of several daemons in virtual time, with small
+// fakes of the platform, the language servers, the application servers, the network
+// and the callers. A seed repeats a run exactly. It models effects at the interfaces
+// only: nothing of the hardware behind them.
+package vrworld
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"verbenaroute.example/verbenacore/vrconfig"
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrid"
+)
+
+// Options describe a deployment and its pace. Zero values take defaults.
+type Options struct {
+	// Seed repeats a run.
+	Seed uint64
+	// Zones, each in a region of its own (3).
+	Zones int
+	// DaemonsPerZone (3), ServersPerZone (3) and AppServersPerZone (1).
+	DaemonsPerZone    int
+	ServersPerZone    int
+	AppServersPerZone int
+	// Models (12) and Adapters (6); the first adapters stand on the first models.
+	Models   int
+	Adapters int
+	// HonorsFencing is the declaration of the language servers.
+	HonorsFencing bool
+	// Fleet replaces the default configuration.
+	Fleet *vrconfig.Fleet
+	// VMLag is how old the platform's list of VMs is (2s).
+	VMLag time.Duration
+	// Trace keeps a line for each event of a daemon.
+	Trace bool
+	// Watch is told of everything that an oracle needs.
+	Watch Observer
+}
+
+// Observer sees what happens outside the reducers.
+type Observer interface {
+	// Loading is called when an engine starts to hold a model or an adapter.
+	Loading(engine *Engine, model vrid.ModelID, adapter vrid.AdapterID)
+	// Written is called after a write took effect on the platform.
+	Written(key string, value []byte)
+	// Ran is called when a back end starts a request.
+	Ran(call *Call, server vrid.ServerID)
+	// Dispatched is called when a daemon sends a request to a back end.
+	Dispatched(p *Process, call *Call, server vrid.ServerID, decided time.Time)
+	// Effect is called for each effect that a daemon carries out.
+	Effect(p *Process, effect vrevent.Effect)
+	// Reduced is called after each event.
+	Reduced(p *Process)
+}
+
+func (o Options) withDefaults() Options {
+	o.Zones = cmp.Or(o.Zones, 3)
+	o.DaemonsPerZone = cmp.Or(o.DaemonsPerZone, 3)
+	o.ServersPerZone = cmp.Or(o.ServersPerZone, 3)
+	o.AppServersPerZone = cmp.Or(o.AppServersPerZone, 1)
+	o.Models = cmp.Or(o.Models, 12)
+	o.Adapters = cmp.Or(o.Adapters, 6)
+	o.VMLag = cmp.Or(o.VMLag, 2*time.Second)
+	if o.Fleet == nil {
+		o.Fleet = DefaultFleet(o)
+	}
+	return o
+}
+
+// World is a deployment in virtual time. It is not safe for concurrent use.
+type World struct {
+	Options  Options
+	Platform *Platform
+	Net      *Network
+	Daemons  []*Daemon
+	Engines  []*Engine
+	Apps     []*App
+	Weights  *WeightStore
+	Calls    map[vrid.RequestID]*Call
+	// Steps counts the events that reducers took.
+	Steps uint64
+	// Digest folds every event and effect; two runs of a seed have the same.
+	Digest uint64
+	Lines  []string
+
+	now      time.Time
+	queue    eventQueue
+	sequence uint64
+	random   *rand.Rand
+	byDaemon map[vrid.DaemonID]*Daemon
+	byEngine map[vrid.ServerID]*Engine
+	byApp    map[vrid.ServerID]*App
+	boots    uint64
+	vms      uint64
+	calls    uint64
+	configs  configCache
+}
+
+// event is one thing that will happen.
+type event struct {
+	at       time.Time
+	sequence uint64
+	run      func()
+}
+
+type eventQueue []event
+
+// Len returns the number of events.
+func (q eventQueue) Len() int { return len(q) }
+
+// Less orders by time and then by the order of scheduling.
+func (q eventQueue) Less(i, j int) bool {
+	if c := q[i].at.Compare(q[j].at); c != 0 {
+		return c < 0
+	}
+	return q[i].sequence < q[j].sequence
+}
+
+// Swap exchanges two events.
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push appends an event.
+func (q *eventQueue) Push(x any) { *q = append(*q, x.(event)) }
+
+// Pop removes the last event.
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*q = old[:len(old)-1]
+	return last
+}
+
+// New returns a world whose daemons start at once.
+func New(options Options) *World {
+	options = options.withDefaults()
+	w := &World{
+		Options:  options,
+		Calls:    make(map[vrid.RequestID]*Call),
+		now:      time.Unix(1_790_000_000, 0).UTC(),
+		random:   rand.New(rand.NewPCG(options.Seed, 0x9e3779b97f4a7c15)),
+		byDaemon: make(map[vrid.DaemonID]*Daemon),
+		byEngine: make(map[vrid.ServerID]*Engine),
+		byApp:    make(map[vrid.ServerID]*App),
+		configs:  make(configCache),
+	}
+	w.Net = newNetwork(w)
+	w.Weights = newWeightStore(w, options.Fleet.WeightStore)
+	w.Platform = newPlatform(w)
+	w.Platform.install(options.Fleet)
+	for z := range options.Zones {
+		w.addZone(ZoneName(z))
+	}
+	for _, d := range w.Daemons {
+		d.Start()
+	}
+	return w
+}
+
+// ZoneName is the id of a zone.
+func ZoneName(index int) vrid.ZoneID { return vrid.ZoneID(fmt.Sprintf("z%d", index)) }
+
+func (w *World) addZone(zone vrid.ZoneID) {
+	for range w.Options.ServersPerZone {
+		w.addEngine(zone)
+	}
+	for range w.Options.AppServersPerZone {
+		w.addApp(zone)
+	}
+	for range w.Options.DaemonsPerZone {
+		w.AddDaemon(zone)
+	}
+}
+
+func (w *World) vmNumber() uint64 {
+	w.vms++
+	return w.vms
+}
+
+func (w *World) nextBoot() vrid.BootID {
+	w.boots++
+	return vrid.BootID(fmt.Sprintf("b%08d", w.boots))
+}
+
+// Now is the virtual time.
+func (w *World) Now() time.Time { return w.now }
+
+// Random is the world's generator, for callers that add load of their own.
+func (w *World) Random() *rand.Rand { return w.random }
+
+// After runs a function later.
+func (w *World) After(delay time.Duration, run func()) {
+	w.sequence++
+	heap.Push(&w.queue, event{at: w.now.Add(max(delay, 0)), sequence: w.sequence, run: run})
+}
+
+// Advance lets the given time pass.
+func (w *World) Advance(length time.Duration) {
+	end := w.now.Add(length)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		w.next()
+	}
+	w.now = end
+}
+
+// Until runs until the condition holds and reports whether it did within the limit.
+// The condition is checked after each event.
+func (w *World) Until(limit time.Duration, condition func() bool) bool {
+	end := w.now.Add(limit)
+	for !condition() {
+		if len(w.queue) == 0 || w.queue[0].at.After(end) {
+			w.now = end
+			return condition()
+		}
+		w.next()
+	}
+	return true
+}
+
+func (w *World) next() {
+	first := heap.Pop(&w.queue).(event)
+	w.now = first.at
+	first.run()
+}
+
+func (w *World) fold(value uint64) {
+	const prime = 1099511628211
+	w.Digest = (w.Digest ^ value) * prime
+}
+
+// spread returns a random time between low and high.
+func (w *World) spread(low, high time.Duration) time.Duration {
+	if high <= low {
+		return low
+	}
+	return low + time.Duration(w.random.Int64N(int64(high-low)))
+}
+
+func (w *World) chance(p float64) bool { return p > 0 && w.random.Float64() < p }
