Measure the control cost of idle daemons by reducers in virtual time

Cause: docs/CAPACITY.md needs slopes for messages, bytes, platform calls and processor time. Change: verbenabench control-cost counts the effects of idle zones of 9 to 108 daemons and of 3 to 21 zones and fits lines.

--- a/verbenabench/internal/vrcommand/vrcommand.go
+++ b/verbenabench/internal/vrcommand/vrcommand.go
@@ -4,6 +4,7 @@
 import (
 	"github.com/spf13/cobra"
 
+	"verbenaroute.example/verbenabench/internal/vrcost"
 	"verbenaroute.example/verbenabench/internal/vrdeploy"
 	"verbenaroute.example/verbenabench/internal/vrpath"
 )
@@ -16,7 +17,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newStandin(), newTry(), newScenario(), vrpath.Command())
+	root.AddCommand(newStandin(), newTry(), newScenario(), vrpath.Command(), vrcost.Command())
 	return root
 }
 
