--- a/verbenacore/vrmember/vrmember.go
+++ b/verbenacore/vrmember/vrmember.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"time"
 
@@ -25,7 +26,8 @@
 	// reportKeepAlive sends an unchanged report after this time.
 	reportKeepAlive = 5 * time.Second
 	// remoteTimeout is how long another zone may be silent before it is not routed to.
-	remoteTimeout = 3 * time.Second
+	// Summaries without content come each 2 s, so that one may be lost.
+	remoteTimeout = 5 * time.Second
 )
 
 // Options of a member.
@@ -65,8 +67,10 @@
 	opened      uint64
 	children    map[vrid.DaemonID]*child
 	// heard is when the root last had word of a member.
-	heard   map[vrid.DaemonID]time.Time
-	removed map[vrid.DaemonID]uint64
+	heard map[vrid.DaemonID]time.Time
+	// remoteHeard is when the root last had a summary of another zone.
+	remoteHeard map[vrid.ZoneID]time.Time
+	removed     map[vrid.DaemonID]uint64
 	// departed are members that the root removed since TakeDeparted.
 	departed  []vrwire.MemberItem
 	reports   map[vrid.ServerID]vrwire.LoadReport
@@ -99,6 +103,7 @@
 		incarnation: 1,
 		children:    make(map[vrid.DaemonID]*child),
 		heard:       make(map[vrid.DaemonID]time.Time),
+		remoteHeard: make(map[vrid.ZoneID]time.Time),
 		removed:     make(map[vrid.DaemonID]uint64),
 		reports:     make(map[vrid.ServerID]vrwire.LoadReport),
 		sent:        make(map[vrid.ServerID]sentReport),
@@ -169,6 +174,7 @@
 		m.view.Servers[id] = item
 	}
 	m.view.publishMember(m.self())
+	clear(m.remoteHeard)
 	m.dirty = true
 }
 
@@ -265,18 +271,64 @@
 	}
 }
 
-// PublishRemote takes another zone's summary, as the root.
-func (m *Membership) PublishRemote(summary vrwire.ZoneSummary) {
-	held, ok := m.view.Remote[summary.Zone]
-	if ok && (held.Epoch > summary.Epoch || held.SentAt > summary.SentAt) {
+// PublishRemote merges another zone's summary into the view, as the root. A summary
+// that only repeats what is known changes nothing.
+func (m *Membership) PublishRemote(now time.Time, summary *vrwire.ZoneSummary) {
+	held, known := m.view.Remote[summary.Zone]
+	if known && held.Epoch > summary.Epoch {
 		return
 	}
-	m.view.publishRemote(summary)
+	m.remoteHeard[summary.Zone] = now
+	merged := *summary
+	merged.SentAt, merged.Number, merged.HeardEpoch, merged.HeardNumber = 0, 0, 0, 0
+	if known && held.Epoch == summary.Epoch {
+		merged.Servers = mergeItems(held.Servers, summary.Servers, func(item vrwire.ServerItem) vrid.ServerID { return item.Server })
+		merged.Members = mergeItems(held.Members, summary.Members, func(item vrwire.MemberItem) vrid.DaemonID { return item.Daemon })
+	}
+	merged.Servers = slices.DeleteFunc(merged.Servers, func(item vrwire.ServerItem) bool { return item.State != vrwire.ServerLive })
+	if known && reflect.DeepEqual(held, merged) {
+		return
+	}
+	m.view.publishRemote(merged)
 	m.dirty = true
 }
 
-// RemoteTimeout is how long another zone's servers stay in use without a summary.
-func RemoteTimeout() time.Duration { return remoteTimeout }
+// mergeItems replaces the items that changed and keeps the others, in the order of ids.
+func mergeItems[T any, K ~string](held, changed []T, id func(T) K) []T {
+	items := make(map[K]T, len(held)+len(changed))
+	for _, item := range held {
+		items[id(item)] = item
+	}
+	for _, item := range changed {
+		items[id(item)] = item
+	}
+	merged := make([]T, 0, len(items))
+	for _, key := range sortedKeys(items) {
+		merged = append(merged, items[key])
+	}
+	return merged
+}
+
+// SweepRemote takes the servers of silent zones out of the view, as the root.
+func (m *Membership) SweepRemote(now time.Time) {
+	for zone, summary := range m.view.Remote {
+		if len(summary.Servers) == 0 || now.Sub(m.remoteHeard[zone]) <= remoteTimeout {
+			continue
+		}
+		// The summary that follows is merged into nothing, so its sender has to be told
+		// that nothing is acknowledged any more.
+		delete(m.remoteHeard, zone)
+		summary.Servers = nil
+		m.view.publishRemote(summary)
+		m.dirty = true
+	}
+}
+
+// RemoteHeard reports whether the root has a zone's servers.
+func (m *Membership) RemoteHeard(zone vrid.ZoneID) bool {
+	_, heard := m.remoteHeard[zone]
+	return heard
+}
 
 // Silent reports whether a daemon other than the root had no word from its zone.
 func (m *Membership) Silent(now time.Time) bool {
--- a/verbenacore/vrreducer/peers.go
+++ b/verbenacore/vrreducer/peers.go
@@ -80,14 +80,6 @@
 	s.plan(now, out)
 }
 
-// zoneSummary takes what another zone's owner can serve.
-func (s *State) zoneSummary(_ time.Time, summary *vrwire.ZoneSummary) {
-	if s.member.Root() {
-		s.member.PublishRemote(*summary)
-	}
-	s.zone.owners[summary.Zone] = vrmember.Peer{Daemon: summary.Owner, Address: summary.Peer}
-}
-
 // peerOf finds the address of a daemon.
 func (s *State) peerOf(daemon vrid.DaemonID) vrmember.Peer {
 	view := s.member.View()
@@ -130,19 +122,18 @@
 }
 
 // refreshTable rebuilds the router's table when the zone view or the configuration
-// changed, and when other zones fall silent.
-func (s *State) refreshTable(now time.Time) {
+// changed.
+func (s *State) refreshTable() {
 	view := s.member.View()
 	index := s.store.Current()
 	if index == nil {
 		return
 	}
 	same := view.Epoch == s.viewEpoch && view.Sequence == s.viewSequence && index.Fleet.Version == s.viewConfig
-	if same && now.Sub(s.tableAt) < vrmember.RemoteTimeout()/3 {
+	if same {
 		return
 	}
 	s.viewEpoch, s.viewSequence, s.viewConfig = view.Epoch, view.Sequence, index.Fleet.Version
-	s.tableAt = now
 	share := s.share(view)
 	region := index.Region(s.opts.Zone)
 	var updates []vrroute.Update
@@ -151,7 +142,7 @@
 	}
 	for _, zone := range sortedKeys(view.Remote) {
 		summary := view.Remote[zone]
-		if zone == s.opts.Zone || s.remoteSilent(now, zone, summary.SentAt) {
+		if zone == s.opts.Zone {
 			continue
 		}
 		distance := vrroute.OtherRegion
@@ -177,17 +168,6 @@
 	}
 }
 
-// remoteSilent reports whether a zone's summary is too old to route by. Its age is
-// measured from its arrival here, since clocks of other zones may differ.
-func (s *State) remoteSilent(now time.Time, zone vrid.ZoneID, sentAt int64) bool {
-	heard := s.remoteHeard[zone]
-	if heard.sentAt != sentAt {
-		heard = remoteZone{sentAt: sentAt, heard: now}
-		s.remoteHeard[zone] = heard
-	}
-	return now.Sub(heard.heard) > vrmember.RemoteTimeout()
-}
-
 // share is the part of each server that this daemon may fill. It is twice an equal
 // part, because load is uneven and engines queue by priority.
 func (s *State) share(view *vrmember.View) float64 {
--- a/verbenacore/vrreducer/vrreducer.go
+++ b/verbenacore/vrreducer/vrreducer.go
@@ -83,8 +83,6 @@
 	viewEpoch    vrid.Epoch
 	viewSequence uint64
 	viewConfig   vrid.ConfigVersion
-	remoteHeard  map[vrid.ZoneID]remoteZone
-	tableAt      time.Time
 }
 
 type shutdown struct {
@@ -104,15 +102,14 @@
 		opts.QueueMemory = defaultQueueMemory
 	}
 	s := &State{
-		opts:        opts,
-		ops:         &vrevent.Ops{},
-		random:      rand.New(rand.NewPCG(opts.Random, uint64(len(opts.Daemon)))),
-		planner:     vrplace.New(),
-		requests:    make(map[vrid.RequestID]*request),
-		claims:      newClaims(),
-		polls:       make(map[vrid.ServerID]*poll),
-		remoteHeard: make(map[vrid.ZoneID]remoteZone),
-		zone:        newZone(),
+		opts:     opts,
+		ops:      &vrevent.Ops{},
+		random:   rand.New(rand.NewPCG(opts.Random, uint64(len(opts.Daemon)))),
+		planner:  vrplace.New(),
+		requests: make(map[vrid.RequestID]*request),
+		claims:   newClaims(),
+		polls:    make(map[vrid.ServerID]*poll),
+		zone:     newZone(),
 	}
 	s.queue = vradmit.New(vradmit.Options{Requests: opts.Queue, Memory: opts.QueueMemory})
 	s.table = vrroute.New(s.random)
@@ -195,7 +192,7 @@
 
 // flush passes on what the event made due, so that nothing waits for the next tick.
 func (s *State) flush(now time.Time, out *vrevent.Effects) {
-	s.refreshTable(now)
+	s.refreshTable()
 	s.pump(now, out)
 	s.answerClaims(now, out)
 }
--- a/verbenacore/vrreducer/zone.go
+++ b/verbenacore/vrreducer/zone.go
@@ -55,6 +55,7 @@
 	leasesAt   time.Time
 	leasesOp   vrevent.Op
 	owners     map[vrid.ZoneID]vrmember.Peer
+	neighbours map[vrid.ZoneID]*neighbour
 	ackOp      vrevent.Op
 	ackAt      time.Time
 	ackVersion vrid.ObjectVersion
@@ -81,20 +82,15 @@
 	rank    vrid.Rank
 }
 
-// remoteZone is when another zone's summary was heard here.
-type remoteZone struct {
-	sentAt int64
-	heard  time.Time
-}
-
 func newZone() zone {
 	return zone{
-		vms:      make(map[vrid.VMID]vrplatform.VM),
-		acks:     make(map[run]vrid.Epoch),
-		owners:   make(map[vrid.ZoneID]vrmember.Peer),
-		wanted:   make(map[demandKey]time.Time),
-		arrivals: make(map[demandKey]uint32),
-		drained:  make(map[vrid.ServerID]bool),
+		vms:        make(map[vrid.VMID]vrplatform.VM),
+		acks:       make(map[run]vrid.Epoch),
+		owners:     make(map[vrid.ZoneID]vrmember.Peer),
+		neighbours: make(map[vrid.ZoneID]*neighbour),
+		wanted:     make(map[demandKey]time.Time),
+		arrivals:   make(map[demandKey]uint32),
+		drained:    make(map[vrid.ServerID]bool),
 	}
 }
 
@@ -233,6 +229,7 @@
 		s.member.BecomeRoot(now, record.Epoch)
 		s.ledger.Activate(now, record.Epoch, record.Chunks, out)
 		s.zone.leasesAt = time.Time{}
+		clear(s.zone.neighbours)
 		s.zone.listed = false
 		s.zone.early = s.zone.listing
 		s.zone.vmsAt = time.Time{}
@@ -342,6 +339,7 @@
 	}
 	if now.Sub(s.zone.summaryAt) >= summaryInterval {
 		s.zone.summaryAt = now
+		s.member.SweepRemote(now)
 		s.sendSummaries(now, out)
 	}
 }
@@ -364,26 +362,6 @@
 	}
 }
 
-// sendSummaries tells the other zones' owners what this zone can serve.
-func (s *State) sendSummaries(now time.Time, out *vrevent.Effects) {
-	view := s.member.View()
-	summary := &vrwire.ZoneSummary{
-		Zone: s.opts.Zone, Epoch: view.Epoch, Owner: s.opts.Daemon, Peer: s.opts.PeerAddress,
-		Config: s.store.Version(), InForce: s.inForce(), SentAt: now.UnixMilli(),
-	}
-	for _, id := range sortedKeys(view.Servers) {
-		if item := view.Servers[id]; item.State == vrwire.ServerLive {
-			summary.Servers = append(summary.Servers, item)
-		}
-	}
-	for _, id := range sortedKeys(view.Members) {
-		summary.Members = append(summary.Members, view.Members[id])
-	}
-	for _, zone := range sortedKeys(s.zone.owners) {
-		s.send(s.zone.owners[zone], &vrwire.Envelope{ZoneSummary: summary}, out)
-	}
-}
-
 func (s *State) orderAnswered(now time.Time, event vrevent.OrderAnswered, out *vrevent.Effects) {
 	epoch := s.ledger.HandleOrder(now, event)
 	if epoch > 0 {
--- a/verbenacore/vrwire/member.go
+++ b/verbenacore/vrwire/member.go
@@ -227,7 +227,8 @@
 	return nil
 }
 
-// ZoneSummary goes from a zone owner to the other zone owners each second.
+// ZoneSummary goes from a zone owner to the other zone owners each second. It carries
+// the servers and members that changed since the last summary that was acknowledged.
 type ZoneSummary struct {
 	Zone    vrid.ZoneID        `protobuf:"bytes,1,opt,name=zone,proto3"`
 	Epoch   vrid.Epoch         `protobuf:"varint,2,opt,name=epoch,proto3"`
@@ -240,6 +241,11 @@
 	SentAt int64 `protobuf:"varint,8,opt,name=sentAt,proto3"`
 	// InForce is the version that all live members of the zone hold.
 	InForce vrid.ConfigVersion `protobuf:"varint,9,opt,name=inForce,proto3"`
+	// Number counts the summaries of this owner to the receiving zone, from 1.
+	Number uint64 `protobuf:"varint,10,opt,name=number,proto3"`
+	// HeardEpoch and HeardNumber acknowledge the receiving zone's newest summary.
+	HeardEpoch  vrid.Epoch `protobuf:"varint,11,opt,name=heardEpoch,proto3"`
+	HeardNumber uint64     `protobuf:"varint,12,opt,name=heardNumber,proto3"`
 }
 
 // Validate checks the names.
