--- a/verbenacore/vrwire/vrwire_test.go
+++ b/verbenacore/vrwire/vrwire_test.go
@@ -76,6 +76,7 @@
 
 // normalise makes empty slices nil: the wire form does not tell them apart.
 func normalise(value reflect.Value) {
+	//nolint:exhaustive // Other kinds have nothing to normalise.
 	switch value.Kind() {
 	case reflect.Struct:
 		for i := range value.NumField() {
