--- a/verbenaroute/internal/vrfront/hostile_test.go
+++ b/verbenaroute/internal/vrfront/hostile_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -105,3 +106,26 @@
 	require.NotEmpty(t, answer.header.Get("Retry-After"))
 	require.Zero(t, s.front.bodies.Load())
 }
+
+// Guards against a slow sender that holds a connection without end.
+func TestSlowSenders(t *testing.T) {
+	const short = 20 * time.Millisecond
+	cases := map[string]string{
+		"header":       "POST /v1/chat/completions HTTP/1.1\r\nHost",
+		"body":         "POST /v1/chat/completions HTTP/1.1\r\nHost: d\r\nContent-Length: 900\r\n\r\n{",
+		"large body":   "POST /v1/chat/completions HTTP/1.1\r\nHost: d\r\nContent-Length: 90000\r\n\r\n" + strings.Repeat(" ", 10_000),
+		"chunked body": "POST /v1/chat/completions HTTP/1.1\r\nHost: d\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n{",
+	}
+	for name, bytes := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			s.front.server.ReadTimeout = short
+			s.front.bodyTimeout = short
+			answer := s.raw(bytes)
+			if name != "header" {
+				require.Contains(t, answer, "invalidRequest")
+			}
+			require.Zero(t, s.front.bodies.Load())
+		})
+	}
+}
--- a/verbenaroute/internal/vrfront/vrfront.go
+++ b/verbenaroute/internal/vrfront/vrfront.go
@@ -100,6 +100,8 @@
 	bodies   atomic.Int64
 	draining atomic.Bool
 	panics   atomic.Uint64
+	// bodyTimeout bounds the arrival of a body.
+	bodyTimeout time.Duration
 	// attempts counts the goroutines that call back ends.
 	attempts conc.WaitGroup
 	base     context.Context
@@ -111,7 +113,7 @@
 func New(options Options) *Front {
 	filled := (&vrsettings.Settings{Limits: options.Limits}).WithDefaults()
 	options.Limits = filled.Limits
-	f := &Front{options: options, flights: newFlights()}
+	f := &Front{options: options, flights: newFlights(), bodyTimeout: _bodyTimeout}
 	f.base, f.stop = context.WithCancel(context.Background())
 	f.server = f.newServer()
 	return f
@@ -141,9 +143,9 @@
 // too great a length, the library reads one byte before the handler refuses it.
 func (f *Front) allowBodyTime(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	if header.ContentLength() > int(f.options.Limits.Body) {
-		return fasthttp.RequestConfig{ReadTimeout: _bodyTimeout, MaxRequestBodySize: 1}
+		return fasthttp.RequestConfig{ReadTimeout: f.bodyTimeout, MaxRequestBodySize: 1}
 	}
-	return fasthttp.RequestConfig{ReadTimeout: _bodyTimeout}
+	return fasthttp.RequestConfig{ReadTimeout: f.bodyTimeout}
 }
 
 // discardLogger drops the library's lines on broken connections, which a hostile
--- /dev/null
+++ b/verbenaroute/internal/vrserve/tls_test.go
@@ -0,0 +1,75 @@
+package vrserve
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"math/big"
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenaroute.example/verbenacore/vrsettings"
+)
+
+// writePair writes a self-signed certificate whose files changed at the given time.
+func writePair(t *testing.T, files vrsettings.TLSFiles, name string, changed time.Time) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name},
+		NotBefore: changed.Add(-time.Hour), NotAfter: changed.Add(time.Hour),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	require.NoError(t, err)
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	require.NoError(t, err)
+	write := func(path, kind string, data []byte) {
+		require.NoError(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600))
+		require.NoError(t, os.Chtimes(path, changed, changed))
+	}
+	write(files.Certificate, "CERTIFICATE", der)
+	write(files.Key, "PRIVATE KEY", private)
+}
+
+// Guards against an expired certificate that stays until a restart, and against a
+// half-written pair that stops the service.
+func TestCertificateReload(t *testing.T) {
+	dir := t.TempDir()
+	files := vrsettings.TLSFiles{Certificate: filepath.Join(dir, "c.pem"), Key: filepath.Join(dir, "k.pem")}
+	synctest.Test(t, func(t *testing.T) {
+		holder := &certificate{files: files}
+		name := func() string {
+			pass(2 * _reloadInterval)
+			held, err := holder.get(nil)
+			require.NoError(t, err)
+			return held.Leaf.Subject.CommonName
+		}
+		_, err := holder.get(nil)
+		require.ErrorIs(t, err, os.ErrNotExist)
+		writePair(t, files, "first", time.Now())
+		require.Equal(t, "first", name())
+		writePair(t, files, "second", time.Now())
+		require.Equal(t, "second", name())
+		require.NoError(t, os.WriteFile(files.Key, []byte("half"), 0o600))
+		require.Equal(t, "second", name())
+		require.NoError(t, os.Remove(files.Certificate))
+		require.Equal(t, "second", name())
+	})
+}
+
+// Guards against an address that is refused without its setting's name.
+func TestListenError(t *testing.T) {
+	_, err := listen("callers", "192.0.2.1:1", vrsettings.TLSFiles{})
+	var listen *ListenError
+	require.True(t, errors.As(err, &listen))
+	require.Equal(t, "callers", listen.Field)
+}
