--- a/verbenaroute/internal/vrfront/attempt.go
+++ b/verbenaroute/internal/vrfront/attempt.go
@@ -24,8 +24,8 @@
 )
 
 var (
-	// errNotOwner ends an attempt whose request is served by another attempt.
-	errNotOwner = errors.New("another attempt serves the request")
+	// errNotOwner ends an attempt whose request has ended or is served by another one.
+	errNotOwner = errors.New("the request has ended or is served by another attempt")
 	// errAnswerTooLarge ends an attempt whose whole answer does not fit.
 	errAnswerTooLarge = errors.New("the answer is too large")
 )
--- a/verbenaroute/internal/vrfront/flight.go
+++ b/verbenaroute/internal/vrfront/flight.go
@@ -14,6 +14,8 @@
 	// _outputBytes is how much of a stream waits for a slow caller before the attempt
 	// stops reading from the back end.
 	_outputBytes = 64 << 10
+	// _firstOutput holds the first few chunks of a stream.
+	_firstOutput = 1 << 10
 	// _answerBytes bounds an answer that is collected as a whole.
 	_answerBytes = 8 << 20
 )
@@ -68,7 +70,8 @@
 	room chan struct{}
 
 	mu sync.Mutex
-	// output holds encoded tokens that the handler has not taken.
+	// output holds encoded tokens that the handler has not taken. Nothing is added
+	// after the terminal effect.
 	output []byte
 	// next is the offset of the first token that was not accepted. Only a token with
 	// exactly this offset is accepted, so no token is lost or doubled.
@@ -213,7 +216,7 @@
 func (f *flight) accept(a *attempt, line *vrengine.Token) (first bool, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.owner != nil && f.owner != a {
+	if f.terminal != nil || (f.owner != nil && f.owner != a) {
 		return false, errNotOwner
 	}
 	first = !a.spoke
@@ -226,6 +229,9 @@
 		return false, errAnswerTooLarge
 	}
 	if line.Token != "" && line.Offset == f.next {
+		if f.output == nil {
+			f.output = make([]byte, 0, _firstOutput)
+		}
 		f.output = f.encode(f.output, line.Token)
 		f.next++
 		signal(f.wake)
--- a/verbenaroute/internal/vrfront/format.go
+++ b/verbenaroute/internal/vrfront/format.go
@@ -22,6 +22,10 @@
 	_eventError = "event: error\ndata: "
 	_eventEnd   = "\n\n"
 	_eventDone  = "data: [DONE]\n\n"
+	// _headBytes hold the equal part of a chunk beside the model's name.
+	_headBytes = 160
+	// _answerSlack holds the rest of a whole answer beside its head and text.
+	_answerSlack = 256
 )
 
 // format writes one request's answer. The parts that are equal in every chunk are
@@ -52,7 +56,9 @@
 	if options.Shape == shapeText {
 		idPrefix, chunk, answer = "cmpl-", "text_completion", "text_completion"
 	}
-	head := func(out []byte, object string) []byte {
+	head := func(start, object string) []byte {
+		out := make([]byte, 0, _headBytes+len(options.Model))
+		out = append(out, start...)
 		out = append(out, `{"id":"`...)
 		out = append(out, idPrefix...)
 		out = append(out, options.Request...)
@@ -66,9 +72,9 @@
 	}
 	f := &format{
 		shape:        options.Shape,
-		chunkHead:    head([]byte(_eventData), chunk),
+		chunkHead:    head(_eventData, chunk),
 		chunkTail:    "]}" + _eventEnd,
-		answerHead:   head(nil, answer),
+		answerHead:   head("", answer),
 		includeUsage: options.IncludeUsage,
 		promptTokens: options.PromptTokens,
 	}
@@ -132,8 +138,9 @@
 	return append(out, _eventEnd...)
 }
 
-// whole appends an answer that is not a stream.
-func (f *format) whole(out []byte, text []byte, finish string, tokens int) []byte {
+// whole returns an answer that is not a stream.
+func (f *format) whole(text []byte, finish string, tokens int) []byte {
+	out := make([]byte, 0, len(f.answerHead)+len(text)+_answerSlack)
 	out = append(out, f.answerHead...)
 	if f.shape == shapeChat {
 		out = append(out, `{"index":0,"message":{"role":"assistant","content":`...)
--- a/verbenaroute/internal/vrfront/model.go
+++ b/verbenaroute/internal/vrfront/model.go
@@ -157,7 +157,7 @@
 	}
 	if !flight.request.Stream {
 		ctx.SetContentType(_contentJSON)
-		ctx.SetBody(format.whole(nil, flight.output, flight.finish, flight.next))
+		ctx.SetBody(format.whole(flight.output, flight.finish, flight.next))
 		return
 	}
 	ctx.SetContentType(_contentStream)
