Add the operators' interface of a daemon

Queries read record blocks by hour and writer, add the unwritten entries of the own zone's daemons and, through their owners, of the other zones, and say what is missing.

--- a/verbenacore/vrjournal/vrjournal.go
+++ b/verbenacore/vrjournal/vrjournal.go
@@ -212,15 +212,15 @@
 // those that it holds as a writer.
 func (j *Journal) Pending() int { return len(j.queue.items) + j.writer.pending() }
 
-// Unwritten calls yield with each entry that is not yet known to be in a block: the
-// tail that a query adds to the blocks.
-func (j *Journal) Unwritten(yield func(*vrrecord.Entry) bool) {
-	for _, item := range j.queue.items {
-		if entry, err := vrwire.Unmarshal[vrrecord.Entry](item.data); err == nil && !yield(entry) {
-			return
-		}
+// Unwritten returns the encoded entries that are not yet known to be in a block: the
+// tail that a query adds to the blocks. The bytes are shared and must not be changed;
+// decoding them is left to the caller, so that it needs no lock of the journal's owner.
+func (j *Journal) Unwritten() [][]byte {
+	entries := make([][]byte, 0, j.Pending())
+	for _, held := range j.queue.items {
+		entries = append(entries, held.data)
 	}
-	j.writer.unwritten(j.queue.run, yield)
+	return j.writer.unwritten(j.queue.run, entries)
 }
 
 func (j *Journal) sendBatch(now time.Time, effects *vrevent.Effects) {
--- a/verbenacore/vrjournal/vrjournal_test.go
+++ b/verbenacore/vrjournal/vrjournal_test.go
@@ -357,7 +357,9 @@
 	z.down = true
 	z.pass(4, 10)
 	seen := make(map[vrid.RequestID]bool)
-	for entry := range z.nodes["d1"].Unwritten {
+	for _, data := range z.nodes["d1"].Unwritten() {
+		entry, err := vrwire.Unmarshal[vrrecord.Entry](data)
+		require.NoError(t, err)
 		require.False(t, seen[entry.Request])
 		seen[entry.Request] = true
 	}
--- a/verbenacore/vrjournal/writer.go
+++ b/verbenacore/vrjournal/writer.go
@@ -411,20 +411,18 @@
 	return len(w.buffer) + len(w.inFlight.entries)
 }
 
-// unwritten yields the entries of other runs that are in no block yet.
-func (w *writer) unwritten(except vrrecord.Run, yield func(*vrrecord.Entry) bool) {
+// unwritten appends the entries of other runs that are in no block yet.
+func (w *writer) unwritten(except vrrecord.Run, entries [][]byte) [][]byte {
 	lists := [][]taken{w.buffer}
 	if w.inFlight != nil {
 		lists = append(lists, w.inFlight.entries)
 	}
 	for _, list := range lists {
 		for _, held := range list {
-			if held.run == except {
-				continue
-			}
-			if entry, err := vrwire.Unmarshal[vrrecord.Entry](held.data); err == nil && !yield(entry) {
-				return
+			if held.run != except {
+				entries = append(entries, held.data)
 			}
 		}
 	}
+	return entries
 }
--- a/verbenacore/vrquery/vrquery_test.go
+++ b/verbenacore/vrquery/vrquery_test.go
@@ -105,6 +105,7 @@
 		if err != nil {
 			return err.Error()
 		}
+		require.ElementsMatch(t, changes, Diff(fleet, next), "a racing operator would be shown other changes")
 		lines := []string{fmt.Sprintf("version %d", next.Version)}
 		for _, change := range changes {
 			lines = append(lines, change.String())
--- a/verbenacore/vrreducer/query.go
+++ b/verbenacore/vrreducer/query.go
@@ -1,7 +1,5 @@
 package vrreducer
 
-import "verbenaroute.example/verbenacore/vrrecord"
-
-// Unwritten calls yield with each record entry that this daemon holds and that is not
-// yet known to be in a block.
-func (s *State) Unwritten(yield func(*vrrecord.Entry) bool) { s.journal.Unwritten(yield) }
+// Unwritten returns the encoded record entries that this daemon holds and that are not
+// yet known to be in a block. The bytes are shared and must not be changed.
+func (s *State) Unwritten() [][]byte { return s.journal.Unwritten() }
--- /dev/null
+++ b/verbenaroute/internal/vroperator/live.go
@@ -0,0 +1,105 @@
+package vroperator
+
+import (
+	"verbenaroute.example/verbenacore/vrconfig"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrquery"
+	"verbenaroute.example/verbenacore/vrrecord"
+	"verbenaroute.example/verbenacore/vrreducer"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+// ReducerLive reads the live state of a reducer.
+type ReducerLive struct {
+	// Inspect runs a function between two events.
+	Inspect func(read func())
+	State   *vrreducer.State
+}
+
+// reducerLive implements Live.
+type reducerLive struct{ ReducerLive }
+
+// NewLive returns a Live over a reducer.
+func NewLive(source ReducerLive) Live { return &reducerLive{source} }
+
+// Configuration implements Live.
+func (l *reducerLive) Configuration() (index *vrconfig.Index) {
+	l.Inspect(func() { index = l.ReducerLive.State.Configuration() })
+	return index
+}
+
+func (l *reducerLive) status() (status vrreducer.Status, index *vrconfig.Index) {
+	l.Inspect(func() {
+		status = l.ReducerLive.State.Status()
+		index = l.ReducerLive.State.Configuration()
+	})
+	return status, index
+}
+
+// State implements Live.
+func (l *reducerLive) State() *vrquery.State {
+	status, index := l.status()
+	state := &vrquery.State{Servers: status.Servers}
+	if index != nil {
+		state.Fleet = index.Fleet
+	}
+	reached := map[vrid.ZoneID]bool{status.Zone: true}
+	state.Zones = append(state.Zones, vrquery.ZoneState{
+		Zone: status.Zone, Owner: status.Owner, Epoch: status.Epoch, Config: status.Config, InForce: status.Config, Reachable: true,
+	})
+	for _, member := range status.Members {
+		state.Daemons = append(state.Daemons, vrquery.DaemonState{Zone: status.Zone, Member: member, Config: status.Config})
+	}
+	for _, remote := range status.Remote {
+		reached[remote.Zone] = true
+		state.Zones = append(state.Zones, vrquery.ZoneState{
+			Zone: remote.Zone, Owner: remote.Owner, Epoch: remote.Epoch, Config: remote.Config, InForce: remote.InForce, Reachable: true,
+		})
+		state.Servers = append(state.Servers, remote.Servers...)
+		for _, member := range remote.Members {
+			state.Daemons = append(state.Daemons, vrquery.DaemonState{Zone: remote.Zone, Member: member, Config: remote.Config})
+		}
+	}
+	for _, zone := range declaredZones(state.Fleet) {
+		if !reached[zone] {
+			state.Zones = append(state.Zones, vrquery.ZoneState{Zone: zone})
+		}
+	}
+	return state
+}
+
+func declaredZones(fleet *vrconfig.Fleet) []vrid.ZoneID {
+	if fleet == nil {
+		return nil
+	}
+	return fleet.Zones()
+}
+
+// Unwritten implements Live. Only the list is copied between two events; decoding a
+// long list would hold up the callers' requests.
+func (l *reducerLive) Unwritten() []vrrecord.Entry {
+	var list [][]byte
+	l.Inspect(func() { list = l.ReducerLive.State.Unwritten() })
+	entries := make([]vrrecord.Entry, 0, len(list))
+	for _, data := range list {
+		if entry, err := vrwire.Unmarshal[vrrecord.Entry](data); err == nil {
+			entries = append(entries, *entry)
+		}
+	}
+	return entries
+}
+
+// Peers implements Live.
+func (l *reducerLive) Peers() []Peer {
+	status, _ := l.status()
+	var peers []Peer
+	for _, member := range status.Members {
+		if member.State == vrwire.MemberAlive || member.State == vrwire.MemberLeaving {
+			peers = append(peers, Peer{Daemon: member.Daemon, Address: member.Peer, Zone: status.Zone, Owner: member.Daemon == status.Owner})
+		}
+	}
+	for _, remote := range status.Remote {
+		peers = append(peers, Peer{Daemon: remote.Owner, Address: remote.Peer, Zone: remote.Zone, Owner: true})
+	}
+	return peers
+}
--- /dev/null
+++ b/verbenaroute/internal/vroperator/query.go
@@ -0,0 +1,242 @@
+package vroperator
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"time"
+
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrplatform"
+	"verbenaroute.example/verbenacore/vrquery"
+	"verbenaroute.example/verbenacore/vrrecord"
+)
+
+// query answers POST /v1/query.
+func (o *Operator) query(ctx context.Context, request call) (*vrquery.Table, error) {
+	body, err := decodeBody[vrquery.QueryCall](request.body)
+	if err != nil {
+		return nil, err
+	}
+	statement, err := vrquery.Parse(body.Query)
+	if err != nil {
+		return nil, err
+	}
+	if statement.IsCommand() {
+		return nil, usage("this is a command: send it to " + vrquery.PathCommand)
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.options.QueryTime)
+	defer cancel()
+	if err := o.enter(ctx); err != nil {
+		return nil, err
+	}
+	defer o.leave()
+	return o.run(ctx, statement)
+}
+
+// enter waits for a place: a few queries at once must not take the processor from the
+// callers' requests.
+func (o *Operator) enter(ctx context.Context) error {
+	select {
+	case o.running <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return unavailable("too many queries run on this daemon; ask another one or try again")
+	}
+}
+
+func (o *Operator) leave() { <-o.running }
+
+func (o *Operator) run(ctx context.Context, statement *vrquery.Statement) (*vrquery.Table, error) {
+	src := &source{ctx: ctx, operator: o, now: o.options.Now(), state: o.options.Live.State()}
+	within, readsRecord, err := statement.ReadsRecord(src.now)
+	if err != nil {
+		return nil, err
+	}
+	if readsRecord {
+		// The tails come first: an entry that is written to a block meanwhile is then in
+		// the tail and in the block, and not in neither.
+		src.tail = o.askTails(ctx, statement.Text, src.state, &src.missing)
+	}
+	answer, err := vrquery.Run(statement, src)
+	if err != nil {
+		return nil, err
+	}
+	slices.Sort(src.missing)
+	answer.Missing = slices.Compact(src.missing)
+	if readsRecord && len(answer.Missing) > 0 {
+		answer.Missing = append(answer.Missing, fmt.Sprintf("the answer for %s to %s is incomplete",
+			within.From.UTC().Format(time.RFC3339), within.Until.UTC().Format(time.RFC3339)))
+	}
+	return answer, nil
+}
+
+// source reads the record for one query.
+type source struct {
+	ctx      context.Context
+	operator *Operator
+	now      time.Time
+	state    *vrquery.State
+	tail     []vrrecord.Entry
+	missing  []string
+}
+
+// Now implements vrquery.Source.
+func (s *source) Now() time.Time { return s.now }
+
+// State implements vrquery.Source.
+func (s *source) State() *vrquery.State { return s.state }
+
+// Entries implements vrquery.Source. It holds one hour of one writer at a time.
+func (s *source) Entries(within vrquery.Range, yield func(*vrrecord.Entry) bool) error {
+	reader := &reader{source: s, within: within, seen: make(map[vrrecord.Run]*vrrecord.Numbers), yield: yield}
+	for i := range s.tail {
+		if !reader.take(&s.tail[i]) {
+			return nil
+		}
+	}
+	for _, hour := range hours(within, s.now) {
+		for _, zone := range s.zones() {
+			if !reader.readHour(zone, hour) {
+				return nil
+			}
+		}
+	}
+	return nil
+}
+
+func (s *source) zones() []vrid.ZoneID {
+	if s.state.Fleet == nil {
+		return []vrid.ZoneID{s.operator.options.Zone}
+	}
+	return s.state.Fleet.Zones()
+}
+
+// hours lists the hours whose blocks may hold entries of a range, the newest first. A
+// block is named by its last entry, so the hour after the range belongs to it.
+func hours(within vrquery.Range, now time.Time) []time.Time {
+	last := within.Until.Add(time.Hour)
+	if last.After(now) {
+		last = now
+	}
+	first := within.From.UTC().Truncate(time.Hour)
+	var list []time.Time
+	for hour := last.UTC().Truncate(time.Hour); !hour.Before(first); hour = hour.Add(-time.Hour) {
+		list = append(list, hour)
+	}
+	return list
+}
+
+// reader passes on each entry of a range once.
+type reader struct {
+	source *source
+	within vrquery.Range
+	// seen holds the numbers that were passed on: a daemon that changes its writer
+	// sends entries twice. Numbers are nearly contiguous, so this stays small.
+	seen  map[vrrecord.Run]*vrrecord.Numbers
+	yield func(*vrrecord.Entry) bool
+}
+
+func (r *reader) miss(format string, args ...any) {
+	r.source.missing = append(r.source.missing, fmt.Sprintf(format, args...))
+}
+
+// readHour reads the blocks of a zone and hour. It returns false when the query has
+// enough or its time is over.
+func (r *reader) readHour(zone vrid.ZoneID, hour time.Time) bool {
+	label := hour.Format("2006-01-02T15:00Z")
+	if r.source.ctx.Err() != nil {
+		r.miss("zone %s from %s back: the query's time is over", zone, label)
+		return false
+	}
+	keys, outcome := r.source.operator.options.Objects.List(r.source.ctx, vrrecord.HourPrefix(zone, hour), false)
+	if outcome != vrplatform.OutcomeOK {
+		r.miss("zone %s hour %s: the platform's list is %s", zone, label, outcome)
+		return true
+	}
+	for _, prefix := range prefixes(keys) {
+		blocks, outcome := r.source.operator.options.Objects.List(r.source.ctx, prefix, true)
+		if outcome != vrplatform.OutcomeOK {
+			r.miss("zone %s hour %s, blocks %s: the platform's list is %s", zone, label, prefix, outcome)
+			continue
+		}
+		for i := range blocks {
+			if !r.readBlock(&blocks[i]) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// prefixes returns the writers' prefixes of listed blocks.
+func prefixes(keys []vrplatform.Item) []string {
+	var list []string
+	for _, item := range keys {
+		name, err := vrrecord.ParseKey(item.Key)
+		if err == nil && !slices.Contains(list, name.Prefix()) {
+			list = append(list, name.Prefix())
+		}
+	}
+	return list
+}
+
+func (r *reader) readBlock(item *vrplatform.Item) bool {
+	started := time.Now()
+	block, err := vrrecord.DecodeBlock(item.Value)
+	if err != nil {
+		r.miss("block %s: %v", item.Key, err)
+		return true
+	}
+	until := time.UnixMilli(block.Until)
+	if until.Before(r.within.From) || !time.UnixMilli(block.From).Before(r.within.Until) {
+		return true
+	}
+	for i := range block.Entries {
+		entry, err := block.Entry(i)
+		if err != nil {
+			r.miss("block %s: %v", item.Key, err)
+			continue
+		}
+		if !r.take(entry) {
+			return false
+		}
+	}
+	yieldProcessor(r.source.ctx, time.Since(started))
+	return true
+}
+
+// longestPause bounds one pause of a query.
+const longestPause = 20 * time.Millisecond
+
+// yieldProcessor rests as long as the work took, so that a heavy query uses at most
+// half of one core and callers' requests go first.
+func yieldProcessor(ctx context.Context, worked time.Duration) {
+	runtime.Gosched()
+	timer := time.NewTimer(min(worked, longestPause))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (r *reader) take(entry *vrrecord.Entry) bool {
+	at := time.UnixMilli(entry.At)
+	if at.Before(r.within.From) || !at.Before(r.within.Until) {
+		return true
+	}
+	if entry.Kind != vrrecord.EntryGap {
+		seen := r.seen[entry.RunOf()]
+		if seen == nil {
+			seen = &vrrecord.Numbers{}
+			r.seen[entry.RunOf()] = seen
+		}
+		if seen.Has(entry.Number, entry.Number) {
+			return true
+		}
+		seen.Add(entry.Number, entry.Number)
+	}
+	return r.yield(entry)
+}
--- /dev/null
+++ b/verbenaroute/internal/vroperator/tails.go
@@ -0,0 +1,209 @@
+package vroperator
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrquery"
+	"verbenaroute.example/verbenacore/vrrecord"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+const (
+	// maxRows keeps a reply below vrwire.MaxFrame.
+	maxRows = 512 << 10
+	// maxPeers bounds the daemons that one query asks.
+	maxPeers = 200
+)
+
+// tails are the questions to other daemons that wait for an answer.
+type tails struct {
+	mu      sync.Mutex
+	last    uint64
+	waiting map[uint64]chan *vrwire.Envelope
+}
+
+func (t *tails) open(capacity int) (uint64, chan *vrwire.Envelope) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.last++
+	replies := make(chan *vrwire.Envelope, capacity)
+	t.waiting[t.last] = replies
+	return t.last, replies
+}
+
+func (t *tails) close(id uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.waiting, id)
+}
+
+// deliver never blocks: a peer that answers twice must not hold up the session.
+func (t *tails) deliver(envelope *vrwire.Envelope) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	select {
+	case t.waiting[envelope.QueryReply.ID] <- envelope:
+	default:
+	}
+}
+
+// HandlePeer takes a QueryRequest or QueryReply of another daemon.
+func (o *Operator) HandlePeer(envelope *vrwire.Envelope) {
+	switch {
+	case envelope.QueryReply != nil:
+		o.tails.deliver(envelope)
+	case envelope.QueryRequest != nil:
+		o.answerPeer(envelope)
+	}
+}
+
+// askTails collects the unwritten entries of this daemon, of the daemons of its zone
+// and, through their owners, of the other zones.
+func (o *Operator) askTails(ctx context.Context, text string, state *vrquery.State, missing *[]string) []vrrecord.Entry {
+	entries := o.options.Live.Unwritten()
+	peers := o.peersToAsk(true)
+	for _, zone := range silentZones(state, o.options.Zone, peers) {
+		*missing = append(*missing, fmt.Sprintf("zone %s: it can't be reached, its last entries are not included", zone))
+	}
+	return append(entries, o.ask(ctx, text, peers, missing)...)
+}
+
+// silentZones lists the declared zones that no daemon can be asked for.
+func silentZones(state *vrquery.State, own vrid.ZoneID, peers []Peer) []vrid.ZoneID {
+	if state.Fleet == nil {
+		return nil
+	}
+	asked := map[vrid.ZoneID]bool{own: true}
+	for _, peer := range peers {
+		asked[peer.Zone] = true
+	}
+	var silent []vrid.ZoneID
+	for _, zone := range state.Fleet.Zones() {
+		if !asked[zone] {
+			silent = append(silent, zone)
+		}
+	}
+	return silent
+}
+
+// peersToAsk lists the members of the own zone and, for the whole fleet, the owners of
+// the others.
+func (o *Operator) peersToAsk(fleet bool) []Peer {
+	var peers []Peer
+	for _, peer := range o.options.Live.Peers() {
+		ownZone := peer.Zone == o.options.Zone
+		if peer.Daemon != o.options.Daemon && len(peers) < maxPeers && (ownZone || fleet && peer.Owner) {
+			peers = append(peers, peer)
+		}
+	}
+	return peers
+}
+
+func (o *Operator) ask(ctx context.Context, text string, peers []Peer, missing *[]string) []vrrecord.Entry {
+	ctx, cancel := context.WithTimeout(ctx, o.options.PeerTime)
+	defer cancel()
+	id, replies := o.tails.open(len(peers))
+	defer o.tails.close(id)
+	silent := make(map[vrid.DaemonID]Peer, len(peers))
+	for _, peer := range peers {
+		silent[peer.Daemon] = peer
+		o.send(peer.Daemon, peer.Address, &vrwire.Envelope{
+			QueryRequest: &vrwire.QueryRequest{ID: id, Query: text, WholeZone: peer.Zone != o.options.Zone},
+		})
+	}
+	var entries []vrrecord.Entry
+	for len(silent) > 0 {
+		select {
+		case envelope := <-replies:
+			entries = append(entries, o.takeReply(envelope, silent, missing)...)
+		case <-ctx.Done():
+			for _, peer := range silent {
+				*missing = append(*missing, fmt.Sprintf("zone %s: daemon %s did not answer, its last entries are not included", peer.Zone, peer.Daemon))
+			}
+			return entries
+		}
+	}
+	return entries
+}
+
+func (o *Operator) takeReply(envelope *vrwire.Envelope, silent map[vrid.DaemonID]Peer, missing *[]string) []vrrecord.Entry {
+	peer, expected := silent[envelope.From]
+	if !expected {
+		return nil
+	}
+	delete(silent, envelope.From)
+	reply := envelope.QueryReply
+	if reply.Error != "" || reply.Partial {
+		*missing = append(*missing, fmt.Sprintf("zone %s: the last entries of daemon %s are incomplete %s", peer.Zone, peer.Daemon, reply.Error))
+	}
+	entries, err := decodeRows(reply.Rows)
+	if err != nil {
+		*missing = append(*missing, fmt.Sprintf("zone %s: the answer of daemon %s is malformed: %v", peer.Zone, peer.Daemon, err))
+	}
+	return entries
+}
+
+func decodeRows(rows []byte) ([]vrrecord.Entry, error) {
+	var entries []vrrecord.Entry
+	lines := bufio.NewScanner(bytes.NewReader(rows))
+	lines.Buffer(nil, vrwire.MaxFrame)
+	for lines.Scan() {
+		var entry vrrecord.Entry
+		if err := json.Unmarshal(lines.Bytes(), &entry); err != nil {
+			return entries, err
+		}
+		if err := entry.Validate(); err != nil {
+			return entries, err
+		}
+		entries = append(entries, entry)
+	}
+	return entries, lines.Err()
+}
+
+// answerPeer answers with the unwritten entries in the query's time range.
+func (o *Operator) answerPeer(envelope *vrwire.Envelope) {
+	request := envelope.QueryRequest
+	reply := &vrwire.QueryReply{ID: request.ID, Zone: o.options.Zone}
+	statement, err := vrquery.Parse(request.Query)
+	var within vrquery.Range
+	if err == nil {
+		within, _, err = statement.ReadsRecord(o.options.Now())
+	}
+	if err != nil {
+		reply.Error = err.Error()
+	} else {
+		entries := o.options.Live.Unwritten()
+		var missing []string
+		if request.WholeZone {
+			entries = append(entries, o.ask(context.Background(), request.Query, o.peersToAsk(false), &missing)...)
+		}
+		reply.Rows, reply.Partial = encodeRows(entries, within)
+		reply.Partial = reply.Partial || len(missing) > 0
+	}
+	o.send(envelope.From, "", &vrwire.Envelope{QueryReply: reply})
+}
+
+func encodeRows(entries []vrrecord.Entry, within vrquery.Range) (rows []byte, cut bool) {
+	for i := range entries {
+		if entries[i].At < within.From.UnixMilli() {
+			continue
+		}
+		line, err := json.Marshal(&entries[i])
+		if err != nil || len(rows)+len(line) > maxRows {
+			return rows, true
+		}
+		rows = append(append(rows, line...), '\n')
+	}
+	return rows, false
+}
+
+func (o *Operator) send(peer vrid.DaemonID, address string, envelope *vrwire.Envelope) {
+	envelope.From, envelope.Boot, envelope.Zone = o.options.Daemon, o.options.Boot, o.options.Zone
+	o.options.Sender.SendPeer(peer, address, envelope)
+}
