Ask another parent at once when a heartbeat can't be delivered

Change: an undeliverable heartbeat counts as the parent's timeout; when it was the owner, any peer is asked. Retries are 250 ms apart at the least.

--- a/verbenabench/internal/vrcommand/vrcommand.go
+++ b/verbenabench/internal/vrcommand/vrcommand.go
@@ -17,7 +17,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newStandin(), newTry(), newScenario(), vrpath.Command(), vrcost.Command())
+	root.AddCommand(newStandin(), newTry(), newScenario(), vrpath.Command(), vrcost.Command(), vrcost.SpreadCommand())
 	return root
 }
 
--- a/verbenacore/vrmember/heartbeat.go
+++ b/verbenacore/vrmember/heartbeat.go
@@ -98,9 +98,26 @@
 	return candidates[m.opts.Random.IntN(len(candidates))]
 }
 
+// PeerLost takes word that a message to a peer could not be delivered. When it was the
+// last heartbeat, the next level is asked at once instead of after its timeout: a relay
+// that died would otherwise hold a configuration back for 3 s.
+func (m *Membership) PeerLost(now time.Time, peer vrid.DaemonID) {
+	if m.root || peer != m.asked || now.Sub(m.lostAt) < lostPause {
+		return
+	}
+	m.lostAt = now
+	timeout := parentTimeout
+	if peer == m.Owner().Daemon || now.Sub(m.replied) >= parentTimeout {
+		timeout = ownerTimeout
+	}
+	m.replied = now.Add(-timeout)
+	m.beatAt = time.Time{}
+}
+
 func (m *Membership) beat(now time.Time, out *vrevent.Effects) {
 	m.beatAt = now
 	target := m.target(now)
+	m.asked = target.Daemon
 	if target.Daemon == "" {
 		return
 	}
--- a/verbenacore/vrmember/vrmember.go
+++ b/verbenacore/vrmember/vrmember.go
@@ -21,6 +21,8 @@
 	parentTimeout = 2500 * time.Millisecond
 	// ownerTimeout is how long the root may be silent before any peer is asked.
 	ownerTimeout = 4 * time.Second
+	// lostPause bounds the heartbeats that follow lost ones at once.
+	lostPause = 250 * time.Millisecond
 	// pushInterval gathers view changes before they are pushed to children.
 	pushInterval = 20 * time.Millisecond
 	// reportKeepAlive sends an unchanged report after this time.
@@ -72,20 +74,23 @@
 	remoteHeard map[vrid.ZoneID]time.Time
 	removed     map[vrid.DaemonID]uint64
 	// departed are members that the root removed since TakeDeparted.
-	departed  []vrwire.MemberItem
-	reports   map[vrid.ServerID]vrwire.LoadReport
-	sent      map[vrid.ServerID]sentReport
-	demands   []vrwire.ModelDemand
-	beatAt    time.Time
-	replied   time.Time
-	started   time.Time
-	pushAt    time.Time
-	dirty     bool
-	root      bool
-	owner     Peer
-	ownEpoch  vrid.Epoch
-	seeds     []Peer
-	config    vrid.ConfigVersion
+	departed []vrwire.MemberItem
+	reports  map[vrid.ServerID]vrwire.LoadReport
+	sent     map[vrid.ServerID]sentReport
+	demands  []vrwire.ModelDemand
+	beatAt   time.Time
+	replied  time.Time
+	started  time.Time
+	pushAt   time.Time
+	dirty    bool
+	root     bool
+	owner    Peer
+	ownEpoch vrid.Epoch
+	seeds    []Peer
+	config   vrid.ConfigVersion
+	// asked is whom the last heartbeat went to.
+	asked     vrid.DaemonID
+	lostAt    time.Time
 	collected []vrwire.LoadReport
 	wanted    []vrwire.ModelDemand
 }
