--- a/verbenaroute/internal/vrserve/daemon.go
+++ b/verbenaroute/internal/vrserve/daemon.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 
-	"github.com/gofiber/fiber/v3"
 	"github.com/oklog/ulid/v2"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
@@ -50,8 +49,6 @@
 type DaemonOptions struct {
 	Settings *vrsettings.Settings
 	Log      *zap.Logger
-	// Mount adds handlers to the operators' address.
-	Mount func(d *Daemon, app *fiber.App)
 }
 
 // Daemon is a whole daemon: the runtime, the callers' and operators' addresses and the
@@ -110,11 +107,7 @@
 	d.admin = vradmin.New(vradmin.Options{
 		Status:  d.status,
 		Metrics: d.Metrics,
-		Mount: func(app *fiber.App) {
-			if options.Mount != nil {
-				options.Mount(d, app)
-			}
-		},
+		Mount:   d.newOperator().Mount,
 	})
 	return d, nil
 }
--- /dev/null
+++ b/verbenaroute/internal/vrserve/operators.go
@@ -0,0 +1,41 @@
+package vrserve
+
+import (
+	"context"
+
+	"verbenaroute.example/verbenacore/vrclient"
+	"verbenaroute.example/verbenacore/vrplatform"
+
+	"verbenaroute.example/verbenaroute/internal/vroperator"
+)
+
+// objects fits the platform's client to the operators' interface.
+type objects struct{ platform *vrclient.Platform }
+
+// Read implements vroperator.Objects.
+func (o objects) Read(ctx context.Context, key string) ([]byte, vrplatform.Outcome) {
+	read := o.platform.Read(ctx, key)
+	return read.Value, read.Outcome
+}
+
+// List implements vroperator.Objects.
+func (o objects) List(ctx context.Context, prefix string, values bool) ([]vrplatform.Item, vrplatform.Outcome) {
+	list := o.platform.List(ctx, prefix, values)
+	return list.Items, list.Outcome
+}
+
+// newOperator builds the operators' interface and takes part in peers' queries.
+func (d *Daemon) newOperator() *vroperator.Operator {
+	operator := vroperator.New(vroperator.Options{
+		Daemon:  d.settings.Daemon,
+		Boot:    d.boot,
+		Zone:    d.settings.Zone,
+		Tokens:  d.settings.OperatorTokens,
+		Objects: objects{d.clients.platform},
+		Changes: d.Runtime,
+		Live:    vroperator.NewLive(vroperator.ReducerLive{Inspect: d.Runtime.Inspect, State: d.State}),
+		Sender:  d.Runtime,
+	})
+	d.Runtime.OnQuery(operator.HandlePeer)
+	return operator
+}
