--- a/verbenacore/vrquery/vrquery_test.go
+++ b/verbenacore/vrquery/vrquery_test.go
@@ -293,3 +293,28 @@
 		_, _ = Run(statement, source)
 	})
 }
+
+// Guards against completion that offers nothing or what can't stand there.
+func TestComplete(t *testing.T) {
+	cases := []struct{ line, want string }{
+		{"", "declare drain explain retire set show undrain"},
+		{"sh", "show"},
+		{"show re", "refused replicas requests"},
+		{"show requests ", "by limit order by per since until where"},
+		{"show requests where ra", "ran rank"},
+		{"show requests where rank = ", "deferred normal urgent"},
+		{"show requests where rank =", "deferred normal urgent"},
+		{"show requests where reason = dead", "deadlineExceeded deadlineUnreachable"},
+		{"show requests by mod", "model"},
+		{"declare mo", "model"},
+		{"declare model x ", "kind load memory pool replicas zones"},
+		{"set ", "budget claims rank record replicas weightStore"},
+		{"set rank u", "urgent"},
+		{"set rank urgent t", "target"},
+		{"set weightStore ", "adapterSlots slots"},
+		{"show requests limit ", ""},
+	}
+	for _, c := range cases {
+		require.Equal(t, c.want, strings.Join(Complete(c.line), " "), c.line)
+	}
+}
