--- /dev/null
+++ b/verbenabench/internal/vrfuzz/plan.go
@@ -0,0 +1,164 @@
+// Package vrfuzz runs several daemons' reducers against drawn requests and faults and
+// checks the nine invariants with an oracle that knows only the journals of the fakes
+// and the callers' view.
+package vrfuzz
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"verbenaroute.example/verbenabench/internal/vrworld"
+)
+
+// ActionKind is one thing that callers, operators or the failure model do.
+type ActionKind uint8
+
+// Kinds of actions.
+const (
+	ActWait ActionKind = iota
+	ActRequest
+	ActBurst
+	ActReserve
+	ActRetryKey
+	ActReuseKey
+	ActHangUp
+	ActKill
+	ActKillMid
+	ActReclaim
+	ActPause
+	ActPauseOwner
+	ActKillOwner
+	ActLoss
+	ActCrossing
+	ActPartition
+	ActCutPlatform
+	ActPlatformDown
+	ActLostAnswers
+	ActSlowPlatform
+	ActLateWrites
+	ActSlowWeights
+	ActEngineRestart
+	ActEngineReclaim
+	ActEngineLeave
+	ActLostOrderAnswers
+	ActOrderLag
+	ActReportLag
+	ActPropose
+	ActRace
+	ActDrain
+	ActStop
+	ActReplaceZone
+	ActAppRestart
+	ActAppLeave
+	ActAppBreak
+	actCount
+)
+
+var _actionNames = [actCount]string{
+	"wait", "request", "burst", "reserve", "retryKey", "reuseKey", "hangUp", "kill", "killMid", "reclaim",
+	"pause", "pauseOwner", "killOwner", "loss", "crossing", "partition", "cutPlatform", "platformDown",
+	"lostAnswers", "slowPlatform", "lateWrites", "slowWeights", "engineRestart", "engineReclaim", "engineLeave",
+	"lostOrderAnswers", "orderLag", "reportLag", "propose", "race", "drain", "stop", "replaceZone", "appRestart",
+	"appLeave", "appBreak",
+}
+
+// String returns the name in traces.
+func (k ActionKind) String() string { return _actionNames[k] }
+
+// Action is one drawn step. A, B and C choose its target and its strength.
+type Action struct {
+	Kind    ActionKind
+	A, B, C int
+	// Lasts is how long a fault stays, Wait the time until the next action.
+	Lasts time.Duration
+	Wait  time.Duration
+}
+
+// String returns the line of a trace.
+func (a Action) String() string {
+	return fmt.Sprintf("%s %d %d %d lasts %s, wait %s", a.Kind, a.A, a.B, a.C, a.Lasts, a.Wait)
+}
+
+// Plan is a deployment with a list of actions; it repeats exactly.
+type Plan struct {
+	World   vrworld.Options
+	Actions []Action
+}
+
+// String lists the actions.
+func (p Plan) String() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "world seed %d, %d zones, %d daemons, %d servers a zone, %d models, fencing %t\n",
+		p.World.Seed, p.World.Zones, p.World.DaemonsPerZone, p.World.ServersPerZone, p.World.Models, p.World.HonorsFencing)
+	for i, action := range p.Actions {
+		fmt.Fprintf(&text, "%3d %s\n", i, action)
+	}
+	return text.String()
+}
+
+// _mix lists kinds as often as they are to be drawn: requests keep the daemons busy,
+// faults overlap.
+var _mix = mix(map[ActionKind]int{
+	ActWait: 4, ActRequest: 14, ActBurst: 6, ActReserve: 12, ActRetryKey: 10, ActReuseKey: 1, ActHangUp: 2,
+	ActKill: 2, ActKillMid: 3, ActReclaim: 1, ActPause: 3, ActPauseOwner: 4, ActKillOwner: 3, ActLoss: 1,
+	ActCrossing: 1, ActPartition: 2, ActCutPlatform: 2, ActPlatformDown: 1, ActLostAnswers: 2, ActSlowPlatform: 1,
+	ActLateWrites: 2, ActSlowWeights: 1, ActEngineRestart: 2, ActEngineReclaim: 1, ActEngineLeave: 2,
+	ActLostOrderAnswers: 3, ActOrderLag: 2, ActReportLag: 1, ActPropose: 3, ActRace: 2, ActDrain: 1, ActStop: 2,
+	ActReplaceZone: 1, ActAppRestart: 1, ActAppLeave: 1, ActAppBreak: 2,
+})
+
+func mix(weights map[ActionKind]int) []ActionKind {
+	var kinds []ActionKind
+	for kind := range actCount {
+		for range weights[kind] {
+			kinds = append(kinds, kind)
+		}
+	}
+	return kinds
+}
+
+var (
+	_waits = []time.Duration{
+		0, 20 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond,
+	}
+	_lengths = []time.Duration{
+		300 * time.Millisecond, time.Second, 2500 * time.Millisecond, 4 * time.Second, 7 * time.Second, 12 * time.Second,
+	}
+)
+
+// actions draws one action. The selectors are reduced modulo the number of targets.
+func actions() *rapid.Generator[Action] {
+	const selectors = 1 << 16
+	return rapid.Custom(func(t *rapid.T) Action {
+		return Action{
+			Kind:  rapid.SampledFrom(_mix).Draw(t, "kind"),
+			A:     rapid.IntRange(0, selectors).Draw(t, "a"),
+			B:     rapid.IntRange(0, selectors).Draw(t, "b"),
+			C:     rapid.IntRange(0, 9).Draw(t, "c"),
+			Lasts: rapid.SampledFrom(_lengths).Draw(t, "lasts"),
+			Wait:  rapid.SampledFrom(_waits).Draw(t, "wait"),
+		}
+	})
+}
+
+// Plans draws plans with a number of actions.
+func Plans(low, high int) *rapid.Generator[Plan] {
+	return rapid.Custom(func(t *rapid.T) Plan {
+		return Plan{
+			World: vrworld.Options{
+				Seed:              rapid.Uint64().Draw(t, "seed"),
+				Zones:             rapid.IntRange(1, 3).Draw(t, "zones"),
+				DaemonsPerZone:    rapid.IntRange(2, 3).Draw(t, "daemons"),
+				ServersPerZone:    rapid.IntRange(2, 3).Draw(t, "servers"),
+				AppServersPerZone: 1,
+				Models:            rapid.IntRange(4, 14).Draw(t, "models"),
+				Adapters:          2,
+				HonorsFencing:     rapid.Bool().Draw(t, "fencing"),
+			},
+			Actions: rapid.SliceOfN(actions(), low, high).Draw(t, "actions"),
+		}
+	})
+}
--- a/verbenabench/internal/vrworld/app.go
+++ b/verbenabench/internal/vrworld/app.go
@@ -39,7 +39,7 @@
 	attempts map[*attempt]bool
 }
 
-func (w *World) addApp(zone vrid.ZoneID) *App {
+func (w *World) addApp(zone vrid.ZoneID) {
 	id := vrid.ServerID(fmt.Sprintf("a%03d-%s", w.vmNumber(), zone))
 	a := &App{ID: id, Zone: zone, world: w, outcomes: make(map[string][]byte)}
 	a.vm = w.Platform.addVM(vrplatform.VM{
@@ -48,7 +48,6 @@
 	a.start()
 	w.Apps = append(w.Apps, a)
 	w.byApp[id] = a
-	return a
 }
 
 func (a *App) start() {
@@ -73,6 +72,24 @@
 	})
 }
 
+// Reclaim takes the VM away; a new one with another id comes instead. What it ran can be
+// looked up there, as services keep their outcomes in a store of their own.
+func (a *App) Reclaim(replaced time.Duration) {
+	if a.Gone {
+		return
+	}
+	a.Alive = false
+	a.Gone = true
+	a.vm.removed = a.world.now
+	for _, open := range sortedAttempts(a.attempts) {
+		open.breakOff()
+	}
+	a.world.After(replaced, func() {
+		a.world.addApp(a.Zone)
+		a.world.Apps[len(a.world.Apps)-1].outcomes = a.outcomes
+	})
+}
+
 // Leave makes the server say that it takes no new work.
 func (a *App) Leave() {
 	if !a.Alive || a.Leaving {
--- a/verbenabench/internal/vrworld/call.go
+++ b/verbenabench/internal/vrworld/call.go
@@ -1,6 +1,7 @@
 package vrworld
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 	"time"
@@ -109,6 +110,19 @@
 	c.close(EndBroken)
 }
 
+// Whole reports whether the caller of an answered or replayed call has the whole answer
+// to its own request.
+func (c *Call) Whole() bool {
+	switch {
+	case c.Mixed:
+		return false
+	case c.Request.Model != "":
+		return c.Tokens == c.Request.MaxTokens
+	default:
+		return bytes.Equal(c.Body, answerOf(c))
+	}
+}
+
 func (c *Call) close(end End) {
 	if c.End == EndOpen {
 		c.End = end
@@ -123,7 +137,7 @@
 }
 
 // end carries out the terminal effect of a request.
-func (w *World) end(p *Process, effect vrevent.Effect) {
+func (w *World) end(effect vrevent.Effect) {
 	switch e := effect.(type) {
 	case vrevent.Refuse:
 		call := w.Calls[e.Request]
--- a/verbenabench/internal/vrworld/daemon.go
+++ b/verbenabench/internal/vrworld/daemon.go
@@ -309,7 +309,7 @@
 	case vrevent.LookUpOutcome:
 		w.lookUp(p, e)
 	case vrevent.Refuse, vrevent.Replay, vrevent.Complete:
-		w.end(p, effect)
+		w.end(effect)
 	case vrevent.CancelAttempt:
 		w.cancel(e)
 	case vrevent.ConfigDecided:
@@ -330,6 +330,18 @@
 	}
 }
 
+// Proposal returns an operator's change that the process was given.
+func (p *Process) Proposal(number uint64) *Proposal { return p.proposals[number] }
+
+// Calls are the calls that wait for an end, in order.
+func (p *Process) Calls() []*Call {
+	calls := make([]*Call, 0, len(p.open))
+	for _, id := range sortedCalls(p.open) {
+		calls = append(calls, p.open[id])
+	}
+	return calls
+}
+
 func (p *Process) decided(e vrevent.ConfigDecided) {
 	if proposal := p.proposals[e.Proposal]; proposal != nil {
 		proposal.Decided = e.Decision
--- a/verbenabench/internal/vrworld/engine.go
+++ b/verbenabench/internal/vrworld/engine.go
@@ -70,7 +70,7 @@
 	report vrengine.Report
 }
 
-func (w *World) addEngine(zone vrid.ZoneID) *Engine {
+func (w *World) addEngine(zone vrid.ZoneID) {
 	id := vrid.ServerID(fmt.Sprintf("s%03d-%s", w.vmNumber(), zone))
 	pool := w.languagePool()
 	e := &Engine{ID: id, Zone: zone, Memory: pool.Memory, HonorsFencing: pool.HonorsFencing, world: w}
@@ -80,7 +80,6 @@
 	w.Engines = append(w.Engines, e)
 	w.byEngine[id] = e
 	e.start()
-	return e
 }
 
 func (w *World) languagePool() vrconfig.Pool {
--- a/verbenabench/internal/vrworld/vrworld.go
+++ b/verbenabench/internal/vrworld/vrworld.go
@@ -241,3 +241,17 @@
 }
 
 func (w *World) chance(p float64) bool { return p > 0 && w.random.Float64() < p }
+
+// Decode returns the configuration of a document.
+func (w *World) Decode(document []byte) *vrconfig.Index { return w.configs.decode(document) }
+
+// LeavingSince is when a server first said that it leaves, or zero.
+func (w *World) LeavingSince(id vrid.ServerID) time.Time {
+	if e := w.byEngine[id]; e != nil {
+		return e.LeavingSince
+	}
+	if a := w.byApp[id]; a != nil {
+		return a.LeavingSince
+	}
+	return time.Time{}
+}
