--- a/verbenabench/internal/vrload/vrload.go
+++ b/verbenabench/internal/vrload/vrload.go
@@ -96,14 +96,20 @@
 
 // Run sends the planned calls at their times and returns when each one has ended.
 func (l *Load) Run(ctx context.Context) []View {
+	l.Play(ctx, Plan(l.options))
+	return l.Wait()
+}
+
+// Play sends calls at their times and returns after the last one was sent. When the
+// context ends no further call is sent; those under way end by themselves.
+func (l *Load) Play(ctx context.Context, plan []PlannedCall) {
 	began := time.Now()
-	for _, planned := range Plan(l.options) {
+	for _, planned := range plan {
 		if !sleepUntil(ctx, began.Add(planned.At)) {
-			break
+			return
 		}
-		l.Start(ctx, planned.Call)
+		l.Start(context.WithoutCancel(ctx), planned.Call)
 	}
-	return l.Wait()
 }
 
 // Start sends one call in the background.
@@ -125,9 +131,22 @@
 func (l *Load) Wait() []View {
 	l.calls.Wait()
 	l.client.CloseIdleConnections()
+	return l.Views()
+}
+
+// Views returns the views of the calls that have ended.
+func (l *Load) Views() []View {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]View(nil), l.views...)
+}
+
+// Keep adds a view of a call that Do made.
+func (l *Load) Keep(view View) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.views
+	l.sent++
+	l.views = append(l.views, view)
 }
 
 // Progress returns how many calls were sent and how many have ended.
--- a/verbenabench/internal/vrstandin/journal.go
+++ b/verbenabench/internal/vrstandin/journal.go
@@ -69,6 +69,9 @@
 	Tokens   int                 `json:"tokens,omitempty"`
 	Bytes    vrid.Bytes          `json:"bytes,omitempty"`
 	Detail   string              `json:"detail,omitempty"`
+	// Value is set for writes of ledgers, because they are the decisions that loads
+	// are compared with.
+	Value []byte `json:"value,omitempty"`
 }
 
 // Journal is the truth about what reached the back ends. It is safe for concurrent
