Keep the outcome of a claim that another log wrote

Cause: the shard's owner acknowledged and dropped the outcome of a call whose claim a daemon had written directly, because its own index lacked the claim: the key stayed claimed. Change: a log reads the open segment before it drops a report, writes a release that comes before its claim, refuses a late claim of a request that gave up, and lets a found outcome replace the state unknown.

--- a/verbenacore/vrclaim/log.go
+++ b/verbenacore/vrclaim/log.go
@@ -46,6 +46,10 @@
 	// in a write of its own.
 	stale  bool
 	synced time.Time
+	// begun counts the reads of the log that were asked for, synchronized is the newest
+	// of them that was answered.
+	begun        uint64
+	synchronized uint64
 	// answers are ready to be taken.
 	answers []Answer
 	// closed are the versions of closed segments that are in the index.
@@ -57,6 +61,8 @@
 	// requester waits for the entry to be durable.
 	requester vrid.DaemonID
 	deadline  time.Time
+	// reads is how many reads of the log had begun when the entry came.
+	reads uint64
 }
 
 // NewLog returns a log that knows nothing of its shard yet.
@@ -82,7 +88,7 @@
 func (l *Log) Report(now time.Time, entry vrwire.ClaimEntry, requester vrid.DaemonID) {
 	entry.At = now.UnixMilli()
 	entry.Body = TrimBody(entry.Body)
-	l.pending = append(l.pending, pendingEntry{entry: entry, requester: requester})
+	l.pending = append(l.pending, pendingEntry{entry: entry, requester: requester, reads: l.begun})
 	if l.flushAt.IsZero() {
 		l.flushAt = now.Add(flushDelay)
 	}
@@ -108,6 +114,10 @@
 		l.list(now, out)
 	case l.phase == phaseReady && len(l.pending) > 0 && !now.Before(l.flushAt):
 		l.resolve()
+		if l.reread {
+			l.read(now, out)
+			return
+		}
 		l.write(now, out)
 	}
 }
@@ -135,12 +145,14 @@
 		return
 	}
 	l.op = l.ops.Next()
+	l.begun++
 	l.phase = phaseListing
 	out.Add(vrevent.ListObjects{Op: l.op, Prefix: vrplatform.ClaimPrefix(l.shard), Values: true})
 }
 
 func (l *Log) read(now time.Time, out *vrevent.Effects) {
 	l.op = l.ops.Next()
+	l.begun++
 	l.stale = false
 	l.synced = now
 	out.Add(vrevent.ReadObject{Op: l.op, Key: vrplatform.ClaimKey(l.shard, l.segment)})
@@ -172,6 +184,7 @@
 		l.load(now, number, segment, item.Version)
 	}
 	l.phase = phaseReady
+	l.synchronized = l.begun
 	l.Tick(now, out)
 }
 
@@ -220,6 +233,11 @@
 		if p.entry.State != vrwire.ClaimClaimed {
 			return l.resolveReport(p, standing)
 		}
+		if standing != nil && standing.State == vrwire.ClaimReleased && standing.Request == p.entry.Request {
+			// A late copy of a claim that its request has given up: nobody would use it.
+			l.answer(p, vrwire.ClaimReleased, standing)
+			return true
+		}
 		if standing == nil || standing.State == vrwire.ClaimReleased {
 			entry := p.entry
 			claimed[nameOf(&p.entry)] = &entry
@@ -237,9 +255,21 @@
 	})
 }
 
-// resolveReport drops the report of a call that is not the one that holds the key.
+// resolveReport decides whether a report is left out of the next write: when the key is
+// held by another call, or its end is durable already. The claim may stand in a write of
+// another daemon that this log has not read, so it reads before it drops a report.
 func (l *Log) resolveReport(p pendingEntry, standing *vrwire.ClaimEntry) bool {
-	if standing != nil && standing.Request == p.entry.Request && standing.State == vrwire.ClaimClaimed {
+	own := standing != nil && standing.Request == p.entry.Request
+	if own && (standing.State == vrwire.ClaimClaimed || standing.State == vrwire.ClaimUnknown && p.entry.State == vrwire.ClaimDone) {
+		return false
+	}
+	if !own && l.synchronized <= p.reads {
+		l.reread = true
+		return false
+	}
+	if standing == nil {
+		// The claim is on its way to another log, or past the retention time. The entry
+		// keeps a late claim of the same request from holding the key.
 		return false
 	}
 	l.answer(p, p.entry.State, nil)
@@ -344,6 +374,7 @@
 	switch event.Outcome {
 	case vrplatform.OutcomeNotFound:
 		l.reread = false
+		l.synchronized = l.begun
 		l.rewind(now)
 		l.version = 0
 		l.entries = nil
@@ -354,6 +385,9 @@
 			return
 		}
 		l.reread = segment.Closed
+		if !segment.Closed {
+			l.synchronized = l.begun
+		}
 		l.rewind(now)
 		l.load(now, l.segment, segment, event.Version)
 	default:
