Release pins of lost orders and of earlier epochs of the same run

Cause: an order that was lost between owner and engine, one that was sent before the first report, and one that was answered while another daemon held the lease left their entry pinned for good. Change: a report 30 s after the connection of an unanswered order ended settles it; a daemon acknowledges a newer epoch only then; orders without a known server run belong to the first reported one; attempts of earlier epochs of the same run are settled when they are neither in flight nor lost.

--- a/verbenacore/vrledger/settle.go
+++ b/verbenacore/vrledger/settle.go
@@ -21,6 +21,9 @@
 	resendDelay = time.Second
 	// fenceDelay is the pause between two fence orders to one server.
 	fenceDelay = time.Second
+	// orderTail is how long an order whose connection ended without an answer may still
+	// be obeyed. The engine has closed the connection by then.
+	orderTail = 30 * time.Second
 	// maxAttempts bounds the unsettled attempts of an entry, and so its size.
 	maxAttempts = 8
 )
@@ -35,6 +38,10 @@
 	if _, waiting := s.inFlight[event.Order.OrderID]; waiting {
 		delete(s.inFlight, event.Order.OrderID)
 		l.outstanding--
+		if event.Status == vrengine.OrderUnanswered {
+			s.lost[event.Order.OrderID] = now
+			l.lostAt = now
+		}
 	}
 	if !l.active {
 		return 0
@@ -142,10 +149,11 @@
 func (l *Ledger) dropAttempts(s *server, entry *Entry, settled func(Attempt) bool) {
 	before := len(entry.Attempts)
 	entry.Attempts = slices.DeleteFunc(entry.Attempts, func(attempt Attempt) bool {
-		if _, sent := s.inFlight[attempt.Order]; sent {
+		if _, sent := s.inFlight[attempt.Order]; sent || !settled(attempt) {
 			return false
 		}
-		return settled(attempt)
+		delete(s.lost, attempt.Order)
+		return true
 	})
 	if len(entry.Attempts) != before {
 		l.touch(s.info.ID)
@@ -158,8 +166,8 @@
 		s := l.servers[id]
 		for _, entry := range s.entries {
 			l.dropAttempts(s, entry, func(attempt Attempt) bool {
-				if attempt.Issuer == l.opts.Daemon && attempt.Boot == l.opts.Boot {
-					return false
+				if l.own(attempt) {
+					return l.ownSettled(s, attempt)
 				}
 				return proved(attempt.Issuer, attempt.Boot, attempt.Epoch)
 			})
@@ -167,6 +175,17 @@
 	}
 }
 
+func (l *Ledger) own(attempt Attempt) bool {
+	return attempt.Issuer == l.opts.Daemon && attempt.Boot == l.opts.Boot
+}
+
+// ownSettled reports whether an attempt of this run under an earlier epoch was answered
+// or never sent: what waited for its record was dropped with the lease.
+func (l *Ledger) ownSettled(s *server, attempt Attempt) bool {
+	_, lost := s.lost[attempt.Order]
+	return attempt.Epoch < l.epoch && !lost
+}
+
 // HandleReport takes a load report that a poller passed on.
 func (l *Ledger) HandleReport(now time.Time, report *vrwire.LoadReport) {
 	s, ok := l.servers[report.Server]
@@ -192,7 +211,9 @@
 	old := time.UnixMilli(report.TakenAt).After(s.settled.Add(reportLag))
 	for _, entry := range slices.Clone(s.entries) {
 		l.dropAttempts(s, entry, func(attempt Attempt) bool {
-			return slices.Contains(report.AppliedOrders, attempt.Order)
+			at, lost := s.lost[attempt.Order]
+			return lost && time.UnixMilli(report.TakenAt).After(at.Add(orderTail)) ||
+				slices.Contains(report.AppliedOrders, attempt.Order)
 		})
 		fresh := old || slices.Contains(report.AppliedOrders, entry.Settled)
 		l.compare(s, entry, reportedState(report, entry), fresh)
@@ -205,13 +226,20 @@
 	known := s.boot != ""
 	s.boot = boot
 	if !known {
+		// Orders that were sent before the first report went to this run or an earlier one.
+		for _, entry := range s.entries {
+			for i := range entry.Attempts {
+				if attempt := &entry.Attempts[i]; l.own(*attempt) && attempt.ServerBoot == "" {
+					attempt.ServerBoot = boot
+				}
+			}
+		}
 		return
 	}
 	s.fenced = false
 	for _, entry := range s.entries {
 		l.dropAttempts(s, entry, func(attempt Attempt) bool {
-			own := attempt.Issuer == l.opts.Daemon && attempt.Boot == l.opts.Boot
-			return own && attempt.ServerBoot != boot && entry.State != vrwire.ReplicaGranted
+			return l.own(attempt) && attempt.ServerBoot != boot && entry.State != vrwire.ReplicaGranted
 		})
 	}
 }
--- /dev/null
+++ b/verbenacore/vrledger/settle_test.go
@@ -0,0 +1,143 @@
+package vrledger_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenaroute.example/verbenacore/vrengine"
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrledger"
+	"verbenaroute.example/verbenacore/vrplatform"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+// owner is a zone's owner with one server and one ledger object.
+type owner struct {
+	t       *testing.T
+	now     time.Time
+	ledger  *vrledger.Ledger
+	version vrid.ObjectVersion
+	value   []byte
+	orders  []vrengine.Order
+}
+
+func newOwner(t *testing.T) *owner {
+	o := &owner{t: t, now: time.Unix(1_790_000_000, 0)}
+	o.ledger = vrledger.New(vrledger.Options{Zone: "z", Daemon: "d", Boot: "b", Ops: &vrevent.Ops{}})
+	o.ledger.SetServer(o.now, vrledger.ServerInfo{
+		ID: "s", Address: "http:s", Memory: 10, Slots: 1, State: vrwire.ServerLive,
+	})
+	o.activate(1)
+	return o
+}
+
+func (o *owner) activate(epoch vrid.Epoch) {
+	out := &vrevent.Effects{}
+	o.ledger.Activate(o.now, epoch, 1, out)
+	o.run(out)
+}
+
+// run answers the ledger's calls to the platform and keeps its orders.
+func (o *owner) run(out *vrevent.Effects) {
+	o.ledger.Tick(o.now, out)
+	for len(out.List) > 0 {
+		effect := out.List[0]
+		out.List = out.List[1:]
+		switch e := effect.(type) {
+		case vrevent.ReadObject:
+			read := vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeNotFound}
+			if o.version > 0 {
+				read = vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeOK, Version: o.version, Value: o.value}
+			}
+			o.ledger.HandleRead(o.now, read, out)
+			o.ledger.Flush(o.now, out)
+		case vrevent.WriteObject:
+			o.version++
+			o.value = e.Value
+			o.ledger.HandleWritten(o.now, vrevent.ObjectWritten{
+				Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeOK, Version: o.version,
+			}, out)
+		case vrevent.SendOrder:
+			o.orders = append(o.orders, e.Order)
+		}
+	}
+}
+
+func (o *owner) pass(length time.Duration) {
+	o.now = o.now.Add(length)
+	o.run(&vrevent.Effects{})
+}
+
+func (o *owner) load() {
+	require.Equal(o.t, vrledger.RefusalNone, o.ledger.Apply(vrledger.Action{
+		Kind: vrledger.ActionLoad, Server: "s", Model: "m", Bytes: 5, Cap: 1,
+	}))
+	o.run(&vrevent.Effects{})
+}
+
+func (o *owner) answer(order vrengine.Order, status vrengine.OrderStatus) {
+	o.ledger.HandleOrder(o.now, vrevent.OrderAnswered{
+		Server: "s", Order: order, Status: status, Answer: vrengine.OrderAnswer{State: vrengine.StateLoaded},
+	})
+	o.run(&vrevent.Effects{})
+}
+
+func (o *owner) report(boot vrid.BootID, applied ...vrid.OrderID) {
+	o.ledger.HandleReport(o.now, &vrwire.LoadReport{
+		Server: "s", Boot: boot, AppliedOrders: applied, TakenAt: o.now.UnixMilli(),
+		Models: []vrwire.LoadedModel{{Model: "m", State: vrwire.ReplicaLoaded}},
+	})
+	o.run(&vrevent.Effects{})
+}
+
+func (o *owner) unload() vrledger.Refusal {
+	return o.ledger.Allowed(vrledger.Action{Kind: vrledger.ActionUnload, Server: "s", Model: "m"})
+}
+
+// An order that was lost on the way pinned its entry until the server restarted.
+func TestLostOrderIsSettledByLaterReport(t *testing.T) {
+	o := newOwner(t)
+	o.report("s1")
+	o.load()
+	o.answer(o.orders[0], vrengine.OrderUnanswered)
+	o.pass(2 * time.Second)
+	o.answer(o.orders[1], vrengine.OrderDone)
+	o.report("s1", o.orders[1].OrderID)
+	require.Equal(t, vrledger.RefusalPinned, o.unload())
+	require.False(t, o.ledger.Silent(o.now))
+	o.pass(31 * time.Second)
+	o.report("s1", o.orders[1].OrderID)
+	require.Equal(t, vrledger.RefusalNone, o.unload())
+	require.True(t, o.ledger.Silent(o.now))
+}
+
+// Orders that were sent before the server's first report stayed outstanding after the
+// server restarted.
+func TestRestartSettlesOrdersBeforeFirstReport(t *testing.T) {
+	o := newOwner(t)
+	o.load()
+	o.answer(o.orders[0], vrengine.OrderUnanswered)
+	o.pass(2 * time.Second)
+	o.answer(o.orders[1], vrengine.OrderDone)
+	o.report("s1")
+	require.Equal(t, vrledger.RefusalPinned, o.unload())
+	o.report("s2", o.orders[1].OrderID)
+	require.Equal(t, vrledger.RefusalNone, o.unload())
+}
+
+// An answer that came while another daemon held the lease left the entry pinned for
+// good after the lease came back.
+func TestOwnOrderOfEarlierEpochIsSettled(t *testing.T) {
+	o := newOwner(t)
+	o.report("s1")
+	o.load()
+	o.ledger.Deactivate()
+	o.answer(o.orders[0], vrengine.OrderDone)
+	o.activate(3)
+	o.report("s1")
+	o.ledger.SettleIssuers(func(vrid.DaemonID, vrid.BootID, vrid.Epoch) bool { return false })
+	require.Equal(t, vrledger.RefusalNone, o.unload())
+}
--- a/verbenacore/vrledger/vrledger.go
+++ b/verbenacore/vrledger/vrledger.go
@@ -36,6 +36,8 @@
 	fenced bool
 	// inFlight are this owner's orders that were sent and not answered yet.
 	inFlight map[vrid.OrderID]inFlight
+	// lost is when an order of this run ended without an answer.
+	lost     map[vrid.OrderID]time.Time
 	fence    vrid.OrderID
 	fenceAt  time.Time
 	resendAt time.Time
@@ -60,6 +62,8 @@
 	replicas map[vrid.ModelID]int
 	// outstanding counts the orders of all servers that were sent and not answered.
 	outstanding int
+	// lostAt is when an order of any server last ended without an answer.
+	lostAt time.Time
 	// issued is set once this run sent an order.
 	issued bool
 	// changed is set when the replicas in the zone view are out of date.
@@ -109,9 +113,14 @@
 }
 
 // Outstanding is the number of this daemon's orders that were sent and not answered.
-// An EpochAck may only be sent when it is zero.
 func (l *Ledger) Outstanding() int { return l.outstanding }
 
+// Silent reports whether no order of this run can still arrive anywhere: only then may
+// an EpochAck be sent.
+func (l *Ledger) Silent(now time.Time) bool {
+	return l.outstanding == 0 && now.Sub(l.lostAt) > orderTail
+}
+
 // Issued reports whether this run ever sent an order, so that a successor waits for its
 // acknowledgement.
 func (l *Ledger) Issued() bool { return l.issued }
@@ -143,7 +152,7 @@
 func (l *Ledger) SetServer(now time.Time, info ServerInfo) {
 	s, ok := l.servers[info.ID]
 	if !ok {
-		s = &server{inFlight: make(map[vrid.OrderID]inFlight), settled: now}
+		s = &server{inFlight: make(map[vrid.OrderID]inFlight), lost: make(map[vrid.OrderID]time.Time), settled: now}
 		l.servers[info.ID] = s
 		l.order = append(l.order, info.ID)
 		sort.Slice(l.order, func(i, j int) bool { return l.order[i] < l.order[j] })
--- a/verbenacore/vrreducer/zone.go
+++ b/verbenacore/vrreducer/zone.go
@@ -256,7 +256,7 @@
 
 // ackEpoch tells a newer owner that this run holds no unsent order of an earlier epoch.
 func (s *State) ackEpoch(now time.Time, out *vrevent.Effects) {
-	if !s.ledger.Issued() || s.lease.Holding() || s.ledger.Outstanding() > 0 {
+	if !s.ledger.Issued() || s.lease.Holding() || !s.ledger.Silent(now) {
 		return
 	}
 	if now.Sub(s.zone.ackedAt) < epochAckInterval || s.lease.Epoch() == 0 {
