--- a/verbenabench/internal/vrfuzz/run.go
+++ b/verbenabench/internal/vrfuzz/run.go
@@ -196,8 +196,9 @@
 		r.world.Send(d, r.modelRequest(a, 0))
 	case ActBurst:
 		for i := range 3 + a.C {
-			d, _ := pick(r.running(), a.A+i)
-			r.world.Send(d, r.modelRequest(a, i%3))
+			if d, ok := pick(r.running(), a.A+i); ok {
+				r.world.Send(d, r.modelRequest(a, i%3))
+			}
 		}
 	case ActReserve:
 		r.number++
@@ -420,11 +421,15 @@
 			d.Process.Resume()
 		}
 	}
-	r.world.After(settleTime/3, func() {
-		for _, d := range w.Daemons {
-			d.Start()
-		}
-	})
+	// A daemon that was asked to stop may still be on its way.
+	const rounds = 3
+	for round := range rounds {
+		w.After(settleTime/rounds*time.Duration(round), func() {
+			for _, d := range w.Daemons {
+				d.Start()
+			}
+		})
+	}
 }
 
 // probe sends each kind of request until it is answered.
--- a/verbenabench/internal/vrfuzz/vrfuzz_test.go
+++ b/verbenabench/internal/vrfuzz/vrfuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"testing"
 
@@ -19,7 +20,7 @@
 		wp.Go(func() {
 			defer func() {
 				if e := recover(); e != nil {
-					out[i] = fmt.Sprintf("seed %d panic %v", seed, e)
+					out[i] = fmt.Sprintf("seed %d panic %v %s", seed, e, debug.Stack())
 				}
 			}()
 			plan := PlanOf(seed)
--- a/verbenabench/internal/vrworld/daemon.go
+++ b/verbenabench/internal/vrworld/daemon.go
@@ -210,7 +210,11 @@
 		return
 	}
 	p.cutAt, p.holds = effects, true
-	d.world.After(length, p.Resume)
+	d.world.After(length, func() {
+		if p.holds || p.paused {
+			p.Resume()
+		}
+	})
 }
 
 func (p *Process) pause() {
@@ -218,11 +222,9 @@
 	p.since = p.world.now
 }
 
-// Resume lets a paused process go on.
+// Resume lets a paused process go on, and forgets a pause or a death that was to come.
 func (p *Process) Resume() {
-	if p.holds {
-		p.cutAt, p.holds = -1, false
-	}
+	p.cutAt, p.holds = -1, false
 	if p.dead || !p.paused {
 		return
 	}
