--- a/verbenabench/internal/vrcommand/vrcommand.go
+++ b/verbenabench/internal/vrcommand/vrcommand.go
@@ -6,6 +6,7 @@
 
 	"verbenaroute.example/verbenabench/internal/vrdeploy"
 	"verbenaroute.example/verbenabench/internal/vrmeasure"
+	"verbenaroute.example/verbenabench/internal/vrpath"
 )
 
 // New returns the root command.
@@ -16,7 +17,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newStandin(), newTry(), vrmeasure.Command())
+	root.AddCommand(newStandin(), newTry(), vrmeasure.Command(), vrpath.Command())
 	return root
 }
 
