--- a/verbenabench/internal/vrmeasure/vrmeasure.go
+++ b/verbenabench/internal/vrmeasure/vrmeasure.go
@@ -29,6 +29,10 @@
 
 func measurements() []measurement {
 	return []measurement{
+		{
+			name: "cold-start", short: "burst of first requests for idle models",
+			xLabel: "s to the first token", yLabel: "part of the requests", run: coldStart,
+		},
 		{
 			name: "decide", short: "time and allocations of one routing decision",
 			xLabel: "models and adapters", yLabel: "ns", run: decide,
--- a/verbenabench/internal/vrworld/call.go
+++ b/verbenabench/internal/vrworld/call.go
@@ -63,6 +63,8 @@
 	offset  int
 	first   time.Time
 	ended   bool
+	// active is set while the attempt holds a slot, with a Pace.
+	active bool
 }
 
 // Send makes a caller's request to a daemon. It returns nil when the daemon is down.
@@ -201,7 +203,7 @@
 	case held == nil || !held.Loaded || (a.effect.Adapter != "" && (held.Adapters[a.effect.Adapter] == nil || !held.Adapters[a.effect.Adapter].Loaded)):
 		a.finish(vrevent.AttemptNotLoaded, nil)
 		return
-	case len(e.running) >= engineQueue*serverSlots:
+	case len(e.running) >= engineQueue*e.slots:
 		a.finish(vrevent.AttemptBusy, nil)
 		return
 	}
@@ -214,6 +216,10 @@
 	if a.effect.Resume {
 		a.offset = a.call.Tokens
 	}
+	if w.Options.Pace != nil {
+		e.takePaced(a)
+		return
+	}
 	w.After(w.spread(firstTokenLow, firstTokenTop), a.start)
 }
 
@@ -229,7 +235,7 @@
 	}
 	a.process.deliver(vrevent.FirstToken{Request: a.call.Request.ID, Attempt: a.effect.Attempt})
 	rest := max(0, a.call.Request.MaxTokens-a.offset-1)
-	w.After(time.Duration(rest)*TokenTime, func() { a.finish(vrevent.AttemptAnswered, nil) })
+	w.After(time.Duration(rest)*w.tokenTime(), func() { a.finish(vrevent.AttemptAnswered, nil) })
 }
 
 // credit passes on the tokens of the attempt so far.
@@ -241,7 +247,7 @@
 		a.call.Mixed = true
 		return
 	}
-	passed := 1 + int(a.call.world.now.Sub(a.first)/TokenTime)
+	passed := 1 + int(a.call.world.now.Sub(a.first)/a.call.world.tokenTime())
 	a.call.Tokens = max(a.call.Tokens, min(a.call.Request.MaxTokens, a.offset+passed))
 }
 
@@ -250,9 +256,16 @@
 
 // stop ends an attempt that nobody waits for.
 func (a *attempt) stop() {
+	if a.ended {
+		return
+	}
 	a.ended = true
-	if a.engine != nil {
-		delete(a.engine.running, a)
+	if a.engine == nil {
+		return
+	}
+	delete(a.engine.running, a)
+	if a.call.world.Options.Pace != nil {
+		a.engine.release(a)
 	}
 }
 
--- a/verbenabench/internal/vrworld/daemon.go
+++ b/verbenabench/internal/vrworld/daemon.go
@@ -100,7 +100,7 @@
 	}
 	p.State = vrreducer.New(vrreducer.Options{
 		Daemon: d.ID, Boot: p.Boot, Zone: d.Zone, PeerAddress: peerAddress(d.ID),
-		Seeds: w.seeds(d), Random: w.random.Uint64(),
+		Seeds: w.seeds(d), Random: w.random.Uint64(), Plain: w.Options.Plain,
 	})
 	d.Process = p
 	p.deliver(vrevent.Started{})
--- a/verbenabench/internal/vrworld/engine.go
+++ b/verbenabench/internal/vrworld/engine.go
@@ -55,6 +55,11 @@
 	applied []vrid.OrderID
 	running map[*attempt]bool
 	older   []agedReport
+	slots   int
+	// active holds slots and queue waits for one, with a Pace.
+	active int
+	queue  []*attempt
+	copies *copies
 }
 
 // Held is a model on an engine.
@@ -73,12 +78,15 @@
 func (w *World) addEngine(zone vrid.ZoneID) *Engine {
 	id := vrid.ServerID(fmt.Sprintf("s%03d-%s", w.vmNumber(), zone))
 	pool := w.languagePool()
-	e := &Engine{ID: id, Zone: zone, Memory: pool.Memory, HonorsFencing: pool.HonorsFencing, world: w}
+	e := &Engine{ID: id, Zone: zone, Memory: pool.Memory, HonorsFencing: pool.HonorsFencing, world: w, slots: pool.Slots}
 	e.vm = w.Platform.addVM(vrplatform.VM{
 		ID: vrid.VMID(id), Kind: vrplatform.VMLanguageServer, Pool: pool.ID, Zone: zone, Address: serverAddress(id),
 	})
 	w.Engines = append(w.Engines, e)
 	w.byEngine[id] = e
+	if w.Options.Pace != nil {
+		e.copies = newCopies(id, w.Options.Fleet.Models, w.Options.Pace.DiskPart)
+	}
 	e.start()
 	return e
 }
@@ -115,6 +123,8 @@
 	e.running = make(map[*attempt]bool)
 	e.applied = nil
 	e.older = nil
+	e.active = 0
+	e.queue = nil
 }
 
 // Stop ends the server: its streams break and its memory is empty.
@@ -274,6 +284,10 @@
 	e.Used += order.Bytes
 	e.note(order)
 	held.whenLoaded(done)
+	if e.world.Options.Pace != nil {
+		e.loadPaced(order, held)
+		return
+	}
 	work := 2 * time.Second
 	if model := e.world.Options.Fleet.Models; len(model) > 0 {
 		work = model[0].LoadTime.Std()
@@ -382,9 +396,13 @@
 
 func (e *Engine) report() vrengine.Report {
 	report := vrengine.Report{
-		Server: e.ID, Boot: e.Boot, Leaving: e.Leaving, Running: len(e.running), Slots: serverSlots,
+		Server: e.ID, Boot: e.Boot, Leaving: e.Leaving, Running: len(e.running), Slots: e.slots,
 		Memory: e.Memory, MemoryUsed: e.Used, AppliedOrders: slices.Clone(e.applied), HighestEpoch: e.highest.Epoch,
 	}
+	if e.world.Options.Pace != nil {
+		report.Running, report.Waiting = e.active, len(e.queue)
+		report.Cached = e.copies.report()
+	}
 	for _, id := range sortedModels(e.Models) {
 		held := e.Models[id]
 		item := vrengine.ModelReport{Model: id, State: vrengine.StateLoading}
@@ -421,6 +439,12 @@
 	running  int
 	waiting  []*weightLoad
 	adapting int
+	// Loads counts the loads that shared the store, Most the highest number at once.
+	Loads    int
+	Most     int
+	shared   []*sharedLoad
+	advanced time.Time
+	version  int
 }
 
 type weightLoad struct {
--- a/verbenabench/internal/vrworld/vrworld.go
+++ b/verbenabench/internal/vrworld/vrworld.go
@@ -35,6 +35,10 @@
 	Fleet *vrconfig.Fleet
 	// VMLag is how old the platform's list of VMs is (2s).
 	VMLag time.Duration
+	// Pace replaces the plain timing of the language servers.
+	Pace *Pace
+	// Plain runs the daemons with the plain policy.
+	Plain bool
 	// Trace keeps a line for each event of a daemon.
 	Trace bool
 	// Watch is told of everything that an oracle needs.
