Order the loads at the weight store over the whole fleet

Cause: 1.9 loads for each model in a burst and up to 12 at once. Change: the holder of the fleet lease grants the places by rank and deadline, one zone for a model.

--- a/verbenacore/vrplace/vrplace.go
+++ b/verbenacore/vrplace/vrplace.go
@@ -52,13 +52,26 @@
 	heard    time.Time
 }
 
+// Options of a planner.
+type Options struct {
+	// Plain is the plain way: every idle model is kept for the same time.
+	Plain bool
+}
+
 // Planner is the zone owner's memory of use.
 type Planner struct {
+	opts Options
 	uses map[name]*use
+	// loads are the loads that wait for or hold a place at the weight store.
+	loads []vrwire.SlotLoad
 }
 
 // New returns a planner that knows of no use.
-func New() *Planner { return &Planner{uses: make(map[name]*use)} }
+func New(opts Options) *Planner { return &Planner{opts: opts, uses: make(map[name]*use)} }
+
+// Loads returns the loads that wait for or hold a place at the weight store as of the
+// last plan.
+func (p *Planner) Loads() []vrwire.SlotLoad { return p.loads }
 
 func (p *Planner) use(n name) *use {
 	u := p.uses[n]
@@ -104,7 +117,11 @@
 	Index    *vrconfig.Index
 	Servers  []vrledger.Snapshot
 	Replicas func(vrid.ModelID) int
-	// LoadSlots is how many loads the zone may have in flight at the weight store.
+	// Granted reports whether the fleet's owner gave a load a place at the weight store.
+	// It is nil when the zone uses its own part of the places.
+	Granted func(vrid.OrderID) bool
+	// LoadSlots is how many loads the zone may have in flight at the weight store on its
+	// own part.
 	LoadSlots int
 	// AdapterSlots is the same for adapters.
 	AdapterSlots int
@@ -125,6 +142,7 @@
 	planner      *Planner
 	now          time.Time
 	actions      []vrledger.Action
+	slots        []vrwire.SlotLoad
 	loads        int
 	adapterLoads int
 	busy         map[vrid.ServerID]bool
@@ -151,6 +169,7 @@
 		work.serveModel(w)
 	}
 	work.unloadIdle()
+	p.loads = work.slots
 	return work.actions
 }
 
@@ -165,12 +184,25 @@
 		}
 		if entry.Adapter != "" {
 			w.adapterLoads++
-		} else {
+			continue
+		}
+		near := isNear(entry.Source)
+		if !near {
 			w.loads++
 		}
+		w.slots = append(w.slots, vrwire.SlotLoad{
+			Order: slotName(entry.Model), Model: entry.Model, Rank: vrid.RankUrgent, Holding: true, Near: near,
+		})
 	}
 }
 
+// slotName names a zone's load of a model at the weight store. It has no order yet
+// while it waits.
+func slotName(model vrid.ModelID) vrid.OrderID { return vrid.OrderID(model) }
+
+// isNear reports whether a load from a source takes no place at the weight store.
+func isNear(source string) bool { return source == sourceMemory || source == sourceDisk }
+
 // wants lists what is waited for, the most urgent first.
 func (p *Planner) wants(now time.Time) []want {
 	var wants []want
@@ -228,19 +260,45 @@
 	if replicas >= model.ReplicasPerZone || !w.needsReplica(wanted, replicas) {
 		return
 	}
-	if w.loads >= w.LoadSlots {
+	server := w.place(model)
+	from := sourceRemote
+	if server != nil {
+		from = source(server, model.ID)
+	}
+	if !w.hasSlot(wanted, model, server, from) {
+		return
+	}
+	if server == nil {
+		w.evictFor(wanted, model)
 		return
 	}
-	if server := w.place(model); server != nil {
-		w.load(server, vrledger.Action{
-			Kind: vrledger.ActionLoad, Server: server.Info.ID, Model: model.ID,
-			Bytes: model.Memory, Cap: model.ReplicasPerZone, Source: source(server, model.ID),
-		})
+	w.load(server, vrledger.Action{
+		Kind: vrledger.ActionLoad, Server: server.Info.ID, Model: model.ID,
+		Bytes: model.Memory, Cap: model.ReplicasPerZone, Source: from,
+	})
+	if !isNear(from) {
 		w.loads++
-		w.added[model.ID]++
-		return
 	}
-	w.evictFor(wanted, model)
+	w.added[model.ID]++
+}
+
+// hasSlot reports whether a load may start. What waits for a place at the weight store
+// is noted for the fleet's owner; a load from a near copy only tells it of the model.
+func (w *plan) hasSlot(wanted want, model *vrconfig.Model, server *vrledger.Snapshot, from string) bool {
+	load := vrwire.SlotLoad{
+		Order: slotName(model.ID), Model: model.ID, Rank: wanted.rank, Deadline: wanted.deadline.UnixMilli(),
+		Near: isNear(from), Work: uint32(model.LoadTime.Std().Milliseconds()),
+	}
+	if server != nil {
+		load.Room = uint32(w.free[server.Info.ID] / vrid.GiB)
+	}
+	free := load.Near || w.loads < w.LoadSlots
+	if w.Granted != nil {
+		free = load.Near || w.Granted(load.Order)
+	}
+	load.Holding = free && server != nil
+	w.slots = append(w.slots, load)
+	return free
 }
 
 func (w *plan) needsReplica(wanted want, replicas int) bool {
--- a/verbenacore/vrreducer/peers.go
+++ b/verbenacore/vrreducer/peers.go
@@ -38,6 +38,10 @@
 		s.zoneSummary(now, envelope.ZoneSummary)
 	case envelope.EpochAck != nil:
 		s.zone.acks[run{daemon: envelope.From, boot: envelope.Boot}] = envelope.EpochAck.Epoch
+	case envelope.SlotRequest != nil:
+		s.slotsRequested(now, envelope, out)
+	case envelope.SlotGrant != nil:
+		s.takeGrants(now, envelope.SlotGrant.Orders, out)
 	case envelope.Handover != nil:
 		s.lease.ReadSoon(now)
 	}
@@ -114,6 +118,9 @@
 
 // peerUnreachable asks for the claims that waited for a lost peer by a direct write.
 func (s *State) peerUnreachable(now time.Time, peer vrid.DaemonID, out *vrevent.Effects) {
+	if record, _ := s.fleet.lease.Known(); record.Holder == peer && !s.fleet.waiting.IsZero() {
+		s.fleet.waiting = now.Add(-slotTimeout)
+	}
 	if s.store.Current() == nil {
 		return
 	}
--- a/verbenacore/vrreducer/plan.go
+++ b/verbenacore/vrreducer/plan.go
@@ -22,16 +22,28 @@
 		s.useGrants(now, out)
 		return
 	}
-	zones := max(len(index.Fleet.Zones()), 1)
-	actions := s.planner.Plan(now, vrplace.Input{
-		Index: index, Servers: s.ledger.Snapshots(), Replicas: s.ledger.Replicas, Zone: s.opts.Zone,
-		LoadSlots:    slotShare(index.Fleet.WeightStore.Slots, zones),
-		AdapterSlots: slotShare(index.Fleet.WeightStore.AdapterSlots, zones),
-	})
-	for _, action := range actions {
+	for _, action := range s.planner.Plan(now, s.planInput(now)) {
 		s.ledger.Apply(action)
 	}
 	s.ledger.Flush(now, out)
+	s.askSlots(now, out)
+}
+
+func (s *State) planInput(now time.Time) vrplace.Input {
+	index := s.store.Current()
+	zones := max(len(index.Fleet.Zones()), 1)
+	store := index.Fleet.WeightStore
+	input := vrplace.Input{
+		Index: index, Servers: s.ledger.Snapshots(), Replicas: s.ledger.Replicas, Zone: s.opts.Zone,
+		LoadSlots: slotShare(store.Slots, zones), AdapterSlots: slotShare(store.AdapterSlots, zones),
+	}
+	if s.opts.Plain {
+		input.LoadSlots, input.AdapterSlots = store.Slots, store.AdapterSlots
+	}
+	if s.coordinated(now) {
+		input.Granted = s.slotGranted
+	}
+	return input
 }
 
 // slotShare is a zone's part of the weight store when no fleet owner shares it out.
--- a/verbenacore/vrreducer/vrreducer.go
+++ b/verbenacore/vrreducer/vrreducer.go
@@ -91,6 +91,7 @@
 	tableAt      time.Time
 	crossing     crossing
 	loads        loadPace
+	fleet        fleet
 }
 
 type shutdown struct {
@@ -113,7 +114,7 @@
 		opts:        opts,
 		ops:         &vrevent.Ops{},
 		random:      rand.New(rand.NewPCG(opts.Random, uint64(len(opts.Daemon)))),
-		planner:     vrplace.New(),
+		planner:     vrplace.New(vrplace.Options{Plain: opts.Plain}),
 		requests:    make(map[vrid.RequestID]*request),
 		claims:      newClaims(),
 		polls:       make(map[vrid.ServerID]*poll),
@@ -126,6 +127,10 @@
 		Key: vrplatform.LeaseKey(opts.Zone), Daemon: opts.Daemon, Boot: opts.Boot,
 		Peer: opts.PeerAddress, Ops: s.ops, Random: s.random,
 	})
+	s.fleet = newFleet(vrlease.New(vrlease.Options{
+		Key: vrplatform.KeyFleetLease, Daemon: opts.Daemon, Boot: opts.Boot,
+		Peer: opts.PeerAddress, Ops: s.ops, Random: s.random,
+	}))
 	s.ledger = vrledger.New(vrledger.Options{Zone: opts.Zone, Daemon: opts.Daemon, Boot: opts.Boot, Ops: s.ops})
 	s.journal = vrjournal.New(vrjournal.Options{
 		Daemon: opts.Daemon, Boot: opts.Boot, Zone: opts.Zone, Ops: s.ops, Random: s.random,
@@ -233,6 +238,8 @@
 	switch {
 	case s.lease.Owns(event.Op):
 		s.leaseChanged(now, s.lease.HandleRead(now, event, out), out)
+	case s.fleet.lease.Owns(event.Op):
+		s.fleetChanged(s.fleet.lease.HandleRead(now, event, out), out)
 	case s.ledger.Owns(event.Op):
 		if epoch := s.ledger.HandleRead(now, event, out); epoch > 0 {
 			s.superseded(now, epoch, out)
@@ -250,6 +257,8 @@
 	switch {
 	case s.lease.Owns(event.Op):
 		s.leaseChanged(now, s.lease.HandleWritten(now, event, out), out)
+	case s.fleet.lease.Owns(event.Op):
+		s.fleetChanged(s.fleet.lease.HandleWritten(now, event, out), out)
 	case s.ledger.Owns(event.Op):
 		s.ledger.HandleWritten(now, event, out)
 	case s.commits.owns(event.Op):
--- a/verbenacore/vrreducer/zone.go
+++ b/verbenacore/vrreducer/zone.go
@@ -109,6 +109,7 @@
 		Candidate: s.candidate(now),
 		Chunks:    uint32(s.zoneServers()/ledgerServers + 1),
 	}, out)
+	s.tickFleet(now, out)
 	s.ackEpoch(now, out)
 	if !s.lease.Holding() {
 		s.sendArrivals(now)
@@ -353,6 +354,9 @@
 		return
 	}
 	for _, item := range event.Items {
+		if item.Key == vrplatform.KeyFleetLease {
+			continue
+		}
 		record, err := vrwire.Unmarshal[vrlease.Record](item.Value)
 		if err != nil {
 			continue
@@ -393,6 +397,9 @@
 	s.recordOrder(now, event, out)
 	s.ledger.Flush(now, out)
 	if s.lease.Holding() {
+		// The place at the weight store goes to the next load at once.
+		s.zone.planAt = time.Time{}
+		s.plan(now, out)
 		s.publish(now, out)
 	}
 }
--- a/verbenacore/vrwire/member.go
+++ b/verbenacore/vrwire/member.go
@@ -279,15 +279,28 @@
 // SlotRequest asks the fleet owner for places at the weight store.
 type SlotRequest struct {
 	Loads []SlotLoad `protobuf:"bytes,1,rep,name=loads"`
+	// SentAt is the zone owner's time in milliseconds of Unix time; an older request
+	// than the last one is ignored.
+	SentAt int64 `protobuf:"varint,2,opt,name=sentAt"`
 }
 
-// SlotLoad is one load that waits for or holds a place.
+// SlotLoad is one load that waits for or holds a place. Order names it within its
+// zone.
 type SlotLoad struct {
 	Order    vrid.OrderID `protobuf:"bytes,1,opt,name=order"`
 	Rank     vrid.Rank    `protobuf:"varint,2,opt,name=rank"`
 	Deadline int64        `protobuf:"varint,3,opt,name=deadline"`
 	Adapter  bool         `protobuf:"varint,4,opt,name=adapter"`
 	Holding  bool         `protobuf:"varint,5,opt,name=holding"`
+	Model    vrid.ModelID `protobuf:"bytes,6,opt,name=model"`
+	// Room is the free memory of the roomiest server in GiB; 0 when something has to be
+	// unloaded first.
+	Room uint32 `protobuf:"varint,7,opt,name=room"`
+	// Near is set when the weights come from a copy at the server; such a load takes no
+	// place at the weight store.
+	Near bool `protobuf:"varint,8,opt,name=near"`
+	// Work is the load's time at full speed in milliseconds.
+	Work uint32 `protobuf:"varint,9,opt,name=work"`
 }
 
 // Validate checks each load.
@@ -303,8 +316,9 @@
 // SlotGrant lists the loads of a zone that hold a place.
 type SlotGrant struct {
 	Orders []vrid.OrderID `protobuf:"bytes,1,rep,name=orders"`
-	// Until is when unused grants lapse, in milliseconds of Unix time.
-	Until int64 `protobuf:"varint,2,opt,name=until"`
+	// SentAt is the fleet owner's time in milliseconds of Unix time. It is never zero,
+	// since a message without any field is lost in the encoding.
+	SentAt int64 `protobuf:"varint,2,opt,name=sentAt"`
 }
 
 // Validate accepts every grant: an empty one means that nothing is granted.
