--- a/verbenacore/vrmember/heartbeat.go
+++ b/verbenacore/vrmember/heartbeat.go
@@ -17,6 +17,12 @@
 	} else if now.Sub(m.beatAt) >= heartbeatInterval || m.beatAt.IsZero() {
 		m.beat(now, out)
 	}
+	m.Flush(now, out)
+}
+
+// Flush pushes the view's changes if there are any and the last push is not too recent,
+// so that a new replica is known in the zone before the next tick.
+func (m *Membership) Flush(now time.Time, out *vrevent.Effects) {
 	if m.dirty && !now.Before(m.pushAt) {
 		m.push(now, out)
 	}
--- a/verbenacore/vrreducer/vrreducer.go
+++ b/verbenacore/vrreducer/vrreducer.go
@@ -213,6 +213,7 @@
 	}
 	s.pump(now, out)
 	s.answerClaims(now, out)
+	s.member.Flush(now, out)
 }
 
 func (s *State) tick(now time.Time, out *vrevent.Effects) {
--- a/verbenacore/vrreducer/zone.go
+++ b/verbenacore/vrreducer/zone.go
@@ -22,6 +22,8 @@
 	planInterval = 100 * time.Millisecond
 	// summaryInterval is the pause between two summaries to other zones.
 	summaryInterval = time.Second
+	// summaryGap is the least pause when a replica became ready.
+	summaryGap = 20 * time.Millisecond
 	// leasesInterval is the pause between two readings of the other zones' leases.
 	leasesInterval = 5 * time.Second
 	// demandInterval is the pause between two messages of demand for one model.
@@ -67,6 +69,10 @@
 	arrivalsAt time.Time
 	drained    map[vrid.ServerID]bool
 	watching   bool
+	// summaryDue is set when other zones' requests may wait for a new replica.
+	summaryDue bool
+	// loaded is the number of loaded replicas and adapters in the last view.
+	loaded int
 }
 
 // run is one run of a daemon.
@@ -335,18 +341,37 @@
 func (s *State) publish(now time.Time, out *vrevent.Effects) {
 	if s.ledger.TakeChanged() || now.Sub(s.zone.summaryAt) >= summaryInterval {
 		s.member.PublishServers(s.ledger.Items(s.opts.Zone))
+		s.zone.summaryDue = s.zone.summaryDue || s.newReplica()
 	}
 	if now.Sub(s.zone.leasesAt) >= leasesInterval && s.zone.leasesOp == 0 {
 		s.zone.leasesAt = now
 		s.zone.leasesOp = s.ops.Next()
 		out.Add(vrevent.ListObjects{Op: s.zone.leasesOp, Prefix: vrplatform.PrefixLeases, Values: true})
 	}
-	if now.Sub(s.zone.summaryAt) >= summaryInterval {
+	silence := now.Sub(s.zone.summaryAt)
+	if silence >= summaryInterval || (s.zone.summaryDue && silence >= summaryGap) {
 		s.zone.summaryAt = now
+		s.zone.summaryDue = false
 		s.sendSummaries(now, out)
 	}
 }
 
+// newReplica reports whether the zone has more loaded replicas and adapters than when
+// it was last asked: requests in other zones may wait for one.
+func (s *State) newReplica() bool {
+	loaded := 0
+	for _, item := range s.member.View().Servers {
+		for i := range item.Replicas {
+			if item.Replicas[i].State == vrwire.ReplicaLoaded {
+				loaded += 1 + len(item.Replicas[i].Adapters)
+			}
+		}
+	}
+	more := loaded > s.zone.loaded
+	s.zone.loaded = loaded
+	return more
+}
+
 // leasesListed learns the owners of the other zones.
 func (s *State) leasesListed(_ time.Time, event vrevent.ObjectsListed) {
 	s.zone.leasesOp = 0
