Load a model once for all zones and free idle memory sooner

Cause: 1.05 loads for each model, and the last loads of a burst wait for memory that idle replicas hold for 10 s. Change: no load while other zones have free places for what waits; the pause before eviction is three load times of the replica.

--- a/verbenacore/vrplace/evict.go
+++ b/verbenacore/vrplace/evict.go
@@ -171,7 +171,23 @@
 			return false
 		}
 	}
-	return w.now.Sub(u.last) >= settleTime
+	return w.now.Sub(u.last) >= w.settle(entry)
+}
+
+// settle is how long a used entry is not evicted for another.
+func (w *plan) settle(entry *vrledger.Entry) time.Duration {
+	if w.planner.opts.Plain {
+		return settleTime
+	}
+	return settleLoads * w.loadTime(entry)
+}
+
+// loadTime is what it takes to load an entry again.
+func (w *plan) loadTime(entry *vrledger.Entry) time.Duration {
+	if model := w.Index.Model(entry.Model); model != nil && entry.Adapter == "" {
+		return model.LoadTime.Std()
+	}
+	return time.Second
 }
 
 // value is what the loss of an entry costs: its recent use times the time to load it.
@@ -181,11 +197,7 @@
 		return 0
 	}
 	faded := u.rate * exp2(-float64(w.now.Sub(u.fadedAt))/float64(useHalfLife))
-	load := time.Second
-	if model := w.Index.Model(entry.Model); model != nil && entry.Adapter == "" {
-		load = model.LoadTime.Std()
-	}
-	return (faded + minimalUse) * load.Seconds()
+	return (faded + minimalUse) * w.loadTime(entry).Seconds()
 }
 
 // minimalUse makes the load time count for models that were hardly used.
--- a/verbenacore/vrplace/vrplace.go
+++ b/verbenacore/vrplace/vrplace.go
@@ -20,9 +20,11 @@
 	// keepAlive is how long an idle model stays loaded at least, so that a pause in a
 	// conversation does not cost a load.
 	keepAlive = 5 * time.Minute
-	// settleTime is how long a loaded model is not evicted for another, so that two
-	// models don't drive each other out.
+	// settleTime is how long the plain policy does not evict a used model for another.
 	settleTime = 10 * time.Second
+	// settleLoads is the same in load times of the model: two models that drive each
+	// other out then spend at most a quarter of the time loading.
+	settleLoads = 3
 	// useHalfLife is how fast the memory of a model's use fades.
 	useHalfLife = 30 * time.Minute
 	// retryLoad is the pause after a load that failed on a server.
@@ -117,6 +119,9 @@
 	Index    *vrconfig.Index
 	Servers  []vrledger.Snapshot
 	Replicas func(vrid.ModelID) int
+	// Elsewhere is the number of places at replicas of a model in other zones that this
+	// zone's requests may use now.
+	Elsewhere func(vrid.ModelID, vrid.Rank) int
 	// Granted reports whether the fleet's owner gave a load a place at the weight store.
 	// It is nil when the zone uses its own part of the places.
 	Granted func(vrid.OrderID) bool
@@ -257,6 +262,10 @@
 		return
 	}
 	replicas := w.Replicas(wanted.model) + w.added[wanted.model]
+	if replicas == 0 && w.Elsewhere != nil && w.Elsewhere(model.ID, wanted.rank) >= wanted.waiting {
+		// What other zones can serve was only asked for before this zone knew.
+		return
+	}
 	if replicas >= model.ReplicasPerZone || !w.needsReplica(wanted, replicas) {
 		return
 	}
--- a/verbenacore/vrreducer/plan.go
+++ b/verbenacore/vrreducer/plan.go
@@ -8,6 +8,7 @@
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrplace"
 	"verbenaroute.example/verbenacore/vrrecord"
+	"verbenaroute.example/verbenacore/vrroute"
 	"verbenaroute.example/verbenacore/vrwire"
 )
 
@@ -38,14 +39,25 @@
 		LoadSlots: slotShare(store.Slots, zones), AdapterSlots: slotShare(store.AdapterSlots, zones),
 	}
 	if s.opts.Plain {
+		// The plain way knows no order over the fleet: each zone uses every place.
 		input.LoadSlots, input.AdapterSlots = store.Slots, store.AdapterSlots
 	}
+	if s.opts.Plain {
+		return input
+	}
+	input.Elsewhere = func(model vrid.ModelID, rank vrid.Rank) int { return s.elsewhere(now, model, rank) }
 	if s.coordinated(now) {
 		input.Granted = s.slotGranted
 	}
 	return input
 }
 
+// elsewhere counts the places at other zones' replicas of a model that requests of a
+// rank may use.
+func (s *State) elsewhere(now time.Time, model vrid.ModelID, rank vrid.Rank) int {
+	return s.table.FarSlots(vrroute.Query{Model: model, Rank: rank, CrossRegion: s.mayCross(now, rank)})
+}
+
 // slotShare is a zone's part of the weight store when no fleet owner shares it out.
 func slotShare(slots, zones int) int { return max(1, slots/zones) }
 
--- a/verbenacore/vrroute/vrroute.go
+++ b/verbenacore/vrroute/vrroute.go
@@ -306,20 +306,15 @@
 	return addresses
 }
 
-// Slots returns the places that this daemon may fill for a query, full or not.
-func (t *Table) Slots(query Query) int {
-	places := 0.0
+// FarSlots returns the free places of the servers in other zones that may serve a query.
+func (t *Table) FarSlots(query Query) int {
+	places := 0
 	for _, server := range t.candidates(query) {
-		if !server.eligible(&query) {
-			continue
-		}
-		part := 1.0
-		if server.Share > 0 {
-			part = server.Share
+		if server.Distance != SameZone && server.eligible(&query) {
+			places += max(0, server.Slots-int(server.load()))
 		}
-		places += max(1, part*float64(server.Slots))
 	}
-	return int(places)
+	return places
 }
 
 // eligible reports whether a server may serve the query at all.
