--- a/verbenacore/vrplace/slots.go
+++ b/verbenacore/vrplace/slots.go
@@ -19,6 +19,9 @@
 	// slotClass is the resolution at which deadlines order loads; within a class the
 	// longest load comes first, which ends a burst soonest.
 	slotClass = 500 * time.Millisecond
+	// gatherTime is how long a load that is not urgent waits for more urgent ones of the
+	// same burst: a load that has started keeps its place for a second.
+	gatherTime = 100 * time.Millisecond
 )
 
 // Slots is the fleet owner's order of the loads at the weight store. It only limits
@@ -33,6 +36,8 @@
 	loads   []vrwire.SlotLoad
 	heard   time.Time
 	granted map[vrid.OrderID]bool
+	// since is when each load was first asked for.
+	since map[vrid.OrderID]time.Time
 }
 
 type endedLoad struct {
@@ -49,7 +54,7 @@
 func (s *Slots) Request(now time.Time, zone vrid.ZoneID, loads []vrwire.SlotLoad) {
 	held := s.zones[zone]
 	if held == nil {
-		held = &zoneLoads{granted: make(map[vrid.OrderID]bool)}
+		held = &zoneLoads{granted: make(map[vrid.OrderID]bool), since: make(map[vrid.OrderID]time.Time)}
 		s.zones[zone] = held
 	}
 	for i := range held.loads {
@@ -60,6 +65,7 @@
 	}
 	held.loads = loads
 	held.heard = now
+	held.note(now)
 	for order := range held.granted {
 		waits := func(load vrwire.SlotLoad) bool { return load.Order == order && !load.Holding }
 		if !slices.ContainsFunc(loads, waits) {
@@ -68,6 +74,36 @@
 	}
 }
 
+// note keeps the times at which the present loads were first asked for.
+func (z *zoneLoads) note(now time.Time) {
+	since := make(map[vrid.OrderID]time.Time, len(z.loads))
+	for i := range z.loads {
+		order := z.loads[i].Order
+		since[order] = now
+		if first, ok := z.since[order]; ok {
+			since[order] = first
+		}
+	}
+	z.since = since
+}
+
+// gathers reports whether a load that is not urgent still waits for others.
+func (z *zoneLoads) gathers(now time.Time, load *vrwire.SlotLoad) bool {
+	return load.Rank != vrid.RankUrgent && now.Sub(z.since[load.Order]) < gatherTime
+}
+
+// Waiting reports whether a load waits for a place.
+func (s *Slots) Waiting() bool {
+	for _, held := range s.zones {
+		for i := range held.loads {
+			if load := &held.loads[i]; !load.Holding && !held.granted[load.Order] {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // candidate is a model that waits for a place, with the zone that would load it.
 type candidate struct {
 	zone  vrid.ZoneID
@@ -134,7 +170,7 @@
 	for zone, held := range s.zones {
 		for i := range held.loads {
 			load := held.loads[i]
-			if load.Holding || load.Near || held.granted[load.Order] || s.elsewhere(now, zone, load.Model, taken) {
+			if load.Holding || load.Near || held.granted[load.Order] || held.gathers(now, &load) || s.elsewhere(now, zone, load.Model, taken) {
 				continue
 			}
 			next := candidate{zone: zone, load: load, rank: load.Rank, until: load.Deadline}
--- a/verbenacore/vrreducer/fleet.go
+++ b/verbenacore/vrreducer/fleet.go
@@ -59,6 +59,9 @@
 		return
 	}
 	s.fleet.lease.Tick(now, vrlease.Request{Observe: owner, Candidate: owner}, out)
+	if s.fleet.lease.Holding() && s.store.Current() != nil && s.fleet.slots.Waiting() {
+		s.assignSlots(now, "", out)
+	}
 }
 
 // fleetChanged starts with an empty order when this daemon becomes the fleet's owner.
@@ -128,7 +131,7 @@
 	s.assignSlots(now, envelope.Zone, out)
 }
 
-// assignSlots answers the asking zone and tells the others what changed for them.
+// assignSlots gives free places; it answers the asking zone and tells the others what changed for them.
 func (s *State) assignSlots(now time.Time, asking vrid.ZoneID, out *vrevent.Effects) {
 	index := s.store.Current()
 	grants := s.fleet.slots.Assign(now, index.Fleet.WeightStore.Slots)
