--- a/verbenabench/internal/vrmeasure/vrmeasure.go
+++ b/verbenabench/internal/vrmeasure/vrmeasure.go
@@ -33,6 +33,14 @@
 			name: "cold-start", short: "burst of first requests for idle models",
 			xLabel: "s to the first token", yLabel: "part of the requests", run: coldStart,
 		},
+		{
+			name: "flood-low", short: "flood of the deferred rank at ten times the capacity",
+			xLabel: "s to the first token", yLabel: "part of the requests", run: floodLow,
+		},
+		{
+			name: "flood-urgent", short: "flood of the urgent rank at five times the capacity",
+			xLabel: "s to the first token", yLabel: "part of the requests", run: floodUrgent,
+		},
 		{
 			name: "decide", short: "time and allocations of one routing decision",
 			xLabel: "models and adapters", yLabel: "ns", run: decide,
--- a/verbenabench/internal/vrmeasure/world.go
+++ b/verbenabench/internal/vrmeasure/world.go
@@ -123,15 +123,18 @@
 
 // at plans a request for a model, after a time from now.
 func (s *setting) at(after time.Duration, daemon int, model *vrconfig.Model) {
-	s.After(after, func() {
-		call := s.Send(s.Daemons[daemon%len(s.Daemons)], vrevent.Request{
-			Kind: model.Kind, Model: model.ID, MaxTokens: _tokens, Size: _sizeBytes,
-			Caller: vrid.CallerID(fmt.Sprintf("caller-%d", s.random.IntN(_callers))),
-		})
-		if call != nil {
-			s.calls = append(s.calls, call)
-		}
+	s.After(after, func() { s.send(daemon, model, _tokens) })
+}
+
+// send makes a request for a model at a daemon.
+func (s *setting) send(daemon int, model *vrconfig.Model, tokens int) {
+	call := s.Send(s.Daemons[daemon%len(s.Daemons)], vrevent.Request{
+		Kind: model.Kind, Model: model.ID, MaxTokens: tokens, Size: _sizeBytes,
+		Caller: vrid.CallerID(fmt.Sprintf("caller-%d", s.random.IntN(_callers))),
 	})
+	if call != nil {
+		s.calls = append(s.calls, call)
+	}
 }
 
 func (s *setting) model(i int) *vrconfig.Model { return &s.Options.Fleet.Models[i] }
