--- a/verbenacore/vrreducer/plan.go
+++ b/verbenacore/vrreducer/plan.go
@@ -9,6 +9,7 @@
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrplace"
 	"verbenaroute.example/verbenacore/vrrecord"
+	"verbenaroute.example/verbenacore/vrroute"
 	"verbenaroute.example/verbenacore/vrwire"
 )
 
@@ -23,16 +24,39 @@
 		s.useGrants(now, out)
 		return
 	}
-	zones := max(len(index.Fleet.Zones()), 1)
-	actions := s.planner.Plan(now, vrplace.Input{
-		Index: index, Servers: s.ledger.Snapshots(), Replicas: s.ledger.Replicas, Zone: s.opts.Zone,
-		LoadSlots:    slotShare(index.Fleet.WeightStore.Slots, zones),
-		AdapterSlots: slotShare(index.Fleet.WeightStore.AdapterSlots, zones),
-	})
-	for _, action := range actions {
+	for _, action := range s.planner.Plan(now, s.planInput(now)) {
 		s.ledger.Apply(action)
 	}
 	s.ledger.Flush(now, out)
+	s.askSlots(now, out)
+}
+
+func (s *State) planInput(now time.Time) vrplace.Input {
+	index := s.store.Current()
+	zones := max(len(index.Fleet.Zones()), 1)
+	store := index.Fleet.WeightStore
+	input := vrplace.Input{
+		Index: index, Servers: s.ledger.Snapshots(), Replicas: s.ledger.Replicas, Zone: s.opts.Zone,
+		LoadSlots: slotShare(store.Slots, zones), AdapterSlots: slotShare(store.AdapterSlots, zones),
+	}
+	if s.opts.Plain {
+		// The plain way knows no order over the fleet: each zone uses every place.
+		input.LoadSlots, input.AdapterSlots = store.Slots, store.AdapterSlots
+	}
+	if s.opts.Plain {
+		return input
+	}
+	input.Elsewhere = func(model vrid.ModelID, rank vrid.Rank) int { return s.elsewhere(now, model, rank) }
+	if s.coordinated(now) {
+		input.Granted = s.slotGranted
+	}
+	return input
+}
+
+// elsewhere counts the places at other zones' replicas of a model that requests of a
+// rank may use.
+func (s *State) elsewhere(now time.Time, model vrid.ModelID, rank vrid.Rank) int {
+	return s.table.FarSlots(vrroute.Query{Model: model, Rank: rank, CrossRegion: s.mayCross(now, rank)})
 }
 
 // slotShare is a zone's part of the weight store when no fleet owner shares it out.
@@ -51,7 +75,7 @@
 
 // wantModel sends demand for a model at once when the last message is old.
 func (s *State) wantModel(now time.Time, r *request, out *vrevent.Effects) {
-	if r.Model == "" || s.loaded(r) {
+	if r.Model == "" || s.loaded(now, r) {
 		return
 	}
 	key := demandKey{model: r.Model, adapter: r.Adapter, rank: r.Rank}
--- a/verbenacore/vrwire/vrwire_test.go
+++ b/verbenacore/vrwire/vrwire_test.go
@@ -39,7 +39,7 @@
 			Service: "circles", Key: "k", State: vrwire.ClaimClaimed, Digest: 1 << 63, At: 5,
 		}}},
 		"summary": {ZoneSummary: &vrwire.ZoneSummary{Zone: "zone-a", Owner: "daemon-1", Servers: servers, Members: members}},
-		"grant":   {SlotGrant: &vrwire.SlotGrant{Until: 5}},
+		"grant":   {SlotGrant: &vrwire.SlotGrant{SentAt: 5}},
 	} {
 		t.Run(name, func(t *testing.T) { roundTrip(t, envelope) })
 	}
