--- a/verbenacore/vrid/vrid.go
+++ b/verbenacore/vrid/vrid.go
@@ -66,8 +66,8 @@
 // Fencing is the fencing number of an order: the epoch of the lease under which it
 // was decided and the owner's own counter.
 type Fencing struct {
-	Epoch    Epoch  `json:"epoch" protobuf:"varint,1"`
-	Sequence uint64 `json:"sequence" protobuf:"varint,2"`
+	Epoch    Epoch  `json:"epoch" protobuf:"varint,1,opt,proto3"`
+	Sequence uint64 `json:"sequence" protobuf:"varint,2,opt,proto3"`
 }
 
 // Less reports whether f was issued before other.
@@ -79,7 +79,8 @@
 }
 
 // Rank orders requests by worth. Lower values are served first.
-type Rank uint8
+// It is 32 bits wide because the protobuf codec has no narrower integers.
+type Rank uint32
 
 // The three ranks.
 const (
@@ -102,7 +103,7 @@
 // String returns the rank's name in configuration, queries and the record.
 func (r Rank) String() string {
 	if !r.Valid() {
-		return fmt.Sprintf("rank(%d)", uint8(r))
+		return fmt.Sprintf("rank(%d)", uint32(r))
 	}
 	return _rankNames[r]
 }
