--- a/verbenabench/internal/vrworld/call.go
+++ b/verbenabench/internal/vrworld/call.go
@@ -1,6 +1,7 @@
 package vrworld
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 	"time"
@@ -63,6 +64,8 @@
 	offset  int
 	first   time.Time
 	ended   bool
+	// active is set while the attempt holds a slot, with a Pace.
+	active bool
 }
 
 // Send makes a caller's request to a daemon. It returns nil when the daemon is down.
@@ -109,6 +112,19 @@
 	c.close(EndBroken)
 }
 
+// Whole reports whether the caller of an answered or replayed call has the whole answer
+// to its own request.
+func (c *Call) Whole() bool {
+	switch {
+	case c.Mixed:
+		return false
+	case c.Request.Model != "":
+		return c.Tokens == c.Request.MaxTokens
+	default:
+		return bytes.Equal(c.Body, answerOf(c))
+	}
+}
+
 func (c *Call) close(end End) {
 	if c.End == EndOpen {
 		c.End = end
@@ -123,7 +139,7 @@
 }
 
 // end carries out the terminal effect of a request.
-func (w *World) end(p *Process, effect vrevent.Effect) {
+func (w *World) end(effect vrevent.Effect) {
 	switch e := effect.(type) {
 	case vrevent.Refuse:
 		call := w.Calls[e.Request]
@@ -201,7 +217,7 @@
 	case held == nil || !held.Loaded || (a.effect.Adapter != "" && (held.Adapters[a.effect.Adapter] == nil || !held.Adapters[a.effect.Adapter].Loaded)):
 		a.finish(vrevent.AttemptNotLoaded, nil)
 		return
-	case len(e.running) >= engineQueue*serverSlots:
+	case len(e.running) >= engineQueue*e.slots:
 		a.finish(vrevent.AttemptBusy, nil)
 		return
 	}
@@ -214,6 +230,10 @@
 	if a.effect.Resume {
 		a.offset = a.call.Tokens
 	}
+	if w.Options.Pace != nil {
+		e.takePaced(a)
+		return
+	}
 	w.After(w.spread(firstTokenLow, firstTokenTop), a.start)
 }
 
@@ -229,7 +249,7 @@
 	}
 	a.process.deliver(vrevent.FirstToken{Request: a.call.Request.ID, Attempt: a.effect.Attempt})
 	rest := max(0, a.call.Request.MaxTokens-a.offset-1)
-	w.After(time.Duration(rest)*TokenTime, func() { a.finish(vrevent.AttemptAnswered, nil) })
+	w.After(time.Duration(rest)*w.tokenTime(), func() { a.finish(vrevent.AttemptAnswered, nil) })
 }
 
 // credit passes on the tokens of the attempt so far.
@@ -241,7 +261,7 @@
 		a.call.Mixed = true
 		return
 	}
-	passed := 1 + int(a.call.world.now.Sub(a.first)/TokenTime)
+	passed := 1 + int(a.call.world.now.Sub(a.first)/a.call.world.tokenTime())
 	a.call.Tokens = max(a.call.Tokens, min(a.call.Request.MaxTokens, a.offset+passed))
 }
 
@@ -250,9 +270,16 @@
 
 // stop ends an attempt that nobody waits for.
 func (a *attempt) stop() {
+	if a.ended {
+		return
+	}
 	a.ended = true
-	if a.engine != nil {
-		delete(a.engine.running, a)
+	if a.engine == nil {
+		return
+	}
+	delete(a.engine.running, a)
+	if a.call.world.Options.Pace != nil {
+		a.engine.release(a)
 	}
 }
 
--- a/verbenabench/internal/vrworld/daemon.go
+++ b/verbenabench/internal/vrworld/daemon.go
@@ -100,7 +100,7 @@
 	}
 	p.State = vrreducer.New(vrreducer.Options{
 		Daemon: d.ID, Boot: p.Boot, Zone: d.Zone, PeerAddress: peerAddress(d.ID),
-		Seeds: w.seeds(d), Random: w.random.Uint64(),
+		Seeds: w.seeds(d), Random: w.random.Uint64(), Plain: w.Options.Plain,
 	})
 	d.Process = p
 	p.deliver(vrevent.Started{})
@@ -210,7 +210,11 @@
 		return
 	}
 	p.cutAt, p.holds = effects, true
-	d.world.After(length, p.Resume)
+	d.world.After(length, func() {
+		if p.holds || p.paused {
+			p.Resume()
+		}
+	})
 }
 
 func (p *Process) pause() {
@@ -218,11 +222,9 @@
 	p.since = p.world.now
 }
 
-// Resume lets a paused process go on.
+// Resume lets a paused process go on, and forgets a pause or a death that was to come.
 func (p *Process) Resume() {
-	if p.holds {
-		p.cutAt, p.holds = -1, false
-	}
+	p.cutAt, p.holds = -1, false
 	if p.dead || !p.paused {
 		return
 	}
@@ -309,7 +311,7 @@
 	case vrevent.LookUpOutcome:
 		w.lookUp(p, e)
 	case vrevent.Refuse, vrevent.Replay, vrevent.Complete:
-		w.end(p, effect)
+		w.end(effect)
 	case vrevent.CancelAttempt:
 		w.cancel(e)
 	case vrevent.ConfigDecided:
@@ -330,6 +332,18 @@
 	}
 }
 
+// Proposal returns an operator's change that the process was given.
+func (p *Process) Proposal(number uint64) *Proposal { return p.proposals[number] }
+
+// Calls are the calls that wait for an end, in order.
+func (p *Process) Calls() []*Call {
+	calls := make([]*Call, 0, len(p.open))
+	for _, id := range sortedCalls(p.open) {
+		calls = append(calls, p.open[id])
+	}
+	return calls
+}
+
 func (p *Process) decided(e vrevent.ConfigDecided) {
 	if proposal := p.proposals[e.Proposal]; proposal != nil {
 		proposal.Decided = e.Decision
--- a/verbenabench/internal/vrworld/vrworld.go
+++ b/verbenabench/internal/vrworld/vrworld.go
@@ -35,6 +35,10 @@
 	Fleet *vrconfig.Fleet
 	// VMLag is how old the platform's list of VMs is (2s).
 	VMLag time.Duration
+	// Pace replaces the plain timing of the language servers.
+	Pace *Pace
+	// Plain runs the daemons with the plain policy.
+	Plain bool
 	// Trace keeps a line for each event of a daemon.
 	Trace bool
 	// Watch is told of everything that an oracle needs.
@@ -241,3 +245,17 @@
 }
 
 func (w *World) chance(p float64) bool { return p > 0 && w.random.Float64() < p }
+
+// Decode returns the configuration of a document.
+func (w *World) Decode(document []byte) *vrconfig.Index { return w.configs.decode(document) }
+
+// LeavingSince is when a server first said that it leaves, or zero.
+func (w *World) LeavingSince(id vrid.ServerID) time.Time {
+	if e := w.byEngine[id]; e != nil {
+		return e.LeavingSince
+	}
+	if a := w.byApp[id]; a != nil {
+		return a.LeavingSince
+	}
+	return time.Time{}
+}
--- a/verbenacore/vrmember/heartbeat.go
+++ b/verbenacore/vrmember/heartbeat.go
@@ -17,6 +17,12 @@
 	} else if now.Sub(m.beatAt) >= heartbeatInterval || m.beatAt.IsZero() {
 		m.beat(now, out)
 	}
+	m.Flush(now, out)
+}
+
+// Flush pushes the view's changes if there are any and the last push is not too recent,
+// so that a new replica is known in the zone before the next tick.
+func (m *Membership) Flush(now time.Time, out *vrevent.Effects) {
 	if m.dirty && !now.Before(m.pushAt) {
 		m.push(now, out)
 	}
@@ -98,9 +104,26 @@
 	return candidates[m.opts.Random.IntN(len(candidates))]
 }
 
+// PeerLost takes word that a message to a peer could not be delivered. When it was the
+// last heartbeat, the next level is asked at once instead of after its timeout: a relay
+// that died would otherwise hold a configuration back for 3 s.
+func (m *Membership) PeerLost(now time.Time, peer vrid.DaemonID) {
+	if m.root || peer != m.asked || now.Sub(m.lostAt) < lostPause {
+		return
+	}
+	m.lostAt = now
+	timeout := parentTimeout
+	if peer == m.Owner().Daemon || now.Sub(m.replied) >= parentTimeout {
+		timeout = ownerTimeout
+	}
+	m.replied = now.Add(-timeout)
+	m.beatAt = time.Time{}
+}
+
 func (m *Membership) beat(now time.Time, out *vrevent.Effects) {
 	m.beatAt = now
 	target := m.target(now)
+	m.asked = target.Daemon
 	if target.Daemon == "" {
 		return
 	}
--- a/verbenacore/vrreducer/vrreducer.go
+++ b/verbenacore/vrreducer/vrreducer.go
@@ -36,6 +36,10 @@
 	// Queue and QueueMemory bound the waiting requests.
 	Queue       int
 	QueueMemory vrid.Bytes
+	// Plain replaces the policy under load by the plain way, as the measurements' baseline:
+	// first come, first served, least-loaded replica, no order of loads over the fleet,
+	// fixed keep-alive.
+	Plain bool
 }
 
 // Defaults of the queue.
@@ -83,6 +87,9 @@
 	viewEpoch    vrid.Epoch
 	viewSequence uint64
 	viewConfig   vrid.ConfigVersion
+	crossing     crossing
+	loads        loadPace
+	fleet        fleet
 }
 
 type shutdown struct {
@@ -105,18 +112,22 @@
 		opts:     opts,
 		ops:      &vrevent.Ops{},
 		random:   rand.New(rand.NewPCG(opts.Random, uint64(len(opts.Daemon)))),
-		planner:  vrplace.New(),
+		planner:  vrplace.New(vrplace.Options{Plain: opts.Plain}),
 		requests: make(map[vrid.RequestID]*request),
 		claims:   newClaims(),
 		polls:    make(map[vrid.ServerID]*poll),
 		zone:     newZone(),
 	}
-	s.queue = vradmit.New(vradmit.Options{Requests: opts.Queue, Memory: opts.QueueMemory})
-	s.table = vrroute.New(s.random)
+	s.queue = vradmit.New(vradmit.Options{Requests: opts.Queue, Memory: opts.QueueMemory, FirstCome: opts.Plain})
+	s.table = vrroute.New(vrroute.Options{Random: s.random, LeastLoaded: opts.Plain})
 	s.lease = vrlease.New(vrlease.Options{
 		Key: vrplatform.LeaseKey(opts.Zone), Daemon: opts.Daemon, Boot: opts.Boot,
 		Peer: opts.PeerAddress, Ops: s.ops, Random: s.random,
 	})
+	s.fleet = newFleet(vrlease.New(vrlease.Options{
+		Key: vrplatform.KeyFleetLease, Daemon: opts.Daemon, Boot: opts.Boot,
+		Peer: opts.PeerAddress, Ops: s.ops, Random: s.random,
+	}))
 	s.ledger = vrledger.New(vrledger.Options{Zone: opts.Zone, Daemon: opts.Daemon, Boot: opts.Boot, Ops: s.ops})
 	s.journal = vrjournal.New(vrjournal.Options{
 		Daemon: opts.Daemon, Boot: opts.Boot, Zone: opts.Zone, Ops: s.ops, Random: s.random,
@@ -171,6 +182,7 @@
 	case vrevent.DrainServer:
 		s.zone.drained[e.Server] = true
 	case vrevent.CacheEventsReceived:
+		s.table.CacheEvents(e.Server, e.Events)
 	case vrevent.ShutdownRequested:
 		s.shutdownRequested(now, out)
 	}
@@ -193,8 +205,12 @@
 // flush passes on what the event made due, so that nothing waits for the next tick.
 func (s *State) flush(now time.Time, out *vrevent.Effects) {
 	s.refreshTable()
+	for _, model := range s.table.TakeChanged() {
+		s.queue.Wake(model)
+	}
 	s.pump(now, out)
 	s.answerClaims(now, out)
+	s.member.Flush(now, out)
 }
 
 func (s *State) tick(now time.Time, out *vrevent.Effects) {
@@ -204,6 +220,8 @@
 	s.member.Tick(now, out)
 	s.tickConfig(now, out)
 	s.tickClaims(now, out)
+	// Floors and probes become due with time, so every waiting target is asked again.
+	s.queue.WakeAll()
 	s.tickRequests(now, out)
 	s.tickRecord(now, out)
 	s.tickReady(now, out)
@@ -218,6 +236,8 @@
 	switch {
 	case s.lease.Owns(event.Op):
 		s.leaseChanged(now, s.lease.HandleRead(now, event, out), out)
+	case s.fleet.lease.Owns(event.Op):
+		s.fleetChanged(s.fleet.lease.HandleRead(now, event, out), out)
 	case s.ledger.Owns(event.Op):
 		if epoch := s.ledger.HandleRead(now, event, out); epoch > 0 {
 			s.superseded(now, epoch, out)
@@ -235,6 +255,8 @@
 	switch {
 	case s.lease.Owns(event.Op):
 		s.leaseChanged(now, s.lease.HandleWritten(now, event, out), out)
+	case s.fleet.lease.Owns(event.Op):
+		s.fleetChanged(s.fleet.lease.HandleWritten(now, event, out), out)
 	case s.ledger.Owns(event.Op):
 		s.ledger.HandleWritten(now, event, out)
 	case s.commits.owns(event.Op):
