--- a/verbenaroute/internal/vrfront/attempt.go
+++ b/verbenaroute/internal/vrfront/attempt.go
@@ -12,6 +12,8 @@
 	"verbenaroute.example/verbenacore/vrengine"
 	"verbenaroute.example/verbenacore/vrevent"
 	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrrecord"
+	"verbenaroute.example/verbenacore/vrwire"
 )
 
 const (
@@ -107,7 +109,7 @@
 	a := &attempt{number: e.Attempt, dispatch: e, cancel: cancel}
 	if !flight.begin(a) {
 		cancel()
-		f.run(func() { f.submitEnd(flight, a, vrevent.AttemptCallerGone) })
+		f.run(func() { f.endGone(flight, a) })
 		return
 	}
 	f.attempts.Go(func() {
@@ -134,12 +136,27 @@
 		f.options.Log.Error("attempt panicked", zap.String("request", string(flight.request.ID)), zap.Error(caught.AsError()))
 	}
 	result = flight.leave(a, result)
-	f.submitEnd(flight, a, result)
+	if result == vrevent.AttemptCallerGone {
+		f.endGone(flight, a)
+	} else {
+		f.submitEnd(flight, a, result)
+	}
 	if flight.call == nil && result != vrevent.AttemptAnswered && !result.ProvesNotRun() {
 		f.cancelAtEngine(flight, a)
 	}
 }
 
+// endGone ends a request whose caller left. The reducer returns no terminal effect for
+// it, as there is no one to answer.
+func (f *Front) endGone(flight *flight, a *attempt) {
+	f.submitEnd(flight, a, vrevent.AttemptCallerGone)
+	f.finish(flight.request.ID, goneEffect(flight))
+}
+
+func goneEffect(flight *flight) vrevent.Refuse {
+	return vrevent.Refuse{Request: flight.request.ID, Reason: vrwire.ReasonCallerGone, Ran: vrrecord.RanUnknown}
+}
+
 func (f *Front) submitEnd(flight *flight, a *attempt, result vrevent.AttemptResult) {
 	event := vrevent.AttemptEnded{
 		Request: flight.request.ID,
--- a/verbenaroute/internal/vrfront/flight.go
+++ b/verbenaroute/internal/vrfront/flight.go
@@ -212,6 +212,13 @@
 	return len(f.attempts) == 0
 }
 
+// idle reports whether no attempt runs.
+func (f *flight) idle() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.attempts) == 0
+}
+
 // accept takes a line of the owner's stream; first is set for its first line.
 func (f *flight) accept(a *attempt, line *vrengine.Token) (first bool, err error) {
 	f.mu.Lock()
--- a/verbenaroute/internal/vrfront/model.go
+++ b/verbenaroute/internal/vrfront/model.go
@@ -135,10 +135,15 @@
 }
 
 // leaveCaller tells the reducer that the caller is gone. A running attempt that was
-// stopped says so itself when it ends.
+// stopped says so itself when it ends. Without an attempt the reducer ends the request
+// and returns no terminal effect.
 func (f *Front) leaveCaller(flight *flight) {
-	if flight.leaveCaller() {
-		f.options.Submitter.Submit(vrevent.CallerGone{Request: flight.request.ID})
+	if !flight.leaveCaller() {
+		return
+	}
+	f.options.Submitter.Submit(vrevent.CallerGone{Request: flight.request.ID})
+	if flight.idle() {
+		f.finish(flight.request.ID, goneEffect(flight))
 	}
 }
 
--- a/verbenaroute/internal/vrserve/daemon.go
+++ b/verbenaroute/internal/vrserve/daemon.go
@@ -13,6 +13,7 @@
 
 	"verbenaroute.example/verbenacore/vrclient"
 	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrpeer"
 	"verbenaroute.example/verbenacore/vrreducer"
 	"verbenaroute.example/verbenacore/vrsettings"
 
@@ -68,7 +69,7 @@
 	front    *vrfront.Front
 	admin    *vradmin.Admin
 	clients  clients
-	peers    *peerHub
+	peers    *vrpeer.Hub
 	callers  net.Listener
 	operator net.Listener
 	serving  conc.WaitGroup
@@ -166,10 +167,28 @@
 	if d.operator, err = listen("operators", d.settings.Operators, d.settings.OperatorTLS); err != nil {
 		return err
 	}
-	if d.peers, err = newPeerHub(d); err != nil {
-		return err
+	return d.openPeers()
+}
+
+// openPeers starts the sessions with other daemons. Their messages wait until the
+// runtime has started.
+func (d *Daemon) openPeers() error {
+	hub, err := vrpeer.Start(context.Background(), vrpeer.Options{
+		Self:        d.settings.Daemon,
+		Boot:        d.boot,
+		Zone:        d.settings.Zone,
+		Listen:      d.settings.Peers,
+		TLS:         d.settings.PeerTLS,
+		Insecure:    d.settings.InsecurePeers,
+		Receive:     d.Runtime.HandlePeer,
+		Unreachable: d.Runtime.PeerUnreachable,
+		Log:         d.log,
+	})
+	if err != nil {
+		return &ListenError{Field: "peers", Address: d.settings.Peers, Err: err}
 	}
-	d.Runtime.Bind(d.front, d.peers)
+	d.peers = hub
+	d.Runtime.Bind(d.front, hub)
 	return nil
 }
 
--- a/verbenaroute/internal/vrserve/gauges.go
+++ b/verbenaroute/internal/vrserve/gauges.go
@@ -27,5 +27,12 @@
 	fmt.Fprintf(out, "verbenaroute_zone_servers %d\n", len(status.Servers))
 	fmt.Fprintf(out, "verbenaroute_running_requests %d\n", d.front.Running())
 	fmt.Fprintf(out, "verbenaroute_events_total %d\n", d.Runtime.Events())
+	peers := d.peers.Stats()
+	fmt.Fprintf(out, "verbenaroute_peer_bytes_total{direction=\"sent\"} %d\n", peers.BytesSent)
+	fmt.Fprintf(out, "verbenaroute_peer_bytes_total{direction=\"received\"} %d\n", peers.BytesReceived)
+	fmt.Fprintf(out, "verbenaroute_peer_messages_total{direction=\"sent\"} %d\n", peers.MessagesSent)
+	fmt.Fprintf(out, "verbenaroute_peer_messages_total{direction=\"received\"} %d\n", peers.MessagesReceived)
+	fmt.Fprintf(out, "verbenaroute_peer_messages_total{direction=\"dropped\"} %d\n", peers.Dropped)
+	fmt.Fprintf(out, "verbenaroute_peer_sessions %d\n", peers.Sessions)
 	fmt.Fprintf(out, "verbenaroute_front_panics_total %d\n", d.front.Panics())
 }
--- a/verbenaroute/internal/vrserve/hook.go
+++ b/verbenaroute/internal/vrserve/hook.go
@@ -30,8 +30,13 @@
 	r.options.Peers.Send(peer, address, envelope)
 }
 
-// HandlePeer takes a checked message of another daemon.
+// HandlePeer takes a checked message of another daemon. It blocks until Start.
 func (r *Runtime) HandlePeer(envelope *vrwire.Envelope) {
+	select {
+	case <-r.started:
+	case <-r.base.Done():
+		return
+	}
 	switch {
 	case envelope.ConfigOffer != nil:
 		r.takeOffer(envelope)
--- a/verbenaroute/internal/vrserve/vrserve.go
+++ b/verbenaroute/internal/vrserve/vrserve.go
@@ -112,6 +112,8 @@
 	effects vrevent.Effects
 	stopped chan struct{}
 	halted  bool
+	// started is closed by Start; messages of peers wait for it.
+	started chan struct{}
 
 	platform *lane
 	polls    *lane
@@ -127,7 +129,7 @@
 
 // New builds a Runtime; Start runs it.
 func New(options Options) *Runtime {
-	r := &Runtime{options: options, stopped: make(chan struct{})}
+	r := &Runtime{options: options, stopped: make(chan struct{}), started: make(chan struct{})}
 	r.base, r.cancel = context.WithCancel(context.Background())
 	if options.Workers <= 0 {
 		options.Workers = vrsettings.DefaultPlatformConcurrency
@@ -166,6 +168,7 @@
 // Start submits Started and begins to tick.
 func (r *Runtime) Start() {
 	r.Submit(vrevent.Started{})
+	close(r.started)
 	r.loops.Go(r.tick)
 }
 
--- a/verbenaroute/internal/vrserve/vrserve_test.go
+++ b/verbenaroute/internal/vrserve/vrserve_test.go
@@ -278,6 +278,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed()
 		var queries []*vrwire.Envelope
+		b.runtime.Start()
 		b.runtime.OnQuery(func(envelope *vrwire.Envelope) { queries = append(queries, envelope) })
 		b.runtime.HandlePeer(&vrwire.Envelope{ConfigOffer: &vrwire.ConfigOffer{Version: 5, Document: document(5)}})
 		b.runtime.HandlePeer(&vrwire.Envelope{ConfigOffer: &vrwire.ConfigOffer{Version: 6, Document: []byte("x")}})
