--- a/verbenacore/vrquery/value.go
+++ b/verbenacore/vrquery/value.go
@@ -1,6 +1,7 @@
 package vrquery
 
 import (
+	"errors"
 	"math"
 	"strconv"
 	"strings"
@@ -139,3 +140,17 @@
 	}
 	return strings.Join(texts, ", ")
 }
+
+// ParseTime reads a point in time as since and until do, for example "24h" or
+// "2026-01-31".
+func ParseTime(text string, now time.Time) (time.Time, error) {
+	at, err := timeOf(Value{Text: text}, now)
+	if err != nil {
+		return at, &SyntaxError{Text: text, Line: 1, Column: 1, Found: text, Expected: func() *valueError {
+			target := &valueError{}
+			_ = errors.As(err, &target)
+			return target
+		}().expected}
+	}
+	return at, nil
+}
--- /dev/null
+++ b/verbenactl/internal/vraudit/vraudit.go
@@ -0,0 +1,182 @@
+// Package vraudit checks the whole record from the outside: it recomputes the chains
+// from the raw blocks and compares the claims of idempotency keys with the outcomes.
+package vraudit
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrquery"
+	"verbenaroute.example/verbenacore/vrrecord"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+// Source gives the raw record.
+type Source interface {
+	Zones(ctx context.Context) ([]vrid.ZoneID, error)
+	BlockKeys(ctx context.Context, zone vrid.ZoneID) ([]vrquery.RawBlock, error)
+	Blocks(ctx context.Context, prefix string) ([]vrquery.RawBlock, error)
+	Claims(ctx context.Context, shard int) (*vrquery.ClaimsAnswer, error)
+}
+
+// Options say what to check.
+type Options struct {
+	// Since leaves out earlier blocks; zero checks the whole record.
+	Since time.Time
+	// Zones limits the check; empty takes all.
+	Zones []vrid.ZoneID
+	// Progress takes a line for each zone; nil takes none.
+	Progress io.Writer
+}
+
+// Result is the outcome of an audit.
+type Result struct {
+	Zones  []vrid.ZoneID           `json:"zones"`
+	Since  time.Time               `json:"since"`
+	Record vrrecord.Report         `json:"record"`
+	Claims vrrecord.Reconciliation `json:"claims"`
+}
+
+// OK reports whether nothing was found.
+func (r *Result) OK() bool { return r.Record.OK() && r.Claims.OK() }
+
+// Run audits the record. It holds the blocks of one writer and hour at a time.
+func Run(ctx context.Context, source Source, options Options) (*Result, error) {
+	result := &Result{Zones: options.Zones, Since: options.Since}
+	if len(result.Zones) == 0 {
+		zones, err := source.Zones(ctx)
+		if err != nil {
+			return nil, err
+		}
+		result.Zones = zones
+	}
+	// The claims come first: a call that is claimed later is then newer than the last
+	// entry and not taken for one that has no entry.
+	claims, err := allClaims(ctx, source, options)
+	if err != nil {
+		return nil, err
+	}
+	a := &auditor{ctx: ctx, source: source, options: options, verifier: vrrecord.NewVerifier(vrrecord.Scope{Partial: !options.Since.IsZero()})}
+	result.Claims = vrrecord.Reconcile(func(yield func(*vrrecord.Entry) bool) {
+		for _, zone := range result.Zones {
+			if a.err == nil {
+				a.err = a.zone(zone, yield)
+			}
+		}
+	}, claims)
+	if a.err != nil {
+		return nil, a.err
+	}
+	result.Record = a.verifier.Finish()
+	return result, nil
+}
+
+func allClaims(ctx context.Context, source Source, options Options) ([]vrwire.ClaimEntry, error) {
+	var claims []vrwire.ClaimEntry
+	for shard, shards := 0, 1; shard < shards; shard++ {
+		answer, err := source.Claims(ctx, shard)
+		if err != nil {
+			return nil, err
+		}
+		shards = answer.Shards
+		for _, claim := range answer.Claims {
+			if options.Since.IsZero() || claim.At >= options.Since.UnixMilli() {
+				claims = append(claims, claim)
+			}
+		}
+	}
+	return claims, nil
+}
+
+type auditor struct {
+	ctx      context.Context
+	source   Source
+	options  Options
+	verifier *vrrecord.Verifier
+	err      error
+}
+
+// zone checks the blocks of a zone, writer by writer in the order of the hours.
+func (a *auditor) zone(zone vrid.ZoneID, yield func(*vrrecord.Entry) bool) error {
+	keys, err := a.source.BlockKeys(a.ctx, zone)
+	if err != nil {
+		return err
+	}
+	prefixes, strange := a.prefixes(keys)
+	for _, key := range strange {
+		a.verifier.Add(vrrecord.Stored{Key: key})
+	}
+	count := 0
+	for _, prefix := range prefixes {
+		blocks, err := a.source.Blocks(a.ctx, prefix)
+		if err != nil {
+			return err
+		}
+		for _, block := range blocks {
+			count++
+			a.verifier.Add(vrrecord.Stored{Key: block.Key, Data: block.Data})
+			yieldEntries(block.Data, yield)
+		}
+	}
+	if a.options.Progress != nil {
+		fmt.Fprintf(a.options.Progress, "zone %s: %d blocks of %d writers and hours\n", zone, count, len(prefixes))
+	}
+	return nil
+}
+
+// prefixes returns the writers and hours to check, and the keys that no writer made.
+func (a *auditor) prefixes(keys []vrquery.RawBlock) (prefixes, strange []string) {
+	since := vrrecord.HourPrefix("", a.options.Since)
+	for _, key := range keys {
+		name, err := vrrecord.ParseKey(key.Key)
+		if err != nil {
+			strange = append(strange, key.Key)
+			continue
+		}
+		hour := vrrecord.ZonePrefix("") + name.Hour + "/"
+		if !a.options.Since.IsZero() && hour < since || slices.Contains(prefixes, name.Prefix()) {
+			continue
+		}
+		prefixes = append(prefixes, name.Prefix())
+	}
+	return prefixes, strange
+}
+
+// yieldEntries passes on the readable entries; the verifier reports the others.
+func yieldEntries(data []byte, yield func(*vrrecord.Entry) bool) {
+	block, err := vrrecord.DecodeBlock(data)
+	if err != nil {
+		return
+	}
+	for i := range block.Entries {
+		if entry, err := block.Entry(i); err == nil && !yield(entry) {
+			return
+		}
+	}
+}
+
+// Write writes the result for a person.
+func (r *Result) Write(w io.Writer) {
+	scope := "the whole record"
+	if !r.Since.IsZero() {
+		scope = "the record since " + r.Since.UTC().Format(time.RFC3339)
+	}
+	fmt.Fprintf(w, "audit of %s in %d zones\n", scope, len(r.Zones))
+	fmt.Fprintf(w, "  blocks %d in %d chains, runs of daemons %d\n", r.Record.Blocks, r.Record.Chains, r.Record.Runs)
+	fmt.Fprintf(w, "  entries %d, of them ends of requests %d, sent twice after a change of the writer %d\n", r.Record.Entries, r.Record.Terminals, r.Record.Resent)
+	fmt.Fprintf(w, "  declared gaps %d, numbers lost in them %d, requests still open %d\n", r.Record.Gaps, r.Record.Lost, r.Record.Open)
+	fmt.Fprintf(w, "  idempotency keys %d, claims that agree with the record %d, in gaps %d, outside of the range %d\n", r.Claims.Keys, r.Claims.Matched, r.Claims.InGap, r.Claims.Outside)
+	for _, finding := range r.Record.Findings {
+		fmt.Fprintf(w, "FAULT %s\n", finding)
+	}
+	for _, mismatch := range r.Claims.Mismatches {
+		fmt.Fprintf(w, "FAULT %s\n", mismatch)
+	}
+	if r.OK() {
+		fmt.Fprintln(w, "no fault was found")
+	}
+}
--- /dev/null
+++ b/verbenactl/internal/vrterminal/commands.go
@@ -0,0 +1,177 @@
+package vrterminal
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"verbenaroute.example/verbenacore/vrcodec"
+	"verbenaroute.example/verbenacore/vrconfig"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrquery"
+
+	"verbenaroute.example/verbenactl/internal/vraudit"
+	"verbenaroute.example/verbenactl/internal/vrburn"
+)
+
+func (t *terminal) explainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:               "explain command",
+		Short:             "Show what a command would change",
+		Args:              cobra.MinimumNArgs(1),
+		ValidArgsFunction: completeArgs,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			text := strings.TrimPrefix(strings.Join(args, " "), "explain ")
+			return t.statement(cmd.Context(), "explain "+text)
+		},
+	}
+}
+
+func (t *terminal) auditCommand() *cobra.Command {
+	audit := &cobra.Command{Use: "audit", Short: "Check the record"}
+	var since string
+	var zones []string
+	verify := &cobra.Command{
+		Use:   "verify",
+		Short: "Recompute the chains, find altered, missing and doubled entries, compare claims with outcomes",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := t.needDaemon(); err != nil {
+				return err
+			}
+			options := vraudit.Options{Progress: t.streams.Err}
+			if since != "" {
+				from, err := vrquery.ParseTime(since, t.streams.Now())
+				if err != nil {
+					return err
+				}
+				options.Since = from
+			}
+			for _, zone := range zones {
+				options.Zones = append(options.Zones, vrid.ZoneID(zone))
+			}
+			result, err := vraudit.Run(cmd.Context(), t.caller, options)
+			if err != nil {
+				return err
+			}
+			return t.showAudit(result)
+		},
+	}
+	verify.Flags().StringVar(&since, "since", "", "leave out earlier hours, for example 30d or 2026-01-31; everything without it")
+	verify.Flags().StringSliceVar(&zones, "zone", nil, "only these zones")
+	audit.AddCommand(verify)
+	return audit
+}
+
+func (t *terminal) showAudit(result *vraudit.Result) error {
+	if vrquery.Format(t.output) == vrquery.FormatJSON {
+		encoder := json.NewEncoder(t.streams.Out)
+		encoder.SetIndent("", "  ")
+		if err := encoder.Encode(result); err != nil {
+			return err
+		}
+	} else {
+		result.Write(t.streams.Out)
+	}
+	if !result.OK() {
+		return &FaultError{Count: len(result.Record.Findings) + len(result.Claims.Mismatches)}
+	}
+	return nil
+}
+
+func (t *terminal) reportCommand() *cobra.Command {
+	report := &cobra.Command{Use: "report", Short: "Write reports"}
+	var since, out string
+	burn := &cobra.Command{
+		Use:   "burn",
+		Short: "Write one page on what burned the service levels, when and why",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := t.needDaemon(); err != nil {
+				return err
+			}
+			from, err := vrquery.ParseTime(since, t.streams.Now())
+			if err != nil {
+				return err
+			}
+			report, err := vrburn.Collect(cmd.Context(), t.caller, vrburn.Options{From: from, Now: t.streams.Now()})
+			if err != nil {
+				return err
+			}
+			if err := writePage(out, report); err != nil {
+				return err
+			}
+			fmt.Fprintln(t.streams.Out, out)
+			if len(report.Missing) > 0 {
+				return &PartialError{Missing: report.Missing}
+			}
+			return nil
+		},
+	}
+	burn.Flags().StringVar(&since, "since", "24h", "beginning of the report, for example 24h or 2026-01-31")
+	burn.Flags().StringVar(&out, "out", "burn.html", "file to write")
+	report.AddCommand(burn)
+	return report
+}
+
+func writePage(path string, report *vrburn.Report) error {
+	page, err := report.HTML()
+	if err != nil {
+		return err
+	}
+	const readable = 0o644
+	return os.WriteFile(path, page, readable)
+}
+
+func (t *terminal) importCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "import file",
+		Short: "Replace the whole configuration by a JSON document, or give a new fleet its first one",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := t.needDaemon(); err != nil {
+				return err
+			}
+			data, err := os.ReadFile(args[0])
+			if err != nil {
+				return &UsageError{Message: err.Error()}
+			}
+			fleet := &vrconfig.Fleet{}
+			if err := vrcodec.DecodeStrictJSON(data, fleet); err != nil {
+				return &UsageError{Message: fmt.Sprintf("%s: %v", args[0], err)}
+			}
+			answer, err := t.caller.Command(cmd.Context(), vrquery.CommandCall{Document: fleet})
+			if err != nil {
+				return err
+			}
+			return t.showAnswer(answer)
+		},
+	}
+}
+
+func (t *terminal) exportCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "export",
+		Short: "Write the configuration in force as JSON",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := t.needDaemon(); err != nil {
+				return err
+			}
+			fleet, err := t.caller.Configuration(cmd.Context())
+			if err != nil {
+				return err
+			}
+			encoder := json.NewEncoder(t.streams.Out)
+			encoder.SetIndent("", "  ")
+			return encoder.Encode(fleet)
+		},
+	}
+}
+
+// promptTimeout bounds one statement at the prompt.
+const promptTimeout = 2 * time.Minute
--- a/verbenactl/main.go
+++ b/verbenactl/main.go
@@ -1,4 +1,12 @@
 // Command verbenactl is the command line of operators.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"verbenaroute.example/verbenactl/internal/vrterminal"
+)
+
+func main() {
+	os.Exit(vrterminal.Main(os.Args[1:], vrterminal.Standard()))
+}
