--- a/verbenabench/internal/vrcommand/vrcommand.go
+++ b/verbenabench/internal/vrcommand/vrcommand.go
@@ -4,7 +4,9 @@
 import (
 	"github.com/spf13/cobra"
 
+	"verbenaroute.example/verbenabench/internal/vrcost"
 	"verbenaroute.example/verbenabench/internal/vrdeploy"
+	"verbenaroute.example/verbenabench/internal/vrmeasure"
 	"verbenaroute.example/verbenabench/internal/vrpath"
 )
 
@@ -16,7 +18,10 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newStandin(), newTry(), vrpath.Command())
+	root.AddCommand(
+		newStandin(), newTry(), newScenario(),
+		vrmeasure.Command(), vrpath.Command(), vrcost.Command(), vrcost.SpreadCommand(),
+	)
 	return root
 }
 
--- a/verbenabench/internal/vrinvariant/vrinvariant_test.go
+++ b/verbenabench/internal/vrinvariant/vrinvariant_test.go
@@ -10,6 +10,7 @@
 	"verbenaroute.example/verbenabench/internal/vrload"
 	"verbenaroute.example/verbenabench/internal/vrstandin"
 	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrledger"
 	"verbenaroute.example/verbenacore/vrrecord"
 	"verbenaroute.example/verbenacore/vrwire"
 )
@@ -28,6 +29,7 @@
 	require.NoError(t, err)
 	e := NewEvidence(deployment)
 	e.Journal = []vrstandin.Entry{
+		decision(t, deployment.Fleet.Models[0].ID, "lm-serve-1", "lm-serve-2", "lm-serve-3"),
 		{Kind: vrstandin.JournalLoadStarted, Model: deployment.Fleet.Models[0].ID, Server: "lm-serve-1", Zone: "tw-north-a", At: at(1)},
 		{Kind: vrstandin.JournalRun, Object: vrdeploy.PathReservations, Key: "k", Request: "r2", Server: "circle-app-1", At: at(2)},
 	}
@@ -51,6 +53,20 @@
 	return &e
 }
 
+// decision is a write of a ledger object that holds the model on some servers.
+func decision(t *testing.T, model vrid.ModelID, servers ...vrid.ServerID) vrstandin.Entry {
+	t.Helper()
+	chunk := vrledger.Chunk{Epoch: 1, Writer: "daemon-1"}
+	for _, server := range servers {
+		chunk.Servers = append(chunk.Servers, vrledger.ServerLedger{
+			Server: server, Entries: []vrledger.Entry{{Model: model, State: vrwire.ReplicaLoading}},
+		})
+	}
+	value, err := vrwire.Marshal(&chunk)
+	require.NoError(t, err)
+	return vrstandin.Entry{Kind: vrstandin.JournalWrite, Object: "ledgers/tw-north-a/0", Version: 1, Value: value}
+}
+
 func view(call vrload.Call, attempt vrload.Attempt) vrload.View {
 	attempt.Daemon, attempt.Began, attempt.Ended, attempt.First = "daemon-1", at(2), at(3), at(2.5)
 	attempt.Started = true
@@ -67,11 +83,12 @@
 	}{
 		{"third replica in a zone", "I1", func(e *Evidence) {
 			for _, server := range []vrid.ServerID{"lm-serve-2", "lm-serve-3"} {
-				more := e.Journal[0]
+				more := e.Journal[1]
 				more.Server = server
 				e.Journal = append(e.Journal, more)
 			}
 		}},
+		{"load that was not decided", "I1", func(e *Evidence) { e.Journal = e.Journal[1:] }},
 		{"refused load", "I2", func(e *Evidence) {
 			e.Journal = append(e.Journal, vrstandin.Entry{Kind: vrstandin.JournalOvercommit})
 		}},
@@ -89,8 +106,8 @@
 		{"foreign answer", "I4", func(e *Evidence) { e.Views[0].Attempts[0].End = vrload.EndWrong }},
 		{"false notRun for the caller", "I5", func(e *Evidence) { e.Views[2].Attempts[0].Request = "r2" }},
 		{"false notRun in the record", "I5", func(e *Evidence) { e.Record[2].Request = "r2" }},
-		{"double run", "I6", func(e *Evidence) { e.Journal = append(e.Journal, e.Journal[1]) }},
-		{"confirmed without a run", "I6", func(e *Evidence) { e.Journal = e.Journal[:1] }},
+		{"double run", "I6", func(e *Evidence) { e.Journal = append(e.Journal, e.Journal[2]) }},
+		{"confirmed without a run", "I6", func(e *Evidence) { e.Journal = e.Journal[:2] }},
 		{"late work for a leaving server", "I7", func(e *Evidence) {
 			leave := vrstandin.Entry{Kind: vrstandin.JournalLeaving, Server: "lm-serve-1", At: at(2)}
 			work := vrstandin.Entry{Kind: vrstandin.JournalGenerate, Server: "lm-serve-1", At: at(5.1)}
@@ -128,11 +145,11 @@
 // TestReplay guards against counts that survive an unload or a restart.
 func TestReplay(t *testing.T) {
 	e := evidence(t)
-	load := e.Journal[0]
+	decided, load := e.Journal[0], e.Journal[1]
 	boot := vrstandin.Entry{Kind: vrstandin.JournalBoot, Server: load.Server}
 	unload := load
 	unload.Kind = vrstandin.JournalUnloaded
-	e.Journal = []vrstandin.Entry{load, unload, load, boot, load, boot, load}
+	e.Journal = []vrstandin.Entry{decided, load, unload, load, boot, load, boot, load}
 	require.True(t, checkReplicas(e).Held())
 	memory := newMemoryView(e)
 	for _, entry := range e.Journal {
--- a/verbenacore/vrreducer/plan.go
+++ b/verbenacore/vrreducer/plan.go
@@ -3,11 +3,13 @@
 import (
 	"time"
 
+	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrengine"
 	"verbenaroute.example/verbenacore/vrevent"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrplace"
 	"verbenaroute.example/verbenacore/vrrecord"
+	"verbenaroute.example/verbenacore/vrroute"
 	"verbenaroute.example/verbenacore/vrwire"
 )
 
@@ -22,16 +24,39 @@
 		s.useGrants(now, out)
 		return
 	}
-	zones := max(len(index.Fleet.Zones()), 1)
-	actions := s.planner.Plan(now, vrplace.Input{
-		Index: index, Servers: s.ledger.Snapshots(), Replicas: s.ledger.Replicas, Zone: s.opts.Zone,
-		LoadSlots:    slotShare(index.Fleet.WeightStore.Slots, zones),
-		AdapterSlots: slotShare(index.Fleet.WeightStore.AdapterSlots, zones),
-	})
-	for _, action := range actions {
+	for _, action := range s.planner.Plan(now, s.planInput(now)) {
 		s.ledger.Apply(action)
 	}
 	s.ledger.Flush(now, out)
+	s.askSlots(now, out)
+}
+
+func (s *State) planInput(now time.Time) vrplace.Input {
+	index := s.store.Current()
+	zones := max(len(index.Fleet.Zones()), 1)
+	store := index.Fleet.WeightStore
+	input := vrplace.Input{
+		Index: index, Servers: s.ledger.Snapshots(), Replicas: s.ledger.Replicas, Zone: s.opts.Zone,
+		LoadSlots: slotShare(store.Slots, zones), AdapterSlots: slotShare(store.AdapterSlots, zones),
+	}
+	if s.opts.Plain {
+		// The plain way knows no order over the fleet: each zone uses every place.
+		input.LoadSlots, input.AdapterSlots = store.Slots, store.AdapterSlots
+	}
+	if s.opts.Plain {
+		return input
+	}
+	input.Elsewhere = func(model vrid.ModelID, rank vrid.Rank) int { return s.elsewhere(now, model, rank) }
+	if s.coordinated(now) {
+		input.Granted = s.slotGranted
+	}
+	return input
+}
+
+// elsewhere counts the places at other zones' replicas of a model that requests of a
+// rank may use.
+func (s *State) elsewhere(now time.Time, model vrid.ModelID, rank vrid.Rank) int {
+	return s.table.FarSlots(vrroute.Query{Model: model, Rank: rank, CrossRegion: s.mayCross(now, rank)})
 }
 
 // slotShare is a zone's part of the weight store when no fleet owner shares it out.
@@ -50,7 +75,7 @@
 
 // wantModel sends demand for a model at once when the last message is old.
 func (s *State) wantModel(now time.Time, r *request, out *vrevent.Effects) {
-	if r.Model == "" || s.loaded(r) {
+	if r.Model == "" || s.loaded(now, r) {
 		return
 	}
 	key := demandKey{model: r.Model, adapter: r.Adapter, rank: r.Rank}
@@ -179,7 +204,8 @@
 	}
 	for _, id := range sortedKeys(view.Servers) {
 		item := view.Servers[id]
-		if item.State == vrwire.ServerGone || (!loading[id] && view.Poller(id) != s.opts.Daemon) {
+		polled := item.State != vrwire.ServerGone && s.reportsLoad(item)
+		if !polled || (!loading[id] && view.Poller(id) != s.opts.Daemon) {
 			delete(s.polls, id)
 			continue
 		}
@@ -187,6 +213,17 @@
 	}
 }
 
+// reportsLoad is false for application servers: they have no report, so a poll would
+// make them unreachable. They are judged by their calls and the platform's list.
+func (s *State) reportsLoad(item vrwire.ServerItem) bool {
+	index := s.store.Current()
+	if index == nil {
+		return true
+	}
+	pool := index.Pool(item.Pool)
+	return pool == nil || pool.Kind != vrconfig.KindApplicationServer
+}
+
 func (s *State) pollServer(now time.Time, item vrwire.ServerItem, loading bool, out *vrevent.Effects) {
 	p := s.polls[item.Server]
 	if p == nil {
--- a/verbenacore/vrreducer/zone.go
+++ b/verbenacore/vrreducer/zone.go
@@ -22,6 +22,8 @@
 	planInterval = 100 * time.Millisecond
 	// summaryInterval is the pause between two summaries to other zones.
 	summaryInterval = time.Second
+	// summaryGap is the least pause when a replica became ready.
+	summaryGap = 20 * time.Millisecond
 	// leasesInterval is the pause between two readings of the other zones' leases.
 	leasesInterval = 5 * time.Second
 	// demandInterval is the pause between two messages of demand for one model.
@@ -55,6 +57,7 @@
 	leasesAt   time.Time
 	leasesOp   vrevent.Op
 	owners     map[vrid.ZoneID]vrmember.Peer
+	neighbours map[vrid.ZoneID]*neighbour
 	ackOp      vrevent.Op
 	ackAt      time.Time
 	ackVersion vrid.ObjectVersion
@@ -67,6 +70,10 @@
 	arrivalsAt time.Time
 	drained    map[vrid.ServerID]bool
 	watching   bool
+	// summaryDue is set when other zones' requests may wait for a new replica.
+	summaryDue bool
+	// loaded is the number of loaded replicas and adapters in the last view.
+	loaded int
 }
 
 // run is one run of a daemon.
@@ -81,20 +88,15 @@
 	rank    vrid.Rank
 }
 
-// remoteZone is when another zone's summary was heard here.
-type remoteZone struct {
-	sentAt int64
-	heard  time.Time
-}
-
 func newZone() zone {
 	return zone{
-		vms:      make(map[vrid.VMID]vrplatform.VM),
-		acks:     make(map[run]vrid.Epoch),
-		owners:   make(map[vrid.ZoneID]vrmember.Peer),
-		wanted:   make(map[demandKey]time.Time),
-		arrivals: make(map[demandKey]uint32),
-		drained:  make(map[vrid.ServerID]bool),
+		vms:        make(map[vrid.VMID]vrplatform.VM),
+		acks:       make(map[run]vrid.Epoch),
+		owners:     make(map[vrid.ZoneID]vrmember.Peer),
+		neighbours: make(map[vrid.ZoneID]*neighbour),
+		wanted:     make(map[demandKey]time.Time),
+		arrivals:   make(map[demandKey]uint32),
+		drained:    make(map[vrid.ServerID]bool),
 	}
 }
 
@@ -109,6 +111,7 @@
 		Candidate: s.candidate(now),
 		Chunks:    uint32(s.zoneServers()/ledgerServers + 1),
 	}, out)
+	s.tickFleet(now, out)
 	s.ackEpoch(now, out)
 	if !s.lease.Holding() {
 		s.sendArrivals(now)
@@ -233,6 +236,7 @@
 		s.member.BecomeRoot(now, record.Epoch)
 		s.ledger.Activate(now, record.Epoch, record.Chunks, out)
 		s.zone.leasesAt = time.Time{}
+		clear(s.zone.neighbours)
 		s.zone.listed = false
 		s.zone.early = s.zone.listing
 		s.zone.vmsAt = time.Time{}
@@ -259,7 +263,7 @@
 
 // ackEpoch tells a newer owner that this run holds no unsent order of an earlier epoch.
 func (s *State) ackEpoch(now time.Time, out *vrevent.Effects) {
-	if !s.ledger.Issued() || s.lease.Holding() || s.ledger.Outstanding() > 0 {
+	if !s.ledger.Issued() || s.lease.Holding() || !s.ledger.Silent(now) {
 		return
 	}
 	if now.Sub(s.zone.ackedAt) < epochAckInterval || s.lease.Epoch() == 0 {
@@ -334,18 +338,38 @@
 func (s *State) publish(now time.Time, out *vrevent.Effects) {
 	if s.ledger.TakeChanged() || now.Sub(s.zone.summaryAt) >= summaryInterval {
 		s.member.PublishServers(s.ledger.Items(s.opts.Zone))
+		s.zone.summaryDue = s.zone.summaryDue || s.newReplica()
 	}
 	if now.Sub(s.zone.leasesAt) >= leasesInterval && s.zone.leasesOp == 0 {
 		s.zone.leasesAt = now
 		s.zone.leasesOp = s.ops.Next()
 		out.Add(vrevent.ListObjects{Op: s.zone.leasesOp, Prefix: vrplatform.PrefixLeases, Values: true})
 	}
-	if now.Sub(s.zone.summaryAt) >= summaryInterval {
+	silence := now.Sub(s.zone.summaryAt)
+	if silence >= summaryInterval || (s.zone.summaryDue && silence >= summaryGap) {
 		s.zone.summaryAt = now
+		s.member.SweepRemote(now)
+		s.zone.summaryDue = false
 		s.sendSummaries(now, out)
 	}
 }
 
+// newReplica reports whether the zone has more loaded replicas and adapters than when
+// it was last asked: requests in other zones may wait for one.
+func (s *State) newReplica() bool {
+	loaded := 0
+	for _, item := range s.member.View().Servers {
+		for i := range item.Replicas {
+			if item.Replicas[i].State == vrwire.ReplicaLoaded {
+				loaded += 1 + len(item.Replicas[i].Adapters)
+			}
+		}
+	}
+	more := loaded > s.zone.loaded
+	s.zone.loaded = loaded
+	return more
+}
+
 // leasesListed learns the owners of the other zones.
 func (s *State) leasesListed(_ time.Time, event vrevent.ObjectsListed) {
 	s.zone.leasesOp = 0
@@ -353,6 +377,9 @@
 		return
 	}
 	for _, item := range event.Items {
+		if item.Key == vrplatform.KeyFleetLease {
+			continue
+		}
 		record, err := vrwire.Unmarshal[vrlease.Record](item.Value)
 		if err != nil {
 			continue
@@ -364,26 +391,6 @@
 	}
 }
 
-// sendSummaries tells the other zones' owners what this zone can serve.
-func (s *State) sendSummaries(now time.Time, out *vrevent.Effects) {
-	view := s.member.View()
-	summary := &vrwire.ZoneSummary{
-		Zone: s.opts.Zone, Epoch: view.Epoch, Owner: s.opts.Daemon, Peer: s.opts.PeerAddress,
-		Config: s.store.Version(), InForce: s.inForce(), SentAt: now.UnixMilli(),
-	}
-	for _, id := range sortedKeys(view.Servers) {
-		if item := view.Servers[id]; item.State == vrwire.ServerLive {
-			summary.Servers = append(summary.Servers, item)
-		}
-	}
-	for _, id := range sortedKeys(view.Members) {
-		summary.Members = append(summary.Members, view.Members[id])
-	}
-	for _, zone := range sortedKeys(s.zone.owners) {
-		s.send(s.zone.owners[zone], &vrwire.Envelope{ZoneSummary: summary}, out)
-	}
-}
-
 func (s *State) orderAnswered(now time.Time, event vrevent.OrderAnswered, out *vrevent.Effects) {
 	epoch := s.ledger.HandleOrder(now, event)
 	if epoch > 0 {
@@ -393,6 +400,9 @@
 	s.recordOrder(now, event, out)
 	s.ledger.Flush(now, out)
 	if s.lease.Holding() {
+		// The place at the weight store goes to the next load at once.
+		s.zone.planAt = time.Time{}
+		s.plan(now, out)
 		s.publish(now, out)
 	}
 }
--- a/verbenaroute/internal/vrfront/vrfront.go
+++ b/verbenaroute/internal/vrfront/vrfront.go
@@ -76,8 +76,9 @@
 	Cancel(ctx context.Context, address string, request vrid.RequestID)
 	// Call sends the call once.
 	Call(ctx context.Context, address string, call *ServiceCall) (ServiceAnswer, vrevent.AttemptResult)
-	// Outcome asks how the call with a key ended.
-	Outcome(ctx context.Context, address, path string, key vrid.IdempotencyKey) (answer ServiceAnswer, found bool)
+	// Outcome asks how the call with a key ended. Without an error, found is false only
+	// when the service knows that no call ran under the key.
+	Outcome(ctx context.Context, address, path string, key vrid.IdempotencyKey) (answer ServiceAnswer, found bool, err error)
 }
 
 // Options construct a Front.
@@ -99,6 +100,8 @@
 	bodies   atomic.Int64
 	draining atomic.Bool
 	panics   atomic.Uint64
+	// bodyTimeout bounds the arrival of a body.
+	bodyTimeout time.Duration
 	// attempts counts the goroutines that call back ends.
 	attempts conc.WaitGroup
 	base     context.Context
@@ -110,7 +113,7 @@
 func New(options Options) *Front {
 	filled := (&vrsettings.Settings{Limits: options.Limits}).WithDefaults()
 	options.Limits = filled.Limits
-	f := &Front{options: options, flights: newFlights()}
+	f := &Front{options: options, flights: newFlights(), bodyTimeout: _bodyTimeout}
 	f.base, f.stop = context.WithCancel(context.Background())
 	f.server = f.newServer()
 	return f
@@ -140,9 +143,9 @@
 // too great a length, the library reads one byte before the handler refuses it.
 func (f *Front) allowBodyTime(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	if header.ContentLength() > int(f.options.Limits.Body) {
-		return fasthttp.RequestConfig{ReadTimeout: _bodyTimeout, MaxRequestBodySize: 1}
+		return fasthttp.RequestConfig{ReadTimeout: f.bodyTimeout, MaxRequestBodySize: 1}
 	}
-	return fasthttp.RequestConfig{ReadTimeout: _bodyTimeout}
+	return fasthttp.RequestConfig{ReadTimeout: f.bodyTimeout}
 }
 
 // discardLogger drops the library's lines on broken connections, which a hostile
