--- a/verbenactl/internal/vrterminal/prompt.go
+++ b/verbenactl/internal/vrterminal/prompt.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	defer lines.Close()
+	defer func() { _ = lines.Close() }()
 	fmt.Fprintln(t.streams.Out, "Tab completes, the arrow keys go through the history, Ctrl-D ends.")
 	for {
 		line, err := lines.Readline()
--- a/verbenactl/internal/vrterminal/vrterminal.go
+++ b/verbenactl/internal/vrterminal/vrterminal.go
@@ -227,7 +227,7 @@
 		if err != nil {
 			return &UsageError{Message: err.Error()}
 		}
-		defer file.Close()
+		defer func() { _ = file.Close() }()
 		return t.script(ctx, t.file, file)
 	case t.file == "-" || !t.streams.Interactive:
 		return t.script(ctx, "line", t.streams.In)
--- a/verbenactl/internal/vrterminal/vrterminal_test.go
+++ b/verbenactl/internal/vrterminal/vrterminal_test.go
@@ -298,7 +298,7 @@
 		cut++
 		connection, _, err := w.(http.Hijacker).Hijack()
 		require.NoError(t, err)
-		connection.Close()
+		require.NoError(t, connection.Close())
 	}))
 	defer broken.Close()
 	env[EnvDaemons] = broken.URL + "," + server.URL
