Answer queries of other zones beside the delivery of replies

Answers for a whole zone wait for its members, whose replies arrive on the same bounded pool: with as many questions as workers no reply was delivered in time. The owner now waits half as long as the asking daemon, so a silent member shortens its answer and doesn't hide its zone.

--- a/verbenaroute/internal/vroperator/tails.go
+++ b/verbenaroute/internal/vroperator/tails.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"time"
 
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrquery"
@@ -58,11 +59,31 @@
 	switch {
 	case envelope.QueryReply != nil:
 		o.tails.deliver(envelope)
+	case envelope.QueryRequest != nil && envelope.QueryRequest.WholeZone:
+		o.answerZone(envelope)
 	case envelope.QueryRequest != nil:
-		o.answerPeer(envelope)
+		o.answerPeer(envelope, nil, false)
 	}
 }
 
+// answerZone answers for the whole zone without holding up the caller, which also
+// delivers the members' replies. Beyond the bound it answers for itself only.
+func (o *Operator) answerZone(envelope *vrwire.Envelope) {
+	select {
+	case o.zoneQueries <- struct{}{}:
+	default:
+		o.answerPeer(envelope, nil, true)
+		return
+	}
+	o.background.Go(func() {
+		defer func() { <-o.zoneQueries }()
+		var missing []string
+		// The peer waits for PeerTime: half of it leaves time for the answer's way.
+		entries := o.ask(context.Background(), o.options.PeerTime/2, envelope.QueryRequest.Query, o.peersToAsk(false), &missing)
+		o.answerPeer(envelope, entries, len(missing) > 0)
+	})
+}
+
 // askTails collects the unwritten entries of this daemon, of the daemons of its zone
 // and, through their owners, of the other zones.
 func (o *Operator) askTails(ctx context.Context, text string, state *vrquery.State, missing *[]string) []vrrecord.Entry {
@@ -71,7 +92,7 @@
 	for _, zone := range silentZones(state, o.options.Zone, peers) {
 		*missing = append(*missing, fmt.Sprintf("zone %s: it can't be reached, its last entries are not included", zone))
 	}
-	return append(entries, o.ask(ctx, text, peers, missing)...)
+	return append(entries, o.ask(ctx, o.options.PeerTime, text, peers, missing)...)
 }
 
 // silentZones lists the declared zones that no daemon can be asked for.
@@ -105,8 +126,8 @@
 	return peers
 }
 
-func (o *Operator) ask(ctx context.Context, text string, peers []Peer, missing *[]string) []vrrecord.Entry {
-	ctx, cancel := context.WithTimeout(ctx, o.options.PeerTime)
+func (o *Operator) ask(ctx context.Context, wait time.Duration, text string, peers []Peer, missing *[]string) []vrrecord.Entry {
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	id, replies := o.tails.open(len(peers))
 	defer o.tails.close(id)
@@ -166,8 +187,9 @@
 	return entries, lines.Err()
 }
 
-// answerPeer answers with the unwritten entries in the query's time range.
-func (o *Operator) answerPeer(envelope *vrwire.Envelope) {
+// answerPeer answers with the unwritten entries in the query's time range: this
+// daemon's and the given ones.
+func (o *Operator) answerPeer(envelope *vrwire.Envelope, others []vrrecord.Entry, partial bool) {
 	request := envelope.QueryRequest
 	reply := &vrwire.QueryReply{ID: request.ID, Zone: o.options.Zone}
 	statement, err := vrquery.Parse(request.Query)
@@ -178,13 +200,8 @@
 	if err != nil {
 		reply.Error = err.Error()
 	} else {
-		entries := o.options.Live.Unwritten()
-		var missing []string
-		if request.WholeZone {
-			entries = append(entries, o.ask(context.Background(), request.Query, o.peersToAsk(false), &missing)...)
-		}
-		reply.Rows, reply.Partial = encodeRows(entries, within)
-		reply.Partial = reply.Partial || len(missing) > 0
+		rows, cut := encodeRows(append(o.options.Live.Unwritten(), others...), within)
+		reply.Rows, reply.Partial = rows, partial || cut
 	}
 	o.send(envelope.From, "", &vrwire.Envelope{QueryReply: reply})
 }
--- a/verbenaroute/internal/vroperator/vroperator.go
+++ b/verbenaroute/internal/vroperator/vroperator.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/gofiber/fiber/v3"
+	"github.com/sourcegraph/conc"
 
 	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrevent"
@@ -96,6 +97,7 @@
 	// defaultForceTime is twice the 7 s in which a change is in force everywhere.
 	defaultForceTime = 15 * time.Second
 	defaultQueries   = 2
+	maxZoneQueries   = 8
 )
 
 func (o Options) withDefaults() Options {
@@ -123,6 +125,9 @@
 	// running holds one place for each running query.
 	running chan struct{}
 	tails   tails
+	// zoneQueries holds one place for each question of another zone.
+	zoneQueries chan struct{}
+	background  conc.WaitGroup
 }
 
 // New builds an Operator.
@@ -132,9 +137,14 @@
 		options: options,
 		running: make(chan struct{}, options.Queries),
 		tails:   tails{waiting: make(map[uint64]chan *vrwire.Envelope)},
+
+		zoneQueries: make(chan struct{}, maxZoneQueries),
 	}
 }
 
+// Close waits for the answers to other zones that are being made, at most PeerTime.
+func (o *Operator) Close() { o.background.Wait() }
+
 // Mount adds the handlers to the operators' address.
 func (o *Operator) Mount(app *fiber.App) {
 	app.Post(vrquery.PathQuery, handle(o, vrsettings.RoleRead, o.query))
--- a/verbenaroute/internal/vroperator/vroperator_test.go
+++ b/verbenaroute/internal/vroperator/vroperator_test.go
@@ -318,6 +318,20 @@
 	})
 }
 
+// Guards against a dead member of another zone that hides its whole zone: the zone's
+// owner must answer in time and say that its answer is partial.
+func TestQuerySilentMemberOfOtherZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		s.daemons["b2"].silent = true
+		s.daemons["b1"].tail = []vrrecord.Entry{entryOf("b1", 1, time.Now().Add(-time.Second))}
+		table, err := s.daemons["a1"].show("show requests since 10m")
+		require.NoError(t, err)
+		require.Equal(t, []string{"b1-1"}, requestsOf(table))
+		require.Contains(t, strings.Join(table.Missing, "\n"), "zone zb: the last entries of daemon b1 are incomplete")
+	})
+}
+
 // Guards against queries that pile up and take the processor from callers.
 func TestQueriesAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
