Give each zone a port of the platform's stand-in

A call to the platform does not say where it comes from: vrclient sends no zone header. The zone's own port names the zone, so that a cut needs nothing from the daemon. The paths and bodies now come from vrengine.

--- a/verbenabench/internal/vrcommand/standin.go
+++ b/verbenabench/internal/vrcommand/standin.go
@@ -53,7 +53,7 @@
 	}
 	if flags.settings != "" {
 		_, err := deployment.WriteSettings(vrdeploy.SettingsOptions{
-			Dir: flags.settings, Platform: world.Addresses.Platform, Ports: ports, InsecurePeers: flags.insecurePeers,
+			Dir: flags.settings, Platforms: world.Addresses.Platforms, Ports: ports, InsecurePeers: flags.insecurePeers,
 		})
 		if err != nil {
 			world.Close()
--- a/verbenabench/internal/vrdeploy/settings.go
+++ b/verbenabench/internal/vrdeploy/settings.go
@@ -62,9 +62,10 @@
 
 // SettingsOptions says where daemons find each other and the platform.
 type SettingsOptions struct {
-	Dir      string
-	Platform string
-	Ports    map[vrid.DaemonID]Ports
+	Dir string
+	// Platforms are the platform's base URLs by zone.
+	Platforms map[vrid.ZoneID]string
+	Ports     map[vrid.DaemonID]Ports
 	// InsecurePeers writes no certificates; the default is mutual TLS.
 	InsecurePeers bool
 	// ShutdownGrace is zero for the daemon's own default.
@@ -108,7 +109,7 @@
 		Callers:       ports.Callers,
 		Operators:     ports.Operators,
 		Peers:         ports.Peers,
-		Platform:      options.Platform,
+		Platform:      options.Platforms[daemon.Zone],
 		InsecurePeers: options.InsecurePeers,
 		ShutdownGrace: options.ShutdownGrace,
 		OperatorTokens: []vrsettings.OperatorToken{
--- a/verbenabench/internal/vrdeploy/vrdeploy_test.go
+++ b/verbenabench/internal/vrdeploy/vrdeploy_test.go
@@ -57,7 +57,7 @@
 	require.NoError(t, err)
 	ports, err := ReservePorts(deployment.Daemons)
 	require.NoError(t, err)
-	paths, err := deployment.WriteSettings(SettingsOptions{Dir: t.TempDir(), Platform: "http://127.0.0.1:1", Ports: ports})
+	paths, err := deployment.WriteSettings(SettingsOptions{Dir: t.TempDir(), Platforms: map[vrid.ZoneID]string{"tw-central-a": "http://127.0.0.1:1"}, Ports: ports})
 	require.NoError(t, err)
 	require.Len(t, paths, 9)
 	data, err := os.ReadFile(paths["daemon-4"])
@@ -65,6 +65,7 @@
 	var settings vrsettings.Settings
 	require.NoError(t, json.Unmarshal(data, &settings))
 	require.Equal(t, vrid.ZoneID("tw-central-a"), settings.Zone)
+	require.Equal(t, "http://127.0.0.1:1", settings.Platform)
 	require.Len(t, settings.Seeds, 8)
 	pair, err := tls.LoadX509KeyPair(settings.PeerTLS.Certificate, settings.PeerTLS.Key)
 	require.NoError(t, err)
--- a/verbenabench/internal/vrfleet/vrfleet.go
+++ b/verbenabench/internal/vrfleet/vrfleet.go
@@ -97,7 +97,7 @@
 		return nil, err
 	}
 	settings, err := options.Deployment.WriteSettings(vrdeploy.SettingsOptions{
-		Dir: options.Dir, Platform: world.Addresses.Platform, Ports: ports, InsecurePeers: options.InsecurePeers,
+		Dir: options.Dir, Platforms: world.Addresses.Platforms, Ports: ports, InsecurePeers: options.InsecurePeers,
 	})
 	if err != nil {
 		world.Close()
--- a/verbenabench/internal/vrfuzz/run.go
+++ b/verbenabench/internal/vrfuzz/run.go
@@ -9,8 +9,8 @@
 	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrevent"
 	"verbenaroute.example/verbenacore/vrid"
-	"verbenaroute.example/verbenacore/vrledger"
 	"verbenaroute.example/verbenacore/vrlease"
+	"verbenaroute.example/verbenacore/vrledger"
 	"verbenaroute.example/verbenacore/vrplatform"
 	"verbenaroute.example/verbenacore/vrwire"
 )
--- a/verbenabench/internal/vrstandin/appserver.go
+++ b/verbenabench/internal/vrstandin/appserver.go
@@ -12,15 +12,14 @@
 	"github.com/cespare/xxhash/v2"
 
 	"verbenaroute.example/verbenabench/internal/vrdeploy"
+	"verbenaroute.example/verbenacore/vrengine"
 	"verbenaroute.example/verbenacore/vrid"
-	"verbenaroute.example/verbenacore/vrwire"
 )
 
 const (
-	_callTime     = 5 * time.Millisecond
-	_callBody     = 1 << 20
-	_stockSpread  = 20
-	_headerCaller = "X-Request-Id"
+	_callTime    = 5 * time.Millisecond
+	_callBody    = 1 << 20
+	_stockSpread = 20
 )
 
 // Confirmation is the answer to a call that must not be repeated. The digest lets a
@@ -109,8 +108,8 @@
 func (a *appServer) entry(kind EntryKind, r *http.Request) Entry {
 	return Entry{
 		Kind: kind, Server: a.server, Zone: a.zone,
-		Request: vrid.RequestID(r.Header.Get(_headerCaller)),
-		Key:     vrid.IdempotencyKey(r.Header.Get(vrwire.HeaderIdempotencyKey)),
+		Request: vrid.RequestID(r.Header.Get(vrengine.HeaderRequestID)),
+		Key:     vrid.IdempotencyKey(r.Header.Get(vrengine.HeaderIdempotencyKey)),
 		Object:  r.URL.Path,
 	}
 }
--- a/verbenabench/internal/vrstandin/engine.go
+++ b/verbenabench/internal/vrstandin/engine.go
@@ -11,27 +11,15 @@
 	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrengine"
 	"verbenaroute.example/verbenacore/vrid"
-	"verbenaroute.example/verbenacore/vrwire"
-)
-
-// Paths of the language servers' interface.
-const (
-	_pathGenerate    = "/v1/generate"
-	_pathCancel      = "/v1/cancel"
-	_pathOrders      = "/v1/orders"
-	_pathReport      = "/v1/report"
-	_pathCacheEvents = "/v1/cacheEvents"
-	_pathKVExport    = "/v1/kv/export"
-	_pathKVImport    = "/v1/kv/import"
 )
 
 // Limits of a language server.
 const (
-	_reportLag       = 200 * time.Millisecond
-	_appliedOrders   = 256
-	_maxWaiting      = 64
-	_orderBodyLimit  = 1 << 20
-	_kvBytesPerToken = 1024
+	_reportLag      = 200 * time.Millisecond
+	_appliedOrders  = 256
+	_maxWaiting     = 64
+	_orderBodyLimit = 1 << 20
+	_kvBytes        = 1 << 10
 )
 
 // Pace is the speed of the language servers, already divided by the speed factor.
@@ -182,24 +170,24 @@
 		return
 	}
 	switch r.URL.Path {
-	case _pathGenerate:
+	case vrengine.PathGenerate:
 		e.serveGenerate(w, r)
-	case _pathCancel:
+	case vrengine.PathCancel:
 		e.serveCancel(w, r)
-	case _pathOrders:
+	case vrengine.PathOrders:
 		e.serveOrder(w, r)
-	case _pathReport:
+	case vrengine.PathReport:
 		writeJSON(w, http.StatusOK, e.report())
-	case _pathCacheEvents:
+	case vrengine.PathCacheEvents:
 		after, err := strconv.ParseUint(orZero(r.URL.Query().Get("after")), 10, 64)
 		if err != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
 		writeJSON(w, http.StatusOK, e.cache.eventsAfter(after))
-	case _pathKVExport:
+	case vrengine.PathKVExport:
 		e.serveKVExport(w, r)
-	case _pathKVImport:
+	case vrengine.PathKVImport:
 		e.serveKVImport(w, r)
 	default:
 		http.NotFound(w, r)
@@ -249,30 +237,22 @@
 }
 
 func (e *engine) serveKVExport(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		RequestID vrid.RequestID `json:"requestId"`
-	}
+	var body vrengine.KVExport
 	if !readJSON(w, r, &body) {
 		return
 	}
-	e.Journal.Add(Entry{Kind: JournalKV, Server: e.Server, Request: body.RequestID, Bytes: _kvBytesPerToken, Detail: "export"})
+	e.Journal.Add(Entry{Kind: JournalKV, Server: e.Server, Request: body.RequestID, Bytes: _kvBytes, Detail: "export"})
 	w.Header().Set("Content-Type", "application/octet-stream")
-	_, _ = w.Write(make([]byte, _kvBytesPerToken))
+	_, _ = w.Write(make([]byte, _kvBytes))
 }
 
 func (e *engine) serveKVImport(w http.ResponseWriter, r *http.Request) {
-	var size vrid.Bytes
-	buffer := make([]byte, _kvBytesPerToken)
-	body := http.MaxBytesReader(w, r.Body, _orderBodyLimit)
-	for {
-		count, err := body.Read(buffer)
-		size += vrid.Bytes(count)
-		if err != nil {
-			break
-		}
+	var body vrengine.KVImport
+	if !readJSON(w, r, &body) {
+		return
 	}
-	request := vrid.RequestID(r.Header.Get(vrwire.HeaderRequestID))
-	e.Journal.Add(Entry{Kind: JournalKV, Server: e.Server, Request: request, Bytes: size, Detail: "import"})
+	size := vrid.Bytes(len(body.Bytes))
+	e.Journal.Add(Entry{Kind: JournalKV, Server: e.Server, Request: body.RequestID, Bytes: size, Detail: "import"})
 	w.WriteHeader(http.StatusOK)
 }
 
--- a/verbenabench/internal/vrstandin/generate.go
+++ b/verbenabench/internal/vrstandin/generate.go
@@ -181,7 +181,7 @@
 }
 
 func (e *engine) serveCancel(w http.ResponseWriter, r *http.Request) {
-	var request vrengine.GenerateRequest
+	var request vrengine.CancelRequest
 	if !readJSON(w, r, &request) {
 		return
 	}
--- a/verbenabench/internal/vrstandin/platform.go
+++ b/verbenabench/internal/vrstandin/platform.go
@@ -17,9 +17,6 @@
 	"verbenaroute.example/verbenacore/vrplatform"
 )
 
-// HeaderZone names the zone of a daemon in its calls to the platform.
-const HeaderZone = "X-Verbena-Zone"
-
 // Behavior of the platform.
 const (
 	_platformDelay = 2 * time.Millisecond
@@ -79,6 +76,22 @@
 	return p
 }
 
+// zoneContext is the key of a call's zone in its context.
+type zoneContext struct{}
+
+// ForZone returns the platform as the daemons of one zone reach it. Each zone has a
+// port of its own, because a call does not say where it comes from.
+func (p *Platform) ForZone(zone vrid.ZoneID) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), zoneContext{}, zone)))
+	})
+}
+
+func zoneOf(r *http.Request) vrid.ZoneID {
+	zone, _ := r.Context().Value(zoneContext{}).(vrid.ZoneID)
+	return zone
+}
+
 // ServeHTTP answers one call.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	kind, handle := p.route(r)
@@ -87,7 +100,7 @@
 		return
 	}
 	p.count(kind)
-	if cut := p.cuts[vrid.ZoneID(r.Header.Get(HeaderZone))]; cut != nil && cut.active() {
+	if cut := p.cuts[zoneOf(r)]; cut != nil && cut.active() {
 		p.count(CallRefused)
 		panic(http.ErrAbortHandler)
 	}
@@ -202,7 +215,7 @@
 	version, ok := apply(want)
 	if ok {
 		entry := Entry{
-			Kind: JournalWrite, Zone: vrid.ZoneID(r.Header.Get(HeaderZone)),
+			Kind: JournalWrite, Zone: zoneOf(r),
 			Object: key, Version: version, Bytes: vrid.Bytes(len(value)), Detail: r.Method,
 		}
 		if strings.HasPrefix(key, vrplatform.PrefixLedgers) {
@@ -262,6 +275,9 @@
 	ctx, cancel := context.WithTimeout(r.Context(), wait)
 	defer cancel()
 	found := p.store.watch(ctx, query.Get("prefix"), vrid.ObjectVersion(after))
+	if cut := p.cuts[zoneOf(r)]; cut != nil && cut.active() {
+		panic(http.ErrAbortHandler)
+	}
 	if p.outage.active() {
 		p.refuse(w, http.StatusServiceUnavailable)
 		return
--- a/verbenabench/internal/vrstandin/stream_test.go
+++ b/verbenabench/internal/vrstandin/stream_test.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return call(w.engines[server], http.MethodPost, _pathGenerate, string(data))
+	return call(w.engines[server], http.MethodPost, vrengine.PathGenerate, string(data))
 }
 
 func lines(t *testing.T, body string) []vrengine.Token {
@@ -242,12 +242,13 @@
 		require.NoError(t, response.Body.Close())
 		return response.StatusCode
 	}
-	require.Equal(t, 200, get(world.Addresses.Platform+"/v1/objects/config/history/000000000001"))
-	require.Equal(t, 200, get(world.Addresses.Platform+"/v1/objects/config/head"))
+	platform := world.Addresses.Platforms["fukuoka-a"]
+	require.Equal(t, 200, get(platform+"/v1/objects/config/history/000000000001"))
+	require.Equal(t, 200, get(platform+"/v1/objects/config/head"))
 	require.Equal(t, 200, get(world.Addresses.Control+PathJournal+"?after=1"))
 	require.Equal(t, 200, get("http://"+world.Addresses.Servers["fit-assist-1"]+"/v1/report"))
 	response, err := http.Post(world.Addresses.Control+PathFault, "application/json", strings.NewReader(`{"kind":"platformOutage"}`))
 	require.NoError(t, err)
 	require.NoError(t, response.Body.Close())
-	require.Equal(t, 503, get(world.Addresses.Platform+"/v1/vms"))
+	require.Equal(t, 503, get(platform+"/v1/vms"))
 }
--- a/verbenabench/internal/vrstandin/vrstandin.go
+++ b/verbenabench/internal/vrstandin/vrstandin.go
@@ -37,11 +37,11 @@
 
 // Addresses tell where the stand-ins listen.
 type Addresses struct {
-	// Platform and Control are base URLs.
-	Platform string                           `json:"platform"`
-	Control  string                           `json:"control"`
-	Servers  map[vrid.ServerID]string         `json:"servers"`
-	Daemons  map[vrid.DaemonID]vrdeploy.Ports `json:"daemons,omitempty"`
+	// Platforms are the base URLs by zone, Control is one too.
+	Platforms map[vrid.ZoneID]string           `json:"platforms"`
+	Control   string                           `json:"control"`
+	Servers   map[vrid.ServerID]string         `json:"servers"`
+	Daemons   map[vrid.DaemonID]vrdeploy.Ports `json:"daemons,omitempty"`
 }
 
 // World is all stand-ins of one deployment.
@@ -67,7 +67,7 @@
 
 // Names of the endpoints that are no servers of the deployment.
 const (
-	_endpointPlatform = "platform"
+	_endpointPlatform = "platform/"
 	_endpointControl  = "control"
 )
 
@@ -111,7 +111,7 @@
 	world := &World{
 		Journal:    journal,
 		Platform:   newPlatform(journal, fleet.Zones()),
-		Addresses:  Addresses{Servers: make(map[vrid.ServerID]string)},
+		Addresses:  Addresses{Platforms: make(map[vrid.ZoneID]string), Servers: make(map[vrid.ServerID]string)},
 		deployment: options.Deployment,
 		weights:    newWeights(fleet.WeightStore.Slots),
 		adapters:   newWeights(fleet.WeightStore.AdapterSlots),
@@ -140,15 +140,18 @@
 	if control == "" {
 		control = _anyPort
 	}
-	address, err := w.listen(_endpointPlatform, _anyPort, w.Platform)
+	address, err := w.listen(_endpointControl, control, w.controlHandler())
 	if err != nil {
 		return err
 	}
-	w.Addresses.Platform = "http://" + address
-	if address, err = w.listen(_endpointControl, control, w.controlHandler()); err != nil {
-		return err
-	}
 	w.Addresses.Control = "http://" + address
+	for _, zone := range w.deployment.Fleet.Zones() {
+		address, err := w.listen(_endpointPlatform+string(zone), _anyPort, w.Platform.ForZone(zone))
+		if err != nil {
+			return err
+		}
+		w.Addresses.Platforms[zone] = "http://" + address
+	}
 	for id, server := range w.engines {
 		if w.Addresses.Servers[id], err = w.listen(string(id), _anyPort, server); err != nil {
 			return err
--- a/verbenabench/internal/vrstandin/world_test.go
+++ b/verbenabench/internal/vrstandin/world_test.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return call(w.engines[server], http.MethodPost, _pathOrders, string(data))
+	return call(w.engines[server], http.MethodPost, vrengine.PathOrders, string(data))
 }
 
 func (w *World) model(index int) vrid.ModelID { return w.deployment.Fleet.Models[index].ID }
@@ -160,8 +160,8 @@
 // against one that does not end.
 func TestPlatformFaults(t *testing.T) {
 	inWorld(t, vrdeploy.Shuyuan, func(t *testing.T, w *World) {
-		get := func(zone string) answer {
-			return call(w.Platform, http.MethodGet, "/v1/list?prefix=config/", "", HeaderZone, zone)
+		get := func(zone vrid.ZoneID) answer {
+			return call(w.Platform.ForZone(zone), http.MethodGet, "/v1/list?prefix=config/", "")
 		}
 		require.NoError(t, w.Apply(Fault{Kind: FaultPlatformOutage, For: vrid.Duration(time.Second)}))
 		require.Equal(t, 503, get("tw-north-a").status)
