Replace replicas on servers that take no new work

Cause: a replica on a drained server counted towards the cap and towards the slots that serve, so its model was not loaded elsewhere and every request for it was refused. Change: only live servers count as serving; at the cap a replica of a server that is not live is unloaded once it runs nothing.

--- /dev/null
+++ b/verbenacore/vrplace/drained_test.go
@@ -0,0 +1,47 @@
+package vrplace_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenaroute.example/verbenacore/vrconfig"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrledger"
+	"verbenaroute.example/verbenacore/vrplace"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+// A replica on a drained server counts towards the cap and serves nobody: the model was
+// never loaded elsewhere and its requests were refused.
+func TestReplicaOnDrainedServerIsReplaced(t *testing.T) {
+	now := time.Unix(1_790_000_000, 0)
+	planner := vrplace.New()
+	planner.Want(now, vrwire.ModelDemand{Model: "m", Waiting: 1, Daemon: "d", Deadline: now.Add(time.Minute).UnixMilli()})
+	server := func(id vrid.ServerID, state vrwire.ServerState, entries ...vrledger.Entry) vrledger.Snapshot {
+		return vrledger.Snapshot{
+			Info: vrledger.ServerInfo{ID: id, Pool: "lm", Memory: 10, Slots: 4, State: state}, Free: 10, Entries: entries,
+		}
+	}
+	loaded := vrledger.Entry{Model: "m", Bytes: 5, State: vrwire.ReplicaLoaded}
+	plan := func(replicasPerZone int) []vrledger.Action {
+		return planner.Plan(now, vrplace.Input{
+			Index: vrconfig.NewIndex(&vrconfig.Fleet{Models: []vrconfig.Model{
+				{ID: "m", Memory: 5, ReplicasPerZone: replicasPerZone, Pool: "lm"},
+			}}),
+			Servers: []vrledger.Snapshot{
+				server("s1", vrwire.ServerDrained, loaded), server("s2", vrwire.ServerLive),
+			},
+			Replicas: func(vrid.ModelID) int { return 1 }, LoadSlots: 4, AdapterSlots: 4, Zone: "z",
+		})
+	}
+	below := plan(2)
+	require.Len(t, below, 1)
+	require.Equal(t, vrledger.ActionLoad, below[0].Kind)
+	require.Equal(t, vrid.ServerID("s2"), below[0].Server)
+	full := plan(1)
+	require.Len(t, full, 1)
+	require.Equal(t, vrledger.ActionUnload, full[0].Kind)
+	require.Equal(t, vrid.ServerID("s1"), full[0].Server)
+}
--- a/verbenacore/vrplace/evict.go
+++ b/verbenacore/vrplace/evict.go
@@ -138,6 +138,25 @@
 	return victims, loss, free >= model.Memory
 }
 
+// freeUnused unloads a replica of a server that takes no new work, such as a drained one:
+// it counts towards the model's cap and serves nobody. Its running requests end first.
+func (w *plan) freeUnused(wanted want) {
+	for i := range w.Servers {
+		server := &w.Servers[i]
+		entry := findEntry(server, wanted.model, "")
+		idle := server.Report == nil || server.Report.Running == 0
+		if entry == nil || server.Info.State == vrwire.ServerLive || w.busy[server.Info.ID] || !idle {
+			continue
+		}
+		for _, victim := range append(adaptersOf(server, entry.Model), entry) {
+			if victim.State == vrwire.ReplicaLoaded && len(victim.Attempts) == 0 {
+				w.unload(server.Info.ID, victim)
+				return
+			}
+		}
+	}
+}
+
 func adaptersOf(server *vrledger.Snapshot, model vrid.ModelID) []*vrledger.Entry {
 	var adapters []*vrledger.Entry
 	for i := range server.Entries {
--- a/verbenacore/vrplace/vrplace.go
+++ b/verbenacore/vrplace/vrplace.go
@@ -225,7 +225,11 @@
 		return
 	}
 	replicas := w.Replicas(wanted.model) + w.added[wanted.model]
-	if replicas >= model.ReplicasPerZone || !w.needsReplica(wanted, replicas) {
+	if !w.needsReplica(wanted, replicas) {
+		return
+	}
+	if replicas >= model.ReplicasPerZone {
+		w.freeUnused(wanted)
 		return
 	}
 	if w.loads >= w.LoadSlots {
@@ -247,10 +251,10 @@
 	if replicas == 0 {
 		return true
 	}
-	slots, loading := 0, false
+	slots, loading, live := 0, false, false
 	for i := range w.Servers {
 		entry := findEntry(&w.Servers[i], wanted.model, "")
-		if entry == nil {
+		if entry == nil || w.Servers[i].Info.State != vrwire.ServerLive {
 			continue
 		}
 		switch entry.State {
@@ -260,9 +264,10 @@
 			return true
 		case vrwire.ReplicaLoaded:
 			slots += w.Servers[i].Info.Slots
+			live = true
 		}
 	}
-	return !loading && wanted.waiting > slots
+	return !loading && (!live || wanted.waiting > slots)
 }
 
 func (w *plan) load(server *vrledger.Snapshot, action vrledger.Action) {
