--- a/verbenacore/vrplace/drained_test.go
+++ b/verbenacore/vrplace/drained_test.go
@@ -17,7 +17,7 @@
 // never loaded elsewhere and its requests were refused.
 func TestReplicaOnDrainedServerIsReplaced(t *testing.T) {
 	now := time.Unix(1_790_000_000, 0)
-	planner := vrplace.New()
+	planner := vrplace.New(vrplace.Options{})
 	planner.Want(now, vrwire.ModelDemand{Model: "m", Waiting: 1, Daemon: "d", Deadline: now.Add(time.Minute).UnixMilli()})
 	server := func(id vrid.ServerID, state vrwire.ServerState, entries ...vrledger.Entry) vrledger.Snapshot {
 		return vrledger.Snapshot{
