Close the callers' port before the record is flushed; stop after a panic

Change: the reducer asks for the port to be closed (CloseCallers), flushes after CallersClosed, then stops; a panic of the reducer ends the process.

--- a/verbenabench/internal/vrworld/daemon.go
+++ b/verbenabench/internal/vrworld/daemon.go
@@ -318,6 +318,8 @@
 		p.decided(e)
 	case vrevent.SetReady:
 		p.Ready = e.Ready
+	case vrevent.CloseCallers:
+		w.After(0, func() { p.deliver(vrevent.CallersClosed{}) })
 	case vrevent.Stopped:
 		p.Stopped = true
 		p.Ready = false
--- a/verbenacore/vrevent/vrevent.go
+++ b/verbenacore/vrevent/vrevent.go
@@ -223,6 +223,9 @@
 
 	// ShutdownRequested starts a graceful shutdown.
 	ShutdownRequested struct{}
+
+	// CallersClosed answers CloseCallers: no request can arrive any more.
+	CallersClosed struct{}
 )
 
 func (Started) isEvent()             {}
@@ -247,6 +250,7 @@
 func (ConfigProposed) isEvent()      {}
 func (DrainServer) isEvent()         {}
 func (ShutdownRequested) isEvent()   {}
+func (CallersClosed) isEvent()       {}
 
 // ConfigDecision is how a proposed configuration ended.
 type ConfigDecision uint8
@@ -396,7 +400,10 @@
 		Reason string
 	}
 
-	// Stopped says that the shutdown is complete.
+	// CloseCallers closes the callers' port during a shutdown, once nothing is running.
+	CloseCallers struct{}
+
+	// Stopped says that the shutdown is complete: what remained is durable.
 	Stopped struct{}
 
 	// Log writes a log line.
@@ -440,6 +447,7 @@
 func (ConfigDecided) isEffect() {}
 func (AppendEntry) isEffect()   {}
 func (SetReady) isEffect()      {}
+func (CloseCallers) isEffect()  {}
 func (Stopped) isEffect()       {}
 func (Log) isEffect()           {}
 
--- a/verbenacore/vrreducer/ready.go
+++ b/verbenacore/vrreducer/ready.go
@@ -90,6 +90,14 @@
 	if now.Sub(s.shutdown.since) < acceptAfterShutdown || len(s.requests) > 0 || s.ledger.Outstanding() > 0 {
 		return
 	}
+	if !s.shutdown.closed {
+		// A request that is refused after the last flush would have no entry.
+		if !s.shutdown.closing {
+			s.shutdown.closing = true
+			out.Add(vrevent.CloseCallers{})
+		}
+		return
+	}
 	overdue := now.Sub(s.shutdown.since) > acceptAfterShutdown+flushTime
 	if s.pendingOutcomes() > 0 && !overdue {
 		return
--- a/verbenacore/vrreducer/vrreducer.go
+++ b/verbenacore/vrreducer/vrreducer.go
@@ -96,6 +96,9 @@
 	requested bool
 	since     time.Time
 	stopped   bool
+	// closing is set once the callers' port has to close, closed once it has.
+	closing bool
+	closed  bool
 	// handover is the epoch of the lease that this daemon gives up.
 	handover vrid.Epoch
 }
@@ -185,6 +188,8 @@
 		s.table.CacheEvents(e.Server, e.Events)
 	case vrevent.ShutdownRequested:
 		s.shutdownRequested(now, out)
+	case vrevent.CallersClosed:
+		s.shutdown.closed = true
 	}
 	s.flush(now, out)
 }
--- a/verbenaroute/internal/vrserve/daemon.go
+++ b/verbenaroute/internal/vrserve/daemon.go
@@ -213,10 +213,17 @@
 	d.serve("operators", func() error { return d.admin.Serve(d.operator) })
 	d.serve("callers", func() error { return d.front.Serve(d.callers) })
 	d.Runtime.Start()
-	<-ctx.Done()
-	return d.shutdown()
+	select {
+	case <-ctx.Done():
+		return d.shutdown()
+	case <-d.Runtime.Failed():
+		return errReducerPanicked
+	}
 }
 
+// errReducerPanicked ends the process without a graceful shutdown.
+var errReducerPanicked = errors.New("the reducer panicked, its state is not to be trusted")
+
 // serve runs a server and logs why it ended.
 func (d *Daemon) serve(name string, run func() error) {
 	d.serving.Go(func() {
--- a/verbenaroute/internal/vrserve/shutdown.go
+++ b/verbenaroute/internal/vrserve/shutdown.go
@@ -17,6 +17,9 @@
 	// _closeTime bounds what follows after the last request.
 	_closeTime = 5 * time.Second
 	_countTime = 20 * time.Millisecond
+	// _flushTime bounds the wait for the record; the reducer gives up after 10 s of an
+	// outage, and its lost entries become a gap.
+	_flushTime = 15 * time.Second
 )
 
 // shutdown ends the daemon in order: the balancer is told and owned things are handed
@@ -40,18 +43,33 @@
 	return nil
 }
 
-// awaitEnd waits until the reducer has stopped and no request runs.
+// awaitEnd waits until no request runs, closes the callers' port and lets the reducer
+// make the rest of the record durable. A request that arrived after the last write of
+// the record would have no entry there.
 func (d *Daemon) awaitEnd(grace context.Context) error {
-	handedOver := false
 	select {
-	case <-d.Runtime.Stopped():
-		handedOver = true
+	case <-d.Runtime.Closing():
 	case <-grace.Done():
 	}
 	for d.front.Running() > 0 && grace.Err() == nil {
 		rest(grace, _countTime)
 	}
-	if running := d.front.Running(); running > 0 || !handedOver {
+	running := d.front.Running()
+	closing, cancel := context.WithTimeout(context.Background(), _closeTime)
+	defer cancel()
+	if err := d.front.Shutdown(closing); err != nil {
+		d.log.Warn("callers' connections were closed", zap.Error(err))
+	}
+	d.Runtime.Submit(vrevent.CallersClosed{})
+	handedOver := false
+	flush, cancelFlush := context.WithTimeout(context.Background(), _flushTime)
+	defer cancelFlush()
+	select {
+	case <-d.Runtime.Stopped():
+		handedOver = true
+	case <-flush.Done():
+	}
+	if running > 0 || !handedOver {
 		return &CutOffError{Requests: running, HandedOver: handedOver}
 	}
 	return nil
@@ -61,9 +79,6 @@
 func (d *Daemon) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), _closeTime)
 	defer cancel()
-	if err := d.front.Shutdown(ctx); err != nil {
-		d.log.Warn("callers' connections were closed", zap.Error(err))
-	}
 	d.peers.Close()
 	d.Runtime.Close()
 	if err := d.admin.Shutdown(ctx); err != nil {
--- a/verbenaroute/internal/vrserve/vrserve.go
+++ b/verbenaroute/internal/vrserve/vrserve.go
@@ -112,6 +112,13 @@
 	effects vrevent.Effects
 	stopped chan struct{}
 	halted  bool
+	// closing is closed when the callers' port has to close.
+	closing   chan struct{}
+	closeOnce sync.Once
+	// failed is closed when the reducer panicked: its state may be half changed, and
+	// what it would decide next is not to be trusted.
+	failed   chan struct{}
+	failOnce sync.Once
 	// started is closed by Start; messages of peers wait for it.
 	started chan struct{}
 
@@ -129,7 +136,13 @@
 
 // New builds a Runtime; Start runs it.
 func New(options Options) *Runtime {
-	r := &Runtime{options: options, stopped: make(chan struct{}), started: make(chan struct{})}
+	r := &Runtime{
+		options: options,
+		stopped: make(chan struct{}),
+		started: make(chan struct{}),
+		closing: make(chan struct{}),
+		failed:  make(chan struct{}),
+	}
 	r.base, r.cancel = context.WithCancel(context.Background())
 	if options.Workers <= 0 {
 		options.Workers = vrsettings.DefaultPlatformConcurrency
@@ -185,6 +198,13 @@
 	}
 }
 
+// Closing is closed when nothing runs any more and the callers' port has to close.
+func (r *Runtime) Closing() <-chan struct{} { return r.closing }
+
+// Failed is closed when the reducer panicked. The process has to end: a successor takes
+// over what it owned, and the invariants rest on what is on the platform.
+func (r *Runtime) Failed() <-chan struct{} { return r.failed }
+
 // Stopped is closed after the reducer has finished its shutdown.
 func (r *Runtime) Stopped() <-chan struct{} { return r.stopped }
 
@@ -216,6 +236,7 @@
 	caught := panics.Try(func() { r.options.Reducer.Reduce(time.Now(), event, &r.effects) })
 	if caught != nil {
 		r.notePanic(caught)
+		r.failOnce.Do(func() { close(r.failed) })
 	}
 	r.followConfig()
 	for _, effect := range r.effects.List {
@@ -267,6 +288,8 @@
 		r.appendEntry(e.Entry)
 	case vrevent.SetReady:
 		r.options.Observer.Ready(e.Ready, e.Reason)
+	case vrevent.CloseCallers:
+		r.closeOnce.Do(func() { close(r.closing) })
 	case vrevent.Stopped:
 		r.halt()
 	case vrevent.Log:
