--- a/verbenacore/vrpeer/vrpeer_test.go
+++ b/verbenacore/vrpeer/vrpeer_test.go
@@ -114,6 +114,22 @@
 	}, _patience, 10*time.Millisecond)
 }
 
+// Guards against a peer that accepts and never reads: sending must not block, and what
+// waits for the peer must stay bounded.
+func TestSlowPeer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	a := start(t, "vm-1", nil)
+	const large, count = vrwire.MaxFrame - 1024, 20
+	for range count {
+		a.Send("vm-2", listener.Addr().String(), &vrwire.Envelope{ConfigOffer: &vrwire.ConfigOffer{Version: 1, Document: make([]byte, large)}})
+	}
+	// Four frames fit into the queue and the goroutine of the peer holds one.
+	require.GreaterOrEqual(t, a.Stats().Dropped, uint64(count-5))
+	require.EqualValues(t, "vm-2", next(t, a.unreachable))
+}
+
 // raw opens a session past the hub's own client.
 func raw(t *testing.T, address string, config *tls.Config) (*yamux.Session, net.Conn) {
 	conn, err := net.Dial("tcp", address)
