--- a/verbenacore/vrplace/vrplace.go
+++ b/verbenacore/vrplace/vrplace.go
@@ -266,7 +266,11 @@
 		// What other zones can serve was only asked for before this zone knew.
 		return
 	}
-	if replicas >= model.ReplicasPerZone || !w.needsReplica(wanted, replicas) {
+	if !w.needsReplica(wanted, replicas) {
+		return
+	}
+	if replicas >= model.ReplicasPerZone {
+		w.freeUnused(wanted)
 		return
 	}
 	server := w.place(model)
@@ -314,10 +318,10 @@
 	if replicas == 0 {
 		return true
 	}
-	slots, loading := 0, false
+	slots, loading, live := 0, false, false
 	for i := range w.Servers {
 		entry := findEntry(&w.Servers[i], wanted.model, "")
-		if entry == nil {
+		if entry == nil || w.Servers[i].Info.State != vrwire.ServerLive {
 			continue
 		}
 		switch entry.State {
@@ -327,9 +331,10 @@
 			return true
 		case vrwire.ReplicaLoaded:
 			slots += w.Servers[i].Info.Slots
+			live = true
 		}
 	}
-	return !loading && wanted.waiting > slots
+	return !loading && (!live || wanted.waiting > slots)
 }
 
 func (w *plan) load(server *vrledger.Snapshot, action vrledger.Action) {
