--- a/verbenacore/vrquery/grammar.go
+++ b/verbenacore/vrquery/grammar.go
@@ -37,14 +37,15 @@
 
 // Clause is one part of a query; each may stand once, in any order.
 type Clause struct {
-	Pos   lexer.Position
-	Where *Or     `parser:"( 'where' @@"`
-	Since *Value  `parser:"| 'since' @@"`
-	Until *Value  `parser:"| 'until' @@"`
-	By    []Value `parser:"| 'by' @@ (',' @@)*"`
-	Per   *Value  `parser:"| 'per' @@"`
-	Order *Order  `parser:"| 'order' 'by' @@"`
-	Limit *Value  `parser:"| 'limit' @@ )"`
+	Pos     lexer.Position
+	Where   *Or     `parser:"( 'where' @@"`
+	Columns []Value `parser:"| 'columns' @@ (',' @@)*"`
+	Since   *Value  `parser:"| 'since' @@"`
+	Until   *Value  `parser:"| 'until' @@"`
+	By      []Value `parser:"| 'by' @@ (',' @@)*"`
+	Per     *Value  `parser:"| 'per' @@"`
+	Order   *Order  `parser:"| 'order' 'by' @@"`
+	Limit   *Value  `parser:"| 'limit' @@ )"`
 }
 
 // Order names the column that a table is sorted by.
--- a/verbenacore/vrquery/parse.go
+++ b/verbenacore/vrquery/parse.go
@@ -212,7 +212,7 @@
 
 // continuation says what may follow a statement that is complete so far.
 func continuation(text string) string {
-	const clauses = "where, since, until, by, per, order by, limit or the end"
+	const clauses = "where, columns, since, until, by, per, order by, limit or the end"
 	words := strings.Fields(text)
 	if len(words) > 0 && words[0] == "show" {
 		return clauses
--- a/verbenacore/vrquery/plan.go
+++ b/verbenacore/vrquery/plan.go
@@ -23,10 +23,12 @@
 	since  *Value
 	until  *Value
 	by     []Value
-	per    time.Duration
-	perAt  Value
-	order  *Order
-	limit  int
+	// columns replace the table's standard columns.
+	columns []Value
+	per     time.Duration
+	perAt   Value
+	order   *Order
+	limit   int
 }
 
 // target is a table that can be queried.
@@ -83,6 +85,9 @@
 	case clause.Where != nil:
 		p.where = clause.Where
 		return "where", nil
+	case clause.Columns != nil:
+		p.columns = clause.Columns
+		return "columns", nil
 	case clause.Since != nil:
 		p.since = clause.Since
 		_, err = timeOf(*clause.Since, time.Time{})
@@ -218,11 +223,14 @@
 	if _, err := t.compile(p.where, time.Time{}); err != nil {
 		return err
 	}
-	for _, by := range p.by {
-		if _, err := t.column(by); err != nil {
+	for _, named := range slices.Concat(p.by, p.columns) {
+		if _, err := t.column(named); err != nil {
 			return err
 		}
 	}
+	if p.grouped() && len(p.columns) > 0 {
+		return expect(p.columns[0], "no columns beside by or per: a grouped table has its own")
+	}
 	if p.per > 0 && t.find("time") == nil {
 		return expect(p.perAt, "no per: the table has no column time")
 	}
@@ -245,4 +253,16 @@
 	return !p.grouped() && t.find(p.order.Column.Text) != nil
 }
 
+// shown names the columns of a table that is not grouped.
+func (t *table[T]) shown(p *plan) []string {
+	if len(p.columns) == 0 {
+		return t.standard
+	}
+	names := make([]string, len(p.columns))
+	for i, column := range p.columns {
+		names[i] = column.Text
+	}
+	return names
+}
+
 func (p *plan) grouped() bool { return len(p.by) > 0 || p.per > 0 }
--- a/verbenacore/vrquery/run.go
+++ b/verbenacore/vrquery/run.go
@@ -72,7 +72,7 @@
 func (t *table[T]) heads(p *plan) []Column {
 	var heads []Column
 	if !p.grouped() {
-		for _, name := range t.standard {
+		for _, name := range t.shown(p) {
 			heads = append(heads, Column{Name: name, Kind: t.find(name).kind})
 		}
 		return heads
@@ -151,9 +151,9 @@
 
 func (t *table[T]) runPlain(p *plan, r *runner, matches test[T]) (*Table, error) {
 	answer := &Table{Columns: t.heads(p)}
-	shown := make([]*column[T], len(t.standard))
-	for i, name := range t.standard {
-		shown[i] = t.find(name)
+	shown := make([]*column[T], len(answer.Columns))
+	for i, head := range answer.Columns {
+		shown[i] = t.find(head.Name)
 	}
 	key, desc := t.find(t.order), t.desc
 	if p.order != nil {
--- a/verbenacore/vrquery/vrquery_test.go
+++ b/verbenacore/vrquery/vrquery_test.go
@@ -300,7 +300,7 @@
 		{"", "declare drain explain retire set show undrain"},
 		{"sh", "show"},
 		{"show re", "refused replicas requests"},
-		{"show requests ", "by limit order by per since until where"},
+		{"show requests ", "by columns limit order by per since until where"},
 		{"show requests where ra", "ran rank"},
 		{"show requests where rank = ", "deferred normal urgent"},
 		{"show requests where rank =", "deferred normal urgent"},
