--- a/verbenacore/vrquery/api.go
+++ b/verbenacore/vrquery/api.go
@@ -95,8 +95,6 @@
 // checks the hashes itself.
 type BlocksAnswer struct {
 	Blocks []RawBlock `json:"blocks"`
-	// Zones lists every declared zone when no zone was asked for.
-	Zones []vrid.ZoneID `json:"zones,omitempty"`
 }
 
 // RawBlock is one object of the record.
@@ -107,6 +105,7 @@
 
 // ClaimsAnswer is the body of GET /v1/record/claims. Stored answers are left out.
 type ClaimsAnswer struct {
-	Shards int                 `json:"shards"`
 	Claims []vrwire.ClaimEntry `json:"claims"`
+	// Next is the parameter after of the next part, empty after the last one.
+	Next string `json:"next,omitempty"`
 }
--- a/verbenacore/vrrecord/block.go
+++ b/verbenacore/vrrecord/block.go
@@ -227,6 +227,14 @@
 	return ZonePrefix(zone) + hour.UTC().Format(hourLayout) + "/"
 }
 
+// DayPrefix is the prefix of a zone's blocks whose last entry is of a day.
+func DayPrefix(zone vrid.ZoneID, day time.Time) string {
+	return ZonePrefix(zone) + day.UTC().Format(time.DateOnly)
+}
+
+// Time returns the beginning of the hour in the name.
+func (n BlockName) Time() (time.Time, error) { return time.Parse(hourLayout, n.Hour) }
+
 // ParseKey reads a block's key. A boot id holds no "-", a daemon id may.
 func ParseKey(key string) (BlockName, error) {
 	rest, found := strings.CutPrefix(key, vrplatform.PrefixRecord)
--- a/verbenactl/internal/vrcaller/vrcaller.go
+++ b/verbenactl/internal/vrcaller/vrcaller.go
@@ -89,37 +89,28 @@
 	return do[vrconfig.Fleet](ctx, c, http.MethodGet, vrquery.PathConfiguration, nil)
 }
 
-// Zones lists the declared zones.
-func (c *Caller) Zones(ctx context.Context) ([]vrid.ZoneID, error) {
-	answer, err := do[vrquery.BlocksAnswer](ctx, c, http.MethodGet, vrquery.PathBlocks, nil)
-	if err != nil {
-		return nil, err
-	}
-	return answer.Zones, nil
-}
-
-// BlockKeys lists the keys of a zone's blocks.
-func (c *Caller) BlockKeys(ctx context.Context, zone vrid.ZoneID) ([]vrquery.RawBlock, error) {
-	return c.blocks(ctx, "zone", string(zone))
+// BlockKeys lists the keys of a zone's blocks of a day.
+func (c *Caller) BlockKeys(ctx context.Context, zone vrid.ZoneID, day time.Time) ([]vrquery.RawBlock, error) {
+	return c.blocks(ctx, url.Values{"zone": {string(zone)}, "day": {day.UTC().Format(time.DateOnly)}})
 }
 
 // Blocks returns the blocks of one writer and hour.
 func (c *Caller) Blocks(ctx context.Context, prefix string) ([]vrquery.RawBlock, error) {
-	return c.blocks(ctx, "prefix", prefix)
+	return c.blocks(ctx, url.Values{"prefix": {prefix}})
 }
 
-func (c *Caller) blocks(ctx context.Context, parameter, value string) ([]vrquery.RawBlock, error) {
-	path := vrquery.PathBlocks + "?" + url.Values{parameter: {value}}.Encode()
-	answer, err := do[vrquery.BlocksAnswer](ctx, c, http.MethodGet, path, nil)
+func (c *Caller) blocks(ctx context.Context, parameters url.Values) ([]vrquery.RawBlock, error) {
+	answer, err := do[vrquery.BlocksAnswer](ctx, c, http.MethodGet, vrquery.PathBlocks+"?"+parameters.Encode(), nil)
 	if err != nil {
 		return nil, err
 	}
 	return answer.Blocks, nil
 }
 
-// Claims returns the claims of a shard.
-func (c *Caller) Claims(ctx context.Context, shard int) (*vrquery.ClaimsAnswer, error) {
-	return do[vrquery.ClaimsAnswer](ctx, c, http.MethodGet, vrquery.PathClaims+"?shard="+strconv.Itoa(shard), nil)
+// Claims returns the claims of a shard after a key, a part at a time.
+func (c *Caller) Claims(ctx context.Context, shard int, after string) (*vrquery.ClaimsAnswer, error) {
+	parameters := url.Values{"shard": {strconv.Itoa(shard)}, "after": {after}}
+	return do[vrquery.ClaimsAnswer](ctx, c, http.MethodGet, vrquery.PathClaims+"?"+parameters.Encode(), nil)
 }
 
 // do calls the first daemon that can be reached. A call that was sent is not sent again
--- a/verbenactl/internal/vrterminal/commands.go
+++ b/verbenactl/internal/vrterminal/commands.go
@@ -43,7 +43,7 @@
 			if err := t.needDaemon(); err != nil {
 				return err
 			}
-			options := vraudit.Options{Progress: t.streams.Err}
+			options := vraudit.Options{Progress: t.streams.Err, Now: t.streams.Now()}
 			if since != "" {
 				from, err := vrquery.ParseTime(since, t.streams.Now())
 				if err != nil {
