--- a/verbenabench/internal/vrinvariant/record.go
+++ b/verbenabench/internal/vrinvariant/record.go
@@ -1,7 +1,10 @@
 package vrinvariant
 
 import (
+	"encoding/json"
 	"fmt"
+	"os"
+	"path/filepath"
 	"slices"
 	"time"
 
@@ -27,6 +30,21 @@
 	}
 }
 
+// Save writes the evidence as JSON files into a directory, for a look at what broke.
+func (e *Evidence) Save(dir string) error {
+	parts := map[string]any{"journal.json": e.Journal, "views.json": e.Views, "record.json": e.Record}
+	for name, part := range parts {
+		data, err := json.MarshalIndent(part, "", " ")
+		if err != nil {
+			return fmt.Errorf("encode %s: %w", name, err)
+		}
+		if err := os.WriteFile(filepath.Join(dir, name), data, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // ReadRecord decodes the blocks of the record and audits them.
 func (e *Evidence) ReadRecord(blocks []vrplatform.Item) error {
 	stored := make([]vrrecord.Stored, 0, len(blocks))
--- a/verbenabench/internal/vrload/attempt.go
+++ b/verbenabench/internal/vrload/attempt.go
@@ -73,8 +73,8 @@
 	return false
 }
 
-func (l *Load) attempt(ctx context.Context, daemon vrid.DaemonID, call Call) Attempt {
-	done := Attempt{Daemon: daemon, Began: time.Now()}
+func (l *Load) attempt(ctx context.Context, daemon vrid.DaemonID, call Call) (done Attempt) {
+	done = Attempt{Daemon: daemon, Began: time.Now()}
 	defer func() { done.Ended = time.Now() }()
 	request, err := newRequest(ctx, "http://"+l.options.Daemons[daemon], call)
 	if err != nil {
@@ -92,7 +92,6 @@
 	done.Request = vrid.RequestID(response.Header.Get(vrwire.HeaderRequestID))
 	done.Replayed = response.Header.Get(vrwire.HeaderReplayed) == "true"
 	done.read(response, call)
-	done.Ended = time.Now()
 	return done
 }
 
--- a/verbenabench/internal/vrload/plan.go
+++ b/verbenabench/internal/vrload/plan.go
@@ -184,10 +184,19 @@
 	return p.ForModel(models[p.skewed(len(models))].ID, "")
 }
 
-// skewed draws a place; low places are far more likely, so that most models idle.
+// Most models idle: the first fifth of a list gets nearly all calls, and the others
+// wake up now and then.
+const (
+	_activePart  = 0.2
+	_activeCalls = 0.97
+)
+
+// skewed draws a place in a list of the most asked first.
 func (p *planner) skewed(count int) int {
-	const skew = 3
-	return int(math.Pow(p.random.Float64(), skew) * float64(count))
+	if p.random.Float64() >= _activeCalls {
+		return p.random.IntN(count)
+	}
+	return p.random.IntN(max(int(math.Ceil(_activePart*float64(count))), 1))
 }
 
 func (p *planner) next() Call {
--- a/verbenabench/internal/vrload/vrload.go
+++ b/verbenabench/internal/vrload/vrload.go
@@ -108,12 +108,13 @@
 		if !sleepUntil(ctx, began.Add(planned.At)) {
 			return
 		}
-		l.Start(context.WithoutCancel(ctx), planned.Call)
+		l.Start(ctx, planned.Call)
 	}
 }
 
-// Start sends one call in the background.
+// Start sends one call in the background. It ends by itself, not with the context.
 func (l *Load) Start(ctx context.Context, call Call) {
+	ctx = context.WithoutCancel(ctx)
 	l.places <- struct{}{}
 	l.mu.Lock()
 	l.sent++
--- a/verbenabench/internal/vrload/vrload_test.go
+++ b/verbenabench/internal/vrload/vrload_test.go
@@ -170,6 +170,7 @@
 	broken, good := &fakeDaemon{cut: true}, &fakeDaemon{}
 	view := against(t, broken, good, planner.Reserve())
 	require.Equal(t, int32(1), broken.calls.Load())
+	require.False(t, view.Attempts[0].Ended.IsZero())
 	require.Equal(t, []End{EndBroken, EndAnswered}, []End{view.Attempts[0].End, view.Attempts[1].End})
 	full := &fakeDaemon{refuse: vrwire.ReasonQueueFull}
 	view = against(t, full, good, planner.Reserve())
--- a/verbenabench/internal/vrtry/vrtry.go
+++ b/verbenabench/internal/vrtry/vrtry.go
@@ -39,7 +39,7 @@
 // Defaults of a run.
 const (
 	DefaultFor  = 40 * time.Second
-	DefaultRate = 40
+	DefaultRate = 60
 
 	_readyBound   = 30 * time.Second
 	_progressStep = 2 * time.Second
@@ -57,6 +57,13 @@
 	_atStop   = 0.7
 )
 
+// Streams that run on a daemon when it is told to shut down.
+const (
+	_streams       = 16
+	_streamTokens  = 200
+	_streamsBefore = 250 * time.Millisecond
+)
+
 // Machines that fail in a run.
 const (
 	_killed  vrid.DaemonID = "daemon-2"
@@ -218,7 +225,17 @@
 	return r.fleet.World.Apply(vrstandin.Fault{Kind: vrstandin.FaultVMRemove, VM: vrplatform.VM{ID: vrid.VMID(daemon)}})
 }
 
-func (r *run) stop(context.Context) error {
+// stop shuts a daemon down while streams run on it.
+func (r *run) stop(ctx context.Context) error {
+	planner := vrload.NewPlanner(&r.fleet.Deployment.Fleet, r.options.Seed+1, nil)
+	for range _streams {
+		call := planner.ForModel(r.fleet.Deployment.Fleet.Models[0].ID, "")
+		call.Daemon, call.Stream, call.MaxTokens = _stopped, true, _streamTokens
+		r.load.Start(ctx, call)
+	}
+	if !sleep(ctx, _streamsBefore) {
+		return nil
+	}
 	r.evidence.Stopping[_stopped] = time.Now()
 	if err := r.fleet.Terminate(_stopped); err != nil {
 		return err
@@ -268,6 +285,9 @@
 		}
 	}
 	if len(broken) > 0 {
+		if err := r.evidence.Save(dir); err != nil {
+			return err
+		}
 		return &BrokenError{Names: broken, Dir: dir}
 	}
 	fmt.Fprintln(r.options.Out, "every invariant held")
