Let a daemon outside the view read the lease

Cause: after every member of a zone had left or was replaced, the new daemons answered each other's heartbeats with the old view, none of them was among its deputies, and nobody read the lease: the zone stayed without an owner. Change: a daemon that the view does not name observes the lease.

--- /dev/null
+++ b/verbenacore/vrmember/observe_test.go
@@ -0,0 +1,28 @@
+package vrmember_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenaroute.example/verbenacore/vrmember"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+// After every member of a zone was replaced, the new ones answered each other's
+// heartbeats, none of them stood in the view, and nobody read the lease.
+func TestDaemonOutsideViewObservesLease(t *testing.T) {
+	now := time.Unix(1_790_000_000, 0)
+	m := vrmember.New(now, vrmember.Options{
+		Daemon: "d9", Boot: "b9", Zone: "z", Peer: "p9", Random: rand.New(rand.NewPCG(1, 1)),
+	})
+	members := []vrwire.MemberItem{
+		{Daemon: "d1", Boot: "b1", State: vrwire.MemberLeaving}, {Daemon: "d2", Boot: "b2", State: vrwire.MemberAlive},
+	}
+	m.HandleReply(now, &vrwire.HeartbeatReply{Delta: &vrwire.ViewDelta{
+		Zone: "z", Owner: "d1", Epoch: 1, Sequence: 5, Members: members,
+	}})
+	require.True(t, m.Observes(now.Add(time.Second)))
+}
--- a/verbenacore/vrmember/vrmember.go
+++ b/verbenacore/vrmember/vrmember.go
@@ -198,14 +198,15 @@
 }
 
 // Observes reports whether this daemon reads the lease object: the owner's two
-// deputies do, and whoever has had no word from its zone for a while.
+// deputies do, and whoever has had no word from its zone for a while or is not in it.
 func (m *Membership) Observes(now time.Time) bool {
 	const deputies = 2
 	if now.Sub(m.replied) > suspectAfter || m.view.Epoch == 0 || m.ownEpoch > m.view.Epoch {
 		return true
 	}
-	index := slices.Index(m.view.Order(), m.opts.Daemon)
-	return index >= 0 && index <= deputies
+	// A daemon that the view does not name yet takes part as well: after every member was
+	// replaced, nobody else would.
+	return slices.Index(m.view.Order(), m.opts.Daemon) <= deputies
 }
 
 // QueueReport takes a report of a server that this daemon polls.
