Give back only claims of the same run

Cause: a grant that came after a restart was given back by the new run, although the earlier run may have sent the call: the key could run twice. The same path ended a daemon without a configuration. Change: a stray grant is released only for the daemon's own boot id.

--- a/verbenacore/vrreducer/claims.go
+++ b/verbenacore/vrreducer/claims.go
@@ -246,10 +246,12 @@
 	}
 }
 
-// strayGrant gives a claim back whose request was refused before the claim was durable.
+// strayGrant gives a claim back whose request was refused before the claim was durable. A
+// claim of an earlier run of this daemon is not its to give back: that run may have sent
+// the call.
 func (s *State) strayGrant(now time.Time, reply *vrwire.ClaimReply, out *vrevent.Effects) {
 	stray := reply.State == vrwire.ClaimGranted && reply.Entry != nil && s.requests[reply.Request] == nil
-	if !stray || s.claims.outcomes[reply.Request] != nil {
+	if !stray || reply.Entry.Daemon != s.opts.Daemon || reply.Entry.Boot != s.opts.Boot || s.claims.outcomes[reply.Request] != nil {
 		return
 	}
 	entry := *reply.Entry
