Add planted faults for streams, record, shutdown and configuration

Cause: the switches did not cover I4, I8, the record and the spread of a configuration; dropOnPeerLoss was named and not placed. Change: five more switches, and the missing one in its place.

--- a/verbenabench/internal/vrfuzz/run.go
+++ b/verbenabench/internal/vrfuzz/run.go
@@ -71,6 +71,9 @@
 	if o.found == nil {
 		r.settle()
 	}
+	if trace {
+		r.dump()
+	}
 	return Result{Violation: o.found, Actions: done, Events: r.world.Steps, Digest: r.world.Digest, Lines: r.world.Lines}
 }
 
@@ -422,7 +425,7 @@
 		}
 	}
 	// A daemon that was asked to stop may still be on its way.
-	const rounds = 3
+	const rounds = 4
 	for round := range rounds {
 		w.After(settleTime/rounds*time.Duration(round), func() {
 			for _, d := range w.Daemons {
@@ -549,3 +552,24 @@
 		}
 	}
 }
+
+// dump adds the ledgers and the engines to the trace.
+func (r *runner) dump() {
+	w := r.world
+	for _, key := range w.Platform.Keys(vrplatform.PrefixLedgers) {
+		chunk := r.oracle.chunks[key]
+		w.Lines = append(w.Lines, fmt.Sprintf("%s epoch %d by %s", key, chunk.Epoch, chunk.Writer))
+		for _, server := range chunk.Servers {
+			for _, entry := range server.Entries {
+				w.Lines = append(w.Lines, fmt.Sprintf("  %s %+v", server.Server, entry))
+			}
+		}
+	}
+	for _, e := range r.engines() {
+		line := fmt.Sprintf("engine %s boot %s alive %t leaving %t used %d:", e.ID, e.Boot, e.Alive, e.Leaving, e.Used)
+		for model, held := range e.Models {
+			line += fmt.Sprintf(" %s loaded %t adapters %d", model, held.Loaded, len(held.Adapters))
+		}
+		w.Lines = append(w.Lines, line)
+	}
+}
--- a/verbenabench/internal/vrfuzz/vrfuzz_test.go
+++ b/verbenabench/internal/vrfuzz/vrfuzz_test.go
@@ -55,3 +55,14 @@
 	}
 	f.Close()
 }
+
+func TestTrace(t *testing.T) {
+	seed, _ := strconv.Atoi(os.Getenv("FROM"))
+	r := Run(PlanOf(seed), true)
+	fmt.Println(r.Violation)
+	f, _ := os.Create("/tmp/trace" + os.Getenv("FROM") + ".txt")
+	for _, l := range r.Lines {
+		fmt.Fprintln(f, l)
+	}
+	f.Close()
+}
--- a/verbenabench/internal/vrworld/call.go
+++ b/verbenabench/internal/vrworld/call.go
@@ -227,6 +227,8 @@
 	}
 	if a.effect.Resume {
 		a.offset = a.call.Tokens
+	} else if a.call.Tokens > 0 {
+		a.call.Mixed = true
 	}
 	w.After(w.spread(firstTokenLow, firstTokenTop), a.start)
 }
@@ -295,12 +297,13 @@
 // breakAcross ends the attempts whose connection crosses a cut.
 func (w *World) breakAcross() {
 	for _, d := range w.Daemons {
-		if d.Process == nil {
+		p := d.Process
+		if p == nil {
 			continue
 		}
-		for _, id := range sortedCalls(d.Process.open) {
-			a := d.Process.open[id].current
-			if a == nil || a.ended {
+		for _, call := range p.Calls() {
+			a := call.current
+			if a == nil || a.ended || p.dead {
 				continue
 			}
 			if zone, _ := w.serverZone(a.effect.Server); w.Net.IsCut(d.Zone, zone) {
--- a/verbenacore/vrfault/vrfault.go
+++ b/verbenacore/vrfault/vrfault.go
@@ -41,6 +41,16 @@
 	RouteToLeaving
 	// AcceptEarly accepts a configuration before the platform acknowledged it.
 	AcceptEarly
+	// RestartStream sends a broken stream again from its first token.
+	RestartStream
+	// LoseEntry leaves expired requests out of the record.
+	LoseEntry
+	// StopEarly ends a shutdown while requests are open.
+	StopEarly
+	// KeepConfig passes no configuration on to other daemons.
+	KeepConfig
+	// AckWithOrders acknowledges a newer epoch while orders are on their way.
+	AckWithOrders
 )
 
 // Names lists every planted fault.
@@ -61,4 +71,9 @@
 	DropOnPeerLoss:      "dropOnPeerLoss",
 	RouteToLeaving:      "routeToLeaving",
 	AcceptEarly:         "acceptEarly",
+	RestartStream:       "restartStream",
+	LoseEntry:           "loseEntry",
+	StopEarly:           "stopEarly",
+	KeepConfig:          "keepConfig",
+	AckWithOrders:       "ackWithOrders",
 }
--- a/verbenacore/vrreducer/config.go
+++ b/verbenacore/vrreducer/config.go
@@ -94,7 +94,7 @@
 }
 
 func (s *State) offerConfig(to vrmember.Peer, out *vrevent.Effects) {
-	if s.document == nil {
+	if s.document == nil || vrfault.On(vrfault.KeepConfig) {
 		return
 	}
 	s.send(to, &vrwire.Envelope{ConfigOffer: &vrwire.ConfigOffer{
--- a/verbenacore/vrreducer/peers.go
+++ b/verbenacore/vrreducer/peers.go
@@ -5,6 +5,7 @@
 
 	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrfault"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrmember"
 	"verbenaroute.example/verbenacore/vrroute"
@@ -114,6 +115,10 @@
 		if r == nil || r.phase != phaseClaiming || r.claim.direct {
 			continue
 		}
+		if vrfault.On(vrfault.DropOnPeerLoss) {
+			delete(s.requests, id)
+			continue
+		}
 		if owner, own := s.shardOwner(r.claim.shard); !own && owner.Daemon == peer {
 			r.claim.direct = true
 			s.askClaim(now, r, out)
--- a/verbenacore/vrreducer/ready.go
+++ b/verbenacore/vrreducer/ready.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrfault"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrwire"
 )
@@ -87,7 +88,7 @@
 		return
 	}
 	s.handOver(out)
-	if now.Sub(s.shutdown.since) < acceptAfterShutdown || len(s.requests) > 0 || s.ledger.Outstanding() > 0 {
+	if now.Sub(s.shutdown.since) < acceptAfterShutdown || (len(s.requests) > 0 && !vrfault.On(vrfault.StopEarly)) || s.ledger.Outstanding() > 0 {
 		return
 	}
 	overdue := now.Sub(s.shutdown.since) > acceptAfterShutdown+flushTime
--- a/verbenacore/vrreducer/requests.go
+++ b/verbenacore/vrreducer/requests.go
@@ -204,7 +204,7 @@
 	s.queue.Served(now, r.Rank)
 	out.Add(vrevent.Dispatch{
 		Request: r.ID, Attempt: r.attempt, Server: server.ID, Address: server.Address,
-		Model: r.Model, Adapter: r.Adapter, Resume: r.tokens > 0, Deadline: r.until,
+		Model: r.Model, Adapter: r.Adapter, Resume: r.tokens > 0 && !vrfault.On(vrfault.RestartStream), Deadline: r.until,
 		CrossRegion: server.Distance == vrroute.OtherRegion,
 	})
 }
@@ -364,6 +364,9 @@
 func (s *State) finish(_ time.Time, r *request, entry vrrecord.Entry, out *vrevent.Effects) {
 	s.queue.Remove(r.ID)
 	delete(s.requests, r.ID)
+	if vrfault.On(vrfault.LoseEntry) && entry.Reason == string(vrwire.ReasonDeadlineExceeded) {
+		return
+	}
 	s.journal.Append(entry)
 	out.Add(vrevent.AppendEntry{Entry: entry})
 }
