--- a/verbenacore/vrledger/settle_test.go
+++ b/verbenacore/vrledger/settle_test.go
@@ -182,3 +182,25 @@
 	require.True(t, o.ledger.Issued())
 	require.True(t, o.ledger.Silent(o.now))
 }
+
+// TestOrdersOfAServerDoNotOverlap guards against an unload of one adapter beside the
+// load of another, which a run of nine daemons showed.
+func TestOrdersOfAServerDoNotOverlap(t *testing.T) {
+	o := newOwner(t)
+	o.load()
+	o.answer(o.orders[0], vrengine.OrderDone)
+	adapter := func(kind vrledger.ActionKind, id vrid.AdapterID) vrledger.Refusal {
+		return o.ledger.Apply(vrledger.Action{Kind: kind, Server: "s", Model: "m", Adapter: id, Bytes: 1})
+	}
+	require.Equal(t, vrledger.RefusalNone, adapter(vrledger.ActionLoad, "a"))
+	o.run(&vrevent.Effects{})
+	o.answer(o.orders[1], vrengine.OrderDone)
+	require.Equal(t, vrledger.RefusalNone, adapter(vrledger.ActionLoad, "b"))
+	require.Equal(t, vrledger.RefusalNone, adapter(vrledger.ActionLoad, "c"), "two adapter loads may run beside each other")
+	require.Equal(t, vrledger.RefusalBusy, adapter(vrledger.ActionUnload, "a"))
+	o.run(&vrevent.Effects{})
+	o.answer(o.orders[2], vrengine.OrderDone)
+	o.answer(o.orders[3], vrengine.OrderDone)
+	require.Equal(t, vrledger.RefusalNone, adapter(vrledger.ActionUnload, "a"))
+	require.Equal(t, vrledger.RefusalBusy, adapter(vrledger.ActionLoad, "d"))
+}
--- a/verbenacore/vrledger/vrledger.go
+++ b/verbenacore/vrledger/vrledger.go
@@ -341,15 +341,16 @@
 			}
 		}
 	}
-	return s.orderConflict(entry.Adapter != "")
+	return s.orderConflict(false)
 }
 
 // orderConflict keeps load, unload and change of role on one server apart; only
 // adapter loads may run beside each other.
-func (s *server) orderConflict(adapter bool) Refusal {
+func (s *server) orderConflict(adapterLoad bool) Refusal {
 	for _, entry := range s.entries {
 		moving := entry.State == vrwire.ReplicaLoading || entry.State == vrwire.ReplicaUnloading
-		if moving && (!adapter || entry.Adapter == "") {
+		beside := adapterLoad && entry.Adapter != "" && entry.State == vrwire.ReplicaLoading
+		if moving && !beside {
 			return RefusalBusy
 		}
 	}
--- a/verbenacore/vrmember/view.go
+++ b/verbenacore/vrmember/view.go
@@ -35,7 +35,7 @@
 	// order and pollers are computed from the members when they are first needed after a
 	// change; with 100 members and 290 servers they cost too much for each tick.
 	order   []vrid.DaemonID
-	pollers map[vrid.ServerID]vrid.DaemonID
+	pollers map[vrid.ServerID]Pollers
 }
 
 func newView(zone vrid.ZoneID) *View {
@@ -196,32 +196,43 @@
 	return order
 }
 
-// Poller returns the live member that polls a server.
-func (v *View) Poller(server vrid.ServerID) vrid.DaemonID {
-	if poller, ok := v.pollers[server]; ok {
-		return poller
+// Pollers are the members that poll a server: the first one reports its load, the
+// second one only notices that it leaves when the first has just died.
+type Pollers struct {
+	First  vrid.DaemonID
+	Second vrid.DaemonID
+}
+
+// Pollers returns the live members that poll a server.
+func (v *View) Pollers(server vrid.ServerID) Pollers {
+	if pollers, ok := v.pollers[server]; ok {
+		return pollers
 	}
 	if v.pollers == nil {
-		v.pollers = make(map[vrid.ServerID]vrid.DaemonID)
+		v.pollers = make(map[vrid.ServerID]Pollers)
 	}
-	poller := v.computePoller(server)
-	v.pollers[server] = poller
-	return poller
+	pollers := v.computePollers(server)
+	v.pollers[server] = pollers
+	return pollers
 }
 
-func (v *View) computePoller(server vrid.ServerID) vrid.DaemonID {
-	var best vrid.DaemonID
-	var highest uint64
-	for id, item := range v.Members {
-		if item.State != vrwire.MemberAlive {
+func (v *View) computePollers(server vrid.ServerID) Pollers {
+	var pollers Pollers
+	var first, second uint64
+	for _, id := range sortedKeys(v.Members) {
+		if v.Members[id].State != vrwire.MemberAlive {
 			continue
 		}
 		weight := rendezvous(string(server), string(id))
-		if best == "" || weight > highest || (weight == highest && id < best) {
-			best, highest = id, weight
+		switch {
+		case pollers.First == "" || weight > first:
+			pollers.Second, second = pollers.First, first
+			pollers.First, first = id, weight
+		case pollers.Second == "" || weight > second:
+			pollers.Second, second = id, weight
 		}
 	}
-	return best
+	return pollers
 }
 
 // Parent returns the parent of a member, or "" for the root and for unknown members.
--- a/verbenacore/vrreducer/peers.go
+++ b/verbenacore/vrreducer/peers.go
@@ -37,6 +37,8 @@
 		s.journal.HandleAck(now, envelope.RecordAck)
 	case envelope.ZoneSummary != nil:
 		s.zoneSummary(now, envelope.ZoneSummary)
+	case envelope.ServerNotice != nil:
+		s.serverNotice(now, envelope, out)
 	case envelope.EpochAck != nil:
 		s.zone.acks[run{daemon: envelope.From, boot: envelope.Boot}] = envelope.EpochAck.Epoch
 	case envelope.SlotRequest != nil:
@@ -136,7 +138,7 @@
 
 // refreshTable rebuilds the router's table when the zone view or the configuration
 // changed.
-func (s *State) refreshTable() {
+func (s *State) refreshTable(now time.Time) {
 	view := s.member.View()
 	index := s.store.Current()
 	if index == nil {
@@ -166,17 +168,17 @@
 			updates = append(updates, vrroute.Update{Item: item, Distance: distance, Share: share})
 		}
 	}
-	s.markDrained(index, updates)
+	s.markDrained(now, index, updates)
 	s.table.SetServers(updates)
 	s.queue.WakeAll()
 }
 
-// markDrained applies an operator's drain before the view carries it.
-func (s *State) markDrained(index *vrconfig.Index, updates []vrroute.Update) {
+// markDrained applies an operator's drain and a notice before the view carries them.
+func (s *State) markDrained(now time.Time, index *vrconfig.Index, updates []vrroute.Update) {
 	for i := range updates {
 		item := &updates[i].Item
 		drained := index.Drained(item.Server) || s.zone.drained[item.Server]
-		if drained && item.State == vrwire.ServerLive {
+		if (drained || s.noticed(now, item.Server)) && item.State == vrwire.ServerLive {
 			item.State = vrwire.ServerDrained
 		}
 	}
--- a/verbenacore/vrreducer/vrreducer.go
+++ b/verbenacore/vrreducer/vrreducer.go
@@ -173,7 +173,7 @@
 	case vrevent.ConfigProposed:
 		s.configProposed(now, e, out)
 	case vrevent.ReportReceived:
-		s.reportReceived(now, e)
+		s.reportReceived(now, e, out)
 	case vrevent.ReportFailed:
 		s.reportFailed(now, e)
 	case vrevent.OrderAnswered:
@@ -209,7 +209,7 @@
 
 // flush passes on what the event made due, so that nothing waits for the next tick.
 func (s *State) flush(now time.Time, out *vrevent.Effects) {
-	s.refreshTable()
+	s.refreshTable(now)
 	for _, model := range s.table.TakeChanged() {
 		s.queue.Wake(model)
 	}
--- a/verbenacore/vrreducer/zone.go
+++ b/verbenacore/vrreducer/zone.go
@@ -69,7 +69,9 @@
 	arrivals   map[demandKey]uint32
 	arrivalsAt time.Time
 	drained    map[vrid.ServerID]bool
-	watching   bool
+	// leaving are servers that a notice named, with the time of the notice.
+	leaving  map[vrid.ServerID]time.Time
+	watching bool
 	// summaryDue is set when other zones' requests may wait for a new replica.
 	summaryDue bool
 	// loaded is the number of loaded replicas and adapters in the last view.
@@ -97,6 +99,7 @@
 		wanted:     make(map[demandKey]time.Time),
 		arrivals:   make(map[demandKey]uint32),
 		drained:    make(map[vrid.ServerID]bool),
+		leaving:    make(map[vrid.ServerID]time.Time),
 	}
 }
 
--- a/verbenacore/vrwire/member.go
+++ b/verbenacore/vrwire/member.go
@@ -90,6 +90,22 @@
 	Sequence uint64        `protobuf:"varint,15,opt,name=sequence,proto3"`
 }
 
+// ServerNotice tells every member of the zone and the other zones' owners that a server
+// leaves. It does not wait for the zone's owner, which may just have died: a leaving
+// server gets no new work after 3 s.
+type ServerNotice struct {
+	Server vrid.ServerID `protobuf:"bytes,1,opt,name=server,proto3"`
+	Boot   vrid.BootID   `protobuf:"bytes,2,opt,name=boot,proto3"`
+}
+
+// Validate checks the names.
+func (s *ServerNotice) Validate() error {
+	if s.Server == "" || s.Boot == "" {
+		return &DecodeError{Message: "ServerNotice", Field: "server", Problem: "server or boot id is empty"}
+	}
+	return nil
+}
+
 // LoadReport is what the poller of a server passes up the tree.
 type LoadReport struct {
 	Server vrid.ServerID `protobuf:"bytes,1,opt,name=server,proto3"`
--- a/verbenacore/vrwire/vrwire.go
+++ b/verbenacore/vrwire/vrwire.go
@@ -108,6 +108,7 @@
 	SlotGrant      *SlotGrant      `protobuf:"bytes,26,opt,name=slotGrant,proto3"`
 	QueryRequest   *QueryRequest   `protobuf:"bytes,27,opt,name=queryRequest,proto3"`
 	QueryReply     *QueryReply     `protobuf:"bytes,28,opt,name=queryReply,proto3"`
+	ServerNotice   *ServerNotice   `protobuf:"bytes,29,opt,name=serverNotice,proto3"`
 }
 
 // messages lists the fields of which exactly one is set.
@@ -136,6 +137,7 @@
 	add(e.SlotGrant != nil, e.SlotGrant)
 	add(e.QueryRequest != nil, e.QueryRequest)
 	add(e.QueryReply != nil, e.QueryReply)
+	add(e.ServerNotice != nil, e.ServerNotice)
 	return set
 }
 
