--- a/verbenabench/internal/vrinvariant/requests.go
+++ b/verbenabench/internal/vrinvariant/requests.go
@@ -69,6 +69,24 @@
 	return entries
 }
 
+// runOf describes what the record holds of a daemon, to tell a lost entry from one that
+// was never written.
+func (e *Evidence) runOf(daemon vrid.DaemonID) string {
+	entries, highest := 0, uint64(0)
+	var gaps []string
+	for _, entry := range e.Record {
+		if entry.Daemon != daemon {
+			continue
+		}
+		entries++
+		highest = max(highest, entry.Number)
+		if entry.Kind == vrrecord.EntryGap {
+			gaps = append(gaps, fmt.Sprintf("%d-%d", entry.GapFirst, entry.GapLast))
+		}
+	}
+	return fmt.Sprintf("%d of its entries up to number %d, gaps %v", entries, highest, gaps)
+}
+
 // checkEntry compares what the caller saw with the request's terminal entry. A request
 // of a killed daemon may be covered by a gap.
 func (e *Evidence) checkEntry(check *Check, call vrload.Call, attempt vrload.Attempt, entries map[vrid.RequestID]vrrecord.Entry) {
@@ -79,7 +97,9 @@
 	entry, ok := entries[attempt.Request]
 	if !ok {
 		if _, killed := e.Killed[attempt.Daemon]; !killed {
-			check.broken("call %d at %s: request %s has no terminal entry", call.Number, attempt.Daemon, attempt.Request)
+			check.broken("call %d at %s: request %s has no terminal entry: %s after %s with %q; the record holds %s",
+				call.Number, attempt.Daemon, attempt.Request, attempt.End, attempt.Ended.Sub(attempt.Began).Round(time.Millisecond),
+				attempt.Problem.Reason, e.runOf(attempt.Daemon))
 		}
 		return
 	}
