--- a/verbenactl/internal/vraudit/vraudit.go
+++ b/verbenactl/internal/vraudit/vraudit.go
@@ -127,34 +127,57 @@
 
 // zone checks the blocks of a zone in the order of their hours.
 func (a *auditor) zone(zone vrid.ZoneID, yield func(*vrrecord.Entry) bool) error {
+	prefixes, err := a.prefixes(zone)
+	if err != nil {
+		return err
+	}
 	count := 0
-	for _, day := range a.days {
-		keys, err := a.source.BlockKeys(a.ctx, zone, day)
+	for _, prefix := range prefixes {
+		blocks, err := a.source.Blocks(a.ctx, prefix)
 		if err != nil {
 			return err
 		}
-		for _, prefix := range a.prefixes(keys) {
-			blocks, err := a.source.Blocks(a.ctx, prefix)
-			if err != nil {
-				return err
-			}
-			for _, block := range blocks {
-				count++
-				a.verifier.Add(vrrecord.Stored{Key: block.Key, Data: block.Data})
-				yieldEntries(block.Data, yield)
-			}
+		for _, block := range blocks {
+			count++
+			a.verifier.Add(vrrecord.Stored{Key: block.Key, Data: block.Data})
+			yieldEntries(block.Data, yield)
 		}
 	}
 	if a.options.Progress != nil {
-		fmt.Fprintf(a.options.Progress, "zone %s: %d blocks in %d days\n", zone, count, len(a.days))
+		fmt.Fprintf(a.options.Progress, "zone %s: %d blocks of %d writers and hours\n", zone, count, len(prefixes))
 	}
 	return nil
 }
 
-// prefixes returns the writers and hours to check, in the order of the hours. Keys that
-// no writer made are given to the verifier, which reports them.
-func (a *auditor) prefixes(keys []vrquery.RawBlock) []string {
+// emptyDays ends the search for older blocks. Should there be older ones after all, the
+// chains and runs that began there are reported as incomplete, so nothing is hidden.
+const emptyDays = 31
+
+// prefixes finds the writers and hours to check, from the newest day back, and returns
+// them in the order of the hours.
+func (a *auditor) prefixes(zone vrid.ZoneID) ([]string, error) {
 	found := make(map[string]bool)
+	empty := 0
+	for _, day := range slices.Backward(a.days) {
+		keys, err := a.source.BlockKeys(a.ctx, zone, day)
+		if err != nil {
+			return nil, err
+		}
+		empty++
+		if len(keys) > 0 {
+			empty = 0
+		}
+		a.addPrefixes(keys, found)
+		if empty == emptyDays {
+			break
+		}
+	}
+	return slices.Sorted(maps.Keys(found)), nil
+}
+
+// addPrefixes adds the writers and hours of keys. Keys that no writer made are given to
+// the verifier, which reports them.
+func (a *auditor) addPrefixes(keys []vrquery.RawBlock, found map[string]bool) {
 	since := a.options.Since.UTC().Truncate(time.Hour)
 	for _, key := range keys {
 		name, err := vrrecord.ParseKey(key.Key)
@@ -166,7 +189,6 @@
 			found[name.Prefix()] = true
 		}
 	}
-	return slices.Sorted(maps.Keys(found))
 }
 
 // yieldEntries passes on the readable entries; the verifier reports the others.
--- a/verbenaroute/internal/vroperator/audit.go
+++ b/verbenaroute/internal/vroperator/audit.go
@@ -31,7 +31,7 @@
 	if _, err := vrrecord.ParseKey(prefix + "0"); values && err != nil {
 		return nil, usage("prefix is not that of one writer and hour: " + err.Error())
 	}
-	items, outcome := o.options.Objects.List(ctx, prefix, values)
+	items, outcome := o.objects.List(ctx, prefix, values)
 	if outcome != vrplatform.OutcomeOK {
 		return nil, unavailable(fmt.Sprintf("the platform's list of %s is %s", prefix, outcome))
 	}
@@ -56,7 +56,7 @@
 	if err != nil || shard >= uint64(fleet.Claims.Shards) {
 		return nil, usage(fmt.Sprintf("shard is a number from 0 to %d", fleet.Claims.Shards-1))
 	}
-	items, outcome := o.options.Objects.List(ctx, vrplatform.ClaimPrefix(uint32(shard)), false)
+	items, outcome := o.objects.List(ctx, vrplatform.ClaimPrefix(uint32(shard)), false)
 	if outcome != vrplatform.OutcomeOK {
 		return nil, unavailable(fmt.Sprintf("the platform's list of the claims of shard %d is %s", shard, outcome))
 	}
@@ -66,7 +66,7 @@
 		if item.Key <= request.params["after"] {
 			continue
 		}
-		value, outcome := o.options.Objects.Read(ctx, item.Key)
+		value, outcome := o.objects.Read(ctx, item.Key)
 		if outcome != vrplatform.OutcomeOK {
 			return nil, unavailable(fmt.Sprintf("the platform's answer for %s is %s", item.Key, outcome))
 		}
--- a/verbenaroute/internal/vroperator/command.go
+++ b/verbenaroute/internal/vroperator/command.go
@@ -169,7 +169,7 @@
 func (o *Operator) readHistory(version vrid.ConfigVersion) *vrconfig.Fleet {
 	ctx, cancel := context.WithTimeout(context.Background(), o.options.PeerTime)
 	defer cancel()
-	value, outcome := o.options.Objects.Read(ctx, vrplatform.HistoryKey(version))
+	value, outcome := o.objects.Read(ctx, vrplatform.HistoryKey(version))
 	if outcome != vrplatform.OutcomeOK {
 		return nil
 	}
@@ -211,7 +211,7 @@
 
 // zoneVersions reads which version each zone has acknowledged.
 func (o *Operator) zoneVersions(ctx context.Context, fleet *vrconfig.Fleet) (zones []vrquery.ZoneVersion, all bool) {
-	items, outcome := o.options.Objects.List(ctx, vrplatform.PrefixConfigAck, true)
+	items, outcome := o.objects.List(ctx, vrplatform.PrefixConfigAck, true)
 	if outcome != vrplatform.OutcomeOK {
 		return nil, false
 	}
--- a/verbenaroute/internal/vroperator/query.go
+++ b/verbenaroute/internal/vroperator/query.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"runtime"
 	"slices"
+	"strings"
 	"time"
 
 	"verbenaroute.example/verbenacore/vrid"
@@ -96,9 +98,9 @@
 			return nil
 		}
 	}
-	for _, hour := range hours(within, s.now) {
+	for _, hours := range days(hoursOf(within, s.now)) {
 		for _, zone := range s.zones() {
-			if !reader.readHour(zone, hour) {
+			if !reader.readDay(zone, hours) {
 				return nil
 			}
 		}
@@ -113,9 +115,9 @@
 	return s.state.Fleet.Zones()
 }
 
-// hours lists the hours whose blocks may hold entries of a range, the newest first. A
+// hoursOf lists the hours whose blocks may hold entries of a range, the newest first. A
 // block is named by its last entry, so the hour after the range belongs to it.
-func hours(within vrquery.Range, now time.Time) []time.Time {
+func hoursOf(within vrquery.Range, now time.Time) []time.Time {
 	last := within.Until.Add(time.Hour)
 	if last.After(now) {
 		last = now
@@ -142,44 +144,85 @@
 	r.source.missing = append(r.source.missing, fmt.Sprintf(format, args...))
 }
 
-// readHour reads the blocks of a zone and hour. It returns false when the query has
-// enough or its time is over.
-func (r *reader) readHour(zone vrid.ZoneID, hour time.Time) bool {
-	label := hour.Format("2006-01-02T15:00Z")
-	if r.source.ctx.Err() != nil {
-		r.miss("zone %s from %s back: the query's time is over", zone, label)
-		return false
-	}
-	keys, outcome := r.source.operator.options.Objects.List(r.source.ctx, vrrecord.HourPrefix(zone, hour), false)
-	if outcome != vrplatform.OutcomeOK {
-		r.miss("zone %s hour %s: the platform's list is %s", zone, label, outcome)
-		return true
+// days splits hours by their day.
+func days(hours []time.Time) [][]time.Time {
+	var list [][]time.Time
+	for _, hour := range hours {
+		last := len(list) - 1
+		if last < 0 || hour.Day() != list[last][0].Day() {
+			list = append(list, nil)
+			last++
+		}
+		list[last] = append(list[last], hour)
 	}
-	for _, prefix := range prefixes(keys) {
-		blocks, outcome := r.source.operator.options.Objects.List(r.source.ctx, prefix, true)
-		if outcome != vrplatform.OutcomeOK {
-			r.miss("zone %s hour %s, blocks %s: the platform's list is %s", zone, label, prefix, outcome)
-			continue
+	return list
+}
+
+// fewHours are listed one by one; for more one list of the whole day costs fewer calls
+// to the platform.
+const fewHours = 3
+
+// readDay reads the blocks of a zone in hours of one day. It returns false when the
+// query has enough or its time is over.
+func (r *reader) readDay(zone vrid.ZoneID, hours []time.Time) bool {
+	prefixes := make(map[string]bool)
+	if len(hours) > fewHours {
+		r.list(zone, vrrecord.DayPrefix(zone, hours[0]), prefixes)
+	} else {
+		for _, hour := range hours {
+			r.list(zone, vrrecord.HourPrefix(zone, hour), prefixes)
 		}
-		for i := range blocks {
-			if !r.readBlock(&blocks[i]) {
-				return false
-			}
+	}
+	newest := slices.Sorted(maps.Keys(prefixes))
+	slices.Reverse(newest)
+	wanted := hourSet(zone, hours)
+	for _, prefix := range newest {
+		if wanted(prefix) && !r.readWriter(zone, prefix) {
+			return false
 		}
 	}
 	return true
 }
 
-// prefixes returns the writers' prefixes of listed blocks.
-func prefixes(keys []vrplatform.Item) []string {
-	var list []string
-	for _, item := range keys {
-		name, err := vrrecord.ParseKey(item.Key)
-		if err == nil && !slices.Contains(list, name.Prefix()) {
-			list = append(list, name.Prefix())
+// hourSet tells whether a writer's prefix belongs to one of the hours.
+func hourSet(zone vrid.ZoneID, hours []time.Time) func(prefix string) bool {
+	return func(prefix string) bool {
+		return slices.ContainsFunc(hours, func(hour time.Time) bool {
+			return strings.HasPrefix(prefix, vrrecord.HourPrefix(zone, hour))
+		})
+	}
+}
+
+// list adds the writers' prefixes of the blocks under a prefix.
+func (r *reader) list(zone vrid.ZoneID, under string, prefixes map[string]bool) {
+	items, outcome := r.source.operator.objects.List(r.source.ctx, under, false)
+	if outcome != vrplatform.OutcomeOK {
+		r.miss("zone %s, blocks %s: the platform's list is %s", zone, under, outcome)
+	}
+	for _, item := range items {
+		if name, err := vrrecord.ParseKey(item.Key); err == nil {
+			prefixes[name.Prefix()] = true
 		}
 	}
-	return list
+}
+
+// readWriter reads the blocks of one writer and hour.
+func (r *reader) readWriter(zone vrid.ZoneID, prefix string) bool {
+	if r.source.ctx.Err() != nil {
+		r.miss("zone %s, blocks %s and older ones: the query's time is over", zone, prefix)
+		return false
+	}
+	blocks, outcome := r.source.operator.objects.List(r.source.ctx, prefix, true)
+	if outcome != vrplatform.OutcomeOK {
+		r.miss("zone %s, blocks %s: the platform's list is %s", zone, prefix, outcome)
+		return true
+	}
+	for i := range blocks {
+		if !r.readBlock(&blocks[i]) {
+			return false
+		}
+	}
+	return true
 }
 
 func (r *reader) readBlock(item *vrplatform.Item) bool {
--- a/verbenaroute/internal/vroperator/vroperator.go
+++ b/verbenaroute/internal/vroperator/vroperator.go
@@ -88,6 +88,9 @@
 	ForceTime   time.Duration
 	// Queries is how many queries run at once (2).
 	Queries int
+	// PlatformCalls is how many calls a second operators may cause (20). The daemon's own
+	// calls, such as the renewal of a lease, share its limit and must not wait for them.
+	PlatformCalls int
 }
 
 const (
@@ -98,6 +101,8 @@
 	defaultForceTime = 15 * time.Second
 	defaultQueries   = 2
 	maxZoneQueries   = 8
+	// defaultPlatformCalls is less than half of a daemon's 50 calls a second.
+	defaultPlatformCalls = 20
 )
 
 func (o Options) withDefaults() Options {
@@ -113,6 +118,9 @@
 	if o.Queries == 0 {
 		o.Queries = defaultQueries
 	}
+	if o.PlatformCalls == 0 {
+		o.PlatformCalls = defaultPlatformCalls
+	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
@@ -125,6 +133,7 @@
 	// running holds one place for each running query.
 	running chan struct{}
 	tails   tails
+	objects Objects
 	// zoneQueries holds one place for each question of another zone.
 	zoneQueries chan struct{}
 	background  conc.WaitGroup
@@ -136,6 +145,7 @@
 	return &Operator{
 		options: options,
 		running: make(chan struct{}, options.Queries),
+		objects: newPaced(options.Objects, options.PlatformCalls),
 		tails:   tails{waiting: make(map[uint64]chan *vrwire.Envelope)},
 
 		zoneQueries: make(chan struct{}, maxZoneQueries),
--- a/verbenaroute/internal/vroperator/vroperator_test.go
+++ b/verbenaroute/internal/vroperator/vroperator_test.go
@@ -57,6 +57,8 @@
 	race *sync.WaitGroup
 	// slow zones never acknowledge a version.
 	slow map[vrid.ZoneID]bool
+	// calls counts the lists of objects.
+	calls int
 }
 
 type daemon struct {
@@ -131,6 +133,7 @@
 func (s *site) List(_ context.Context, prefix string, values bool) ([]vrplatform.Item, vrplatform.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	if s.down {
 		return nil, vrplatform.OutcomeUnavailable
 	}
@@ -332,6 +335,28 @@
 	})
 }
 
+// Guards against a query over many hours that uses up the daemon's calls to the
+// platform: its own renewals would wait for them. The fake platform is asked once for
+// each zone and day, then once for each writer and hour, at the stated rate.
+func TestQueryPacesPlatformCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		now := time.Now()
+		const hours = 60
+		for i := range uint64(hours) {
+			s.writeBlock("za", "a1", i+1, entryOf("a1", i+1, now.Add(-time.Second-time.Duration(i)*time.Hour)))
+		}
+		table, err := s.daemons["a1"].show("show requests since 3d")
+		require.NoError(t, err)
+		require.Empty(t, table.Missing)
+		require.Len(t, table.Rows, hours)
+		require.LessOrEqual(t, s.calls, hours+2*4)
+		// The first second's calls may come at once.
+		least := time.Duration(s.calls-defaultPlatformCalls) * time.Second / defaultPlatformCalls
+		require.GreaterOrEqual(t, time.Since(now), least)
+	})
+}
+
 // Guards against queries that pile up and take the processor from callers.
 func TestQueriesAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
