State the end of a run in the record and count the runs that were cut off

A daemon that shuts down now states its last count in a block and waits until that is durable; the audit counts the runs that ended without it.

--- a/verbenacore/vrjournal/queue.go
+++ b/verbenacore/vrjournal/queue.go
@@ -117,7 +117,7 @@
 	q.size += vrid.Bytes(len(q.items[0].data))
 }
 
-// batch returns the entries after a number, as many as fit into a frame, or nil.
+// batch returns the entries after a number, as many as fit into a frame.
 func (q *queue) batch(after uint64) *vrwire.RecordBatch {
 	batch := &vrwire.RecordBatch{Daemon: q.run.Daemon, Boot: q.run.Boot, Durable: q.durable}
 	size := vrid.Bytes(0)
@@ -134,15 +134,15 @@
 		}
 		batch.Entries = append(batch.Entries, held.data)
 	}
-	if len(batch.Entries) == 0 {
-		return nil
-	}
 	return batch
 }
 
 // lastOf returns the last number that a batch made by this queue covers.
 func (q *queue) lastOf(batch *vrwire.RecordBatch) uint64 {
 	left := len(batch.Entries)
+	if left == 0 {
+		return q.durable
+	}
 	for _, held := range q.items {
 		if held.span.First < batch.First {
 			continue
--- a/verbenacore/vrjournal/vrjournal.go
+++ b/verbenacore/vrjournal/vrjournal.go
@@ -83,6 +83,19 @@
 	// waitingSince is when the oldest entry without acknowledgement was sent.
 	waitingSince time.Time
 	opened       uint64
+	ending       ending
+}
+
+// ending is how far the journal has told its writer that the run ends.
+type ending struct {
+	begun    bool
+	toldAt   time.Time
+	recorded bool
+}
+
+// due reports whether the writer has to be told, again after a while.
+func (e *ending) due(now time.Time, again time.Duration) bool {
+	return e.begun && !e.recorded && now.Sub(e.toldAt) >= again
 }
 
 // New returns a journal without entries.
@@ -126,7 +139,11 @@
 
 // HandleAck takes a writer's acknowledgement.
 func (j *Journal) HandleAck(now time.Time, ack *vrwire.RecordAck) {
-	if ack.Boot != j.options.Boot || ack.Durable <= j.queue.durable {
+	if ack.Boot != j.options.Boot {
+		return
+	}
+	j.ending.recorded = j.ending.recorded || ack.Final
+	if ack.Durable <= j.queue.durable {
 		return
 	}
 	j.queue.release(ack.Durable)
@@ -142,14 +159,14 @@
 		effects.Warn("record batch names another run than its envelope", vrevent.Field("peer", from.From))
 		return
 	}
-	durable, again, err := j.writer.take(now, batch)
+	origin, again, err := j.writer.take(now, batch)
 	if err != nil {
 		effects.Warn("record batch refused", vrevent.Field("peer", from.From), vrevent.Field("error", err.Error()))
 		return
 	}
 	if again {
 		// The sender repeats what is durable, so the acknowledgement was lost.
-		j.acknowledge(source{run: vrrecord.Run{Daemon: batch.Daemon, Boot: batch.Boot}}, durable, effects)
+		j.acknowledgeTo(now, origin, effects)
 	}
 }
 
@@ -163,20 +180,17 @@
 	return ours
 }
 
-func (j *Journal) acknowledgeTo(now time.Time, progress source, effects *vrevent.Effects) {
-	if progress.run == j.queue.run {
-		j.HandleAck(now, &vrwire.RecordAck{Boot: j.options.Boot, Durable: progress.durable})
+// acknowledgeTo answers over the session that the peer opened: the runtime knows its
+// address.
+func (j *Journal) acknowledgeTo(now time.Time, to source, effects *vrevent.Effects) {
+	ack := &vrwire.RecordAck{Boot: to.run.Boot, Durable: to.durable, Final: to.finalWritten}
+	if to.run == j.queue.run {
+		j.HandleAck(now, ack)
 		return
 	}
-	j.acknowledge(progress, progress.durable, effects)
-}
-
-// acknowledge answers over the session that the peer opened: the runtime knows its
-// address.
-func (j *Journal) acknowledge(to source, durable uint64, effects *vrevent.Effects) {
 	effects.Add(vrevent.SendPeer{
 		Peer:     to.run.Daemon,
-		Envelope: j.envelope(func(e *vrwire.Envelope) { e.RecordAck = &vrwire.RecordAck{Boot: to.run.Boot, Durable: durable} }),
+		Envelope: j.envelope(func(e *vrwire.Envelope) { e.RecordAck = ack }),
 	})
 }
 
@@ -201,16 +215,25 @@
 	j.writer.tick(now, false, effects)
 }
 
-// Flush sends and writes at once what is pending, for a shutdown. It is called again
-// until Pending is 0: a frame and a block are bounded, and one write is in flight.
+// Flush sends and writes at once what is pending, for a shutdown: from then on the
+// daemon opens no request, and the record says so. It is called again until Pending is
+// 0: a frame and a block are bounded, and one write is in flight.
 func (j *Journal) Flush(now time.Time, effects *vrevent.Effects) {
+	j.ending.begun = true
 	j.sendBatch(now, effects)
 	j.writer.tick(now, true, effects)
 }
 
 // Pending counts the entries that are not known to be durable: the daemon's own and
-// those that it holds as a writer.
-func (j *Journal) Pending() int { return len(j.queue.items) + j.writer.pending() }
+// those that it holds as a writer. After Flush the statement of the run's end counts
+// as one more.
+func (j *Journal) Pending() int {
+	pending := len(j.queue.items) + j.writer.pending()
+	if j.ending.begun && !j.ending.recorded {
+		pending++
+	}
+	return pending
+}
 
 // Unwritten returns the encoded entries that are not yet known to be in a block: the
 // tail that a query adds to the blocks. The bytes are shared and must not be changed;
@@ -232,10 +255,15 @@
 		j.sent = j.queue.durable
 	}
 	batch := j.queue.batch(j.sent)
-	if batch == nil {
+	telling := j.ending.due(now, j.options.BatchEvery)
+	if len(batch.Entries) == 0 && !telling {
 		return
 	}
 	batch.Opened = j.Opened()
+	batch.Final = j.ending.begun
+	if telling {
+		j.ending.toldAt = now
+	}
 	if j.sent == j.queue.durable {
 		j.waitingSince = now
 	}
@@ -252,13 +280,13 @@
 }
 
 func (j *Journal) takeOwn(now time.Time, batch *vrwire.RecordBatch, effects *vrevent.Effects) {
-	durable, again, err := j.writer.take(now, batch)
+	origin, again, err := j.writer.take(now, batch)
 	if err != nil {
 		effects.Warn("record entries kept back", vrevent.Field("error", err.Error()))
 		return
 	}
 	j.sent = max(j.sent, j.queue.lastOf(batch))
 	if again {
-		j.HandleAck(now, &vrwire.RecordAck{Boot: j.options.Boot, Durable: durable})
+		j.acknowledgeTo(now, origin, effects)
 	}
 }
--- a/verbenacore/vrjournal/vrjournal_test.go
+++ b/verbenacore/vrjournal/vrjournal_test.go
@@ -258,6 +258,7 @@
 	report := z.audit()
 	require.Empty(t, report.Findings)
 	require.Equal(t, 1, report.Gaps)
+	require.Equal(t, 1, report.CutOff)
 	require.EqualValues(t, z.nodes["d1"].appended+d2.appended+3, uint64(report.Terminals)+report.Lost)
 	require.GreaterOrEqual(t, report.Lost, uint64(10))
 }
@@ -294,7 +295,11 @@
 	for range 200 {
 		z.now = z.now.Add(50 * time.Millisecond)
 		for _, n := range z.live() {
-			n.Flush(z.now, &n.effects)
+			if n == old {
+				n.Flush(z.now, &n.effects)
+			} else {
+				n.Tick(z.now, &n.effects)
+			}
 			z.run(n)
 		}
 	}
@@ -308,9 +313,40 @@
 	report := z.audit()
 	require.Empty(t, report.Findings)
 	require.Zero(t, report.Gaps)
+	require.Zero(t, report.CutOff)
 	require.EqualValues(t, z.nodes["d1"].appended+old.appended+fresh.appended, report.Terminals)
 }
 
+// Guards against a writer that leaves without stating its own end, and against a
+// shutdown that waits for ever when answers are lost.
+func TestWriterLeaves(t *testing.T) {
+	for seed := range uint64(20) {
+		z := newZone(t, seed, "d1", "d2")
+		z.lose = 0.3
+		z.setWriter("d1")
+		z.pass(5, 20)
+		old := z.nodes["d1"]
+		left := 0
+		for ; old.Pending() > 0 || !old.ending.begun; left++ {
+			require.Less(t, left, 2000, "seed %d", seed)
+			z.now = z.now.Add(50 * time.Millisecond)
+			old.Flush(z.now, &old.effects)
+			z.run(old)
+		}
+		old.dead = true
+		z.lose = 0
+		z.nodes["d2"].SetWriter("d2", "")
+		z.nodes["d2"].MemberRemoved(z.now, "d1", "B1", old.Opened())
+		z.drain()
+		z.pass(3, 0)
+		report := z.audit()
+		require.Empty(t, report.Findings, "seed %d", seed)
+		require.Zero(t, report.CutOff, "seed %d", seed)
+		require.Zero(t, report.Lost, "seed %d", seed)
+		require.EqualValues(t, old.appended+z.nodes["d2"].appended, report.Terminals, "seed %d", seed)
+	}
+}
+
 // Guards against unbounded memory in a long outage, and against losses that no gap
 // entry declares.
 func TestOutageOverflows(t *testing.T) {
--- a/verbenacore/vrjournal/writer.go
+++ b/verbenacore/vrjournal/writer.go
@@ -27,6 +27,10 @@
 	unknown bool
 	opened  uint64
 	ended   bool
+	// final is set when the run said that it opens no further request, finalWritten when
+	// a durable block says so.
+	final        bool
+	finalWritten bool
 }
 
 // taken is one entry that waits for a block.
@@ -47,6 +51,9 @@
 	key     string
 	value   []byte
 	entries []taken
+	endings []vrrecord.Run
+	// finals are the endings that the block states as proper ones.
+	finals  map[vrrecord.Run]bool
 	waiting bool
 	retryAt time.Time
 	delay   time.Duration
@@ -86,15 +93,15 @@
 	return fmt.Sprintf("the writer holds %d of %d bytes that are not on the platform", e.Held, e.Limit)
 }
 
-// take keeps the entries that it doesn't have yet. It returns the run's durable
-// number and whether the whole batch was durable already.
-func (w *writer) take(now time.Time, batch *vrwire.RecordBatch) (durable uint64, again bool, err error) {
+// take keeps the entries that it doesn't have yet. It returns the run's state and
+// whether the whole batch was durable already.
+func (w *writer) take(now time.Time, batch *vrwire.RecordBatch) (state source, again bool, err error) {
 	entries, size, err := decodeBatch(batch)
 	if err != nil {
-		return 0, false, err
+		return source{}, false, err
 	}
 	if w.size+size > w.options.WriterBuffer {
-		return 0, false, &FullError{Held: w.size, Limit: w.options.WriterBuffer}
+		return source{}, false, &FullError{Held: w.size, Limit: w.options.WriterBuffer}
 	}
 	run := vrrecord.Run{Daemon: batch.Daemon, Boot: batch.Boot}
 	origin := w.source(run, batch.Durable)
@@ -105,7 +112,18 @@
 		again = again && entry.Covers().Last <= origin.durable
 		w.keep(now, origin, entry, batch.Entries[i])
 	}
-	return origin.durable, again, nil
+	w.takeFinal(now, origin, batch.Final)
+	return *origin, again && origin.finalWritten == batch.Final, nil
+}
+
+// takeFinal notes that a run came to its proper end; the next block says so.
+func (w *writer) takeFinal(now time.Time, origin *source, final bool) {
+	if !final || origin.final {
+		return
+	}
+	origin.final = true
+	w.wake(now)
+	w.endings = append(w.endings, origin.run)
 }
 
 func decodeBatch(batch *vrwire.RecordBatch) ([]*vrrecord.Entry, vrid.Bytes, error) {
@@ -179,10 +197,10 @@
 	}
 	origin.ended = true
 	origin.opened = max(origin.opened, opened)
+	w.wake(now)
 	w.endings = append(w.endings, run)
 	span, lacking := origin.lacking()
 	if !lacking {
-		w.wake(now)
 		return
 	}
 	data := encodeGap(run, w.options.Zone, span, now.UnixMilli())
@@ -191,7 +209,7 @@
 
 // wake makes a block due although it may hold no entry: it states that a run ended.
 func (w *writer) wake(now time.Time) {
-	if len(w.buffer) == 0 {
+	if len(w.buffer) == 0 && len(w.endings) == 0 {
 		w.oldest = now
 	}
 }
@@ -249,14 +267,22 @@
 	if len(w.buffer) == 0 {
 		w.buffer = nil
 	}
-	w.endings = nil
 	w.oldest = now
 	w.sequence = block.Sequence
 	w.previous = vrrecord.Hash(value)
-	w.inFlight = &blockWrite{key: block.Key(), value: value, entries: entries, delay: firstRetry}
+	w.inFlight = &blockWrite{key: block.Key(), value: value, entries: entries, endings: w.endings, finals: w.finals(), delay: firstRetry}
+	w.endings = nil
 	w.send(effects)
 }
 
+func (w *writer) finals() map[vrrecord.Run]bool {
+	finals := make(map[vrrecord.Run]bool)
+	for _, run := range w.endings {
+		finals[run] = w.sources[run].final
+	}
+	return finals
+}
+
 // cut returns the entries of the next block.
 func (w *writer) cut() []taken {
 	size := vrid.Bytes(0)
@@ -306,7 +332,7 @@
 	for _, span := range spans {
 		block.Coverage = append(block.Coverage, vrrecord.Coverage{
 			Daemon: run.Daemon, Boot: run.Boot, First: span.First, Last: span.Last,
-			Opened: origin.opened, Ended: origin.ended,
+			Opened: origin.opened, Ended: origin.ended, Final: origin.final,
 		})
 	}
 }
@@ -360,6 +386,15 @@
 			w.sources[entry.run].written.Add(entry.span.First, entry.span.Last)
 		}
 	}
+	for _, run := range write.endings {
+		origin := w.sources[run]
+		origin.finalWritten = origin.finalWritten || write.finals[run]
+		touched[run] = true
+		// The acknowledgement of an end is due even when no number is new.
+		if origin.settle() || origin.finalWritten {
+			progress = append(progress, *origin)
+		}
+	}
 	for _, entry := range write.entries {
 		if touched[entry.run] {
 			continue
@@ -406,9 +441,9 @@
 
 func (w *writer) pending() int {
 	if w.inFlight == nil {
-		return len(w.buffer)
+		return len(w.buffer) + len(w.endings)
 	}
-	return len(w.buffer) + len(w.inFlight.entries)
+	return len(w.buffer) + len(w.endings) + len(w.inFlight.entries) + len(w.inFlight.endings)
 }
 
 // unwritten appends the entries of other runs that are in no block yet.
--- a/verbenacore/vrrecord/block.go
+++ b/verbenacore/vrrecord/block.go
@@ -58,6 +58,8 @@
 	// Ended is set when the run is known to be over, so that every opened request
 	// must have its terminal entry or stand in a gap.
 	Ended bool `protobuf:"varint,6,opt,name=ended,proto3"`
+	// Final is set when the run itself said that Opened is its last count.
+	Final bool `protobuf:"varint,7,opt,name=final,proto3"`
 }
 
 // Run returns the covered run.
--- a/verbenacore/vrrecord/verify.go
+++ b/verbenacore/vrrecord/verify.go
@@ -80,7 +80,10 @@
 	Lost uint64 `json:"lost"`
 	// Open counts requests of runs that are not known to be over and that have no
 	// terminal entry yet.
-	Open     uint64    `json:"open"`
+	Open uint64 `json:"open"`
+	// CutOff counts runs that ended without saying so, for example with their VM. What
+	// they opened after their last heartbeat is not known to anyone.
+	CutOff   int       `json:"cutOff"`
 	Findings []Finding `json:"findings"`
 }
 
@@ -165,6 +168,7 @@
 	terminals uint64
 	opened    uint64
 	ended     bool
+	final     bool
 	hasGap    bool
 }
 
@@ -278,6 +282,7 @@
 		run := v.run(line.Run())
 		run.opened = max(run.opened, line.Opened)
 		run.ended = run.ended || line.Ended
+		run.final = run.final || line.Final
 		if line.First == 0 {
 			continue
 		}
@@ -428,6 +433,9 @@
 			v.findMissing(id, missing, "", "no block holds the entry and no gap covers its number")
 		}
 	}
+	if run.ended && !run.final {
+		v.report.CutOff++
+	}
 	v.countRequests(id, run)
 }
 
--- a/verbenacore/vrwire/control.go
+++ b/verbenacore/vrwire/control.go
@@ -40,6 +40,8 @@
 	// Durable is the number up to which the daemon holds acknowledgements; a writer
 	// that meets the run for the first time counts on from there.
 	Durable uint64 `protobuf:"varint,6,opt,name=durable,proto3"`
+	// Final is set when the daemon opens no further request.
+	Final bool `protobuf:"varint,7,opt,name=final,proto3"`
 }
 
 // Validate checks the origin.
@@ -54,6 +56,8 @@
 type RecordAck struct {
 	Boot    vrid.BootID `protobuf:"bytes,1,opt,name=boot,proto3"`
 	Durable uint64      `protobuf:"varint,2,opt,name=durable,proto3"`
+	// Final is set when a durable block says that the run came to its proper end.
+	Final bool `protobuf:"varint,3,opt,name=final,proto3"`
 }
 
 // Validate accepts every count.
--- a/verbenactl/internal/vraudit/vraudit.go
+++ b/verbenactl/internal/vraudit/vraudit.go
@@ -214,6 +214,7 @@
 	fmt.Fprintf(w, "  blocks %d in %d chains, runs of daemons %d\n", r.Record.Blocks, r.Record.Chains, r.Record.Runs)
 	fmt.Fprintf(w, "  entries %d, of them ends of requests %d, sent twice after a change of the writer %d\n", r.Record.Entries, r.Record.Terminals, r.Record.Resent)
 	fmt.Fprintf(w, "  declared gaps %d, numbers lost in them %d, requests still open %d\n", r.Record.Gaps, r.Record.Lost, r.Record.Open)
+	fmt.Fprintf(w, "  runs cut off %d: what they opened after their last heartbeat is not known\n", r.Record.CutOff)
 	fmt.Fprintf(w, "  idempotency keys %d, claims that agree with the record %d, in gaps %d, outside of the range %d\n", r.Claims.Keys, r.Claims.Matched, r.Claims.InGap, r.Claims.Outside)
 	for _, finding := range r.Record.Findings {
 		fmt.Fprintf(w, "FAULT %s\n", finding)
