Grant each daemon a share of every server's slots

Cause: in a flood each of nine daemons fills two thirds of a server, since reports lag and nobody grants shares; urgent requests end with noReplica. Change: the zone's owner moves shares each second to where requests open.

--- a/verbenacore/vrmember/heartbeat.go
+++ b/verbenacore/vrmember/heartbeat.go
@@ -215,6 +215,8 @@
 		}
 		delete(m.removed, item.Daemon)
 		m.heard[item.Daemon] = now
+		// Only the root grants shares; a member's own item may carry an older one.
+		item.Share = held.Share
 		m.dirty = m.view.publishMember(item) || m.dirty
 	}
 	first := members[0]
--- a/verbenacore/vrmember/vrmember.go
+++ b/verbenacore/vrmember/vrmember.go
@@ -187,7 +187,18 @@
 	}
 	return vrwire.MemberItem{
 		Daemon: m.opts.Daemon, Boot: m.opts.Boot, Peer: m.opts.Peer, State: state,
-		Incarnation: m.incarnation, Opened: m.opened,
+		Incarnation: m.incarnation, Opened: m.opened, Share: m.view.Members[m.opts.Daemon].Share,
+	}
+}
+
+// SetShares publishes the members' parts of the servers' slots, as the root.
+func (m *Membership) SetShares(shares map[vrid.DaemonID]uint32) {
+	for id, share := range shares {
+		item, ok := m.view.Members[id]
+		if ok && item.Share != share {
+			item.Share = share
+			m.dirty = m.view.publishMember(item) || m.dirty
+		}
 	}
 }
 
--- a/verbenacore/vrreducer/peers.go
+++ b/verbenacore/vrreducer/peers.go
@@ -150,7 +150,7 @@
 	}
 	s.viewEpoch, s.viewSequence, s.viewConfig = view.Epoch, view.Sequence, index.Fleet.Version
 	s.tableAt = now
-	share := s.share(view)
+	share, far := s.share(view), s.farShare(view)
 	region := index.Region(s.opts.Zone)
 	var updates []vrroute.Update
 	for _, id := range sortedKeys(view.Servers) {
@@ -166,7 +166,7 @@
 			distance = vrroute.SameRegion
 		}
 		for _, item := range summary.Servers {
-			updates = append(updates, vrroute.Update{Item: item, Distance: distance, Share: share})
+			updates = append(updates, vrroute.Update{Item: item, Distance: distance, Share: far})
 		}
 	}
 	s.markDrained(index, updates)
@@ -195,14 +195,3 @@
 	}
 	return now.Sub(heard.heard) > vrmember.RemoteTimeout()
 }
-
-// share is the part of each server that this daemon may fill. It is twice an equal
-// part, because load is uneven and engines queue by priority.
-func (s *State) share(view *vrmember.View) float64 {
-	const slack = 2.0
-	if item, ok := view.Members[s.opts.Daemon]; ok && item.Share > 0 {
-		const thousand = 1000.0
-		return min(1, float64(item.Share)/thousand)
-	}
-	return min(1, slack/float64(max(len(view.Order()), 1)))
-}
--- a/verbenacore/vrreducer/vrreducer.go
+++ b/verbenacore/vrreducer/vrreducer.go
@@ -92,6 +92,7 @@
 	crossing     crossing
 	loads        loadPace
 	fleet        fleet
+	shares       shares
 }
 
 type shutdown struct {
@@ -120,6 +121,7 @@
 		polls:       make(map[vrid.ServerID]*poll),
 		remoteHeard: make(map[vrid.ZoneID]remoteZone),
 		zone:        newZone(),
+		shares:      newShares(),
 	}
 	s.queue = vradmit.New(vradmit.Options{Requests: opts.Queue, Memory: opts.QueueMemory, FirstCome: opts.Plain})
 	s.table = vrroute.New(vrroute.Options{Random: s.random, LeastLoaded: opts.Plain})
--- a/verbenacore/vrreducer/zone.go
+++ b/verbenacore/vrreducer/zone.go
@@ -127,6 +127,7 @@
 	s.plan(now, out)
 	s.ledger.Tick(now, out)
 	s.departures(now)
+	s.moveShares(now)
 	s.publish(now, out)
 	s.sendArrivals(now)
 }
