Don't count attempts that met a full server

Cause: in a flood urgent requests end with noReplica after five attempts at full servers within milliseconds. Change: an attempt that provably ran nothing since the server was full does not count; the server gets nothing for 100 ms.

--- a/verbenacore/vrreducer/requests.go
+++ b/verbenacore/vrreducer/requests.go
@@ -15,6 +15,8 @@
 
 const (
 	// maxAttempts bounds the dispatches of one request.
+	// A server that was full or did not hold the model costs no attempt: nothing ran, and
+	// the request waits its turn again.
 	maxAttempts = 5
 	// resumeTime is how long a broken stream may take to go on at another replica.
 	resumeTime = 5 * time.Second
@@ -41,6 +43,8 @@
 	vrevent.Request
 	phase   phase
 	attempt int
+	// unrun counts the attempts that met a full server or one without the model.
+	unrun int
 	server  *vrroute.Server
 	exclude vrid.ServerID
 	// cold is set when the request met no loaded replica.
@@ -262,8 +266,14 @@
 		s.crossed(now, r.Rank, answerBytes(event.Tokens-r.tokens, event.Body))
 	}
 	r.tokens = max(r.tokens, event.Tokens)
-	if event.Result == vrevent.AttemptNotLoaded {
+	switch event.Result {
+	case vrevent.AttemptNotLoaded:
 		s.table.Missing(event.Server, r.Model)
+		r.unrun++
+	case vrevent.AttemptBusy:
+		s.table.Busy(now, event.Server)
+		r.unrun++
+	default:
 	}
 	switch {
 	case event.Result == vrevent.AttemptAnswered:
@@ -291,7 +301,7 @@
 // notRun sends a request elsewhere after an attempt that provably ran nothing.
 func (s *State) notRun(now time.Time, r *request, event vrevent.AttemptEnded, out *vrevent.Effects) {
 	r.sent = r.uncertain
-	if r.attempt < maxAttempts && now.Before(r.until) {
+	if r.attempt-r.unrun < maxAttempts && now.Before(r.until) {
 		s.requeue(now, r, event.Server, out)
 		return
 	}
@@ -306,7 +316,7 @@
 // after the last one that the caller has.
 func (s *State) mayHaveRun(now time.Time, r *request, event vrevent.AttemptEnded, out *vrevent.Effects) {
 	r.uncertain = true
-	if event.Result == vrevent.AttemptBroken && r.attempt < maxAttempts {
+	if event.Result == vrevent.AttemptBroken && r.attempt-r.unrun < maxAttempts {
 		if r.tokens > 0 {
 			r.until = now.Add(resumeTime)
 		}
--- a/verbenacore/vrroute/server.go
+++ b/verbenacore/vrroute/server.go
@@ -13,6 +13,8 @@
 	ejectAfter = 3
 	// ejectFor is how long it stays aside before one request probes it.
 	ejectFor = 2 * time.Second
+	// busyPause is how long a server that refused a request as full gets no other.
+	busyPause = 100 * time.Millisecond
 	// otherZoneCost and otherRegionCost are added to the load of servers further away,
 	// in requests.
 	otherZoneCost   = 0.5
@@ -67,10 +69,12 @@
 	// Share is the part of the slots that this daemon may use.
 	Share float64
 	// since is the change of this daemon's own requests since the newest report.
-	since     int
-	sequence  uint64
-	models    []vrwire.ReplicaItem
-	failures  int
+	since    int
+	sequence uint64
+	models   []vrwire.ReplicaItem
+	failures int
+	// busy is until when a server that refused a request as full gets none.
+	busy      time.Time
 	ejected   time.Time
 	probing   bool
 	latency   smoothed
@@ -145,7 +149,7 @@
 
 // usable reports whether the server may get a request now.
 func (s *Server) usable(now time.Time, query *Query) bool {
-	return !s.full(query) && !s.ejectedNow(now)
+	return !s.full(query) && !s.ejectedNow(now) && !now.Before(s.busy)
 }
 
 // smoothed is an exponentially weighted mean of times.
--- a/verbenacore/vrroute/vrroute.go
+++ b/verbenacore/vrroute/vrroute.go
@@ -245,6 +245,13 @@
 	server.ejected = now
 }
 
+// Busy notes that a server took no more requests; it gets none until it worked off some.
+func (t *Table) Busy(now time.Time, id vrid.ServerID) {
+	if server := t.servers[id]; server != nil {
+		server.busy = now.Add(busyPause)
+	}
+}
+
 // TakeChanged returns the models whose servers may have room since the last call; the
 // slice is valid until the next End.
 func (t *Table) TakeChanged() []vrid.ModelID {
