--- a/verbenabench/internal/vrworld/pace.go
+++ b/verbenabench/internal/vrworld/pace.go
@@ -53,8 +53,8 @@
 // takePaced queues an attempt for a slot.
 func (e *Engine) takePaced(a *attempt) {
 	place, _ := slices.BinarySearchFunc(e.queue, a, func(queued, fresh *attempt) int {
-		if !e.world.Options.Pace.Arrival && queued.call.Request.Rank != fresh.call.Request.Rank {
-			return int(queued.call.Request.Rank) - int(fresh.call.Request.Rank)
+		if !e.world.Options.Pace.Arrival && queued.effect.Priority != fresh.effect.Priority {
+			return int(queued.effect.Priority) - int(fresh.effect.Priority)
 		}
 		return int(queued.number) - int(fresh.number)
 	})
--- a/verbenacore/vradmit/lane.go
+++ b/verbenacore/vradmit/lane.go
@@ -9,7 +9,11 @@
 
 // servedHalfLife is how fast the memory of served work fades; floors are shares of this
 // recent service.
-const servedHalfLife = 10 * time.Second
+const servedHalfLife = 2 * time.Second
+
+// floorMargin lets a floor be kept by the slots' time although it is counted by requests
+// as they start: some of those that start end early.
+const floorMargin = 1.1
 
 // lane holds the waiting requests for the servers of one pool: only they compete with
 // each other, so floors are kept within it.
@@ -72,11 +76,13 @@
 	return turns
 }
 
-// lack is the part of its floor that a waiting rank did not get recently. A rank that
-// waits only for loads does not lack service.
+// lack is the part of its floor that a waiting rank did not get recently, between 0 and
+// 1: a small floor is then as urgent as a large one. A rank that waits only for loads
+// does not lack service.
 func (l *lane) lack(rank vrid.Rank, total float64, policies *[vrid.RankCount]vrconfig.RankPolicy) float64 {
 	if len(l.ranks[rank].ready) == 0 || policies[rank].Floor == 0 {
 		return 0
 	}
-	return max(0, policies[rank].Floor-l.served[rank]/max(total, 1))
+	floor := policies[rank].Floor * floorMargin
+	return max(0, 1-l.served[rank]/max(total, 1)/floor)
 }
--- a/verbenacore/vrevent/vrevent.go
+++ b/verbenacore/vrevent/vrevent.go
@@ -292,6 +292,9 @@
 		Deadline time.Time
 		// CrossRegion is set when the bytes count against the budget.
 		CrossRegion bool
+		// Priority at the engine: the rank, or that of urgent work when the request's rank is
+		// below its floor.
+		Priority vrid.Rank
 	}
 
 	// Refuse ends a request without an answer.
--- a/verbenacore/vrmember/vrmember.go
+++ b/verbenacore/vrmember/vrmember.go
@@ -63,6 +63,7 @@
 	incarnation uint64
 	leaving     bool
 	opened      uint64
+	near        uint32
 	children    map[vrid.DaemonID]*child
 	// heard is when the root last had word of a member.
 	heard   map[vrid.DaemonID]time.Time
@@ -122,6 +123,9 @@
 // SetOpened tells how many requests this daemon has numbered.
 func (m *Membership) SetOpened(opened uint64) { m.opened = opened }
 
+// SetNear tells how many of this daemon's requests are in flight in its own zone.
+func (m *Membership) SetNear(near int) { m.near = uint32(max(near, 0)) }
+
 // Leave marks this daemon as leaving.
 func (m *Membership) Leave() {
 	m.leaving = true
@@ -187,7 +191,7 @@
 	}
 	return vrwire.MemberItem{
 		Daemon: m.opts.Daemon, Boot: m.opts.Boot, Peer: m.opts.Peer, State: state,
-		Incarnation: m.incarnation, Opened: m.opened, Share: m.view.Members[m.opts.Daemon].Share,
+		Incarnation: m.incarnation, Opened: m.opened, Near: m.near, Share: m.view.Members[m.opts.Daemon].Share,
 	}
 }
 
--- a/verbenacore/vrreducer/peers.go
+++ b/verbenacore/vrreducer/peers.go
@@ -150,7 +150,7 @@
 	}
 	s.viewEpoch, s.viewSequence, s.viewConfig = view.Epoch, view.Sequence, index.Fleet.Version
 	s.tableAt = now
-	share, far := s.share(view), s.farShare(view)
+	share := s.share(view)
 	region := index.Region(s.opts.Zone)
 	var updates []vrroute.Update
 	for _, id := range sortedKeys(view.Servers) {
@@ -165,6 +165,7 @@
 		if index.Region(zone) == region {
 			distance = vrroute.SameRegion
 		}
+		far := s.farShare(view, summary)
 		for _, item := range summary.Servers {
 			updates = append(updates, vrroute.Update{Item: item, Distance: distance, Share: far})
 		}
--- a/verbenacore/vrreducer/requests.go
+++ b/verbenacore/vrreducer/requests.go
@@ -23,6 +23,9 @@
 	// dispatchSlack is the time after a deadline in which the runtime has to report the
 	// end of an attempt; then the request is ended without it.
 	dispatchSlack = 5 * time.Second
+	// suspiciousTime is how long an attempt without a first token has to last before its
+	// end at a deadline counts as a failure of the server.
+	suspiciousTime = 3 * time.Second
 	// refusalLead is how long before its deadline a waiting request is refused: two
 	// ticks, so that the refusal reaches the caller before the deadline.
 	refusalLead = 2 * vrevent.TickInterval
@@ -45,6 +48,8 @@
 	attempt int
 	// unrun counts the attempts that met a full server or one without the model.
 	unrun int
+	// due is set when the rank was below its floor at the last dispatch.
+	due     bool
 	server  *vrroute.Server
 	exclude vrid.ServerID
 	// cold is set when the request met no loaded replica.
@@ -61,6 +66,15 @@
 	claim claimWait
 }
 
+// priority is the request's place at the engine, which would otherwise hold back what a
+// floor is due.
+func (r *request) priority() vrid.Rank {
+	if r.due {
+		return vrid.RankUrgent
+	}
+	return r.Rank
+}
+
 func (r *request) target() vradmit.Target {
 	return vradmit.Target{Model: r.Model, Adapter: r.Adapter, Service: r.Service}
 }
@@ -207,6 +221,7 @@
 			return
 		}
 		s.queue.Served(now, item)
+		r.due = due
 		s.dispatch(now, r, server, out)
 	}
 }
@@ -237,7 +252,7 @@
 	out.Add(vrevent.Dispatch{
 		Request: r.ID, Attempt: r.attempt, Server: server.ID, Address: server.Address,
 		Model: r.Model, Adapter: r.Adapter, Resume: r.tokens > 0, Deadline: r.until,
-		CrossRegion: server.Distance == vrroute.OtherRegion,
+		CrossRegion: server.Distance == vrroute.OtherRegion, Priority: r.priority(),
 	})
 }
 
@@ -247,7 +262,8 @@
 		return
 	}
 	r.firstToken = now
-	if r.server != nil && event.Attempt == r.attempt {
+	// Engines let lower ranks wait behind urgent work, so only its times tell of a server.
+	if r.server != nil && event.Attempt == r.attempt && r.Rank == vrid.RankUrgent {
 		s.table.FirstToken(now, r.server.ID, now.Sub(r.dispatched))
 	}
 }
@@ -258,10 +274,7 @@
 	if r == nil || r.phase != phaseDispatched || event.Attempt != r.attempt {
 		return
 	}
-	// Being full or leaving is no fault of a server.
-	healthy := event.Result == vrevent.AttemptAnswered || event.Result == vrevent.AttemptBusy ||
-		event.Result == vrevent.AttemptCallerGone || event.Result == vrevent.AttemptNotLoaded
-	s.table.End(now, event.Server, healthy)
+	s.table.End(now, event.Server, healthy(now, r, event.Result))
 	if r.server != nil && r.server.Distance == vrroute.OtherRegion {
 		s.crossed(now, r.Rank, answerBytes(event.Tokens-r.tokens, event.Body))
 	}
@@ -290,6 +303,20 @@
 	}
 }
 
+// healthy reports whether the end of an attempt says nothing against its server. Being
+// full or leaving is no fault of it, and neither is a deadline that was close when the
+// request left here.
+func healthy(now time.Time, r *request, result vrevent.AttemptResult) bool {
+	switch result {
+	case vrevent.AttemptAnswered, vrevent.AttemptBusy, vrevent.AttemptCallerGone, vrevent.AttemptNotLoaded:
+		return true
+	case vrevent.AttemptTimedOut:
+		return now.Sub(r.dispatched) < suspiciousTime
+	default:
+		return false
+	}
+}
+
 func (s *State) answered(now time.Time, r *request, event vrevent.AttemptEnded, out *vrevent.Effects) {
 	s.claimOutcome(now, r, vrwire.ClaimDone, event, out)
 	entry := s.entry(now, r, "", vrrecord.RanYes)
--- a/verbenacore/vrreducer/share.go
+++ b/verbenacore/vrreducer/share.go
@@ -12,7 +12,7 @@
 	// shareStep is the resolution of shares in thousandths: small moves of demand change
 	// nothing in the view.
 	shareStep = 25
-	// shareWhole is what the shares of a zone's daemons add up to in thousandths.
+	// shareWhole is what the shares of all daemons add up to in thousandths.
 	shareWhole = 1000
 	// shareEqual is the part of the slots that is shared out equally, so that a daemon
 	// whose demand begins has places at once; the rest goes to where demand is.
@@ -26,6 +26,10 @@
 	at     time.Time
 	opened map[vrid.DaemonID]uint64
 	demand map[vrid.DaemonID]float64
+	// far is the smoothed part of the zone's load that comes from other zones, and
+	// farPart what is granted to them.
+	far     float64
+	farPart float64
 }
 
 func newShares() shares {
@@ -51,12 +55,14 @@
 		live = append(live, id)
 		total += s.shares.note(id, item.Opened)
 	}
+	s.shares.farPart = s.farPart(view)
 	granted := make(map[vrid.DaemonID]uint32, len(live))
 	for _, id := range live {
 		part := 1 / float64(len(live))
 		if total > 1 {
 			part = shareEqual*part + (1-shareEqual)*s.shares.demand[id]/total
 		}
+		part *= 1 - s.shares.farPart
 		granted[id] = max(1, uint32(part*shareWhole/shareStep+0.5)) * shareStep
 	}
 	s.member.SetShares(granted)
@@ -81,12 +87,49 @@
 	return 1 / float64(max(len(view.Order()), 1))
 }
 
-// farShare is the part of each server in other zones that this daemon may fill: an equal
-// part over the fleet, since their owners don't know this daemon's demand.
-func (s *State) farShare(view *vrmember.View) float64 {
+// farShare is the part of each server in another zone that this daemon may fill.
+func (s *State) farShare(view *vrmember.View, summary vrwire.ZoneSummary) float64 {
+	if summary.FarShare > 0 {
+		return float64(summary.FarShare) / shareWhole
+	}
+	return 1 / float64(max(s.fleetDaemons(view), 1))
+}
+
+func (s *State) fleetDaemons(view *vrmember.View) int {
 	daemons := len(view.Order())
 	for _, remote := range view.Remote {
 		daemons += len(remote.Members)
 	}
-	return 1 / float64(max(daemons, 1))
+	return daemons
+}
+
+// farPart is the part of the zone's slots for the daemons of other zones. It follows
+// what they use and leaves them room to ask for more.
+func (s *State) farPart(view *vrmember.View) float64 {
+	const least, most, growth, weight = 0.1, 0.5, 0.1, 0.3
+	running, near := 0, 0
+	for _, item := range view.Servers {
+		running += int(item.Running + item.Waiting)
+	}
+	for _, item := range view.Members {
+		if item.State == vrwire.MemberAlive {
+			near += int(item.Near)
+		}
+	}
+	used := 0.0
+	if running > 0 {
+		used = max(0, float64(running-near)/float64(running))
+	}
+	s.shares.far += weight * (used - s.shares.far)
+	return min(most, max(least, s.shares.far+growth))
+}
+
+// farGrant is one far daemon's share in thousandths.
+func (s *State) farGrant() uint32 {
+	view := s.member.View()
+	others := s.fleetDaemons(view) - len(view.Order())
+	if s.opts.Plain || others <= 0 {
+		return 0
+	}
+	return max(1, uint32(s.shares.farPart*shareWhole/float64(others)))
 }
--- a/verbenacore/vrreducer/zone.go
+++ b/verbenacore/vrreducer/zone.go
@@ -400,6 +400,7 @@
 	summary := &vrwire.ZoneSummary{
 		Zone: s.opts.Zone, Epoch: view.Epoch, Owner: s.opts.Daemon, Peer: s.opts.PeerAddress,
 		Config: s.store.Version(), InForce: s.inForce(), SentAt: now.UnixMilli(),
+		FarShare: s.farGrant(),
 	}
 	for _, id := range sortedKeys(view.Servers) {
 		if item := view.Servers[id]; item.State == vrwire.ServerLive {
--- a/verbenacore/vrroute/server.go
+++ b/verbenacore/vrroute/server.go
@@ -19,16 +19,20 @@
 	// in requests.
 	otherZoneCost   = 0.5
 	otherRegionCost = 4
+	// idlePart is the free part of a server beyond which urgent requests may exceed the
+	// daemon's share, each daemon by idleShare of what is free.
+	idlePart  = 0.5
+	idleShare = 0.25
 	// affinityGain is how much fuller, as a part of its slots, a server with the
 	// prompt's prefix in its cache may be than the other choice.
 	affinityGain = 0.25
 )
 
-// fillLimit is how far a rank may fill a server, as a part of its slots. Engines queue
-// by priority, so a short queue of urgent work is harmless, and the reserve lets an
-// urgent request start without waiting for a lower one to end.
+// fillLimit is how far a rank may fill a server, as a part of its slots. The reserve lets
+// an urgent request start without waiting for a lower one to end. Engines queue by
+// priority, so urgent work beyond the slots would hold back what a floor is due.
 func fillLimit(rank vrid.Rank, due bool) float64 {
-	const urgent, normal, deferred, floor = 1.25, 1.0, 0.9, 1.25
+	const urgent, normal, deferred, floor = 1.0, 1.0, 0.9, 1.1
 	switch {
 	case due:
 		return floor
@@ -68,6 +72,9 @@
 	InFlight int
 	// Share is the part of the slots that this daemon may use.
 	Share float64
+	// rounding lies between 0 and 1 and differs by server and daemon, so that the parts of
+	// slots that shares leave are used once in sum.
+	rounding float64
 	// since is the change of this daemon's own requests since the newest report.
 	since    int
 	sequence uint64
@@ -123,10 +130,16 @@
 // full reports whether the server has no place for this daemon's request.
 func (s *Server) full(query *Query) bool {
 	places := float64(s.Slots) * fillLimit(query.Rank, query.Due)
-	if s.load() >= places {
-		return true
+	if s.Share <= 0 {
+		return s.load() >= places
 	}
-	return s.Share > 0 && float64(s.InFlight) >= max(1, s.Share*places)
+	// Shares add up to the whole server. The report lags by more than a request lasts, so
+	// a limit on it would let all daemons stop and start at the same time.
+	places = s.Share*places + s.rounding
+	if free := float64(s.Slots) - s.load(); query.Rank == vrid.RankUrgent && free > float64(s.Slots)*idlePart {
+		places += free * idleShare
+	}
+	return s.InFlight >= max(1, int(places))
 }
 
 func (s *Server) cost() float64 {
--- a/verbenacore/vrroute/vrroute.go
+++ b/verbenacore/vrroute/vrroute.go
@@ -82,7 +82,7 @@
 		seen[update.Item.Server] = true
 		server := t.servers[update.Item.Server]
 		if server == nil {
-			server = &Server{ID: update.Item.Server}
+			server = &Server{ID: update.Item.Server, rounding: t.opts.Random.Float64()}
 			t.servers[server.ID] = server
 		}
 		server.apply(update)
@@ -290,6 +290,17 @@
 	return (aside+1)*part > len(t.byPool[pool])
 }
 
+// Near returns the number of this daemon's requests in flight in its own zone.
+func (t *Table) Near() int {
+	near := 0
+	for _, server := range t.servers {
+		if server.Distance == SameZone {
+			near += server.InFlight
+		}
+	}
+	return near
+}
+
 // Missing notes that a server does not hold a model although the view says so.
 func (t *Table) Missing(id vrid.ServerID, model vrid.ModelID) {
 	t.byModel[model] = slices.DeleteFunc(t.byModel[model], func(s *Server) bool { return s.ID == id })
--- a/verbenacore/vrwire/member.go
+++ b/verbenacore/vrwire/member.go
@@ -63,6 +63,8 @@
 	Share uint32 `protobuf:"varint,6,opt,name=share"`
 	// Opened counts the requests that the daemon has numbered.
 	Opened uint64 `protobuf:"varint,7,opt,name=opened"`
+	// Near is the number of the member's requests in flight at servers of its zone.
+	Near uint32 `protobuf:"varint,8,opt,name=near"`
 	// Sequence is the view's counter when the item last changed.
 	Sequence uint64 `protobuf:"varint,15,opt,name=sequence"`
 }
@@ -240,6 +242,9 @@
 	SentAt int64 `protobuf:"varint,8,opt,name=sentAt"`
 	// InForce is the version that all live members of the zone hold.
 	InForce vrid.ConfigVersion `protobuf:"varint,9,opt,name=inForce"`
+	// FarShare is the part of every server's slots that a daemon of another zone may use,
+	// in thousandths.
+	FarShare uint32 `protobuf:"varint,10,opt,name=farShare"`
 }
 
 // Validate checks the names.
