--- a/verbenacore/vrreducer/peers.go
+++ b/verbenacore/vrreducer/peers.go
@@ -164,8 +164,9 @@
 		if index.Region(zone) == region {
 			distance = vrroute.SameRegion
 		}
+		far := s.farShare(view, summary)
 		for _, item := range summary.Servers {
-			updates = append(updates, vrroute.Update{Item: item, Distance: distance, Share: share})
+			updates = append(updates, vrroute.Update{Item: item, Distance: distance, Share: far})
 		}
 	}
 	s.markDrained(now, index, updates)
@@ -183,14 +184,3 @@
 		}
 	}
 }
-
-// share is the part of each server that this daemon may fill. It is twice an equal
-// part, because load is uneven and engines queue by priority.
-func (s *State) share(view *vrmember.View) float64 {
-	const slack = 2.0
-	if item, ok := view.Members[s.opts.Daemon]; ok && item.Share > 0 {
-		const thousand = 1000.0
-		return min(1, float64(item.Share)/thousand)
-	}
-	return min(1, slack/float64(max(len(view.Order()), 1)))
-}
