--- a/verbenabench/internal/vrcommand/vrcommand.go
+++ b/verbenabench/internal/vrcommand/vrcommand.go
@@ -6,6 +6,7 @@
 
 	"verbenaroute.example/verbenabench/internal/vrcost"
 	"verbenaroute.example/verbenabench/internal/vrdeploy"
+	"verbenaroute.example/verbenabench/internal/vrmeasure"
 	"verbenaroute.example/verbenabench/internal/vrpath"
 )
 
@@ -17,7 +18,10 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newStandin(), newTry(), newScenario(), vrpath.Command(), vrcost.Command())
+	root.AddCommand(
+		newStandin(), newTry(), newScenario(),
+		vrmeasure.Command(), vrpath.Command(), vrcost.Command(), vrcost.SpreadCommand(),
+	)
 	return root
 }
 
--- a/verbenabench/internal/vrworld/daemon.go
+++ b/verbenabench/internal/vrworld/daemon.go
@@ -135,7 +135,7 @@
 	}
 	p.State = vrreducer.New(vrreducer.Options{
 		Daemon: d.ID, Boot: p.Boot, Zone: d.Zone, PeerAddress: peerAddress(d.ID),
-		Seeds: w.seeds(d), Random: w.random.Uint64(),
+		Seeds: w.seeds(d), Random: w.random.Uint64(), Plain: w.Options.Plain,
 	})
 	d.Process = p
 	p.deliver(vrevent.Started{})
@@ -361,6 +361,8 @@
 		p.decided(e)
 	case vrevent.SetReady:
 		p.Ready = e.Ready
+	case vrevent.CloseCallers:
+		w.After(0, func() { p.deliver(vrevent.CallersClosed{}) })
 	case vrevent.Stopped:
 		p.Stopped = true
 		p.Ready = false
--- a/verbenacore/vrreducer/peers.go
+++ b/verbenacore/vrreducer/peers.go
@@ -37,8 +37,14 @@
 		s.journal.HandleAck(now, envelope.RecordAck)
 	case envelope.ZoneSummary != nil:
 		s.zoneSummary(now, envelope.ZoneSummary)
+	case envelope.ServerNotice != nil:
+		s.serverNotice(now, envelope, out)
 	case envelope.EpochAck != nil:
 		s.zone.acks[run{daemon: envelope.From, boot: envelope.Boot}] = envelope.EpochAck.Epoch
+	case envelope.SlotRequest != nil:
+		s.slotsRequested(now, envelope, out)
+	case envelope.SlotGrant != nil:
+		s.takeGrants(now, envelope.SlotGrant.Orders, out)
 	case envelope.Handover != nil:
 		s.lease.ReadSoon(now)
 	}
@@ -105,8 +111,12 @@
 	return vrmember.Peer{Daemon: daemon}
 }
 
-// peerUnreachable asks for the claims that waited for a lost peer by a direct write.
+// peerUnreachable finds another parent, and asks for the claims that waited for a lost peer by a direct write.
 func (s *State) peerUnreachable(now time.Time, peer vrid.DaemonID, out *vrevent.Effects) {
+	s.member.PeerLost(now, peer)
+	if record, _ := s.fleet.lease.Known(); record.Holder == peer && !s.fleet.waiting.IsZero() {
+		s.fleet.waiting = now.Add(-slotTimeout)
+	}
 	if s.store.Current() == nil {
 		return
 	}
@@ -128,7 +138,7 @@
 
 // refreshTable rebuilds the router's table when the zone view or the configuration
 // changed.
-func (s *State) refreshTable() {
+func (s *State) refreshTable(now time.Time) {
 	view := s.member.View()
 	index := s.store.Current()
 	if index == nil {
@@ -158,16 +168,17 @@
 			updates = append(updates, vrroute.Update{Item: item, Distance: distance, Share: share})
 		}
 	}
-	s.markDrained(index, updates)
+	s.markDrained(now, index, updates)
 	s.table.SetServers(updates)
+	s.queue.WakeAll()
 }
 
-// markDrained applies an operator's drain before the view carries it.
-func (s *State) markDrained(index *vrconfig.Index, updates []vrroute.Update) {
+// markDrained applies an operator's drain and a notice before the view carries them.
+func (s *State) markDrained(now time.Time, index *vrconfig.Index, updates []vrroute.Update) {
 	for i := range updates {
 		item := &updates[i].Item
 		drained := index.Drained(item.Server) || s.zone.drained[item.Server]
-		if drained && item.State == vrwire.ServerLive {
+		if (drained || s.noticed(now, item.Server)) && item.State == vrwire.ServerLive {
 			item.State = vrwire.ServerDrained
 		}
 	}
--- a/verbenacore/vrreducer/plan.go
+++ b/verbenacore/vrreducer/plan.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrengine"
 	"verbenaroute.example/verbenacore/vrevent"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrplace"
 	"verbenaroute.example/verbenacore/vrrecord"
+	"verbenaroute.example/verbenacore/vrroute"
 	"verbenaroute.example/verbenacore/vrwire"
 )
 
@@ -23,16 +23,39 @@
 		s.useGrants(now, out)
 		return
 	}
-	zones := max(len(index.Fleet.Zones()), 1)
-	actions := s.planner.Plan(now, vrplace.Input{
-		Index: index, Servers: s.ledger.Snapshots(), Replicas: s.ledger.Replicas, Zone: s.opts.Zone,
-		LoadSlots:    slotShare(index.Fleet.WeightStore.Slots, zones),
-		AdapterSlots: slotShare(index.Fleet.WeightStore.AdapterSlots, zones),
-	})
-	for _, action := range actions {
+	for _, action := range s.planner.Plan(now, s.planInput(now)) {
 		s.ledger.Apply(action)
 	}
 	s.ledger.Flush(now, out)
+	s.askSlots(now, out)
+}
+
+func (s *State) planInput(now time.Time) vrplace.Input {
+	index := s.store.Current()
+	zones := max(len(index.Fleet.Zones()), 1)
+	store := index.Fleet.WeightStore
+	input := vrplace.Input{
+		Index: index, Servers: s.ledger.Snapshots(), Replicas: s.ledger.Replicas, Zone: s.opts.Zone,
+		LoadSlots: slotShare(store.Slots, zones), AdapterSlots: slotShare(store.AdapterSlots, zones),
+	}
+	if s.opts.Plain {
+		// The plain way knows no order over the fleet: each zone uses every place.
+		input.LoadSlots, input.AdapterSlots = store.Slots, store.AdapterSlots
+	}
+	if s.opts.Plain {
+		return input
+	}
+	input.Elsewhere = func(model vrid.ModelID, rank vrid.Rank) int { return s.elsewhere(now, model, rank) }
+	if s.coordinated(now) {
+		input.Granted = s.slotGranted
+	}
+	return input
+}
+
+// elsewhere counts the places at other zones' replicas of a model that requests of a
+// rank may use.
+func (s *State) elsewhere(now time.Time, model vrid.ModelID, rank vrid.Rank) int {
+	return s.table.FarSlots(vrroute.Query{Model: model, Rank: rank, CrossRegion: s.mayCross(now, rank)})
 }
 
 // slotShare is a zone's part of the weight store when no fleet owner shares it out.
@@ -51,7 +74,7 @@
 
 // wantModel sends demand for a model at once when the last message is old.
 func (s *State) wantModel(now time.Time, r *request, out *vrevent.Effects) {
-	if r.Model == "" || s.loaded(r) {
+	if r.Model == "" || s.loaded(now, r) {
 		return
 	}
 	key := demandKey{model: r.Model, adapter: r.Adapter, rank: r.Rank}
@@ -148,135 +171,3 @@
 	s.journal.Append(entry)
 	out.Add(vrevent.AppendEntry{Entry: entry})
 }
-
-// poll is the polling of one server by this daemon.
-type poll struct {
-	next    time.Time
-	waiting bool
-	since   time.Time
-	failed  uint32
-	last    vrwire.LoadReport
-	known   bool
-}
-
-const (
-	// pollInterval is the pause between two reports of one server.
-	pollInterval = time.Second
-	// loadingPollInterval is used while a load is under way, so that waiting requests
-	// go out soon after its end.
-	loadingPollInterval = 100 * time.Millisecond
-	// pollTimeout ends the wait for a lost answer.
-	pollTimeout = 3 * time.Second
-)
-
-// tickPolls asks the servers that this daemon polls, and as the owner those that load.
-func (s *State) tickPolls(now time.Time, out *vrevent.Effects) {
-	view := s.member.View()
-	loading := make(map[vrid.ServerID]bool)
-	if s.lease.Holding() {
-		for _, id := range s.ledger.Loading() {
-			loading[id] = true
-		}
-	}
-	for _, id := range sortedKeys(view.Servers) {
-		item := view.Servers[id]
-		polled := item.State != vrwire.ServerGone && s.reportsLoad(item)
-		if !polled || (!loading[id] && view.Poller(id) != s.opts.Daemon) {
-			delete(s.polls, id)
-			continue
-		}
-		s.pollServer(now, item, loading[id], out)
-	}
-}
-
-// reportsLoad is false for application servers: they have no report, so a poll would
-// make them unreachable. They are judged by their calls and the platform's list.
-func (s *State) reportsLoad(item vrwire.ServerItem) bool {
-	index := s.store.Current()
-	if index == nil {
-		return true
-	}
-	pool := index.Pool(item.Pool)
-	return pool == nil || pool.Kind != vrconfig.KindApplicationServer
-}
-
-func (s *State) pollServer(now time.Time, item vrwire.ServerItem, loading bool, out *vrevent.Effects) {
-	p := s.polls[item.Server]
-	if p == nil {
-		p = &poll{}
-		s.polls[item.Server] = p
-	}
-	if p.waiting && now.Sub(p.since) < pollTimeout {
-		return
-	}
-	if loading {
-		soon := now.Add(loadingPollInterval)
-		if p.next.After(soon) {
-			p.next = soon
-		}
-	}
-	if now.Before(p.next) {
-		return
-	}
-	p.waiting = true
-	p.since = now
-	p.next = now.Add(pollInterval)
-	if loading {
-		p.next = now.Add(loadingPollInterval)
-	}
-	out.Add(vrevent.PollServer{Server: item.Server, Address: item.Address})
-}
-
-func (s *State) reportReceived(now time.Time, event vrevent.ReportReceived) {
-	p := s.polls[event.Server]
-	if p == nil {
-		return
-	}
-	p.waiting = false
-	p.failed = 0
-	report := loadReport(now, event.Server, event.Report)
-	urgent := !p.known || p.last.Boot != report.Boot || p.last.Leaving != report.Leaving || p.last.Failed > 0 ||
-		len(p.last.Models) != len(report.Models)
-	p.last = report
-	p.known = true
-	s.member.QueueReport(now, report, urgent)
-}
-
-func loadReport(now time.Time, server vrid.ServerID, report vrengine.Report) vrwire.LoadReport {
-	result := vrwire.LoadReport{
-		Server: server, Boot: report.Boot, Leaving: report.Leaving, Running: uint32(report.Running),
-		Waiting: uint32(report.Waiting), Slots: uint32(report.Slots), MemoryUsed: report.MemoryUsed,
-		AppliedOrders: report.AppliedOrders, HighestEpoch: report.HighestEpoch, Role: report.Role,
-		CachedMemory: report.Cached.Memory, CachedDisk: report.Cached.Disk, TakenAt: now.UnixMilli(),
-	}
-	for _, model := range report.Models {
-		result.Models = append(result.Models, vrwire.LoadedModel{
-			Model: model.Model, State: modelState(model.State), Adapters: model.Adapters,
-		})
-	}
-	return result
-}
-
-func modelState(state string) vrwire.ReplicaState {
-	switch state {
-	case vrengine.StateLoaded:
-		return vrwire.ReplicaLoaded
-	case vrengine.StateUnloading:
-		return vrwire.ReplicaUnloading
-	}
-	return vrwire.ReplicaLoading
-}
-
-func (s *State) reportFailed(now time.Time, event vrevent.ReportFailed) {
-	p := s.polls[event.Server]
-	if p == nil {
-		return
-	}
-	p.waiting = false
-	p.failed++
-	report := p.last
-	report.Server = event.Server
-	report.Failed = p.failed
-	p.last = report
-	s.member.QueueReport(now, report, p.failed == failedPolls)
-}
--- a/verbenacore/vrreducer/zone.go
+++ b/verbenacore/vrreducer/zone.go
@@ -22,6 +22,8 @@
 	planInterval = 100 * time.Millisecond
 	// summaryInterval is the pause between two summaries to other zones.
 	summaryInterval = time.Second
+	// summaryGap is the least pause when a replica became ready.
+	summaryGap = 20 * time.Millisecond
 	// leasesInterval is the pause between two readings of the other zones' leases.
 	leasesInterval = 5 * time.Second
 	// demandInterval is the pause between two messages of demand for one model.
@@ -67,7 +69,13 @@
 	arrivals   map[demandKey]uint32
 	arrivalsAt time.Time
 	drained    map[vrid.ServerID]bool
-	watching   bool
+	// leaving are servers that a notice named, with the time of the notice.
+	leaving  map[vrid.ServerID]time.Time
+	watching bool
+	// summaryDue is set when other zones' requests may wait for a new replica.
+	summaryDue bool
+	// loaded is the number of loaded replicas and adapters in the last view.
+	loaded int
 }
 
 // run is one run of a daemon.
@@ -91,6 +99,7 @@
 		wanted:     make(map[demandKey]time.Time),
 		arrivals:   make(map[demandKey]uint32),
 		drained:    make(map[vrid.ServerID]bool),
+		leaving:    make(map[vrid.ServerID]time.Time),
 	}
 }
 
@@ -105,6 +114,7 @@
 		Candidate: s.candidate(now),
 		Chunks:    uint32(s.zoneServers()/ledgerServers + 1),
 	}, out)
+	s.tickFleet(now, out)
 	s.ackEpoch(now, out)
 	if !s.lease.Holding() {
 		s.sendArrivals(now)
@@ -331,19 +341,38 @@
 func (s *State) publish(now time.Time, out *vrevent.Effects) {
 	if s.ledger.TakeChanged() || now.Sub(s.zone.summaryAt) >= summaryInterval {
 		s.member.PublishServers(s.ledger.Items(s.opts.Zone))
+		s.zone.summaryDue = s.zone.summaryDue || s.newReplica()
 	}
 	if now.Sub(s.zone.leasesAt) >= leasesInterval && s.zone.leasesOp == 0 {
 		s.zone.leasesAt = now
 		s.zone.leasesOp = s.ops.Next()
 		out.Add(vrevent.ListObjects{Op: s.zone.leasesOp, Prefix: vrplatform.PrefixLeases, Values: true})
 	}
-	if now.Sub(s.zone.summaryAt) >= summaryInterval {
+	silence := now.Sub(s.zone.summaryAt)
+	if silence >= summaryInterval || (s.zone.summaryDue && silence >= summaryGap) {
 		s.zone.summaryAt = now
 		s.member.SweepRemote(now)
+		s.zone.summaryDue = false
 		s.sendSummaries(now, out)
 	}
 }
 
+// newReplica reports whether the zone has more loaded replicas and adapters than when
+// it was last asked: requests in other zones may wait for one.
+func (s *State) newReplica() bool {
+	loaded := 0
+	for _, item := range s.member.View().Servers {
+		for i := range item.Replicas {
+			if item.Replicas[i].State == vrwire.ReplicaLoaded {
+				loaded += 1 + len(item.Replicas[i].Adapters)
+			}
+		}
+	}
+	more := loaded > s.zone.loaded
+	s.zone.loaded = loaded
+	return more
+}
+
 // leasesListed learns the owners of the other zones.
 func (s *State) leasesListed(_ time.Time, event vrevent.ObjectsListed) {
 	s.zone.leasesOp = 0
@@ -351,6 +380,9 @@
 		return
 	}
 	for _, item := range event.Items {
+		if item.Key == vrplatform.KeyFleetLease {
+			continue
+		}
 		record, err := vrwire.Unmarshal[vrlease.Record](item.Value)
 		if err != nil {
 			continue
@@ -371,6 +403,9 @@
 	s.recordOrder(now, event, out)
 	s.ledger.Flush(now, out)
 	if s.lease.Holding() {
+		// The place at the weight store goes to the next load at once.
+		s.zone.planAt = time.Time{}
+		s.plan(now, out)
 		s.publish(now, out)
 	}
 }
--- a/verbenacore/vrwire/member.go
+++ b/verbenacore/vrwire/member.go
@@ -90,6 +90,22 @@
 	Sequence uint64        `protobuf:"varint,15,opt,name=sequence,proto3"`
 }
 
+// ServerNotice tells every member of the zone and the other zones' owners that a server
+// leaves. It does not wait for the zone's owner, which may just have died: a leaving
+// server gets no new work after 3 s.
+type ServerNotice struct {
+	Server vrid.ServerID `protobuf:"bytes,1,opt,name=server,proto3"`
+	Boot   vrid.BootID   `protobuf:"bytes,2,opt,name=boot,proto3"`
+}
+
+// Validate checks the names.
+func (s *ServerNotice) Validate() error {
+	if s.Server == "" || s.Boot == "" {
+		return &DecodeError{Message: "ServerNotice", Field: "server", Problem: "server or boot id is empty"}
+	}
+	return nil
+}
+
 // LoadReport is what the poller of a server passes up the tree.
 type LoadReport struct {
 	Server vrid.ServerID `protobuf:"bytes,1,opt,name=server,proto3"`
@@ -285,15 +301,28 @@
 // SlotRequest asks the fleet owner for places at the weight store.
 type SlotRequest struct {
 	Loads []SlotLoad `protobuf:"bytes,1,rep,name=loads,proto3"`
+	// SentAt is the zone owner's time in milliseconds of Unix time; an older request
+	// than the last one is ignored.
+	SentAt int64 `protobuf:"varint,2,opt,name=sentAt,proto3"`
 }
 
-// SlotLoad is one load that waits for or holds a place.
+// SlotLoad is one load that waits for or holds a place. Order names it within its
+// zone.
 type SlotLoad struct {
 	Order    vrid.OrderID `protobuf:"bytes,1,opt,name=order,proto3"`
 	Rank     vrid.Rank    `protobuf:"varint,2,opt,name=rank,proto3"`
 	Deadline int64        `protobuf:"varint,3,opt,name=deadline,proto3"`
 	Adapter  bool         `protobuf:"varint,4,opt,name=adapter,proto3"`
 	Holding  bool         `protobuf:"varint,5,opt,name=holding,proto3"`
+	Model    vrid.ModelID `protobuf:"bytes,6,opt,name=model,proto3"`
+	// Room is the free memory of the roomiest server in GiB; 0 when something has to be
+	// unloaded first.
+	Room uint32 `protobuf:"varint,7,opt,name=room,proto3"`
+	// Near is set when the weights come from a copy at the server; such a load takes no
+	// place at the weight store.
+	Near bool `protobuf:"varint,8,opt,name=near,proto3"`
+	// Work is the load's time at full speed in milliseconds.
+	Work uint32 `protobuf:"varint,9,opt,name=work,proto3"`
 }
 
 // Validate checks each load.
@@ -309,8 +338,9 @@
 // SlotGrant lists the loads of a zone that hold a place.
 type SlotGrant struct {
 	Orders []vrid.OrderID `protobuf:"bytes,1,rep,name=orders,proto3"`
-	// Until is when unused grants lapse, in milliseconds of Unix time.
-	Until int64 `protobuf:"varint,2,opt,name=until,proto3"`
+	// SentAt is the fleet owner's time in milliseconds of Unix time. It is never zero,
+	// since a message without any field is lost in the encoding.
+	SentAt int64 `protobuf:"varint,2,opt,name=sentAt,proto3"`
 }
 
 // Validate accepts every grant: an empty one means that nothing is granted.
--- /dev/null
+++ b/verbenactl/internal/vraudit/vraudit.go
@@ -0,0 +1,228 @@
+// Package vraudit checks the whole record from the outside: it recomputes the chains
+// from the raw blocks and compares the claims of idempotency keys with the outcomes.
+package vraudit
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"verbenaroute.example/verbenacore/vrconfig"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrquery"
+	"verbenaroute.example/verbenacore/vrrecord"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+// Source gives the raw record.
+type Source interface {
+	Configuration(ctx context.Context) (*vrconfig.Fleet, error)
+	BlockKeys(ctx context.Context, zone vrid.ZoneID, day time.Time) ([]vrquery.RawBlock, error)
+	Blocks(ctx context.Context, prefix string) ([]vrquery.RawBlock, error)
+	Claims(ctx context.Context, shard int, after string) (*vrquery.ClaimsAnswer, error)
+}
+
+// Options say what to check.
+type Options struct {
+	// Since leaves out earlier blocks; zero checks the whole record.
+	Since time.Time
+	// Zones limits the check; empty takes all.
+	Zones []vrid.ZoneID
+	// Now is the end of the check.
+	Now time.Time
+	// Progress takes a line for each zone; nil takes none.
+	Progress io.Writer
+}
+
+// Result is the outcome of an audit.
+type Result struct {
+	Zones  []vrid.ZoneID           `json:"zones"`
+	Since  time.Time               `json:"since"`
+	Record vrrecord.Report         `json:"record"`
+	Claims vrrecord.Reconciliation `json:"claims"`
+}
+
+// OK reports whether nothing was found.
+func (r *Result) OK() bool { return r.Record.OK() && r.Claims.OK() }
+
+// Run audits the record. It holds the blocks of one writer and hour at a time.
+func Run(ctx context.Context, source Source, options Options) (*Result, error) {
+	fleet, err := source.Configuration(ctx)
+	if err != nil {
+		return nil, err
+	}
+	result := &Result{Zones: options.Zones, Since: options.Since}
+	if len(result.Zones) == 0 {
+		result.Zones = fleet.Zones()
+	}
+	// The claims come first: a call that is claimed later is then newer than the last
+	// entry and not taken for one that has no entry.
+	claims, err := allClaims(ctx, source, fleet.Claims.Shards, options.Since)
+	if err != nil {
+		return nil, err
+	}
+	a := &auditor{
+		ctx: ctx, source: source, options: options, days: daysOf(fleet, options),
+		verifier: vrrecord.NewVerifier(vrrecord.Scope{Partial: !options.Since.IsZero()}),
+	}
+	result.Claims = vrrecord.Reconcile(func(yield func(*vrrecord.Entry) bool) {
+		for _, zone := range result.Zones {
+			if a.err == nil {
+				a.err = a.zone(zone, yield)
+			}
+		}
+	}, claims)
+	if a.err != nil {
+		return nil, a.err
+	}
+	result.Record = a.verifier.Finish()
+	return result, nil
+}
+
+// daysOf lists the days to check in order. Without a beginning it is the retention time
+// of the record and one day more.
+func daysOf(fleet *vrconfig.Fleet, options Options) []time.Time {
+	const day = 24 * time.Hour
+	first := options.Since
+	if first.IsZero() {
+		first = options.Now.Add(-fleet.Record.Retention.Std() - day)
+	}
+	var days []time.Time
+	for at := first.UTC().Truncate(day); !at.After(options.Now); at = at.Add(day) {
+		days = append(days, at)
+	}
+	return days
+}
+
+func allClaims(ctx context.Context, source Source, shards int, since time.Time) ([]vrwire.ClaimEntry, error) {
+	var claims []vrwire.ClaimEntry
+	for shard := range shards {
+		for after, more := "", true; more; {
+			answer, err := source.Claims(ctx, shard, after)
+			if err != nil {
+				return nil, err
+			}
+			for _, claim := range answer.Claims {
+				if since.IsZero() || claim.At >= since.UnixMilli() {
+					claims = append(claims, claim)
+				}
+			}
+			after, more = answer.Next, answer.Next != ""
+		}
+	}
+	return claims, nil
+}
+
+type auditor struct {
+	ctx      context.Context
+	source   Source
+	options  Options
+	days     []time.Time
+	verifier *vrrecord.Verifier
+	err      error
+}
+
+// zone checks the blocks of a zone in the order of their hours.
+func (a *auditor) zone(zone vrid.ZoneID, yield func(*vrrecord.Entry) bool) error {
+	prefixes, err := a.prefixes(zone)
+	if err != nil {
+		return err
+	}
+	count := 0
+	for _, prefix := range prefixes {
+		blocks, err := a.source.Blocks(a.ctx, prefix)
+		if err != nil {
+			return err
+		}
+		for _, block := range blocks {
+			count++
+			a.verifier.Add(vrrecord.Stored{Key: block.Key, Data: block.Data})
+			yieldEntries(block.Data, yield)
+		}
+	}
+	if a.options.Progress != nil {
+		fmt.Fprintf(a.options.Progress, "zone %s: %d blocks of %d writers and hours\n", zone, count, len(prefixes))
+	}
+	return nil
+}
+
+// emptyDays ends the search for older blocks. Should there be older ones after all, the
+// chains and runs that began there are reported as incomplete, so nothing is hidden.
+const emptyDays = 31
+
+// prefixes finds the writers and hours to check, from the newest day back, and returns
+// them in the order of the hours.
+func (a *auditor) prefixes(zone vrid.ZoneID) ([]string, error) {
+	found := make(map[string]bool)
+	empty := 0
+	for _, day := range slices.Backward(a.days) {
+		keys, err := a.source.BlockKeys(a.ctx, zone, day)
+		if err != nil {
+			return nil, err
+		}
+		empty++
+		if len(keys) > 0 {
+			empty = 0
+		}
+		a.addPrefixes(keys, found)
+		if empty == emptyDays {
+			break
+		}
+	}
+	return slices.Sorted(maps.Keys(found)), nil
+}
+
+// addPrefixes adds the writers and hours of keys. Keys that no writer made are given to
+// the verifier, which reports them.
+func (a *auditor) addPrefixes(keys []vrquery.RawBlock, found map[string]bool) {
+	since := a.options.Since.UTC().Truncate(time.Hour)
+	for _, key := range keys {
+		name, err := vrrecord.ParseKey(key.Key)
+		hour, hourErr := name.Time()
+		switch {
+		case err != nil || hourErr != nil:
+			a.verifier.Add(vrrecord.Stored{Key: key.Key})
+		case !hour.Before(since):
+			found[name.Prefix()] = true
+		}
+	}
+}
+
+// yieldEntries passes on the readable entries; the verifier reports the others.
+func yieldEntries(data []byte, yield func(*vrrecord.Entry) bool) {
+	block, err := vrrecord.DecodeBlock(data)
+	if err != nil {
+		return
+	}
+	for i := range block.Entries {
+		if entry, err := block.Entry(i); err == nil && !yield(entry) {
+			return
+		}
+	}
+}
+
+// Write writes the result for a person.
+func (r *Result) Write(w io.Writer) {
+	scope := "the whole record"
+	if !r.Since.IsZero() {
+		scope = "the record since " + r.Since.UTC().Format(time.RFC3339)
+	}
+	fmt.Fprintf(w, "audit of %s in %d zones\n", scope, len(r.Zones))
+	fmt.Fprintf(w, "  blocks %d in %d chains, runs of daemons %d\n", r.Record.Blocks, r.Record.Chains, r.Record.Runs)
+	fmt.Fprintf(w, "  entries %d, of them ends of requests %d, sent twice after a change of the writer %d\n", r.Record.Entries, r.Record.Terminals, r.Record.Resent)
+	fmt.Fprintf(w, "  declared gaps %d, numbers lost in them %d, requests still open %d\n", r.Record.Gaps, r.Record.Lost, r.Record.Open)
+	fmt.Fprintf(w, "  runs cut off %d: what they opened after their last heartbeat is not known\n", r.Record.CutOff)
+	fmt.Fprintf(w, "  idempotency keys %d, claims that agree with the record %d, in gaps %d, outside of the range %d\n", r.Claims.Keys, r.Claims.Matched, r.Claims.InGap, r.Claims.Outside)
+	for _, finding := range r.Record.Findings {
+		fmt.Fprintf(w, "FAULT %s\n", finding)
+	}
+	for _, mismatch := range r.Claims.Mismatches {
+		fmt.Fprintf(w, "FAULT %s\n", mismatch)
+	}
+	if r.OK() {
+		fmt.Fprintln(w, "no fault was found")
+	}
+}
--- a/verbenaroute/internal/vroperator/vroperator.go
+++ b/verbenaroute/internal/vroperator/vroperator.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/gofiber/fiber/v3"
+	"github.com/sourcegraph/conc"
 
 	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrevent"
@@ -87,6 +88,9 @@
 	ForceTime   time.Duration
 	// Queries is how many queries run at once (2).
 	Queries int
+	// PlatformCalls is how many calls a second operators may cause (20). The daemon's own
+	// calls, such as the renewal of a lease, share its limit and must not wait for them.
+	PlatformCalls int
 }
 
 const (
@@ -96,6 +100,9 @@
 	// defaultForceTime is twice the 7 s in which a change is in force everywhere.
 	defaultForceTime = 15 * time.Second
 	defaultQueries   = 2
+	maxZoneQueries   = 8
+	// defaultPlatformCalls is less than half of a daemon's 50 calls a second.
+	defaultPlatformCalls = 20
 )
 
 func (o Options) withDefaults() Options {
@@ -111,6 +118,9 @@
 	if o.Queries == 0 {
 		o.Queries = defaultQueries
 	}
+	if o.PlatformCalls == 0 {
+		o.PlatformCalls = defaultPlatformCalls
+	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
@@ -123,6 +133,10 @@
 	// running holds one place for each running query.
 	running chan struct{}
 	tails   tails
+	objects Objects
+	// zoneQueries holds one place for each question of another zone.
+	zoneQueries chan struct{}
+	background  conc.WaitGroup
 }
 
 // New builds an Operator.
@@ -131,10 +145,16 @@
 	return &Operator{
 		options: options,
 		running: make(chan struct{}, options.Queries),
+		objects: newPaced(options.Objects, options.PlatformCalls),
 		tails:   tails{waiting: make(map[uint64]chan *vrwire.Envelope)},
+
+		zoneQueries: make(chan struct{}, maxZoneQueries),
 	}
 }
 
+// Close waits for the answers to other zones that are being made, at most PeerTime.
+func (o *Operator) Close() { o.background.Wait() }
+
 // Mount adds the handlers to the operators' address.
 func (o *Operator) Mount(app *fiber.App) {
 	app.Post(vrquery.PathQuery, handle(o, vrsettings.RoleRead, o.query))
--- a/verbenaroute/internal/vrserve/daemon.go
+++ b/verbenaroute/internal/vrserve/daemon.go
@@ -7,13 +7,13 @@
 	"math/rand/v2"
 	"net"
 
-	"github.com/gofiber/fiber/v3"
 	"github.com/oklog/ulid/v2"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"verbenaroute.example/verbenacore/vrclient"
 	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrpeer"
 	"verbenaroute.example/verbenacore/vrreducer"
 	"verbenaroute.example/verbenacore/vrsettings"
 
@@ -50,8 +50,6 @@
 type DaemonOptions struct {
 	Settings *vrsettings.Settings
 	Log      *zap.Logger
-	// Mount adds handlers to the operators' address.
-	Mount func(d *Daemon, app *fiber.App)
 }
 
 // Daemon is a whole daemon: the runtime, the callers' and operators' addresses and the
@@ -71,7 +69,7 @@
 	front    *vrfront.Front
 	admin    *vradmin.Admin
 	clients  clients
-	peers    *peerHub
+	peers    *vrpeer.Hub
 	callers  net.Listener
 	operator net.Listener
 	serving  conc.WaitGroup
@@ -110,11 +108,7 @@
 	d.admin = vradmin.New(vradmin.Options{
 		Status:  d.status,
 		Metrics: d.Metrics,
-		Mount: func(app *fiber.App) {
-			if options.Mount != nil {
-				options.Mount(d, app)
-			}
-		},
+		Mount:   d.newOperator().Mount,
 	})
 	return d, nil
 }
@@ -173,10 +167,28 @@
 	if d.operator, err = listen("operators", d.settings.Operators, d.settings.OperatorTLS); err != nil {
 		return err
 	}
-	if d.peers, err = newPeerHub(d); err != nil {
-		return err
+	return d.openPeers()
+}
+
+// openPeers starts the sessions with other daemons. Their messages wait until the
+// runtime has started.
+func (d *Daemon) openPeers() error {
+	hub, err := vrpeer.Start(context.Background(), vrpeer.Options{
+		Self:        d.settings.Daemon,
+		Boot:        d.boot,
+		Zone:        d.settings.Zone,
+		Listen:      d.settings.Peers,
+		TLS:         d.settings.PeerTLS,
+		Insecure:    d.settings.InsecurePeers,
+		Receive:     d.Runtime.HandlePeer,
+		Unreachable: d.Runtime.PeerUnreachable,
+		Log:         d.log,
+	})
+	if err != nil {
+		return &ListenError{Field: "peers", Address: d.settings.Peers, Err: err}
 	}
-	d.Runtime.Bind(d.front, d.peers)
+	d.peers = hub
+	d.Runtime.Bind(d.front, hub)
 	return nil
 }
 
@@ -201,10 +213,17 @@
 	d.serve("operators", func() error { return d.admin.Serve(d.operator) })
 	d.serve("callers", func() error { return d.front.Serve(d.callers) })
 	d.Runtime.Start()
-	<-ctx.Done()
-	return d.shutdown()
+	select {
+	case <-ctx.Done():
+		return d.shutdown()
+	case <-d.Runtime.Failed():
+		return errReducerPanicked
+	}
 }
 
+// errReducerPanicked ends the process without a graceful shutdown.
+var errReducerPanicked = errors.New("the reducer panicked, its state is not to be trusted")
+
 // serve runs a server and logs why it ended.
 func (d *Daemon) serve(name string, run func() error) {
 	d.serving.Go(func() {
