--- a/verbenacore/vrreducer/fleet.go
+++ b/verbenacore/vrreducer/fleet.go
@@ -160,5 +160,10 @@
 	}
 	s.fleet.granted = orders
 	s.zone.planAt = time.Time{}
+	if s.planning {
+		// The own zone's request is answered within the plan that made it.
+		s.replan = true
+		return
+	}
 	s.plan(now, out)
 }
--- a/verbenacore/vrreducer/plan.go
+++ b/verbenacore/vrreducer/plan.go
@@ -23,11 +23,23 @@
 		s.useGrants(now, out)
 		return
 	}
-	for _, action := range s.planner.Plan(now, s.planInput(now)) {
-		s.ledger.Apply(action)
+	s.planning = true
+	defer func() { s.planning = false }()
+	// New places at the weight store change the plan, which may change what is asked for.
+	// Two zones that want the same model could answer each other without end.
+	const rounds = 3
+	for range rounds {
+		s.replan = false
+		for _, action := range s.planner.Plan(now, s.planInput(now)) {
+			s.ledger.Apply(action)
+		}
+		s.ledger.Flush(now, out)
+		s.askSlots(now, out)
+		if !s.replan {
+			break
+		}
 	}
-	s.ledger.Flush(now, out)
-	s.askSlots(now, out)
+	s.zone.planAt = now
 }
 
 func (s *State) planInput(now time.Time) vrplace.Input {
--- a/verbenacore/vrreducer/vrreducer.go
+++ b/verbenacore/vrreducer/vrreducer.go
@@ -88,9 +88,12 @@
 	viewSequence uint64
 	viewConfig   vrid.ConfigVersion
 	crossing     crossing
-	loads        loadPace
-	fleet        fleet
-	shares       shares
+	// planning is set while a plan is made; replan asks for another round.
+	planning bool
+	replan   bool
+	loads    loadPace
+	fleet    fleet
+	shares   shares
 }
 
 type shutdown struct {
