Bound the plans that follow a grant of places

Cause: the fleet's owner gave itself places within a plan, planned again, asked again and so on until the stack was full. Change: a plan that changes its own places is followed by one more decision; a further change waits for the next plan.

--- a/verbenacore/vrreducer/fleet.go
+++ b/verbenacore/vrreducer/fleet.go
@@ -33,6 +33,8 @@
 	sent    []vrwire.SlotLoad
 	waiting time.Time
 	granted []vrid.OrderID
+	// planning is set while a plan asks for places.
+	planning bool
 }
 
 // slotPeer is a zone's owner as it last asked for places.
@@ -160,5 +162,7 @@
 	}
 	s.fleet.granted = orders
 	s.zone.planAt = time.Time{}
-	s.plan(now, out)
+	if !s.fleet.planning {
+		s.plan(now, out)
+	}
 }
--- a/verbenacore/vrreducer/plan.go
+++ b/verbenacore/vrreducer/plan.go
@@ -23,11 +23,23 @@
 		s.useGrants(now, out)
 		return
 	}
+	s.decideLoads(now, out)
+	s.fleet.planning = true
+	s.askSlots(now, out)
+	s.fleet.planning = false
+	if s.zone.planAt.IsZero() {
+		// Places that this daemon gave itself are used at once. A further change waits for
+		// the next plan, because each plan can change what is asked for.
+		s.zone.planAt = now
+		s.decideLoads(now, out)
+	}
+}
+
+func (s *State) decideLoads(now time.Time, out *vrevent.Effects) {
 	for _, action := range s.planner.Plan(now, s.planInput(now)) {
 		s.ledger.Apply(action)
 	}
 	s.ledger.Flush(now, out)
-	s.askSlots(now, out)
 }
 
 func (s *State) planInput(now time.Time) vrplace.Input {
