--- a/verbenacore/vrreducer/plan.go
+++ b/verbenacore/vrreducer/plan.go
@@ -23,23 +23,23 @@
 		s.useGrants(now, out)
 		return
 	}
-	s.planning = true
-	defer func() { s.planning = false }()
-	// New places at the weight store change the plan, which may change what is asked for.
-	// Two zones that want the same model could answer each other without end.
-	const rounds = 3
-	for range rounds {
-		s.replan = false
-		for _, action := range s.planner.Plan(now, s.planInput(now)) {
-			s.ledger.Apply(action)
-		}
-		s.ledger.Flush(now, out)
-		s.askSlots(now, out)
-		if !s.replan {
-			break
-		}
+	s.decideLoads(now, out)
+	s.fleet.planning = true
+	s.askSlots(now, out)
+	s.fleet.planning = false
+	if s.zone.planAt.IsZero() {
+		// Places that this daemon gave itself are used at once. A further change waits for
+		// the next plan, because each plan can change what is asked for.
+		s.zone.planAt = now
+		s.decideLoads(now, out)
 	}
-	s.zone.planAt = now
+}
+
+func (s *State) decideLoads(now time.Time, out *vrevent.Effects) {
+	for _, action := range s.planner.Plan(now, s.planInput(now)) {
+		s.ledger.Apply(action)
+	}
+	s.ledger.Flush(now, out)
 }
 
 func (s *State) planInput(now time.Time) vrplace.Input {
