Guard replicas that a higher rank uses regularly

Cause: in a flood of digests 72 loads drive urgent models out, since their use by other zones' requests is unknown to the owner. Change: no eviction by a lower rank of what a higher one uses regularly; owners tell each other of the use of their replicas.

--- a/verbenacore/vrplace/evict.go
+++ b/verbenacore/vrplace/evict.go
@@ -171,6 +171,13 @@
 			return false
 		}
 	}
+	if !w.planner.opts.Plain {
+		for higher := vrid.RankUrgent; higher < rank; higher++ {
+			if u.regular[higher].guards(w.now) {
+				return false
+			}
+		}
+	}
 	return w.now.Sub(u.last) >= w.settle(entry)
 }
 
--- a/verbenacore/vrplace/vrplace.go
+++ b/verbenacore/vrplace/vrplace.go
@@ -43,6 +43,8 @@
 	rate    float64
 	fadedAt time.Time
 	last    time.Time
+	// regular is how regularly each rank uses it.
+	regular [vrid.RankCount]regularity
 	waits   map[vrid.DaemonID]wait
 	failed  time.Time
 }
@@ -91,6 +93,7 @@
 	u.rate += float64(demand.Arrived)
 	if demand.Arrived > 0 || demand.Waiting > 0 {
 		u.last = now
+		u.regular[demand.Rank].note(now)
 	}
 	if demand.Waiting == 0 {
 		delete(u.waits, demand.Daemon)
--- a/verbenacore/vrreducer/plan.go
+++ b/verbenacore/vrreducer/plan.go
@@ -93,7 +93,9 @@
 func (s *State) sendDemand(now time.Time, demand vrwire.ModelDemand, out *vrevent.Effects) {
 	if s.lease.Holding() {
 		s.planner.Want(now, demand)
-		s.zone.planAt = time.Time{}
+		if demand.Waiting > 0 {
+			s.zone.planAt = time.Time{}
+		}
 		return
 	}
 	s.send(s.member.Owner(), &vrwire.Envelope{Demand: &vrwire.Demand{Demands: []vrwire.ModelDemand{demand}}}, out)
--- a/verbenacore/vrreducer/zone.go
+++ b/verbenacore/vrreducer/zone.go
@@ -121,7 +121,7 @@
 		s.sendArrivals(now)
 		return
 	}
-	s.takeReports(now)
+	s.takeReports(now, out)
 	s.ledger.SettleIssuers(s.provedSilent)
 	s.ledger.DropGone(s.serverGone)
 	s.plan(now, out)
@@ -319,7 +319,7 @@
 func (s *State) serverGone(id vrid.ServerID) bool { return s.vmGone(vrid.VMID(id)) }
 
 // takeReports passes reports and demand from the tree to the ledger and the planner.
-func (s *State) takeReports(now time.Time) {
+func (s *State) takeReports(now time.Time, out *vrevent.Effects) {
 	reports := s.member.TakeReports()
 	for i := range reports {
 		s.ledger.HandleReport(now, &reports[i])
@@ -327,9 +327,45 @@
 	if len(reports) > 0 || len(s.zone.drained) > 0 {
 		s.setServers(now)
 	}
-	for _, demand := range s.member.TakeDemands() {
+	demands := s.member.TakeDemands()
+	for _, demand := range demands {
 		s.planner.Want(now, demand)
 	}
+	s.forwardUse(demands, out)
+}
+
+// forwardUse tells the owners of replicas in other zones of their use by this zone's
+// requests: they would look idle there.
+func (s *State) forwardUse(demands []vrwire.ModelDemand, out *vrevent.Effects) {
+	if s.opts.Plain {
+		return
+	}
+	uses := make(map[vrid.ZoneID][]vrwire.ModelDemand)
+	for _, demand := range demands {
+		if demand.Arrived == 0 || s.ledger.Replicas(demand.Model) > 0 {
+			continue
+		}
+		demand.Waiting = 0
+		for zone, summary := range s.member.View().Remote {
+			if holds(summary.Servers, demand.Model) {
+				uses[zone] = append(uses[zone], demand)
+			}
+		}
+	}
+	for _, zone := range sortedKeys(uses) {
+		s.send(s.zone.owners[zone], &vrwire.Envelope{Demand: &vrwire.Demand{Demands: uses[zone]}}, out)
+	}
+}
+
+func holds(servers []vrwire.ServerItem, model vrid.ModelID) bool {
+	for i := range servers {
+		for j := range servers[i].Replicas {
+			if servers[i].Replicas[j].Model == model {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // departures closes the record of members that are gone.
