--- a/verbenabench/internal/vrmeasure/world.go
+++ b/verbenabench/internal/vrmeasure/world.go
@@ -273,4 +273,3 @@
 
 // Reduced is not needed.
 func (s *setting) Reduced(*vrworld.Process) {}
-
--- a/verbenacore/vrreducer/config.go
+++ b/verbenacore/vrreducer/config.go
@@ -94,7 +94,7 @@
 }
 
 func (s *State) offerConfig(to vrmember.Peer, out *vrevent.Effects) {
-	if s.document == nil {
+	if s.document == nil || vrfault.On(vrfault.KeepConfig) {
 		return
 	}
 	s.send(to, &vrwire.Envelope{ConfigOffer: &vrwire.ConfigOffer{
@@ -305,7 +305,7 @@
 	out.Add(vrevent.ConfigDecided{Proposal: c.Proposal, Decision: decision, Version: max(c.head, s.store.Version())})
 	if decision == vrevent.ConfigAccepted {
 		s.appendOwn(now, vrrecord.Entry{
-			Kind: vrrecord.EntryCommand, Text: c.Command, Operator: c.Operator, Ran: vrrecord.RanYes,
+			Kind: vrrecord.EntryCommand, Text: c.Command, Operator: c.Operator, Ran: vrrecord.RanYes, FromConfig: c.Base,
 		}, out)
 	}
 }
--- a/verbenacore/vrreducer/peers.go
+++ b/verbenacore/vrreducer/peers.go
@@ -5,6 +5,7 @@
 
 	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrfault"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrmember"
 	"verbenaroute.example/verbenacore/vrroute"
@@ -36,6 +37,8 @@
 		s.journal.HandleAck(now, envelope.RecordAck)
 	case envelope.ZoneSummary != nil:
 		s.zoneSummary(now, envelope.ZoneSummary)
+	case envelope.ServerNotice != nil:
+		s.serverNotice(now, envelope, out)
 	case envelope.EpochAck != nil:
 		s.zone.acks[run{daemon: envelope.From, boot: envelope.Boot}] = envelope.EpochAck.Epoch
 	case envelope.SlotRequest != nil:
@@ -84,14 +87,6 @@
 	s.plan(now, out)
 }
 
-// zoneSummary takes what another zone's owner can serve.
-func (s *State) zoneSummary(_ time.Time, summary *vrwire.ZoneSummary) {
-	if s.member.Root() {
-		s.member.PublishRemote(*summary)
-	}
-	s.zone.owners[summary.Zone] = vrmember.Peer{Daemon: summary.Owner, Address: summary.Peer}
-}
-
 // peerOf finds the address of a daemon.
 func (s *State) peerOf(daemon vrid.DaemonID) vrmember.Peer {
 	view := s.member.View()
@@ -116,8 +111,9 @@
 	return vrmember.Peer{Daemon: daemon}
 }
 
-// peerUnreachable asks for the claims that waited for a lost peer by a direct write.
+// peerUnreachable finds another parent, and asks for the claims that waited for a lost peer by a direct write.
 func (s *State) peerUnreachable(now time.Time, peer vrid.DaemonID, out *vrevent.Effects) {
+	s.member.PeerLost(now, peer)
 	if record, _ := s.fleet.lease.Known(); record.Holder == peer && !s.fleet.waiting.IsZero() {
 		s.fleet.waiting = now.Add(-slotTimeout)
 	}
@@ -129,6 +125,10 @@
 		if r == nil || r.phase != phaseClaiming || r.claim.direct {
 			continue
 		}
+		if vrfault.On(vrfault.DropOnPeerLoss) {
+			delete(s.requests, id)
+			continue
+		}
 		if owner, own := s.shardOwner(r.claim.shard); !own && owner.Daemon == peer {
 			r.claim.direct = true
 			s.askClaim(now, r, out)
@@ -137,7 +137,7 @@
 }
 
 // refreshTable rebuilds the router's table when the zone view or the configuration
-// changed, and when other zones fall silent.
+// changed.
 func (s *State) refreshTable(now time.Time) {
 	view := s.member.View()
 	index := s.store.Current()
@@ -145,11 +145,10 @@
 		return
 	}
 	same := view.Epoch == s.viewEpoch && view.Sequence == s.viewSequence && index.Fleet.Version == s.viewConfig
-	if same && now.Sub(s.tableAt) < vrmember.RemoteTimeout()/3 {
+	if same {
 		return
 	}
 	s.viewEpoch, s.viewSequence, s.viewConfig = view.Epoch, view.Sequence, index.Fleet.Version
-	s.tableAt = now
 	share := s.share(view)
 	region := index.Region(s.opts.Zone)
 	var updates []vrroute.Update
@@ -158,7 +157,7 @@
 	}
 	for _, zone := range sortedKeys(view.Remote) {
 		summary := view.Remote[zone]
-		if zone == s.opts.Zone || s.remoteSilent(now, zone, summary.SentAt) {
+		if zone == s.opts.Zone {
 			continue
 		}
 		distance := vrroute.OtherRegion
@@ -170,29 +169,18 @@
 			updates = append(updates, vrroute.Update{Item: item, Distance: distance, Share: far})
 		}
 	}
-	s.markDrained(index, updates)
+	s.markDrained(now, index, updates)
 	s.table.SetServers(updates)
 	s.queue.WakeAll()
 }
 
-// markDrained applies an operator's drain before the view carries it.
-func (s *State) markDrained(index *vrconfig.Index, updates []vrroute.Update) {
+// markDrained applies an operator's drain and a notice before the view carries them.
+func (s *State) markDrained(now time.Time, index *vrconfig.Index, updates []vrroute.Update) {
 	for i := range updates {
 		item := &updates[i].Item
 		drained := index.Drained(item.Server) || s.zone.drained[item.Server]
-		if drained && item.State == vrwire.ServerLive {
+		if (drained || s.noticed(now, item.Server)) && item.State == vrwire.ServerLive {
 			item.State = vrwire.ServerDrained
 		}
 	}
 }
-
-// remoteSilent reports whether a zone's summary is too old to route by. Its age is
-// measured from its arrival here, since clocks of other zones may differ.
-func (s *State) remoteSilent(now time.Time, zone vrid.ZoneID, sentAt int64) bool {
-	heard := s.remoteHeard[zone]
-	if heard.sentAt != sentAt {
-		heard = remoteZone{sentAt: sentAt, heard: now}
-		s.remoteHeard[zone] = heard
-	}
-	return now.Sub(heard.heard) > vrmember.RemoteTimeout()
-}
--- a/verbenacore/vrreducer/vrreducer.go
+++ b/verbenacore/vrreducer/vrreducer.go
@@ -87,8 +87,6 @@
 	viewEpoch    vrid.Epoch
 	viewSequence uint64
 	viewConfig   vrid.ConfigVersion
-	remoteHeard  map[vrid.ZoneID]remoteZone
-	tableAt      time.Time
 	crossing     crossing
 	loads        loadPace
 	fleet        fleet
@@ -99,6 +97,9 @@
 	requested bool
 	since     time.Time
 	stopped   bool
+	// closing is set once the callers' port has to close, closed once it has.
+	closing bool
+	closed  bool
 	// handover is the epoch of the lease that this daemon gives up.
 	handover vrid.Epoch
 }
@@ -112,16 +113,15 @@
 		opts.QueueMemory = defaultQueueMemory
 	}
 	s := &State{
-		opts:        opts,
-		ops:         &vrevent.Ops{},
-		random:      rand.New(rand.NewPCG(opts.Random, uint64(len(opts.Daemon)))),
-		planner:     vrplace.New(vrplace.Options{Plain: opts.Plain}),
-		requests:    make(map[vrid.RequestID]*request),
-		claims:      newClaims(),
-		polls:       make(map[vrid.ServerID]*poll),
-		remoteHeard: make(map[vrid.ZoneID]remoteZone),
-		zone:        newZone(),
-		shares:      newShares(),
+		opts:     opts,
+		ops:      &vrevent.Ops{},
+		random:   rand.New(rand.NewPCG(opts.Random, uint64(len(opts.Daemon)))),
+		planner:  vrplace.New(vrplace.Options{Plain: opts.Plain}),
+		requests: make(map[vrid.RequestID]*request),
+		claims:   newClaims(),
+		polls:    make(map[vrid.ServerID]*poll),
+		zone:     newZone(),
+		shares:   newShares(),
 	}
 	s.queue = vradmit.New(vradmit.Options{Requests: opts.Queue, Memory: opts.QueueMemory, FirstCome: opts.Plain})
 	s.table = vrroute.New(vrroute.Options{Random: s.random, LeastLoaded: opts.Plain})
@@ -175,7 +175,7 @@
 	case vrevent.ConfigProposed:
 		s.configProposed(now, e, out)
 	case vrevent.ReportReceived:
-		s.reportReceived(now, e)
+		s.reportReceived(now, e, out)
 	case vrevent.ReportFailed:
 		s.reportFailed(now, e)
 	case vrevent.OrderAnswered:
@@ -190,6 +190,8 @@
 		s.table.CacheEvents(e.Server, e.Events)
 	case vrevent.ShutdownRequested:
 		s.shutdownRequested(now, out)
+	case vrevent.CallersClosed:
+		s.shutdown.closed = true
 	}
 	s.flush(now, out)
 }
--- a/verbenacore/vrreducer/zone.go
+++ b/verbenacore/vrreducer/zone.go
@@ -57,6 +57,7 @@
 	leasesAt   time.Time
 	leasesOp   vrevent.Op
 	owners     map[vrid.ZoneID]vrmember.Peer
+	neighbours map[vrid.ZoneID]*neighbour
 	ackOp      vrevent.Op
 	ackAt      time.Time
 	ackVersion vrid.ObjectVersion
@@ -68,7 +69,9 @@
 	arrivals   map[demandKey]uint32
 	arrivalsAt time.Time
 	drained    map[vrid.ServerID]bool
-	watching   bool
+	// leaving are servers that a notice named, with the time of the notice.
+	leaving  map[vrid.ServerID]time.Time
+	watching bool
 	// summaryDue is set when other zones' requests may wait for a new replica.
 	summaryDue bool
 	// loaded is the number of loaded replicas and adapters in the last view.
@@ -87,20 +90,16 @@
 	rank    vrid.Rank
 }
 
-// remoteZone is when another zone's summary was heard here.
-type remoteZone struct {
-	sentAt int64
-	heard  time.Time
-}
-
 func newZone() zone {
 	return zone{
-		vms:      make(map[vrid.VMID]vrplatform.VM),
-		acks:     make(map[run]vrid.Epoch),
-		owners:   make(map[vrid.ZoneID]vrmember.Peer),
-		wanted:   make(map[demandKey]time.Time),
-		arrivals: make(map[demandKey]uint32),
-		drained:  make(map[vrid.ServerID]bool),
+		vms:        make(map[vrid.VMID]vrplatform.VM),
+		acks:       make(map[run]vrid.Epoch),
+		owners:     make(map[vrid.ZoneID]vrmember.Peer),
+		neighbours: make(map[vrid.ZoneID]*neighbour),
+		wanted:     make(map[demandKey]time.Time),
+		arrivals:   make(map[demandKey]uint32),
+		drained:    make(map[vrid.ServerID]bool),
+		leaving:    make(map[vrid.ServerID]time.Time),
 	}
 }
 
@@ -241,6 +240,7 @@
 		s.member.BecomeRoot(now, record.Epoch)
 		s.ledger.Activate(now, record.Epoch, record.Chunks, out)
 		s.zone.leasesAt = time.Time{}
+		clear(s.zone.neighbours)
 		s.zone.listed = false
 		s.zone.early = s.zone.listing
 		s.zone.vmsAt = time.Time{}
@@ -267,7 +267,7 @@
 
 // ackEpoch tells a newer owner that this run holds no unsent order of an earlier epoch.
 func (s *State) ackEpoch(now time.Time, out *vrevent.Effects) {
-	if !s.ledger.Issued() || s.lease.Holding() || s.ledger.Outstanding() > 0 {
+	if !s.ledger.Issued() || s.lease.Holding() || !s.ledger.Silent(now) {
 		return
 	}
 	if now.Sub(s.zone.ackedAt) < epochAckInterval || s.lease.Epoch() == 0 {
@@ -388,6 +388,7 @@
 	silence := now.Sub(s.zone.summaryAt)
 	if silence >= summaryInterval || (s.zone.summaryDue && silence >= summaryGap) {
 		s.zone.summaryAt = now
+		s.member.SweepRemote(now)
 		s.zone.summaryDue = false
 		s.sendSummaries(now, out)
 	}
@@ -430,27 +431,6 @@
 	}
 }
 
-// sendSummaries tells the other zones' owners what this zone can serve.
-func (s *State) sendSummaries(now time.Time, out *vrevent.Effects) {
-	view := s.member.View()
-	summary := &vrwire.ZoneSummary{
-		Zone: s.opts.Zone, Epoch: view.Epoch, Owner: s.opts.Daemon, Peer: s.opts.PeerAddress,
-		Config: s.store.Version(), InForce: s.inForce(), SentAt: now.UnixMilli(),
-		FarShare: s.farGrant(),
-	}
-	for _, id := range sortedKeys(view.Servers) {
-		if item := view.Servers[id]; item.State == vrwire.ServerLive {
-			summary.Servers = append(summary.Servers, item)
-		}
-	}
-	for _, id := range sortedKeys(view.Members) {
-		summary.Members = append(summary.Members, view.Members[id])
-	}
-	for _, zone := range sortedKeys(s.zone.owners) {
-		s.send(s.zone.owners[zone], &vrwire.Envelope{ZoneSummary: summary}, out)
-	}
-}
-
 func (s *State) orderAnswered(now time.Time, event vrevent.OrderAnswered, out *vrevent.Effects) {
 	epoch := s.ledger.HandleOrder(now, event)
 	if epoch > 0 {
--- a/verbenaroute/internal/vrfront/flight.go
+++ b/verbenaroute/internal/vrfront/flight.go
@@ -14,6 +14,8 @@
 	// _outputBytes is how much of a stream waits for a slow caller before the attempt
 	// stops reading from the back end.
 	_outputBytes = 64 << 10
+	// _firstOutput holds the first few chunks of a stream.
+	_firstOutput = 1 << 10
 	// _answerBytes bounds an answer that is collected as a whole.
 	_answerBytes = 8 << 20
 )
@@ -68,7 +70,8 @@
 	room chan struct{}
 
 	mu sync.Mutex
-	// output holds encoded tokens that the handler has not taken.
+	// output holds encoded tokens that the handler has not taken. Nothing is added
+	// after the terminal effect.
 	output []byte
 	// next is the offset of the first token that was not accepted. Only a token with
 	// exactly this offset is accepted, so no token is lost or doubled.
@@ -91,7 +94,9 @@
 	dispatch vrevent.Dispatch
 	cancel   context.CancelFunc
 	timer    *time.Timer
-	// timedOut is guarded by the flight's mutex.
+	// spoke is set with the first line, timedOut when there was none by the deadline;
+	// both are guarded by the flight's mutex.
+	spoke    bool
 	timedOut bool
 }
 
@@ -131,11 +136,12 @@
 	}
 }
 
-// begin notes a new attempt; false when the caller is gone.
+// begin notes a new attempt; false when the caller is gone and nothing is lost by not
+// sending the request.
 func (f *flight) begin(a *attempt) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.gone || f.terminal != nil {
+	if f.gone && f.mayCancel() {
 		return false
 	}
 	f.attempts = append(f.attempts, a)
@@ -147,7 +153,8 @@
 	timer := time.AfterFunc(time.Until(a.dispatch.Deadline), func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		a.timedOut = true
+		// A stream that stalls later is broken and goes on elsewhere.
+		a.timedOut = !a.spoke
 		a.cancel()
 	})
 	f.mu.Lock()
@@ -158,7 +165,7 @@
 
 // leave removes an attempt that ended, frees the stream for the next one and refines
 // the result: a canceled call looks broken to the client.
-func (f *flight) leave(a *attempt, result vrevent.AttemptResult) (refined vrevent.AttemptResult, gone bool) {
+func (f *flight) leave(a *attempt, result vrevent.AttemptResult) vrevent.AttemptResult {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i, candidate := range f.attempts {
@@ -170,16 +177,14 @@
 	if f.owner == a {
 		f.owner = nil
 	}
-	if result != vrevent.AttemptBroken {
-		return result, f.gone
-	}
 	switch {
+	case result == vrevent.AttemptAnswered:
 	case f.gone && f.mayCancel():
-		return vrevent.AttemptCallerGone, true
-	case a.timedOut:
-		return vrevent.AttemptTimedOut, f.gone
+		return vrevent.AttemptCallerGone
+	case a.timedOut && !result.ProvesNotRun():
+		return vrevent.AttemptTimedOut
 	}
-	return result, f.gone
+	return result
 }
 
 // cancelAttempt stops one attempt.
@@ -207,14 +212,22 @@
 	return len(f.attempts) == 0
 }
 
+// idle reports whether no attempt runs.
+func (f *flight) idle() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.attempts) == 0
+}
+
 // accept takes a line of the owner's stream; first is set for its first line.
 func (f *flight) accept(a *attempt, line *vrengine.Token) (first bool, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.owner != nil && f.owner != a {
+	if f.terminal != nil || (f.owner != nil && f.owner != a) {
 		return false, errNotOwner
 	}
-	first = f.owner == nil
+	first = !a.spoke
+	a.spoke = true
 	f.owner = a
 	if line.Offset > f.next {
 		return false, &OffsetError{Want: f.next, Found: line.Offset}
@@ -223,6 +236,9 @@
 		return false, errAnswerTooLarge
 	}
 	if line.Token != "" && line.Offset == f.next {
+		if f.output == nil {
+			f.output = make([]byte, 0, _firstOutput)
+		}
 		f.output = f.encode(f.output, line.Token)
 		f.next++
 		signal(f.wake)
--- /dev/null
+++ b/verbenaroute/internal/vroperator/audit.go
@@ -0,0 +1,91 @@
+package vroperator
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrplatform"
+	"verbenaroute.example/verbenacore/vrquery"
+	"verbenaroute.example/verbenacore/vrrecord"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+// blocks answers GET /v1/record/blocks with the objects as they lie on the platform:
+// with zone and day the keys of a day, with prefix the blocks of one writer and hour.
+func (o *Operator) blocks(ctx context.Context, request call) (*vrquery.BlocksAnswer, error) {
+	if prefix := request.params["prefix"]; prefix != "" {
+		return o.listBlocks(ctx, prefix, true)
+	}
+	day, err := time.Parse(time.DateOnly, request.params["day"])
+	if err != nil || request.params["zone"] == "" {
+		return nil, usage("prefix is needed, or zone and day such as 2026-01-31")
+	}
+	return o.listBlocks(ctx, vrrecord.DayPrefix(vrid.ZoneID(request.params["zone"]), day), false)
+}
+
+func (o *Operator) listBlocks(ctx context.Context, prefix string, values bool) (*vrquery.BlocksAnswer, error) {
+	// Only the record may be read this way; a prefix of one writer bounds the answer.
+	if _, err := vrrecord.ParseKey(prefix + "0"); values && err != nil {
+		return nil, usage("prefix is not that of one writer and hour: " + err.Error())
+	}
+	items, outcome := o.objects.List(ctx, prefix, values)
+	if outcome != vrplatform.OutcomeOK {
+		return nil, unavailable(fmt.Sprintf("the platform's list of %s is %s", prefix, outcome))
+	}
+	answer := &vrquery.BlocksAnswer{Blocks: make([]vrquery.RawBlock, len(items))}
+	for i, item := range items {
+		answer.Blocks[i] = vrquery.RawBlock{Key: item.Key, Data: item.Value}
+	}
+	return answer, nil
+}
+
+// claimsPart bounds the claim segments in one answer.
+const claimsPart = 8 << 20
+
+// claims answers GET /v1/record/claims?shard=N&after=KEY with the claims of a shard, a
+// part at a time. The stored answers to customers are left out.
+func (o *Operator) claims(ctx context.Context, request call) (*vrquery.ClaimsAnswer, error) {
+	fleet, err := o.configuration(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	shard, err := strconv.ParseUint(request.params["shard"], 10, 31)
+	if err != nil || shard >= uint64(fleet.Claims.Shards) {
+		return nil, usage(fmt.Sprintf("shard is a number from 0 to %d", fleet.Claims.Shards-1))
+	}
+	items, outcome := o.objects.List(ctx, vrplatform.ClaimPrefix(uint32(shard)), false)
+	if outcome != vrplatform.OutcomeOK {
+		return nil, unavailable(fmt.Sprintf("the platform's list of the claims of shard %d is %s", shard, outcome))
+	}
+	answer := &vrquery.ClaimsAnswer{}
+	size := 0
+	for _, item := range items {
+		if item.Key <= request.params["after"] {
+			continue
+		}
+		value, outcome := o.objects.Read(ctx, item.Key)
+		if outcome != vrplatform.OutcomeOK {
+			return nil, unavailable(fmt.Sprintf("the platform's answer for %s is %s", item.Key, outcome))
+		}
+		segment, err := vrwire.Unmarshal[vrwire.ClaimSegment](value)
+		if err != nil {
+			return nil, fmt.Errorf("claims %s: %w", item.Key, err)
+		}
+		answer.Claims = append(answer.Claims, withoutBodies(segment)...)
+		if size += len(value); size >= claimsPart {
+			answer.Next = item.Key
+			break
+		}
+	}
+	return answer, nil
+}
+
+func withoutBodies(segment *vrwire.ClaimSegment) []vrwire.ClaimEntry {
+	for i := range segment.Entries {
+		segment.Entries[i].Body = nil
+	}
+	return segment.Entries
+}
--- a/verbenaroute/internal/vrserve/hook.go
+++ b/verbenaroute/internal/vrserve/hook.go
@@ -30,8 +30,13 @@
 	r.options.Peers.Send(peer, address, envelope)
 }
 
-// HandlePeer takes a checked message of another daemon.
+// HandlePeer takes a checked message of another daemon. It blocks until Start.
 func (r *Runtime) HandlePeer(envelope *vrwire.Envelope) {
+	select {
+	case <-r.started:
+	case <-r.base.Done():
+		return
+	}
 	switch {
 	case envelope.ConfigOffer != nil:
 		r.takeOffer(envelope)
@@ -72,7 +77,6 @@
 }
 
 type proposal struct {
-	event vrevent.ConfigProposed
 	// decided has room for the one decision.
 	decided chan vrevent.ConfigDecided
 }
@@ -82,7 +86,6 @@
 func (r *Runtime) Propose(ctx context.Context, event vrevent.ConfigProposed) vrevent.ConfigDecided {
 	waiting := &proposal{decided: make(chan vrevent.ConfigDecided, 1)}
 	event.Proposal = r.proposals.add(waiting)
-	waiting.event = event
 	defer r.proposals.take(event.Proposal)
 	r.Submit(event)
 	select {
@@ -112,11 +115,7 @@
 // decide passes a decision to the operator's call.
 func (r *Runtime) decide(e vrevent.ConfigDecided) {
 	waiting := r.proposals.take(e.Proposal)
-	if waiting == nil {
-		return
-	}
-	if e.Decision == vrevent.ConfigAccepted {
-		r.advance(waiting.event.Index)
+	if waiting != nil {
+		waiting.decided <- e
 	}
-	waiting.decided <- e
 }
