--- a/verbenabench/internal/vrmeasure/world.go
+++ b/verbenabench/internal/vrmeasure/world.go
@@ -27,9 +27,6 @@
 	_sizeBytes = 2 * vrid.KiB
 )
 
-// serviceTime is how long one request holds a slot.
-const _serviceTime = _prefill + (_tokens-1)*_token
-
 // setting is a deployment in virtual time with the counts that figures need.
 type setting struct {
 	*vrworld.World
@@ -45,10 +42,9 @@
 }
 
 type decision struct {
-	server  vrid.ServerID
-	model   vrid.ModelID
-	adapter vrid.AdapterID
-	order   vrid.OrderID
+	server vrid.ServerID
+	model  vrid.ModelID
+	order  vrid.OrderID
 }
 
 // change adapts the deployment of a measurement.
@@ -162,14 +158,13 @@
 
 // service sums up how the requests of a rank ended.
 type service struct {
-	sent      int
-	answered  int
-	inTarget  int
-	refused   int
-	late      int
-	firsts    []float64
-	unended   int
-	truthless int
+	sent     int
+	answered int
+	inTarget int
+	refused  int
+	late     int
+	firsts   []float64
+	unended  int
 }
 
 // serviceOf sums up the requests of a rank that were sent within a window.
--- a/verbenabench/internal/vrworld/pace.go
+++ b/verbenabench/internal/vrworld/pace.go
@@ -37,12 +37,6 @@
 	diskCopies   = 12
 )
 
-// Places of copies in an order.
-const (
-	sourceMemory = "memory"
-	sourceDisk   = "disk"
-)
-
 func (w *World) tokenTime() time.Duration {
 	if w.Options.Pace != nil {
 		return w.Options.Pace.Token
