Measure real idle daemons on loopback

Cause: the reducers in virtual time leave out sockets, timers and the runtime. Change: verbenabench daemon-cost starts 9 to 108 real daemons and reads their own metrics; the reading of metrics is shared with the path measurement.

--- a/verbenabench/internal/vrcommand/vrcommand.go
+++ b/verbenabench/internal/vrcommand/vrcommand.go
@@ -20,7 +20,7 @@
 	}
 	root.AddCommand(
 		newStandin(), newTry(), newScenario(),
-		vrmeasure.Command(), vrpath.Command(), vrcost.Command(), vrcost.SpreadCommand(),
+		vrmeasure.Command(), vrpath.Command(), vrcost.Command(), vrcost.SpreadCommand(), vrcost.RealCommand(),
 	)
 	return root
 }
--- /dev/null
+++ b/verbenabench/internal/vrcost/real.go
@@ -0,0 +1,145 @@
+package vrcost
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"verbenaroute.example/verbenabench/internal/vrdeploy"
+	"verbenaroute.example/verbenabench/internal/vrfleet"
+	"verbenaroute.example/verbenabench/internal/vrscrape"
+	"verbenaroute.example/verbenacore/vrid"
+)
+
+// RealOptions of a measurement with real daemons on loopback.
+type RealOptions struct {
+	Deployment string
+	Daemons    []int
+	// ServersPerDaemon language servers for each daemon.
+	ServersPerDaemon int
+	For              time.Duration
+	Out              io.Writer
+}
+
+// realBound is the longest time until all daemons are ready.
+const realBound = time.Minute
+
+// RunReal starts each number of daemons, lets them idle and prints what they used.
+func RunReal(ctx context.Context, options RealOptions) error {
+	dir, err := os.MkdirTemp("", "verbenaroute-cost-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	program, err := vrfleet.Build(ctx, dir, false)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(options.Out, "%8s %8s %12s %12s %12s %12s %12s %12s\n",
+		"daemons", "servers", "core % p50", "core % max", "MiB p50", "MiB max", "peer B/s p50", "peer B/s max")
+	for _, daemons := range options.Daemons {
+		if err := runReal(ctx, options, program, fmt.Sprintf("%s/%d", dir, daemons), daemons); err != nil {
+			return fmt.Errorf("%d daemons: %w", daemons, err)
+		}
+	}
+	return nil
+}
+
+func runReal(ctx context.Context, options RealOptions, program, dir string, daemons int) error {
+	deployment, err := vrdeploy.ByName(options.Deployment, vrdeploy.Size{
+		Daemons: daemons, Servers: daemons * options.ServersPerDaemon,
+	})
+	if err != nil {
+		return err
+	}
+	fleet, err := vrfleet.New(vrfleet.Options{Deployment: deployment, Program: program, Dir: dir})
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	if err := fleet.StartAll(ctx, realBound); err != nil {
+		return err
+	}
+	if err := wait(ctx, settleTime); err != nil {
+		return err
+	}
+	before, err := scrapeAll(fleet)
+	if err != nil {
+		return err
+	}
+	if err := wait(ctx, options.For); err != nil {
+		return err
+	}
+	after, err := scrapeAll(fleet)
+	if err != nil {
+		return err
+	}
+	printReal(options, deployment, before, after)
+	return fleet.StopAll()
+}
+
+func wait(ctx context.Context, length time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(length):
+		return nil
+	}
+}
+
+func scrapeAll(fleet *vrfleet.Fleet) (map[vrid.DaemonID]vrscrape.Usage, error) {
+	client := &http.Client{Timeout: 10 * time.Second}
+	usages := make(map[vrid.DaemonID]vrscrape.Usage)
+	for _, daemon := range fleet.Deployment.Daemons {
+		usage, err := vrscrape.Read(client, fleet.Ports[daemon.ID].Operators)
+		if err != nil {
+			return nil, err
+		}
+		usages[daemon.ID] = usage
+	}
+	return usages, nil
+}
+
+func printReal(options RealOptions, deployment *vrdeploy.Deployment, before, after map[vrid.DaemonID]vrscrape.Usage) {
+	var cores, memory, bytes []float64
+	for id, usage := range after {
+		const percent = 100
+		cores = append(cores, percent*(usage.CPU-before[id].CPU).Seconds()/options.For.Seconds())
+		memory = append(memory, float64(usage.Memory)/float64(vrid.MiB))
+		peer := usage.Sum("verbenaroute_peer_bytes_total") - before[id].Sum("verbenaroute_peer_bytes_total")
+		bytes = append(bytes, peer/options.For.Seconds())
+	}
+	for _, values := range [][]float64{cores, memory, bytes} {
+		slices.Sort(values)
+	}
+	last := len(cores) - 1
+	fmt.Fprintf(options.Out, "%8d %8d %12.2f %12.2f %12.1f %12.1f %12.0f %12.0f\n", len(after),
+		len(deployment.Servers), cores[last/2], cores[last], memory[last/2], memory[last], bytes[last/2], bytes[last])
+}
+
+// RealCommand returns `verbenabench daemon-cost`.
+func RealCommand() *cobra.Command {
+	options := RealOptions{}
+	command := &cobra.Command{
+		Use:   "daemon-cost",
+		Short: "Measure processor time, memory and bytes of real idle daemons on loopback",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			options.Out = command.OutOrStdout()
+			return RunReal(command.Context(), options)
+		},
+	}
+	const defaultFor = 15 * time.Second
+	flags := command.Flags()
+	flags.StringVar(&options.Deployment, "deployment", vrdeploy.Shuyuan, "deployment: shuyuan or hayabusa")
+	flags.IntSliceVar(&options.Daemons, "daemons", []int{9, 27, 54, 108}, "daemons in three zones")
+	flags.IntVar(&options.ServersPerDaemon, "servers", 1, "language servers for each daemon")
+	flags.DurationVar(&options.For, "for", defaultFor, "time of each measurement")
+	return command
+}
--- a/verbenabench/internal/vrpath/session.go
+++ b/verbenabench/internal/vrpath/session.go
@@ -1,7 +1,6 @@
 package vrpath
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -9,31 +8,23 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"verbenaroute.example/verbenabench/internal/vrdeploy"
 	"verbenaroute.example/verbenabench/internal/vrfleet"
+	"verbenaroute.example/verbenabench/internal/vrscrape"
 	"verbenaroute.example/verbenacore/vrengine"
 	"verbenaroute.example/verbenacore/vrid"
 )
 
 // session is one daemon, one engine that holds a model, and a client for both.
 type session struct {
-	client  *http.Client
-	callers string
-	metrics string
-	fleet   *vrfleet.Fleet
-	model   vrid.ModelID
-	engine  string
-}
-
-// usage is what the daemon used so far.
-type usage struct {
-	cpu       time.Duration
-	memory    vrid.Bytes
-	allocated float64
+	client    *http.Client
+	callers   string
+	operators string
+	fleet     *vrfleet.Fleet
+	model     vrid.ModelID
+	engine    string
 }
 
 var errNoEngine = errors.New("no engine holds the model after the first request")
@@ -46,11 +37,11 @@
 
 func newSession(fleet *vrfleet.Fleet, daemon vrid.DaemonID, deployment *vrdeploy.Deployment) *session {
 	return &session{
-		client:  &http.Client{Transport: &http.Transport{MaxIdleConns: 2 * clients, MaxIdleConnsPerHost: clients}},
-		callers: "http://" + fleet.Ports[daemon].Callers,
-		metrics: "http://" + fleet.Ports[daemon].Operators + "/metrics",
-		fleet:   fleet,
-		model:   deployment.Fleet.Models[0].ID,
+		client:    &http.Client{Transport: &http.Transport{MaxIdleConns: 2 * clients, MaxIdleConnsPerHost: clients}},
+		callers:   "http://" + fleet.Ports[daemon].Callers,
+		operators: fleet.Ports[daemon].Operators,
+		fleet:     fleet,
+		model:     deployment.Fleet.Models[0].ID,
 	}
 }
 
@@ -135,32 +126,11 @@
 	return took, nil
 }
 
-// process reads the daemon's own metrics; what is missing stays zero.
-func (s *session) process() usage {
-	response, err := s.client.Get(s.metrics)
+// process reads the daemon's own metrics; a failed reading leaves them zero.
+func (s *session) process() vrscrape.Usage {
+	usage, err := vrscrape.Read(s.client, s.operators)
 	if err != nil {
-		return usage{}
-	}
-	defer func() { _ = response.Body.Close() }()
-	var result usage
-	lines := bufio.NewScanner(response.Body)
-	for lines.Scan() {
-		name, text, ok := strings.Cut(lines.Text(), " ")
-		if !ok {
-			continue
-		}
-		value, err := strconv.ParseFloat(text, 64)
-		if err != nil {
-			continue
-		}
-		switch name {
-		case "process_cpu_seconds_total":
-			result.cpu = time.Duration(value * float64(time.Second))
-		case "process_resident_memory_bytes":
-			result.memory = vrid.Bytes(value)
-		case "go_memstats_alloc_bytes_total":
-			result.allocated = value
-		}
+		return vrscrape.Usage{}
 	}
-	return result
+	return usage
 }
--- a/verbenabench/internal/vrpath/vrpath.go
+++ b/verbenabench/internal/vrpath/vrpath.go
@@ -122,8 +122,8 @@
 	for _, stream := range []bool{true, false} {
 		point := s.compare(ctx, options, stream)
 		point.Declared = idle
-		point.IdleMemory = quiet.memory
-		point.IdleCPU = (quiet.cpu - before.cpu) / (idleTime / time.Second)
+		point.IdleMemory = quiet.Memory
+		point.IdleCPU = (quiet.CPU - before.CPU) / (idleTime / time.Second)
 		points = append(points, point)
 	}
 	return points, fleet.StopAll()
@@ -181,7 +181,7 @@
 	}
 	wait.Wait()
 	after := s.process()
-	point.Allocated = (after.allocated - before.allocated) / float64(max(total, 1))
+	point.Allocated = (after.Allocated - before.Allocated) / float64(max(total, 1))
 	point.Direct = quantiles(direct)
 	point.Through = quantiles(through)
 	return point
