Reserve daemons' ports below the range of outgoing connections

Cause: daemon-cost failed with 'address already in use': the kernel had given a reserved port to an outgoing connection before the daemon opened it. Change: random free ports between 12000 and 32000.

--- a/verbenabench/internal/vrdeploy/settings.go
+++ b/verbenabench/internal/vrdeploy/settings.go
@@ -12,6 +12,7 @@
 	"encoding/pem"
 	"fmt"
 	"math/big"
+	mathrand "math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -34,8 +35,16 @@
 	Peers     string `json:"peers"`
 }
 
+// Daemons get ports below the range from which the kernel takes those of outgoing
+// connections: a port of that range can be gone before the daemon opens it.
+const (
+	lowestPort = 12_000
+	portCount  = 20_000
+	portTries  = 200
+)
+
 // ReservePorts finds free loopback ports for each daemon. Each port is closed again
-// before the daemon opens it, so another process could take it in between.
+// before the daemon opens it; random places keep fleets that start at once apart.
 func ReservePorts(daemons []Daemon) (map[vrid.DaemonID]Ports, error) {
 	const kinds = 3
 	var open []net.Listener
@@ -48,7 +57,7 @@
 	for _, daemon := range daemons {
 		var addresses [kinds]string
 		for i := range addresses {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			listener, err := listenFree()
 			if err != nil {
 				return nil, fmt.Errorf("reserve a port for %s: %w", daemon.ID, err)
 			}
@@ -60,6 +69,19 @@
 	return ports, nil
 }
 
+// listenFree opens a free port.
+func listenFree() (net.Listener, error) {
+	var err error
+	for range portTries {
+		var listener net.Listener
+		port := lowestPort + mathrand.IntN(portCount)
+		if listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			return listener, nil
+		}
+	}
+	return nil, err
+}
+
 // SettingsOptions says where daemons find each other and the platform.
 type SettingsOptions struct {
 	Dir string
