--- a/verbenabench/internal/vrcommand/vrcommand.go
+++ b/verbenabench/internal/vrcommand/vrcommand.go
@@ -6,6 +6,7 @@
 
 	"verbenaroute.example/verbenabench/internal/vrcost"
 	"verbenaroute.example/verbenabench/internal/vrdeploy"
+	"verbenaroute.example/verbenabench/internal/vrfuzz"
 	"verbenaroute.example/verbenabench/internal/vrmeasure"
 	"verbenaroute.example/verbenabench/internal/vrpath"
 )
@@ -20,7 +21,7 @@
 	}
 	root.AddCommand(
 		newStandin(), newTry(), newScenario(),
-		vrmeasure.Command(), vrpath.Command(), vrcost.Command(), vrcost.SpreadCommand(),
+		vrmeasure.Command(), vrfuzz.Command(), vrpath.Command(), vrcost.Command(), vrcost.SpreadCommand(),
 	)
 	return root
 }
--- a/verbenabench/internal/vrfuzz/run.go
+++ b/verbenabench/internal/vrfuzz/run.go
@@ -280,7 +280,7 @@
 		r.oracle.disturb(20 * time.Second)
 		d.Stop()
 		r.world.After(20*time.Second, d.Start)
-	case ActReplaceZone:
+	default:
 		for _, other := range r.world.Daemons {
 			if other.Zone == d.Zone && !other.Gone {
 				r.replace(other, a.Lasts)
