Replace a dead owner sooner and carry lost heartbeats again

Change: a candidate whose connection to the holder failed waits 1.5 s without a renewal; demands and reports of an undelivered heartbeat go with the next one; a peer that could not be reached is left out for 3 s; the replaced owner is a suspect, and suspects stand last in the tree.

--- a/verbenacore/vrlease/vrlease.go
+++ b/verbenacore/vrlease/vrlease.go
@@ -20,6 +20,9 @@
 	Duration = 3 * time.Second
 	// RenewInterval leaves two renewals that may fail before a lapse.
 	RenewInterval = time.Second
+	// suspectDuration replaces Duration when the holder can't be reached either: it spans
+	// one renewal and its delays. A holder that lives renews meanwhile.
+	suspectDuration = 1500 * time.Millisecond
 	// maxStagger spreads candidates so that mostly one tries.
 	maxStagger = 300 * time.Millisecond
 )
@@ -111,6 +114,8 @@
 type Request struct {
 	// Observe reads the object each RenewInterval.
 	Observe bool
+	// Suspected is set when the holder could not be reached a short time ago.
+	Suspected bool
 	// Candidate may acquire a free or lapsed lease.
 	Candidate bool
 	// Chunks is written into the first record.
@@ -126,7 +131,7 @@
 		l.renew(now, out)
 		return
 	}
-	if l.free(now) && request.Candidate && !l.releasing {
+	if l.free(now, request.Suspected) && request.Candidate && !l.releasing {
 		l.acquire(now, request.Chunks, out)
 		return
 	}
@@ -136,14 +141,18 @@
 }
 
 // free reports whether a candidate may try to acquire.
-func (l *Lease) free(now time.Time) bool {
+func (l *Lease) free(now time.Time, suspected bool) bool {
 	if !l.seen {
 		return false
 	}
 	if l.version == 0 || l.known.Released {
 		return true
 	}
-	return now.Sub(l.changed) >= Duration+l.stagger
+	lapse := Duration
+	if suspected {
+		lapse = suspectDuration
+	}
+	return now.Sub(l.changed) >= lapse+l.stagger
 }
 
 func (l *Lease) renew(now time.Time, out *vrevent.Effects) {
--- a/verbenacore/vrmember/heartbeat.go
+++ b/verbenacore/vrmember/heartbeat.go
@@ -75,19 +75,20 @@
 	silence := now.Sub(m.replied)
 	owner := m.Owner()
 	if silence < parentTimeout {
-		if parent := m.view.Parent(m.opts.Daemon); parent != "" && m.view.Epoch >= m.ownEpoch {
+		parent := m.view.Parent(m.opts.Daemon)
+		if parent != "" && m.view.Epoch >= m.ownEpoch && !m.lately(now, parent) {
 			return Peer{Daemon: parent, Address: m.view.Members[parent].Peer}
 		}
 	}
-	if silence < ownerTimeout && owner.Daemon != "" && owner.Daemon != m.opts.Daemon {
+	if silence < ownerTimeout && owner.Daemon != "" && owner.Daemon != m.opts.Daemon && !m.lately(now, owner.Daemon) {
 		return owner
 	}
-	return m.anyPeer(owner)
+	return m.anyPeer(now, owner)
 }
 
 // anyPeer picks a known daemon, so that a daemon that lost its owner or starts in an
 // outage finds whoever knows more.
-func (m *Membership) anyPeer(owner Peer) Peer {
+func (m *Membership) anyPeer(now time.Time, owner Peer) Peer {
 	candidates := slices.Clone(m.seeds)
 	for _, id := range m.view.Order() {
 		candidates = append(candidates, Peer{Daemon: id, Address: m.view.Members[id].Peer})
@@ -98,6 +99,10 @@
 	candidates = slices.DeleteFunc(candidates, func(p Peer) bool {
 		return p.Daemon == m.opts.Daemon || p.Address == ""
 	})
+	reachable := slices.DeleteFunc(slices.Clone(candidates), func(p Peer) bool { return m.lately(now, p.Daemon) })
+	if len(reachable) > 0 {
+		candidates = reachable
+	}
 	if len(candidates) == 0 {
 		return Peer{}
 	}
@@ -108,7 +113,12 @@
 // last heartbeat, the next level is asked at once instead of after its timeout: a relay
 // that died would otherwise hold a configuration back for 3 s.
 func (m *Membership) PeerLost(now time.Time, peer vrid.DaemonID) {
-	if m.root || peer != m.asked || now.Sub(m.lostAt) < lostPause {
+	if m.root || peer != m.asked {
+		return
+	}
+	m.lost[peer] = now
+	m.sendAgain()
+	if now.Sub(m.lostAt) < lostPause {
 		return
 	}
 	m.lostAt = now
@@ -120,6 +130,27 @@
 	m.beatAt = time.Time{}
 }
 
+// lately reports whether a peer could not be reached a short time ago.
+func (m *Membership) lately(now time.Time, peer vrid.DaemonID) bool {
+	at, lost := m.lost[peer]
+	return lost && now.Sub(at) < suspectAfter
+}
+
+// OwnerLost reports whether the zone's owner could not be reached a short time ago.
+func (m *Membership) OwnerLost(now time.Time) bool { return m.lately(now, m.Owner().Daemon) }
+
+// sendAgain puts what the lost heartbeat carried into the next one.
+func (m *Membership) sendAgain() {
+	m.demands = append(m.carried.Demands, m.demands...)
+	for _, report := range m.carried.Reports {
+		delete(m.sent, report.Server)
+		if _, newer := m.reports[report.Server]; !newer {
+			m.reports[report.Server] = report
+		}
+	}
+	m.carried = vrwire.Heartbeat{}
+}
+
 func (m *Membership) beat(now time.Time, out *vrevent.Effects) {
 	m.beatAt = now
 	target := m.target(now)
@@ -137,6 +168,7 @@
 		SubtreeConfig: m.SubtreeConfig(),
 	}
 	m.demands = nil
+	m.carried = vrwire.Heartbeat{Demands: heartbeat.Demands, Reports: heartbeat.Reports}
 	out.Add(vrevent.SendPeer{Peer: target.Daemon, Address: target.Address, Envelope: &vrwire.Envelope{Heartbeat: heartbeat}})
 }
 
@@ -262,6 +294,7 @@
 		return
 	}
 	m.replied = now
+	m.carried = vrwire.Heartbeat{}
 	if reply.Removed {
 		m.incarnation++
 		m.beatAt = time.Time{}
--- /dev/null
+++ b/verbenacore/vrmember/lost_test.go
@@ -0,0 +1,66 @@
+package vrmember_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrmember"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+func newMember(now time.Time, id vrid.DaemonID) *vrmember.Membership {
+	m := vrmember.New(now, vrmember.Options{
+		Daemon: id, Boot: "b", Zone: "z", Peer: "peer:" + string(id), Random: rand.New(rand.NewPCG(1, 1)),
+	})
+	m.HandleReply(now, &vrwire.HeartbeatReply{Delta: &vrwire.ViewDelta{
+		Zone: "z", Owner: "d1", Epoch: 1, Sequence: 5, Members: []vrwire.MemberItem{
+			{Daemon: "d1", Boot: "b", Peer: "peer:d1", State: vrwire.MemberAlive, Sequence: 1},
+			{Daemon: "d2", Boot: "b", Peer: "peer:d2", State: vrwire.MemberAlive, Sequence: 2},
+			{Daemon: "d3", Boot: "b", Peer: "peer:d3", State: vrwire.MemberAlive, Sequence: 3},
+		},
+	}})
+	return m
+}
+
+// heartbeat returns the heartbeat of one tick.
+func heartbeat(now time.Time, m *vrmember.Membership) (vrid.DaemonID, *vrwire.Heartbeat) {
+	out := &vrevent.Effects{}
+	m.Tick(now, out)
+	for _, effect := range out.List {
+		if e, ok := effect.(vrevent.SendPeer); ok && e.Envelope.Heartbeat != nil {
+			return e.Peer, e.Envelope.Heartbeat
+		}
+	}
+	return "", nil
+}
+
+// Demand that went with a heartbeat to a dead parent was lost, and each new demand went
+// to the dead parent again, so that a waiting request's model was not loaded in time.
+func TestLostHeartbeatIsCarriedAgain(t *testing.T) {
+	now := time.Unix(1_790_000_000, 0)
+	m := newMember(now, "d2")
+	m.QueueDemand(vrwire.ModelDemand{Model: "m", Waiting: 1})
+	to, beat := heartbeat(now, m)
+	require.Equal(t, vrid.DaemonID("d1"), to)
+	require.Len(t, beat.Demands, 1)
+	m.PeerLost(now, "d1")
+	require.True(t, m.OwnerLost(now))
+	to, beat = heartbeat(now.Add(vrevent.TickInterval), m)
+	require.Equal(t, vrid.DaemonID("d3"), to)
+	require.Len(t, beat.Demands, 1)
+}
+
+// A successor kept the owner that it replaced as a parent of other members, whose
+// heartbeats went to the dead process.
+func TestReplacedOwnerIsNobodysParent(t *testing.T) {
+	now := time.Unix(1_790_000_000, 0)
+	m := newMember(now, "d2")
+	m.BecomeRoot(now, 2)
+	order := m.View().Order()
+	require.Equal(t, []vrid.DaemonID{"d2", "d3", "d1"}, order)
+}
--- a/verbenacore/vrmember/view.go
+++ b/verbenacore/vrmember/view.go
@@ -191,6 +191,11 @@
 		if (order[i] == v.Owner) != (order[j] == v.Owner) {
 			return order[i] == v.Owner
 		}
+		// A suspect gets no role: at the end it is nobody's parent in the tree.
+		suspectI := v.Members[order[i]].State == vrwire.MemberSuspect
+		if suspectI != (v.Members[order[j]].State == vrwire.MemberSuspect) {
+			return !suspectI
+		}
 		return weights[order[i]] < weights[order[j]]
 	})
 	return order
--- a/verbenacore/vrmember/vrmember.go
+++ b/verbenacore/vrmember/vrmember.go
@@ -68,6 +68,10 @@
 	leaving     bool
 	opened      uint64
 	children    map[vrid.DaemonID]*child
+	// lost is when a peer could not be reached, carried what the last heartbeat held until
+	// it is answered.
+	lost    map[vrid.DaemonID]time.Time
+	carried vrwire.Heartbeat
 	// heard is when the root last had word of a member.
 	heard map[vrid.DaemonID]time.Time
 	// remoteHeard is when the root last had a summary of another zone.
@@ -108,6 +112,7 @@
 		incarnation: 1,
 		children:    make(map[vrid.DaemonID]*child),
 		heard:       make(map[vrid.DaemonID]time.Time),
+		lost:        make(map[vrid.DaemonID]time.Time),
 		remoteHeard: make(map[vrid.ZoneID]time.Time),
 		removed:     make(map[vrid.DaemonID]uint64),
 		reports:     make(map[vrid.ServerID]vrwire.LoadReport),
@@ -165,6 +170,11 @@
 	m.root = true
 	m.ownEpoch = epoch
 	m.owner = Peer{Daemon: m.opts.Daemon, Address: m.opts.Peer}
+	// The last owner lost its lease: until it is heard of it is no parent to anybody.
+	if item, ok := m.view.Members[m.view.Owner]; ok && m.view.Owner != m.opts.Daemon && item.State == vrwire.MemberAlive {
+		item.State = vrwire.MemberSuspect
+		m.view.Members[m.view.Owner] = item
+	}
 	m.view.Epoch = epoch
 	m.view.Owner = m.opts.Daemon
 	m.view.membersChanged()
--- a/verbenacore/vrreducer/zone.go
+++ b/verbenacore/vrreducer/zone.go
@@ -112,6 +112,7 @@
 	s.lease.Tick(now, vrlease.Request{
 		Observe:   s.member.Observes(now),
 		Candidate: s.candidate(now),
+		Suspected: s.member.OwnerLost(now),
 		Chunks:    uint32(s.zoneServers()/ledgerServers + 1),
 	}, out)
 	s.tickFleet(now, out)
