--- a/verbenabench/internal/vrfuzz/command.go
+++ b/verbenabench/internal/vrfuzz/command.go
@@ -111,6 +111,7 @@
 	command.Flags().IntVar(&options.Seed, "seed", 1, "seed of the first plan")
 	command.Flags().IntVar(&options.Workers, "workers", defaultWorker, "number of plans at once")
 	command.Flags().StringVar(&fault, "fault", "", "planted fault to switch on (needs the build tag vrfault)")
+	command.AddCommand(costsCommand())
 	command.Flags().BoolVar(&trace, "trace", false, "print the last events of the minimal plan")
 	return command
 }
--- a/verbenabench/internal/vrworld/daemon.go
+++ b/verbenabench/internal/vrworld/daemon.go
@@ -483,7 +483,7 @@
 func messageName(e *vrwire.Envelope) string {
 	switch {
 	case e.Heartbeat != nil:
-		return fmt.Sprintf("heartbeat view %d.%d config %d", e.Heartbeat.ViewEpoch, e.Heartbeat.ViewSequence, e.Heartbeat.Config)
+		return fmt.Sprintf("heartbeat view %d.%d config %d demands %v", e.Heartbeat.ViewEpoch, e.Heartbeat.ViewSequence, e.Heartbeat.Config, e.Heartbeat.Demands)
 	case e.HeartbeatReply != nil:
 		return fmt.Sprintf("reply removed %t delta %t", e.HeartbeatReply.Removed, e.HeartbeatReply.Delta != nil)
 	case e.ViewDelta != nil:
--- a/verbenabench/internal/vrworld/platform.go
+++ b/verbenabench/internal/vrworld/platform.go
@@ -39,7 +39,8 @@
 	LoseAnswers float64
 	// LateWrites is the probability that a write takes effect after its caller gave up.
 	LateWrites float64
-	// Calls counts what reached the platform, by kind.
+	// Calls counts what reached the platform, by kind and first part of the key, for
+	// example "write ledgers".
 	Calls map[string]int
 	cut   map[vrid.ZoneID]bool
 }
@@ -150,6 +151,11 @@
 	})
 }
 
+func callName(kind, key string) string {
+	part, _, _ := strings.Cut(key, "/")
+	return kind + " " + part
+}
+
 func (f *Platform) read(p *Process, e vrevent.ReadObject) {
 	work := func() vrevent.Event {
 		held, ok := f.objects[e.Key]
@@ -158,7 +164,7 @@
 		}
 		return vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeOK, Version: held.version, Value: held.value}
 	}
-	f.call(p, "read", work,
+	f.call(p, callName("read", e.Key), work,
 		vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeUnavailable},
 		vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeUnknown}, false)
 }
@@ -173,7 +179,7 @@
 		}
 		return answer(vrplatform.OutcomeOK, f.put(e.Key, e.Value))
 	}
-	f.call(p, "write", work, answer(vrplatform.OutcomeUnavailable, 0), answer(vrplatform.OutcomeUnknown, 0), true)
+	f.call(p, callName("write", e.Key), work, answer(vrplatform.OutcomeUnavailable, 0), answer(vrplatform.OutcomeUnknown, 0), true)
 }
 
 func (f *Platform) list(p *Process, e vrevent.ListObjects) {
@@ -185,7 +191,7 @@
 		}
 		return listed
 	}
-	f.call(p, "list", work,
+	f.call(p, callName("list", e.Prefix), work,
 		vrevent.ObjectsListed{Op: e.Op, Prefix: e.Prefix, Outcome: vrplatform.OutcomeUnavailable},
 		vrevent.ObjectsListed{Op: e.Op, Prefix: e.Prefix, Outcome: vrplatform.OutcomeUnknown}, false)
 }
