--- a/verbenabench/internal/vrcommand/vrcommand.go
+++ b/verbenabench/internal/vrcommand/vrcommand.go
@@ -21,7 +21,8 @@
 	}
 	root.AddCommand(
 		newStandin(), newTry(), newScenario(),
-		vrmeasure.Command(), vrfuzz.Command(), vrpath.Command(), vrcost.Command(), vrcost.SpreadCommand(),
+		vrmeasure.Command(), vrfuzz.Command(), vrpath.Command(),
+		vrcost.Command(), vrcost.SpreadCommand(), vrcost.RealCommand(),
 	)
 	return root
 }
--- a/verbenacore/vrmember/vrmember.go
+++ b/verbenacore/vrmember/vrmember.go
@@ -67,6 +67,7 @@
 	incarnation uint64
 	leaving     bool
 	opened      uint64
+	near        uint32
 	children    map[vrid.DaemonID]*child
 	// lost is when a peer could not be reached, carried what the last heartbeat held until
 	// it is answered.
@@ -137,6 +138,9 @@
 // SetOpened tells how many requests this daemon has numbered.
 func (m *Membership) SetOpened(opened uint64) { m.opened = opened }
 
+// SetNear tells how many of this daemon's requests are in flight in its own zone.
+func (m *Membership) SetNear(near int) { m.near = uint32(max(near, 0)) }
+
 // Leave marks this daemon as leaving.
 func (m *Membership) Leave() {
 	m.leaving = true
@@ -208,7 +212,18 @@
 	}
 	return vrwire.MemberItem{
 		Daemon: m.opts.Daemon, Boot: m.opts.Boot, Peer: m.opts.Peer, State: state,
-		Incarnation: m.incarnation, Opened: m.opened,
+		Incarnation: m.incarnation, Opened: m.opened, Near: m.near, Share: m.view.Members[m.opts.Daemon].Share,
+	}
+}
+
+// SetShares publishes the members' parts of the servers' slots, as the root.
+func (m *Membership) SetShares(shares map[vrid.DaemonID]uint32) {
+	for id, share := range shares {
+		item, ok := m.view.Members[id]
+		if ok && item.Share != share {
+			item.Share = share
+			m.dirty = m.view.publishMember(item) || m.dirty
+		}
 	}
 }
 
--- a/verbenacore/vrreducer/summary.go
+++ b/verbenacore/vrreducer/summary.go
@@ -70,7 +70,7 @@
 		summary := &vrwire.ZoneSummary{
 			Zone: s.opts.Zone, Epoch: s.member.View().Epoch, Owner: s.opts.Daemon, Peer: s.opts.PeerAddress,
 			Config: s.store.Version(), InForce: s.inForce(), SentAt: now.UnixMilli(),
-			HeardEpoch: n.heardEpoch, HeardNumber: n.heardNumber,
+			HeardEpoch: n.heardEpoch, HeardNumber: n.heardNumber, FarShare: s.farGrant(),
 		}
 		n.change(summary, content)
 		if !n.due(now, summary) {
@@ -109,7 +109,7 @@
 		content.servers[id] = item
 	}
 	for id, item := range view.Members {
-		item.Sequence, item.Opened, item.Share = 0, 0, 0
+		item.Sequence, item.Opened, item.Share, item.Near = 0, 0, 0, 0
 		content.members[id] = item
 	}
 	return content
--- a/verbenacore/vrreducer/vrreducer.go
+++ b/verbenacore/vrreducer/vrreducer.go
@@ -90,6 +90,7 @@
 	crossing     crossing
 	loads        loadPace
 	fleet        fleet
+	shares       shares
 }
 
 type shutdown struct {
@@ -120,6 +121,7 @@
 		claims:   newClaims(),
 		polls:    make(map[vrid.ServerID]*poll),
 		zone:     newZone(),
+		shares:   newShares(),
 	}
 	s.queue = vradmit.New(vradmit.Options{Requests: opts.Queue, Memory: opts.QueueMemory, FirstCome: opts.Plain})
 	s.table = vrroute.New(vrroute.Options{Random: s.random, LeastLoaded: opts.Plain})
@@ -222,6 +224,7 @@
 	s.tickZone(now, out)
 	s.tickPolls(now, out)
 	s.member.SetOpened(s.opened)
+	s.member.SetNear(s.table.Near())
 	s.member.Tick(now, out)
 	s.tickConfig(now, out)
 	s.tickClaims(now, out)
--- a/verbenacore/vrwire/member.go
+++ b/verbenacore/vrwire/member.go
@@ -63,6 +63,8 @@
 	Share uint32 `protobuf:"varint,6,opt,name=share,proto3"`
 	// Opened counts the requests that the daemon has numbered.
 	Opened uint64 `protobuf:"varint,7,opt,name=opened,proto3"`
+	// Near is the number of the member's requests in flight at servers of its zone.
+	Near uint32 `protobuf:"varint,8,opt,name=near,proto3"`
 	// Sequence is the view's counter when the item last changed.
 	Sequence uint64 `protobuf:"varint,15,opt,name=sequence,proto3"`
 }
@@ -262,6 +264,9 @@
 	// HeardEpoch and HeardNumber acknowledge the receiving zone's newest summary.
 	HeardEpoch  vrid.Epoch `protobuf:"varint,11,opt,name=heardEpoch,proto3"`
 	HeardNumber uint64     `protobuf:"varint,12,opt,name=heardNumber,proto3"`
+	// FarShare is the part of every server's slots that a daemon of another zone may use,
+	// in thousandths.
+	FarShare uint32 `protobuf:"varint,13,opt,name=farShare,proto3"`
 }
 
 // Validate checks the names.
