Keep idle replicas by the learned times between requests

Cause: a fixed keep-alive holds each replica for 300 s after a session. Change: the times between requests are counted in powers of two; an idle replica stays for the time with the least expected cost. The pause before eviction is 1.5 load times, since reports of use come later now.

--- a/verbenabench/internal/vrmeasure/report.go
+++ b/verbenabench/internal/vrmeasure/report.go
@@ -40,10 +40,15 @@
 	Bound float64 `json:"bound"`
 	// AtLeast is set when the value may not be below the bound.
 	AtLeast bool `json:"atLeast"`
+	// Relative is set when the bound is for the quotient of the value and the baseline's.
+	Relative bool `json:"relative"`
 }
 
 // Met reports whether a value keeps the bound.
-func (t *Target) Met(value float64) bool {
+func (t *Target) Met(value, baseline float64) bool {
+	if t.Relative {
+		value /= baseline
+	}
 	if t.AtLeast {
 		return value >= t.Bound
 	}
@@ -51,13 +56,20 @@
 }
 
 func (t *Target) String() string {
+	sign, unit := "<=", ""
 	if t.AtLeast {
-		return fmt.Sprintf(">= %.4g", t.Bound)
+		sign = ">="
+	}
+	if t.Relative {
+		unit = " x baseline"
 	}
-	return fmt.Sprintf("<= %.4g", t.Bound)
+	return fmt.Sprintf("%s %.4g%s", sign, t.Bound, unit)
 }
 
 func atMost(bound float64) *Target  { return &Target{Bound: bound} }
+func relative(bound float64) *Target {
+	return &Target{Bound: bound, Relative: true}
+}
 func atLeast(bound float64) *Target { return &Target{Bound: bound, AtLeast: true} }
 
 // Curve is one line of the plot.
@@ -136,7 +148,7 @@
 		values[r.Runs[i].Policy] = fmt.Sprintf("%.4g", figure.Value)
 		if figure.Target != nil && r.Runs[i].Policy == Current {
 			target = figure.Target.String()
-			met = map[bool]string{true: "yes", false: "no"}[figure.Target.Met(figure.Value)]
+			met = map[bool]string{true: "yes", false: "no"}[figure.Target.Met(figure.Value, numbers[Baseline])]
 		}
 	}
 	ratio := "-"
--- a/verbenabench/internal/vrmeasure/vrmeasure.go
+++ b/verbenabench/internal/vrmeasure/vrmeasure.go
@@ -41,6 +41,10 @@
 			name: "flood-urgent", short: "flood of the urgent rank at five times the capacity",
 			xLabel: "s to the first token", yLabel: "part of the requests", run: floodUrgent,
 		},
+		{
+			name: "idle-hours", short: "idle accelerator hours of models that are used in sessions",
+			xLabel: "s to the first token of a cold request", yLabel: "part of the requests", run: idleHours,
+		},
 		{
 			name: "decide", short: "time and allocations of one routing decision",
 			xLabel: "models and adapters", yLabel: "ns", run: decide,
--- a/verbenacore/vrplace/evict.go
+++ b/verbenacore/vrplace/evict.go
@@ -205,7 +205,7 @@
 	if w.planner.opts.Plain {
 		return settleTime
 	}
-	return settleLoads * w.loadTime(entry)
+	return time.Duration(settleLoads * float64(w.loadTime(entry)))
 }
 
 // loadTime is what it takes to load an entry again.
@@ -273,7 +273,7 @@
 		w.planner.use(name{model: entry.Model, adapter: entry.Adapter}).last = w.now
 		return false
 	}
-	return w.now.Sub(u.last) >= keepAlive
+	return w.now.Sub(u.last) >= w.keepAlive(entry, u)
 }
 
 func exp2(x float64) float64 { return math.Exp2(x) }
--- a/verbenacore/vrplace/slots.go
+++ b/verbenacore/vrplace/slots.go
@@ -110,6 +110,8 @@
 	load  vrwire.SlotLoad
 	rank  vrid.Rank
 	until int64
+	// gathers is set while the load should wait for more urgent ones of its burst.
+	gathers bool
 }
 
 // Assign gives free places to the waiting loads in the order of rank and deadline, one
@@ -121,6 +123,10 @@
 		if used >= places {
 			break
 		}
+		// A lone load need not wait for others: most of the places stay free for them.
+		if next.gathers && used >= max(1, places/4) {
+			continue
+		}
 		s.zones[next.zone].granted[next.load.Order] = true
 		used++
 	}
@@ -170,10 +176,10 @@
 	for zone, held := range s.zones {
 		for i := range held.loads {
 			load := held.loads[i]
-			if load.Holding || load.Near || held.granted[load.Order] || held.gathers(now, &load) || s.elsewhere(now, zone, load.Model, taken) {
+			if load.Holding || load.Near || held.granted[load.Order] || s.elsewhere(now, zone, load.Model, taken) {
 				continue
 			}
-			next := candidate{zone: zone, load: load, rank: load.Rank, until: load.Deadline}
+			next := candidate{zone: zone, load: load, rank: load.Rank, until: load.Deadline, gathers: held.gathers(now, &load)}
 			if other, ok := best[load.Model]; ok {
 				next.rank = min(next.rank, other.rank)
 				next.until = min(next.until, other.until)
--- a/verbenacore/vrplace/vrplace.go
+++ b/verbenacore/vrplace/vrplace.go
@@ -17,14 +17,14 @@
 	// demandTimeout is how long a daemon's demand counts after its last message; it
 	// spans two heartbeats and a delay.
 	demandTimeout = 2500 * time.Millisecond
-	// keepAlive is how long an idle model stays loaded at least, so that a pause in a
-	// conversation does not cost a load.
+	// keepAlive is how long the plain policy keeps an idle model.
 	keepAlive = 5 * time.Minute
 	// settleTime is how long the plain policy does not evict a used model for another.
 	settleTime = 10 * time.Second
-	// settleLoads is the same in load times of the model: two models that drive each
-	// other out then spend at most a quarter of the time loading.
-	settleLoads = 3
+	// settleLoads is the same in load times of the model, after its use is known here, which
+	// takes a second or two: two models that drive each other out then spend less than
+	// half of the time loading.
+	settleLoads = 1.5
 	// useHalfLife is how fast the memory of a model's use fades.
 	useHalfLife = 30 * time.Minute
 	// retryLoad is the pause after a load that failed on a server.
@@ -43,6 +43,9 @@
 	rate    float64
 	fadedAt time.Time
 	last    time.Time
+	// arrived is when a request came last, gaps the times between requests.
+	arrived time.Time
+	gaps    gaps
 	// regular is how regularly each rank uses it.
 	regular [vrid.RankCount]regularity
 	waits   map[vrid.DaemonID]wait
@@ -66,6 +69,9 @@
 type Planner struct {
 	opts Options
 	uses map[name]*use
+	// gaps are the times between requests over all models, for those of which little is
+	// known.
+	gaps gaps
 	// loads are the loads that wait for or hold a place at the weight store.
 	loads []vrwire.SlotLoad
 }
@@ -91,7 +97,10 @@
 	u := p.use(name{model: demand.Model, adapter: demand.Adapter})
 	u.fade(now)
 	u.rate += float64(demand.Arrived)
-	if demand.Arrived > 0 || demand.Waiting > 0 {
+	if demand.Arrived > 0 {
+		p.noteArrival(now, u)
+	}
+	if demand.Arrived > 0 || demand.Waiting > 0 || demand.Running > 0 {
 		u.last = now
 		u.regular[demand.Rank].note(now)
 	}
--- a/verbenacore/vrreducer/plan.go
+++ b/verbenacore/vrreducer/plan.go
@@ -1,6 +1,8 @@
 package vrreducer
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"verbenaroute.example/verbenacore/vrengine"
@@ -112,23 +114,22 @@
 		return
 	}
 	s.zone.arrivalsAt = now
+	reported := make(map[demandKey]bool)
 	for _, wait := range s.queue.Waits() {
 		if wait.Target.Model == "" {
 			continue
 		}
 		key := demandKey{model: wait.Target.Model, adapter: wait.Target.Adapter, rank: wait.Rank}
+		reported[key] = true
 		s.member.QueueDemand(vrwire.ModelDemand{
 			Model: key.model, Adapter: key.adapter, Rank: key.rank, Waiting: uint32(wait.Count),
 			Arrived: s.zone.arrivals[key], Deadline: wait.Deadline.UnixMilli(), Daemon: s.opts.Daemon,
+			Running: s.zone.running[key],
 		})
 		s.zone.wanted[key] = now
 		delete(s.zone.arrivals, key)
 	}
-	for key, arrived := range s.zone.arrivals {
-		s.member.QueueDemand(vrwire.ModelDemand{
-			Model: key.model, Adapter: key.adapter, Rank: key.rank, Arrived: arrived, Daemon: s.opts.Daemon,
-		})
-	}
+	s.sendUses(reported)
 	clear(s.zone.arrivals)
 	for key, at := range s.zone.wanted {
 		if now.Sub(at) > 2*demandInterval {
@@ -137,6 +138,50 @@
 	}
 }
 
+// sendUses reports what arrived and what runs of the models that nothing waits for.
+func (s *State) sendUses(reported map[demandKey]bool) {
+	var keys []demandKey
+	for key := range s.zone.arrivals {
+		keys = append(keys, key)
+	}
+	for key := range s.zone.running {
+		if s.zone.arrivals[key] == 0 {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, demandKey.compare)
+	for _, key := range keys {
+		if reported[key] || key.model == "" {
+			continue
+		}
+		s.member.QueueDemand(vrwire.ModelDemand{
+			Model: key.model, Adapter: key.adapter, Rank: key.rank, Arrived: s.zone.arrivals[key],
+			Running: s.zone.running[key], Daemon: s.opts.Daemon,
+		})
+	}
+}
+
+func (k demandKey) compare(other demandKey) int {
+	return cmp.Or(
+		cmp.Compare(k.model, other.model), cmp.Compare(k.adapter, other.adapter), cmp.Compare(k.rank, other.rank),
+	)
+}
+
+// started and ended count the requests in flight of a model.
+func (z *zone) started(r *request) { z.running[r.demand()]++ }
+
+func (z *zone) ended(r *request) {
+	key := r.demand()
+	z.running[key]--
+	if z.running[key] == 0 {
+		delete(z.running, key)
+	}
+}
+
+func (r *request) demand() demandKey {
+	return demandKey{model: r.Model, adapter: r.Adapter, rank: r.Rank}
+}
+
 // recordOrder puts ended loads and unloads into the record.
 func (s *State) recordOrder(now time.Time, event vrevent.OrderAnswered, out *vrevent.Effects) {
 	entry := vrrecord.Entry{
--- a/verbenacore/vrreducer/requests.go
+++ b/verbenacore/vrreducer/requests.go
@@ -244,6 +244,7 @@
 	r.dispatched = now
 	r.sent = true
 	s.table.Start(server)
+	s.zone.started(r)
 	s.table.Served(server, r.Model, r.Prefix)
 	s.learnLoad(now, r)
 	if server.Distance == vrroute.OtherRegion {
@@ -275,6 +276,7 @@
 		return
 	}
 	s.table.End(now, event.Server, healthy(now, r, event.Result))
+	s.zone.ended(r)
 	if r.server != nil && r.server.Distance == vrroute.OtherRegion {
 		s.crossed(now, r.Rank, answerBytes(event.Tokens-r.tokens, event.Body))
 	}
--- a/verbenacore/vrreducer/zone.go
+++ b/verbenacore/vrreducer/zone.go
@@ -66,7 +66,9 @@
 	// wanted is when demand for a model was last sent.
 	wanted map[demandKey]time.Time
 	// arrivals count the requests since the last demand message.
-	arrivals   map[demandKey]uint32
+	arrivals map[demandKey]uint32
+	// running counts the requests in flight.
+	running    map[demandKey]uint32
 	arrivalsAt time.Time
 	drained    map[vrid.ServerID]bool
 	// leaving are servers that a notice named, with the time of the notice.
@@ -98,6 +100,7 @@
 		neighbours: make(map[vrid.ZoneID]*neighbour),
 		wanted:     make(map[demandKey]time.Time),
 		arrivals:   make(map[demandKey]uint32),
+		running:    make(map[demandKey]uint32),
 		drained:    make(map[vrid.ServerID]bool),
 		leaving:    make(map[vrid.ServerID]time.Time),
 	}
@@ -342,7 +345,7 @@
 	}
 	uses := make(map[vrid.ZoneID][]vrwire.ModelDemand)
 	for _, demand := range demands {
-		if demand.Arrived == 0 || s.ledger.Replicas(demand.Model) > 0 {
+		if demand.Arrived+demand.Running == 0 || s.ledger.Replicas(demand.Model) > 0 {
 			continue
 		}
 		demand.Waiting = 0
--- a/verbenacore/vrwire/member.go
+++ b/verbenacore/vrwire/member.go
@@ -146,6 +146,8 @@
 	Arrived uint32 `protobuf:"varint,5,opt,name=arrived,proto3"`
 	// Deadline is the earliest of the waiting requests, in milliseconds of Unix time.
 	Deadline int64 `protobuf:"varint,6,opt,name=deadline,proto3"`
+	// Running counts the daemon's requests for the model that are in flight.
+	Running uint32 `protobuf:"varint,8,opt,name=running,proto3"`
 	// Daemon is the origin; a subtree's sum leaves it empty.
 	Daemon vrid.DaemonID `protobuf:"bytes,7,opt,name=daemon,proto3"`
 }
