--- a/verbenabench/internal/vrmeasure/idle.go
+++ b/verbenabench/internal/vrmeasure/idle.go
@@ -27,12 +27,6 @@
 	_coldFrom = _prefill + 40*time.Millisecond
 )
 
-// idleMeter adds up the accelerators of loaded models that run nothing.
-type idleMeter struct {
-	accelerators map[vrid.PoolID]float64
-	idle         time.Duration
-}
-
 // idleHours measures idle accelerators and cold starts of sessions at all models.
 func idleHours(options Options, policy Policy) (Run, error) {
 	s, err := newSetting(options, policy)
--- a/verbenabench/internal/vrmeasure/vrmeasure.go
+++ b/verbenabench/internal/vrmeasure/vrmeasure.go
@@ -45,6 +45,18 @@
 			name: "idle-hours", short: "idle accelerator hours of models that are used in sessions",
 			xLabel: "s to the first token of a cold request", yLabel: "part of the requests", run: idleHours,
 		},
+		{
+			name: "slow-store", short: "weight store at a quarter of its speed, twice",
+			xLabel: "s", yLabel: "part of the requests", run: slowStore,
+		},
+		{
+			name: "zone-loss", short: "loss of one zone of three and its return",
+			xLabel: "s after the loss", yLabel: "urgent in target", run: zoneLoss,
+		},
+		{
+			name: "cross-region", short: "billed bytes between regions",
+			xLabel: "s to the first token", yLabel: "part of the requests", run: crossRegion,
+		},
 		{
 			name: "decide", short: "time and allocations of one routing decision",
 			xLabel: "models and adapters", yLabel: "ns", run: decide,
