--- a/verbenabench/internal/vrmeasure/world.go
+++ b/verbenabench/internal/vrmeasure/world.go
@@ -122,9 +122,20 @@
 	s.After(after, func() { s.send(daemon, model, _tokens) })
 }
 
+// ready is a daemon, or the next one that the balancer sends requests to.
+func (s *setting) ready(daemon int) *vrworld.Daemon {
+	for i := range s.Daemons {
+		d := s.Daemons[(daemon+i)%len(s.Daemons)]
+		if d.Process != nil && d.Process.Ready {
+			return d
+		}
+	}
+	return s.Daemons[daemon%len(s.Daemons)]
+}
+
 // send makes a request for a model at a daemon.
 func (s *setting) send(daemon int, model *vrconfig.Model, tokens int) {
-	call := s.Send(s.Daemons[daemon%len(s.Daemons)], vrevent.Request{
+	call := s.Send(s.ready(daemon), vrevent.Request{
 		Kind: model.Kind, Model: model.ID, MaxTokens: tokens, Size: _sizeBytes,
 		Caller: vrid.CallerID(fmt.Sprintf("caller-%d", s.random.IntN(_callers))),
 	})
--- a/verbenacore/vrroute/vrroute.go
+++ b/verbenacore/vrroute/vrroute.go
@@ -120,10 +120,12 @@
 // Server returns a back end or nil.
 func (t *Table) Server(id vrid.ServerID) *Server { return t.servers[id] }
 
-// Loaded reports whether any server may hold the model, full or not.
+// Loaded reports whether any server may hold the model, full or not. One that failed
+// repeatedly does not count: it may be gone, and a load should start before the view
+// says so.
 func (t *Table) Loaded(query Query) bool {
 	for _, server := range t.candidates(query) {
-		if server.eligible(&query) {
+		if server.eligible(&query) && (t.opts.LeastLoaded || server.failures < ejectAfter) {
 			return true
 		}
 	}
@@ -328,7 +330,7 @@
 func (t *Table) FarSlots(query Query) int {
 	places := 0
 	for _, server := range t.candidates(query) {
-		if server.Distance != SameZone && server.eligible(&query) {
+		if server.Distance != SameZone && server.eligible(&query) && server.failures < ejectAfter {
 			places += max(0, server.Slots-int(server.load()))
 		}
 	}
