--- a/verbenacore/vrmember/heartbeat.go
+++ b/verbenacore/vrmember/heartbeat.go
@@ -38,7 +38,7 @@
 
 // sweepMembers moves silent members to suspect and then removes them.
 func (m *Membership) sweepMembers(now time.Time) {
-	m.dirty = m.view.publishMember(m.self()) || m.dirty
+	m.dirty = m.view.publishMember(m.view.count(now, m.self())) || m.dirty
 	for id, item := range m.view.Members {
 		if id == m.opts.Daemon || item.State == vrwire.MemberRemoved {
 			continue
@@ -54,9 +54,16 @@
 	}
 }
 
+// lastSeen is a member's item with the newest counters.
+func (m *Membership) lastSeen(item vrwire.MemberItem) vrwire.MemberItem {
+	item.Opened = max(item.Opened, m.view.Counters(item.Daemon).Opened)
+	delete(m.view.counters, item.Daemon)
+	return item
+}
+
 func (m *Membership) remove(item vrwire.MemberItem) {
 	m.removed[item.Daemon] = item.Incarnation
-	m.departed = append(m.departed, item)
+	m.departed = append(m.departed, m.lastSeen(item))
 	item.State = vrwire.MemberRemoved
 	m.view.publishMember(item)
 	m.dirty = true
@@ -228,13 +235,13 @@
 			continue
 		}
 		if known && held.Boot != item.Boot && held.State != vrwire.MemberRemoved {
-			m.departed = append(m.departed, held)
+			m.departed = append(m.departed, m.lastSeen(held))
 		}
 		delete(m.removed, item.Daemon)
 		m.heard[item.Daemon] = now
 		// Only the root grants shares; a member's own item may carry an older one.
 		item.Share = held.Share
-		m.dirty = m.view.publishMember(item) || m.dirty
+		m.dirty = m.view.publishMember(m.view.count(now, item)) || m.dirty
 	}
 	first := members[0]
 	_, gone := m.removed[first.Daemon]
--- a/verbenacore/vrmember/view.go
+++ b/verbenacore/vrmember/view.go
@@ -7,6 +7,7 @@
 	"reflect"
 	"slices"
 	"sort"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -18,6 +19,17 @@
 // the tree has four levels.
 const fanOut = 4
 
+// Counters of a member, known to the root.
+type Counters struct {
+	Opened uint64
+	Near   uint32
+	// shown is when the view's copy was last renewed.
+	shown time.Time
+}
+
+// openedInterval is the pause between two renewals of Opened in the view.
+const openedInterval = 10 * time.Second
+
 // View is what a daemon knows of its zone. Only the zone's owner changes items; the
 // others apply what they receive in the order of (epoch, sequence).
 type View struct {
@@ -36,6 +48,8 @@
 	// change; with 100 members and 290 servers they cost too much for each tick.
 	order   []vrid.DaemonID
 	pollers map[vrid.ServerID]Pollers
+	// counters are only kept by the root.
+	counters map[vrid.DaemonID]Counters
 }
 
 func newView(zone vrid.ZoneID) *View {
@@ -45,9 +59,30 @@
 		Servers:        make(map[vrid.ServerID]vrwire.ServerItem),
 		Remote:         make(map[vrid.ZoneID]vrwire.ZoneSummary),
 		remoteSequence: make(map[vrid.ZoneID]uint64),
+		counters:       make(map[vrid.DaemonID]Counters),
 	}
 }
 
+// count keeps a member's counters at the root and returns the item for the view. They
+// change each second under load, and the root would otherwise send every member to
+// every other one each second; the view's copy of Opened is renewed now and then, so
+// that a new root knows about how many requests a dead member had.
+func (v *View) count(now time.Time, item vrwire.MemberItem) vrwire.MemberItem {
+	counters := v.counters[item.Daemon]
+	counters.Opened, counters.Near = item.Opened, item.Near
+	item.Near = 0
+	if now.Sub(counters.shown) < openedInterval {
+		item.Opened = v.Members[item.Daemon].Opened
+	} else {
+		counters.shown = now
+	}
+	v.counters[item.Daemon] = counters
+	return item
+}
+
+// Counters returns what the root knows of a member's counters.
+func (v *View) Counters(id vrid.DaemonID) Counters { return v.counters[id] }
+
 // delta returns the items that changed after base; 0 means all of them.
 func (v *View) delta(base uint64) *vrwire.ViewDelta {
 	delta := &vrwire.ViewDelta{
--- a/verbenacore/vrreducer/share.go
+++ b/verbenacore/vrreducer/share.go
@@ -1,6 +1,7 @@
 package vrreducer
 
 import (
+	"math"
 	"time"
 
 	"verbenaroute.example/verbenacore/vrid"
@@ -53,7 +54,7 @@
 			continue
 		}
 		live = append(live, id)
-		total += s.shares.note(id, item.Opened)
+		total += s.shares.note(id, view.Counters(id).Opened)
 	}
 	s.shares.farPart = s.farPart(view)
 	granted := make(map[vrid.DaemonID]uint32, len(live))
@@ -111,9 +112,9 @@
 	for _, item := range view.Servers {
 		running += int(item.Running + item.Waiting)
 	}
-	for _, item := range view.Members {
+	for id, item := range view.Members {
 		if item.State == vrwire.MemberAlive {
-			near += int(item.Near)
+			near += int(view.Counters(id).Near)
 		}
 	}
 	used := 0.0
@@ -124,6 +125,9 @@
 	return min(most, max(least, s.shares.far+growth))
 }
 
+// farSteps is the resolution of the part for other zones.
+const farSteps = 5
+
 // farGrant is one far daemon's share in thousandths.
 func (s *State) farGrant() uint32 {
 	view := s.member.View()
@@ -131,5 +135,7 @@
 	if s.opts.Plain || others <= 0 {
 		return 0
 	}
-	return max(1, uint32(s.shares.farPart*shareWhole/float64(others)))
+	// Steps keep the view of every zone from changing with each summary.
+	part := math.Ceil(s.shares.farPart*farSteps) / farSteps
+	return max(1, uint32(part*shareWhole/float64(others)))
 }
--- a/verbenacore/vrreducer/summary.go
+++ b/verbenacore/vrreducer/summary.go
@@ -109,7 +109,7 @@
 		content.servers[id] = item
 	}
 	for id, item := range view.Members {
-		item.Sequence, item.Opened, item.Share = 0, 0, 0
+		item.Sequence, item.Opened, item.Share, item.Near = 0, 0, 0, 0
 		content.members[id] = item
 	}
 	return content
