Grant memory in advance to the models most likely needed

Cause: a zone without the platform may load only what was granted, and nothing was. Change: every 10 s one absent model with the highest recent use times load time is granted free memory; loads take it back in the same plan. The load of a grant gets a new attempt, since engines that honour fencing refuse its older number.

--- a/verbenabench/internal/vrmeasure/report.go
+++ b/verbenabench/internal/vrmeasure/report.go
@@ -66,7 +66,7 @@
 	return fmt.Sprintf("%s %.4g%s", sign, t.Bound, unit)
 }
 
-func atMost(bound float64) *Target  { return &Target{Bound: bound} }
+func atMost(bound float64) *Target { return &Target{Bound: bound} }
 func relative(bound float64) *Target {
 	return &Target{Bound: bound, Relative: true}
 }
--- a/verbenacore/vrledger/vrledger.go
+++ b/verbenacore/vrledger/vrledger.go
@@ -391,9 +391,12 @@
 			l.addEntry(s, entry)
 		}
 		entry.State = vrwire.ReplicaLoading
-		if len(entry.Attempts) == 0 || !l.ownUnsent(s, entry) {
-			l.addAttempt(s, entry)
+		if l.ownUnsent(s, entry) {
+			// An engine that honours fencing refuses the number of a grant that is older than
+			// another order to it. That attempt was never sent, so a new one replaces it.
+			entry.Attempts = nil
 		}
+		l.addAttempt(s, entry)
 		l.queueOrder(s, entry)
 	case ActionUnload:
 		entry.State = vrwire.ReplicaUnloading
--- a/verbenacore/vrplace/evict.go
+++ b/verbenacore/vrplace/evict.go
@@ -37,11 +37,11 @@
 		}
 	}
 	if best != nil {
+		w.take(best, "", adapter.Memory)
 		w.actions = append(w.actions, vrledger.Action{
 			Kind: vrledger.ActionLoad, Server: best.Info.ID, Model: wanted.model,
 			Adapter: adapter.ID, Bytes: adapter.Memory, Source: sourceRemote,
 		})
-		w.free[best.Info.ID] -= adapter.Memory
 		w.adapterLoads++
 		return
 	}
@@ -110,7 +110,8 @@
 	var candidates []*vrledger.Entry
 	for i := range server.Entries {
 		entry := &server.Entries[i]
-		if entry.Adapter == "" && w.evictable(server, entry, rank) {
+		// What a grant holds counts as free already if it can be taken back.
+		if entry.Adapter == "" && entry.State != vrwire.ReplicaGranted && w.evictable(server, entry, rank) {
 			candidates = append(candidates, entry)
 		}
 	}
--- a/verbenacore/vrplace/vrplace.go
+++ b/verbenacore/vrplace/vrplace.go
@@ -73,6 +73,8 @@
 	// gaps are the times between requests over all models, for those of which little is
 	// known.
 	gaps gaps
+	// grantedAt is when memory was last reserved in advance.
+	grantedAt time.Time
 	// loads are the loads that wait for or hold a place at the weight store.
 	loads []vrwire.SlotLoad
 }
@@ -135,6 +137,10 @@
 	// Elsewhere is the number of places at replicas of a model in other zones that this
 	// zone's requests may use now.
 	Elsewhere func(vrid.ModelID, vrid.Rank) int
+	// Advance allows grants in advance.
+	Advance bool
+	// Revocable reports whether the grant of a model on a server can be taken back now.
+	Revocable func(vrid.ServerID, vrid.ModelID) bool
 	// Granted reports whether the fleet's owner gave a load a place at the weight store.
 	// It is nil when the zone uses its own part of the places.
 	Granted func(vrid.OrderID) bool
@@ -164,8 +170,10 @@
 	loads        int
 	adapterLoads int
 	busy         map[vrid.ServerID]bool
-	free         map[vrid.ServerID]vrid.Bytes
-	added        map[vrid.ModelID]int
+	// free includes the memory of grants that can be taken back, which granted counts.
+	free    map[vrid.ServerID]vrid.Bytes
+	granted map[vrid.ServerID]vrid.Bytes
+	added   map[vrid.ModelID]int
 }
 
 // Plan returns the actions for this moment, the most urgent first.
@@ -174,7 +182,7 @@
 		Input: input, planner: p, now: now,
 		busy:  make(map[vrid.ServerID]bool),
 		free:  make(map[vrid.ServerID]vrid.Bytes),
-		added: make(map[vrid.ModelID]int),
+		added: make(map[vrid.ModelID]int), granted: make(map[vrid.ServerID]vrid.Bytes),
 	}
 	for i := range input.Servers {
 		work.count(&input.Servers[i])
@@ -187,6 +195,7 @@
 		work.serveModel(w)
 	}
 	work.unloadIdle()
+	work.grant()
 	p.loads = work.slots
 	return work.actions
 }
@@ -195,6 +204,7 @@
 	id := server.Info.ID
 	w.free[id] = server.Free
 	w.busy[id] = server.Busy
+	w.countGrants(server)
 	for i := range server.Entries {
 		entry := &server.Entries[i]
 		if entry.State != vrwire.ReplicaLoading {
@@ -275,14 +285,14 @@
 		return
 	}
 	replicas := w.Replicas(wanted.model) + w.added[wanted.model]
-	if replicas == 0 && w.Elsewhere != nil && w.Elsewhere(model.ID, wanted.rank) >= wanted.waiting {
+	if (replicas == 0 || w.isGranted(model.ID)) && w.Elsewhere != nil && w.Elsewhere(model.ID, wanted.rank) >= wanted.waiting {
 		// What other zones can serve was only asked for before this zone knew.
 		return
 	}
 	if !w.needsReplica(wanted, replicas) {
 		return
 	}
-	if replicas >= model.ReplicasPerZone && !vrfault.On(vrfault.IgnoreCap) {
+	if replicas >= model.ReplicasPerZone && !w.isGranted(model.ID) && !vrfault.On(vrfault.IgnoreCap) {
 		w.freeUnused(wanted)
 		return
 	}
@@ -327,6 +337,17 @@
 	return free
 }
 
+// isGranted reports whether a replica of the model is only reserved; its load adds none.
+func (w *plan) isGranted(model vrid.ModelID) bool {
+	for i := range w.Servers {
+		entry := findEntry(&w.Servers[i], model, "")
+		if entry != nil && entry.State == vrwire.ReplicaGranted {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *plan) needsReplica(wanted want, replicas int) bool {
 	if replicas == 0 {
 		return true
@@ -351,9 +372,9 @@
 }
 
 func (w *plan) load(server *vrledger.Snapshot, action vrledger.Action) {
+	w.take(server, action.Model, action.Bytes)
 	w.actions = append(w.actions, action)
 	w.busy[server.Info.ID] = true
-	w.free[server.Info.ID] -= action.Bytes
 }
 
 // place returns the live server with room that has the nearest copy, then the one with
--- a/verbenacore/vrreducer/plan.go
+++ b/verbenacore/vrreducer/plan.go
@@ -8,6 +8,7 @@
 	"verbenaroute.example/verbenacore/vrengine"
 	"verbenaroute.example/verbenacore/vrevent"
 	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrledger"
 	"verbenaroute.example/verbenacore/vrplace"
 	"verbenaroute.example/verbenacore/vrrecord"
 	"verbenaroute.example/verbenacore/vrroute"
@@ -59,6 +60,10 @@
 	if s.opts.Plain {
 		return input
 	}
+	input.Advance = true
+	input.Revocable = func(server vrid.ServerID, model vrid.ModelID) bool {
+		return s.ledger.Allowed(vrledger.Action{Kind: vrledger.ActionRevoke, Server: server, Model: model}) == vrledger.RefusalNone
+	}
 	input.Elsewhere = func(model vrid.ModelID, rank vrid.Rank) int { return s.elsewhere(now, model, rank) }
 	if s.coordinated(now) {
 		input.Granted = s.slotGranted
