--- a/verbenacore/vrplace/vrplace.go
+++ b/verbenacore/vrplace/vrplace.go
@@ -18,14 +18,14 @@
 	// demandTimeout is how long a daemon's demand counts after its last message; it
 	// spans two heartbeats and a delay.
 	demandTimeout = 2500 * time.Millisecond
-	// keepAlive is how long an idle model stays loaded at least, so that a pause in a
-	// conversation does not cost a load.
+	// keepAlive is how long the plain policy keeps an idle model.
 	keepAlive = 5 * time.Minute
 	// settleTime is how long the plain policy does not evict a used model for another.
 	settleTime = 10 * time.Second
-	// settleLoads is the same in load times of the model: two models that drive each
-	// other out then spend at most a quarter of the time loading.
-	settleLoads = 3
+	// settleLoads is the same in load times of the model, after its use is known here, which
+	// takes a second or two: two models that drive each other out then spend less than
+	// half of the time loading.
+	settleLoads = 1.5
 	// useHalfLife is how fast the memory of a model's use fades.
 	useHalfLife = 30 * time.Minute
 	// retryLoad is the pause after a load that failed on a server.
@@ -44,6 +44,9 @@
 	rate    float64
 	fadedAt time.Time
 	last    time.Time
+	// arrived is when a request came last, gaps the times between requests.
+	arrived time.Time
+	gaps    gaps
 	// regular is how regularly each rank uses it.
 	regular [vrid.RankCount]regularity
 	waits   map[vrid.DaemonID]wait
@@ -67,6 +70,11 @@
 type Planner struct {
 	opts Options
 	uses map[name]*use
+	// gaps are the times between requests over all models, for those of which little is
+	// known.
+	gaps gaps
+	// grantedAt is when memory was last reserved in advance.
+	grantedAt time.Time
 	// loads are the loads that wait for or hold a place at the weight store.
 	loads []vrwire.SlotLoad
 }
@@ -92,7 +100,10 @@
 	u := p.use(name{model: demand.Model, adapter: demand.Adapter})
 	u.fade(now)
 	u.rate += float64(demand.Arrived)
-	if demand.Arrived > 0 || demand.Waiting > 0 {
+	if demand.Arrived > 0 {
+		p.noteArrival(now, u)
+	}
+	if demand.Arrived > 0 || demand.Waiting > 0 || demand.Running > 0 {
 		u.last = now
 		u.regular[demand.Rank].note(now)
 	}
@@ -126,6 +137,10 @@
 	// Elsewhere is the number of places at replicas of a model in other zones that this
 	// zone's requests may use now.
 	Elsewhere func(vrid.ModelID, vrid.Rank) int
+	// Advance allows grants in advance.
+	Advance bool
+	// Revocable reports whether the grant of a model on a server can be taken back now.
+	Revocable func(vrid.ServerID, vrid.ModelID) bool
 	// Granted reports whether the fleet's owner gave a load a place at the weight store.
 	// It is nil when the zone uses its own part of the places.
 	Granted func(vrid.OrderID) bool
@@ -155,8 +170,10 @@
 	loads        int
 	adapterLoads int
 	busy         map[vrid.ServerID]bool
-	free         map[vrid.ServerID]vrid.Bytes
-	added        map[vrid.ModelID]int
+	// free includes the memory of grants that can be taken back, which granted counts.
+	free    map[vrid.ServerID]vrid.Bytes
+	granted map[vrid.ServerID]vrid.Bytes
+	added   map[vrid.ModelID]int
 }
 
 // Plan returns the actions for this moment, the most urgent first.
@@ -165,7 +182,7 @@
 		Input: input, planner: p, now: now,
 		busy:  make(map[vrid.ServerID]bool),
 		free:  make(map[vrid.ServerID]vrid.Bytes),
-		added: make(map[vrid.ModelID]int),
+		added: make(map[vrid.ModelID]int), granted: make(map[vrid.ServerID]vrid.Bytes),
 	}
 	for i := range input.Servers {
 		work.count(&input.Servers[i])
@@ -178,6 +195,7 @@
 		work.serveModel(w)
 	}
 	work.unloadIdle()
+	work.grant()
 	p.loads = work.slots
 	return work.actions
 }
@@ -186,6 +204,7 @@
 	id := server.Info.ID
 	w.free[id] = server.Free
 	w.busy[id] = server.Busy
+	w.countGrants(server)
 	for i := range server.Entries {
 		entry := &server.Entries[i]
 		if entry.State != vrwire.ReplicaLoading {
@@ -266,14 +285,14 @@
 		return
 	}
 	replicas := w.Replicas(wanted.model) + w.added[wanted.model]
-	if replicas == 0 && w.Elsewhere != nil && w.Elsewhere(model.ID, wanted.rank) >= wanted.waiting {
+	if (replicas == 0 || w.isGranted(model.ID)) && w.Elsewhere != nil && w.Elsewhere(model.ID, wanted.rank) >= wanted.waiting {
 		// What other zones can serve was only asked for before this zone knew.
 		return
 	}
 	if !w.needsReplica(wanted, replicas) {
 		return
 	}
-	if replicas >= model.ReplicasPerZone && !vrfault.On(vrfault.IgnoreCap) {
+	if replicas >= model.ReplicasPerZone && !w.isGranted(model.ID) && !vrfault.On(vrfault.IgnoreCap) {
 		w.freeUnused(wanted)
 		return
 	}
@@ -318,6 +337,17 @@
 	return free
 }
 
+// isGranted reports whether a replica of the model is only reserved; its load adds none.
+func (w *plan) isGranted(model vrid.ModelID) bool {
+	for i := range w.Servers {
+		entry := findEntry(&w.Servers[i], model, "")
+		if entry != nil && entry.State == vrwire.ReplicaGranted {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *plan) needsReplica(wanted want, replicas int) bool {
 	if replicas == 0 {
 		return true
@@ -342,9 +372,9 @@
 }
 
 func (w *plan) load(server *vrledger.Snapshot, action vrledger.Action) {
+	w.take(server, action.Model, action.Bytes)
 	w.actions = append(w.actions, action)
 	w.busy[server.Info.ID] = true
-	w.free[server.Info.ID] -= action.Bytes
 }
 
 // place returns the live server with room that has the nearest copy, then the one with
