Keep a gap from hiding a record entry in try

Cause: a gap entry has the number of the first entry that it may stand for. The daemon had lost nothing. Change: only entries that are no gaps count as seen. Conclusion: the fault was in the check, not in the record.

--- a/verbenabench/internal/vrinvariant/record.go
+++ b/verbenabench/internal/vrinvariant/record.go
@@ -64,12 +64,16 @@
 			if err != nil {
 				return fmt.Errorf("%s: entry %d: %w", item.Key, i, err)
 			}
-			// An entry that was sent again to the next writer stands twice.
-			id := place{run: entry.RunOf(), number: entry.Number}
-			if entry.Kind != vrrecord.EntryGap && seen[id] {
-				continue
+			// An entry that was sent again to the next writer stands twice. A gap has the
+			// number of the first entry that it may stand for, which another writer's block
+			// can hold; it stands for no entry that is there.
+			if entry.Kind != vrrecord.EntryGap {
+				id := place{run: entry.RunOf(), number: entry.Number}
+				if seen[id] {
+					continue
+				}
+				seen[id] = true
 			}
-			seen[id] = true
 			e.Record = append(e.Record, *entry)
 		}
 	}
