--- a/verbenabench/internal/vrdeploy/settings.go
+++ b/verbenabench/internal/vrdeploy/settings.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"encoding/pem"
 	"fmt"
+	mathrand "math/rand/v2"
 	"math/big"
 	"net"
 	"os"
@@ -48,7 +49,7 @@
 	for _, daemon := range daemons {
 		var addresses [kinds]string
 		for i := range addresses {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			listener, err := listenReserved()
 			if err != nil {
 				return nil, fmt.Errorf("reserve a port for %s: %w", daemon.ID, err)
 			}
@@ -60,6 +61,28 @@
 	return ports, nil
 }
 
+// Ports of daemons lie below those that outgoing connections take on their own, which
+// begin at 32768: a daemon that is down for a while finds its ports free again.
+const (
+	_firstPort  = 10_240
+	_lastPort   = 32_000
+	_portProbes = 200
+)
+
+// listenReserved opens a random free port of that range.
+func listenReserved() (net.Listener, error) {
+	var failure error
+	for range _portProbes {
+		port := _firstPort + mathrand.IntN(_lastPort-_firstPort)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			return listener, nil
+		}
+		failure = err
+	}
+	return nil, failure
+}
+
 // SettingsOptions says where daemons find each other and the platform.
 type SettingsOptions struct {
 	Dir string
