--- a/verbenabench/internal/vrcommand/vrcommand.go
+++ b/verbenabench/internal/vrcommand/vrcommand.go
@@ -8,6 +8,7 @@
 	"verbenaroute.example/verbenabench/internal/vrdeploy"
 	"verbenaroute.example/verbenabench/internal/vrmeasure"
 	"verbenaroute.example/verbenabench/internal/vrpath"
+	"verbenaroute.example/verbenabench/internal/vrrecovery"
 )
 
 // New returns the root command.
@@ -20,7 +21,7 @@
 	}
 	root.AddCommand(
 		newStandin(), newTry(), newScenario(),
-		vrmeasure.Command(), vrpath.Command(), vrcost.Command(), vrcost.SpreadCommand(),
+		vrmeasure.Command(), vrpath.Command(), vrcost.Command(), vrcost.SpreadCommand(), vrrecovery.Command(),
 	)
 	return root
 }
--- /dev/null
+++ b/verbenabench/internal/vrrecovery/meter.go
@@ -0,0 +1,88 @@
+package vrrecovery
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"verbenaroute.example/verbenabench/internal/vrstandin"
+)
+
+// Kinds of platform calls as both platforms count them.
+const (
+	_kindRead    = "read"
+	_kindWrite   = "write"
+	_kindList    = "list"
+	_kindVMs     = "vms"
+	_kindWatch   = "watch"
+	_kindRefused = "refused"
+)
+
+// meter holds the counts of platform calls at regular times.
+type meter struct {
+	every   time.Duration
+	samples []map[string]int
+}
+
+// total is the number of calls of each kind.
+func (m *meter) total() map[string]int { return difference(m.samples[0], m.samples[len(m.samples)-1]) }
+
+// peak is the highest number of calls in a second, by kind and of all kinds together.
+func (m *meter) peak() (byKind map[string]int, all int) {
+	byKind = make(map[string]int)
+	second := int(time.Second / m.every)
+	for i := range m.samples {
+		end := min(i+second, len(m.samples)-1)
+		sum := 0
+		for kind, count := range difference(m.samples[i], m.samples[end]) {
+			byKind[kind] = max(byKind[kind], count)
+			sum += count
+		}
+		all = max(all, sum)
+	}
+	return byKind, all
+}
+
+func difference(before, after map[string]int) map[string]int {
+	counts := make(map[string]int, len(after))
+	for kind, count := range after {
+		if count > before[kind] {
+			counts[kind] = count - before[kind]
+		}
+	}
+	return counts
+}
+
+func describe(counts map[string]int) string {
+	parts := make([]string, 0, len(counts))
+	for _, kind := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%s %d", kind, counts[kind]))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// counters are the calls that the site's platform has had.
+func (s *site) counters() map[string]int {
+	names := map[vrstandin.CallKind]string{
+		vrstandin.CallGet: _kindRead, vrstandin.CallPut: _kindWrite, vrstandin.CallDelete: _kindWrite,
+		vrstandin.CallList: _kindList, vrstandin.CallVMs: _kindVMs, vrstandin.CallWatch: _kindWatch,
+		vrstandin.CallRefused: _kindRefused,
+	}
+	counts := make(map[string]int)
+	for kind, count := range s.fleet.World.Platform.Counters() {
+		counts[names[kind]] += int(count)
+	}
+	return counts
+}
+
+// measure samples the platform's counters for a while.
+func (s *site) measure(ctx context.Context, length time.Duration) *meter {
+	m := &meter{every: _pollEvery, samples: []map[string]int{s.counters()}}
+	for end := time.Now().Add(length); time.Now().Before(end) && rest(ctx, m.every); {
+		m.samples = append(m.samples, s.counters())
+	}
+	return m
+}
--- /dev/null
+++ b/verbenabench/internal/vrrecovery/partition.go
@@ -0,0 +1,126 @@
+package vrrecovery
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/spf13/cobra"
+
+	"verbenaroute.example/verbenabench/internal/vrfleet"
+	"verbenaroute.example/verbenabench/internal/vrload"
+	"verbenaroute.example/verbenabench/internal/vrstandin"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrplatform"
+)
+
+const (
+	// _configTarget is when a configuration is in force everywhere that can be reached.
+	_configTarget  = 7 * time.Second
+	_reconcileTime = 20 * time.Second
+)
+
+type partition struct {
+	*Options
+	cut  time.Duration
+	rate float64
+}
+
+func partitionCommand(options *Options) *cobra.Command {
+	p := &partition{Options: options}
+	command := experiment("partition", "Cut a zone off from the platform and let it return", options, p.run)
+	command.Flags().DurationVar(&p.cut, "cut", time.Minute, "length of the partition")
+	command.Flags().Float64Var(&p.rate, "rate", 40, "calls a second")
+	return command
+}
+
+func (p *partition) run(ctx context.Context) error {
+	s, err := newSite(ctx, p.Options)
+	if err != nil {
+		return err
+	}
+	defer s.fleet.Close()
+	loadOptions := vrload.Options{
+		Fleet: &s.fleet.Deployment.Fleet, Daemons: s.fleet.Callers(), Seed: p.Seed, Rate: p.rate,
+		For: p.cut + _reconcileTime + _warmUp,
+	}
+	load := vrload.New(loadOptions)
+	var views []vrload.View
+	var traffic conc.WaitGroup
+	traffic.Go(func() { views = load.Run(ctx) })
+	failure := p.fail(ctx, s)
+	traffic.Wait()
+	if failure != nil {
+		return failure
+	}
+	if err := s.judge(views); err != nil {
+		return err
+	}
+	return s.end()
+}
+
+// fail cuts the zone off, changes the configuration meanwhile and waits until the zone
+// has caught up.
+func (p *partition) fail(ctx context.Context, s *site) error {
+	zone := s.fleet.Deployment.Fleet.Zones()[0]
+	if !rest(ctx, _warmUp) {
+		return ctx.Err()
+	}
+	s.progress("%s loses the platform", zone)
+	fault := vrstandin.Fault{Kind: vrstandin.FaultZoneCut, Zone: zone, For: vrid.Duration(p.cut)}
+	began := time.Now()
+	if err := s.fleet.World.Apply(fault); err != nil {
+		return err
+	}
+	if !rest(ctx, p.cut/2) {
+		return ctx.Err()
+	}
+	// The invariants' check takes 7 s from a change for every zone, so the change of
+	// this run is judged here.
+	if _, err := s.fleet.Change(); err != nil {
+		return err
+	}
+	if !rest(ctx, time.Until(began.Add(p.cut))) {
+		return ctx.Err()
+	}
+	healed := time.Now()
+	s.progress("%s has the platform again", zone)
+	s.reconcile(ctx, zone, healed)
+	return nil
+}
+
+// reconcile waits for the zone's first writes of each kind after the partition.
+func (s *site) reconcile(ctx context.Context, zone vrid.ZoneID, healed time.Time) {
+	kinds := []struct{ name, prefix string }{
+		{"lease", vrplatform.LeaseKey(zone)},
+		{"acknowledgement of the configuration", vrplatform.PrefixConfigAck + string(zone)},
+		{"record", vrplatform.PrefixRecord + string(zone) + "/"},
+	}
+	for _, kind := range kinds {
+		after := _reconcileTime
+		_ = vrfleet.Until(ctx, _reconcileTime, func() bool {
+			at, found := s.firstWrite(kind.prefix, healed)
+			if found {
+				after = at.Sub(healed)
+			}
+			return found
+		})
+		s.verdict.target(after <= _configTarget, "%s: first write after %s (at most %s)", kind.name, after.Round(time.Millisecond), _configTarget)
+	}
+	for _, daemon := range s.fleet.Deployment.Daemons {
+		if daemon.Zone == zone {
+			s.verdict.target(s.fleet.Ready(daemon.ID), "%s is ready after the partition", daemon.ID)
+		}
+	}
+}
+
+// firstWrite is the time of the first write under a prefix after a time.
+func (s *site) firstWrite(prefix string, after time.Time) (time.Time, bool) {
+	for _, entry := range s.fleet.World.Journal.After(0) {
+		if entry.Kind == vrstandin.JournalWrite && strings.HasPrefix(entry.Object, prefix) && entry.At.After(after) {
+			return entry.At, true
+		}
+	}
+	return time.Time{}, false
+}
--- /dev/null
+++ b/verbenabench/internal/vrrecovery/world.go
@@ -0,0 +1,100 @@
+package vrrecovery
+
+import (
+	"time"
+
+	"verbenaroute.example/verbenabench/internal/vrworld"
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrlease"
+	"verbenaroute.example/verbenacore/vrplatform"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+const (
+	_warmUp = 12 * time.Second
+	// _rankStep is the distance between two urgent models of the default configuration.
+	_rankStep = 3
+	_tokens   = 10
+)
+
+// worldOwner is the daemon that the platform's lease object names, or nil.
+func worldOwner(w *vrworld.World, zone vrid.ZoneID) *vrworld.Daemon {
+	value, _ := w.Platform.Object(vrplatform.LeaseKey(zone))
+	record, err := vrwire.Unmarshal[vrlease.Record](value)
+	if err != nil || record.Released {
+		return nil
+	}
+	for _, d := range w.Daemons {
+		if d.ID == record.Holder && d.Process != nil {
+			return d
+		}
+	}
+	return nil
+}
+
+// survivors are the running daemons of a zone.
+func survivors(w *vrworld.World, zone vrid.ZoneID) []*vrworld.Daemon {
+	var running []*vrworld.Daemon
+	for _, d := range w.Daemons {
+		if d.Zone == zone && d.Process != nil {
+			running = append(running, d)
+		}
+	}
+	return running
+}
+
+// held reports whether a language server of the zone holds the model; no zone means any.
+func held(w *vrworld.World, zone vrid.ZoneID, model vrid.ModelID) bool {
+	for _, e := range w.Engines {
+		if (zone == "" || e.Zone == zone) && e.Models[model] != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// urgentModels are the urgent models of the default configuration.
+func urgentModels(w *vrworld.World) []vrid.ModelID {
+	var models []vrid.ModelID
+	for i := 0; i < w.Options.Models; i += _rankStep {
+		models = append(models, vrworld.ModelName(i))
+	}
+	return models
+}
+
+func prompt(model vrid.ModelID) vrevent.Request {
+	return vrevent.Request{Kind: vrworld.KindUrgent, Model: model, MaxTokens: _tokens}
+}
+
+// outcomes counts the ends of calls.
+type outcomes struct {
+	answered, refused, open, late int
+	reasons                       map[string]int
+}
+
+func outcomesOf(w *vrworld.World, calls []*vrworld.Call) outcomes {
+	counted := outcomes{reasons: make(map[string]int)}
+	for _, call := range calls {
+		switch call.End {
+		case vrworld.EndAnswered, vrworld.EndReplayed:
+			counted.answered++
+		case vrworld.EndRefused, vrworld.EndBroken:
+			counted.refused++
+			counted.reasons[string(call.Reason)]++
+		case vrworld.EndOpen:
+			counted.open++
+		}
+		first := call.FirstToken
+		if first.IsZero() {
+			first = call.Ended
+		}
+		if first.IsZero() {
+			first = w.Now()
+		}
+		if first.Sub(call.Sent) > call.Limit+vrevent.TickInterval {
+			counted.late++
+		}
+	}
+	return counted
+}
--- a/verbenacore/vrreducer/zone.go
+++ b/verbenacore/vrreducer/zone.go
@@ -208,17 +208,20 @@
 		}
 		s.ledger.SetServer(now, vrledger.ServerInfo{
 			ID: vrid.ServerID(id), Pool: vm.Pool, Address: vm.Address, Memory: pool.Memory,
-			Slots: pool.Slots, HonorsFencing: pool.HonorsFencing, State: s.serverState(vm),
+			Slots: pool.Slots, HonorsFencing: pool.HonorsFencing, State: s.serverState(now, vm),
 		})
 	}
 }
 
-// serverState is the worst of what the platform, the operators and the server say.
-func (s *State) serverState(vm vrplatform.VM) vrwire.ServerState {
+// serverState is the worst of what the platform, the operators and the server say. A
+// new owner has no report yet: until the first one the former owner's view counts.
+func (s *State) serverState(now time.Time, vm vrplatform.VM) vrwire.ServerState {
 	id := vrid.ServerID(vm.ID)
 	report := s.ledger.Report(id)
 	switch {
-	case vm.State == vrplatform.VMLeaving, report != nil && report.Leaving:
+	case vm.State == vrplatform.VMLeaving, report != nil && report.Leaving, s.noticed(now, id):
+		return vrwire.ServerLeaving
+	case report == nil && s.member.View().Servers[id].State == vrwire.ServerLeaving:
 		return vrwire.ServerLeaving
 	case s.store.Current().Drained(id), s.zone.drained[id]:
 		return vrwire.ServerDrained
