Tell a new owner at once what requests wait for

Cause: demand for cold models died with the former owner and reached the new one with heartbeats up to 2 s later. Change: a daemon sends the waiting demand directly when it learns of a new owner.

--- a/verbenacore/vrreducer/plan.go
+++ b/verbenacore/vrreducer/plan.go
@@ -111,6 +111,28 @@
 	s.send(s.member.Owner(), &vrwire.Envelope{Demand: &vrwire.Demand{Demands: []vrwire.ModelDemand{demand}}}, out)
 }
 
+// repeatDemand tells a new owner at once what requests wait for: what the former one was
+// told died with it, and the next heartbeats would bring it up to 2 s later.
+func (s *State) repeatDemand(now time.Time, out *vrevent.Effects) {
+	owner, epoch := s.member.Owner().Daemon, s.member.View().Epoch
+	if s.lease.Holding() {
+		owner, epoch = s.opts.Daemon, s.lease.Epoch()
+	}
+	if owner == s.zone.demandTo && epoch == s.zone.demandEpoch {
+		return
+	}
+	s.zone.demandTo, s.zone.demandEpoch = owner, epoch
+	for _, wait := range s.queue.Waits() {
+		if wait.Target.Model == "" {
+			continue
+		}
+		s.sendDemand(now, vrwire.ModelDemand{
+			Model: wait.Target.Model, Adapter: wait.Target.Adapter, Rank: wait.Rank, Waiting: uint32(wait.Count),
+			Deadline: wait.Deadline.UnixMilli(), Daemon: s.opts.Daemon,
+		}, out)
+	}
+}
+
 // arrived counts a request for the next message of demand.
 func (z *zone) arrived(r *request) {
 	z.arrivals[demandKey{model: r.Model, adapter: r.Adapter, rank: r.Rank}]++
--- a/verbenacore/vrreducer/zone.go
+++ b/verbenacore/vrreducer/zone.go
@@ -68,7 +68,11 @@
 	// arrivals count the requests since the last demand message.
 	arrivals   map[demandKey]uint32
 	arrivalsAt time.Time
-	drained    map[vrid.ServerID]bool
+	// demandTo is the owner that was told of every waiting request, demandEpoch its epoch
+	// in the view.
+	demandTo    vrid.DaemonID
+	demandEpoch vrid.Epoch
+	drained     map[vrid.ServerID]bool
 	// leaving are servers that a notice named, with the time of the notice.
 	leaving  map[vrid.ServerID]time.Time
 	watching bool
@@ -116,6 +120,7 @@
 	}, out)
 	s.tickFleet(now, out)
 	s.ackEpoch(now, out)
+	s.repeatDemand(now, out)
 	if !s.lease.Holding() {
 		s.sendArrivals(now)
 		return
