--- a/verbenabench/internal/vrcommand/vrcommand.go
+++ b/verbenabench/internal/vrcommand/vrcommand.go
@@ -9,6 +9,7 @@
 	"verbenaroute.example/verbenabench/internal/vrfuzz"
 	"verbenaroute.example/verbenabench/internal/vrmeasure"
 	"verbenaroute.example/verbenabench/internal/vrpath"
+	"verbenaroute.example/verbenabench/internal/vrrecovery"
 )
 
 // New returns the root command.
@@ -21,7 +22,7 @@
 	}
 	root.AddCommand(
 		newStandin(), newTry(), newScenario(),
-		vrmeasure.Command(), vrfuzz.Command(), vrpath.Command(),
+		vrmeasure.Command(), vrfuzz.Command(), vrpath.Command(), vrrecovery.Command(),
 		vrcost.Command(), vrcost.SpreadCommand(), vrcost.RealCommand(),
 	)
 	return root
--- a/verbenabench/internal/vrdeploy/settings.go
+++ b/verbenabench/internal/vrdeploy/settings.go
@@ -35,14 +35,6 @@
 	Peers     string `json:"peers"`
 }
 
-// Daemons get ports below the range from which the kernel takes those of outgoing
-// connections: a port of that range can be gone before the daemon opens it.
-const (
-	lowestPort = 12_000
-	portCount  = 20_000
-	portTries  = 200
-)
-
 // ReservePorts finds free loopback ports for each daemon. Each port is closed again
 // before the daemon opens it; random places keep fleets that start at once apart.
 func ReservePorts(daemons []Daemon) (map[vrid.DaemonID]Ports, error) {
@@ -57,7 +49,7 @@
 	for _, daemon := range daemons {
 		var addresses [kinds]string
 		for i := range addresses {
-			listener, err := listenFree()
+			listener, err := listenReserved()
 			if err != nil {
 				return nil, fmt.Errorf("reserve a port for %s: %w", daemon.ID, err)
 			}
@@ -69,17 +61,26 @@
 	return ports, nil
 }
 
-// listenFree opens a free port.
-func listenFree() (net.Listener, error) {
-	var err error
-	for range portTries {
-		var listener net.Listener
-		port := lowestPort + mathrand.IntN(portCount)
-		if listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+// Ports of daemons lie below those that outgoing connections take on their own, which
+// begin at 32768: a daemon that is down for a while finds its ports free again.
+const (
+	_firstPort  = 10_240
+	_lastPort   = 32_000
+	_portProbes = 200
+)
+
+// listenReserved opens a random free port of that range.
+func listenReserved() (net.Listener, error) {
+	var failure error
+	for range _portProbes {
+		port := _firstPort + mathrand.IntN(_lastPort-_firstPort)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
 			return listener, nil
 		}
+		failure = err
 	}
-	return nil, err
+	return nil, failure
 }
 
 // SettingsOptions says where daemons find each other and the platform.
