Measure what the record, claims and declarations cost, with fitted lines

record-cost runs a group of five daemons' journals, claim-cost the log of one shard, memory-cost reducers with many declarations. Lines, quantiles and the size of a frame stand in one place for all measurements (vrstat, vrcost).

--- a/verbenabench/internal/vrcommand/vrcommand.go
+++ b/verbenabench/internal/vrcommand/vrcommand.go
@@ -8,6 +8,7 @@
 	"verbenaroute.example/verbenabench/internal/vrdeploy"
 	"verbenaroute.example/verbenabench/internal/vrmeasure"
 	"verbenaroute.example/verbenabench/internal/vrpath"
+	"verbenaroute.example/verbenabench/internal/vrslope"
 )
 
 // New returns the root command.
@@ -21,6 +22,7 @@
 	root.AddCommand(
 		newStandin(), newTry(), newScenario(),
 		vrmeasure.Command(), vrpath.Command(), vrcost.Command(), vrcost.SpreadCommand(),
+		vrslope.RecordCommand(), vrslope.ClaimCommand(), vrslope.MemoryCommand(),
 	)
 	return root
 }
--- a/verbenabench/internal/vrcost/spread.go
+++ b/verbenabench/internal/vrcost/spread.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 	"io"
-	"slices"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"verbenaroute.example/verbenabench/internal/vrstat"
 	"verbenaroute.example/verbenabench/internal/vrworld"
 	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrevent"
@@ -49,25 +49,14 @@
 	var points []SpreadPoint
 	for _, daemons := range options.Daemons {
 		point := spread(options, daemons)
-		slices.Sort(point.Times)
-		q := quantilesOf(point.Times)
-		fmt.Fprintf(options.Out, "%8d %10s %10s %10s %8d\n", point.Daemons, q[0], q[1], q[2], point.Missed)
+		q := vrstat.QuantilesOf(point.Times)
+		fmt.Fprintf(options.Out, "%8d %10s %10s %10s %8d\n", point.Daemons,
+			q.P50.Round(time.Millisecond), q.P99.Round(time.Millisecond), q.Max.Round(time.Millisecond), point.Missed)
 		points = append(points, point)
 	}
 	return points
 }
 
-// quantilesOf returns the median, the 99th percentile and the largest.
-func quantilesOf(times []time.Duration) [3]time.Duration {
-	if len(times) == 0 {
-		return [3]time.Duration{}
-	}
-	const p50, p99 = 0.50, 0.99
-	last := float64(len(times) - 1)
-	round := func(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
-	return [3]time.Duration{round(times[int(p50*last)]), round(times[int(p99*last+p50)]), round(times[len(times)-1])}
-}
-
 func spread(options SpreadOptions, daemons int) SpreadPoint {
 	world := vrworld.New(vrworld.Options{
 		Seed: options.Seed, Zones: spreadZones, DaemonsPerZone: daemons / spreadZones, ServersPerZone: daemons / spreadZones,
--- a/verbenabench/internal/vrcost/vrcost.go
+++ b/verbenabench/internal/vrcost/vrcost.go
@@ -9,8 +9,7 @@
 	"syscall"
 	"time"
 
-	"gonum.org/v1/gonum/stat"
-
+	"verbenaroute.example/verbenabench/internal/vrstat"
 	"verbenaroute.example/verbenabench/internal/vrworld"
 	"verbenaroute.example/verbenacore/vrevent"
 	"verbenaroute.example/verbenacore/vrid"
@@ -92,6 +91,12 @@
 // frameHeader is the length that precedes each envelope, and yamux' own header.
 const frameHeader = 4 + 12
 
+// FrameSize is what an envelope takes on a session between daemons.
+func FrameSize(envelope *vrwire.Envelope) (float64, error) {
+	data, err := vrwire.Marshal(envelope)
+	return float64(len(data) + frameHeader), err
+}
+
 // Effect counts one effect.
 func (c *counter) Effect(p *vrworld.Process, effect vrevent.Effect) {
 	if watch, ok := effect.(vrevent.WatchConfig); ok {
@@ -115,11 +120,10 @@
 func (c *counter) message(from vrid.DaemonID, effect vrevent.SendPeer) {
 	envelope := *effect.Envelope
 	envelope.From, envelope.Boot, envelope.Zone = from, "00000000000000000000000000", "tw-north-a"
-	data, err := vrwire.Marshal(&envelope)
+	size, err := FrameSize(&envelope)
 	if err != nil {
 		return
 	}
-	size := float64(len(data) + frameHeader)
 	c.sent[from] += size
 	c.received[effect.Peer] += size
 	c.messages += 2
@@ -221,30 +225,15 @@
 
 // fit prints the line through the points of each column and its value at a size.
 func fit(out io.Writer, points []Point, by string, at float64, x func(Point) float64) {
-	const least = 2
-	if len(points) < least {
-		return
-	}
-	columns := []struct {
-		name string
-		y    func(Point) float64
-	}{
-		{"owner bytes/s", func(p Point) float64 { return p.OwnerBytes }},
-		{"inner bytes/s", func(p Point) float64 { return p.InnerBytes }},
-		{"leaf bytes/s", func(p Point) float64 { return p.LeafBytes }},
-		{"messages/s a daemon", func(p Point) float64 { return p.Messages }},
-		{"platform reads/s", func(p Point) float64 { return p.Reads }},
-		{"platform writes/s", func(p Point) float64 { return p.Writes }},
-		{"waiting watches", func(p Point) float64 { return float64(p.Watches) }},
-		{"core % a daemon", func(p Point) float64 { return 100 * p.CPU }},
-	}
-	xs := make([]float64, len(points))
-	ys := make([]float64, len(points))
-	for _, column := range columns {
-		for i, p := range points {
-			xs[i], ys[i] = x(p), column.y(p)
-		}
-		base, slope := stat.LinearRegression(xs, ys, nil, false)
-		fmt.Fprintf(out, "  %-20s = %10.3f + %9.4f × %s; at %.0f: %.3f\n", column.name, base, slope, by, at, base+slope*at)
-	}
+	const percent = 100
+	vrstat.PrintLines(out, points, vrstat.Axis[Point]{Name: by, Of: x}, at, []vrstat.Axis[Point]{
+		{Name: "owner bytes/s", Of: func(p Point) float64 { return p.OwnerBytes }},
+		{Name: "inner bytes/s", Of: func(p Point) float64 { return p.InnerBytes }},
+		{Name: "leaf bytes/s", Of: func(p Point) float64 { return p.LeafBytes }},
+		{Name: "messages/s a daemon", Of: func(p Point) float64 { return p.Messages }},
+		{Name: "platform reads/s", Of: func(p Point) float64 { return p.Reads }},
+		{Name: "platform writes/s", Of: func(p Point) float64 { return p.Writes }},
+		{Name: "waiting watches", Of: func(p Point) float64 { return float64(p.Watches) }},
+		{Name: "core % a daemon", Of: func(p Point) float64 { return percent * p.CPU }},
+	})
 }
--- a/verbenabench/internal/vrmeasure/coldstart.go
+++ b/verbenabench/internal/vrmeasure/coldstart.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"verbenaroute.example/verbenabench/internal/vrstat"
 	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrid"
 )
@@ -60,13 +61,13 @@
 	}
 	slices.Sort(firsts)
 	urgentSum := s.serviceOf(vrid.RankUrgent, s.started, s.Now())
-	p99, urgentP99 := quantile(firsts, 0.99), quantile(urgentSum.firsts, 0.99)
+	p99, urgentP99 := vrstat.Quantile(firsts, 0.99), vrstat.Quantile(urgentSum.firsts, 0.99)
 	best, urgentBest := s.bound(all).Seconds(), s.bound(urgent).Seconds()
 	run.add("p99 to the first token", "s", p99, nil)
 	run.add("p99 / best schedule", "", p99/best, atMost(_coldRatio))
 	run.add("urgent p99 to the first token", "s", urgentP99, nil)
 	run.add("urgent p99 / best schedule of the urgent", "", urgentP99/urgentBest, atMost(_coldUrgentRatio))
-	run.add("median to the first token", "s", quantile(firsts, 0.5), nil)
+	run.add("median to the first token", "s", vrstat.Quantile(firsts, 0.5), nil)
 	run.add("requests not answered", "", float64(unanswered), atMost(0))
 	run.add("loads for each model", "", float64(s.loads)/float64(len(all)), nil)
 	run.add("loads not decided", "", float64(s.loads-len(s.decided)), atMost(0))
--- a/verbenabench/internal/vrmeasure/flood.go
+++ b/verbenabench/internal/vrmeasure/flood.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"verbenaroute.example/verbenabench/internal/vrstat"
 	"verbenaroute.example/verbenabench/internal/vrworld"
 	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrid"
@@ -137,7 +138,7 @@
 	unflooded, kept := part(before.inTarget, before.sent), part(normal.inTarget, normal.sent)
 	floor := s.Options.Fleet.RankPolicyOf(vrid.RankDeferred).Floor
 	run.add("urgent in target", "part", part(urgent.inTarget, urgent.sent), atLeast(_floodUrgentInTarget))
-	run.add("urgent p95 to the first token", "s", quantile(urgent.firsts, 0.95), nil)
+	run.add("urgent p95 to the first token", "s", vrstat.Quantile(urgent.firsts, 0.95), nil)
 	run.add("normal in target / unflooded", "", kept/unflooded, atLeast(_floodNormalKept))
 	run.add("deferred share of the slots", "part", s.shareOf(vrid.RankDeferred, flooded), atLeast(floor))
 	s.addCommon(&run, flooded)
@@ -169,7 +170,7 @@
 	run.add("urgent share of the slots", "part", urgent, nil)
 	run.add("urgent share / rest", "", urgent/(1-others), atLeast(_floodWhole))
 	sum := s.serviceOf(vrid.RankUrgent, flooded[0], flooded[1])
-	run.add("urgent p95 to the first token", "s", quantile(sum.firsts, 0.95), nil)
+	run.add("urgent p95 to the first token", "s", vrstat.Quantile(sum.firsts, 0.95), nil)
 	s.addCommon(&run, flooded)
 	run.Curves = []Curve{distribution("urgent", sum.firsts)}
 	return run, nil
--- a/verbenabench/internal/vrmeasure/world.go
+++ b/verbenabench/internal/vrmeasure/world.go
@@ -214,15 +214,6 @@
 	return float64(count) / float64(of)
 }
 
-// quantile of sorted values; 0 when there are none.
-func quantile(sorted []float64, q float64) float64 {
-	if len(sorted) == 0 {
-		return 0
-	}
-	index := int(q * float64(len(sorted)))
-	return sorted[min(index, len(sorted)-1)]
-}
-
 // distribution is the curve of the sorted values.
 func distribution(name string, sorted []float64) Curve {
 	curve := Curve{Name: name}
--- a/verbenabench/internal/vrpath/vrpath.go
+++ b/verbenabench/internal/vrpath/vrpath.go
@@ -7,12 +7,12 @@
 	"fmt"
 	"io"
 	"os"
-	"sort"
 	"sync"
 	"time"
 
 	"verbenaroute.example/verbenabench/internal/vrdeploy"
 	"verbenaroute.example/verbenabench/internal/vrfleet"
+	"verbenaroute.example/verbenabench/internal/vrstat"
 	"verbenaroute.example/verbenacore/vrid"
 )
 
@@ -31,9 +31,10 @@
 type Point struct {
 	Declared int
 	Stream   bool
-	Direct   Quantiles
-	Through  Quantiles
-	Failed   int
+	// Direct and Through are times to the first byte of a stream, or to the whole answer.
+	Direct  vrstat.Quantiles
+	Through vrstat.Quantiles
+	Failed  int
 	// Allocated is the bytes that the daemon allocated for each request.
 	Allocated float64
 	// IdleMemory is the daemon's resident memory before any traffic.
@@ -42,13 +43,6 @@
 	IdleCPU time.Duration
 }
 
-// Quantiles of the time to the first byte of a stream, or to the whole answer.
-type Quantiles struct {
-	P50 time.Duration
-	P95 time.Duration
-	P99 time.Duration
-}
-
 const (
 	startBound = 30 * time.Second
 	// idleTime is how long the daemon is watched without traffic.
@@ -182,21 +176,11 @@
 	wait.Wait()
 	after := s.process()
 	point.Allocated = (after.allocated - before.allocated) / float64(max(total, 1))
-	point.Direct = quantiles(direct)
-	point.Through = quantiles(through)
+	point.Direct = vrstat.QuantilesOf(direct)
+	point.Through = vrstat.QuantilesOf(through)
 	return point
 }
 
-func quantiles(samples []time.Duration) Quantiles {
-	if len(samples) == 0 {
-		return Quantiles{}
-	}
-	sort.Slice(samples, func(i, j int) bool { return samples[i] < samples[j] })
-	at := func(q float64) time.Duration { return samples[int(q*float64(len(samples)-1))] }
-	const p50, p95, p99 = 0.50, 0.95, 0.99
-	return Quantiles{P50: at(p50), P95: at(p95), P99: at(p99)}
-}
-
 func print(out io.Writer, points []Point) {
 	fmt.Fprintf(out, "%-9s %-7s %28s %28s %9s %7s %10s %9s %9s\n",
 		"declared", "stream", "direct p50/p95/p99", "through p50/p95/p99", "added p99", "failed", "bytes/req", "idle MiB", "idle CPU")
@@ -206,8 +190,3 @@
 			p.Failed, p.Allocated, float64(p.IdleMemory)/float64(vrid.MiB), 100*p.IdleCPU.Seconds())
 	}
 }
-
-// String returns the three quantiles.
-func (q Quantiles) String() string {
-	return fmt.Sprintf("%s/%s/%s", q.P50.Round(time.Microsecond), q.P95.Round(time.Microsecond), q.P99.Round(time.Microsecond))
-}
