--- a/verbenabench/internal/vrcommand/vrcommand.go
+++ b/verbenabench/internal/vrcommand/vrcommand.go
@@ -10,6 +10,7 @@
 	"verbenaroute.example/verbenabench/internal/vrmeasure"
 	"verbenaroute.example/verbenabench/internal/vrpath"
 	"verbenaroute.example/verbenabench/internal/vrrecovery"
+	"verbenaroute.example/verbenabench/internal/vrslope"
 )
 
 // New returns the root command.
@@ -24,6 +25,7 @@
 		newStandin(), newTry(), newScenario(),
 		vrmeasure.Command(), vrfuzz.Command(), vrpath.Command(), vrrecovery.Command(),
 		vrcost.Command(), vrcost.SpreadCommand(), vrcost.RealCommand(),
+		vrslope.RecordCommand(), vrslope.ClaimCommand(), vrslope.MemoryCommand(),
 	)
 	return root
 }
--- a/verbenabench/internal/vrmeasure/region.go
+++ b/verbenabench/internal/vrmeasure/region.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"verbenaroute.example/verbenabench/internal/vrstat"
 	"verbenaroute.example/verbenacore/vrid"
 )
 
@@ -35,7 +36,7 @@
 	urgent := s.serviceOf(vrid.RankUrgent, from, to)
 	run.add("billed bytes", "MiB", float64(total)/float64(vrid.MiB), relative(1))
 	run.add("billed bytes of urgent work", "MiB", float64(after[vrid.RankUrgent]-before[vrid.RankUrgent])/float64(vrid.MiB), nil)
-	run.add("urgent p95 to the first token", "s", quantile(urgent.firsts, 0.95), relative(1))
+	run.add("urgent p95 to the first token", "s", vrstat.Quantile(urgent.firsts, 0.95), relative(1))
 	run.add("urgent in target", "part", part(urgent.inTarget, urgent.sent), nil)
 	run.Curves = []Curve{distribution("urgent", urgent.firsts)}
 	return run, nil
