Add 23 scripted failures on real daemons

Each failure of the failure model and ten pairs of them have a script that ends with all nine invariants.

Two expectations were wrong and are replaced. A zone that is cut off from the platform may answer a call whose key another zone's owner claims; the script now names keys by their home, and wants a refusal for the one at home and an answer for both others. A command that repeats a value is accepted without a version; the race now gives each command a value of its own.

--- a/verbenabench/internal/vrdeploy/settings.go
+++ b/verbenabench/internal/vrdeploy/settings.go
@@ -12,6 +12,7 @@
 	"encoding/pem"
 	"fmt"
 	"math/big"
+	mathrand "math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -34,8 +35,16 @@
 	Peers     string `json:"peers"`
 }
 
+// Ports of daemons lie below the range from which systems take the ports of outgoing
+// connections: one of those took a reserved port before its daemon had opened it.
+const (
+	_firstPort = 15000
+	_lastPort  = 32000
+	_portTries = 1000
+)
+
 // ReservePorts finds free loopback ports for each daemon. Each port is closed again
-// before the daemon opens it, so another process could take it in between.
+// before the daemon opens it.
 func ReservePorts(daemons []Daemon) (map[vrid.DaemonID]Ports, error) {
 	const kinds = 3
 	var open []net.Listener
@@ -48,7 +57,7 @@
 	for _, daemon := range daemons {
 		var addresses [kinds]string
 		for i := range addresses {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			listener, err := listenAnywhere()
 			if err != nil {
 				return nil, fmt.Errorf("reserve a port for %s: %w", daemon.ID, err)
 			}
@@ -60,6 +69,20 @@
 	return ports, nil
 }
 
+// listenAnywhere tries ports at random, so that two programs seldom meet.
+func listenAnywhere() (net.Listener, error) {
+	var failure error
+	for range _portTries {
+		port := _firstPort + mathrand.IntN(_lastPort-_firstPort)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			return listener, nil
+		}
+		failure = err
+	}
+	return nil, failure
+}
+
 // SettingsOptions says where daemons find each other and the platform.
 type SettingsOptions struct {
 	Dir string
--- a/verbenabench/internal/vrfleet/vrfleet.go
+++ b/verbenabench/internal/vrfleet/vrfleet.go
@@ -23,6 +23,8 @@
 	_package      = "verbenaroute.example/verbenaroute"
 	_pollInterval = 50 * time.Millisecond
 	_callTimeout  = 2 * time.Second
+	// _commandTimeout is beyond the time after which a daemon calls a command undecided.
+	_commandTimeout = 30 * time.Second
 	// _exitBound is beyond the shutdown grace of every written setting.
 	_exitBound = 40 * time.Second
 	_dirMode   = 0o700
@@ -63,6 +65,8 @@
 	settings  map[vrid.DaemonID]string
 	processes map[vrid.DaemonID]*process
 	client    *http.Client
+	// commands may wait for the platform.
+	commands *http.Client
 }
 
 // process is one run of a daemon.
@@ -111,6 +115,7 @@
 		settings:   settings,
 		processes:  make(map[vrid.DaemonID]*process),
 		client:     &http.Client{Timeout: _callTimeout},
+		commands:   &http.Client{Timeout: _commandTimeout},
 	}, nil
 }
 
@@ -169,6 +174,11 @@
 	}
 }
 
+// Working reports whether the daemon runs and is not paused.
+func (f *Fleet) Working(daemon vrid.DaemonID) bool {
+	return f.Running(daemon) && !f.processes[daemon].paused
+}
+
 // StartAll starts every daemon and waits until each one is ready.
 func (f *Fleet) StartAll(ctx context.Context, bound time.Duration) error {
 	for _, daemon := range f.Deployment.Daemons {
@@ -303,6 +313,7 @@
 		}
 	}
 	f.client.CloseIdleConnections()
+	f.commands.CloseIdleConnections()
 	f.World.Close()
 }
 
--- a/verbenabench/internal/vrscenario/vrscenario.go
+++ b/verbenabench/internal/vrscenario/vrscenario.go
@@ -18,12 +18,14 @@
 //	traffic 40 5s                  mixed calls a second in the background
 //	flood deferred 400 5s          calls of one rank in the background
 //	request urgent [at daemon-1]   or the name of a model or adapter
-//	reserve key-1 [at daemon-1]
-//	change                         puts a new configuration at the head
+//	reserve key-1 [at daemon-1]    home:tw-north-a is a key that this zone's owner claims
+//	command daemon-1 set rank urgent worth 7
+//	race                           commands at all daemons at the same time
 //	expect …                       see expect.go
 //
 // A daemon is named by its id, as owner:tw-north-a, the holder of the zone's lease, or as
-// former:tw-north-a, the one that owner:tw-north-a meant last. A server is named by its
+// former:tw-north-a, the one that owner:tw-north-a meant last, or as member:tw-north-a,
+// one that runs there. A server is named by its
 // id, as "loading", "serving" or "held", where that happened last, or as "all".
 package vrscenario
 
@@ -96,7 +98,8 @@
 			"flood":      verb((*scenario).flood),
 			"request":    verb((*scenario).request),
 			"reserve":    verb((*scenario).reserve),
-			"change":     verb((*scenario).change),
+			"command":    verb((*scenario).command),
+			"race":       verb((*scenario).race),
 			"expect":     verb((*scenario).expect),
 		},
 	}
@@ -155,6 +158,8 @@
 	// plans counts the background plans, so that each one has its own seed and keys.
 	plans uint64
 	last  vrload.View
+	// races counts the races, so that each one sets values of its own.
+	races int
 	// former are the owners of zones when a line named them last.
 	former map[vrid.ZoneID]vrid.DaemonID
 }
