--- a/verbenacore/vrreducer/vrreducer.go
+++ b/verbenacore/vrreducer/vrreducer.go
@@ -88,12 +88,9 @@
 	viewSequence uint64
 	viewConfig   vrid.ConfigVersion
 	crossing     crossing
-	// planning is set while a plan is made; replan asks for another round.
-	planning bool
-	replan   bool
-	loads    loadPace
-	fleet    fleet
-	shares   shares
+	loads        loadPace
+	fleet        fleet
+	shares       shares
 }
 
 type shutdown struct {
