Stop the reducer after the last refusal is in the record

In a trial of nine daemons a request that was refused during a shutdown had no entry: the reducer had written its last block before the address closed. Requests are now served for the 3 s of notice, refused for 2 s while the reducer hands over, and the address closes before the reducer stops. From the start of the shutdown each answer ends its connection, so that no request meets an idle connection that is closed.

--- a/verbenaroute/internal/vrfront/fake_test.go
+++ b/verbenaroute/internal/vrfront/fake_test.go
@@ -207,7 +207,8 @@
 	go func() { served <- s.front.Serve(s.listener) }()
 	t.Cleanup(func() {
 		s.client.CloseIdleConnections()
-		require.NoError(t, s.front.Shutdown(context.Background()))
+		require.NoError(t, s.front.Finish(context.Background()))
+		s.front.Close()
 		require.NoError(t, <-served)
 	})
 	return s
@@ -218,6 +219,8 @@
 	status int
 	header http.Header
 	body   string
+	// closes is set when the answer ends its connection.
+	closes bool
 }
 
 func (s *site) do(method, path, body string, headers ...string) reply {
@@ -232,7 +235,7 @@
 	defer answer.Body.Close()
 	data, err := io.ReadAll(answer.Body)
 	require.NoError(s.t, err)
-	return reply{status: answer.StatusCode, header: answer.Header, body: string(data)}
+	return reply{status: answer.StatusCode, header: answer.Header, body: string(data), closes: answer.Close}
 }
 
 // raw writes bytes on a connection and reads until the daemon closes it.
--- a/verbenaroute/internal/vrfront/problem.go
+++ b/verbenaroute/internal/vrfront/problem.go
@@ -141,5 +141,8 @@
 			})
 		}()
 		next(ctx)
+		if f.leaving.Load() {
+			ctx.SetConnectionClose()
+		}
 	}
 }
--- a/verbenaroute/internal/vrfront/vrfront.go
+++ b/verbenaroute/internal/vrfront/vrfront.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -97,7 +98,9 @@
 	server  *fasthttp.Server
 	flights *flights
 	// bodies is the sum of the bodies in memory; it never exceeds QueueMemory.
-	bodies   atomic.Int64
+	bodies atomic.Int64
+	// leaving makes callers close their connections, draining refuses new requests.
+	leaving  atomic.Bool
 	draining atomic.Bool
 	panics   atomic.Uint64
 	// bodyTimeout bounds the arrival of a body.
@@ -175,6 +178,11 @@
 	return f.server.Serve(listener)
 }
 
+// Leave lets each answer end its connection, so that callers' pools turn elsewhere before
+// the address closes: a request on an idle connection that is closed under it would be
+// lost.
+func (f *Front) Leave() { f.leaving.Store(true) }
+
 // Drain refuses new requests with shuttingDown; running ones go on.
 func (f *Front) Drain() { f.draining.Store(true) }
 
@@ -184,15 +192,22 @@
 // Panics counts the handlers and attempts that panicked.
 func (f *Front) Panics() uint64 { return f.panics.Load() }
 
-// Shutdown closes the listener and waits for running requests until ctx ends; then it
-// cuts off what is left.
-func (f *Front) Shutdown(ctx context.Context) error {
+// Finish closes the listener and idle connections and waits until the running requests
+// have ended and their connections are closed, or until ctx ends. After it no request
+// can arrive.
+func (f *Front) Finish(ctx context.Context) error {
 	f.Drain()
-	err := f.server.ShutdownWithContext(ctx)
+	if err := f.server.ShutdownWithContext(ctx); err != nil {
+		return fmt.Errorf("finish callers' requests: %w", err)
+	}
+	return nil
+}
+
+// Close cuts off the attempts that still run. It follows Finish.
+func (f *Front) Close() {
 	f.stop()
 	f.attempts.Wait()
 	f.serving.Wait()
-	return err
 }
 
 // newRequestID returns a ULID.
--- a/verbenaroute/internal/vrfront/vrfront_test.go
+++ b/verbenaroute/internal/vrfront/vrfront_test.go
@@ -320,10 +320,15 @@
 	require.NoError(t, err)
 	defer answer.Body.Close()
 	<-spoke
+	s.backends.generate = speakWhole
+	s.front.Leave()
+	leaving := s.do("POST", "/v1/chat/completions", chatBody("prompt@2", false))
+	require.Equal(t, http.StatusOK, leaving.status)
+	require.True(t, leaving.closes)
 	s.front.Drain()
 	require.Contains(t, s.do("POST", "/v1/chat/completions", chatBody("prompt@2", true)).body, "shuttingDown")
 	ended := make(chan error, 1)
-	go func() { ended <- s.front.Shutdown(context.Background()) }()
+	go func() { ended <- s.front.Finish(context.Background()) }()
 	close(goOn)
 	data, err := io.ReadAll(bufio.NewReader(answer.Body))
 	require.NoError(t, err)
--- a/verbenaroute/internal/vrserve/path_test.go
+++ b/verbenaroute/internal/vrserve/path_test.go
@@ -91,7 +91,8 @@
 		b.ReportMetric(float64(times[i][len(times[i])*99/100].Microseconds()), name+"-p99-us")
 	}
 	http.DefaultClient.CloseIdleConnections()
-	require.NoError(b, reducer.front.Shutdown(context.Background()))
+	require.NoError(b, reducer.front.Finish(context.Background()))
+	reducer.front.Close()
 }
 
 // caller returns a call that takes the time to the first byte of the body.
--- a/verbenaroute/internal/vrserve/shutdown.go
+++ b/verbenaroute/internal/vrserve/shutdown.go
@@ -12,47 +12,53 @@
 const (
 	// _noticeTime is how long the balancer and the peers have to see that the daemon
 	// leaves before it refuses requests: a leaving endpoint receives no new work after
-	// 3 s (I7). The reducer waits as long before it refuses.
+	// 3 s (I7).
 	_noticeTime = 3 * time.Second
+	// _refuseTime is how long late requests are refused before the address closes. It is
+	// shorter than the 3 s that the reducer waits before it writes its last entries, so
+	// that each refusal is in the record.
+	_refuseTime = 2 * time.Second
 	// _closeTime bounds what follows after the last request.
 	_closeTime = 5 * time.Second
-	_countTime = 20 * time.Millisecond
 )
 
-// shutdown ends the daemon in order: the balancer is told and owned things are handed
-// over first, then new requests are refused while running ones finish, then the
-// addresses close.
+// shutdown ends the daemon in order: the balancer is told first; then new requests are
+// refused and owned things handed over; then the address closes and running requests
+// finish; the reducer stops last, when every request has its entry.
 func (d *Daemon) shutdown() error {
 	d.log.Info("shutdown starts")
 	d.status.Drain()
-	grace, cancel := context.WithTimeout(context.Background(), max(d.settings.ShutdownGrace.Std(), _noticeTime))
+	d.front.Leave()
+	rest(context.Background(), _noticeTime)
+	grace, cancel := context.WithTimeout(context.Background(), max(d.settings.ShutdownGrace.Std(), _closeTime))
 	defer cancel()
-	d.Runtime.Submit(vrevent.ShutdownRequested{})
-	rest(grace, _noticeTime)
 	d.front.Drain()
-	err := d.awaitEnd(grace)
+	d.Runtime.Submit(vrevent.ShutdownRequested{})
+	rest(grace, _refuseTime)
+	err := d.finishRequests(grace)
 	d.close()
 	if err != nil {
-		d.log.Error("shutdown cut requests off", zap.String("errorType", errorType(err)), zap.Error(err))
+		d.log.Error("shutdown is incomplete", zap.String("errorType", errorType(err)), zap.Error(err))
 		return err
 	}
 	d.log.Info("shutdown is complete")
 	return nil
 }
 
-// awaitEnd waits until the reducer has stopped and no request runs.
-func (d *Daemon) awaitEnd(grace context.Context) error {
-	handedOver := false
+// finishRequests closes the callers' address and waits for running requests and for
+// the reducer.
+func (d *Daemon) finishRequests(grace context.Context) error {
+	cutOff := &CutOffError{}
+	if err := d.front.Finish(grace); err != nil {
+		cutOff.Requests = max(d.front.Running(), 1)
+	}
 	select {
 	case <-d.Runtime.Stopped():
-		handedOver = true
+		cutOff.HandedOver = true
 	case <-grace.Done():
 	}
-	for d.front.Running() > 0 && grace.Err() == nil {
-		rest(grace, _countTime)
-	}
-	if running := d.front.Running(); running > 0 || !handedOver {
-		return &CutOffError{Requests: running, HandedOver: handedOver}
+	if cutOff.Requests > 0 || !cutOff.HandedOver {
+		return cutOff
 	}
 	return nil
 }
@@ -61,9 +67,7 @@
 func (d *Daemon) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), _closeTime)
 	defer cancel()
-	if err := d.front.Shutdown(ctx); err != nil {
-		d.log.Warn("callers' connections were closed", zap.Error(err))
-	}
+	d.front.Close()
 	d.peers.Close()
 	d.Runtime.Close()
 	if err := d.admin.Shutdown(ctx); err != nil {
