--- a/verbenacore/vrfault/vrfault.go
+++ b/verbenacore/vrfault/vrfault.go
@@ -19,8 +19,8 @@
 	IgnorePin
 	// IgnoreCap loads past the decided replicas.
 	IgnoreCap
-	// SkipFence does not wait until engines acknowledged the epoch.
-	SkipFence
+	// TrustFencing treats every engine as if it refused orders with old numbers.
+	TrustFencing
 	// IgnoreMemory loads without counting orders of unknown outcome.
 	IgnoreMemory
 	// ActAfterLapse ignores the loss of the lease.
@@ -41,6 +41,16 @@
 	RouteToLeaving
 	// AcceptEarly accepts a configuration before the platform acknowledged it.
 	AcceptEarly
+	// RestartStream sends a broken stream again from its first token.
+	RestartStream
+	// LoseEntry leaves expired requests out of the record.
+	LoseEntry
+	// StopEarly ends a shutdown while requests are open.
+	StopEarly
+	// KeepConfig passes no configuration on to other daemons.
+	KeepConfig
+	// AckWithOrders acknowledges a newer epoch while orders are on their way.
+	AckWithOrders
 )
 
 // Names lists every planted fault.
@@ -50,7 +60,7 @@
 	SkipTakeoverWrite:   "skipTakeoverWrite",
 	IgnorePin:           "ignorePin",
 	IgnoreCap:           "ignoreCap",
-	SkipFence:           "skipFence",
+	TrustFencing:        "trustFencing",
 	IgnoreMemory:        "ignoreMemory",
 	ActAfterLapse:       "actAfterLapse",
 	DispatchBeforeClaim: "dispatchBeforeClaim",
@@ -61,4 +71,9 @@
 	DropOnPeerLoss:      "dropOnPeerLoss",
 	RouteToLeaving:      "routeToLeaving",
 	AcceptEarly:         "acceptEarly",
+	RestartStream:       "restartStream",
+	LoseEntry:           "loseEntry",
+	StopEarly:           "stopEarly",
+	KeepConfig:          "keepConfig",
+	AckWithOrders:       "ackWithOrders",
 }
--- a/verbenacore/vrmember/vrmember.go
+++ b/verbenacore/vrmember/vrmember.go
@@ -67,6 +67,7 @@
 	incarnation uint64
 	leaving     bool
 	opened      uint64
+	near        uint32
 	children    map[vrid.DaemonID]*child
 	// heard is when the root last had word of a member.
 	heard map[vrid.DaemonID]time.Time
@@ -132,6 +133,9 @@
 // SetOpened tells how many requests this daemon has numbered.
 func (m *Membership) SetOpened(opened uint64) { m.opened = opened }
 
+// SetNear tells how many of this daemon's requests are in flight in its own zone.
+func (m *Membership) SetNear(near int) { m.near = uint32(max(near, 0)) }
+
 // Leave marks this daemon as leaving.
 func (m *Membership) Leave() {
 	m.leaving = true
@@ -198,19 +202,31 @@
 	}
 	return vrwire.MemberItem{
 		Daemon: m.opts.Daemon, Boot: m.opts.Boot, Peer: m.opts.Peer, State: state,
-		Incarnation: m.incarnation, Opened: m.opened,
+		Incarnation: m.incarnation, Opened: m.opened, Near: m.near, Share: m.view.Members[m.opts.Daemon].Share,
+	}
+}
+
+// SetShares publishes the members' parts of the servers' slots, as the root.
+func (m *Membership) SetShares(shares map[vrid.DaemonID]uint32) {
+	for id, share := range shares {
+		item, ok := m.view.Members[id]
+		if ok && item.Share != share {
+			item.Share = share
+			m.dirty = m.view.publishMember(item) || m.dirty
+		}
 	}
 }
 
 // Observes reports whether this daemon reads the lease object: the owner's two
-// deputies do, and whoever has had no word from its zone for a while.
+// deputies do, and whoever has had no word from its zone for a while or is not in it.
 func (m *Membership) Observes(now time.Time) bool {
 	const deputies = 2
 	if now.Sub(m.replied) > suspectAfter || m.view.Epoch == 0 || m.ownEpoch > m.view.Epoch {
 		return true
 	}
-	index := slices.Index(m.view.Order(), m.opts.Daemon)
-	return index >= 0 && index <= deputies
+	// A daemon that the view does not name yet takes part as well: after every member was
+	// replaced, nobody else would.
+	return slices.Index(m.view.Order(), m.opts.Daemon) <= deputies
 }
 
 // QueueReport takes a report of a server that this daemon polls.
--- a/verbenacore/vrplace/evict.go
+++ b/verbenacore/vrplace/evict.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"verbenaroute.example/verbenacore/vrconfig"
+	"verbenaroute.example/verbenacore/vrfault"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrledger"
 	"verbenaroute.example/verbenacore/vrwire"
@@ -173,7 +174,8 @@
 	if entry.State == vrwire.ReplicaGranted {
 		return true
 	}
-	if entry.State != vrwire.ReplicaLoaded || len(entry.Attempts) > 0 {
+	pinned := len(entry.Attempts) > 0 && !vrfault.On(vrfault.IgnorePin)
+	if entry.State != vrwire.ReplicaLoaded || pinned {
 		return false
 	}
 	for _, adapter := range adaptersOf(server, entry.Model) {
@@ -190,6 +192,13 @@
 			return false
 		}
 	}
+	if !w.planner.opts.Plain {
+		for higher := vrid.RankUrgent; higher < rank; higher++ {
+			if u.regular[higher].guards(w.now) {
+				return false
+			}
+		}
+	}
 	return w.now.Sub(u.last) >= w.settle(entry)
 }
 
--- a/verbenacore/vrplace/vrplace.go
+++ b/verbenacore/vrplace/vrplace.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"verbenaroute.example/verbenacore/vrconfig"
+	"verbenaroute.example/verbenacore/vrfault"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrledger"
 	"verbenaroute.example/verbenacore/vrwire"
@@ -43,6 +44,8 @@
 	rate    float64
 	fadedAt time.Time
 	last    time.Time
+	// regular is how regularly each rank uses it.
+	regular [vrid.RankCount]regularity
 	waits   map[vrid.DaemonID]wait
 	failed  time.Time
 }
@@ -91,6 +94,7 @@
 	u.rate += float64(demand.Arrived)
 	if demand.Arrived > 0 || demand.Waiting > 0 {
 		u.last = now
+		u.regular[demand.Rank].note(now)
 	}
 	if demand.Waiting == 0 {
 		delete(u.waits, demand.Daemon)
@@ -269,7 +273,7 @@
 	if !w.needsReplica(wanted, replicas) {
 		return
 	}
-	if replicas >= model.ReplicasPerZone {
+	if replicas >= model.ReplicasPerZone && !vrfault.On(vrfault.IgnoreCap) {
 		w.freeUnused(wanted)
 		return
 	}
--- a/verbenacore/vrrecord/block.go
+++ b/verbenacore/vrrecord/block.go
@@ -58,6 +58,8 @@
 	// Ended is set when the run is known to be over, so that every opened request
 	// must have its terminal entry or stand in a gap.
 	Ended bool `protobuf:"varint,6,opt,name=ended,proto3"`
+	// Final is set when the run itself said that Opened is its last count.
+	Final bool `protobuf:"varint,7,opt,name=final,proto3"`
 }
 
 // Run returns the covered run.
@@ -227,6 +229,14 @@
 	return ZonePrefix(zone) + hour.UTC().Format(hourLayout) + "/"
 }
 
+// DayPrefix is the prefix of a zone's blocks whose last entry is of a day.
+func DayPrefix(zone vrid.ZoneID, day time.Time) string {
+	return ZonePrefix(zone) + day.UTC().Format(time.DateOnly)
+}
+
+// Time returns the beginning of the hour in the name.
+func (n BlockName) Time() (time.Time, error) { return time.Parse(hourLayout, n.Hour) }
+
 // ParseKey reads a block's key. A boot id holds no "-", a daemon id may.
 func ParseKey(key string) (BlockName, error) {
 	rest, found := strings.CutPrefix(key, vrplatform.PrefixRecord)
--- a/verbenacore/vrreducer/peers.go
+++ b/verbenacore/vrreducer/peers.go
@@ -5,6 +5,7 @@
 
 	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrfault"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrmember"
 	"verbenaroute.example/verbenacore/vrroute"
@@ -36,6 +37,8 @@
 		s.journal.HandleAck(now, envelope.RecordAck)
 	case envelope.ZoneSummary != nil:
 		s.zoneSummary(now, envelope.ZoneSummary)
+	case envelope.ServerNotice != nil:
+		s.serverNotice(now, envelope, out)
 	case envelope.EpochAck != nil:
 		s.zone.acks[run{daemon: envelope.From, boot: envelope.Boot}] = envelope.EpochAck.Epoch
 	case envelope.SlotRequest != nil:
@@ -122,6 +125,10 @@
 		if r == nil || r.phase != phaseClaiming || r.claim.direct {
 			continue
 		}
+		if vrfault.On(vrfault.DropOnPeerLoss) {
+			delete(s.requests, id)
+			continue
+		}
 		if owner, own := s.shardOwner(r.claim.shard); !own && owner.Daemon == peer {
 			r.claim.direct = true
 			s.askClaim(now, r, out)
@@ -131,7 +138,7 @@
 
 // refreshTable rebuilds the router's table when the zone view or the configuration
 // changed.
-func (s *State) refreshTable() {
+func (s *State) refreshTable(now time.Time) {
 	view := s.member.View()
 	index := s.store.Current()
 	if index == nil {
@@ -157,33 +164,23 @@
 		if index.Region(zone) == region {
 			distance = vrroute.SameRegion
 		}
+		far := s.farShare(view, summary)
 		for _, item := range summary.Servers {
-			updates = append(updates, vrroute.Update{Item: item, Distance: distance, Share: share})
+			updates = append(updates, vrroute.Update{Item: item, Distance: distance, Share: far})
 		}
 	}
-	s.markDrained(index, updates)
+	s.markDrained(now, index, updates)
 	s.table.SetServers(updates)
 	s.queue.WakeAll()
 }
 
-// markDrained applies an operator's drain before the view carries it.
-func (s *State) markDrained(index *vrconfig.Index, updates []vrroute.Update) {
+// markDrained applies an operator's drain and a notice before the view carries them.
+func (s *State) markDrained(now time.Time, index *vrconfig.Index, updates []vrroute.Update) {
 	for i := range updates {
 		item := &updates[i].Item
 		drained := index.Drained(item.Server) || s.zone.drained[item.Server]
-		if drained && item.State == vrwire.ServerLive {
+		if (drained || s.noticed(now, item.Server)) && item.State == vrwire.ServerLive {
 			item.State = vrwire.ServerDrained
 		}
 	}
 }
-
-// share is the part of each server that this daemon may fill. It is twice an equal
-// part, because load is uneven and engines queue by priority.
-func (s *State) share(view *vrmember.View) float64 {
-	const slack = 2.0
-	if item, ok := view.Members[s.opts.Daemon]; ok && item.Share > 0 {
-		const thousand = 1000.0
-		return min(1, float64(item.Share)/thousand)
-	}
-	return min(1, slack/float64(max(len(view.Order()), 1)))
-}
--- a/verbenacore/vrreducer/plan.go
+++ b/verbenacore/vrreducer/plan.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrengine"
 	"verbenaroute.example/verbenacore/vrevent"
 	"verbenaroute.example/verbenacore/vrid"
@@ -24,11 +23,23 @@
 		s.useGrants(now, out)
 		return
 	}
+	s.decideLoads(now, out)
+	s.fleet.planning = true
+	s.askSlots(now, out)
+	s.fleet.planning = false
+	if s.zone.planAt.IsZero() {
+		// Places that this daemon gave itself are used at once. A further change waits for
+		// the next plan, because each plan can change what is asked for.
+		s.zone.planAt = now
+		s.decideLoads(now, out)
+	}
+}
+
+func (s *State) decideLoads(now time.Time, out *vrevent.Effects) {
 	for _, action := range s.planner.Plan(now, s.planInput(now)) {
 		s.ledger.Apply(action)
 	}
 	s.ledger.Flush(now, out)
-	s.askSlots(now, out)
 }
 
 func (s *State) planInput(now time.Time) vrplace.Input {
@@ -94,7 +105,9 @@
 func (s *State) sendDemand(now time.Time, demand vrwire.ModelDemand, out *vrevent.Effects) {
 	if s.lease.Holding() {
 		s.planner.Want(now, demand)
-		s.zone.planAt = time.Time{}
+		if demand.Waiting > 0 {
+			s.zone.planAt = time.Time{}
+		}
 		return
 	}
 	s.send(s.member.Owner(), &vrwire.Envelope{Demand: &vrwire.Demand{Demands: []vrwire.ModelDemand{demand}}}, out)
@@ -172,135 +185,3 @@
 	s.journal.Append(entry)
 	out.Add(vrevent.AppendEntry{Entry: entry})
 }
-
-// poll is the polling of one server by this daemon.
-type poll struct {
-	next    time.Time
-	waiting bool
-	since   time.Time
-	failed  uint32
-	last    vrwire.LoadReport
-	known   bool
-}
-
-const (
-	// pollInterval is the pause between two reports of one server.
-	pollInterval = time.Second
-	// loadingPollInterval is used while a load is under way, so that waiting requests
-	// go out soon after its end.
-	loadingPollInterval = 100 * time.Millisecond
-	// pollTimeout ends the wait for a lost answer.
-	pollTimeout = 3 * time.Second
-)
-
-// tickPolls asks the servers that this daemon polls, and as the owner those that load.
-func (s *State) tickPolls(now time.Time, out *vrevent.Effects) {
-	view := s.member.View()
-	loading := make(map[vrid.ServerID]bool)
-	if s.lease.Holding() {
-		for _, id := range s.ledger.Loading() {
-			loading[id] = true
-		}
-	}
-	for _, id := range sortedKeys(view.Servers) {
-		item := view.Servers[id]
-		polled := item.State != vrwire.ServerGone && s.reportsLoad(item)
-		if !polled || (!loading[id] && view.Poller(id) != s.opts.Daemon) {
-			delete(s.polls, id)
-			continue
-		}
-		s.pollServer(now, item, loading[id], out)
-	}
-}
-
-// reportsLoad is false for application servers: they have no report, so a poll would
-// make them unreachable. They are judged by their calls and the platform's list.
-func (s *State) reportsLoad(item vrwire.ServerItem) bool {
-	index := s.store.Current()
-	if index == nil {
-		return true
-	}
-	pool := index.Pool(item.Pool)
-	return pool == nil || pool.Kind != vrconfig.KindApplicationServer
-}
-
-func (s *State) pollServer(now time.Time, item vrwire.ServerItem, loading bool, out *vrevent.Effects) {
-	p := s.polls[item.Server]
-	if p == nil {
-		p = &poll{}
-		s.polls[item.Server] = p
-	}
-	if p.waiting && now.Sub(p.since) < pollTimeout {
-		return
-	}
-	if loading {
-		soon := now.Add(loadingPollInterval)
-		if p.next.After(soon) {
-			p.next = soon
-		}
-	}
-	if now.Before(p.next) {
-		return
-	}
-	p.waiting = true
-	p.since = now
-	p.next = now.Add(pollInterval)
-	if loading {
-		p.next = now.Add(loadingPollInterval)
-	}
-	out.Add(vrevent.PollServer{Server: item.Server, Address: item.Address})
-}
-
-func (s *State) reportReceived(now time.Time, event vrevent.ReportReceived) {
-	p := s.polls[event.Server]
-	if p == nil {
-		return
-	}
-	p.waiting = false
-	p.failed = 0
-	report := loadReport(now, event.Server, event.Report)
-	urgent := !p.known || p.last.Boot != report.Boot || p.last.Leaving != report.Leaving || p.last.Failed > 0 ||
-		len(p.last.Models) != len(report.Models)
-	p.last = report
-	p.known = true
-	s.member.QueueReport(now, report, urgent)
-}
-
-func loadReport(now time.Time, server vrid.ServerID, report vrengine.Report) vrwire.LoadReport {
-	result := vrwire.LoadReport{
-		Server: server, Boot: report.Boot, Leaving: report.Leaving, Running: uint32(report.Running),
-		Waiting: uint32(report.Waiting), Slots: uint32(report.Slots), MemoryUsed: report.MemoryUsed,
-		AppliedOrders: report.AppliedOrders, HighestEpoch: report.HighestEpoch, Role: report.Role,
-		CachedMemory: report.Cached.Memory, CachedDisk: report.Cached.Disk, TakenAt: now.UnixMilli(),
-	}
-	for _, model := range report.Models {
-		result.Models = append(result.Models, vrwire.LoadedModel{
-			Model: model.Model, State: modelState(model.State), Adapters: model.Adapters,
-		})
-	}
-	return result
-}
-
-func modelState(state string) vrwire.ReplicaState {
-	switch state {
-	case vrengine.StateLoaded:
-		return vrwire.ReplicaLoaded
-	case vrengine.StateUnloading:
-		return vrwire.ReplicaUnloading
-	}
-	return vrwire.ReplicaLoading
-}
-
-func (s *State) reportFailed(now time.Time, event vrevent.ReportFailed) {
-	p := s.polls[event.Server]
-	if p == nil {
-		return
-	}
-	p.waiting = false
-	p.failed++
-	report := p.last
-	report.Server = event.Server
-	report.Failed = p.failed
-	p.last = report
-	s.member.QueueReport(now, report, p.failed == failedPolls)
-}
--- a/verbenacore/vrreducer/requests.go
+++ b/verbenacore/vrreducer/requests.go
@@ -15,12 +15,17 @@
 
 const (
 	// maxAttempts bounds the dispatches of one request.
+	// A server that was full or did not hold the model costs no attempt: nothing ran, and
+	// the request waits its turn again.
 	maxAttempts = 5
 	// resumeTime is how long a broken stream may take to go on at another replica.
 	resumeTime = 5 * time.Second
 	// dispatchSlack is the time after a deadline in which the runtime has to report the
 	// end of an attempt; then the request is ended without it.
 	dispatchSlack = 5 * time.Second
+	// suspiciousTime is how long an attempt without a first token has to last before its
+	// end at a deadline counts as a failure of the server.
+	suspiciousTime = 3 * time.Second
 	// refusalLead is how long before its deadline a waiting request is refused: two
 	// ticks, so that the refusal reaches the caller before the deadline.
 	refusalLead = 2 * vrevent.TickInterval
@@ -41,6 +46,10 @@
 	vrevent.Request
 	phase   phase
 	attempt int
+	// unrun counts the attempts that met a full server or one without the model.
+	unrun int
+	// due is set when the rank was below its floor at the last dispatch.
+	due     bool
 	server  *vrroute.Server
 	exclude vrid.ServerID
 	// cold is set when the request met no loaded replica.
@@ -57,6 +66,15 @@
 	claim claimWait
 }
 
+// priority is the request's place at the engine, which would otherwise hold back what a
+// floor is due.
+func (r *request) priority() vrid.Rank {
+	if r.due {
+		return vrid.RankUrgent
+	}
+	return r.Rank
+}
+
 func (r *request) target() vradmit.Target {
 	return vradmit.Target{Model: r.Model, Adapter: r.Adapter, Service: r.Service}
 }
@@ -203,6 +221,7 @@
 			return
 		}
 		s.queue.Served(now, item)
+		r.due = due
 		s.dispatch(now, r, server, out)
 	}
 }
@@ -232,8 +251,8 @@
 	}
 	out.Add(vrevent.Dispatch{
 		Request: r.ID, Attempt: r.attempt, Server: server.ID, Address: server.Address,
-		Model: r.Model, Adapter: r.Adapter, Resume: r.tokens > 0, Deadline: r.until,
-		CrossRegion: server.Distance == vrroute.OtherRegion,
+		Model: r.Model, Adapter: r.Adapter, Resume: r.tokens > 0 && !vrfault.On(vrfault.RestartStream), Deadline: r.until,
+		CrossRegion: server.Distance == vrroute.OtherRegion, Priority: r.priority(),
 	})
 }
 
@@ -243,7 +262,8 @@
 		return
 	}
 	r.firstToken = now
-	if r.server != nil && event.Attempt == r.attempt {
+	// Engines let lower ranks wait behind urgent work, so only its times tell of a server.
+	if r.server != nil && event.Attempt == r.attempt && r.Rank == vrid.RankUrgent {
 		s.table.FirstToken(now, r.server.ID, now.Sub(r.dispatched))
 	}
 }
@@ -254,16 +274,19 @@
 	if r == nil || r.phase != phaseDispatched || event.Attempt != r.attempt {
 		return
 	}
-	// Being full or leaving is no fault of a server.
-	healthy := event.Result == vrevent.AttemptAnswered || event.Result == vrevent.AttemptBusy ||
-		event.Result == vrevent.AttemptCallerGone || event.Result == vrevent.AttemptNotLoaded
-	s.table.End(now, event.Server, healthy)
+	s.table.End(now, event.Server, healthy(now, r, event.Result))
 	if r.server != nil && r.server.Distance == vrroute.OtherRegion {
 		s.crossed(now, r.Rank, answerBytes(event.Tokens-r.tokens, event.Body))
 	}
 	r.tokens = max(r.tokens, event.Tokens)
-	if event.Result == vrevent.AttemptNotLoaded {
+	switch event.Result {
+	case vrevent.AttemptNotLoaded:
 		s.table.Missing(event.Server, r.Model)
+		r.unrun++
+	case vrevent.AttemptBusy:
+		s.table.Busy(now, event.Server)
+		r.unrun++
+	default:
 	}
 	switch {
 	case event.Result == vrevent.AttemptAnswered:
@@ -280,6 +303,20 @@
 	}
 }
 
+// healthy reports whether the end of an attempt says nothing against its server. Being
+// full or leaving is no fault of it, and neither is a deadline that was close when the
+// request left here.
+func healthy(now time.Time, r *request, result vrevent.AttemptResult) bool {
+	switch result {
+	case vrevent.AttemptAnswered, vrevent.AttemptBusy, vrevent.AttemptCallerGone, vrevent.AttemptNotLoaded:
+		return true
+	case vrevent.AttemptTimedOut:
+		return now.Sub(r.dispatched) < suspiciousTime
+	default:
+		return false
+	}
+}
+
 func (s *State) answered(now time.Time, r *request, event vrevent.AttemptEnded, out *vrevent.Effects) {
 	s.claimOutcome(now, r, vrwire.ClaimDone, event, out)
 	entry := s.entry(now, r, "", vrrecord.RanYes)
@@ -291,7 +328,7 @@
 // notRun sends a request elsewhere after an attempt that provably ran nothing.
 func (s *State) notRun(now time.Time, r *request, event vrevent.AttemptEnded, out *vrevent.Effects) {
 	r.sent = r.uncertain
-	if r.attempt < maxAttempts && now.Before(r.until) {
+	if r.attempt-r.unrun < maxAttempts && now.Before(r.until) {
 		s.requeue(now, r, event.Server, out)
 		return
 	}
@@ -306,7 +343,7 @@
 // after the last one that the caller has.
 func (s *State) mayHaveRun(now time.Time, r *request, event vrevent.AttemptEnded, out *vrevent.Effects) {
 	r.uncertain = true
-	if event.Result == vrevent.AttemptBroken && r.attempt < maxAttempts {
+	if event.Result == vrevent.AttemptBroken && r.attempt-r.unrun < maxAttempts {
 		if r.tokens > 0 {
 			r.until = now.Add(resumeTime)
 		}
@@ -398,6 +435,9 @@
 func (s *State) finish(_ time.Time, r *request, entry vrrecord.Entry, out *vrevent.Effects) {
 	s.queue.Remove(r.ID)
 	delete(s.requests, r.ID)
+	if vrfault.On(vrfault.LoseEntry) && entry.Reason == string(vrwire.ReasonDeadlineExceeded) {
+		return
+	}
 	s.journal.Append(entry)
 	out.Add(vrevent.AppendEntry{Entry: entry})
 }
--- a/verbenacore/vrreducer/vrreducer.go
+++ b/verbenacore/vrreducer/vrreducer.go
@@ -90,12 +90,16 @@
 	crossing     crossing
 	loads        loadPace
 	fleet        fleet
+	shares       shares
 }
 
 type shutdown struct {
 	requested bool
 	since     time.Time
 	stopped   bool
+	// closing is set once the callers' port has to close, closed once it has.
+	closing bool
+	closed  bool
 	// handover is the epoch of the lease that this daemon gives up.
 	handover vrid.Epoch
 }
@@ -117,6 +121,7 @@
 		claims:   newClaims(),
 		polls:    make(map[vrid.ServerID]*poll),
 		zone:     newZone(),
+		shares:   newShares(),
 	}
 	s.queue = vradmit.New(vradmit.Options{Requests: opts.Queue, Memory: opts.QueueMemory, FirstCome: opts.Plain})
 	s.table = vrroute.New(vrroute.Options{Random: s.random, LeastLoaded: opts.Plain})
@@ -170,7 +175,7 @@
 	case vrevent.ConfigProposed:
 		s.configProposed(now, e, out)
 	case vrevent.ReportReceived:
-		s.reportReceived(now, e)
+		s.reportReceived(now, e, out)
 	case vrevent.ReportFailed:
 		s.reportFailed(now, e)
 	case vrevent.OrderAnswered:
@@ -185,6 +190,8 @@
 		s.table.CacheEvents(e.Server, e.Events)
 	case vrevent.ShutdownRequested:
 		s.shutdownRequested(now, out)
+	case vrevent.CallersClosed:
+		s.shutdown.closed = true
 	}
 	s.flush(now, out)
 }
@@ -204,7 +211,7 @@
 
 // flush passes on what the event made due, so that nothing waits for the next tick.
 func (s *State) flush(now time.Time, out *vrevent.Effects) {
-	s.refreshTable()
+	s.refreshTable(now)
 	for _, model := range s.table.TakeChanged() {
 		s.queue.Wake(model)
 	}
@@ -217,6 +224,7 @@
 	s.tickZone(now, out)
 	s.tickPolls(now, out)
 	s.member.SetOpened(s.opened)
+	s.member.SetNear(s.table.Near())
 	s.member.Tick(now, out)
 	s.tickConfig(now, out)
 	s.tickClaims(now, out)
--- a/verbenaroute/internal/vrserve/shutdown.go
+++ b/verbenaroute/internal/vrserve/shutdown.go
@@ -12,62 +12,77 @@
 const (
 	// _noticeTime is how long the balancer and the peers have to see that the daemon
 	// leaves before it refuses requests: a leaving endpoint receives no new work after
-	// 3 s (I7).
+	// 3 s (I7). The reducer waits as long before it refuses.
 	_noticeTime = 3 * time.Second
-	// _refuseTime is how long late requests are refused before the address closes. It is
-	// shorter than the 3 s that the reducer waits before it writes its last entries, so
-	// that each refusal is in the record.
-	_refuseTime = 2 * time.Second
-	// _closeTime bounds what follows after the last request.
+	// _closeTime bounds the closing of the operators' address.
 	_closeTime = 5 * time.Second
+	// _flushTime bounds the wait for the record; the reducer gives up after 10 s of an
+	// outage, and its lost entries become a gap.
+	_flushTime = 15 * time.Second
 )
 
-// shutdown ends the daemon in order: the balancer is told first; then new requests are
-// refused and owned things handed over; then the address closes and running requests
-// finish; the reducer stops last, when every request has its entry.
+// shutdown ends the daemon in order: the balancer is told and owned things are handed
+// over first, then new requests are refused while running ones finish, then the
+// addresses close.
 func (d *Daemon) shutdown() error {
 	d.log.Info("shutdown starts")
 	d.status.Drain()
 	d.front.Leave()
-	rest(context.Background(), _noticeTime)
-	grace, cancel := context.WithTimeout(context.Background(), max(d.settings.ShutdownGrace.Std(), _closeTime))
+	grace, cancel := context.WithTimeout(context.Background(), max(d.settings.ShutdownGrace.Std(), _noticeTime))
 	defer cancel()
-	d.front.Drain()
 	d.Runtime.Submit(vrevent.ShutdownRequested{})
-	rest(grace, _refuseTime)
-	err := d.finishRequests(grace)
+	rest(grace, _noticeTime)
+	d.front.Drain()
+	err := d.awaitEnd(grace)
 	d.close()
 	if err != nil {
-		d.log.Error("shutdown is incomplete", zap.String("errorType", errorType(err)), zap.Error(err))
+		d.log.Error("shutdown cut requests off", zap.String("errorType", errorType(err)), zap.Error(err))
 		return err
 	}
 	d.log.Info("shutdown is complete")
 	return nil
 }
 
-// finishRequests closes the callers' address and waits for running requests and for
-// the reducer.
-func (d *Daemon) finishRequests(grace context.Context) error {
-	cutOff := &CutOffError{}
-	if err := d.front.Finish(grace); err != nil {
-		cutOff.Requests = max(d.front.Running(), 1)
+// awaitEnd waits until no request runs, closes the callers' port and lets the reducer
+// make the rest of the record durable. A request that arrived after the last write of
+// the record would have no entry there.
+func (d *Daemon) awaitEnd(grace context.Context) error {
+	select {
+	case <-d.Runtime.Closing():
+	case <-grace.Done():
 	}
+	running := d.finishRequests(grace)
+	d.Runtime.Submit(vrevent.CallersClosed{})
+	handedOver := false
+	flush, cancelFlush := context.WithTimeout(context.Background(), _flushTime)
+	defer cancelFlush()
 	select {
 	case <-d.Runtime.Stopped():
-		cutOff.HandedOver = true
-	case <-grace.Done():
+		handedOver = true
+	case <-flush.Done():
 	}
-	if cutOff.Requests > 0 || !cutOff.HandedOver {
-		return cutOff
+	if running > 0 || !handedOver {
+		return &CutOffError{Requests: running, HandedOver: handedOver}
 	}
 	return nil
 }
 
+// finishRequests closes the callers' address, waits for running requests and returns how
+// many it cut off.
+func (d *Daemon) finishRequests(grace context.Context) int {
+	err := d.front.Finish(grace)
+	running := d.front.Running()
+	if err != nil {
+		d.log.Warn("callers' connections were closed", zap.Int("requests", running), zap.Error(err))
+	}
+	d.front.Close()
+	return running
+}
+
 // close ends everything that still runs.
 func (d *Daemon) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), _closeTime)
 	defer cancel()
-	d.front.Close()
 	d.peers.Close()
 	d.Runtime.Close()
 	if err := d.admin.Shutdown(ctx); err != nil {
