Name gone servers to other zones until they are acknowledged

Cause: a server that went before the summary that named it was acknowledged, or while the other zone changed its owner, was left out of every later summary: the other zone kept sending requests to it. Change: an item that was sent, and every item until a whole summary is acknowledged, is named even when its server is gone.

--- a/verbenacore/vrreducer/summary.go
+++ b/verbenacore/vrreducer/summary.go
@@ -26,6 +26,9 @@
 	// they went back to the acknowledged value.
 	touchedServers map[vrid.ServerID]bool
 	touchedMembers map[vrid.DaemonID]bool
+	// full is set until the other zone has acknowledged a whole summary. Its owner may
+	// hold servers from an earlier one, so those that are gone are named as well.
+	full           bool
 	heardEpoch     vrid.Epoch
 	heardNumber    uint64
 	// owesAck is set when the other zone's newest summary had content.
@@ -120,7 +123,7 @@
 	for _, id := range sortedKeys(content.servers) {
 		item := content.servers[id]
 		held, known := n.acked.servers[id]
-		if !known && item.State != vrwire.ServerLive {
+		if !known && !n.full && !n.touchedServers[id] && item.State != vrwire.ServerLive {
 			continue
 		}
 		if !known || !sameServer(held, item) || n.touchedServers[id] {
@@ -155,8 +158,10 @@
 	case summary.HeardEpoch != epoch || summary.HeardNumber == 0:
 		// A new owner, or one that dropped this zone's servers: start from nothing.
 		n.acked = told{}
+		n.full = true
 	case summary.HeardNumber == n.number:
 		n.acked = n.sent
+		n.full = false
 		clear(n.touchedServers)
 		clear(n.touchedMembers)
 	}
