--- a/verbenabench/internal/vrfuzz/run.go
+++ b/verbenabench/internal/vrfuzz/run.go
@@ -289,7 +289,8 @@
 	}
 }
 
-// strand pauses an owner with an unsent order, or one that is slow to arrive, for longer than a successor needs to take
+// strand pauses an owner with an unsent order or ledger, or an order that is slow to
+// arrive, for longer than a successor needs to take
 // over, and wants one model after the other, so that the successor has to evict.
 func (r *runner) strand(a Action) {
 	const (
@@ -301,9 +302,12 @@
 		return
 	}
 	r.oracle.disturb(paused + grace)
-	if p := d.Process; a.C%2 == 0 {
+	switch p := d.Process; a.C % 3 {
+	case 0:
 		d.Pause(vrworld.TrapOrder, 0, paused)
-	} else {
+	case 1:
+		d.Pause(vrworld.TrapLedger, 0, paused)
+	default:
 		// The order is on its way, and its issuer soon learns of its successor.
 		const lapse = 5 * time.Second
 		p.OrderLag = paused
@@ -387,7 +391,10 @@
 		w.After(4*time.Second+a.Lasts, func() { engine.Reclaim(time.Second) })
 	case ActLostOrderAnswers:
 		engine.LoseAnswers = half
-		w.After(a.Lasts, func() { engine.LoseAnswers = 0 })
+		if a.C%2 == 0 {
+			engine.LateOrders = half
+		}
+		w.After(a.Lasts, func() { engine.LoseAnswers, engine.LateOrders = 0, 0 })
 	case ActReportLag:
 		engine.ReportLag = a.Lasts
 		w.After(2*a.Lasts, func() { engine.ReportLag = 0 })
@@ -452,7 +459,7 @@
 	w.Platform.Heal()
 	w.Weights.Slowdown = 1
 	for _, e := range r.engines() {
-		e.LoseAnswers, e.ReportLag = 0, 0
+		e.LoseAnswers, e.LateOrders, e.ReportLag = 0, 0, 0
 		if e.Leaving {
 			e.Reclaim(time.Second)
 		}
@@ -466,10 +473,13 @@
 			d.Process.Resume()
 		}
 	}
-	// A daemon that was asked to stop may still be on its way.
-	const rounds = 4
+	// A daemon that was asked to stop first waits for its open requests.
+	const (
+		rounds = 8
+		pause  = 10 * time.Second
+	)
 	for round := range rounds {
-		w.After(settleTime/rounds*time.Duration(round), func() {
+		w.After(pause*time.Duration(round), func() {
 			for _, d := range w.Daemons {
 				d.Start()
 			}
--- a/verbenabench/internal/vrworld/daemon.go
+++ b/verbenabench/internal/vrworld/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"verbenaroute.example/verbenacore/vrconfig"
@@ -73,6 +74,7 @@
 	TrapOrder
 	TrapDispatch
 	TrapWrite
+	TrapLedger
 	TrapCount
 )
 
@@ -80,13 +82,13 @@
 func (t Trap) find(effects []vrevent.Effect) int {
 	for i, effect := range effects {
 		found := t == TrapAny
-		switch effect.(type) {
+		switch e := effect.(type) {
 		case vrevent.SendOrder:
 			found = found || t == TrapOrder
 		case vrevent.Dispatch:
 			found = found || t == TrapDispatch
 		case vrevent.WriteObject:
-			found = found || t == TrapWrite
+			found = found || t == TrapWrite || t == TrapLedger && strings.HasPrefix(e.Key, vrplatform.PrefixLedgers)
 		}
 		if found {
 			return i
--- a/verbenabench/internal/vrworld/engine.go
+++ b/verbenabench/internal/vrworld/engine.go
@@ -17,6 +17,8 @@
 	pollTimeout  = time.Second
 	// appliedOrders bounds the list in a report.
 	appliedOrders = 256
+	// lateOrder is the longest time that an order spends in closed connections.
+	lateOrder     = 2 * time.Second
 	adapterWork   = 7 * time.Millisecond
 	unloadTime    = 20 * time.Millisecond
 	firstTokenLow = 100 * time.Millisecond
@@ -45,6 +47,9 @@
 	ReportLag time.Duration
 	// LoseAnswers is the probability that an order is obeyed and its answer is lost.
 	LoseAnswers float64
+	// LateOrders is the probability that an order's connection ends before the order is
+	// obeyed, up to lateOrder later.
+	LateOrders float64
 	// Used is the sum of the bytes of all models and adapters.
 	Used   vrid.Bytes
 	Models map[vrid.ModelID]*Held
@@ -201,14 +206,27 @@
 				p.deliver(answer(vrengine.OrderUnanswered, vrengine.OrderAnswer{}))
 				return
 			}
+			if w.chance(e.LateOrders) {
+				p.deliver(answer(vrengine.OrderUnanswered, vrengine.OrderAnswer{}))
+				w.After(w.spread(0, lateOrder), func() { e.orderLate(p, boot, effect.Order) })
+				return
+			}
 			e.order(p, effect.Order, answer)
 		})
 	})
 }
 
+// orderLate obeys an order whose sender has closed its connection. What a dead process
+// sent is gone with its connection.
+func (e *Engine) orderLate(p *Process, boot vrid.BootID, order vrengine.Order) {
+	if e.Alive && e.Boot == boot && !p.dead {
+		e.order(nil, order, nil)
+	}
+}
+
 // order executes an order that arrived and answers once.
 func (e *Engine) order(p *Process, order vrengine.Order, answer func(vrengine.OrderStatus, vrengine.OrderAnswer) vrevent.Event) {
-	w, boot, answered := e.world, e.Boot, false
+	w, boot, answered := e.world, e.Boot, p == nil
 	reply := func(status vrengine.OrderStatus, body vrengine.OrderAnswer) {
 		if answered {
 			return
