--- a/verbenacore/vrreducer/summary.go
+++ b/verbenacore/vrreducer/summary.go
@@ -28,9 +28,9 @@
 	touchedMembers map[vrid.DaemonID]bool
 	// full is set until the other zone has acknowledged a whole summary. Its owner may
 	// hold servers from an earlier one, so those that are gone are named as well.
-	full           bool
-	heardEpoch     vrid.Epoch
-	heardNumber    uint64
+	full        bool
+	heardEpoch  vrid.Epoch
+	heardNumber uint64
 	// owesAck is set when the other zone's newest summary had content.
 	owesAck bool
 	sentAt  time.Time
