Keep the record whole when writers restart or end first

A writer that restarted under the same name put entries into a block above numbers that it lacked; when their sender died before it sent those again, no gap covered them. A daemon that shut down after its writer kept sending to it until it gave up after 13 s. A writer that had not seen a run's beginning took the numbers of its loads and takeovers for requests and stated no gap. Change: a writer refuses a batch that begins after numbers it lacks and asks for them again; a run that ends writes its record itself when its writer can't be reached or is silent for 4 s; an unseen run that did not end properly always gets a gap.

--- a/verbenacore/vrjournal/vrjournal.go
+++ b/verbenacore/vrjournal/vrjournal.go
@@ -34,6 +34,9 @@
 
 	firstRetry = 250 * time.Millisecond
 	lastRetry  = 10 * time.Second
+	// aloneAfter is how long an ending run waits for its writer: a block's age and a write,
+	// far below the time that a shutdown leaves for the record.
+	aloneAfter = 4 * time.Second
 )
 
 // Options configure a journal. Zero values of the times and sizes take defaults.
@@ -91,6 +94,9 @@
 	begun    bool
 	toldAt   time.Time
 	recorded bool
+	// begunAt is when the end began; alone is set once the run writes its record itself.
+	begunAt time.Time
+	alone   bool
 }
 
 // due reports whether the writer has to be told, again after a while.
@@ -129,7 +135,7 @@
 // A new writer gets every entry that the one before has not acknowledged.
 func (j *Journal) SetWriter(daemon vrid.DaemonID, address string) {
 	j.writerAddress = address
-	if daemon == j.writerID {
+	if daemon == j.writerID || j.ending.alone {
 		return
 	}
 	j.writerID = daemon
@@ -137,12 +143,37 @@
 	j.lastBatch = time.Time{}
 }
 
+// PeerLost takes word that a peer can't be reached. A writer that comes back under the
+// same name has lost what it held, so it gets everything again. A run that ends does not
+// wait for it: nobody may be left to name another writer.
+func (j *Journal) PeerLost(peer vrid.DaemonID) {
+	if peer != j.writerID || peer == j.options.Daemon {
+		return
+	}
+	j.sent = j.queue.durable
+	if j.ending.begun {
+		j.writeAlone()
+	}
+}
+
+// writeAlone makes an ending run its own writer. An entry that both writers put into a
+// block stands twice, which the record allows.
+func (j *Journal) writeAlone() {
+	j.SetWriter(j.options.Daemon, "")
+	j.ending.alone = true
+	j.ending.toldAt = time.Time{}
+}
+
 // HandleAck takes a writer's acknowledgement.
 func (j *Journal) HandleAck(now time.Time, ack *vrwire.RecordAck) {
 	if ack.Boot != j.options.Boot {
 		return
 	}
 	j.ending.recorded = j.ending.recorded || ack.Final
+	if ack.Again {
+		j.sent = j.queue.durable
+		j.lastBatch = time.Time{}
+	}
 	if ack.Durable <= j.queue.durable {
 		return
 	}
@@ -165,7 +196,8 @@
 		return
 	}
 	if again {
-		// The sender repeats what is durable, so the acknowledgement was lost.
+		// The sender repeats what is durable, so the acknowledgement was lost, or it has to
+		// repeat what this writer lacks.
 		j.acknowledgeTo(now, origin, effects)
 	}
 }
@@ -183,7 +215,7 @@
 // acknowledgeTo answers over the session that the peer opened: the runtime knows its
 // address.
 func (j *Journal) acknowledgeTo(now time.Time, to source, effects *vrevent.Effects) {
-	ack := &vrwire.RecordAck{Boot: to.run.Boot, Durable: to.durable, Final: to.finalWritten}
+	ack := &vrwire.RecordAck{Boot: to.run.Boot, Durable: to.durable, Final: to.finalWritten, Again: to.lacks}
 	if to.run == j.queue.run {
 		j.HandleAck(now, ack)
 		return
@@ -219,7 +251,12 @@
 // daemon opens no request, and the record says so. It is called again until Pending is
 // 0: a frame and a block are bounded, and one write is in flight.
 func (j *Journal) Flush(now time.Time, effects *vrevent.Effects) {
-	j.ending.begun = true
+	if !j.ending.begun {
+		j.ending.begun, j.ending.begunAt = true, now
+	}
+	if !j.ending.alone && now.Sub(j.ending.begunAt) >= aloneAfter {
+		j.writeAlone()
+	}
 	j.sendBatch(now, effects)
 	j.writer.tick(now, true, effects)
 }
--- a/verbenacore/vrjournal/writer.go
+++ b/verbenacore/vrjournal/writer.go
@@ -31,6 +31,8 @@
 	// a durable block says so.
 	final        bool
 	finalWritten bool
+	// lacks is set when the last batch began after numbers that this writer does not hold.
+	lacks bool
 }
 
 // taken is one entry that waits for a block.
@@ -107,6 +109,12 @@
 	origin := w.source(run, batch.Durable)
 	origin.opened = max(origin.opened, batch.Opened)
 	w.advance(origin, batch.Durable)
+	origin.lacks = len(entries) > 0 && entries[0].Covers().First > origin.held.Through(0)+1
+	if origin.lacks {
+		// Blocks hold each run's numbers without holes: if the run died now, a hole below
+		// numbers that are in a block might be covered by no gap.
+		return *origin, true, nil
+	}
 	again = true
 	for i, entry := range entries {
 		again = again && entry.Covers().Last <= origin.durable
@@ -219,8 +227,10 @@
 // too wide hide nothing.
 func (s *source) lacking() (vrrecord.Span, bool) {
 	if s.unknown {
+		// Numbers are no count of requests: an owner's loads and takeovers have numbers
+		// too, so durable numbers beyond the opened requests prove nothing.
 		bound := vrrecord.Span{First: 1, Last: max(s.opened, s.held.Last()+1)}
-		return bound, s.opened > 0 && s.opened > s.durable
+		return bound, s.opened > 0 && !s.final
 	}
 	holes := s.held.Missing(1, s.held.Last())
 	inHoles := uint64(0)
--- a/verbenacore/vrwire/control.go
+++ b/verbenacore/vrwire/control.go
@@ -58,6 +58,9 @@
 	Durable uint64      `protobuf:"varint,2,opt,name=durable,proto3"`
 	// Final is set when a durable block says that the run came to its proper end.
 	Final bool `protobuf:"varint,3,opt,name=final,proto3"`
+	// Again asks for everything after Durable: the writer lacks entries before the last
+	// batch, because it began a new run or a batch was lost.
+	Again bool `protobuf:"varint,4,opt,name=again,proto3"`
 }
 
 // Validate accepts every count.
