Ramp up what a returning zone opens to the others

Change: a zone's grant to the others starts at 10% when it hears of the first other zone again and grows by 10% a second at most. Conclusion: the zone's own callers are not held back, because its warm routes never stopped.

--- a/verbenacore/vrmember/vrmember.go
+++ b/verbenacore/vrmember/vrmember.go
@@ -345,6 +345,9 @@
 	}
 }
 
+// AnyRemoteHeard reports whether the root has the servers of any other zone.
+func (m *Membership) AnyRemoteHeard() bool { return len(m.remoteHeard) > 0 }
+
 // RemoteHeard reports whether the root has a zone's servers.
 func (m *Membership) RemoteHeard(zone vrid.ZoneID) bool {
 	_, heard := m.remoteHeard[zone]
--- a/verbenacore/vrreducer/share.go
+++ b/verbenacore/vrreducer/share.go
@@ -31,6 +31,8 @@
 	// farPart what is granted to them.
 	far     float64
 	farPart float64
+	// returned is when this zone heard of the first other zone after hearing of none.
+	returned time.Time
 }
 
 func newShares() shares {
@@ -128,14 +130,26 @@
 // farSteps is the resolution of the part for other zones.
 const farSteps = 5
 
+// rampStep is the part of its capacity that a zone which reconnects opens to the others
+// each second: the work that waited elsewhere must not fill its servers at once.
+const rampStep = 0.1
+
+// ramp is the part that the zone may open to others by now.
+func (s *State) ramp(now time.Time) float64 {
+	if !s.member.AnyRemoteHeard() {
+		return rampStep
+	}
+	return min(1, rampStep*float64(1+now.Sub(s.shares.returned)/time.Second))
+}
+
 // farGrant is one far daemon's share in thousandths.
-func (s *State) farGrant() uint32 {
+func (s *State) farGrant(now time.Time) uint32 {
 	view := s.member.View()
 	others := s.fleetDaemons(view) - len(view.Order())
 	if s.opts.Plain || others <= 0 {
 		return 0
 	}
 	// Steps keep the view of every zone from changing with each summary.
-	part := math.Ceil(s.shares.farPart*farSteps) / farSteps
+	part := min(s.ramp(now), math.Ceil(s.shares.farPart*farSteps)/farSteps)
 	return max(1, uint32(part*shareWhole/float64(others)))
 }
--- a/verbenacore/vrreducer/summary.go
+++ b/verbenacore/vrreducer/summary.go
@@ -70,7 +70,7 @@
 		summary := &vrwire.ZoneSummary{
 			Zone: s.opts.Zone, Epoch: s.member.View().Epoch, Owner: s.opts.Daemon, Peer: s.opts.PeerAddress,
 			Config: s.store.Version(), InForce: s.inForce(), SentAt: now.UnixMilli(),
-			HeardEpoch: n.heardEpoch, HeardNumber: n.heardNumber, FarShare: s.farGrant(),
+			HeardEpoch: n.heardEpoch, HeardNumber: n.heardNumber, FarShare: s.farGrant(now),
 		}
 		n.change(summary, content)
 		if !n.due(now, summary) {
@@ -173,5 +173,8 @@
 		return
 	}
 	n.heard(summary, s.lease.Epoch())
+	if !s.member.AnyRemoteHeard() {
+		s.shares.returned = now
+	}
 	s.member.PublishRemote(now, summary)
 }
