Compress record batches and close blocks later in zones with many writers

Cause: entries go to the writer as rows of 200 bytes, so a writer of five daemons at 23 requests/s receives and sends 18.9 KB/s, beyond the 10 KB/s of a daemon's control. A block each 2 s costs 210 platform writes/s with 420 writers; one each 15 s makes daemons send entries again, because they wait 6 s for a durable block. Change: a batch carries its entries in the columns and compression of a block where that is smaller. The age of a block is 250 ms for each writer of the zone, at least 2 s and at most 5 s, so a zone's writers make at most 4 writes/s below 25 requests/s a daemon.

--- a/verbenabench/internal/vrslope/record.go
+++ b/verbenabench/internal/vrslope/record.go
@@ -10,6 +10,7 @@
 
 	"verbenaroute.example/verbenabench/internal/vrdeploy"
 	"verbenaroute.example/verbenabench/internal/vrstat"
+	"verbenaroute.example/verbenacore/vrjournal"
 )
 
 // RecordOptions of the measurement of the record.
@@ -120,4 +121,7 @@
 		record := designWriters * vrstat.Fit(held, recordRate.Of, writesOf).At(designDaemonRate)
 		fmt.Fprintf(options.Out, "%8s %16.0f %10.0f %10.0f %12.0f\n", period, record, designLeases, claims, record+designLeases+claims)
 	}
+	fmt.Fprintf(options.Out, "the rule of vrjournal.BlockAge: %d writers in a zone %s, %d writers %s, %d writers %s\n",
+		1, vrjournal.BlockAge(1), designZoneWriters/2, vrjournal.BlockAge(designZoneWriters/2),
+		designZoneWriters, vrjournal.BlockAge(designZoneWriters))
 }
--- a/verbenabench/internal/vrslope/scale.go
+++ b/verbenabench/internal/vrslope/scale.go
@@ -16,6 +16,8 @@
 	groupSize = 5
 	// designWriters is the number of record writers.
 	designWriters = designDaemons / groupSize
+	// designZoneWriters is the number of record writers in a zone of 100 daemons.
+	designZoneWriters = 100 / groupSize
 	// designUnrepeatable is the part of requests that must not run twice.
 	designUnrepeatable = 0.02
 	// designShards is the number of claim shards.
--- a/verbenacore/vrjournal/vrjournal.go
+++ b/verbenacore/vrjournal/vrjournal.go
@@ -20,7 +20,12 @@
 	defaultBatchEvery  = time.Second
 	defaultResendAfter = 6 * time.Second
 	defaultBlockAge    = 2 * time.Second
-	defaultBlockSize   = 256 * vrid.KiB
+	// writerSpacing lets the writers of a zone make 4 writes/s together: 84 writes/s for
+	// the 21 zones of the design scale, where a block each 2 s would cost 210.
+	writerSpacing = 250 * time.Millisecond
+	// maxBlockAge leaves a second before a daemon sends its entries again.
+	maxBlockAge      = 5 * time.Second
+	defaultBlockSize = 256 * vrid.KiB
 	// defaultBuffer holds about 20 minutes of entries of a daemon at design scale
 	// (23 requests/s, 250 bytes each) and stays far below the daemon's 256 MB.
 	defaultBuffer = 8 * vrid.MiB
@@ -49,7 +54,7 @@
 	BatchEvery time.Duration
 	// ResendAfter is how long a batch may stay unacknowledged (6s).
 	ResendAfter time.Duration
-	// BlockAge and BlockSize say when a writer closes a block (2s, 256 KiB).
+	// BlockAge and BlockSize say when a writer closes a block (2s until SetWriters, 256 KiB).
 	BlockAge  time.Duration
 	BlockSize vrid.Bytes
 	// Buffer bounds the daemon's own entries without acknowledgement (8 MiB).
@@ -137,6 +142,15 @@
 	j.lastBatch = time.Time{}
 }
 
+// SetWriters tells how many record writers the zone has.
+func (j *Journal) SetWriters(count int) { j.writer.options.BlockAge = BlockAge(count) }
+
+// BlockAge is the age at which the writers of a zone close their blocks: 2 s up to 8
+// writers, then in proportion to their number, at most 5 s.
+func BlockAge(writers int) time.Duration {
+	return min(max(time.Duration(writers)*writerSpacing, defaultBlockAge), maxBlockAge)
+}
+
 // HandleAck takes a writer's acknowledgement.
 func (j *Journal) HandleAck(now time.Time, ack *vrwire.RecordAck) {
 	if ack.Boot != j.options.Boot {
@@ -154,11 +168,15 @@
 // HandleBatch takes entries as a writer. A batch that doesn't fit into the buffer is
 // left unanswered: its sender keeps the entries and sends them again.
 func (j *Journal) HandleBatch(now time.Time, from *vrwire.Envelope, effects *vrevent.Effects) {
-	batch := from.RecordBatch
-	if batch.Daemon != from.From || batch.Boot != from.Boot {
+	if from.RecordBatch.Daemon != from.From || from.RecordBatch.Boot != from.Boot {
 		effects.Warn("record batch names another run than its envelope", vrevent.Field("peer", from.From))
 		return
 	}
+	batch, err := unpack(from.RecordBatch)
+	if err != nil {
+		effects.Warn("record batch can't be unpacked", vrevent.Field("peer", from.From), vrevent.Field("error", err.Error()))
+		return
+	}
 	origin, again, err := j.writer.take(now, batch)
 	if err != nil {
 		effects.Warn("record batch refused", vrevent.Field("peer", from.From), vrevent.Field("error", err.Error()))
@@ -275,10 +293,39 @@
 	effects.Add(vrevent.SendPeer{
 		Peer:     j.writerID,
 		Address:  j.writerAddress,
-		Envelope: j.envelope(func(e *vrwire.Envelope) { e.RecordBatch = batch }),
+		Envelope: j.envelope(func(e *vrwire.Envelope) { e.RecordBatch = pack(batch) }),
 	})
 }
 
+// pack compresses the entries of a batch where that makes it smaller.
+func pack(batch *vrwire.RecordBatch) *vrwire.RecordBatch {
+	size := 0
+	for _, entry := range batch.Entries {
+		size += len(entry)
+	}
+	packed, err := vrrecord.PackEntries(batch.Entries)
+	if err != nil || len(packed) >= size {
+		return batch
+	}
+	smaller := *batch
+	smaller.Packed, smaller.Entries = packed, nil
+	return &smaller
+}
+
+// unpack is the opposite of pack.
+func unpack(batch *vrwire.RecordBatch) (*vrwire.RecordBatch, error) {
+	if len(batch.Packed) == 0 {
+		return batch, nil
+	}
+	entries, err := vrrecord.UnpackEntries(batch.Packed)
+	if err != nil {
+		return nil, err
+	}
+	whole := *batch
+	whole.Packed, whole.Entries = nil, entries
+	return &whole, nil
+}
+
 func (j *Journal) takeOwn(now time.Time, batch *vrwire.RecordBatch, effects *vrevent.Effects) {
 	origin, again, err := j.writer.take(now, batch)
 	if err != nil {
--- a/verbenacore/vrjournal/vrjournal_test.go
+++ b/verbenacore/vrjournal/vrjournal_test.go
@@ -386,6 +386,39 @@
 	require.Zero(t, d1.Pending())
 }
 
+// Guards against a packed batch that differs from its entries, and against one that
+// can't be unpacked and is taken as empty.
+func TestPackedBatch(t *testing.T) {
+	z := newZone(t, 11, "d1", "d2")
+	z.nodes["d2"].SetWriter("d1", "")
+	for range 40 {
+		z.nodes["d2"].answer(z)
+	}
+	batch := z.nodes["d2"].queue.batch(0)
+	packed := pack(batch)
+	require.Empty(t, packed.Entries)
+	whole, err := unpack(packed)
+	require.NoError(t, err)
+	require.Equal(t, batch, whole)
+
+	broken := &vrwire.RecordBatch{Daemon: "d2", Boot: "B1", First: 1, Final: true, Packed: []byte("no frame")}
+	d1 := z.nodes["d1"]
+	d1.HandleBatch(z.now, &vrwire.Envelope{From: "d2", Boot: "B1", RecordBatch: broken}, &d1.effects)
+	require.Zero(t, d1.Pending())
+	require.IsType(t, vrevent.Log{}, d1.effects.List[0])
+}
+
+// Guards against a large zone whose writers use up the platform's writes, and against
+// blocks so old that daemons send again what is not lost.
+func TestBlockAge(t *testing.T) {
+	for writers, want := range map[int]time.Duration{
+		0: 2 * time.Second, 1: 2 * time.Second, 8: 2 * time.Second, 12: 3 * time.Second, 20: 5 * time.Second, 100: 5 * time.Second,
+	} {
+		require.Equal(t, want, BlockAge(writers), "%d writers", writers)
+	}
+	require.Less(t, BlockAge(1000)+defaultBatchEvery, defaultResendAfter+time.Millisecond)
+}
+
 // Guards against a query that misses the entries which are in no block yet.
 func TestUnwritten(t *testing.T) {
 	z := newZone(t, 9, "d1", "d2")
--- a/verbenacore/vrrecord/block.go
+++ b/verbenacore/vrrecord/block.go
@@ -159,9 +159,28 @@
 	return vrcodec.Compress(nil, data), nil
 }
 
-// DecodeBlock reads the value of a block's object. It takes at most MaxBlock bytes
-// of memory for the decoded form, whatever the frame claims.
-func DecodeBlock(data []byte) (*Block, error) {
+// PackEntries returns encoded entries in the compressed form that a block has, for
+// their way to a writer: as rows they take four times the bytes.
+func PackEntries(entries [][]byte) ([]byte, error) {
+	packed := &packedBlock{}
+	packEntries(packed, entries)
+	data, err := vrwire.Marshal(packed)
+	if err != nil {
+		return nil, err
+	}
+	return vrcodec.Compress(nil, data), nil
+}
+
+// UnpackEntries reads what PackEntries returned, within the bound of DecodeBlock.
+func UnpackEntries(data []byte) ([][]byte, error) {
+	packed, err := unpack(data)
+	if err != nil {
+		return nil, err
+	}
+	return unpackEntries(packed)
+}
+
+func unpack(data []byte) (*packedBlock, error) {
 	plain, err := vrcodec.Decompress(data, MaxBlock)
 	if err != nil {
 		return nil, &BlockError{Problem: "it can't be decompressed", Err: err}
@@ -170,6 +189,16 @@
 	if err != nil {
 		return nil, &BlockError{Problem: "it can't be decoded", Err: err}
 	}
+	return packed, nil
+}
+
+// DecodeBlock reads the value of a block's object. It takes at most MaxBlock bytes
+// of memory for the decoded form, whatever the frame claims.
+func DecodeBlock(data []byte) (*Block, error) {
+	packed, err := unpack(data)
+	if err != nil {
+		return nil, err
+	}
 	block := &Block{
 		Zone: packed.Zone, Writer: packed.Writer, Boot: packed.Boot, Sequence: packed.Sequence, Previous: packed.Previous,
 		From: packed.From, Until: packed.Until, Coverage: packed.Coverage, Digests: packed.Digests,
--- a/verbenacore/vrrecord/verify_test.go
+++ b/verbenacore/vrrecord/verify_test.go
@@ -273,6 +273,7 @@
 	f.Add([]byte{})
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		Verify([]Stored{{Key: "record/z/h/w-b/000000000001", Data: data}})
+		_, _ = UnpackEntries(data)
 	})
 }
 
--- a/verbenacore/vrreducer/ready.go
+++ b/verbenacore/vrreducer/ready.go
@@ -47,22 +47,24 @@
 
 // tickRecord names this daemon's record writer and moves the journal on.
 func (s *State) tickRecord(now time.Time, out *vrevent.Effects) {
-	writer := s.recordWriter()
+	writer, writers := s.recordWriter()
 	s.journal.SetOpened(s.opened)
+	s.journal.SetWriters(writers)
 	s.journal.SetWriter(writer, s.peerOf(writer).Address)
 	s.journal.Tick(now, out)
 }
 
 // recordWriter is the first member of this daemon's group in the order of
-// dissemination.
-func (s *State) recordWriter() vrid.DaemonID {
+// dissemination, and the number of groups in the zone.
+func (s *State) recordWriter() (writer vrid.DaemonID, groups int) {
 	order := s.member.View().Order()
+	groups = (len(order) + recordGroup - 1) / recordGroup
 	for i, id := range order {
 		if id == s.opts.Daemon {
-			return order[i-i%recordGroup]
+			return order[i-i%recordGroup], groups
 		}
 	}
-	return s.opts.Daemon
+	return s.opts.Daemon, groups
 }
 
 // shutdownRequested starts a graceful shutdown.
--- a/verbenacore/vrwire/control.go
+++ b/verbenacore/vrwire/control.go
@@ -42,6 +42,8 @@
 	Durable uint64 `protobuf:"varint,6,opt,name=durable,proto3"`
 	// Final is set when the daemon opens no further request.
 	Final bool `protobuf:"varint,7,opt,name=final,proto3"`
+	// Packed holds the entries of vrrecord.PackEntries instead of Entries.
+	Packed []byte `protobuf:"bytes,8,opt,name=packed,proto3"`
 }
 
 // Validate checks the origin.
