Measure a query over a million entries beside callers on the same daemon

query-cost fills the stand-in platform with the blocks of four past hours, asks one real daemon, and compares the callers' times with and without the query in turn. It fails when the daemon uses more than its 256 MB or the query reads too few entries.

--- a/verbenabench/internal/vrcommand/vrcommand.go
+++ b/verbenabench/internal/vrcommand/vrcommand.go
@@ -21,7 +21,7 @@
 	}
 	root.AddCommand(
 		newStandin(), newTry(), newScenario(),
-		vrmeasure.Command(), vrpath.Command(), vrcost.Command(), vrcost.SpreadCommand(), vrcost.RealCommand(),
+		vrmeasure.Command(), vrpath.Command(), vrpath.QueryCommand(), vrcost.Command(), vrcost.SpreadCommand(), vrcost.RealCommand(),
 		vrslope.RecordCommand(), vrslope.ClaimCommand(), vrslope.MemoryCommand(),
 	)
 	return root
--- /dev/null
+++ b/verbenabench/internal/vrpath/query.go
@@ -0,0 +1,300 @@
+package vrpath
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"verbenaroute.example/verbenabench/internal/vrdeploy"
+	"verbenaroute.example/verbenabench/internal/vrfleet"
+	"verbenaroute.example/verbenabench/internal/vrslope"
+	"verbenaroute.example/verbenabench/internal/vrstat"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrplatform"
+	"verbenaroute.example/verbenacore/vrquery"
+)
+
+// QueryOptions of the measurement of a long query.
+type QueryOptions struct {
+	Entries int
+	// Rate is the warm chat completions a second on the same daemon.
+	Rate int
+	// For is the length of each phase, Turns the number of phases with the query and
+	// without it.
+	For   time.Duration
+	Turns int
+	Seed  uint64
+	Out   io.Writer
+}
+
+// queryHours is the hours over which the entries are spread.
+const queryHours = 4
+
+// memoryLimit is what a daemon may use.
+const memoryLimit = 256 * vrid.MiB
+
+// MemoryError says that a daemon used more memory than it may.
+type MemoryError struct {
+	Peak  vrid.Bytes
+	Limit vrid.Bytes
+}
+
+func (e *MemoryError) Error() string {
+	return fmt.Sprintf("the daemon used %d of %d bytes", e.Peak, e.Limit)
+}
+
+// ScanError says that a query read fewer entries than the record holds.
+type ScanError struct {
+	Scanned int
+	Want    int
+	Missing []string
+}
+
+func (e *ScanError) Error() string {
+	return fmt.Sprintf("the query read %d of %d entries; missing %q", e.Scanned, e.Want, e.Missing)
+}
+
+// RunQuery measures a query over many entries and what callers on the same daemon
+// notice of it.
+func RunQuery(ctx context.Context, options QueryOptions) error {
+	dir, err := os.MkdirTemp("", "verbenaroute-query-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	program, err := vrfleet.Build(ctx, dir, false)
+	if err != nil {
+		return err
+	}
+	deployment, err := vrdeploy.ByName(vrdeploy.Shuyuan, vrdeploy.Size{})
+	if err != nil {
+		return err
+	}
+	fleet, err := vrfleet.New(vrfleet.Options{Deployment: deployment, Program: program, Dir: dir, Speed: fast})
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	if err := fillRecord(fleet, options); err != nil {
+		return err
+	}
+	daemon := deployment.Daemons[0].ID
+	if err := fleet.Start(daemon); err != nil {
+		return err
+	}
+	if err := fleet.WaitReady(ctx, daemon, startBound); err != nil {
+		return err
+	}
+	s := newSession(fleet, daemon, deployment)
+	if err := s.loadModel(ctx); err != nil {
+		return err
+	}
+	if err := s.measureMemory(ctx, options); err != nil {
+		return err
+	}
+	if err := s.measureCallers(ctx, options); err != nil {
+		return err
+	}
+	return fleet.StopAll()
+}
+
+func fillRecord(fleet *vrfleet.Fleet, options QueryOptions) error {
+	traffic, err := vrslope.NewTraffic(options.Seed, vrdeploy.Size{})
+	if err != nil {
+		return err
+	}
+	blocks, size := 0, 0
+	err = vrslope.Archive(traffic, vrslope.ArchiveOptions{
+		Zones: fleet.Deployment.Fleet.Zones(), Entries: options.Entries, Hours: queryHours, Now: time.Now(),
+	}, func(item vrplatform.Item) {
+		blocks++
+		size += len(item.Value)
+		fleet.World.Platform.Put(item.Key, item.Value)
+	})
+	fmt.Fprintf(options.Out, "%d entries in %d blocks, %.1f bytes each, over %d hours and %d zones, seed %d\n",
+		options.Entries, blocks, float64(size)/float64(options.Entries), queryHours, len(fleet.Deployment.Fleet.Zones()), options.Seed)
+	return err
+}
+
+// ask runs a query over the last hours.
+func (s *session) ask(ctx context.Context, hours int) (*vrquery.Table, error) {
+	// The present hour may just have begun or be nearly over.
+	body, err := json.Marshal(vrquery.QueryCall{Query: fmt.Sprintf("show requests since %dh by rank", hours)})
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.operators+vrquery.PathQuery, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+vrdeploy.ReadToken)
+	request.Header.Set("Content-Type", "application/json")
+	response, err := s.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("query: status %d: %s", response.StatusCode, answer)
+	}
+	table := &vrquery.Table{}
+	return table, json.Unmarshal(answer, table)
+}
+
+// measureMemory runs a query over a part of the entries and one over all of them.
+func (s *session) measureMemory(ctx context.Context, options QueryOptions) error {
+	fmt.Fprintf(options.Out, "%8s %10s %12s %14s %14s\n", "hours", "scanned", "query time", "before MiB", "peak MiB")
+	const all = queryHours + 1
+	for _, hours := range []int{2, all} {
+		before := s.process().Memory
+		var peak vrid.Bytes
+		var table *vrquery.Table
+		started := time.Now()
+		err := s.while(ctx, func(ctx context.Context) (err error) {
+			table, err = s.ask(ctx, hours)
+			return err
+		}, func() { peak = max(peak, s.process().Memory) })
+		if err != nil {
+			return err
+		}
+		const mib = float64(vrid.MiB)
+		fmt.Fprintf(options.Out, "%8d %10d %12s %14.1f %14.1f\n", hours, table.Scanned,
+			time.Since(started).Round(time.Millisecond), float64(before)/mib, float64(peak)/mib)
+		if peak > memoryLimit {
+			return &MemoryError{Peak: peak, Limit: memoryLimit}
+		}
+		perHour := options.Entries / (queryHours * len(s.fleet.Deployment.Fleet.Zones()))
+		want := perHour * queryHours * len(s.fleet.Deployment.Fleet.Zones())
+		if hours == all && table.Scanned < want {
+			return &ScanError{Scanned: table.Scanned, Want: want, Missing: table.Missing}
+		}
+	}
+	return nil
+}
+
+// while samples until the work is done.
+func (s *session) while(ctx context.Context, work func(context.Context) error, sample func()) error {
+	done := make(chan error, 1)
+	go func() { done <- work(ctx) }()
+	ticker := time.NewTicker(time.Second / 20)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-ticker.C:
+			sample()
+		}
+	}
+}
+
+// measureCallers compares callers' times with and without the query, in turn.
+func (s *session) measureCallers(ctx context.Context, options QueryOptions) error {
+	var quiet, busy []time.Duration
+	queries, failed := 0, 0
+	for range options.Turns {
+		samples, lost := s.traffic(ctx, options)
+		quiet, failed = append(quiet, samples...), failed+lost
+		ran, samples, lost, err := s.busyPhase(ctx, options)
+		if err != nil {
+			return err
+		}
+		queries += ran
+		busy, failed = append(busy, samples...), failed+lost
+	}
+	without, with := vrstat.QuantilesOf(quiet), vrstat.QuantilesOf(busy)
+	ratio := func(a, b time.Duration) float64 { return float64(a) / float64(max(b, 1)) }
+	fmt.Fprintf(options.Out, "callers at %d/s, %d turns of %s each, %d queries ended, %d calls failed\n",
+		options.Rate, options.Turns, options.For, queries, failed)
+	fmt.Fprintf(options.Out, "  without the query p50/p95/p99 %s, with it %s, ratio %.2f/%.2f/%.2f\n", without, with,
+		ratio(with.P50, without.P50), ratio(with.P95, without.P95), ratio(with.P99, without.P99))
+	return nil
+}
+
+// busyPhase sends traffic while one query after the other runs.
+func (s *session) busyPhase(ctx context.Context, options QueryOptions) (queries int, samples []time.Duration, failed int, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- s.askUntil(ctx, &queries) }()
+	samples, failed = s.traffic(ctx, options)
+	cancel()
+	return queries, samples, failed, <-done
+}
+
+// askUntil asks until the context ends.
+func (s *session) askUntil(ctx context.Context, queries *int) error {
+	for ctx.Err() == nil {
+		_, err := s.ask(ctx, queryHours+1)
+		switch {
+		case err == nil:
+			*queries++
+		case ctx.Err() == nil:
+			return err
+		}
+	}
+	return nil
+}
+
+// traffic sends completions at the rate for one phase.
+func (s *session) traffic(ctx context.Context, options QueryOptions) (samples []time.Duration, failed int) {
+	var wait sync.WaitGroup
+	var lock sync.Mutex
+	ticker := time.NewTicker(time.Second / time.Duration(options.Rate))
+	defer ticker.Stop()
+	for range int(options.For.Seconds() * float64(options.Rate)) {
+		<-ticker.C
+		wait.Go(func() {
+			took, err := s.callDaemon(ctx, true)
+			lock.Lock()
+			defer lock.Unlock()
+			if err != nil {
+				failed++
+				return
+			}
+			samples = append(samples, took.first)
+		})
+	}
+	wait.Wait()
+	return samples, failed
+}
+
+// QueryCommand returns `verbenabench query-cost`.
+func QueryCommand() *cobra.Command {
+	options := QueryOptions{}
+	command := &cobra.Command{
+		Use:   "query-cost",
+		Short: "Measure a query over many entries and what callers on the same daemon notice of it",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			options.Out = command.OutOrStdout()
+			return RunQuery(command.Context(), options)
+		},
+	}
+	const (
+		defaultEntries = 1_000_000
+		defaultRate    = 200
+		defaultTurns   = 3
+		// defaultFor holds a query over the default entries.
+		defaultFor = 15 * time.Second
+	)
+	flags := command.Flags()
+	flags.IntVar(&options.Entries, "entries", defaultEntries, "entries of the record")
+	flags.IntVar(&options.Rate, "rate", defaultRate, "warm chat completions a second on the same daemon")
+	flags.IntVar(&options.Turns, "turns", defaultTurns, "phases with the query and without it")
+	flags.DurationVar(&options.For, "for", defaultFor, "length of each phase")
+	flags.Uint64Var(&options.Seed, "seed", 1, "seed")
+	return command
+}
--- a/verbenabench/internal/vrpath/vrpath.go
+++ b/verbenabench/internal/vrpath/vrpath.go
@@ -49,6 +49,8 @@
 	idleTime = 5 * time.Second
 	// warmUp requests are not counted.
 	warmUp = 200
+	// fast is the factor by which the engine loads and answers faster.
+	fast = 50
 )
 
 // Run measures every point and prints a table.
@@ -88,7 +90,6 @@
 		// The engine must not be the limit of the measurement.
 		deployment.Fleet.Pools[i].Slots = 4096
 	}
-	const fast = 50
 	fleet, err := vrfleet.New(vrfleet.Options{
 		Deployment: deployment, Program: program, Dir: fmt.Sprintf("%s/%d", dir, idle), Speed: fast,
 	})
