Close the callers' address even before its server has started

Finish, called before Serve had registered its listener, left Serve running and Close waiting for ever; a test without any request hung for that reason. A dispatch without a request is answered as not sent.

--- a/verbenaroute/internal/vrfront/attempt.go
+++ b/verbenaroute/internal/vrfront/attempt.go
@@ -103,6 +103,12 @@
 func (f *Front) dispatch(e vrevent.Dispatch) {
 	flight := f.flights.find(e.Request)
 	if flight == nil {
+		// Nobody waits for the answer any more, and nothing was sent.
+		f.run(func() {
+			f.options.Submitter.Submit(vrevent.AttemptEnded{
+				Request: e.Request, Attempt: e.Attempt, Server: e.Server, Result: vrevent.AttemptNotSent,
+			})
+		})
 		return
 	}
 	ctx, cancel := context.WithCancel(f.base)
--- a/verbenaroute/internal/vrfront/hostile_test.go
+++ b/verbenaroute/internal/vrfront/hostile_test.go
@@ -129,3 +129,43 @@
 		})
 	}
 }
+
+// FuzzModelBody guards against a body that ends the process or leaves a prompt without
+// text.
+func FuzzModelBody(f *testing.F) {
+	f.Add([]byte(chatBody("prompt@2", true)))
+	f.Add([]byte(`{"model":"m","prompt":["x"],"n":1,"max_tokens":3}`))
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"a"}]}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		body, cause := parseModelBody(data)
+		if cause != nil {
+			return
+		}
+		for _, shape := range []shape{shapeChat, shapeText} {
+			prompt, tokens, cause := body.work(shape)
+			if cause != nil {
+				continue
+			}
+			require.NotEmpty(t, prompt)
+			require.Positive(t, tokens)
+			require.LessOrEqual(t, tokens, _maxTokens)
+		}
+	})
+}
+
+// FuzzServicePath guards against a path that leaves its service or starts another line
+// of a header.
+func FuzzServicePath(f *testing.F) {
+	f.Add("/v1/services/circles/join/%2e%2e/x", "a=b")
+	f.Fuzz(func(t *testing.T, path, query string) {
+		service, rest, ok := splitServicePath(path)
+		if !ok {
+			return
+		}
+		require.NotContains(t, string(service), "/")
+		require.True(t, strings.HasPrefix(rest, "/"))
+		target := serviceTarget(rest, "")
+		require.True(t, strings.HasPrefix(target, "/"))
+		require.Equal(t, -1, strings.IndexFunc(target, func(r rune) bool { return r <= ' ' || r == 0x7f }), "%q", target)
+	})
+}
--- a/verbenaroute/internal/vrfront/vrfront.go
+++ b/verbenaroute/internal/vrfront/vrfront.go
@@ -110,6 +110,10 @@
 	base     context.Context
 	stop     context.CancelFunc
 	serving  sync.WaitGroup
+
+	mu        sync.Mutex
+	finished  bool
+	listeners []net.Listener
 }
 
 // New builds a Front.
@@ -171,11 +175,59 @@
 	return app
 }
 
-// Serve accepts connections until the listener closes.
+// Serve accepts connections until Finish. After Finish it closes the listener at once.
 func (f *Front) Serve(listener net.Listener) error {
-	f.serving.Add(1)
+	listener = &sharedListener{Listener: listener}
+	if !f.open(listener) {
+		return listener.Close()
+	}
 	defer f.serving.Done()
-	return f.server.Serve(listener)
+	err := f.server.Serve(listener)
+	if f.isFinished() {
+		return nil
+	}
+	return err
+}
+
+// sharedListener may be closed by the front and by the server.
+type sharedListener struct {
+	net.Listener
+	once sync.Once
+	err  error
+}
+
+// Close implements net.Listener.
+func (l *sharedListener) Close() error {
+	l.once.Do(func() { l.err = l.Listener.Close() })
+	return l.err
+}
+
+// open notes a listener, so that Finish closes it even before the server knows it.
+func (f *Front) open(listener net.Listener) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.finished {
+		return false
+	}
+	f.serving.Add(1)
+	f.listeners = append(f.listeners, listener)
+	return true
+}
+
+func (f *Front) isFinished() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.finished
+}
+
+func (f *Front) closeListeners() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.finished = true
+	for _, listener := range f.listeners {
+		_ = listener.Close()
+	}
+	f.listeners = nil
 }
 
 // Leave lets each answer end its connection, so that callers' pools turn elsewhere before
@@ -197,6 +249,7 @@
 // can arrive.
 func (f *Front) Finish(ctx context.Context) error {
 	f.Drain()
+	f.closeListeners()
 	if err := f.server.ShutdownWithContext(ctx); err != nil {
 		return fmt.Errorf("finish callers' requests: %w", err)
 	}
--- a/verbenaroute/internal/vrfront/vrfront_test.go
+++ b/verbenaroute/internal/vrfront/vrfront_test.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -364,3 +365,63 @@
 	require.NoError(t, answer.Body.Close())
 	require.Equal(t, vrevent.AttemptCallerGone, <-ended)
 }
+
+// Guards against a request that keeps its place in the queue after its caller left.
+func TestCallerLeavesQueue(t *testing.T) {
+	s := newSite(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- s.front.Serve(listener) }()
+	arrived, gone := make(chan struct{}), make(chan struct{})
+	s.reducer.decide = func(event vrevent.Event) []vrevent.Effect {
+		switch event.(type) {
+		case vrevent.RequestArrived:
+			close(arrived)
+		case vrevent.CallerGone:
+			// The reducer ends the request and returns no effect for it.
+			close(gone)
+		}
+		return nil
+	}
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	body := chatBody("prompt@2", true)
+	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: d\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	require.NoError(t, err)
+	<-arrived
+	require.NoError(t, conn.Close())
+	<-gone
+	require.NoError(t, s.front.Finish(context.Background()))
+	require.Zero(t, s.front.Running())
+	require.NoError(t, <-served)
+}
+
+// Guards against a dispatch that waits for ever when its request has ended, and against
+// one that claims that something was sent.
+func TestDispatchWithoutRequest(t *testing.T) {
+	s := newSite(t)
+	ended := make(chan vrevent.AttemptEnded, 1)
+	s.reducer.decide = func(event vrevent.Event) []vrevent.Effect {
+		ended <- event.(vrevent.AttemptEnded)
+		return nil
+	}
+	require.True(t, s.front.Handle(vrevent.Dispatch{Request: "gone", Attempt: 2, Server: "s"}))
+	require.Equal(t, vrevent.AttemptEnded{Request: "gone", Attempt: 2, Server: "s", Result: vrevent.AttemptNotSent}, <-ended)
+}
+
+// Guards against a caller without patience that stops a call whose outcome would be
+// lost.
+func TestCallerLeavesReservation(t *testing.T) {
+	s := newSite(t)
+	flight := newFlight(vrevent.Request{ID: "r"})
+	flight.call = &ServiceCall{}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	a := &attempt{number: 1, cancel: cancel}
+	require.True(t, flight.begin(a))
+	s.front.leaveCaller(flight)
+	require.NoError(t, ctx.Err())
+	require.Equal(t, vrevent.AttemptAnswered, flight.leave(a, vrevent.AttemptAnswered))
+	require.True(t, flight.begin(a), "the claimed call is sent although the caller left")
+}
--- a/verbenaroute/main.go
+++ b/verbenaroute/main.go
@@ -46,8 +46,11 @@
 		&cobra.Command{
 			Use:   "serve",
 			Short: "Run the daemon until SIGTERM or SIGINT",
-			Args:  cobra.NoArgs,
-			RunE:  func(*cobra.Command, []string) error { return serve(path) },
+			Long: "Run the daemon until SIGTERM or SIGINT, then shut down gracefully.\n" +
+				"Exit status: 0 after a complete shutdown, 3 for mistakes in the settings, 4 for an address\n" +
+				"that can't be opened, 5 when the shutdown was incomplete, 1 for any other failure.",
+			Args: cobra.NoArgs,
+			RunE: func(*cobra.Command, []string) error { return serve(path) },
 		},
 		&cobra.Command{
 			Use:   "check",
