--- a/verbenaroute/internal/vrfront/parse.go
+++ b/verbenaroute/internal/vrfront/parse.go
@@ -98,7 +98,8 @@
 		return nil
 	}
 	limit := int(f.options.Limits.Body)
-	if length := ctx.Request.Header.ContentLength(); length > limit {
+	length := ctx.Request.Header.ContentLength()
+	if length > limit {
 		// A client that is still writing does not read the answer, so a body of a
 		// tolerable length is read and dropped.
 		if length <= 2*limit {
@@ -106,7 +107,11 @@
 		}
 		return reject(vrwire.ReasonBodyTooLarge, "the body is larger than the limit")
 	}
-	body := &bodyBuffer{front: f}
+	body := &bodyBuffer{front: f, first: _firstRead}
+	if length >= 0 {
+		// One byte more, so that the end is seen without growing.
+		body.first = min(length+1, _firstRead)
+	}
 	a.release = body.release
 	for {
 		if len(body.data) == cap(body.data) && !body.grow(limit+1) {
@@ -140,13 +145,15 @@
 // bodyBuffer is a body that grows within the front's memory limit.
 type bodyBuffer struct {
 	front *Front
+	// first is the size of the first buffer.
+	first int
 	data  []byte
 	held  int
 }
 
 // grow doubles the buffer up to limit; false when the memory is used up.
 func (b *bodyBuffer) grow(limit int) bool {
-	size := min(max(_firstRead, 2*cap(b.data)), limit)
+	size := min(max(b.first, 2*cap(b.data)), limit)
 	if !b.front.reserve(size - b.held) {
 		return false
 	}
