--- a/verbenaroute/internal/vrfront/attempt.go
+++ b/verbenaroute/internal/vrfront/attempt.go
@@ -14,6 +14,8 @@
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrrecord"
 	"verbenaroute.example/verbenacore/vrwire"
+
+	"verbenaroute.example/verbenaroute/internal/vrlog"
 )
 
 const (
@@ -95,7 +97,7 @@
 	f.attempts.Go(func() {
 		if caught := panics.Try(task); caught != nil {
 			f.panics.Add(1)
-			f.options.Log.Error("task of a request panicked", zap.Error(caught.AsError()))
+			f.options.Log.Error("task of a request panicked", vrlog.Error(caught.AsError()))
 		}
 	})
 }
@@ -139,7 +141,7 @@
 	})
 	if caught != nil {
 		f.panics.Add(1)
-		f.options.Log.Error("attempt panicked", zap.String("request", string(flight.request.ID)), zap.Error(caught.AsError()))
+		f.options.Log.Error("attempt panicked", zap.String("request", string(flight.request.ID)), vrlog.Error(caught.AsError()))
 	}
 	result = flight.leave(a, result)
 	if result == vrevent.AttemptCallerGone {
@@ -229,7 +231,7 @@
 	defer cancel()
 	answer, found, err := f.options.Backends.Outcome(ctx, e.Address, e.Path, e.Key)
 	if err != nil {
-		f.options.Log.Warn("outcome of a call is not known", zap.String("request", string(e.Request)), zap.Error(err))
+		f.options.Log.Warn("outcome of a call is not known", zap.String("request", string(e.Request)), vrlog.Error(err))
 		return
 	}
 	f.options.Submitter.Submit(vrevent.OutcomeLookedUp{
--- a/verbenaroute/internal/vrserve/daemon.go
+++ b/verbenaroute/internal/vrserve/daemon.go
@@ -19,6 +19,8 @@
 
 	"verbenaroute.example/verbenaroute/internal/vradmin"
 	"verbenaroute.example/verbenaroute/internal/vrfront"
+
+	"verbenaroute.example/verbenaroute/internal/vrlog"
 )
 
 // ListenError says which address could not be opened.
@@ -228,18 +230,7 @@
 func (d *Daemon) serve(name string, run func() error) {
 	d.serving.Go(func() {
 		if err := run(); err != nil && !errors.Is(err, net.ErrClosed) {
-			d.log.Error("server ended", zap.String("server", name), zap.String("errorType", errorType(err)), zap.Error(err))
+			d.log.Error("server ended", zap.String("server", name), vrlog.Error(err))
 		}
 	})
 }
-
-// errorType names the type of an error's cause for logs, for example "*net.OpError".
-func errorType(err error) string {
-	for {
-		cause := errors.Unwrap(err)
-		if cause == nil {
-			return fmt.Sprintf("%T", err)
-		}
-		err = cause
-	}
-}
--- a/verbenaroute/internal/vrserve/outside.go
+++ b/verbenaroute/internal/vrserve/outside.go
@@ -7,12 +7,13 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
-	"go.uber.org/zap"
 
 	"verbenaroute.example/verbenacore/vrcodec"
 	"verbenaroute.example/verbenacore/vrevent"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrplatform"
+
+	"verbenaroute.example/verbenaroute/internal/vrlog"
 )
 
 const (
@@ -76,7 +77,7 @@
 func (r *Runtime) seeConfig(document []byte, confirmed bool) {
 	index, err := vrcodec.DecodeFleet(document)
 	if err != nil {
-		r.options.Log.Warn("configuration document is invalid", zap.Error(err))
+		r.options.Log.Warn("configuration document is invalid", vrlog.Error(err))
 		return
 	}
 	r.Submit(vrevent.ConfigSeen{Index: index, Document: document, Confirmed: confirmed})
--- a/verbenaroute/internal/vrserve/shutdown.go
+++ b/verbenaroute/internal/vrserve/shutdown.go
@@ -7,6 +7,8 @@
 	"go.uber.org/zap"
 
 	"verbenaroute.example/verbenacore/vrevent"
+
+	"verbenaroute.example/verbenaroute/internal/vrlog"
 )
 
 const (
@@ -36,7 +38,7 @@
 	err := d.awaitEnd(grace)
 	d.close()
 	if err != nil {
-		d.log.Error("shutdown cut requests off", zap.String("errorType", errorType(err)), zap.Error(err))
+		d.log.Error("shutdown cut requests off", vrlog.Error(err))
 		return err
 	}
 	d.log.Info("shutdown is complete")
@@ -73,7 +75,7 @@
 	err := d.front.Finish(grace)
 	running := d.front.Running()
 	if err != nil {
-		d.log.Warn("callers' connections were closed", zap.Int("requests", running), zap.Error(err))
+		d.log.Warn("callers' connections were closed", zap.Int("requests", running), vrlog.Error(err))
 	}
 	d.front.Close()
 	return running
@@ -86,7 +88,7 @@
 	d.peers.Close()
 	d.Runtime.Close()
 	if err := d.admin.Shutdown(ctx); err != nil {
-		d.log.Warn("operators' connections were closed", zap.Error(err))
+		d.log.Warn("operators' connections were closed", vrlog.Error(err))
 	}
 	d.clients.close()
 	d.serving.Wait()
--- a/verbenaroute/internal/vrserve/tls_test.go
+++ b/verbenaroute/internal/vrserve/tls_test.go
@@ -4,10 +4,12 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
 	"errors"
+	"io"
 	"math/big"
 	"os"
 	"path/filepath"
@@ -73,3 +75,28 @@
 	require.True(t, errors.As(err, &listen))
 	require.Equal(t, "callers", listen.Field)
 }
+
+// Guards against an address with a certificate that speaks no TLS.
+func TestListenWithTLS(t *testing.T) {
+	dir := t.TempDir()
+	files := vrsettings.TLSFiles{Certificate: filepath.Join(dir, "c.pem"), Key: filepath.Join(dir, "k.pem")}
+	writePair(t, files, "callers", time.Now())
+	listener, err := listen("callers", "127.0.0.1:0", files)
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Write([]byte("hello"))
+		_ = conn.Close()
+	}()
+	conn, err := tls.Dial("tcp", listener.Addr().String(), &tls.Config{InsecureSkipVerify: true})
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	data, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	require.Equal(t, "hello", string(data))
+	require.Equal(t, "callers", conn.ConnectionState().PeerCertificates[0].Subject.CommonName)
+}
--- a/verbenaroute/internal/vrserve/vrserve.go
+++ b/verbenaroute/internal/vrserve/vrserve.go
@@ -21,6 +21,8 @@
 	"verbenaroute.example/verbenacore/vrrecord"
 	"verbenaroute.example/verbenacore/vrsettings"
 	"verbenaroute.example/verbenacore/vrwire"
+
+	"verbenaroute.example/verbenaroute/internal/vrlog"
 )
 
 // Sizes of the pools. A
@@ -162,7 +164,7 @@
 
 func (r *Runtime) notePanic(caught *panics.Recovered) {
 	r.options.Observer.EffectPanicked()
-	r.options.Log.Error("effect panicked", zap.Error(caught.AsError()))
+	r.options.Log.Error("effect panicked", vrlog.Error(caught.AsError()))
 }
 
 // Bind sets the parts that need the Runtime for their own construction. It is called
--- a/verbenaroute/main.go
+++ b/verbenaroute/main.go
@@ -15,6 +15,7 @@
 	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrsettings"
 
+	"verbenaroute.example/verbenaroute/internal/vrlog"
 	"verbenaroute.example/verbenaroute/internal/vrserve"
 )
 
@@ -85,7 +86,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	log, flush := vrserve.NewLog(os.Stderr)
+	log, flush := vrlog.New(os.Stderr)
 	defer flush()
 	daemon, err := vrserve.NewDaemon(vrserve.DaemonOptions{Settings: settings, Log: log})
 	if err != nil {
