Count tokens without text

A line with an empty token has an offset as well; it was not counted, so that the next token looked like a skipped one and the stream was broken off.

--- a/verbenaroute/internal/vrfront/flight.go
+++ b/verbenaroute/internal/vrfront/flight.go
@@ -235,13 +235,8 @@
 	if len(f.output) > _answerBytes {
 		return false, errAnswerTooLarge
 	}
-	if line.Token != "" && line.Offset == f.next {
-		if f.output == nil {
-			f.output = make([]byte, 0, _firstOutput)
-		}
-		f.output = f.encode(f.output, line.Token)
-		f.next++
-		signal(f.wake)
+	if line.Offset == f.next && (line.Token != "" || !line.Done) {
+		f.add(line.Token)
 	}
 	if line.Done {
 		f.finish = line.FinishReason
@@ -250,6 +245,20 @@
 	return first, nil
 }
 
+// add takes the next token. An empty one has an offset too, for example a token that is
+// only a part of a character.
+func (f *flight) add(token string) {
+	f.next++
+	if token == "" {
+		return
+	}
+	if f.output == nil {
+		f.output = make([]byte, 0, _firstOutput)
+	}
+	f.output = f.encode(f.output, token)
+	signal(f.wake)
+}
+
 // waitForRoom blocks while a slow caller has not taken the output of a stream.
 func (f *flight) waitForRoom(ctx context.Context) error {
 	for f.isFull() {
--- a/verbenaroute/internal/vrfront/vrfront_test.go
+++ b/verbenaroute/internal/vrfront/vrfront_test.go
@@ -157,6 +157,21 @@
 	}
 }
 
+// Guards against a stream that breaks at a token without text.
+func TestEmptyToken(t *testing.T) {
+	s := newSite(t)
+	s.backends.generate = func(_ context.Context, _ string, request *vrengine.GenerateRequest, token func(*vrengine.Token) error) vrevent.AttemptResult {
+		for offset, text := range []string{"", "a", "", "b"} {
+			require.NoError(t, token(&vrengine.Token{RequestID: request.RequestID, Offset: offset, Token: text}))
+		}
+		require.NoError(t, token(&vrengine.Token{RequestID: request.RequestID, Offset: 4, Done: true, FinishReason: "length"}))
+		return vrevent.AttemptAnswered
+	}
+	answer := s.do("POST", "/v1/completions", `{"model":"summary@1","prompt":"x"}`)
+	require.Contains(t, answer.body, `"text":"ab"`)
+	require.Contains(t, answer.body, `"completion_tokens":4`)
+}
+
 // Guards against two hedged attempts that both write into one answer.
 func TestHedge(t *testing.T) {
 	s := newSite(t)
