--- a/verbenaroute/internal/vrfront/stream.go
+++ b/verbenaroute/internal/vrfront/stream.go
@@ -110,10 +110,11 @@
 	}
 	closed := false
 	var peeked [1]byte
-	err = raw.Read(func(fd uintptr) bool {
+	// Control, unlike Read, ignores the read deadline, which has passed for a request
+	// that waits longer than its body may take.
+	err = raw.Control(func(fd uintptr) {
 		n, _, err := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		closed = (n == 0 && err == nil) || (err != nil && err != syscall.EAGAIN && err != syscall.EINTR)
-		return true
 	})
 	return closed || err != nil
 }
--- a/verbenaroute/internal/vrfront/vrfront_test.go
+++ b/verbenaroute/internal/vrfront/vrfront_test.go
@@ -440,3 +440,29 @@
 	require.Equal(t, vrevent.AttemptAnswered, flight.leave(a, vrevent.AttemptAnswered))
 	require.True(t, flight.begin(a), "the claimed call is sent although the caller left")
 }
+
+// Guards against a waiting caller that is taken for gone when the deadline of its body
+// has passed, and against one that is gone and not noticed.
+func TestIsClosed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	conn, err := listener.Accept()
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, conn.SetReadDeadline(time.Unix(1, 0)))
+	require.False(t, isClosed(conn))
+	require.NoError(t, conn.SetReadDeadline(time.Time{}))
+	_, err = caller.Write([]byte("G"))
+	require.NoError(t, err)
+	require.False(t, isClosed(conn), "a next request waits")
+	var next [1]byte
+	_, err = conn.Read(next[:])
+	require.NoError(t, err)
+	require.NoError(t, caller.Close())
+	_, err = conn.Read(next[:])
+	require.ErrorIs(t, err, io.EOF)
+	require.True(t, isClosed(conn))
+}
