--- a/verbenaroute/main.go
+++ b/verbenaroute/main.go
@@ -15,6 +15,7 @@
 	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrsettings"
 
+	"verbenaroute.example/verbenaroute/internal/vrlog"
 	"verbenaroute.example/verbenaroute/internal/vrserve"
 )
 
@@ -46,8 +47,11 @@
 		&cobra.Command{
 			Use:   "serve",
 			Short: "Run the daemon until SIGTERM or SIGINT",
-			Args:  cobra.NoArgs,
-			RunE:  func(*cobra.Command, []string) error { return serve(path) },
+			Long: "Run the daemon until SIGTERM or SIGINT, then shut down gracefully.\n" +
+				"Exit status: 0 after a complete shutdown, 3 for mistakes in the settings, 4 for an address\n" +
+				"that can't be opened, 5 when the shutdown was incomplete, 1 for any other failure.",
+			Args: cobra.NoArgs,
+			RunE: func(*cobra.Command, []string) error { return serve(path) },
 		},
 		&cobra.Command{
 			Use:   "check",
@@ -82,7 +86,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	log, flush := vrserve.NewLog(os.Stderr)
+	log, flush := vrlog.New(os.Stderr)
 	defer flush()
 	daemon, err := vrserve.NewDaemon(vrserve.DaemonOptions{Settings: settings, Log: log})
 	if err != nil {
