Refuse cold requests by the measured pace of loads

Cause: with a slow weight store a cold request waits 6.9 s on average for its refusal. Change: misses teach the pace of loads too, and the zone's owner publishes the expected ends of its loads.

--- a/verbenacore/vrplace/vrplace.go
+++ b/verbenacore/vrplace/vrplace.go
@@ -214,7 +214,7 @@
 			w.adapterLoads++
 			continue
 		}
-		near := isNear(entry.Source)
+		near := IsNear(entry.Source)
 		if !near {
 			w.loads++
 		}
@@ -228,8 +228,8 @@
 // while it waits.
 func slotName(model vrid.ModelID) vrid.OrderID { return vrid.OrderID(model) }
 
-// isNear reports whether a load from a source takes no place at the weight store.
-func isNear(source string) bool { return source == sourceMemory || source == sourceDisk }
+// IsNear reports whether a load from a source takes no place at the weight store.
+func IsNear(source string) bool { return source == sourceMemory || source == sourceDisk }
 
 // wants lists what is waited for, the most urgent first.
 func (p *Planner) wants(now time.Time) []want {
@@ -312,7 +312,7 @@
 		Kind: vrledger.ActionLoad, Server: server.Info.ID, Model: model.ID,
 		Bytes: model.Memory, Cap: model.ReplicasPerZone, Source: from,
 	})
-	if !isNear(from) {
+	if !IsNear(from) {
 		w.loads++
 	}
 	w.added[model.ID]++
@@ -323,7 +323,7 @@
 func (w *plan) hasSlot(wanted want, model *vrconfig.Model, server *vrledger.Snapshot, from string) bool {
 	load := vrwire.SlotLoad{
 		Order: slotName(model.ID), Model: model.ID, Rank: wanted.rank, Deadline: wanted.deadline.UnixMilli(),
-		Near: isNear(from), Work: uint32(model.LoadTime.Std().Milliseconds()),
+		Near: IsNear(from), Work: uint32(model.LoadTime.Std().Milliseconds()),
 	}
 	if server != nil {
 		load.Room = uint32(w.free[server.Info.ID] / vrid.GiB)
--- a/verbenacore/vrreducer/loads.go
+++ b/verbenacore/vrreducer/loads.go
@@ -4,9 +4,16 @@
 	"math"
 	"time"
 
+	"verbenaroute.example/verbenacore/vrengine"
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrledger"
+	"verbenaroute.example/verbenacore/vrplace"
 	"verbenaroute.example/verbenacore/vrwire"
 )
 
+// readyStep is the resolution of expected ends, so that they seldom change the view.
+const readyStep = 100 * time.Millisecond
+
 // loadPaceHalfLife is how fast the memory of slow loads fades: a weight store that
 // recovered is believed again after about a minute without loads.
 const loadPaceHalfLife = 20 * time.Second
@@ -26,16 +33,79 @@
 	return 1 + (p.factor-1)*faded
 }
 
+// learn takes the measured time of a load and its declared time.
+func (p *loadPace) learn(now time.Time, took, declared time.Duration) {
+	if declared <= 0 {
+		return
+	}
+	const weight = 0.5
+	held := p.now(now)
+	measured := max(1, float64(took)/float64(declared))
+	*p = loadPace{factor: held + weight*(measured-held), at: now}
+}
+
 // learnLoad notes how long a cold request waited for its load.
 func (s *State) learnLoad(now time.Time, r *request) {
-	declared := s.loadTime(r)
-	if !r.cold || r.attempt != 1 || declared <= 0 {
+	if r.cold && r.attempt == 1 {
+		s.loads.learn(now, now.Sub(r.Arrived), s.declared(r))
+	}
+}
+
+// learnMiss notes that the load of a cold request did not end by its deadline, so that
+// the next ones are refused at once.
+func (s *State) learnMiss(now time.Time, r *request) {
+	waited := now.Sub(r.Arrived)
+	if r.cold && !r.sent && waited > time.Duration(s.loads.now(now)*float64(s.declared(r))) {
+		s.loads.learn(now, waited, s.declared(r))
+	}
+}
+
+// declared is the load time of a request's model at full speed.
+func (s *State) declared(r *request) time.Duration {
+	if model := s.store.Current().Model(r.Model); model != nil {
+		return model.LoadTime.Std()
+	}
+	return 0
+}
+
+// loadStarted notes the start of a load that the zone's owner decided.
+func (s *State) loadStarted(now time.Time, action vrledger.Action) {
+	if action.Kind == vrledger.ActionLoad && action.Adapter == "" {
+		s.zone.loadAt[action.Server] = now
+	}
+}
+
+// loadEnded learns the weight store's pace as the zone's owner.
+func (s *State) loadEnded(now time.Time, event vrevent.OrderAnswered) {
+	started, ok := s.zone.loadAt[event.Server]
+	if !ok || event.Order.Kind != vrengine.OrderLoad {
 		return
 	}
-	const weight = 0.5
-	waited := float64(now.Sub(r.Arrived)) / float64(declared)
-	held := s.loads.now(now)
-	s.loads = loadPace{factor: held + weight*(max(1, waited)-held), at: now}
+	delete(s.zone.loadAt, event.Server)
+	model := s.store.Current().Model(event.Order.Model)
+	if event.Status == vrengine.OrderDone && model != nil && !vrplace.IsNear(event.Order.Source) {
+		s.zone.storePace.learn(now, now.Sub(started), model.LoadTime.Std())
+	}
+}
+
+// expectEnds tells the zone when its running loads can be expected to end.
+func (s *State) expectEnds(now time.Time, items []vrwire.ServerItem) {
+	for i := range items {
+		started, ok := s.zone.loadAt[items[i].Server]
+		if !ok {
+			continue
+		}
+		for j := range items[i].Replicas {
+			replica := &items[i].Replicas[j]
+			model := s.store.Current().Model(replica.Model)
+			if replica.State != vrwire.ReplicaLoading || model == nil {
+				continue
+			}
+			length := s.zone.storePace.now(now) * float64(model.LoadTime.Std())
+			end := started.Add(time.Duration(length)).Truncate(readyStep)
+			replica.ReadyAt = max(end.UnixMilli(), replica.ReadyAt)
+		}
+	}
 }
 
 // reachable reports whether a cold request can be served before its deadline, and
@@ -45,7 +115,7 @@
 	if s.opts.Plain {
 		wait = s.loadTime(r)
 	}
-	if ready, ok := s.readyAt(r); ok {
+	if ready, ok := s.readyAt(r); ok && ready.After(now) {
 		wait = max(ready.Sub(now), 0)
 	}
 	return max(wait, time.Second), now.Add(wait).Before(r.Deadline)
@@ -68,3 +138,10 @@
 	}
 	return time.UnixMilli(earliest), earliest != 0
 }
+
+// retryAfter is when a request that waited for a load in vain can be expected to meet
+// the replica.
+func (s *State) retryAfter(now time.Time, r *request) time.Duration {
+	wait, _ := s.reachable(now, r)
+	return wait
+}
--- a/verbenacore/vrreducer/plan.go
+++ b/verbenacore/vrreducer/plan.go
@@ -40,7 +40,9 @@
 
 func (s *State) decideLoads(now time.Time, out *vrevent.Effects) {
 	for _, action := range s.planner.Plan(now, s.planInput(now)) {
-		s.ledger.Apply(action)
+		if s.ledger.Apply(action) == vrledger.RefusalNone {
+			s.loadStarted(now, action)
+		}
 	}
 	s.ledger.Flush(now, out)
 }
--- a/verbenacore/vrreducer/requests.go
+++ b/verbenacore/vrreducer/requests.go
@@ -455,7 +455,8 @@
 		if !r.cold && !s.loaded(now, r) {
 			reason = vrwire.ReasonNoReplica
 		}
-		s.refuse(now, r, reason, s.loadTime(r), out)
+		s.learnMiss(now, r)
+		s.refuse(now, r, reason, s.retryAfter(now, r), out)
 	}
 	for _, id := range sortedKeys(s.requests) {
 		r := s.requests[id]
--- a/verbenacore/vrreducer/zone.go
+++ b/verbenacore/vrreducer/zone.go
@@ -74,6 +74,10 @@
 	// leaving are servers that a notice named, with the time of the notice.
 	leaving  map[vrid.ServerID]time.Time
 	watching bool
+	// loadAt is when the load that runs on a server was decided, storePace how much longer
+	// than declared the loads from the weight store take.
+	loadAt    map[vrid.ServerID]time.Time
+	storePace loadPace
 	// summaryDue is set when other zones' requests may wait for a new replica.
 	summaryDue bool
 	// loaded is the number of loaded replicas and adapters in the last view.
@@ -101,6 +105,7 @@
 		wanted:     make(map[demandKey]time.Time),
 		arrivals:   make(map[demandKey]uint32),
 		running:    make(map[demandKey]uint32),
+		loadAt:     make(map[vrid.ServerID]time.Time),
 		drained:    make(map[vrid.ServerID]bool),
 		leaving:    make(map[vrid.ServerID]time.Time),
 	}
@@ -380,7 +385,9 @@
 
 func (s *State) publish(now time.Time, out *vrevent.Effects) {
 	if s.ledger.TakeChanged() || now.Sub(s.zone.summaryAt) >= summaryInterval {
-		s.member.PublishServers(s.ledger.Items(s.opts.Zone))
+		items := s.ledger.Items(s.opts.Zone)
+		s.expectEnds(now, items)
+		s.member.PublishServers(items)
 		s.zone.summaryDue = s.zone.summaryDue || s.newReplica()
 	}
 	if now.Sub(s.zone.leasesAt) >= leasesInterval && s.zone.leasesOp == 0 {
@@ -440,6 +447,7 @@
 		s.superseded(now, epoch, out)
 		return
 	}
+	s.loadEnded(now, event)
 	s.recordOrder(now, event, out)
 	s.ledger.Flush(now, out)
 	if s.lease.Holding() {
