Load again what daemons no longer reach in another zone

Cause: after the loss of a zone its replicas still count as places for up to three seconds. Change: a daemon that asks again after the view shows a replica elsewhere does not reach it; the zone loads.

--- a/verbenacore/vrplace/vrplace.go
+++ b/verbenacore/vrplace/vrplace.go
@@ -28,6 +28,9 @@
 	settleLoads = 1.5
 	// useHalfLife is how fast the memory of a model's use fades.
 	useHalfLife = 30 * time.Minute
+	// viewLag is how long a replica may be known to the owner before every daemon of the
+	// zone sees it.
+	viewLag = 200 * time.Millisecond
 	// retryLoad is the pause after a load that failed on a server.
 	retryLoad = 2 * time.Second
 )
@@ -47,6 +50,10 @@
 	// arrived is when a request came last, gaps the times between requests.
 	arrived time.Time
 	gaps    gaps
+	// asked is when a daemon last asked at once because it saw no replica, farSince when
+	// replicas in other zones were first seen to have places.
+	asked    time.Time
+	farSince time.Time
 	// regular is how regularly each rank uses it.
 	regular [vrid.RankCount]regularity
 	waits   map[vrid.DaemonID]wait
@@ -124,6 +131,11 @@
 	u.fadedAt = now
 }
 
+// Asked notes that a daemon asked for a model at once, since it sees no replica.
+func (p *Planner) Asked(now time.Time, demand vrwire.ModelDemand) {
+	p.use(name{model: demand.Model, adapter: demand.Adapter}).asked = now
+}
+
 // Failed notes that a load ended without the model being loaded.
 func (p *Planner) Failed(now time.Time, model vrid.ModelID, adapter vrid.AdapterID) {
 	p.use(name{model: model, adapter: adapter}).failed = now
@@ -285,8 +297,7 @@
 		return
 	}
 	replicas := w.Replicas(wanted.model) + w.added[wanted.model]
-	if (replicas == 0 || w.isGranted(model.ID)) && w.Elsewhere != nil && w.Elsewhere(model.ID, wanted.rank) >= wanted.waiting {
-		// What other zones can serve was only asked for before this zone knew.
+	if (replicas == 0 || w.isGranted(model.ID)) && w.servedElsewhere(wanted) {
 		return
 	}
 	if !w.needsReplica(wanted, replicas) {
@@ -318,6 +329,21 @@
 	w.added[model.ID]++
 }
 
+// servedElsewhere reports whether other zones' replicas have places for what waits. Most
+// of it was then asked for before this zone knew of them. A daemon that asks again later
+// does not reach them, although the view still shows them.
+func (w *plan) servedElsewhere(wanted want) bool {
+	u := w.planner.use(wanted.name)
+	if w.Elsewhere == nil || w.Elsewhere(wanted.model, wanted.rank) < wanted.waiting {
+		u.farSince = time.Time{}
+		return false
+	}
+	if u.farSince.IsZero() {
+		u.farSince = w.now
+	}
+	return !u.asked.After(u.farSince.Add(viewLag))
+}
+
 // hasSlot reports whether a load may start. What waits for a place at the weight store
 // is noted for the fleet's owner; a load from a near copy only tells it of the model.
 func (w *plan) hasSlot(wanted want, model *vrconfig.Model, server *vrledger.Snapshot, from string) bool {
--- a/verbenacore/vrreducer/plan.go
+++ b/verbenacore/vrreducer/plan.go
@@ -115,6 +115,7 @@
 	if s.lease.Holding() {
 		s.planner.Want(now, demand)
 		if demand.Waiting > 0 {
+			s.planner.Asked(now, demand)
 			s.zone.planAt = time.Time{}
 		}
 		return
