Close connections quietly on which nothing was sent

A connection that a client opened ahead of need got a refusal after 10 s and an entry in the record; a client's library reported it as an unsolicited response. Such a connection now ends without an answer, and so does a probe that resets it.

--- a/verbenaroute/internal/vrfront/hostile_test.go
+++ b/verbenaroute/internal/vrfront/hostile_test.go
@@ -130,6 +130,14 @@
 	}
 }
 
+// Guards against a record that fills with connections on which nothing was sent.
+func TestSilentConnection(t *testing.T) {
+	s := newSite(t)
+	s.front.server.ReadTimeout = 20 * time.Millisecond
+	require.Empty(t, s.raw(""))
+	require.Empty(t, s.reducer.seen())
+}
+
 // FuzzModelBody guards against a body that ends the process or leaves a prompt without
 // text.
 func FuzzModelBody(f *testing.F) {
--- a/verbenaroute/internal/vrfront/stream.go
+++ b/verbenaroute/internal/vrfront/stream.go
@@ -97,6 +97,9 @@
 // isClosed reports whether the other side closed the connection, without taking a byte
 // of a next request.
 func isClosed(conn net.Conn) bool {
+	if quiet, ok := conn.(*quietConn); ok {
+		conn = quiet.Conn
+	}
 	if secure, ok := conn.(*tls.Conn); ok {
 		conn = secure.NetConn()
 	}
--- a/verbenaroute/internal/vrfront/vrfront.go
+++ b/verbenaroute/internal/vrfront/vrfront.go
@@ -189,19 +189,6 @@
 	return err
 }
 
-// sharedListener may be closed by the front and by the server.
-type sharedListener struct {
-	net.Listener
-	once sync.Once
-	err  error
-}
-
-// Close implements net.Listener.
-func (l *sharedListener) Close() error {
-	l.once.Do(func() { l.err = l.Listener.Close() })
-	return l.err
-}
-
 // open notes a listener, so that Finish closes it even before the server knows it.
 func (f *Front) open(listener net.Listener) bool {
 	f.mu.Lock()
