--- a/verbenabench/internal/vrcommand/vrcommand.go
+++ b/verbenabench/internal/vrcommand/vrcommand.go
@@ -23,7 +23,7 @@
 	}
 	root.AddCommand(
 		newStandin(), newTry(), newScenario(),
-		vrmeasure.Command(), vrfuzz.Command(), vrpath.Command(), vrrecovery.Command(),
+		vrmeasure.Command(), vrfuzz.Command(), vrpath.Command(), vrpath.QueryCommand(), vrrecovery.Command(),
 		vrcost.Command(), vrcost.SpreadCommand(), vrcost.RealCommand(),
 		vrslope.RecordCommand(), vrslope.ClaimCommand(), vrslope.MemoryCommand(),
 	)
--- a/verbenacore/vrjournal/vrjournal.go
+++ b/verbenacore/vrjournal/vrjournal.go
@@ -20,7 +20,12 @@
 	defaultBatchEvery  = time.Second
 	defaultResendAfter = 6 * time.Second
 	defaultBlockAge    = 2 * time.Second
-	defaultBlockSize   = 256 * vrid.KiB
+	// writerSpacing lets the writers of a zone make 4 writes/s together: 84 writes/s for
+	// the 21 zones of the design scale, where a block each 2 s would cost 210.
+	writerSpacing = 250 * time.Millisecond
+	// maxBlockAge leaves a second before a daemon sends its entries again.
+	maxBlockAge      = 5 * time.Second
+	defaultBlockSize = 256 * vrid.KiB
 	// defaultBuffer holds about 20 minutes of entries of a daemon at design scale
 	// (23 requests/s, 250 bytes each) and stays far below the daemon's 256 MB.
 	defaultBuffer = 8 * vrid.MiB
@@ -34,6 +39,9 @@
 
 	firstRetry = 250 * time.Millisecond
 	lastRetry  = 10 * time.Second
+	// aloneAfter is how long an ending run waits for its writer: a block's age and a write,
+	// far below the time that a shutdown leaves for the record.
+	aloneAfter = 4 * time.Second
 )
 
 // Options configure a journal. Zero values of the times and sizes take defaults.
@@ -49,7 +57,7 @@
 	BatchEvery time.Duration
 	// ResendAfter is how long a batch may stay unacknowledged (6s).
 	ResendAfter time.Duration
-	// BlockAge and BlockSize say when a writer closes a block (2s, 256 KiB).
+	// BlockAge and BlockSize say when a writer closes a block (2s until SetWriters, 256 KiB).
 	BlockAge  time.Duration
 	BlockSize vrid.Bytes
 	// Buffer bounds the daemon's own entries without acknowledgement (8 MiB).
@@ -91,6 +99,9 @@
 	begun    bool
 	toldAt   time.Time
 	recorded bool
+	// begunAt is when the end began; alone is set once the run writes its record itself.
+	begunAt time.Time
+	alone   bool
 }
 
 // due reports whether the writer has to be told, again after a while.
@@ -129,7 +140,7 @@
 // A new writer gets every entry that the one before has not acknowledged.
 func (j *Journal) SetWriter(daemon vrid.DaemonID, address string) {
 	j.writerAddress = address
-	if daemon == j.writerID {
+	if daemon == j.writerID || j.ending.alone {
 		return
 	}
 	j.writerID = daemon
@@ -137,12 +148,46 @@
 	j.lastBatch = time.Time{}
 }
 
+// PeerLost takes word that a peer can't be reached. A writer that comes back under the
+// same name has lost what it held, so it gets everything again. A run that ends does not
+// wait for it: nobody may be left to name another writer.
+func (j *Journal) PeerLost(peer vrid.DaemonID) {
+	if peer != j.writerID || peer == j.options.Daemon {
+		return
+	}
+	j.sent = j.queue.durable
+	if j.ending.begun {
+		j.writeAlone()
+	}
+}
+
+// writeAlone makes an ending run its own writer. An entry that both writers put into a
+// block stands twice, which the record allows.
+func (j *Journal) writeAlone() {
+	j.SetWriter(j.options.Daemon, "")
+	j.ending.alone = true
+	j.ending.toldAt = time.Time{}
+}
+
+// SetWriters tells how many record writers the zone has.
+func (j *Journal) SetWriters(count int) { j.writer.options.BlockAge = BlockAge(count) }
+
+// BlockAge is the age at which the writers of a zone close their blocks: 2 s up to 8
+// writers, then in proportion to their number, at most 5 s.
+func BlockAge(writers int) time.Duration {
+	return min(max(time.Duration(writers)*writerSpacing, defaultBlockAge), maxBlockAge)
+}
+
 // HandleAck takes a writer's acknowledgement.
 func (j *Journal) HandleAck(now time.Time, ack *vrwire.RecordAck) {
 	if ack.Boot != j.options.Boot {
 		return
 	}
 	j.ending.recorded = j.ending.recorded || ack.Final
+	if ack.Again {
+		j.sent = j.queue.durable
+		j.lastBatch = time.Time{}
+	}
 	if ack.Durable <= j.queue.durable {
 		return
 	}
@@ -154,18 +199,23 @@
 // HandleBatch takes entries as a writer. A batch that doesn't fit into the buffer is
 // left unanswered: its sender keeps the entries and sends them again.
 func (j *Journal) HandleBatch(now time.Time, from *vrwire.Envelope, effects *vrevent.Effects) {
-	batch := from.RecordBatch
-	if batch.Daemon != from.From || batch.Boot != from.Boot {
+	if from.RecordBatch.Daemon != from.From || from.RecordBatch.Boot != from.Boot {
 		effects.Warn("record batch names another run than its envelope", vrevent.Field("peer", from.From))
 		return
 	}
+	batch, err := unpack(from.RecordBatch)
+	if err != nil {
+		effects.Warn("record batch can't be unpacked", vrevent.Field("peer", from.From), vrevent.Field("error", err.Error()))
+		return
+	}
 	origin, again, err := j.writer.take(now, batch)
 	if err != nil {
 		effects.Warn("record batch refused", vrevent.Field("peer", from.From), vrevent.Field("error", err.Error()))
 		return
 	}
 	if again {
-		// The sender repeats what is durable, so the acknowledgement was lost.
+		// The sender repeats what is durable, so the acknowledgement was lost, or it has to
+		// repeat what this writer lacks.
 		j.acknowledgeTo(now, origin, effects)
 	}
 }
@@ -183,7 +233,7 @@
 // acknowledgeTo answers over the session that the peer opened: the runtime knows its
 // address.
 func (j *Journal) acknowledgeTo(now time.Time, to source, effects *vrevent.Effects) {
-	ack := &vrwire.RecordAck{Boot: to.run.Boot, Durable: to.durable, Final: to.finalWritten}
+	ack := &vrwire.RecordAck{Boot: to.run.Boot, Durable: to.durable, Final: to.finalWritten, Again: to.lacks}
 	if to.run == j.queue.run {
 		j.HandleAck(now, ack)
 		return
@@ -219,7 +269,12 @@
 // daemon opens no request, and the record says so. It is called again until Pending is
 // 0: a frame and a block are bounded, and one write is in flight.
 func (j *Journal) Flush(now time.Time, effects *vrevent.Effects) {
-	j.ending.begun = true
+	if !j.ending.begun {
+		j.ending.begun, j.ending.begunAt = true, now
+	}
+	if !j.ending.alone && now.Sub(j.ending.begunAt) >= aloneAfter {
+		j.writeAlone()
+	}
 	j.sendBatch(now, effects)
 	j.writer.tick(now, true, effects)
 }
@@ -275,10 +330,39 @@
 	effects.Add(vrevent.SendPeer{
 		Peer:     j.writerID,
 		Address:  j.writerAddress,
-		Envelope: j.envelope(func(e *vrwire.Envelope) { e.RecordBatch = batch }),
+		Envelope: j.envelope(func(e *vrwire.Envelope) { e.RecordBatch = pack(batch) }),
 	})
 }
 
+// pack compresses the entries of a batch where that makes it smaller.
+func pack(batch *vrwire.RecordBatch) *vrwire.RecordBatch {
+	size := 0
+	for _, entry := range batch.Entries {
+		size += len(entry)
+	}
+	packed, err := vrrecord.PackEntries(batch.Entries)
+	if err != nil || len(packed) >= size {
+		return batch
+	}
+	smaller := *batch
+	smaller.Packed, smaller.Entries = packed, nil
+	return &smaller
+}
+
+// unpack is the opposite of pack.
+func unpack(batch *vrwire.RecordBatch) (*vrwire.RecordBatch, error) {
+	if len(batch.Packed) == 0 {
+		return batch, nil
+	}
+	entries, err := vrrecord.UnpackEntries(batch.Packed)
+	if err != nil {
+		return nil, err
+	}
+	whole := *batch
+	whole.Packed, whole.Entries = nil, entries
+	return &whole, nil
+}
+
 func (j *Journal) takeOwn(now time.Time, batch *vrwire.RecordBatch, effects *vrevent.Effects) {
 	origin, again, err := j.writer.take(now, batch)
 	if err != nil {
--- a/verbenacore/vrreducer/plan.go
+++ b/verbenacore/vrreducer/plan.go
@@ -40,7 +40,9 @@
 
 func (s *State) decideLoads(now time.Time, out *vrevent.Effects) {
 	for _, action := range s.planner.Plan(now, s.planInput(now)) {
-		s.ledger.Apply(action)
+		if s.ledger.Apply(action) == vrledger.RefusalNone {
+			s.loadStarted(now, action)
+		}
 	}
 	s.ledger.Flush(now, out)
 }
@@ -113,6 +115,7 @@
 	if s.lease.Holding() {
 		s.planner.Want(now, demand)
 		if demand.Waiting > 0 {
+			s.planner.Asked(now, demand)
 			s.zone.planAt = time.Time{}
 		}
 		return
