Probe a set aside server whose model is loaded nowhere else

Cause: a server that failed three times no longer counted as holding its model, also after its time aside; with a long expected load every request was refused as unreachable before it could probe the server, so the model stayed unserved. Change: a server counts as holding its models again when its probe is due. Conclusion: the test of set aside servers covers it.

--- a/verbenacore/vrreducer/loads.go
+++ b/verbenacore/vrreducer/loads.go
@@ -111,9 +111,9 @@
 // reachable reports whether a cold request can be served before its deadline, and
 // otherwise when a retry can be expected to meet a loaded replica.
 func (s *State) reachable(now time.Time, r *request) (time.Duration, bool) {
-	wait := time.Duration(float64(s.loadTime(r)) * s.loads.now(now))
+	wait := time.Duration(float64(s.loadTime(now, r)) * s.loads.now(now))
 	if s.opts.Plain {
-		wait = s.loadTime(r)
+		wait = s.loadTime(now, r)
 	}
 	if ready, ok := s.readyAt(r); ok && ready.After(now) {
 		wait = max(ready.Sub(now), 0)
--- a/verbenacore/vrreducer/requests.go
+++ b/verbenacore/vrreducer/requests.go
@@ -150,12 +150,12 @@
 // adapterTime is the expected time of an adapter load beside its loaded base model.
 const adapterTime = 10 * time.Millisecond
 
-func (s *State) loadTime(r *request) time.Duration {
+func (s *State) loadTime(now time.Time, r *request) time.Duration {
 	index := s.store.Current()
 	if index == nil {
 		return 0
 	}
-	if r.Adapter != "" && s.table.Loaded(vrroute.Query{Model: r.Model}) {
+	if r.Adapter != "" && s.table.Loaded(now, vrroute.Query{Model: r.Model}) {
 		return adapterTime
 	}
 	if model := index.Model(r.Model); model != nil {
@@ -187,7 +187,7 @@
 	return ""
 }
 
-func (s *State) loaded(now time.Time, r *request) bool { return s.table.Loaded(s.query(now, r)) }
+func (s *State) loaded(now time.Time, r *request) bool { return s.table.Loaded(now, s.query(now, r)) }
 
 // pump dispatches waiting requests while back ends have room.
 func (s *State) pump(now time.Time, out *vrevent.Effects) {
--- a/verbenacore/vrroute/vrroute.go
+++ b/verbenacore/vrroute/vrroute.go
@@ -122,10 +122,11 @@
 
 // Loaded reports whether any server may hold the model, full or not. One that failed
 // repeatedly does not count: it may be gone, and a load should start before the view
-// says so.
-func (t *Table) Loaded(query Query) bool {
+// says so. It counts again when its probe is due, as a request that is refused as cold
+// would never probe it.
+func (t *Table) Loaded(now time.Time, query Query) bool {
 	for _, server := range t.candidates(query) {
-		if server.eligible(&query) && (t.opts.LeastLoaded || server.failures < ejectAfter) {
+		if server.eligible(&query) && (t.opts.LeastLoaded || !server.ejectedNow(now)) {
 			return true
 		}
 	}
