Strand orders more often and leave a taken over ledger unwritten

Change: the planted fault leaves the object as it was until the first decision; more plans strand an order; the dump of a trace shows each daemon's view.

--- a/verbenabench/internal/vrfuzz/plan.go
+++ b/verbenabench/internal/vrfuzz/plan.go
@@ -111,7 +111,7 @@
 	ActCrossing: 1, ActPartition: 2, ActCutPlatform: 2, ActPlatformDown: 1, ActLostAnswers: 2, ActSlowPlatform: 1,
 	ActLateWrites: 2, ActSlowWeights: 1, ActEngineRestart: 2, ActEngineReclaim: 1, ActEngineLeave: 2,
 	ActLostOrderAnswers: 3, ActOrderLag: 2, ActReportLag: 1, ActPropose: 3, ActRace: 2, ActDrain: 1, ActStop: 2,
-	ActReplaceZone: 1, ActAppRestart: 1, ActAppLeave: 1, ActAppBreak: 2, ActStrand: 2,
+	ActReplaceZone: 1, ActAppRestart: 1, ActAppLeave: 1, ActAppBreak: 2, ActStrand: 5,
 })
 
 func mix(weights map[ActionKind]int) []ActionKind {
--- a/verbenabench/internal/vrfuzz/run.go
+++ b/verbenabench/internal/vrfuzz/run.go
@@ -617,6 +617,11 @@
 			}
 		}
 	}
+	for _, d := range w.Daemons {
+		if d.Process != nil {
+			w.Lines = append(w.Lines, fmt.Sprintf("view of %s: %+v", d.ID, d.Process.State.Status().Servers))
+		}
+	}
 	for _, e := range r.engines() {
 		line := fmt.Sprintf("engine %s boot %s alive %t leaving %t used %d:", e.ID, e.Boot, e.Alive, e.Leaving, e.Used)
 		for _, model := range slices.Sorted(maps.Keys(e.Models)) {
--- a/verbenacore/vrledger/chunk.go
+++ b/verbenacore/vrledger/chunk.go
@@ -101,8 +101,8 @@
 	}
 	c.version = event.Version
 	c.loaded = true
-	c.dirty = true
 	c.ready = vrfault.On(vrfault.SkipTakeoverWrite)
+	c.dirty = !c.ready
 	l.adoptChunk(now, c, value)
 	return 0
 }
