Measure what granted loads serve during an outage

Cause: the takeover experiment showed no granted load. Change: models that were used and are gone get granted before the outage, and are asked for with the owner alive and with the owner dead.

--- a/verbenabench/internal/vrrecovery/takeover.go
+++ b/verbenabench/internal/vrrecovery/takeover.go
@@ -11,6 +11,8 @@
 	"verbenaroute.example/verbenabench/internal/vrworld"
 	"verbenaroute.example/verbenacore/vrevent"
 	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrledger"
+	"verbenaroute.example/verbenacore/vrplatform"
 	"verbenaroute.example/verbenacore/vrwire"
 )
 
@@ -23,6 +25,8 @@
 	// _manyModels leaves most models cold: a zone's servers hold 12 of them.
 	_manyModels = 60
 	_sample     = 20
+	// _grantSample is one model for each server of a zone: a server holds one grant.
+	_grantSample = 3
 )
 
 type takeover struct {
@@ -45,6 +49,7 @@
 	t.virtual(&v)
 	fmt.Fprintln(t.Out, "virtual time, platform down")
 	t.outage(&v)
+	t.grants(&v)
 	if err := v.err(""); err != nil || !t.real {
 		return err
 	}
@@ -143,3 +148,66 @@
 	v.say("%d cold models: %d served by granted loads, %d refused %v", len(cold), loaded.answered, loaded.refused, loaded.reasons)
 	v.target(loaded.late == 0 && loaded.open == 0, "%d cold requests ended late (0)", loaded.late+loaded.open)
 }
+
+// grants asks for the models that the zone's owner granted ahead of an outage, once with
+// the owner alive and once with it dead.
+func (t *takeover) grants(v *verdict) {
+	asked, served := t.grantedLoads(false)
+	v.target(served == asked && asked > 0, "owner alive: %d of %d granted models loaded and served (all)", served, asked)
+	asked, served = t.grantedLoads(true)
+	v.say("owner dead: %d of %d granted models loaded and served", served, asked)
+}
+
+// grantedLoads returns how many granted models were asked for in an outage and how many
+// requests were answered.
+func (t *takeover) grantedLoads(kill bool) (asked, served int) {
+	w := vrworld.New(vrworld.Options{Seed: t.Seed, Models: _manyModels})
+	zone := vrworld.ZoneName(0)
+	w.Advance(_warmUp)
+	for i, model := range urgentModels(w)[:_grantSample] {
+		w.Send(survivors(w, zone)[i], prompt(model))
+	}
+	w.Advance(_warmUp)
+	// Models that were used and that no server holds any more are the ones to grant.
+	for _, e := range w.Engines {
+		e.Restart(time.Second)
+	}
+	w.Advance(_patience)
+	w.Platform.Down = true
+	w.Advance(_takeoverTarget)
+	if kill {
+		worldOwner(w, zone).Kill()
+	}
+	var calls []*vrworld.Call
+	running := survivors(w, zone)
+	for i, model := range grantedModels(w, zone) {
+		if held(w, "", model) {
+			continue
+		}
+		calls = append(calls, w.Send(running[i%len(running)], prompt(model)))
+		// Loads share the weight store, so that all at once would end after deadlines.
+		w.Advance(_takeoverTarget)
+	}
+	w.Advance(_patience)
+	return len(calls), outcomesOf(w, calls).answered
+}
+
+// grantedModels are the models that the zone's ledger holds as granted.
+func grantedModels(w *vrworld.World, zone vrid.ZoneID) []vrid.ModelID {
+	var models []vrid.ModelID
+	for _, key := range w.Platform.Keys(vrplatform.PrefixLedgers + string(zone) + "/") {
+		value, _ := w.Platform.Object(key)
+		chunk, err := vrwire.Unmarshal[vrledger.Chunk](value)
+		if err != nil {
+			continue
+		}
+		for _, server := range chunk.Servers {
+			for _, entry := range server.Entries {
+				if entry.State == vrwire.ReplicaGranted {
+					models = append(models, entry.Model)
+				}
+			}
+		}
+	}
+	return models
+}
