--- a/verbenabench/internal/vrcommand/scenario.go
+++ b/verbenabench/internal/vrcommand/scenario.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 
 	"github.com/spf13/cobra"
 
@@ -18,15 +17,12 @@
 		Short: "Run scripted failures on real daemons",
 		Args:  cobra.MinimumNArgs(1),
 		RunE: func(command *cobra.Command, files []string) error {
-			dir, err := os.MkdirTemp("", "verbenabench-")
-			if err != nil {
-				return err
-			}
-			defer func() { _ = os.RemoveAll(dir) }()
-			options.Program, err = vrfleet.Build(command.Context(), dir, race)
+			program, _, remove, err := vrfleet.BuildTemporary(command.Context(), race)
 			if err != nil {
 				return err
 			}
+			defer remove()
+			options.Program = program
 			options.Files = files
 			failed := vrscenario.Run(options, command.OutOrStdout())
 			if failed > 0 {
--- a/verbenabench/internal/vrcost/real.go
+++ b/verbenabench/internal/vrcost/real.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"slices"
 	"time"
 
@@ -13,6 +12,7 @@
 
 	"verbenaroute.example/verbenabench/internal/vrdeploy"
 	"verbenaroute.example/verbenabench/internal/vrfleet"
+	"verbenaroute.example/verbenabench/internal/vrpause"
 	"verbenaroute.example/verbenabench/internal/vrscrape"
 	"verbenaroute.example/verbenacore/vrid"
 )
@@ -32,15 +32,11 @@
 
 // RunReal starts each number of daemons, lets them idle and prints what they used.
 func RunReal(ctx context.Context, options RealOptions) error {
-	dir, err := os.MkdirTemp("", "verbenaroute-cost-")
-	if err != nil {
-		return err
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	program, err := vrfleet.Build(ctx, dir, false)
+	program, dir, remove, err := vrfleet.BuildTemporary(ctx, false)
 	if err != nil {
 		return err
 	}
+	defer remove()
 	fmt.Fprintf(options.Out, "%8s %8s %12s %12s %12s %12s %12s %12s\n",
 		"daemons", "servers", "core % p50", "core % max", "MiB p50", "MiB max", "peer B/s p50", "peer B/s max")
 	for _, daemons := range options.Daemons {
@@ -66,14 +62,14 @@
 	if err := fleet.StartAll(ctx, realBound); err != nil {
 		return err
 	}
-	if err := wait(ctx, settleTime); err != nil {
+	if err := vrpause.For(ctx, settleTime); err != nil {
 		return err
 	}
 	before, err := scrapeAll(fleet)
 	if err != nil {
 		return err
 	}
-	if err := wait(ctx, options.For); err != nil {
+	if err := vrpause.For(ctx, options.For); err != nil {
 		return err
 	}
 	after, err := scrapeAll(fleet)
@@ -84,15 +80,6 @@
 	return fleet.StopAll()
 }
 
-func wait(ctx context.Context, length time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(length):
-		return nil
-	}
-}
-
 func scrapeAll(fleet *vrfleet.Fleet) (map[vrid.DaemonID]vrscrape.Usage, error) {
 	client := &http.Client{Timeout: 10 * time.Second}
 	usages := make(map[vrid.DaemonID]vrscrape.Usage)
--- a/verbenabench/internal/vrfleet/change.go
+++ b/verbenabench/internal/vrfleet/change.go
@@ -19,28 +19,38 @@
 // Command gives an operator's command to a daemon and returns when it was accepted. A
 // command that was not accepted is a *vrquery.Failure.
 func (f *Fleet) Command(ctx context.Context, daemon vrid.DaemonID, text string) (*vrquery.CommandAnswer, error) {
-	body, err := json.Marshal(vrquery.CommandCall{Command: text, NoWait: true})
+	return ask[vrquery.CommandAnswer](ctx, f, daemon, vrquery.PathCommand, vrquery.CommandCall{Command: text, NoWait: true})
+}
+
+// Query asks a daemon. A query that was not answered is a *vrquery.Failure.
+func (f *Fleet) Query(ctx context.Context, daemon vrid.DaemonID, text string) (*vrquery.Table, error) {
+	return ask[vrquery.Table](ctx, f, daemon, vrquery.PathQuery, vrquery.QueryCall{Query: text})
+}
+
+// ask calls the operators' port of a daemon.
+func ask[T any](ctx context.Context, f *Fleet, daemon vrid.DaemonID, path string, call any) (*T, error) {
+	body, err := json.Marshal(call)
 	if err != nil {
 		return nil, err
 	}
-	url := "http://" + f.Ports[daemon].Operators + vrquery.PathCommand
+	url := "http://" + f.Ports[daemon].Operators + path
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Authorization", "Bearer "+vrdeploy.CommandToken)
-	response, err := f.commands.Do(request)
+	response, err := f.operators.Do(request)
 	if err != nil {
 		return nil, err
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	decoder := json.NewDecoder(response.Body)
 	if response.StatusCode != http.StatusOK {
 		failure := &vrquery.Failure{}
 		return nil, errors.Join(failure, decoder.Decode(failure))
 	}
-	answer := &vrquery.CommandAnswer{}
+	answer := new(T)
 	return answer, decoder.Decode(answer)
 }
 
--- a/verbenabench/internal/vrfleet/vrfleet.go
+++ b/verbenabench/internal/vrfleet/vrfleet.go
@@ -23,8 +23,9 @@
 	_package      = "verbenaroute.example/verbenaroute"
 	_pollInterval = 50 * time.Millisecond
 	_callTimeout  = 2 * time.Second
-	// _commandTimeout is beyond the time after which a daemon calls a command undecided.
-	_commandTimeout = 30 * time.Second
+	// _operatorTimeout is beyond the time of a daemon's longest query and the time after
+	// which it calls a command undecided.
+	_operatorTimeout = 40 * time.Second
 	// _exitBound is beyond the shutdown grace of every written setting.
 	_exitBound = 40 * time.Second
 	_dirMode   = 0o700
@@ -44,6 +45,22 @@
 	return path, nil
 }
 
+// BuildTemporary compiles the daemon into a new temporary directory, which also takes
+// settings and logs until remove is called.
+func BuildTemporary(ctx context.Context, race bool) (program, dir string, remove func(), err error) {
+	dir, err = os.MkdirTemp("", "verbenabench-")
+	if err != nil {
+		return "", "", nil, err
+	}
+	remove = func() { _ = os.RemoveAll(dir) }
+	program, err = Build(ctx, dir, race)
+	if err != nil {
+		remove()
+		return "", "", nil, err
+	}
+	return program, dir, remove, nil
+}
+
 // Options is what a fleet is made of.
 type Options struct {
 	Deployment *vrdeploy.Deployment
@@ -65,8 +82,8 @@
 	settings  map[vrid.DaemonID]string
 	processes map[vrid.DaemonID]*process
 	client    *http.Client
-	// commands may wait for the platform.
-	commands *http.Client
+	// operators may wait for the platform.
+	operators *http.Client
 }
 
 // process is one run of a daemon.
@@ -115,7 +132,7 @@
 		settings:   settings,
 		processes:  make(map[vrid.DaemonID]*process),
 		client:     &http.Client{Timeout: _callTimeout},
-		commands:   &http.Client{Timeout: _commandTimeout},
+		operators:  &http.Client{Timeout: _operatorTimeout},
 	}, nil
 }
 
@@ -313,7 +330,7 @@
 		}
 	}
 	f.client.CloseIdleConnections()
-	f.commands.CloseIdleConnections()
+	f.operators.CloseIdleConnections()
 	f.World.Close()
 }
 
--- a/verbenabench/internal/vrinvariant/requests.go
+++ b/verbenabench/internal/vrinvariant/requests.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"verbenaroute.example/verbenabench/internal/vrdeploy"
@@ -201,7 +203,7 @@
 			check.broken("journal %d: a call without a key ran at %s", entry.Number, entry.Server)
 		}
 	}
-	for _, key := range sortedKeys(runs) {
+	for _, key := range slices.Sorted(maps.Keys(runs)) {
 		if runs[key] > 1 {
 			check.broken("key %s ran %d times", key, runs[key])
 		}
--- a/verbenabench/internal/vrinvariant/vrinvariant.go
+++ b/verbenabench/internal/vrinvariant/vrinvariant.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"sort"
 	"strings"
 	"time"
 
@@ -124,12 +123,3 @@
 		}
 	}
 }
-
-func sortedKeys[K ~string, V any](m map[K]V) []K {
-	keys := make([]K, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
-	}
-	sort.Slice(keys, func(i, j int) bool { return keys[i] < keys[j] })
-	return keys
-}
--- a/verbenabench/internal/vrload/vrload.go
+++ b/verbenabench/internal/vrload/vrload.go
@@ -12,6 +12,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"verbenaroute.example/verbenabench/internal/vrpause"
 	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrid"
 )
@@ -105,7 +106,7 @@
 func (l *Load) Play(ctx context.Context, plan []PlannedCall) {
 	began := time.Now()
 	for _, planned := range plan {
-		if !sleepUntil(ctx, began.Add(planned.At)) {
+		if vrpause.For(ctx, time.Until(began.Add(planned.At))) != nil {
 			return
 		}
 		l.Start(ctx, planned.Call)
@@ -171,7 +172,7 @@
 			break
 		}
 		last = daemon
-		if !sleepUntil(ctx, time.Now().Add(_retryPause)) {
+		if vrpause.For(ctx, _retryPause) != nil {
 			break
 		}
 	}
@@ -196,14 +197,3 @@
 	}
 	return open[choice.IntN(len(open))]
 }
-
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/verbenabench/internal/vrpath/query.go
+++ b/verbenabench/internal/vrpath/query.go
@@ -1,13 +1,9 @@
 package vrpath
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
-	"os"
 	"sync"
 	"time"
 
@@ -65,15 +61,11 @@
 // RunQuery measures a query over many entries and what callers on the same daemon
 // notice of it.
 func RunQuery(ctx context.Context, options QueryOptions) error {
-	dir, err := os.MkdirTemp("", "verbenaroute-query-")
-	if err != nil {
-		return err
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	program, err := vrfleet.Build(ctx, dir, false)
+	program, dir, remove, err := vrfleet.BuildTemporary(ctx, false)
 	if err != nil {
 		return err
 	}
+	defer remove()
 	deployment, err := vrdeploy.ByName(vrdeploy.Shuyuan, vrdeploy.Size{})
 	if err != nil {
 		return err
@@ -126,31 +118,7 @@
 
 // ask runs a query over the last hours.
 func (s *session) ask(ctx context.Context, hours int) (*vrquery.Table, error) {
-	// The present hour may just have begun or be nearly over.
-	body, err := json.Marshal(vrquery.QueryCall{Query: fmt.Sprintf("show requests since %dh by rank", hours)})
-	if err != nil {
-		return nil, err
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.operators+vrquery.PathQuery, bytes.NewReader(body))
-	if err != nil {
-		return nil, err
-	}
-	request.Header.Set("Authorization", "Bearer "+vrdeploy.ReadToken)
-	request.Header.Set("Content-Type", "application/json")
-	response, err := s.client.Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(response.Body)
-	if err != nil {
-		return nil, err
-	}
-	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("query: status %d: %s", response.StatusCode, answer)
-	}
-	table := &vrquery.Table{}
-	return table, json.Unmarshal(answer, table)
+	return s.fleet.Query(ctx, s.daemon, fmt.Sprintf("show requests since %dh by rank", hours))
 }
 
 // measureMemory runs a query over a part of the entries and one over all of them.
--- a/verbenabench/internal/vrpath/session.go
+++ b/verbenabench/internal/vrpath/session.go
@@ -12,6 +12,7 @@
 
 	"verbenaroute.example/verbenabench/internal/vrdeploy"
 	"verbenaroute.example/verbenabench/internal/vrfleet"
+	"verbenaroute.example/verbenabench/internal/vrpause"
 	"verbenaroute.example/verbenabench/internal/vrscrape"
 	"verbenaroute.example/verbenacore/vrengine"
 	"verbenaroute.example/verbenacore/vrid"
@@ -22,6 +23,7 @@
 	client    *http.Client
 	callers   string
 	operators string
+	daemon    vrid.DaemonID
 	fleet     *vrfleet.Fleet
 	model     vrid.ModelID
 	engine    string
@@ -40,6 +42,7 @@
 		client:    &http.Client{Transport: &http.Transport{MaxIdleConns: 2 * clients, MaxIdleConnsPerHost: clients}},
 		callers:   "http://" + fleet.Ports[daemon].Callers,
 		operators: fleet.Ports[daemon].Operators,
+		daemon:    daemon,
 		fleet:     fleet,
 		model:     deployment.Fleet.Models[0].ID,
 	}
@@ -53,7 +56,7 @@
 		if _, err = s.callDaemon(ctx, false); err == nil {
 			break
 		}
-		if pauseErr := pause(ctx, time.Second/10); pauseErr != nil {
+		if pauseErr := vrpause.For(ctx, time.Second/10); pauseErr != nil {
 			return pauseErr
 		}
 	}
--- a/verbenabench/internal/vrpath/vrpath.go
+++ b/verbenabench/internal/vrpath/vrpath.go
@@ -6,12 +6,12 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"sync"
 	"time"
 
 	"verbenaroute.example/verbenabench/internal/vrdeploy"
 	"verbenaroute.example/verbenabench/internal/vrfleet"
+	"verbenaroute.example/verbenabench/internal/vrpause"
 	"verbenaroute.example/verbenabench/internal/vrstat"
 	"verbenaroute.example/verbenacore/vrid"
 )
@@ -55,15 +55,11 @@
 
 // Run measures every point and prints a table.
 func Run(ctx context.Context, options Options) ([]Point, error) {
-	dir, err := os.MkdirTemp("", "verbenaroute-path-")
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	program, err := vrfleet.Build(ctx, dir, false)
+	program, dir, remove, err := vrfleet.BuildTemporary(ctx, false)
 	if err != nil {
 		return nil, err
 	}
+	defer remove()
 	var points []Point
 	for _, idle := range options.Idle {
 		measured, err := measure(ctx, options, program, dir, idle)
@@ -106,7 +102,7 @@
 	}
 	s := newSession(fleet, daemon, deployment)
 	before := s.process()
-	if err := pause(ctx, idleTime); err != nil {
+	if err := vrpause.For(ctx, idleTime); err != nil {
 		return nil, err
 	}
 	quiet := s.process()
@@ -124,15 +120,6 @@
 	return points, fleet.StopAll()
 }
 
-func pause(ctx context.Context, length time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(length):
-		return nil
-	}
-}
-
 // compare sends requests directly and through the daemon in turn.
 func (s *session) compare(ctx context.Context, options Options, stream bool) Point {
 	var wait sync.WaitGroup
--- a/verbenabench/internal/vrrecovery/herd.go
+++ b/verbenabench/internal/vrrecovery/herd.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"verbenaroute.example/verbenabench/internal/vrload"
+	"verbenaroute.example/verbenabench/internal/vrpause"
 	"verbenaroute.example/verbenabench/internal/vrstandin"
 	"verbenaroute.example/verbenabench/internal/vrworld"
 	"verbenaroute.example/verbenacore/vrid"
@@ -151,7 +152,7 @@
 		defer close(played)
 		load.Play(traffic, vrload.Plan(vrload.Options{Fleet: &s.fleet.Deployment.Fleet, Seed: h.Seed, Rate: rate, For: length}))
 	}()
-	if !rest(ctx, _warmUp) {
+	if vrpause.For(ctx, _warmUp) != nil {
 		return ctx.Err()
 	}
 	s.verdict.say("before: %s in %s", describe(s.measure(ctx, _herdTime).total()), _herdTime)
--- a/verbenabench/internal/vrrecovery/killer.go
+++ b/verbenabench/internal/vrrecovery/killer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"verbenaroute.example/verbenabench/internal/vrload"
+	"verbenaroute.example/verbenabench/internal/vrpause"
 	"verbenaroute.example/verbenacore/vrid"
 )
 
@@ -51,12 +52,12 @@
 // run kills until the context ends and then waits until every daemon is up again.
 func (k *killer) run(ctx context.Context) {
 	k.plan(time.Now())
-	for k.failure == nil && rest(ctx, _pollEvery) {
+	for k.failure == nil && vrpause.For(ctx, _pollEvery) == nil {
 		k.step(time.Now(), true)
 	}
 	end := time.Now().Add(_readyBound)
 	for k.failure == nil && len(k.down) > 0 && time.Now().Before(end) {
-		rest(context.WithoutCancel(ctx), _pollEvery)
+		_ = vrpause.For(context.WithoutCancel(ctx), _pollEvery)
 		k.step(time.Now(), false)
 	}
 }
--- a/verbenabench/internal/vrrecovery/meter.go
+++ b/verbenabench/internal/vrrecovery/meter.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"verbenaroute.example/verbenabench/internal/vrpause"
 	"verbenaroute.example/verbenabench/internal/vrstandin"
 )
 
@@ -81,7 +82,7 @@
 // measure samples the platform's counters for a while.
 func (s *site) measure(ctx context.Context, length time.Duration) *meter {
 	m := &meter{every: _pollEvery, samples: []map[string]int{s.counters()}}
-	for end := time.Now().Add(length); time.Now().Before(end) && rest(ctx, m.every); {
+	for end := time.Now().Add(length); time.Now().Before(end) && vrpause.For(ctx, m.every) == nil; {
 		m.samples = append(m.samples, s.counters())
 	}
 	return m
--- a/verbenabench/internal/vrrecovery/partition.go
+++ b/verbenabench/internal/vrrecovery/partition.go
@@ -10,6 +10,7 @@
 
 	"verbenaroute.example/verbenabench/internal/vrfleet"
 	"verbenaroute.example/verbenabench/internal/vrload"
+	"verbenaroute.example/verbenabench/internal/vrpause"
 	"verbenaroute.example/verbenabench/internal/vrstandin"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrplatform"
@@ -64,7 +65,7 @@
 // has caught up.
 func (p *partition) fail(ctx context.Context, s *site) error {
 	zone := s.fleet.Deployment.Fleet.Zones()[0]
-	if !rest(ctx, _warmUp) {
+	if vrpause.For(ctx, _warmUp) != nil {
 		return ctx.Err()
 	}
 	s.progress("%s loses the platform", zone)
@@ -73,7 +74,7 @@
 	if err := s.fleet.World.Apply(fault); err != nil {
 		return err
 	}
-	if !rest(ctx, p.cut/2) {
+	if vrpause.For(ctx, p.cut/2) != nil {
 		return ctx.Err()
 	}
 	// The invariants' check takes 7 s from a change for every zone, so the change of
@@ -81,7 +82,7 @@
 	if _, err := s.fleet.Command(ctx, s.daemonOutside(zone), "set rank deferred worth 2"); err != nil {
 		return err
 	}
-	if !rest(ctx, time.Until(began.Add(p.cut))) {
+	if vrpause.For(ctx, time.Until(began.Add(p.cut))) != nil {
 		return ctx.Err()
 	}
 	healed := time.Now()
--- a/verbenabench/internal/vrrecovery/reservations.go
+++ b/verbenabench/internal/vrrecovery/reservations.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"verbenaroute.example/verbenabench/internal/vrload"
+	"verbenaroute.example/verbenabench/internal/vrpause"
 	"verbenaroute.example/verbenabench/internal/vrstandin"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrplatform"
@@ -81,7 +82,7 @@
 	began := time.Now()
 	for i := range r.count {
 		at := began.Add(time.Duration(float64(i) / r.rate * float64(time.Second)))
-		if !rest(ctx, time.Until(at)) {
+		if vrpause.For(ctx, time.Until(at)) != nil {
 			break
 		}
 		call := planner.Reserve()
@@ -95,7 +96,7 @@
 func insist(ctx context.Context, load *vrload.Load, call vrload.Call) vrload.View {
 	view := load.Do(ctx, call)
 	for range _rounds - 1 {
-		if !open(view) || !rest(ctx, time.Second) {
+		if !open(view) || vrpause.For(ctx, time.Second) != nil {
 			break
 		}
 		view.Attempts = append(view.Attempts, load.Do(ctx, call).Attempts...)
--- a/verbenabench/internal/vrrecovery/takeoversite.go
+++ b/verbenabench/internal/vrrecovery/takeoversite.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"verbenaroute.example/verbenabench/internal/vrload"
+	"verbenaroute.example/verbenabench/internal/vrpause"
 	"verbenaroute.example/verbenabench/internal/vrstandin"
 	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrid"
@@ -27,7 +28,7 @@
 	zones := s.fleet.Deployment.Fleet.Zones()
 	var spells []spell
 	for i := range t.runs {
-		if !rest(ctx, _recoverTime) {
+		if vrpause.For(ctx, _recoverTime) != nil {
 			return ctx.Err()
 		}
 		one, err := s.takeOver(ctx, load, planner, zones[i%len(zones)])
@@ -85,7 +86,7 @@
 		if last := view.Last(); last.End == vrload.EndAnswered {
 			return last.First.Sub(killed)
 		}
-		if !rest(ctx, _askEvery) {
+		if vrpause.For(ctx, _askEvery) != nil {
 			break
 		}
 	}
--- a/verbenabench/internal/vrrecovery/vrrecovery.go
+++ b/verbenabench/internal/vrrecovery/vrrecovery.go
@@ -194,15 +194,3 @@
 	}
 	return nil
 }
-
-// rest waits and reports whether the context still lives.
-func rest(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/verbenabench/internal/vrstandin/appserver.go
+++ b/verbenabench/internal/vrstandin/appserver.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"verbenaroute.example/verbenabench/internal/vrdeploy"
+	"verbenaroute.example/verbenabench/internal/vrpause"
 	"verbenaroute.example/verbenacore/vrengine"
 	"verbenaroute.example/verbenacore/vrid"
 )
@@ -115,7 +116,7 @@
 }
 
 func (a *appServer) stock(w http.ResponseWriter, r *http.Request) {
-	if a.refused(w, r) || !pause(r.Context(), _callTime) {
+	if a.refused(w, r) || vrpause.For(r.Context(), _callTime) != nil {
 		return
 	}
 	a.journal.Add(a.entry(JournalRun, r))
@@ -143,7 +144,7 @@
 		return
 	}
 	// A call that has begun ends even when its connection breaks.
-	if !pause(a.life, _callTime) {
+	if vrpause.For(a.life, _callTime) != nil {
 		panic(http.ErrAbortHandler)
 	}
 	entry := a.entry(JournalRun, r)
--- a/verbenabench/internal/vrstandin/engine.go
+++ b/verbenabench/internal/vrstandin/engine.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"verbenaroute.example/verbenabench/internal/vrpause"
 	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrengine"
 	"verbenaroute.example/verbenacore/vrid"
@@ -270,7 +271,7 @@
 func (f *engineFaults) waitWhileStopped(ctx context.Context) bool {
 	const recheck = 20 * time.Millisecond
 	for f.stopped.active() {
-		if !pause(ctx, recheck) {
+		if vrpause.For(ctx, recheck) != nil {
 			return false
 		}
 	}
--- a/verbenabench/internal/vrstandin/generate.go
+++ b/verbenabench/internal/vrstandin/generate.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"verbenaroute.example/verbenabench/internal/vrpause"
 	"verbenaroute.example/verbenacore/vrengine"
 	"verbenaroute.example/verbenacore/vrid"
 )
@@ -216,7 +217,7 @@
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	delay := e.prefill(request)
 	for offset := request.ResumeFrom; offset < length; offset++ {
-		if !pause(ctx, delay) || !lines.token(offset, answer.Token(offset)) {
+		if vrpause.For(ctx, delay) != nil || !lines.token(offset, answer.Token(offset)) {
 			panic(http.ErrAbortHandler)
 		}
 		delay = e.Pace.Token
--- a/verbenabench/internal/vrstandin/order.go
+++ b/verbenabench/internal/vrstandin/order.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"verbenaroute.example/verbenabench/internal/vrpause"
 	"verbenaroute.example/verbenacore/vrengine"
 	"verbenaroute.example/verbenacore/vrid"
 )
@@ -193,23 +194,16 @@
 	}
 	switch source {
 	case sourceMemory:
-		return wait(life, part(_memoryFactor))
+		return vrpause.For(life, part(_memoryFactor))
 	case sourceDisk:
-		return wait(life, part(_diskFactor))
+		return vrpause.For(life, part(_diskFactor))
 	case sourcePeer:
-		return wait(life, part(_peerFactor))
+		return vrpause.For(life, part(_peerFactor))
 	default:
 		return e.Weights.Load(life, part(_remoteFactor))
 	}
 }
 
-func wait(ctx context.Context, length time.Duration) error {
-	if pause(ctx, length) {
-		return nil
-	}
-	return ctx.Err()
-}
-
 func (e *engine) finishLoad(life context.Context, order vrengine.Order, fresh *replica, running *int, err error) orderEnd {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/verbenabench/internal/vrstandin/platform.go
+++ b/verbenabench/internal/vrstandin/platform.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/time/rate"
 
+	"verbenaroute.example/verbenabench/internal/vrpause"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrplatform"
 )
@@ -112,7 +113,7 @@
 		p.refuse(w, http.StatusTooManyRequests)
 		return
 	}
-	if !pause(r.Context(), p.delay()) {
+	if vrpause.For(r.Context(), p.delay()) != nil {
 		return
 	}
 	handle(w, r)
@@ -370,18 +371,6 @@
 	p.journal.Add(Entry{Kind: JournalWrite, Object: key, Version: version, Bytes: vrid.Bytes(len(value)), Detail: http.MethodPut})
 }
 
-// pause waits and reports whether the context still stands.
-func pause(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/verbenabench/internal/vrstandin/world_test.go
+++ b/verbenabench/internal/vrstandin/world_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"verbenaroute.example/verbenabench/internal/vrdeploy"
+	"verbenaroute.example/verbenabench/internal/vrpause"
 	"verbenaroute.example/verbenacore/vrengine"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrplatform"
@@ -63,7 +64,7 @@
 }
 
 // pass lets virtual time pass.
-func pass(length time.Duration) { pause(context.Background(), length) }
+func pass(length time.Duration) { _ = vrpause.For(context.Background(), length) }
 
 const (
 	_fenced   = vrid.ServerID("lm-serve-1")
--- a/verbenabench/internal/vrtry/vrtry.go
+++ b/verbenabench/internal/vrtry/vrtry.go
@@ -16,6 +16,7 @@
 	"verbenaroute.example/verbenabench/internal/vrfleet"
 	"verbenaroute.example/verbenabench/internal/vrinvariant"
 	"verbenaroute.example/verbenabench/internal/vrload"
+	"verbenaroute.example/verbenabench/internal/vrpause"
 	"verbenaroute.example/verbenabench/internal/vrstandin"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrplatform"
@@ -186,7 +187,7 @@
 	var failures []error
 	for _, step := range steps {
 		at := time.Duration(step.at * float64(r.options.For))
-		if !sleep(ctx, at-time.Since(began)) {
+		if vrpause.For(ctx, at-time.Since(began)) != nil {
 			break
 		}
 		r.log.say("%s", step.name)
@@ -220,8 +221,8 @@
 		return err
 	}
 	r.load.MarkDown(_killed)
-	if !sleep(ctx, _listLag) {
-		return nil
+	if err := vrpause.For(ctx, _listLag); err != nil {
+		return err
 	}
 	return r.removeVM(_killed)
 }
@@ -238,8 +239,8 @@
 		call.Daemon, call.Stream, call.MaxTokens = _stopped, true, _streamTokens
 		r.load.Start(ctx, call)
 	}
-	if !sleep(ctx, _streamsBefore) {
-		return nil
+	if err := vrpause.For(ctx, _streamsBefore); err != nil {
+		return err
 	}
 	r.evidence.Stopping[_stopped] = time.Now()
 	if err := r.fleet.Terminate(_stopped); err != nil {
@@ -254,7 +255,7 @@
 
 // watch prints a line now and then.
 func (r *run) watch(ctx context.Context) {
-	for sleep(ctx, _progressStep) {
+	for vrpause.For(ctx, _progressStep) == nil {
 		sent, ended := r.load.Progress()
 		loads := 0
 		for _, entry := range r.fleet.World.Journal.After(0) {
@@ -266,17 +267,6 @@
 	}
 }
 
-func sleep(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // report prints the table and the verdicts.
 func (r *run) report(dir string) error {
 	writeTable(r.options.Out, &r.evidence)
