Take ports of daemons in turn

Cause: two fleets that started at the same time in one process drew the same port, and a script failed. Change: ports are taken in turn from a random start.

--- a/verbenabench/internal/vrdeploy/settings.go
+++ b/verbenabench/internal/vrdeploy/settings.go
@@ -16,6 +16,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"verbenaroute.example/verbenacore/vrid"
@@ -43,6 +44,14 @@
 	_portTries = 1000
 )
 
+// _ports walks through the range from a random start, so that fleets of one process
+// never get the same port and those of two processes seldom do.
+var _ports = func() *atomic.Int64 {
+	start := &atomic.Int64{}
+	start.Store(int64(mathrand.IntN(_lastPort - _firstPort)))
+	return start
+}()
+
 // ReservePorts finds free loopback ports for each daemon. Each port is closed again
 // before the daemon opens it.
 func ReservePorts(daemons []Daemon) (map[vrid.DaemonID]Ports, error) {
@@ -69,11 +78,11 @@
 	return ports, nil
 }
 
-// listenAnywhere tries ports at random, so that two programs seldom meet.
+// listenAnywhere takes the next port that is free.
 func listenAnywhere() (net.Listener, error) {
 	var failure error
 	for range _portTries {
-		port := _firstPort + mathrand.IntN(_lastPort-_firstPort)
+		port := _firstPort + _ports.Add(1)%(_lastPort-_firstPort)
 		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err == nil {
 			return listener, nil
