--- a/verbenabench/internal/vrdeploy/settings.go
+++ b/verbenabench/internal/vrdeploy/settings.go
@@ -36,11 +36,11 @@
 	Peers     string `json:"peers"`
 }
 
-// Ports of daemons lie below the range from which systems take the ports of outgoing
-// connections: one of those took a reserved port before its daemon had opened it.
+// Ports of daemons lie below those that outgoing connections take on their own, which
+// begin at 32768: a daemon that is down for a while finds its ports free again.
 const (
-	_firstPort = 15000
-	_lastPort  = 32000
+	_firstPort = 10_240
+	_lastPort  = 32_000
 	_portTries = 1000
 )
 
--- a/verbenacore/vrreducer/zone.go
+++ b/verbenacore/vrreducer/zone.go
@@ -66,9 +66,15 @@
 	// wanted is when demand for a model was last sent.
 	wanted map[demandKey]time.Time
 	// arrivals count the requests since the last demand message.
-	arrivals   map[demandKey]uint32
+	arrivals map[demandKey]uint32
+	// running counts the requests in flight.
+	running    map[demandKey]uint32
 	arrivalsAt time.Time
-	drained    map[vrid.ServerID]bool
+	// demandTo is the owner that was told of every waiting request, demandEpoch its epoch
+	// in the view.
+	demandTo    vrid.DaemonID
+	demandEpoch vrid.Epoch
+	drained     map[vrid.ServerID]bool
 	// leaving are servers that a notice named, with the time of the notice.
 	leaving  map[vrid.ServerID]time.Time
 	watching bool
@@ -98,6 +104,7 @@
 		neighbours: make(map[vrid.ZoneID]*neighbour),
 		wanted:     make(map[demandKey]time.Time),
 		arrivals:   make(map[demandKey]uint32),
+		running:    make(map[demandKey]uint32),
 		drained:    make(map[vrid.ServerID]bool),
 		leaving:    make(map[vrid.ServerID]time.Time),
 	}
@@ -112,10 +119,12 @@
 	s.lease.Tick(now, vrlease.Request{
 		Observe:   s.member.Observes(now),
 		Candidate: s.candidate(now),
+		Suspected: s.member.OwnerLost(now),
 		Chunks:    uint32(s.zoneServers()/ledgerServers + 1),
 	}, out)
 	s.tickFleet(now, out)
 	s.ackEpoch(now, out)
+	s.repeatDemand(now, out)
 	if !s.lease.Holding() {
 		s.sendArrivals(now)
 		return
@@ -208,17 +217,20 @@
 		}
 		s.ledger.SetServer(now, vrledger.ServerInfo{
 			ID: vrid.ServerID(id), Pool: vm.Pool, Address: vm.Address, Memory: pool.Memory,
-			Slots: pool.Slots, HonorsFencing: pool.HonorsFencing, State: s.serverState(vm),
+			Slots: pool.Slots, HonorsFencing: pool.HonorsFencing, State: s.serverState(now, vm),
 		})
 	}
 }
 
-// serverState is the worst of what the platform, the operators and the server say.
-func (s *State) serverState(vm vrplatform.VM) vrwire.ServerState {
+// serverState is the worst of what the platform, the operators and the server say. A
+// new owner has no report yet: until the first one the former owner's view counts.
+func (s *State) serverState(now time.Time, vm vrplatform.VM) vrwire.ServerState {
 	id := vrid.ServerID(vm.ID)
 	report := s.ledger.Report(id)
 	switch {
-	case vm.State == vrplatform.VMLeaving, report != nil && report.Leaving:
+	case vm.State == vrplatform.VMLeaving, report != nil && report.Leaving, s.noticed(now, id):
+		return vrwire.ServerLeaving
+	case report == nil && s.member.View().Servers[id].State == vrwire.ServerLeaving:
 		return vrwire.ServerLeaving
 	case s.store.Current().Drained(id), s.zone.drained[id]:
 		return vrwire.ServerDrained
@@ -342,7 +354,7 @@
 	}
 	uses := make(map[vrid.ZoneID][]vrwire.ModelDemand)
 	for _, demand := range demands {
-		if demand.Arrived == 0 || s.ledger.Replicas(demand.Model) > 0 {
+		if demand.Arrived+demand.Running == 0 || s.ledger.Replicas(demand.Model) > 0 {
 			continue
 		}
 		demand.Waiting = 0
