Place by load and let urgent work exceed small shares

Causes: hot models stand together on one server; a share of one slot of a far server is held by a digest. Change: the less busy of equally near servers gets a load; urgent work may exceed a share by one beside work of lower priority.

--- a/verbenacore/vrplace/vrplace.go
+++ b/verbenacore/vrplace/vrplace.go
@@ -426,13 +426,30 @@
 		if granted {
 			score += grantedScore
 		}
-		if score > bestScore || (score == bestScore && w.free[id] > w.free[best.Info.ID]) {
+		if score > bestScore || (score == bestScore && w.roomier(server, best)) {
 			best, bestScore = server, score
 		}
 	}
 	return best
 }
 
+// roomier reports whether a server is the better place at the same nearness: the one
+// that is less busy by a quarter of its slots, then the one with more free memory.
+func (w *plan) roomier(a, b *vrledger.Snapshot) bool {
+	if x, y := busyQuarters(a), busyQuarters(b); !w.planner.opts.Plain && x != y {
+		return x < y
+	}
+	return w.free[a.Info.ID] > w.free[b.Info.ID]
+}
+
+func busyQuarters(server *vrledger.Snapshot) int {
+	const quarters = 4
+	if server.Report == nil {
+		return 0
+	}
+	return int(server.Report.Running+server.Report.Waiting) * quarters / max(server.Info.Slots, 1)
+}
+
 // Nearness of a copy; a granted pair comes first because its record is durable already.
 const (
 	memoryScore  = 2
--- a/verbenacore/vrreducer/requests.go
+++ b/verbenacore/vrreducer/requests.go
@@ -245,6 +245,9 @@
 	r.sent = true
 	s.table.Start(server)
 	s.zone.started(r)
+	if r.priority() != vrid.RankUrgent {
+		s.table.Lower(server.ID, 1)
+	}
 	s.table.Served(server, r.Model, r.Prefix)
 	s.learnLoad(now, r)
 	if server.Distance == vrroute.OtherRegion {
@@ -277,6 +280,9 @@
 	}
 	s.table.End(now, event.Server, healthy(now, r, event.Result))
 	s.zone.ended(r)
+	if r.priority() != vrid.RankUrgent {
+		s.table.Lower(event.Server, -1)
+	}
 	if r.server != nil && r.server.Distance == vrroute.OtherRegion {
 		s.crossed(now, r.Rank, answerBytes(event.Tokens-r.tokens, event.Body))
 	}
--- a/verbenacore/vrroute/server.go
+++ b/verbenacore/vrroute/server.go
@@ -72,6 +72,11 @@
 	InFlight int
 	// Share is the part of the slots that this daemon may use.
 	Share float64
+	// lower counts the requests in flight below urgent priority. Urgent work may exceed a
+	// share by one beside them: a share of one or two slots leaves no room for a reserve, and
+	// the engine serves it first. What is due to a floor has urgent priority and does not
+	// count, or a flood of urgent work would take the floor's time.
+	lower int
 	// rounding lies between 0 and 1 and differs by server and daemon, so that the parts of
 	// slots that shares leave are used once in sum.
 	rounding float64
@@ -139,7 +144,11 @@
 	if free := float64(s.Slots) - s.load(); query.Rank == vrid.RankUrgent && free > float64(s.Slots)*idlePart {
 		places += free * idleShare
 	}
-	return s.InFlight >= max(1, int(places))
+	limit := max(1, int(places))
+	if query.Rank == vrid.RankUrgent {
+		limit += min(s.lower, 1)
+	}
+	return s.InFlight >= limit
 }
 
 func (s *Server) cost() float64 {
--- a/verbenacore/vrroute/vrroute.go
+++ b/verbenacore/vrroute/vrroute.go
@@ -220,6 +220,13 @@
 	}
 }
 
+// Lower notes the start (1) or end (-1) of a request below urgent priority.
+func (t *Table) Lower(id vrid.ServerID, change int) {
+	if server := t.servers[id]; server != nil {
+		server.lower = max(0, server.lower+change)
+	}
+}
+
 // Served notes the prefix that a server now has in its cache.
 func (t *Table) Served(server *Server, model vrid.ModelID, prefix uint64) {
 	if prefix != 0 && !t.opts.LeastLoaded {
