--- a/verbenabench/internal/vrcommand/vrcommand.go
+++ b/verbenabench/internal/vrcommand/vrcommand.go
@@ -6,8 +6,11 @@
 
 	"verbenaroute.example/verbenabench/internal/vrcost"
 	"verbenaroute.example/verbenabench/internal/vrdeploy"
+	"verbenaroute.example/verbenabench/internal/vrfuzz"
 	"verbenaroute.example/verbenabench/internal/vrmeasure"
 	"verbenaroute.example/verbenabench/internal/vrpath"
+	"verbenaroute.example/verbenabench/internal/vrrecovery"
+	"verbenaroute.example/verbenabench/internal/vrslope"
 )
 
 // New returns the root command.
@@ -20,7 +23,9 @@
 	}
 	root.AddCommand(
 		newStandin(), newTry(), newScenario(),
-		vrmeasure.Command(), vrpath.Command(), vrcost.Command(), vrcost.SpreadCommand(), vrcost.RealCommand(),
+		vrmeasure.Command(), vrfuzz.Command(), vrpath.Command(), vrpath.QueryCommand(), vrrecovery.Command(),
+		vrcost.Command(), vrcost.SpreadCommand(), vrcost.RealCommand(),
+		vrslope.RecordCommand(), vrslope.ClaimCommand(), vrslope.MemoryCommand(),
 	)
 	return root
 }
--- a/verbenabench/internal/vrdeploy/settings.go
+++ b/verbenabench/internal/vrdeploy/settings.go
@@ -12,6 +12,7 @@
 	"encoding/pem"
 	"fmt"
 	"math/big"
+	mathrand "math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -35,7 +36,7 @@
 }
 
 // ReservePorts finds free loopback ports for each daemon. Each port is closed again
-// before the daemon opens it, so another process could take it in between.
+// before the daemon opens it; random places keep fleets that start at once apart.
 func ReservePorts(daemons []Daemon) (map[vrid.DaemonID]Ports, error) {
 	const kinds = 3
 	var open []net.Listener
@@ -48,7 +49,7 @@
 	for _, daemon := range daemons {
 		var addresses [kinds]string
 		for i := range addresses {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			listener, err := listenReserved()
 			if err != nil {
 				return nil, fmt.Errorf("reserve a port for %s: %w", daemon.ID, err)
 			}
@@ -60,6 +61,28 @@
 	return ports, nil
 }
 
+// Ports of daemons lie below those that outgoing connections take on their own, which
+// begin at 32768: a daemon that is down for a while finds its ports free again.
+const (
+	_firstPort  = 10_240
+	_lastPort   = 32_000
+	_portProbes = 200
+)
+
+// listenReserved opens a random free port of that range.
+func listenReserved() (net.Listener, error) {
+	var failure error
+	for range _portProbes {
+		port := _firstPort + mathrand.IntN(_lastPort-_firstPort)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			return listener, nil
+		}
+		failure = err
+	}
+	return nil, failure
+}
+
 // SettingsOptions says where daemons find each other and the platform.
 type SettingsOptions struct {
 	Dir string
--- a/verbenabench/internal/vrmeasure/idle.go
+++ b/verbenabench/internal/vrmeasure/idle.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"verbenaroute.example/verbenabench/internal/vrstat"
 	"verbenaroute.example/verbenabench/internal/vrworld"
 	"verbenaroute.example/verbenacore/vrconfig"
 	"verbenaroute.example/verbenacore/vrid"
@@ -112,8 +113,8 @@
 	slices.Sort(all)
 	best := s.idleBest(len(cold))
 	run.add("idle accelerator hours", "h", hours, relative(_idleRatio))
-	run.add("cold-start p99", "s", quantile(cold, 0.99), relative(_idleColdRatio))
-	run.add("p99 of all requests", "s", quantile(all, 0.99), nil)
+	run.add("cold-start p99", "s", vrstat.Quantile(cold, 0.99), relative(_idleColdRatio))
+	run.add("p99 of all requests", "s", vrstat.Quantile(all, 0.99), nil)
 	run.add("cold starts", "", float64(len(cold)), nil)
 	run.add("loads", "", float64(s.loads), nil)
 	run.add("idle hours known afterwards, as many cold starts", "h", best, nil)
--- a/verbenacore/vrreducer/summary.go
+++ b/verbenacore/vrreducer/summary.go
@@ -26,8 +26,11 @@
 	// they went back to the acknowledged value.
 	touchedServers map[vrid.ServerID]bool
 	touchedMembers map[vrid.DaemonID]bool
-	heardEpoch     vrid.Epoch
-	heardNumber    uint64
+	// full is set until the other zone has acknowledged a whole summary. Its owner may
+	// hold servers from an earlier one, so those that are gone are named as well.
+	full        bool
+	heardEpoch  vrid.Epoch
+	heardNumber uint64
 	// owesAck is set when the other zone's newest summary had content.
 	owesAck bool
 	sentAt  time.Time
@@ -70,7 +73,7 @@
 		summary := &vrwire.ZoneSummary{
 			Zone: s.opts.Zone, Epoch: s.member.View().Epoch, Owner: s.opts.Daemon, Peer: s.opts.PeerAddress,
 			Config: s.store.Version(), InForce: s.inForce(), SentAt: now.UnixMilli(),
-			HeardEpoch: n.heardEpoch, HeardNumber: n.heardNumber, FarShare: s.farGrant(),
+			HeardEpoch: n.heardEpoch, HeardNumber: n.heardNumber, FarShare: s.farGrant(now),
 		}
 		n.change(summary, content)
 		if !n.due(now, summary) {
@@ -120,7 +123,7 @@
 	for _, id := range sortedKeys(content.servers) {
 		item := content.servers[id]
 		held, known := n.acked.servers[id]
-		if !known && item.State != vrwire.ServerLive {
+		if !known && !n.full && !n.touchedServers[id] && item.State != vrwire.ServerLive {
 			continue
 		}
 		if !known || !sameServer(held, item) || n.touchedServers[id] {
@@ -155,8 +158,10 @@
 	case summary.HeardEpoch != epoch || summary.HeardNumber == 0:
 		// A new owner, or one that dropped this zone's servers: start from nothing.
 		n.acked = told{}
+		n.full = true
 	case summary.HeardNumber == n.number:
 		n.acked = n.sent
+		n.full = false
 		clear(n.touchedServers)
 		clear(n.touchedMembers)
 	}
@@ -173,5 +178,8 @@
 		return
 	}
 	n.heard(summary, s.lease.Epoch())
+	if !s.member.AnyRemoteHeard() {
+		s.shares.returned = now
+	}
 	s.member.PublishRemote(now, summary)
 }
--- a/verbenacore/vrreducer/zone.go
+++ b/verbenacore/vrreducer/zone.go
@@ -70,7 +70,11 @@
 	// running counts the requests in flight.
 	running    map[demandKey]uint32
 	arrivalsAt time.Time
-	drained    map[vrid.ServerID]bool
+	// demandTo is the owner that was told of every waiting request, demandEpoch its epoch
+	// in the view.
+	demandTo    vrid.DaemonID
+	demandEpoch vrid.Epoch
+	drained     map[vrid.ServerID]bool
 	// leaving are servers that a notice named, with the time of the notice.
 	leaving  map[vrid.ServerID]time.Time
 	watching bool
@@ -120,10 +124,12 @@
 	s.lease.Tick(now, vrlease.Request{
 		Observe:   s.member.Observes(now),
 		Candidate: s.candidate(now),
+		Suspected: s.member.OwnerLost(now),
 		Chunks:    uint32(s.zoneServers()/ledgerServers + 1),
 	}, out)
 	s.tickFleet(now, out)
 	s.ackEpoch(now, out)
+	s.repeatDemand(now, out)
 	if !s.lease.Holding() {
 		s.sendArrivals(now)
 		return
@@ -216,17 +222,20 @@
 		}
 		s.ledger.SetServer(now, vrledger.ServerInfo{
 			ID: vrid.ServerID(id), Pool: vm.Pool, Address: vm.Address, Memory: pool.Memory,
-			Slots: pool.Slots, HonorsFencing: pool.HonorsFencing, State: s.serverState(vm),
+			Slots: pool.Slots, HonorsFencing: pool.HonorsFencing, State: s.serverState(now, vm),
 		})
 	}
 }
 
-// serverState is the worst of what the platform, the operators and the server say.
-func (s *State) serverState(vm vrplatform.VM) vrwire.ServerState {
+// serverState is the worst of what the platform, the operators and the server say. A
+// new owner has no report yet: until the first one the former owner's view counts.
+func (s *State) serverState(now time.Time, vm vrplatform.VM) vrwire.ServerState {
 	id := vrid.ServerID(vm.ID)
 	report := s.ledger.Report(id)
 	switch {
-	case vm.State == vrplatform.VMLeaving, report != nil && report.Leaving:
+	case vm.State == vrplatform.VMLeaving, report != nil && report.Leaving, s.noticed(now, id):
+		return vrwire.ServerLeaving
+	case report == nil && s.member.View().Servers[id].State == vrwire.ServerLeaving:
 		return vrwire.ServerLeaving
 	case s.store.Current().Drained(id), s.zone.drained[id]:
 		return vrwire.ServerDrained
--- a/verbenacore/vrwire/control.go
+++ b/verbenacore/vrwire/control.go
@@ -42,6 +42,8 @@
 	Durable uint64 `protobuf:"varint,6,opt,name=durable,proto3"`
 	// Final is set when the daemon opens no further request.
 	Final bool `protobuf:"varint,7,opt,name=final,proto3"`
+	// Packed holds the entries of vrrecord.PackEntries instead of Entries.
+	Packed []byte `protobuf:"bytes,8,opt,name=packed,proto3"`
 }
 
 // Validate checks the origin.
@@ -58,6 +60,9 @@
 	Durable uint64      `protobuf:"varint,2,opt,name=durable,proto3"`
 	// Final is set when a durable block says that the run came to its proper end.
 	Final bool `protobuf:"varint,3,opt,name=final,proto3"`
+	// Again asks for everything after Durable: the writer lacks entries before the last
+	// batch, because it began a new run or a batch was lost.
+	Again bool `protobuf:"varint,4,opt,name=again,proto3"`
 }
 
 // Validate accepts every count.
--- a/verbenaroute/internal/vrserve/shutdown.go
+++ b/verbenaroute/internal/vrserve/shutdown.go
@@ -7,6 +7,8 @@
 	"go.uber.org/zap"
 
 	"verbenaroute.example/verbenacore/vrevent"
+
+	"verbenaroute.example/verbenaroute/internal/vrlog"
 )
 
 const (
@@ -14,9 +16,8 @@
 	// leaves before it refuses requests: a leaving endpoint receives no new work after
 	// 3 s (I7). The reducer waits as long before it refuses.
 	_noticeTime = 3 * time.Second
-	// _closeTime bounds what follows after the last request.
+	// _closeTime bounds the closing of the operators' address.
 	_closeTime = 5 * time.Second
-	_countTime = 20 * time.Millisecond
 	// _flushTime bounds the wait for the record; the reducer gives up after 10 s of an
 	// outage, and its lost entries become a gap.
 	_flushTime = 15 * time.Second
@@ -28,6 +29,7 @@
 func (d *Daemon) shutdown() error {
 	d.log.Info("shutdown starts")
 	d.status.Drain()
+	d.front.Leave()
 	grace, cancel := context.WithTimeout(context.Background(), max(d.settings.ShutdownGrace.Std(), _noticeTime))
 	defer cancel()
 	d.Runtime.Submit(vrevent.ShutdownRequested{})
@@ -36,7 +38,7 @@
 	err := d.awaitEnd(grace)
 	d.close()
 	if err != nil {
-		d.log.Error("shutdown cut requests off", zap.String("errorType", errorType(err)), zap.Error(err))
+		d.log.Error("shutdown cut requests off", vrlog.Error(err))
 		return err
 	}
 	d.log.Info("shutdown is complete")
@@ -51,15 +53,7 @@
 	case <-d.Runtime.Closing():
 	case <-grace.Done():
 	}
-	for d.front.Running() > 0 && grace.Err() == nil {
-		rest(grace, _countTime)
-	}
-	running := d.front.Running()
-	closing, cancel := context.WithTimeout(context.Background(), _closeTime)
-	defer cancel()
-	if err := d.front.Shutdown(closing); err != nil {
-		d.log.Warn("callers' connections were closed", zap.Error(err))
-	}
+	running := d.finishRequests(grace)
 	d.Runtime.Submit(vrevent.CallersClosed{})
 	handedOver := false
 	flush, cancelFlush := context.WithTimeout(context.Background(), _flushTime)
@@ -75,6 +69,18 @@
 	return nil
 }
 
+// finishRequests closes the callers' address, waits for running requests and returns how
+// many it cut off.
+func (d *Daemon) finishRequests(grace context.Context) int {
+	err := d.front.Finish(grace)
+	running := d.front.Running()
+	if err != nil {
+		d.log.Warn("callers' connections were closed", zap.Int("requests", running), vrlog.Error(err))
+	}
+	d.front.Close()
+	return running
+}
+
 // close ends everything that still runs.
 func (d *Daemon) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), _closeTime)
@@ -82,7 +88,7 @@
 	d.peers.Close()
 	d.Runtime.Close()
 	if err := d.admin.Shutdown(ctx); err != nil {
-		d.log.Warn("operators' connections were closed", zap.Error(err))
+		d.log.Warn("operators' connections were closed", vrlog.Error(err))
 	}
 	d.clients.close()
 	d.serving.Wait()
