--- a/verbenacore/vrreducer/claims.go
+++ b/verbenacore/vrreducer/claims.go
@@ -22,6 +22,9 @@
 	claimPoll = 200 * time.Millisecond
 	// outcomeRetry is the pause before an unacknowledged outcome is sent again.
 	outcomeRetry = time.Second
+	// lookUpGrace is how long after its deadline a caller may wait for a lookup: a call
+	// that timed out can only be looked up then.
+	lookUpGrace = 500 * time.Millisecond
 	// lookUpTime bounds the lookup of one outcome at an application server.
 	lookUpTime = 2 * time.Second
 )
@@ -141,7 +144,7 @@
 		case phaseClaiming:
 			s.tickClaiming(now, r, out)
 		case phaseLookingUp:
-			if now.Sub(r.claim.asking) > lookUpTime || !now.Before(r.Deadline.Add(dispatchSlack)) {
+			if now.Sub(r.claim.asking) > lookUpTime || !now.Before(r.Deadline.Add(lookUpGrace)) {
 				s.nextLookUp(now, r, out)
 			}
 		case phaseQueued, phaseDispatched:
@@ -327,7 +330,7 @@
 }
 
 func (s *State) nextLookUp(now time.Time, r *request, out *vrevent.Effects) {
-	if len(r.claim.servers) == 0 || !now.Before(r.Deadline.Add(dispatchSlack)) {
+	if len(r.claim.servers) == 0 || !now.Before(r.Deadline.Add(lookUpGrace)) {
 		if r.claim.held == nil {
 			s.claimOutcome(now, r, vrwire.ClaimUnknown, r.claim.result, out)
 		}
