--- a/verbenabench/internal/vrpath/command.go
+++ b/verbenabench/internal/vrpath/command.go
@@ -24,11 +24,13 @@
 	const (
 		defaultRate = 500
 		defaultFor  = 10 * time.Second
+		defaultFast = 100_000
 	)
 	flags := command.Flags()
 	flags.StringVar(&options.Deployment, "deployment", vrdeploy.Shuyuan, "deployment: shuyuan or hayabusa")
 	flags.IntSliceVar(&options.Idle, "declared", []int{65, 8730}, "numbers of declared models and adapters")
 	flags.IntVar(&options.Rate, "rate", defaultRate, "requests a second, directly and through the daemon each")
+	flags.Float64Var(&options.Speed, "speed", defaultFast, "factor by which the stand-in engine is faster")
 	flags.DurationVar(&options.For, "for", defaultFor, "length of each run")
 	return command
 }
--- a/verbenabench/internal/vrpath/vrpath.go
+++ b/verbenabench/internal/vrpath/vrpath.go
@@ -24,7 +24,10 @@
 	// Rate is the requests a second through the daemon; as many go to the engine directly.
 	Rate int
 	For  time.Duration
-	Out  io.Writer
+	// Speed of the stand-in engine. At a high one the engine answers at once; at a low
+	// one its own timers, which are late by up to a millisecond, hide the path.
+	Speed float64
+	Out   io.Writer
 }
 
 // Point is the result for one number of declared models and adapters.
@@ -87,7 +90,7 @@
 		deployment.Fleet.Pools[i].Slots = 4096
 	}
 	fleet, err := vrfleet.New(vrfleet.Options{
-		Deployment: deployment, Program: program, Dir: fmt.Sprintf("%s/%d", dir, idle), Speed: fast,
+		Deployment: deployment, Program: program, Dir: fmt.Sprintf("%s/%d", dir, idle), Speed: options.Speed,
 	})
 	if err != nil {
 		return nil, err
