--- a/verbenabench/internal/vrtry/table.go
+++ b/verbenabench/internal/vrtry/table.go
@@ -61,9 +61,31 @@
 			fmt.Fprintf(out, "%s refused: %v\n", rank, rows[rank].reasons)
 		}
 	}
+	writeLongWaits(out, evidence.Record)
 	fmt.Fprintf(out, "times run to the first token or the answer; the record holds %d gaps\n", gaps)
 }
 
+// longWait is a wait that a fleet with free capacity has to explain.
+const (
+	longWait     = 5 * time.Second
+	mostLongWait = 10
+)
+
+// writeLongWaits names refused requests that waited long: what they asked for tells
+// whether the fleet was full or missed a load.
+func writeLongWaits(out io.Writer, record []vrrecord.Entry) {
+	shown := 0
+	for _, entry := range record {
+		waited := time.Duration(entry.Total) * time.Microsecond
+		if entry.Kind != vrrecord.EntryRefused || waited < longWait || shown == mostLongWait {
+			continue
+		}
+		shown++
+		fmt.Fprintf(out, "%s request for %s%s%s at %s refused after %s: %s, %d attempts\n", entry.Rank, entry.Model,
+			entry.Adapter, entry.Service, entry.Daemon, waited.Round(time.Millisecond), entry.Reason, entry.Attempts)
+	}
+}
+
 func (r *rankRow) add(entry vrrecord.Entry) {
 	if entry.Kind == vrrecord.EntryRefused {
 		r.refused++
