--- a/verbenacore/vrmember/heartbeat.go
+++ b/verbenacore/vrmember/heartbeat.go
@@ -319,6 +319,11 @@
 		return false
 	}
 	if !m.view.apply(delta) {
+		if delta.Epoch == m.view.Epoch && delta.Base > m.view.Sequence {
+			// A change was lost or overtaken: the next heartbeat asks for what is missing, and
+			// until then every later change is refused.
+			m.beatAt = time.Time{}
+		}
 		return false
 	}
 	m.dirty = true
--- a/verbenacore/vrmember/vrmember.go
+++ b/verbenacore/vrmember/vrmember.go
@@ -240,13 +240,13 @@
 }
 
 // QueueReport takes a report of a server that this daemon polls.
-func (m *Membership) QueueReport(now time.Time, report vrwire.LoadReport, urgent bool) {
+func (m *Membership) QueueReport(_ time.Time, report vrwire.LoadReport, urgent bool) {
 	m.reports[report.Server] = report
 	if m.root {
 		m.collected = append(m.collected, report)
 	}
 	if urgent {
-		m.beatAt = now
+		m.beatAt = time.Time{}
 	}
 }
 
