Number the requests for places so that none hides a running load

Cause: two requests of one millisecond have the same number; an older one that comes later hides a running load, and up to 6 loads run at once. Change: the number grows with each request.

--- a/verbenacore/vrreducer/fleet.go
+++ b/verbenacore/vrreducer/fleet.go
@@ -35,6 +35,8 @@
 	granted []vrid.OrderID
 	// planning is set while a plan asks for places.
 	planning bool
+	// number orders this owner's requests.
+	number int64
 }
 
 // slotPeer is a zone's owner as it last asked for places.
@@ -113,8 +115,10 @@
 	if len(loads) > 0 && s.fleet.waiting.IsZero() {
 		s.fleet.waiting = now
 	}
+	// Two requests of one moment may overtake each other on the way.
+	s.fleet.number = max(s.fleet.number+1, now.UnixNano())
 	s.send(vrmember.Peer{Daemon: record.Holder, Address: record.Peer}, &vrwire.Envelope{
-		SlotRequest: &vrwire.SlotRequest{Loads: loads, SentAt: now.UnixMilli()},
+		SlotRequest: &vrwire.SlotRequest{Loads: loads, SentAt: s.fleet.number},
 	}, out)
 }
 
--- a/verbenacore/vrwire/member.go
+++ b/verbenacore/vrwire/member.go
@@ -308,8 +308,8 @@
 // SlotRequest asks the fleet owner for places at the weight store.
 type SlotRequest struct {
 	Loads []SlotLoad `protobuf:"bytes,1,rep,name=loads,proto3"`
-	// SentAt is the zone owner's time in milliseconds of Unix time; an older request
-	// than the last one is ignored.
+	// SentAt grows with each request of a zone's owner; an older request than the last one
+	// is ignored.
 	SentAt int64 `protobuf:"varint,2,opt,name=sentAt,proto3"`
 }
 
