Ramp up only a zone that returns, not one that starts

Cause: the ramp also held back a zone's first seconds; TestColdStartKeepsItsTargets saw 1.166 instead of at most 1.15 for urgent loads. Change: the ramp begins only after a zone lost others that it had heard of. Figures: the test passes again; TestReturningZoneRampsUp still passes.

--- a/verbenacore/vrreducer/share.go
+++ b/verbenacore/vrreducer/share.go
@@ -33,6 +33,8 @@
 	farPart float64
 	// returned is when this zone heard of the first other zone after hearing of none.
 	returned time.Time
+	// joined is set once another zone was heard of: a first start is no return.
+	joined bool
 }
 
 func newShares() shares {
@@ -136,7 +138,7 @@
 
 // ramp is the part that the zone may open to others by now.
 func (s *State) ramp(now time.Time) float64 {
-	if !s.member.AnyRemoteHeard() {
+	if s.shares.joined && !s.member.AnyRemoteHeard() {
 		return rampStep
 	}
 	return min(1, rampStep*float64(1+now.Sub(s.shares.returned)/time.Second))
--- a/verbenacore/vrreducer/summary.go
+++ b/verbenacore/vrreducer/summary.go
@@ -178,8 +178,9 @@
 		return
 	}
 	n.heard(summary, s.lease.Epoch())
-	if !s.member.AnyRemoteHeard() {
+	if s.shares.joined && !s.member.AnyRemoteHeard() {
 		s.shares.returned = now
 	}
+	s.shares.joined = true
 	s.member.PublishRemote(now, summary)
 }
