--- a/verbenabench/internal/vrdeploy/settings.go
+++ b/verbenabench/internal/vrdeploy/settings.go
@@ -16,6 +16,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"verbenaroute.example/verbenacore/vrid"
@@ -35,8 +36,24 @@
 	Peers     string `json:"peers"`
 }
 
+// Ports of daemons lie below those that outgoing connections take on their own, which
+// begin at 32768: a daemon that is down for a while finds its ports free again.
+const (
+	_firstPort = 10_240
+	_lastPort  = 32_000
+	_portTries = 1000
+)
+
+// _ports walks through the range from a random start, so that fleets of one process
+// never get the same port and those of two processes seldom do.
+var _ports = func() *atomic.Int64 {
+	start := &atomic.Int64{}
+	start.Store(int64(mathrand.IntN(_lastPort - _firstPort)))
+	return start
+}()
+
 // ReservePorts finds free loopback ports for each daemon. Each port is closed again
-// before the daemon opens it; random places keep fleets that start at once apart.
+// before the daemon opens it.
 func ReservePorts(daemons []Daemon) (map[vrid.DaemonID]Ports, error) {
 	const kinds = 3
 	var open []net.Listener
@@ -49,7 +66,7 @@
 	for _, daemon := range daemons {
 		var addresses [kinds]string
 		for i := range addresses {
-			listener, err := listenReserved()
+			listener, err := listenAnywhere()
 			if err != nil {
 				return nil, fmt.Errorf("reserve a port for %s: %w", daemon.ID, err)
 			}
@@ -61,19 +78,11 @@
 	return ports, nil
 }
 
-// Ports of daemons lie below those that outgoing connections take on their own, which
-// begin at 32768: a daemon that is down for a while finds its ports free again.
-const (
-	_firstPort  = 10_240
-	_lastPort   = 32_000
-	_portProbes = 200
-)
-
-// listenReserved opens a random free port of that range.
-func listenReserved() (net.Listener, error) {
+// listenAnywhere takes the next port that is free.
+func listenAnywhere() (net.Listener, error) {
 	var failure error
-	for range _portProbes {
-		port := _firstPort + mathrand.IntN(_lastPort-_firstPort)
+	for range _portTries {
+		port := _firstPort + _ports.Add(1)%(_lastPort-_firstPort)
 		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err == nil {
 			return listener, nil
--- a/verbenacore/vrroute/vrroute.go
+++ b/verbenacore/vrroute/vrroute.go
@@ -122,10 +122,11 @@
 
 // Loaded reports whether any server may hold the model, full or not. One that failed
 // repeatedly does not count: it may be gone, and a load should start before the view
-// says so.
-func (t *Table) Loaded(query Query) bool {
+// says so. It counts again when its probe is due, as a request that is refused as cold
+// would never probe it.
+func (t *Table) Loaded(now time.Time, query Query) bool {
 	for _, server := range t.candidates(query) {
-		if server.eligible(&query) && (t.opts.LeastLoaded || server.failures < ejectAfter) {
+		if server.eligible(&query) && (t.opts.LeastLoaded || !server.ejectedNow(now)) {
 			return true
 		}
 	}
@@ -220,6 +221,13 @@
 	}
 }
 
+// Lower notes the start (1) or end (-1) of a request below urgent priority.
+func (t *Table) Lower(id vrid.ServerID, change int) {
+	if server := t.servers[id]; server != nil {
+		server.lower = max(0, server.lower+change)
+	}
+}
+
 // Served notes the prefix that a server now has in its cache.
 func (t *Table) Served(server *Server, model vrid.ModelID, prefix uint64) {
 	if prefix != 0 && !t.opts.LeastLoaded {
