--- a/verbenabench/internal/vrinvariant/vrinvariant_test.go
+++ b/verbenabench/internal/vrinvariant/vrinvariant_test.go
@@ -97,6 +97,11 @@
 		}},
 		{"dropped request", "I3", func(e *Evidence) { e.Views[0].Attempts[0].End = vrload.EndBroken }},
 		{"late refusal", "I3", func(e *Evidence) { e.Views[2].Attempts[0].First = at(9) }},
+		{"late first token of a whole answer", "I3", func(e *Evidence) { e.Record[0].FirstToken = 9_000_000 }},
+		{"late stream", "I3", func(e *Evidence) {
+			e.Views[0].Call.Stream, e.Record[0].FirstToken = true, 1000
+			e.Views[0].Attempts[0].First = at(9)
+		}},
 		{"no terminal entry", "I3", func(e *Evidence) { e.Record = e.Record[1:] }},
 		{"two terminal entries", "I3", func(e *Evidence) { e.Record = append(e.Record, e.Record[0]) }},
 		{"other reason in the record", "I3", func(e *Evidence) { e.Record[2].Reason = "noReplica" }},
