--- a/verbenabench/internal/vrfuzz/oracle.go
+++ b/verbenabench/internal/vrfuzz/oracle.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -108,6 +109,11 @@
 	for _, model := range fleet.Models {
 		o.caps[model.ID] = max(o.caps[model.ID], model.ReplicasPerZone)
 	}
+	for server := range o.drained {
+		if !slices.Contains(fleet.Drained, server) {
+			delete(o.drained, server)
+		}
+	}
 	for _, server := range fleet.Drained {
 		if _, ok := o.drained[server]; !ok && o.world != nil {
 			o.drained[server] = o.world.Now()
