Settle the unused attempt of a grant whose model is loaded

Cause: a granted pair whose model an older order had loaded kept its unsent attempt, so the entry stayed pinned. Change: an attempt of this run that is neither on its way, lost, nor waiting for its record is settled once its entry is no grant.

--- a/verbenacore/vrledger/settle.go
+++ b/verbenacore/vrledger/settle.go
@@ -169,7 +169,7 @@
 		for _, entry := range s.entries {
 			l.dropAttempts(s, entry, func(attempt Attempt) bool {
 				if l.own(attempt) {
-					return l.ownSettled(s, attempt)
+					return l.ownSettled(s, entry, attempt)
 				}
 				return proved(attempt.Issuer, attempt.Boot, attempt.Epoch)
 			})
@@ -181,11 +181,17 @@
 	return attempt.Issuer == l.opts.Daemon && attempt.Boot == l.opts.Boot
 }
 
-// ownSettled reports whether an attempt of this run under an earlier epoch was answered
-// or never sent: what waited for its record was dropped with the lease.
-func (l *Ledger) ownSettled(s *server, attempt Attempt) bool {
-	_, lost := s.lost[attempt.Order]
-	return attempt.Epoch < l.epoch && !lost
+// ownSettled reports whether an attempt of this run was answered or will never be sent:
+// what waited for its record under an earlier epoch was dropped with the lease, and the
+// attempt of a grant goes unused when its model was loaded by another order.
+func (l *Ledger) ownSettled(s *server, entry *Entry, attempt Attempt) bool {
+	if _, lost := s.lost[attempt.Order]; lost {
+		return false
+	}
+	if attempt.Epoch < l.epoch {
+		return true
+	}
+	return entry.State != vrwire.ReplicaGranted && !l.waitsForRecord(s, entry)
 }
 
 // HandleReport takes a load report that a poller passed on.
--- a/verbenacore/vrledger/settle_test.go
+++ b/verbenacore/vrledger/settle_test.go
@@ -204,3 +204,22 @@
 	require.Equal(t, vrledger.RefusalNone, adapter(vrledger.ActionUnload, "a"))
 	require.Equal(t, vrledger.RefusalBusy, adapter(vrledger.ActionLoad, "d"))
 }
+
+// The attempt of a grant was never sent when an older order had loaded the model, and
+// pinned the entry for good.
+func TestUnusedGrantIsSettledWhenLoaded(t *testing.T) {
+	o := newOwner(t)
+	o.report("s1")
+	require.Equal(t, vrledger.RefusalNone, o.ledger.Apply(vrledger.Action{
+		Kind: vrledger.ActionGrant, Server: "s", Model: "m", Bytes: 5, Cap: 1,
+	}))
+	o.run(&vrevent.Effects{})
+	settle := func() {
+		o.ledger.SettleIssuers(func(vrid.DaemonID, vrid.BootID, vrid.Epoch) bool { return false })
+	}
+	settle()
+	require.Len(t, o.ledger.Snapshots()[0].Entries[0].Attempts, 1, "the grant can still be used")
+	o.report("s1")
+	settle()
+	require.Equal(t, vrledger.RefusalNone, o.unload())
+}
