--- a/verbenaroute/internal/vrfront/attempt.go
+++ b/verbenaroute/internal/vrfront/attempt.go
@@ -201,6 +201,8 @@
 	request.Model = a.dispatch.Model
 	request.Adapter = a.dispatch.Adapter
 	request.ResumeFrom = flight.tokens()
+	// A request that is due to its rank's floor goes before its rank at the engine.
+	request.Priority = int(a.dispatch.Priority)
 	return f.options.Backends.Generate(ctx, a.dispatch.Address, &request, func(line *vrengine.Token) error {
 		return f.accept(ctx, flight, a, line)
 	})
--- a/verbenaroute/internal/vrfront/model.go
+++ b/verbenaroute/internal/vrfront/model.go
@@ -87,7 +87,6 @@
 		RequestID: a.request.ID,
 		Prompt:    prompt,
 		MaxTokens: tokens,
-		Priority:  int(a.request.Rank),
 	}
 	flight.encode = plain
 	if body.Stream {
