Close an unknown run with a gap whatever was heard of its requests

Change: such a run is always closed with a gap, whose numbers only stand for what no block holds; the root's own counter is renewed in the view each second.

--- a/verbenacore/vrjournal/recovery_test.go
+++ b/verbenacore/vrjournal/recovery_test.go
@@ -100,3 +100,23 @@
 	}
 	return count
 }
+
+// A run that was its own writer and died was closed by a writer that had heard of none
+// of its requests: it stated the end without a gap, and requests that the run's last
+// block counts had neither an entry nor a gap (try --seconds 15, daemon-2 is killed).
+func TestUnknownRunIsClosedWithGap(t *testing.T) {
+	z := newZone(t, 14, "d1", "d2")
+	z.setWriter("d1")
+	z.pass(5, 20)
+	d1 := z.nodes["d1"]
+	d1.SetOpened(d1.Opened() + 30)
+	z.pass(4, 1)
+	d1.dead = true
+	z.setWriter("d2")
+	z.nodes["d2"].MemberRemoved(z.now, "d1", "B1", 0)
+	z.drain()
+	z.pass(3, 0)
+	report := z.audit()
+	require.Empty(t, report.Findings)
+	require.GreaterOrEqual(t, report.Lost, uint64(3))
+}
--- a/verbenacore/vrjournal/writer.go
+++ b/verbenacore/vrjournal/writer.go
@@ -229,8 +229,9 @@
 	if s.unknown {
 		// Numbers are no count of requests: an owner's loads and takeovers have numbers
 		// too, so durable numbers beyond the opened requests prove nothing.
+		// The count of opened requests may be old, so a count of zero proves nothing either.
 		bound := vrrecord.Span{First: 1, Last: max(s.opened, s.held.Last()+1)}
-		return bound, s.opened > 0 && !s.final
+		return bound, !s.final
 	}
 	holes := s.held.Missing(1, s.held.Last())
 	inHoles := uint64(0)
--- a/verbenacore/vrmember/view.go
+++ b/verbenacore/vrmember/view.go
@@ -71,7 +71,12 @@
 	counters := v.counters[item.Daemon]
 	counters.Opened, counters.Near = item.Opened, item.Near
 	item.Near = 0
-	if now.Sub(counters.shown) < openedInterval {
+	interval := openedInterval
+	if item.Daemon == v.Owner {
+		// Nobody else counts the root's own requests; its successor closes its record.
+		interval = heartbeatInterval
+	}
+	if now.Sub(counters.shown) < interval {
 		item.Opened = v.Members[item.Daemon].Opened
 	} else {
 		counters.shown = now
