Judge each entry's report by its own orders

Requests for the model ended in noReplica until the end of the run. Change: the lag counts from the newest answer to an order for the same entry, or from the takeover.

--- a/verbenacore/vrledger/chunk.go
+++ b/verbenacore/vrledger/chunk.go
@@ -138,6 +138,8 @@
 		if l.chunkOf(id) == c {
 			// The former owner may have had answers that no report shows yet.
 			s.settled = now
+			s.adopted = now
+			clear(s.entrySettled)
 			l.adoptEntries(s, id)
 		}
 	}
--- a/verbenacore/vrledger/settle.go
+++ b/verbenacore/vrledger/settle.go
@@ -94,6 +94,7 @@
 	}
 	number := vrid.Fencing{Epoch: attempt.Epoch, Sequence: attempt.Sequence}
 	s.settled = now
+	s.entrySettled[nameOf(entry)] = now
 	entry.Settled = event.Order.OrderID
 	l.dropAttempts(s, entry, func(other Attempt) bool {
 		if other.Order == event.Order.OrderID {
@@ -216,13 +217,16 @@
 	if s.info.HonorsFencing && report.HighestEpoch == l.epoch {
 		l.setFenced(s)
 	}
-	old := time.UnixMilli(report.TakenAt).After(s.settled.Add(reportLag))
+	taken := time.UnixMilli(report.TakenAt)
 	for _, entry := range slices.Clone(s.entries) {
 		l.dropAttempts(s, entry, func(attempt Attempt) bool {
 			at, lost := s.lost[attempt.Order]
-			return lost && time.UnixMilli(report.TakenAt).After(at.Add(orderTail)) ||
+			return lost && taken.After(at.Add(orderTail)) ||
 				slices.Contains(report.AppliedOrders, attempt.Order)
 		})
+		// Each entry counts from its own orders: those of other models would keep a restarted
+		// server's lost model in the ledger for as long as they go on.
+		old := taken.After(s.settledAt(entry).Add(reportLag))
 		fresh := old || slices.Contains(report.AppliedOrders, entry.Settled)
 		l.compare(s, entry, reportedState(report, entry), fresh)
 	}
@@ -362,3 +366,22 @@
 	}
 	return false
 }
+
+// entryName tells the entries of a server apart.
+type entryName struct {
+	model   vrid.ModelID
+	adapter vrid.AdapterID
+}
+
+func nameOf(entry *Entry) entryName {
+	return entryName{model: entry.Model, adapter: entry.Adapter}
+}
+
+// settledAt is when an order for the entry was last answered, or when this owner took
+// the entry over.
+func (s *server) settledAt(entry *Entry) time.Time {
+	if at, known := s.entrySettled[nameOf(entry)]; known && at.After(s.adopted) {
+		return at
+	}
+	return s.adopted
+}
--- a/verbenacore/vrledger/settle_test.go
+++ b/verbenacore/vrledger/settle_test.go
@@ -223,3 +223,28 @@
 	settle()
 	require.Equal(t, vrledger.RefusalNone, o.unload())
 }
+
+// TestLostModelIsSeenDespiteOtherOrders guards against a model that its restarted server
+// lost and that stayed in the ledger as loaded, because orders for other models kept
+// every report from counting as young enough (verbenabench fuzz, seed 600284).
+func TestLostModelIsSeenDespiteOtherOrders(t *testing.T) {
+	o := newOwner(t)
+	o.report("s1")
+	o.load()
+	o.answer(o.orders[0], vrengine.OrderDone)
+	o.report("s1", o.orders[0].OrderID)
+	for range 5 {
+		o.pass(10 * time.Second)
+		adapter := vrledger.Action{Kind: vrledger.ActionLoad, Server: "s", Model: "m", Adapter: "a", Bytes: 1}
+		require.Equal(t, vrledger.RefusalNone, o.ledger.Apply(adapter))
+		o.run(&vrevent.Effects{})
+		o.answer(o.orders[len(o.orders)-1], vrengine.OrderDone)
+		adapter.Kind = vrledger.ActionUnload
+		require.Equal(t, vrledger.RefusalNone, o.ledger.Apply(adapter))
+		o.run(&vrevent.Effects{})
+		o.answer(o.orders[len(o.orders)-1], vrengine.OrderDone)
+	}
+	require.Equal(t, 1, o.ledger.Replicas("m"))
+	o.ledger.HandleReport(o.now, &vrwire.LoadReport{Server: "s", Boot: "s2", TakenAt: o.now.UnixMilli()})
+	require.Zero(t, o.ledger.Replicas("m"))
+}
--- a/verbenacore/vrledger/vrledger.go
+++ b/verbenacore/vrledger/vrledger.go
@@ -32,6 +32,10 @@
 	reported time.Time
 	// settled is the time of the newest answer to an order; older reports don't show it.
 	settled time.Time
+	// adopted is when this owner learned of the server or took its entries over.
+	adopted time.Time
+	// entrySettled is the time of the newest answer to an order for each entry.
+	entrySettled map[entryName]time.Time
 	// fenced is set when an engine that honours fencing acknowledged the epoch.
 	fenced bool
 	// inFlight are this owner's orders that were sent and not answered yet.
@@ -156,7 +160,7 @@
 func (l *Ledger) SetServer(now time.Time, info ServerInfo) {
 	s, ok := l.servers[info.ID]
 	if !ok {
-		s = &server{inFlight: make(map[vrid.OrderID]inFlight), lost: make(map[vrid.OrderID]time.Time), settled: now}
+		s = &server{inFlight: make(map[vrid.OrderID]inFlight), lost: make(map[vrid.OrderID]time.Time), settled: now, adopted: now, entrySettled: make(map[entryName]time.Time)}
 		l.servers[info.ID] = s
 		l.order = append(l.order, info.ID)
 		sort.Slice(l.order, func(i, j int) bool { return l.order[i] < l.order[j] })
@@ -248,6 +252,7 @@
 }
 
 func (l *Ledger) removeEntry(s *server, entry *Entry) {
+	delete(s.entrySettled, nameOf(entry))
 	for i, candidate := range s.entries {
 		if candidate == entry {
 			s.entries = append(s.entries[:i], s.entries[i+1:]...)
