Load the base model of a wanted adapter

Change: granted entries are no base; a base that is wanted for an adapter is loaded whatever other zones hold.

--- /dev/null
+++ b/verbenacore/vrplace/adapter_test.go
@@ -0,0 +1,46 @@
+package vrplace
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenaroute.example/verbenacore/vrconfig"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrledger"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+// actionsForAdapter plans for one waiting request of an adapter on the model "used".
+func actionsForAdapter(t *testing.T, input Input) []vrledger.Action {
+	t.Helper()
+	now := idleStart
+	fleet := *input.Index.Fleet
+	fleet.Adapters = []vrconfig.Adapter{{ID: "a", Base: "used", Memory: vrid.GiB}}
+	input.Index = vrconfig.NewIndex(&fleet)
+	input.AdapterSlots = 1
+	p := New(Options{})
+	p.Want(now, vrwire.ModelDemand{
+		Model: "used", Adapter: "a", Waiting: 1, Daemon: "d", Deadline: now.Add(time.Minute).UnixMilli(),
+	})
+	return p.Plan(now.Add(time.Second), input)
+}
+
+// TestAdapterLoadsItsBase guards against adapter requests that waited until their
+// deadline in an idle fleet (try, hayabusa, seed 1): a base model that was only granted
+// counted as loaded, and a replica of the base in another zone kept it from being loaded.
+func TestAdapterLoadsItsBase(t *testing.T) {
+	granted := vrledger.Entry{Model: "used", State: vrwire.ReplicaGranted, Bytes: 20 * vrid.GiB}
+	elsewhere := grantInput()
+	elsewhere.Elsewhere = func(vrid.ModelID, vrid.Rank) int { return 8 }
+	for name, input := range map[string]Input{"granted": grantInput(granted), "loaded elsewhere": elsewhere} {
+		t.Run(name, func(t *testing.T) {
+			actions := actionsForAdapter(t, input)
+			require.NotEmpty(t, actions)
+			require.Equal(t, vrledger.ActionLoad, actions[0].Kind)
+			require.Equal(t, vrid.ModelID("used"), actions[0].Model)
+			require.Empty(t, actions[0].Adapter)
+		})
+	}
+}
--- a/verbenacore/vrplace/evict.go
+++ b/verbenacore/vrplace/evict.go
@@ -23,7 +23,7 @@
 	for i := range w.Servers {
 		server := &w.Servers[i]
 		base := findEntry(server, wanted.model, "")
-		if base == nil || server.Info.State != vrwire.ServerLive {
+		if base == nil || base.State == vrwire.ReplicaGranted || server.Info.State != vrwire.ServerLive {
 			continue
 		}
 		based = true
@@ -48,6 +48,7 @@
 	if !based {
 		base := wanted
 		base.adapter = ""
+		base.forAdapter = true
 		w.serveModel(base)
 		return
 	}
--- a/verbenacore/vrplace/vrplace.go
+++ b/verbenacore/vrplace/vrplace.go
@@ -170,6 +170,9 @@
 	rank     vrid.Rank
 	deadline time.Time
 	waiting  int
+	// forAdapter is set for the base model of a wanted adapter: replicas in other zones
+	// don't hold the adapter, so they serve nobody who waits for it.
+	forAdapter bool
 }
 
 // plan is the work of one call.
@@ -297,7 +300,7 @@
 		return
 	}
 	replicas := w.Replicas(wanted.model) + w.added[wanted.model]
-	if (replicas == 0 || w.isGranted(model.ID)) && w.servedElsewhere(wanted) {
+	if (replicas == 0 || w.isGranted(model.ID)) && !wanted.forAdapter && w.servedElsewhere(wanted) {
 		return
 	}
 	if !w.needsReplica(wanted, replicas) {
