--- a/verbenacore/vrreducer/peers.go
+++ b/verbenacore/vrreducer/peers.go
@@ -111,7 +111,8 @@
 	return vrmember.Peer{Daemon: daemon}
 }
 
-// peerUnreachable finds another parent, and asks for the claims that waited for a lost peer by a direct write.
+// peerUnreachable finds another parent, and asks for the claims that waited for a lost
+// peer by a direct write.
 func (s *State) peerUnreachable(now time.Time, peer vrid.DaemonID, out *vrevent.Effects) {
 	s.member.PeerLost(now, peer)
 	s.journal.PeerLost(peer)
