Revoke grants on servers that take no new work

A revoked grant also stopped counting before its removal was durable, when a successor could still read and load it. Change: grants on servers that are not live are revoked with each plan; a revoked grant counts towards the cap until its removal is on the platform.

--- a/verbenacore/vrledger/chunk.go
+++ b/verbenacore/vrledger/chunk.go
@@ -27,6 +27,10 @@
 	op       vrevent.Op
 	// writing are the orders whose record is in the write that is in flight.
 	writing []queuedOrder
+	// revoked are models whose grants were removed since the last write, removing those
+	// whose removal is in the write that is in flight.
+	revoked  []vrid.ModelID
+	removing []vrid.ModelID
 	// queued are the orders whose record is not written yet.
 	queued []queuedOrder
 	// known are the attempts that are durable.
@@ -232,6 +236,8 @@
 		return
 	}
 	c.dirty = false
+	c.removing = append(c.removing, c.revoked...)
+	c.revoked = nil
 	c.writing = c.queued
 	c.queued = nil
 	c.op = l.opts.Ops.Next()
@@ -303,6 +309,10 @@
 	c.version = version
 	c.ready = true
 	c.known = c.proposed
+	for _, model := range c.removing {
+		l.replicas[model]--
+	}
+	c.removing = nil
 	l.changed = true
 }
 
--- a/verbenacore/vrledger/settle_test.go
+++ b/verbenacore/vrledger/settle_test.go
@@ -248,3 +248,19 @@
 	o.ledger.HandleReport(o.now, &vrwire.LoadReport{Server: "s", Boot: "s2", TakenAt: o.now.UnixMilli()})
 	require.Zero(t, o.ledger.Replicas("m"))
 }
+
+// TestRevokedGrantCountsUntilDurable guards against a replica that is loaded elsewhere
+// while a successor could still read the grant and load it too.
+func TestRevokedGrantCountsUntilDurable(t *testing.T) {
+	o := newOwner(t)
+	o.report("s1")
+	grant := vrledger.Action{Kind: vrledger.ActionGrant, Server: "s", Model: "m", Bytes: 5, Cap: 1}
+	require.Equal(t, vrledger.RefusalNone, o.ledger.Apply(grant))
+	o.run(&vrevent.Effects{})
+	require.Equal(t, vrledger.RefusalNone, o.ledger.Apply(vrledger.Action{Kind: vrledger.ActionRevoke, Server: "s", Model: "m"}))
+	require.Equal(t, 1, o.ledger.Replicas("m"))
+	require.Equal(t, vrledger.RefusalReplicaCap, o.ledger.Allowed(grant))
+	o.run(&vrevent.Effects{})
+	require.Zero(t, o.ledger.Replicas("m"))
+	require.Equal(t, vrledger.RefusalNone, o.ledger.Allowed(grant))
+}
--- a/verbenacore/vrledger/vrledger.go
+++ b/verbenacore/vrledger/vrledger.go
@@ -415,12 +415,24 @@
 		l.addEntry(s, entry)
 		l.addAttempt(s, entry)
 	case ActionRevoke:
-		l.removeEntry(s, entry)
+		l.revoke(s, entry)
 	}
 	l.touch(action.Server)
 	return RefusalNone
 }
 
+// revoke removes a grant. It counts as a replica until its removal is durable: a
+// successor that still reads the grant could load it beside a replica elsewhere.
+func (l *Ledger) revoke(s *server, entry *Entry) {
+	l.removeEntry(s, entry)
+	if entry.Adapter != "" {
+		return
+	}
+	l.replicas[entry.Model]++
+	c := l.chunkOf(s.info.ID)
+	c.revoked = append(c.revoked, entry.Model)
+}
+
 // UseGrant sends the load of a grant that is durable, without a further write: this is
 // what a zone may still load while the platform does not answer.
 func (l *Ledger) UseGrant(now time.Time, id vrid.ServerID, model vrid.ModelID, out *vrevent.Effects) bool {
--- a/verbenacore/vrplace/drained_test.go
+++ b/verbenacore/vrplace/drained_test.go
@@ -45,3 +45,20 @@
 	require.Equal(t, vrledger.ActionUnload, full[0].Kind)
 	require.Equal(t, vrid.ServerID("s1"), full[0].Server)
 }
+
+// A grant on a drained server counted towards its model's cap, so that the model was
+// never loaded elsewhere (verbenabench fuzz, seed 700498).
+func TestGrantOnDrainedServerIsRevoked(t *testing.T) {
+	planner := vrplace.New(vrplace.Options{})
+	granted := vrledger.Entry{Model: "m", Bytes: 5, State: vrwire.ReplicaGranted}
+	actions := planner.Plan(time.Unix(1_790_000_000, 0), vrplace.Input{
+		Index: vrconfig.NewIndex(&vrconfig.Fleet{}),
+		Servers: []vrledger.Snapshot{{
+			Info:    vrledger.ServerInfo{ID: "s", Pool: "lm", State: vrwire.ServerDrained},
+			Entries: []vrledger.Entry{granted},
+		}},
+		Replicas:  func(vrid.ModelID) int { return 1 },
+		Revocable: func(vrid.ServerID, vrid.ModelID) bool { return true },
+	})
+	require.Equal(t, []vrledger.Action{{Kind: vrledger.ActionRevoke, Server: "s", Model: "m"}}, actions)
+}
--- a/verbenacore/vrplace/grant.go
+++ b/verbenacore/vrplace/grant.go
@@ -103,3 +103,22 @@
 		}
 	}
 }
+
+// revokeStranded takes back the grants of servers that take no new work: such a grant
+// counts towards its model's cap and can't be used.
+func (w *plan) revokeStranded() {
+	for i := range w.Servers {
+		server := &w.Servers[i]
+		if server.Info.State == vrwire.ServerLive {
+			continue
+		}
+		for j := range server.Entries {
+			entry := &server.Entries[j]
+			if w.revocable(server, entry) {
+				w.actions = append(w.actions, vrledger.Action{
+					Kind: vrledger.ActionRevoke, Server: server.Info.ID, Model: entry.Model,
+				})
+			}
+		}
+	}
+}
--- a/verbenacore/vrplace/vrplace.go
+++ b/verbenacore/vrplace/vrplace.go
@@ -202,6 +202,7 @@
 	for i := range input.Servers {
 		work.count(&input.Servers[i])
 	}
+	work.revokeStranded()
 	for _, w := range p.wants(now) {
 		if w.adapter != "" {
 			work.serveAdapter(w)
