Use the standard library's comparisons and sorted keys

Cause: the read-through found compareIDs twice, compareFloats, and loops that sort the keys of a map, all of which cmp.Compare and slices.Sorted(maps.Keys()) do. Change: the copies go; no decision changes.

--- a/verbenacore/vradmit/vradmit.go
+++ b/verbenacore/vradmit/vradmit.go
@@ -3,6 +3,7 @@
 package vradmit
 
 import (
+	"cmp"
 	"container/heap"
 	"slices"
 	"time"
@@ -98,7 +99,7 @@
 	}
 	l := newLane(pool)
 	q.lanes = append(q.lanes, l)
-	slices.SortFunc(q.lanes, func(a, b *lane) int { return compareIDs(a.pool, b.pool) })
+	slices.SortFunc(q.lanes, func(a, b *lane) int { return cmp.Compare(a.pool, b.pool) })
 	return l
 }
 
@@ -312,20 +313,10 @@
 		return int(a.Rank) - int(b.Rank)
 	}
 	if a.Target.Model != b.Target.Model {
-		return compareIDs(a.Target.Model, b.Target.Model)
+		return cmp.Compare(a.Target.Model, b.Target.Model)
 	}
 	if a.Target.Adapter != b.Target.Adapter {
-		return compareIDs(a.Target.Adapter, b.Target.Adapter)
+		return cmp.Compare(a.Target.Adapter, b.Target.Adapter)
 	}
-	return compareIDs(a.Target.Service, b.Target.Service)
-}
-
-func compareIDs[T ~string](a, b T) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
+	return cmp.Compare(a.Target.Service, b.Target.Service)
 }
--- a/verbenacore/vrmember/heartbeat.go
+++ b/verbenacore/vrmember/heartbeat.go
@@ -1,6 +1,7 @@
 package vrmember
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -352,10 +353,5 @@
 }
 
 func sortedKeys[K ~string, V any](values map[K]V) []K {
-	keys := make([]K, 0, len(values))
-	for key := range values {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return keys
+	return slices.Sorted(maps.Keys(values))
 }
--- a/verbenacore/vrplace/evict.go
+++ b/verbenacore/vrplace/evict.go
@@ -1,6 +1,7 @@
 package vrplace
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -118,9 +119,9 @@
 	}
 	slices.SortFunc(candidates, func(a, b *vrledger.Entry) int {
 		if va, vb := w.value(a), w.value(b); va != vb {
-			return compareFloats(va, vb)
+			return cmp.Compare(va, vb)
 		}
-		return compareIDs(a.Model, b.Model)
+		return cmp.Compare(a.Model, b.Model)
 	})
 	free := w.free[server.Info.ID]
 	loss := 0.0
@@ -281,13 +282,3 @@
 }
 
 func exp2(x float64) float64 { return math.Exp2(x) }
-
-func compareFloats(a, b float64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
--- a/verbenacore/vrplace/vrplace.go
+++ b/verbenacore/vrplace/vrplace.go
@@ -4,6 +4,7 @@
 package vrplace
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -278,19 +279,9 @@
 		return a.deadline.Compare(b.deadline)
 	}
 	if a.model != b.model {
-		return compareIDs(a.model, b.model)
+		return cmp.Compare(a.model, b.model)
 	}
-	return compareIDs(a.adapter, b.adapter)
-}
-
-func compareIDs[T ~string](a, b T) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
+	return cmp.Compare(a.adapter, b.adapter)
 }
 
 // serveModel loads a replica when there is none, or one more when the waiting requests
--- a/verbenacore/vrreducer/claims.go
+++ b/verbenacore/vrreducer/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -381,10 +382,5 @@
 
 // sortedKeys fixes the order in which maps are walked, so that a seed repeats a run.
 func sortedKeys[K cmp.Ordered, V any](values map[K]V) []K {
-	keys := make([]K, 0, len(values))
-	for key := range values {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return keys
+	return slices.Sorted(maps.Keys(values))
 }
