Serve the users' platform with a gateway daemon, thin

Cause: nothing spoke the platform's protocol.

The lease counts as held only from an acknowledged write (test: TestUnansweredWriteIsNoHold), and a new holder stays quiet after another machine's hold (TestNewHolderStaysQuietAfterAnother).

--- a/verbenacore/vrevent/vrevent.go
+++ b/verbenacore/vrevent/vrevent.go
@@ -70,8 +70,21 @@
 	AttemptTimedOut
 	// AttemptCallerGone: the caller closed its connection.
 	AttemptCallerGone
+	// AttemptServerError: the server's whole answer is a failure, which is held back.
+	AttemptServerError
 )
 
+// String returns the name in logs.
+func (r AttemptResult) String() string {
+	names := [...]string{
+		"none", "notSent", "busy", "notLoaded", "leaving", "answered", "broken", "timedOut", "callerGone", "serverError",
+	}
+	if int(r) >= len(names) {
+		return names[0]
+	}
+	return names[r]
+}
+
 // ProvesNotRun reports whether the result proves that the back end ran nothing.
 func (r AttemptResult) ProvesNotRun() bool {
 	switch r {
--- /dev/null
+++ b/verbenacore/vrgateway/log.go
@@ -0,0 +1,20 @@
+package vrgateway
+
+import (
+	"strconv"
+	"time"
+
+	"verbenaroute.example/verbenacore/vrevent"
+)
+
+func number(name string, value uint64) vrevent.LogField {
+	return vrevent.LogField{Name: name, Value: strconv.FormatUint(value, 10)}
+}
+
+func millis(name string, value time.Duration) vrevent.LogField {
+	return vrevent.LogField{Name: name, Value: strconv.FormatInt(value.Milliseconds(), 10)}
+}
+
+func text[T ~string](name string, value T) vrevent.LogField {
+	return vrevent.LogField{Name: name, Value: string(value)}
+}
--- /dev/null
+++ b/verbenacore/vrgateway/owner.go
@@ -0,0 +1,264 @@
+package vrgateway
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrlease"
+	"verbenaroute.example/verbenacore/vrresidence"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+const (
+	// wantInterval is the pause between two messages of all wants, and between two for a
+	// target that still waits.
+	wantInterval = time.Second
+	// askInterval is the pause between two messages for one target.
+	askInterval = 500 * time.Millisecond
+	// planInterval is the pause between two plans without news.
+	planInterval = 100 * time.Millisecond
+	// candidateSpread spreads the daemons' first try for the lease.
+	candidateSpread = 400 * time.Millisecond
+)
+
+// ownerLink is this daemon's way to the placement owner.
+type ownerLink struct {
+	daemon  vrid.DaemonID
+	address string
+	epoch   vrid.Epoch
+	// unreachable is set when a message could not be delivered.
+	unreachable bool
+	sentAt      time.Time
+	planAt      time.Time
+}
+
+func (o *ownerLink) lost(peer vrid.DaemonID) {
+	if peer == o.daemon {
+		o.unreachable = true
+	}
+}
+
+// use counts what this daemon's calls ask for, for the next message of wants.
+type use struct {
+	arrived uint32
+	running uint32
+}
+
+func (s *State) noteUse(_ time.Time, c *call) {
+	if c.Model == "" {
+		return
+	}
+	key := c.target()
+	u := s.uses[key]
+	if u == nil {
+		u = &use{}
+		s.uses[key] = u
+	}
+	u.arrived++
+	u.running++
+}
+
+func (s *State) noteEnd(c *call) {
+	if u := s.uses[c.target()]; u != nil && u.running > 0 {
+		u.running--
+	}
+}
+
+func compareTargets(a, b target) int {
+	return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.model, b.model), cmp.Compare(a.adapter, b.adapter))
+}
+
+// tickLease takes part in the placement owner's lease.
+func (s *State) tickLease(now time.Time, out *vrevent.Effects) {
+	early := now.Sub(s.started) < time.Duration(s.random.Int64N(int64(candidateSpread)))
+	s.lease.Tick(now, vrlease.Request{
+		Observe:   true,
+		Candidate: s.catalog != nil && !s.leaving && !early && s.fleet.Len() > 0,
+		Suspected: s.owner.unreachable,
+		Chunks:    1,
+	}, out)
+}
+
+func (s *State) leaseChanged(now time.Time, change vrlease.Change, out *vrevent.Effects) {
+	if record, ok := s.lease.Known(); ok && (record.Holder != s.owner.daemon || record.Epoch != s.owner.epoch) {
+		s.owner = ownerLink{daemon: record.Holder, address: record.Peer, epoch: record.Epoch}
+		out.Info("placement owner", text("owner", record.Holder), number("epoch", uint64(record.Epoch)))
+	}
+	switch change {
+	case vrlease.ChangeAcquired:
+		s.planner.Begin(now)
+		out.Info("lease acquired", number("epoch", uint64(s.lease.Epoch())),
+			millis("ordersInMs", max(0, s.lease.OrdersFrom().Sub(now))))
+	case vrlease.ChangeLost:
+		out.Warn("lease lost", number("epoch", uint64(s.lease.Epoch())))
+	case vrlease.ChangeNone:
+	}
+}
+
+// askOwner tells the placement owner of a target that calls wait for.
+func (s *State) askOwner(now time.Time, key target, list *waitList, out *vrevent.Effects) {
+	if now.Sub(list.asked) < askInterval {
+		return
+	}
+	list.asked = now
+	want := s.want(now, key, list)
+	s.sendWants(now, &vrwire.Wants{Items: []vrwire.Want{want}}, out)
+}
+
+func (s *State) want(now time.Time, key target, list *waitList) vrwire.Want {
+	want := vrwire.Want{Service: key.service, Model: key.model, Adapter: key.adapter}
+	if u := s.uses[key]; u != nil {
+		want.Arrived, want.Running = u.arrived, u.running
+		u.arrived = 0
+	}
+	if list == nil {
+		return want
+	}
+	want.Waiting = uint32(len(list.calls))
+	want.Running -= min(want.Running, want.Waiting)
+	for i, c := range list.calls {
+		want.Remaining = max(want.Remaining, c.until.Sub(now).Milliseconds())
+		if priority := int32(c.route.Priority); i == 0 || priority < want.Priority {
+			want.Priority = priority
+		}
+	}
+	return want
+}
+
+// tickWants sends everything that arrived, waits and runs.
+func (s *State) tickWants(now time.Time, out *vrevent.Effects) {
+	if now.Sub(s.owner.sentAt) < wantInterval {
+		return
+	}
+	s.owner.sentAt = now
+	wants := &vrwire.Wants{Full: true}
+	keys := make([]target, 0, len(s.uses))
+	for key := range s.uses {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, compareTargets)
+	for _, key := range keys {
+		u := s.uses[key]
+		if u.arrived+u.running == 0 {
+			delete(s.uses, key)
+			continue
+		}
+		if key.model != "" {
+			wants.Items = append(wants.Items, s.want(now, key, s.waits[key]))
+		}
+	}
+	if len(wants.Items) > 0 || s.lease.Holding() {
+		s.sendWants(now, wants, out)
+	}
+}
+
+func (s *State) sendWants(now time.Time, wants *vrwire.Wants, out *vrevent.Effects) {
+	if s.lease.Holding() {
+		s.planner.Wants(now, s.opts.Daemon, wants)
+		s.owner.planAt = time.Time{}
+		return
+	}
+	if s.owner.address == "" || s.owner.daemon == s.opts.Daemon {
+		return
+	}
+	out.Add(vrevent.SendPeer{Peer: s.owner.daemon, Address: s.owner.address, Envelope: &vrwire.Envelope{Wants: wants}})
+}
+
+func (s *State) peersListed(e vrevent.PeersListed, out *vrevent.Effects) {
+	if len(e.Peers) != len(s.peers) {
+		out.Info("daemons listed", number("count", uint64(len(e.Peers))))
+	}
+	s.peers = e.Peers
+	s.budget.SetDaemons(len(e.Peers))
+}
+
+func (s *State) peerMessage(now time.Time, envelope *vrwire.Envelope, out *vrevent.Effects) {
+	if wants := envelope.Wants; wants != nil {
+		s.planner.Wants(now, envelope.From, wants)
+		s.owner.planAt = time.Time{}
+		s.plan(now, out)
+	}
+	if notices := envelope.Notices; notices != nil && notices.Epoch >= s.owner.epoch {
+		for i := range notices.Items {
+			s.noticed(now, &notices.Items[i], out)
+		}
+		s.serveWaiting(now, out)
+	}
+}
+
+// plan decides orders as the placement owner.
+func (s *State) plan(now time.Time, out *vrevent.Effects) {
+	if s.catalog == nil || !s.lease.Confirmed(now) || now.Before(s.lease.OrdersFrom()) || now.Sub(s.owner.planAt) < planInterval {
+		return
+	}
+	if s.leaving || s.store.lost {
+		return
+	}
+	s.owner.planAt = now
+	decided := s.planner.Plan(now, vrresidence.View{Fleet: s.fleet, Catalog: s.catalog})
+	s.carryOut(now, decided, out)
+}
+
+func (s *State) carryOut(now time.Time, decided vrresidence.Decision, out *vrevent.Effects) {
+	for _, order := range decided.Orders {
+		order.Epoch, order.Holder, order.Until = s.lease.Epoch(), s.opts.Daemon, s.lease.Until()
+		s.counts.Orders++
+		out.Add(vrevent.GiveOrder{Order: order})
+		out.Info("order", text("server", order.Server), text("kind", order.Kind.String()), text("model", order.Model),
+			text("adapter", order.Adapter), number("expected", order.Expected), number("epoch", uint64(order.Epoch)))
+	}
+	for _, id := range decided.Reads {
+		if server := s.fleet.Server(id); server != nil {
+			out.Add(vrevent.ReadStatus{Server: id, Address: server.Address})
+		}
+	}
+	s.sendNotices(now, decided.Notices, out)
+}
+
+// sendNotices tells daemons: of losses all, of the rest who asked.
+func (s *State) sendNotices(now time.Time, notices []vrresidence.Notice, out *vrevent.Effects) {
+	byDaemon := make(map[vrid.DaemonID][]vrwire.Notice)
+	for i := range notices {
+		notice := &notices[i]
+		if notice.Kind == vrwire.NoticeLosing {
+			for _, peer := range s.peers {
+				byDaemon[peer.Daemon] = append(byDaemon[peer.Daemon], notice.Notice)
+			}
+			continue
+		}
+		for _, daemon := range notice.To {
+			byDaemon[daemon] = append(byDaemon[daemon], notice.Notice)
+		}
+	}
+	for _, peer := range s.peers {
+		items := byDaemon[peer.Daemon]
+		if len(items) == 0 || peer.Daemon == s.opts.Daemon {
+			continue
+		}
+		out.Add(vrevent.SendPeer{Peer: peer.Daemon, Address: peer.Address, Envelope: &vrwire.Envelope{
+			Notices: &vrwire.Notices{Items: items, Epoch: s.lease.Epoch()},
+		}})
+	}
+	own := byDaemon[s.opts.Daemon]
+	for i := range own {
+		s.noticed(now, &own[i], out)
+	}
+	if len(own) > 0 {
+		s.serveWaiting(now, out)
+	}
+}
+
+func (s *State) orderEnded(now time.Time, e vrevent.OrderEnded, out *vrevent.Effects) {
+	if e.Outcome == vrevent.OrderUnknown {
+		s.counts.OrdersUnknown++
+	}
+	out.Info("order ended", text("server", e.Order.Server), text("kind", e.Order.Kind.String()), text("model", e.Order.Model),
+		text("adapter", e.Order.Adapter), number("expected", e.Order.Expected), text("outcome", e.Outcome.String()), text("detail", e.Detail))
+	decided := s.planner.OrderEnded(now, e, s.fleet)
+	s.sendNotices(now, decided, out)
+	s.owner.planAt = time.Time{}
+	s.plan(now, out)
+}
--- a/verbenacore/vrlease/vrlease.go
+++ b/verbenacore/vrlease/vrlease.go
@@ -62,6 +62,19 @@
 	ChangeLost
 )
 
+// Timing sets the times of a lease.
+type Timing struct {
+	// Duration is how long a hold lasts after the sending of its last acknowledged write.
+	Duration time.Duration
+	// Renew is the pause between renewals, shorter than Duration.
+	Renew time.Duration
+	// Suspect replaces Duration for a holder that can't be reached.
+	Suspect time.Duration
+	// Quiet is how long after the end of another machine's hold a new holder waits before
+	// it gives orders, where servers accept no orders from two holders by turns.
+	Quiet time.Duration
+}
+
 // Options of a lease.
 type Options struct {
 	Key    string
@@ -70,6 +83,8 @@
 	Peer   string
 	Ops    *vrevent.Ops
 	Random *rand.Rand
+	// Timing may be zero; then the constants of this package apply.
+	Timing Timing
 }
 
 // Lease is one daemon's view of a lease object.
@@ -91,10 +106,33 @@
 	proposed  Record
 	nextRead  time.Time
 	releasing bool
+	// reclaim is set when a read shows a record of this run that no acknowledged write
+	// confirmed: a write of unknown outcome took effect. When is not known, so the hold
+	// begins only with a renewal that is acknowledged.
+	reclaim bool
+	// others is when a record of another machine was last seen to change.
+	others time.Time
 }
 
 // New returns a lease that has not been read yet.
-func New(opts Options) *Lease { return &Lease{opts: opts} }
+func New(opts Options) *Lease {
+	if opts.Timing == (Timing{}) {
+		opts.Timing = Timing{Duration: Duration, Renew: RenewInterval, Suspect: suspectDuration}
+	}
+	return &Lease{opts: opts}
+}
+
+// Until is when the hold ends unless it is renewed.
+func (l *Lease) Until() time.Time { return l.confirmed.Add(l.opts.Timing.Duration) }
+
+// OrdersFrom is when a holder may begin to give orders: another machine's hold, which
+// ended at the latest a duration after its last change was seen, is Quiet ago.
+func (l *Lease) OrdersFrom() time.Time {
+	if l.others.IsZero() {
+		return time.Time{}
+	}
+	return l.others.Add(l.opts.Timing.Duration + l.opts.Timing.Quiet)
+}
 
 // Known returns the newest record seen, and whether there is one.
 func (l *Lease) Known() (Record, bool) { return l.known, l.seen && l.known.Holder != "" }
@@ -104,7 +142,7 @@
 
 // Confirmed reports whether the hold was acknowledged within the lease's duration.
 func (l *Lease) Confirmed(now time.Time) bool {
-	return l.holding && now.Sub(l.confirmed) < Duration
+	return l.holding && now.Before(l.Until())
 }
 
 // Epoch returns the newest epoch seen.
@@ -131,6 +169,12 @@
 		l.renew(now, out)
 		return
 	}
+	if l.reclaim && !l.releasing {
+		record := l.known
+		record.Renewal++
+		l.write(now, record, out)
+		return
+	}
 	if l.free(now, request.Suspected) && request.Candidate && !l.releasing {
 		l.acquire(now, request.Chunks, out)
 		return
@@ -148,15 +192,19 @@
 	if l.version == 0 || l.known.Released {
 		return true
 	}
-	lapse := Duration
+	if l.known.Holder == l.opts.Daemon {
+		// An earlier run of this machine held it and is gone.
+		return true
+	}
+	lapse := l.opts.Timing.Duration
 	if suspected {
-		lapse = suspectDuration
+		lapse = l.opts.Timing.Suspect
 	}
 	return now.Sub(l.changed) >= lapse+l.stagger
 }
 
 func (l *Lease) renew(now time.Time, out *vrevent.Effects) {
-	if now.Sub(l.confirmed) < RenewInterval || now.Before(l.nextRead) {
+	if now.Sub(l.confirmed) < l.opts.Timing.Renew || now.Before(l.nextRead) {
 		return
 	}
 	record := l.known
@@ -213,7 +261,7 @@
 func (l *Lease) read(now time.Time, out *vrevent.Effects) {
 	l.op = l.opts.Ops.Next()
 	l.opSent = now
-	l.nextRead = now.Add(RenewInterval)
+	l.nextRead = now.Add(l.opts.Timing.Renew)
 	out.Add(vrevent.ReadObject{Op: l.op, Key: l.opts.Key})
 }
 
@@ -225,22 +273,25 @@
 	l.op = 0
 	switch event.Outcome {
 	case vrplatform.OutcomeOK:
-		return l.accept(now, l.proposed, event.Version, l.opSent)
+		return l.accept(now, l.proposed, event.Version, true)
 	case vrplatform.OutcomeConflict, vrplatform.OutcomeUnknown:
 		// A lost answer may hide a write that took effect: only a read can tell.
 		l.read(now, out)
 	default:
-		l.nextRead = now.Add(RenewInterval / 2)
+		l.nextRead = now.Add(l.opts.Timing.Renew / 2)
 	}
 	return ChangeNone
 }
 
 // HandleRead takes the answer to a read.
 func (l *Lease) HandleRead(now time.Time, event vrevent.ObjectRead, out *vrevent.Effects) Change {
-	sent := l.opSent
 	l.op = 0
 	switch event.Outcome {
 	case vrplatform.OutcomeNotFound:
+		if l.version != 0 {
+			// A stale read from before the object was created.
+			return ChangeNone
+		}
 		l.seen = true
 		l.version = 0
 		return ChangeNone
@@ -253,11 +304,12 @@
 		out.Warn("lease record is malformed", vrevent.Field("key", l.opts.Key), vrevent.Field("error", err.Error()))
 		return ChangeNone
 	}
-	return l.accept(now, *record, event.Version, sent)
+	return l.accept(now, *record, event.Version, false)
 }
 
-// accept takes a record that is known to stand at a version.
-func (l *Lease) accept(now time.Time, record Record, version vrid.ObjectVersion, sent time.Time) Change {
+// accept takes a record that is known to stand at a version. Only an acknowledged write
+// confirms a hold.
+func (l *Lease) accept(now time.Time, record Record, version vrid.ObjectVersion, written bool) Change {
 	if version < l.version {
 		return ChangeNone
 	}
@@ -268,16 +320,20 @@
 	l.seen = true
 	l.version = version
 	l.known = record
+	if record.Holder != l.opts.Daemon && l.changed.Equal(now) {
+		l.others = now
+	}
 	mine := record.Holder == l.opts.Daemon && record.Boot == l.opts.Boot && !record.Released
 	wasHolding := l.holding
-	l.holding = mine
-	if mine {
-		l.confirmed = sent
+	l.holding = mine && (written || wasHolding)
+	l.reclaim = mine && !l.holding
+	if written && mine {
+		l.confirmed = l.opSent
 	}
-	if mine && !wasHolding {
+	if l.holding && !wasHolding {
 		return ChangeAcquired
 	}
-	if !mine && wasHolding {
+	if !l.holding && wasHolding {
 		return ChangeLost
 	}
 	return ChangeNone
--- a/verbenacore/vrlease/vrlease_test.go
+++ b/verbenacore/vrlease/vrlease_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrlease"
 	"verbenaroute.example/verbenacore/vrplatform"
 	"verbenaroute.example/verbenacore/vrwire"
@@ -45,3 +46,104 @@
 	require.Less(t, lapseOf(t, true), 2*time.Second)
 	require.Greater(t, lapseOf(t, true), vrlease.RenewInterval)
 }
+
+// fakeStore holds one object; a write may be done without an answer, also later.
+type fakeStore struct {
+	version vrid.ObjectVersion
+	value   []byte
+	late    []vrevent.WriteObject
+}
+
+func (s *fakeStore) apply(e vrevent.WriteObject) bool {
+	if e.IfVersion != s.version {
+		return false
+	}
+	s.version++
+	s.value = e.Value
+	return true
+}
+
+// answer carries out the effects; mute writes are kept for later and answered as unknown.
+func (s *fakeStore) answer(now time.Time, lease *vrlease.Lease, out *vrevent.Effects, mute bool) vrlease.Change {
+	change := vrlease.ChangeNone
+	for len(out.List) > 0 {
+		effects := out.List
+		out.List = nil
+		for _, effect := range effects {
+			switch e := effect.(type) {
+			case vrevent.ReadObject:
+				outcome := vrplatform.OutcomeOK
+				if s.version == 0 {
+					outcome = vrplatform.OutcomeNotFound
+				}
+				change = max(change, lease.HandleRead(now, vrevent.ObjectRead{Op: e.Op, Outcome: outcome, Version: s.version, Value: s.value}, out))
+			case vrevent.WriteObject:
+				outcome := vrplatform.OutcomeConflict
+				if mute {
+					s.late = append(s.late, e)
+					outcome = vrplatform.OutcomeUnknown
+				} else if s.apply(e) {
+					outcome = vrplatform.OutcomeOK
+				}
+				change = max(change, lease.HandleWritten(now, vrevent.ObjectWritten{Op: e.Op, Outcome: outcome, Version: s.version}, out))
+			}
+		}
+	}
+	return change
+}
+
+// A holder that takes its own unanswered write for a success gives orders on a hold whose
+// begin it does not know, while a candidate that saw the write earlier takes over.
+func TestUnansweredWriteIsNoHold(t *testing.T) {
+	now := time.Unix(1_790_000_000, 0)
+	store := &fakeStore{}
+	lease := vrlease.New(vrlease.Options{Key: "leases/f", Daemon: "d1", Boot: "b1", Ops: &vrevent.Ops{}, Random: rand.New(rand.NewPCG(1, 2))})
+	request := vrlease.Request{Observe: true, Candidate: true}
+	out := &vrevent.Effects{}
+	lease.Tick(now, request, out)
+	store.answer(now, lease, out, false)
+	lease.Tick(now, request, out)
+	store.answer(now, lease, out, true)
+	require.False(t, lease.Holding())
+
+	for _, write := range store.late {
+		store.apply(write)
+	}
+	now = now.Add(2 * time.Second)
+	lease.Tick(now, vrlease.Request{Observe: true}, out)
+	store.answer(now, lease, out, false)
+	require.False(t, lease.Confirmed(now), "a read shows the record, but not since when it stands")
+
+	lease.Tick(now, request, out)
+	require.Equal(t, vrlease.ChangeAcquired, store.answer(now, lease, out, false))
+	require.True(t, lease.Confirmed(now))
+}
+
+// Servers that ignore fencing numbers would get orders of two machines by turns when a new
+// holder begins while the former one's last orders are still on their way.
+func TestNewHolderStaysQuietAfterAnother(t *testing.T) {
+	now := time.Unix(1_790_000_000, 0)
+	store := &fakeStore{}
+	timing := vrlease.Timing{Duration: 2 * time.Second, Renew: 500 * time.Millisecond, Suspect: time.Second, Quiet: 3 * time.Second}
+	daemon := func(id vrid.DaemonID) *vrlease.Lease {
+		return vrlease.New(vrlease.Options{
+			Key: "leases/f", Daemon: id, Boot: "b", Ops: &vrevent.Ops{}, Random: rand.New(rand.NewPCG(1, 2)), Timing: timing,
+		})
+	}
+	step := func(lease *vrlease.Lease) vrlease.Change {
+		out := &vrevent.Effects{}
+		lease.Tick(now, vrlease.Request{Observe: true, Candidate: true}, out)
+		return store.answer(now, lease, out, false)
+	}
+	first, second := daemon("d1"), daemon("d2")
+	step(first)
+	require.Equal(t, vrlease.ChangeAcquired, step(first))
+	require.False(t, now.Before(first.OrdersFrom()), "nobody held it before")
+	step(second)
+	seen := now
+	for step(second) != vrlease.ChangeAcquired {
+		now = now.Add(100 * time.Millisecond)
+		require.Less(t, now.Sub(seen), 10*time.Second)
+	}
+	require.GreaterOrEqual(t, second.OrdersFrom().Sub(first.Until()), timing.Quiet)
+}
--- /dev/null
+++ b/verbenacore/vrresidence/vrresidence.go
@@ -0,0 +1,148 @@
+// Package vrresidence decides which models the servers of the fleet hold. The load pattern
+// behind it: decode capacity exceeds demand, room for weights does not. Few models carry
+// most requests and change during a day; many are asked for now and then. The first load
+// of a model comes from the shared weight store and is slow; later ones come from the
+// server's own disk or memory and are fast. So the planner keeps busy models on several
+// servers, swaps rare ones through the remaining room on the servers that have copies,
+// and makes copies while the weight store is idle.
+package vrresidence
+
+import (
+	"time"
+
+	"verbenaroute.example/verbenacore/vrcatalog"
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrfleet"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+// Ceiling bounds the loads that begin at the weight store, over all servers, relative to
+// the rate that a service declares.
+type Ceiling struct {
+	Window time.Duration
+	Factor float64
+}
+
+// Options of a planner.
+type Options struct {
+	Ceiling    Ceiling
+	FirstStart bool
+	Zone       vrid.ZoneID
+	Regions    map[vrid.ZoneID]vrid.RegionID
+}
+
+// View is what a plan is made from.
+type View struct {
+	Fleet   *vrfleet.Fleet
+	Catalog *vrcatalog.Catalog
+}
+
+// Notice is word for daemons; To lists who asked.
+type Notice struct {
+	vrwire.Notice
+	To []vrid.DaemonID
+}
+
+// Decision is the outcome of one plan.
+type Decision struct {
+	Orders  []vrevent.PlacementOrder
+	Notices []Notice
+	// Reads are servers whose report is needed.
+	Reads []vrid.ServerID
+}
+
+// key is a model or an adapter of a service.
+type key struct {
+	service vrid.ServiceID
+	model   vrid.ModelID
+	adapter vrid.AdapterID
+}
+
+// Planner is the placement owner's memory.
+type Planner struct {
+	opts   Options
+	began  time.Time
+	demand map[key]*demand
+	work   map[vrid.ServerID]*work
+	counts map[vrid.ServerID]orderCount
+	cool   map[vrid.ServerID]time.Time
+	stores map[vrid.ServiceID]*weightStore
+	// held is when the planner first saw a model on a server.
+	held map[resident]time.Time
+}
+
+type resident struct {
+	server vrid.ServerID
+	model  vrid.ModelID
+}
+
+// orderCount is how many orders a life of a server accepted, by its answers.
+type orderCount struct {
+	born   int64
+	orders uint64
+	// reported is set when the count is a report's: what the orders were is only known
+	// once the server's entry has caught up.
+	reported bool
+}
+
+// settled reports whether what a server holds is known as of its newest order.
+func (p *Planner) settled(server *vrfleet.Server) bool {
+	count := p.counts[server.ID]
+	return count.born != server.Born || !count.reported || server.Orders >= count.orders
+}
+
+// New returns a planner that knows of no demand.
+func New(opts Options) *Planner {
+	return &Planner{
+		opts: opts, demand: make(map[key]*demand), work: make(map[vrid.ServerID]*work),
+		counts: make(map[vrid.ServerID]orderCount), cool: make(map[vrid.ServerID]time.Time),
+		stores: make(map[vrid.ServiceID]*weightStore), held: make(map[resident]time.Time),
+	}
+}
+
+// Begin starts this daemon's time as the owner.
+func (p *Planner) Begin(now time.Time) {
+	p.began = now
+	clear(p.work)
+	clear(p.counts)
+	clear(p.stores)
+}
+
+// Forget drops what is known of a life of a server.
+func (p *Planner) Forget(id vrid.ServerID) {
+	delete(p.work, id)
+	delete(p.counts, id)
+	delete(p.cool, id)
+}
+
+// orders is the number of orders that a server accepted, by its entry or its answers.
+func (p *Planner) orders(server *vrfleet.Server) uint64 {
+	count := p.counts[server.ID]
+	if count.born != server.Born {
+		return server.Orders
+	}
+	return max(count.orders, server.Orders)
+}
+
+// StatusRead takes a server's own report: its count replaces a wrong one.
+func (p *Planner) StatusRead(now time.Time, e vrevent.StatusRead) {
+	w := p.work[e.Server]
+	if e.Status == nil {
+		p.cool[e.Server] = now.Add(retryPause)
+		if w != nil && w.reading {
+			w.reading = false
+			w.retryAt = now.Add(retryPause)
+		}
+		return
+	}
+	p.counts[e.Server] = orderCount{born: e.Status.Born, orders: e.Status.Orders, reported: true}
+	if w == nil {
+		return
+	}
+	w.reading = false
+	w.statusRead(now, e.Status)
+	if w.phase == phaseDropped {
+		delete(p.work, e.Server)
+	}
+}
--- /dev/null
+++ b/verbenacore/vrresidence/work.go
@@ -0,0 +1,284 @@
+package vrresidence
+
+import (
+	"slices"
+	"time"
+
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrfleet"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+const (
+	// retryPause is the pause before a step that met a conflict is tried again.
+	retryPause = 120 * time.Millisecond
+	// statusPause is how long after an order a report shows it: reports lag by some
+	// hundred milliseconds.
+	statusPause = 450 * time.Millisecond
+	// conflictsMost conflicts of one step end its work.
+	conflictsMost = 40
+	// adapterTime is the expected time of an adapter load, of the order of ten
+	// milliseconds while few are in transit.
+	adapterTime = 15 * time.Millisecond
+	// lateOrder is how long an unanswered order may still be carried out.
+	lateOrder = 13 * time.Second
+	// overdue is how long after its expected end an accepted load is given up on, in
+	// expected times.
+	overdue = 4
+)
+
+// tier is where the nearest copy of a model's weights is.
+type tier uint8
+
+const (
+	tierMemory tier = iota
+	tierDisk
+	tierStore
+)
+
+func (t tier) String() string {
+	return [...]string{"memory", "disk", "store"}[t]
+}
+
+// phase is where a server's work stands.
+type phase uint8
+
+const (
+	// phaseDue: the present step has to be ordered.
+	phaseDue phase = iota
+	// phaseSent: it was ordered and not answered yet.
+	phaseSent
+	// phaseAccepted: the server carries it out.
+	phaseAccepted
+	// phaseDropped: the work ended.
+	phaseDropped
+)
+
+// step is one order of a server's work.
+type step struct {
+	kind    vrevent.OrderKind
+	model   vrid.ModelID
+	adapter vrid.AdapterID
+}
+
+// work is a chain of orders to one server: what makes room, then the load.
+type work struct {
+	service vrid.ServiceID
+	born    int64
+	steps   []step
+	phase   phase
+	sentAt  time.Time
+	retryAt time.Time
+	// expected is the count that the present order was sent with.
+	expected  uint64
+	conflicts int
+	reading   bool
+	from      tier
+	// begun is when the load was accepted, eta how long it is expected to take, beside
+	// how many others from the weight store.
+	begun  time.Time
+	eta    time.Duration
+	beside int
+}
+
+func (w *work) load() step { return w.steps[len(w.steps)-1] }
+
+// next goes on to the following step or ends the work.
+func (w *work) next(now time.Time) {
+	w.steps = w.steps[1:]
+	w.conflicts = 0
+	w.phase = phaseDue
+	w.retryAt = now
+	if len(w.steps) == 0 {
+		w.phase = phaseDropped
+	}
+}
+
+// statusRead settles a step whose outcome was unknown, or lets it be tried again.
+func (w *work) statusRead(now time.Time, status *vrevent.ServerStatus) {
+	if w.phase != phaseDue || len(w.steps) == 0 {
+		return
+	}
+	w.retryAt = now
+	if status.Busy {
+		w.retryAt = now.Add(retryPause)
+	}
+	switch {
+	case status.Orders == w.expected:
+	case status.Orders == w.expected+1 && status.Born == w.born && w.holds(status):
+		// The unanswered order was accepted.
+		w.next(now)
+	default:
+		// Another order was accepted: what makes room was planned from another state.
+		w.phase = phaseDropped
+	}
+}
+
+// holds reports whether a report shows the present step as done.
+func (w *work) holds(status *vrevent.ServerStatus) bool {
+	current := w.steps[0]
+	index := slices.IndexFunc(status.Holds, func(h vrfleet.Holding) bool { return h.Model == current.model })
+	held := index >= 0
+	if held && current.adapter != "" {
+		held = slices.Contains(status.Holds[index].Adapters, current.adapter)
+	}
+	return held == (current.kind == vrevent.OrderLoad)
+}
+
+// due returns the orders that are to be given now.
+func (p *Planner) due(now time.Time, view View, decided *Decision) {
+	for _, id := range p.workers() {
+		w := p.work[id]
+		server := view.Fleet.Server(id)
+		if server == nil || server.Born != w.born || !server.Takes() {
+			delete(p.work, id)
+			continue
+		}
+		p.settle(now, server, w)
+		if p.work[id] == nil || w.phase != phaseDue || now.Before(w.retryAt) || w.reading {
+			continue
+		}
+		p.order(now, server, w, decided)
+	}
+}
+
+func (p *Planner) workers() []vrid.ServerID {
+	ids := make([]vrid.ServerID, 0, len(p.work))
+	for id := range p.work {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (p *Planner) order(now time.Time, server *vrfleet.Server, w *work, decided *Decision) {
+	current := w.steps[0]
+	if current.kind == vrevent.OrderLoad && current.adapter == "" && w.from == tierStore && !p.store(w.service).begin(now) {
+		w.retryAt = now.Add(retryPause)
+		return
+	}
+	w.phase = phaseSent
+	w.sentAt = now
+	w.expected = p.orders(server)
+	decided.Orders = append(decided.Orders, vrevent.PlacementOrder{
+		Server: server.ID, Address: server.Address, Kind: current.kind,
+		Model: current.model, Adapter: current.adapter, Expected: w.expected,
+	})
+	if current.kind == vrevent.OrderUnload {
+		decided.Notices = append(decided.Notices, Notice{Notice: vrwire.Notice{
+			Kind: vrwire.NoticeLosing, Service: w.service, Model: current.model, Adapter: current.adapter, Server: server.ID,
+		}})
+	}
+}
+
+// settle ends an accepted step that the server's entry shows as done, and gives up on one
+// that is long overdue.
+func (p *Planner) settle(now time.Time, server *vrfleet.Server, w *work) {
+	if w.phase != phaseAccepted {
+		return
+	}
+	current := w.steps[0]
+	if current.kind == vrevent.OrderLoad && hasModel(server, current.model) {
+		if w.from == tierStore {
+			p.store(w.service).ended(now.Sub(w.begun), w)
+		}
+		p.held[resident{server.ID, current.model}] = now
+		p.served(key{service: w.service, model: current.model})
+		delete(p.work, server.ID)
+		return
+	}
+	if now.Sub(w.begun) > overdue*w.eta+time.Second {
+		if w.from == tierStore {
+			p.store(w.service).ended(now.Sub(w.begun), w)
+		}
+		delete(p.work, server.ID)
+	}
+}
+
+func hasModel(server *vrfleet.Server, model vrid.ModelID) bool {
+	return slices.ContainsFunc(server.Holdings(), func(h vrfleet.Holding) bool { return h.Model == model })
+}
+
+// OrderEnded takes the end of an order and returns word for the daemons.
+func (p *Planner) OrderEnded(now time.Time, e vrevent.OrderEnded, fleet *vrfleet.Fleet) []Notice {
+	w := p.work[e.Order.Server]
+	server := fleet.Server(e.Order.Server)
+	if w == nil || server == nil || w.phase != phaseSent || w.born != server.Born || w.expected != e.Order.Expected {
+		return nil
+	}
+	current := w.steps[0]
+	switch e.Outcome {
+	case vrevent.OrderAccepted, vrevent.OrderHolds:
+		if e.Outcome == vrevent.OrderAccepted || current.kind == vrevent.OrderUnload || current.adapter != "" {
+			p.counts[server.ID] = orderCount{born: server.Born, orders: w.expected + 1}
+		}
+		return p.accepted(now, server, w, current)
+	case vrevent.OrderConflict:
+		p.conflict(now, server, w)
+	case vrevent.OrderUnknown:
+		// The same order with the same count is safe to send again: whichever comes first
+		// is accepted, the other one meets another count.
+		w.phase, w.retryAt = phaseDue, now.Add(statusPause)
+		w.conflicts++
+	case vrevent.OrderNotGiven:
+		w.phase, w.retryAt = phaseDue, now.Add(retryPause)
+		w.conflicts += 4
+	default:
+		delete(p.work, server.ID)
+		p.cool[server.ID] = now.Add(time.Second)
+	}
+	if w.conflicts > conflictsMost {
+		delete(p.work, server.ID)
+		p.cool[server.ID] = now.Add(time.Second)
+	}
+	return nil
+}
+
+// conflict tries again shortly while an earlier order is under way, and reads the
+// server's report when its count may differ.
+func (p *Planner) conflict(now time.Time, _ *vrfleet.Server, w *work) {
+	w.conflicts++
+	w.phase, w.retryAt = phaseDue, now.Add(retryPause)
+	const readEach = 4
+	if w.conflicts%readEach == 0 {
+		w.reading = true
+		w.retryAt = now
+	}
+}
+
+func (p *Planner) accepted(now time.Time, server *vrfleet.Server, w *work, current step) []Notice {
+	switch {
+	case current.kind == vrevent.OrderUnload:
+		if current.adapter != "" {
+			server.Displace(current.model, current.adapter)
+		} else {
+			server.Missing(now, current.model, "")
+			delete(p.held, resident{server.ID, current.model})
+		}
+		w.next(now)
+		return nil
+	case current.adapter != "":
+		server.Place(now.Add(adapterTime), current.model, current.adapter)
+		delete(p.work, server.ID)
+		k := key{service: w.service, model: current.model, adapter: current.adapter}
+		notice := Notice{
+			Notice: vrwire.Notice{
+				Kind: vrwire.NoticeComing, Service: w.service, Model: current.model, Adapter: current.adapter,
+				Server: server.ID, In: adapterTime.Milliseconds(),
+			},
+			To: p.askers(now, k, 0),
+		}
+		p.served(k)
+		return []Notice{notice}
+	}
+	w.phase, w.begun = phaseAccepted, now
+	k := key{service: w.service, model: current.model}
+	return []Notice{{
+		Notice: vrwire.Notice{
+			Kind: vrwire.NoticeComing, Service: w.service, Model: current.model, Server: server.ID,
+			In: w.eta.Milliseconds(),
+		},
+		To: p.askers(now, k, 0),
+	}}
+}
--- a/verbenacore/vrsettings/load.go
+++ b/verbenacore/vrsettings/load.go
@@ -17,8 +17,22 @@
 // parser, which has no limit of its own; a file with 200 seeds has about 20 KB.
 const MaxFile = 256 << 10
 
-// Load reads and checks a settings file.
-func Load(path string) (*Settings, error) {
+// Document is a kind of settings file.
+type Document[T any] interface {
+	*T
+	// WithDefaults returns a copy in which every value that is zero has its default.
+	WithDefaults() *T
+	// Validate reports every mistake at once.
+	Validate() error
+}
+
+// Load reads and checks a daemon's settings file.
+func Load(path string) (*Settings, error) { return load[Settings](path) }
+
+// LoadGateway reads and checks a gateway's settings file.
+func LoadGateway(path string) (*Gateway, error) { return load[Gateway](path) }
+
+func load[T any, P Document[T]](path string) (*T, error) {
 	file, err := os.Open(path)
 	if err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
@@ -28,7 +42,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
 	}
-	settings, err := Parse(data)
+	settings, err := parse[T, P](data)
 	if err != nil {
 		return nil, fmt.Errorf("settings %s:\n%w", path, err)
 	}
@@ -37,7 +51,12 @@
 
 // Parse reads settings, fills in the defaults and reports every mistake at once as a
 // *vrconfig.CheckError.
-func Parse(data []byte) (*Settings, error) {
+func Parse(data []byte) (*Settings, error) { return parse[Settings](data) }
+
+// ParseGateway does the same for a gateway's settings.
+func ParseGateway(data []byte) (*Gateway, error) { return parse[Gateway](data) }
+
+func parse[T any, P Document[T]](data []byte) (*T, error) {
 	checker := &vrconfig.Checker{}
 	if len(data) > MaxFile {
 		checker.Require(false, "file", fmt.Sprintf("more than %d bytes", MaxFile), fmt.Sprintf("at most %d bytes", MaxFile))
@@ -49,14 +68,14 @@
 		return nil, checker.Err()
 	}
 	scanner := newScanner(data)
-	scanner.scan(&document, reflect.TypeFor[Settings](), "")
+	scanner.scan(&document, reflect.TypeFor[T](), "")
 	document.Standardize()
-	settings := &Settings{}
+	settings := new(T)
 	if err := vrcodec.DecodeStrictJSON(document.Pack(), settings); err != nil {
 		scanner.add("file", 0, err.Error(), "a settings document")
 	}
-	settings = settings.WithDefaults()
-	return settings, scanner.merge(settings.Validate())
+	settings = P(settings).WithDefaults()
+	return settings, scanner.merge(P(settings).Validate())
 }
 
 // syntaxMistake takes the place from the parser's text, because the parser has no
--- a/verbenacore/vrsettings/scan.go
+++ b/verbenacore/vrsettings/scan.go
@@ -59,6 +59,8 @@
 		s.object(value, kind, field)
 	case kind.Kind() == reflect.Slice:
 		s.array(value, kind, field)
+	case kind.Kind() == reflect.Map:
+		s.table(value, kind, field)
 	default:
 		s.leaf(value, kind, field)
 	}
@@ -123,6 +125,18 @@
 	}
 }
 
+// table scans an object whose member names are chosen by who writes the file.
+func (s *scanner) table(value *hujson.Value, kind reflect.Type, field string) {
+	object, ok := value.Value.(*hujson.Object)
+	if !ok {
+		s.refuse(value, field, "an object")
+		return
+	}
+	for i := range object.Members {
+		s.scan(&object.Members[i].Value, kind.Elem(), field+"."+memberName(object.Members[i]))
+	}
+}
+
 func (s *scanner) leaf(value *hujson.Value, kind reflect.Type, field string) {
 	literal, ok := value.Value.(hujson.Literal)
 	if !ok {
@@ -195,6 +209,8 @@
 			return `a duration such as "1.5s"`
 		}
 		return "a whole number"
+	case reflect.Float64:
+		return "a number"
 	default:
 		return "a whole number"
 	}
--- a/verbenacore/vrwire/vrwire.go
+++ b/verbenacore/vrwire/vrwire.go
@@ -109,6 +109,8 @@
 	QueryRequest   *QueryRequest   `protobuf:"bytes,27,opt,name=queryRequest,proto3"`
 	QueryReply     *QueryReply     `protobuf:"bytes,28,opt,name=queryReply,proto3"`
 	ServerNotice   *ServerNotice   `protobuf:"bytes,29,opt,name=serverNotice,proto3"`
+	Wants          *Wants          `protobuf:"bytes,30,opt,name=wants,proto3"`
+	Notices        *Notices        `protobuf:"bytes,31,opt,name=notices,proto3"`
 }
 
 // messages lists the fields of which exactly one is set.
@@ -138,6 +140,8 @@
 	add(e.QueryRequest != nil, e.QueryRequest)
 	add(e.QueryReply != nil, e.QueryReply)
 	add(e.ServerNotice != nil, e.ServerNotice)
+	add(e.Wants != nil, e.Wants)
+	add(e.Notices != nil, e.Notices)
 	return set
 }
 
--- a/verbenaroute/main.go
+++ b/verbenaroute/main.go
@@ -44,6 +44,7 @@
 	var path string
 	root.PersistentFlags().StringVar(&path, "config", "verbenaroute.json", "settings file, JSON with comments")
 	root.AddCommand(
+		newGatewayCommand(),
 		&cobra.Command{
 			Use:   "serve",
 			Short: "Run the daemon until SIGTERM or SIGINT",
