Count orders by servers' reports, not by their entries

Cause: an entry's sequence counts registrations, a report's counts accepted orders; every order carried the wrong expected count. Ruled out: an order under way (reports said busy false).

--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -38,8 +38,8 @@
 	// Born is the start of this life of the server in Unix milliseconds. A server that
 	// starts again may keep its id.
 	Born int64
-	// Orders counts the orders that this life of the server accepted.
-	Orders  uint64
+	// Beat counts the registrations of this life of the server; a lower one is older.
+	Beat    uint64
 	Holds   []Holding
 	InHost  []vrid.ModelID
 	OnDisk  []vrid.ModelID
@@ -132,7 +132,7 @@
 	if server.State != entry.State {
 		change = ChangeState
 	}
-	if entry.Orders < server.Orders {
+	if entry.Beat < server.Beat {
 		// An older copy of the entry, for example from a stale read.
 		return ChangeNone
 	}
@@ -304,3 +304,10 @@
 	slices.Sort(adapters)
 	return adapters
 }
+
+// Correct replaces what the server holds by its own report, which is newer than its entry.
+func (s *Server) Correct(holds []Holding, inHost, onDisk []vrid.ModelID) {
+	s.Entry.Holds, s.InHost, s.OnDisk = holds, inHost, onDisk
+	clear(s.missing)
+	clear(s.placed)
+}
--- a/verbenacore/vrgateway/servers.go
+++ b/verbenacore/vrgateway/servers.go
@@ -99,7 +99,7 @@
 	switch change {
 	case vrfleet.ChangeAdded, vrfleet.ChangeReborn, vrfleet.ChangeState:
 		out.Info("server seen", text("server", entry.ID), text("service", entry.Service), text("zone", entry.Zone),
-			text("change", changeName(change)), text("state", stateName(entry.State)), number("orders", entry.Orders),
+			text("change", changeName(change)), text("state", stateName(entry.State)), number("beat", entry.Beat),
 			number("holds", uint64(len(entry.Holds))), number("onDisk", uint64(len(entry.OnDisk))),
 			number("inHost", uint64(len(entry.InHost))))
 	default:
--- a/verbenacore/vrresidence/adapters.go
+++ b/verbenacore/vrresidence/adapters.go
@@ -53,7 +53,7 @@
 			return
 		}
 		held = true
-		if s.planner.work[server.ID] != nil || server.Aside(s.now) || !s.planner.settled(server) {
+		if s.planner.work[server.ID] != nil || server.Aside(s.now) || !s.planner.settled(s.now, server, s.out) {
 			continue
 		}
 		victimModel, victim, ok := s.adapterVictim(server)
--- a/verbenacore/vrresidence/plan.go
+++ b/verbenacore/vrresidence/plan.go
@@ -236,7 +236,7 @@
 
 func (s *site) candidate(server *vrfleet.Server, w wish) *candidate {
 	p := s.planner
-	if !server.Takes() || p.work[server.ID] != nil || !p.settled(server) || server.Aside(s.now) || s.now.Before(p.cool[server.ID]) || hasModel(server, w.model.ID) {
+	if !server.Takes() || p.work[server.ID] != nil || server.Aside(s.now) || s.now.Before(p.cool[server.ID]) || hasModel(server, w.model.ID) || !p.settled(s.now, server, s.out) {
 		return nil
 	}
 	from := s.tierOf(server, w.model.ID)
--- a/verbenacore/vrresidence/vrresidence.go
+++ b/verbenacore/vrresidence/vrresidence.go
@@ -66,6 +66,7 @@
 	demand map[key]*demand
 	work   map[vrid.ServerID]*work
 	counts map[vrid.ServerID]orderCount
+	asked  map[vrid.ServerID]time.Time
 	cool   map[vrid.ServerID]time.Time
 	stores map[vrid.ServiceID]*weightStore
 	// held is when the planner first saw a model on a server.
@@ -77,26 +78,34 @@
 	model  vrid.ModelID
 }
 
-// orderCount is how many orders a life of a server accepted, by its answers.
+// orderCount is how many orders a life of a server accepted, by its report and answers.
 type orderCount struct {
 	born   int64
 	orders uint64
-	// reported is set when the count is a report's: what the orders were is only known
-	// once the server's entry has caught up.
-	reported bool
 }
 
-// settled reports whether what a server holds is known as of its newest order.
-func (p *Planner) settled(server *vrfleet.Server) bool {
-	count := p.counts[server.ID]
-	return count.born != server.Born || !count.reported || server.Orders >= count.orders
+// readPause is the pause between two questions for a server's report.
+const readPause = 300 * time.Millisecond
+
+// settled reports whether the number of orders that a server accepted is known. It asks
+// for the report of one of which it is not.
+func (p *Planner) settled(now time.Time, server *vrfleet.Server, decided *Decision) bool {
+	count, known := p.counts[server.ID]
+	if known && count.born == server.Born {
+		return true
+	}
+	if now.Sub(p.asked[server.ID]) >= readPause {
+		p.asked[server.ID] = now
+		decided.Reads = append(decided.Reads, server.ID)
+	}
+	return false
 }
 
 // New returns a planner that knows of no demand.
 func New(opts Options) *Planner {
 	return &Planner{
 		opts: opts, demand: make(map[key]*demand), work: make(map[vrid.ServerID]*work),
-		counts: make(map[vrid.ServerID]orderCount), cool: make(map[vrid.ServerID]time.Time),
+		counts: make(map[vrid.ServerID]orderCount), asked: make(map[vrid.ServerID]time.Time), cool: make(map[vrid.ServerID]time.Time),
 		stores: make(map[vrid.ServiceID]*weightStore), held: make(map[resident]time.Time),
 	}
 }
@@ -116,19 +125,16 @@
 	delete(p.cool, id)
 }
 
-// orders is the number of orders that a server accepted, by its entry or its answers.
-func (p *Planner) orders(server *vrfleet.Server) uint64 {
-	count := p.counts[server.ID]
-	if count.born != server.Born {
-		return server.Orders
-	}
-	return max(count.orders, server.Orders)
-}
-
-// StatusRead takes a server's own report: its count replaces a wrong one.
-func (p *Planner) StatusRead(now time.Time, e vrevent.StatusRead) {
+// StatusRead takes a server's own report. What it holds and how many orders it accepted are
+// of one moment, so a plan that is made from both is safe: an order is only accepted if the
+// count still stands.
+func (p *Planner) StatusRead(now time.Time, e vrevent.StatusRead, fleet *vrfleet.Fleet) {
 	w := p.work[e.Server]
-	if e.Status == nil {
+	server := fleet.Server(e.Server)
+	if w != nil && w.phase != phaseDue {
+		return
+	}
+	if e.Status == nil || server == nil || e.Status.Born != server.Born {
 		p.cool[e.Server] = now.Add(retryPause)
 		if w != nil && w.reading {
 			w.reading = false
@@ -136,7 +142,12 @@
 		}
 		return
 	}
-	p.counts[e.Server] = orderCount{born: e.Status.Born, orders: e.Status.Orders, reported: true}
+	server.Load(now, e.Status.Running, e.Status.Waiting)
+	count, known := p.counts[e.Server]
+	if !known || count != (orderCount{born: e.Status.Born, orders: e.Status.Orders}) {
+		p.counts[e.Server] = orderCount{born: e.Status.Born, orders: e.Status.Orders}
+		server.Correct(e.Status.Holds, e.Status.InHost, e.Status.OnDisk)
+	}
 	if w == nil {
 		return
 	}
--- a/verbenacore/vrresidence/work.go
+++ b/verbenacore/vrresidence/work.go
@@ -160,7 +160,7 @@
 	}
 	w.phase = phaseSent
 	w.sentAt = now
-	w.expected = p.orders(server)
+	w.expected = p.counts[server.ID].orders
 	decided.Orders = append(decided.Orders, vrevent.PlacementOrder{
 		Server: server.ID, Address: server.Address, Kind: current.kind,
 		Model: current.model, Adapter: current.adapter, Expected: w.expected,
@@ -210,7 +210,10 @@
 	current := w.steps[0]
 	switch e.Outcome {
 	case vrevent.OrderAccepted, vrevent.OrderHolds:
-		if e.Outcome == vrevent.OrderAccepted || current.kind == vrevent.OrderUnload || current.adapter != "" {
+		if e.Outcome == vrevent.OrderHolds && current.kind == vrevent.OrderLoad {
+			// Whether an order that changes nothing counts is not known.
+			delete(p.counts, server.ID)
+		} else {
 			p.counts[server.ID] = orderCount{born: server.Born, orders: w.expected + 1}
 		}
 		return p.accepted(now, server, w, current)
