--- a/verbenacore/vrevent/gateway.go
+++ b/verbenacore/vrevent/gateway.go
@@ -6,6 +6,7 @@
 	"verbenaroute.example/verbenacore/vrcatalog"
 	"verbenaroute.example/verbenacore/vrfleet"
 	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrretry"
 	"verbenaroute.example/verbenacore/vrwire"
 )
 
@@ -160,6 +161,9 @@
 	// PeersListed are the daemons that registered, alive or not.
 	PeersListed struct{ Peers []Peer }
 
+	// RetriesBounded replaces the bounds of repeats after the settings changed.
+	RetriesBounded struct{ Options vrretry.Options }
+
 	// OrderEnded answers GiveOrder.
 	OrderEnded struct {
 		Order   PlacementOrder
@@ -174,17 +178,18 @@
 	}
 )
 
-func (CallArrived) isEvent()  {}
-func (SendEnded) isEvent()    {}
-func (CallLeft) isEvent()     {}
-func (FleetListed) isEvent()  {}
-func (FleetChanged) isEvent() {}
-func (CatalogSeen) isEvent()  {}
-func (StoreLost) isEvent()    {}
-func (StoreBack) isEvent()    {}
-func (PeersListed) isEvent()  {}
-func (OrderEnded) isEvent()   {}
-func (StatusRead) isEvent()   {}
+func (CallArrived) isEvent()    {}
+func (SendEnded) isEvent()      {}
+func (CallLeft) isEvent()       {}
+func (FleetListed) isEvent()    {}
+func (FleetChanged) isEvent()   {}
+func (CatalogSeen) isEvent()    {}
+func (StoreLost) isEvent()      {}
+func (StoreBack) isEvent()      {}
+func (PeersListed) isEvent()    {}
+func (OrderEnded) isEvent()     {}
+func (RetriesBounded) isEvent() {}
+func (StatusRead) isEvent()     {}
 
 // Effects of the gateway.
 type (
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -140,6 +140,8 @@
 		s.storeLost(now, e, out)
 	case vrevent.StoreBack:
 		s.storeBack(now, out)
+	case vrevent.RetriesBounded:
+		s.budget.Bound(e.Options)
 	case vrevent.PeersListed:
 		s.peersListed(e, out)
 	case vrevent.ObjectRead:
--- a/verbenacore/vrresidence/plan.go
+++ b/verbenacore/vrresidence/plan.go
@@ -63,9 +63,9 @@
 	}
 	p.due(now, view, &decided)
 	for id, w := range p.work {
-		if w.reading && now.Sub(w.sentAt) >= statusPause {
+		if w.reading && now.Sub(w.sentAt) >= statusPause && now.Sub(p.asked[id]) >= readPause {
+			p.asked[id] = now
 			decided.Reads = append(decided.Reads, id)
-			w.sentAt = now
 		}
 	}
 	return decided
--- a/verbenacore/vrresidence/vrresidence.go
+++ b/verbenacore/vrresidence/vrresidence.go
@@ -143,6 +143,17 @@
 		return
 	}
 	server.Load(now, e.Status.Running, e.Status.Waiting)
+	if e.Status.Busy || e.Status.PendingAdapters > 0 {
+		// An order that is under way counts already, but what it loads is not in the list
+		// yet: a plan from this report could take the same room twice.
+		delete(p.counts, e.Server)
+		if w != nil && w.reading {
+			w.reading = false
+			w.retryAt = now.Add(retryPause)
+			w.unsure = true
+		}
+		return
+	}
 	count, known := p.counts[e.Server]
 	if !known || count != (orderCount{born: e.Status.Born, orders: e.Status.Orders}) {
 		p.counts[e.Server] = orderCount{born: e.Status.Born, orders: e.Status.Orders}
@@ -152,6 +163,7 @@
 		return
 	}
 	w.reading = false
+	w.unsure = false
 	w.statusRead(now, e.Status)
 	if w.phase == phaseDropped {
 		delete(p.work, e.Server)
--- a/verbenacore/vrresidence/work.go
+++ b/verbenacore/vrresidence/work.go
@@ -74,6 +74,8 @@
 	expected  uint64
 	conflicts int
 	reading   bool
+	// unsure is set while the count of orders that the server accepted is not known.
+	unsure bool
 	from      tier
 	// begun is when the load was accepted, eta how long it is expected to take, beside
 	// how many others from the weight store.
@@ -139,6 +141,10 @@
 		if p.work[id] == nil || w.phase != phaseDue || now.Before(w.retryAt) || w.reading {
 			continue
 		}
+		if w.unsure {
+			w.reading = true
+			continue
+		}
 		p.order(now, server, w, decided)
 	}
 }
--- a/verbenacore/vrretry/vrretry.go
+++ b/verbenacore/vrretry/vrretry.go
@@ -43,6 +43,14 @@
 	return &Budget{opts: opts, daemons: 1, services: make(map[vrid.ServiceID]*window)}
 }
 
+// Bound replaces the options.
+func (b *Budget) Bound(opts Options) {
+	if opts.Window != b.opts.Window {
+		clear(b.services)
+	}
+	b.opts = opts
+}
+
 // SetDaemons divides the slack by the number of daemons that may be alive.
 func (b *Budget) SetDaemons(count int) { b.daemons = max(count, 1) }
 
--- a/verbenaroute/gateway.go
+++ b/verbenaroute/gateway.go
@@ -1,13 +1,16 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
+	"go.uber.org/zap"
 
 	"verbenaroute.example/verbenacore/vrsettings"
 
@@ -48,5 +51,43 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signal.Ignore(syscall.SIGPIPE)
-	return vrnode.New(settings, log).Run(ctx)
+	node := vrnode.New(settings, log)
+	go followSettings(ctx, path, node, log)
+	return node.Run(ctx)
+}
+
+// settingsInterval is the pause between two looks at the settings file, which also changes
+// without a signal.
+const settingsInterval = 2 * time.Second
+
+// followSettings reloads the settings on SIGHUP and when the file has changed. A file that
+// can't be used is logged, and the settings in force stay.
+func followSettings(ctx context.Context, path string, node *vrnode.Node, log *zap.Logger) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	held, _ := os.ReadFile(path)
+	for {
+		signaled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			signaled = true
+		case <-ticker.C:
+		}
+		data, err := os.ReadFile(path)
+		if err != nil || (!signaled && bytes.Equal(data, held)) {
+			continue
+		}
+		held = data
+		settings, err := vrsettings.ParseGateway(data)
+		if err != nil {
+			log.Error("settings not reloaded", vrlog.Error(err))
+			continue
+		}
+		node.Reload(settings)
+	}
 }
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -56,6 +56,8 @@
 	ready   atomic.Bool
 	leaving atomic.Bool
 	catalog atomic.Pointer[vrcatalog.Catalog]
+	// grace is the time for a shutdown, which new settings may change.
+	grace   atomic.Int64
 	base    context.Context
 	cancel  context.CancelFunc
 	loops   conc.WaitGroup
@@ -65,6 +67,7 @@
 func New(settings *vrsettings.Gateway, log *zap.Logger) *Node {
 	n := &Node{settings: settings, log: log, boot: vrid.BootID(ulid.Make().String()), engine: vradapter.NewEngine()}
 	n.base, n.cancel = context.WithCancel(context.Background())
+	n.grace.Store(int64(settings.Bounds.Grace.Std()))
 	n.metrics = newMetrics(n)
 	n.store = vradapter.NewStore(vradapter.StoreOptions{
 		Address: settings.Store, Calls: n.metrics.storeCall, Bad: n.badObject(),
@@ -75,7 +78,7 @@
 		FirstStart: settings.FirstStart, Random: rand.Uint64(),
 		Bounds: vrgateway.Bounds{
 			Lease:   bounds.Lease.Std(),
-			Retries: vrretry.Options{Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow.Std()},
+			Retries: retryOptions(bounds),
 			Ceiling: vrresidence.Ceiling{Window: bounds.CeilingWindow.Std(), Factor: bounds.CeilingFactor},
 		},
 	})
@@ -155,6 +158,19 @@
 	}
 }
 
+func retryOptions(bounds vrsettings.GatewayBounds) vrretry.Options {
+	return vrretry.Options{Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow.Std()}
+}
+
+// Reload takes new settings. Bounds take effect at once; addresses and the zone only with
+// the next start, which the log says.
+func (n *Node) Reload(settings *vrsettings.Gateway) {
+	n.Submit(vrevent.RetriesBounded{Options: retryOptions(settings.Bounds)})
+	n.grace.Store(int64(settings.Bounds.Grace.Std()))
+	fixed := settings.Callers != n.settings.Callers || settings.Peers != n.settings.Peers || settings.Zone != n.settings.Zone
+	n.log.Info("settings reloaded", zap.Bool("needsRestart", fixed))
+}
+
 // Run serves until the context ends, then shuts down within the grace.
 func (n *Node) Run(ctx context.Context) error {
 	n.log.Info("gateway starts", zap.String("daemon", string(n.settings.Daemon)), zap.String("boot", string(n.boot)),
@@ -251,7 +267,7 @@
 	n.log.Info("gateway stops", zap.Int("openCalls", n.front.Active()))
 	n.Submit(vrevent.ShutdownRequested{})
 	time.Sleep(rotationTime)
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(n.settings.Bounds.Grace.Std()-exitMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(time.Duration(n.grace.Load())-exitMargin))
 	defer cancel()
 	err := n.front.Close(ctx)
 	n.log.Info("gateway stopped", zap.Int("openCalls", n.front.Active()), zap.Duration("took", time.Since(begun)))
