Choose servers and size replicas by the prompts they have to read

Ruled out: time to the first event (1 of 840 over 380 ms).

Change: a daemon counts the prompt tokens that it sent and that have brought no event; the read rate is measured; a busy model gets servers by its prompt tokens a second, spread over zones. A shutdown answers open calls before its grace ends.

--- a/verbenacore/vrchoice/vrchoice.go
+++ b/verbenacore/vrchoice/vrchoice.go
@@ -12,19 +12,21 @@
 	"verbenaroute.example/verbenacore/vrid"
 )
 
-// Weights of the cost, in full servers.
+// Weights of the cost, which is the delay in seconds that a request is expected to meet.
 const (
-	// otherZoneCost and otherRegionCost keep requests near while loads are even.
-	otherZoneCost   = 0.02
-	otherRegionCost = 0.05
-	// paceCost is added for a server that is twice as slow as the fastest candidate.
-	paceCost = 0.25
-	paceMost = 2.0
-	// failureCost is added for a server that fails every request.
-	failureCost = 1.0
+	// fullDelay is the delay at a server whose slots are all taken.
+	fullDelay = 0.2
+	// otherZoneDelay and otherRegionDelay keep requests near while servers are even: a
+	// daemon knows most of what is sent to the servers of its own zone.
+	otherZoneDelay   = 0.01
+	otherRegionDelay = 0.03
+	// paceMost bounds what a slow server's mean time to the first byte counts.
+	paceMost = 0.5
+	// failureDelay is the delay by a failed send.
+	failureDelay = 1.0
 	// spread is the random part, which keeps daemons with the same view from sending
 	// everything to one server.
-	spread = 0.04
+	spread = 0.01
 )
 
 // Need is what a request needs of a server.
@@ -112,16 +114,17 @@
 }
 
 func (c *Chooser) cost(now time.Time, server *vrfleet.Server, fastest time.Duration) float64 {
-	cost := float64(server.Busy(now)) / float64(max(server.Slots, 1))
+	cost := fullDelay * float64(server.Busy(now)) / float64(max(server.Slots, 1))
+	cost += c.Fleet.Backlog(server).Seconds()
 	switch {
 	case server.Zone == c.Zone:
 	case c.Regions[server.Zone] == c.Regions[c.Zone]:
-		cost += otherZoneCost
+		cost += otherZoneDelay
 	default:
-		cost += otherRegionCost
+		cost += otherRegionDelay
 	}
 	if pace := server.Pace(); fastest > 0 && pace > fastest {
-		cost += paceCost * min(float64(pace)/float64(fastest)-1, paceMost)
+		cost += min((pace - fastest).Seconds(), paceMost)
 	}
-	return cost + failureCost*server.FailureRate() + spread*c.Random.Float64()
+	return cost + failureDelay*server.FailureRate() + spread*c.Random.Float64()
 }
--- a/verbenacore/vrevent/gateway.go
+++ b/verbenacore/vrevent/gateway.go
@@ -130,6 +130,8 @@
 		Status int
 		// ToFirst is the time from the send to the first byte of the answer.
 		ToFirst time.Duration
+		// Longest is the longest pause between two reads of a stream.
+		Longest time.Duration
 		Load    *ServerLoad
 		// Begun is set once a part of the answer was passed to the client.
 		Begun bool
@@ -138,6 +140,13 @@
 		Detail string
 	}
 
+	// SendBegan says that the first bytes of an answer's body came.
+	SendBegan struct {
+		Call    CallID
+		Send    int
+		ToFirst time.Duration
+	}
+
 	// CallLeft says that the client of a waiting call closed its connection.
 	CallLeft struct{ Call CallID }
 
@@ -171,6 +180,9 @@
 		Detail  string
 	}
 
+	// GraceEnds says that a shutdown is about to end: every open call gets its answer now.
+	GraceEnds struct{}
+
 	// StatusRead answers ReadStatus; Status is nil when the server did not answer.
 	StatusRead struct {
 		Server vrid.ServerID
@@ -179,6 +191,7 @@
 )
 
 func (CallArrived) isEvent()    {}
+func (SendBegan) isEvent()      {}
 func (SendEnded) isEvent()      {}
 func (CallLeft) isEvent()       {}
 func (FleetListed) isEvent()    {}
@@ -189,6 +202,7 @@
 func (PeersListed) isEvent()    {}
 func (OrderEnded) isEvent()     {}
 func (RetriesBounded) isEvent() {}
+func (GraceEnds) isEvent()      {}
 func (StatusRead) isEvent()     {}
 
 // Effects of the gateway.
--- a/verbenacore/vrfleet/health.go
+++ b/verbenacore/vrfleet/health.go
@@ -86,3 +86,35 @@
 	}
 	return sum / float64(count)
 }
+
+const (
+	// rateTokens is the length of a prompt from which its time to the first event tells how
+	// fast prompts are read; shorter ones mostly tell of the network.
+	rateTokens = 1200
+	// rateFade lets a rate fall that was measured when much of a prompt was kept.
+	rateFade = 0.98
+	// firstRate is assumed until a prompt was measured, in tokens a second.
+	firstRate = 20_000.0
+)
+
+// Read notes the time to the first event of a prompt.
+func (f *Fleet) Read(tokens int, toFirst time.Duration) {
+	if tokens < rateTokens || toFirst <= 0 {
+		return
+	}
+	f.readRate = max(f.readRate*rateFade, float64(tokens)/toFirst.Seconds())
+}
+
+// ReadRate is how many prompt tokens a second one server reads, about; zero before it was
+// measured.
+func (f *Fleet) ReadRate() float64 { return f.readRate }
+
+// Backlog is the time that the server needs to read the prompts which this daemon sent it
+// and of which no event has come.
+func (f *Fleet) Backlog(server *Server) time.Duration {
+	rate := f.readRate
+	if rate <= 0 {
+		rate = firstRate
+	}
+	return time.Duration(float64(server.Unread) / rate * float64(time.Second))
+}
--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -54,6 +54,8 @@
 	LoadAt           time.Time
 	// InFlight counts this daemon's own requests there, SentSince those sent after LoadAt.
 	InFlight, SentSince int
+	// Unread are the prompt tokens of this daemon's requests without a first event.
+	Unread int
 	// Gone is set when the registration was removed; requests that run there may end.
 	Gone bool
 	// SeenAt is when this daemon learned of this life of the server.
@@ -76,6 +78,7 @@
 	servers map[vrid.ServerID]*Server
 	// byService lists the servers that are not gone, ordered by id.
 	byService map[vrid.ServiceID][]*Server
+	readRate  float64
 }
 
 // New returns an empty fleet.
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -1,6 +1,7 @@
 package vrgateway
 
 import (
+	"slices"
 	"time"
 
 	"verbenaroute.example/verbenacore/vrcatalog"
@@ -52,6 +53,8 @@
 	waitSince time.Time
 	// held is set while a server's failure is kept back.
 	held bool
+	// reading is set from a send until its first event.
+	reading bool
 }
 
 func (c *call) target() target {
@@ -90,6 +93,10 @@
 
 // dispatch sends a call, lets it wait or refuses it.
 func (s *State) dispatch(now time.Time, c *call, out *vrevent.Effects) {
+	if s.closing {
+		s.end(now, c, vrwire.ReasonShuttingDown, shortRetry, out)
+		return
+	}
 	if !now.Before(c.until.Add(-answerMargin)) {
 		s.giveUp(now, c, out)
 		return
@@ -119,6 +126,8 @@
 	c.sends++
 	c.server, c.sentAt = server, now
 	server.Sent()
+	server.Unread += c.PromptTokens
+	c.reading = true
 	s.counts.Sent++
 	effect := vrevent.SendCall{
 		Call: c.ID, Send: c.sends, Server: server.ID, Address: server.Address,
@@ -153,6 +162,24 @@
 
 func (s *State) mayRepeat(c *call) bool { return c.route.Repeatable() }
 
+// sendBegan takes the first event of a stream: its prompt has been read.
+func (s *State) sendBegan(e vrevent.SendBegan) {
+	c := s.calls[e.Call]
+	if c == nil || c.server == nil || e.Send != c.sends || !c.reading {
+		return
+	}
+	s.read(c, c.server)
+	s.fleet.Read(c.PromptTokens, e.ToFirst)
+}
+
+// read takes a call's prompt off what its server has to read.
+func (s *State) read(c *call, server *vrfleet.Server) {
+	if c.reading {
+		c.reading = false
+		server.Unread = max(0, server.Unread-c.PromptTokens)
+	}
+}
+
 // sendEnded ends a call or sends it elsewhere.
 func (s *State) sendEnded(now time.Time, e vrevent.SendEnded, out *vrevent.Effects) {
 	c := s.calls[e.Call]
@@ -162,6 +189,7 @@
 	server := c.server
 	c.server = nil
 	s.fleet.Ended(server)
+	s.read(c, server)
 	c.begun = c.begun || e.Begun
 	c.events = max(c.events, e.Events)
 	s.learn(now, c, server, e, out)
@@ -173,7 +201,7 @@
 	switch e.Result {
 	case vrevent.AttemptAnswered:
 		s.finish(now, c, "answered", out, number("status", uint64(e.Status)), text("server", server.ID),
-			millis("toFirstMs", e.ToFirst))
+			millis("toFirstMs", e.ToFirst), millis("longestPauseMs", e.Longest), millis("waitedMs", c.sentAt.Sub(c.arrived)))
 		s.counts.Delivered++
 	case vrevent.AttemptCallerGone:
 		s.counts.Left++
@@ -228,7 +256,7 @@
 }
 
 func (s *State) goesOn(now time.Time, c *call, result vrevent.AttemptResult) bool {
-	if !now.Before(c.until.Add(-answerMargin)) {
+	if s.closing || !now.Before(c.until.Add(-answerMargin)) {
 		return false
 	}
 	if result.ProvesNotRun() {
@@ -313,7 +341,19 @@
 	s.counts.Left++
 	if c.server != nil {
 		s.fleet.Ended(c.server)
+		s.read(c, c.server)
 		c.server = nil
 	}
 	s.finish(now, c, "callerGone", out)
 }
+
+// graceEnds refuses what waits, so that its clients go to another daemon, and sends
+// nothing more. The sends that are open are ended by the runtime.
+func (s *State) graceEnds(now time.Time, out *vrevent.Effects) {
+	s.closing = true
+	for _, key := range s.waitKeys() {
+		for _, c := range slices.Clone(s.waits[key].calls) {
+			s.end(now, c, vrwire.ReasonShuttingDown, shortRetry, out)
+		}
+	}
+}
--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -45,6 +45,7 @@
 type use struct {
 	arrived uint32
 	running uint32
+	tokens  uint64
 }
 
 func (s *State) noteUse(_ time.Time, c *call) {
@@ -59,6 +60,7 @@
 	}
 	u.arrived++
 	u.running++
+	u.tokens += uint64(c.PromptTokens)
 }
 
 func (s *State) noteEnd(c *call) {
@@ -111,8 +113,8 @@
 func (s *State) want(now time.Time, key target, list *waitList) vrwire.Want {
 	want := vrwire.Want{Service: key.service, Model: key.model, Adapter: key.adapter}
 	if u := s.uses[key]; u != nil {
-		want.Arrived, want.Running = u.arrived, u.running
-		u.arrived = 0
+		want.Arrived, want.Running, want.Tokens = u.arrived, u.running, u.tokens
+		u.arrived, u.tokens = 0, 0
 	}
 	if list == nil {
 		return want
@@ -156,6 +158,7 @@
 }
 
 func (s *State) sendWants(now time.Time, wants *vrwire.Wants, out *vrevent.Effects) {
+	wants.ReadRate = uint64(s.fleet.ReadRate())
 	if s.lease.Holding() {
 		s.planner.Wants(now, s.opts.Daemon, wants)
 		s.owner.planAt = time.Time{}
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -63,6 +63,9 @@
 	started time.Time
 	// leaving is set when the daemon shuts down.
 	leaving bool
+	// closing is set when the time for the shutdown is nearly over: nothing is sent or
+	// waits any more.
+	closing bool
 	counts  Counts
 }
 
@@ -126,6 +129,8 @@
 		s.tick(now, out)
 	case vrevent.CallArrived:
 		s.arrive(now, e.Call, out)
+	case vrevent.SendBegan:
+		s.sendBegan(e)
 	case vrevent.SendEnded:
 		s.sendEnded(now, e, out)
 	case vrevent.CallLeft:
@@ -142,6 +147,8 @@
 		s.storeBack(now, out)
 	case vrevent.RetriesBounded:
 		s.budget.Bound(e.Options)
+	case vrevent.GraceEnds:
+		s.graceEnds(now, out)
 	case vrevent.PeersListed:
 		s.peersListed(e, out)
 	case vrevent.ObjectRead:
--- a/verbenacore/vrresidence/demand.go
+++ b/verbenacore/vrresidence/demand.go
@@ -21,7 +21,9 @@
 // demand is what the daemons ask of one model or adapter.
 type demand struct {
 	// rate is the smoothed number of requests a second as of fadedAt.
-	rate    float64
+	rate float64
+	// tokens is the smoothed number of prompt tokens a second.
+	tokens  float64
 	fadedAt time.Time
 	last    time.Time
 	daemons map[vrid.DaemonID]*share
@@ -41,6 +43,7 @@
 
 // Wants takes a daemon's word of what arrived, waits and runs.
 func (p *Planner) Wants(now time.Time, from vrid.DaemonID, wants *vrwire.Wants) {
+	p.readRate = max(p.readRate, float64(wants.ReadRate))
 	named := make(map[key]bool, len(wants.Items))
 	for i := range wants.Items {
 		item := &wants.Items[i]
@@ -73,6 +76,7 @@
 	}
 	d.fade(now)
 	d.rate += float64(item.Arrived) / rateTime.Seconds()
+	d.tokens += float64(item.Tokens) / rateTime.Seconds()
 	if item.Arrived+item.Waiting+item.Running > 0 {
 		d.last = now
 	}
@@ -88,7 +92,9 @@
 
 func (d *demand) fade(now time.Time) {
 	if elapsed := now.Sub(d.fadedAt); elapsed > 0 {
-		d.rate *= math.Exp(-elapsed.Seconds() / rateTime.Seconds())
+		part := math.Exp(-elapsed.Seconds() / rateTime.Seconds())
+		d.rate *= part
+		d.tokens *= part
 	}
 	d.fadedAt = now
 }
@@ -96,6 +102,7 @@
 // tally is the sum over the daemons.
 type tally struct {
 	rate     float64
+	tokens   float64
 	waiting  int
 	running  int
 	priority int
@@ -110,7 +117,7 @@
 		return tally{}
 	}
 	d.fade(now)
-	t := tally{rate: d.rate, last: d.last}
+	t := tally{rate: d.rate, tokens: d.tokens, last: d.last}
 	for daemon, s := range d.daemons {
 		if now.Sub(s.heard) > wantTimeout {
 			delete(d.daemons, daemon)
--- a/verbenacore/vrresidence/plan.go
+++ b/verbenacore/vrresidence/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -13,6 +14,10 @@
 )
 
 const (
+	// readPart is the part of a server's time that the prompts of one model may take. While
+	// prompts are read, the tokens of all streams at the server wait; bursts are several
+	// times the mean.
+	readPart = 0.12
 	// fullPart is how far a model's servers may be filled before it gets one more: prompts
 	// that are read delay the tokens of all others.
 	fullPart = 0.35
@@ -158,6 +163,9 @@
 	if t.rate >= busyRate {
 		count++
 	}
+	if rate := s.planner.readRate; rate > 0 {
+		count = max(count, int(math.Ceil(t.tokens/rate/readPart)))
+	}
 	if t.rate == 0 && t.waiting == 0 && t.running == 0 {
 		count = 0
 	}
@@ -250,10 +258,37 @@
 	if !ok {
 		return nil
 	}
-	cost := loadTime(w.model, from).Seconds() + lossWeight*loss
+	cost := loadTime(w.model, from).Seconds() + lossWeight*loss + s.crowding(server, w.model.ID)
 	return &candidate{server: server, victims: victims, from: from, cost: cost}
 }
 
+// Weights of crowding, in seconds of a load.
+const (
+	zoneWeight = 1.0
+	loadWeight = 2.0
+)
+
+// crowding spreads a model's servers over the availability zones, and away from servers
+// that hold other busy models.
+func (s *site) crowding(server *vrfleet.Server, model vrid.ModelID) float64 {
+	cost := 0.0
+	for _, other := range s.servers {
+		if other.Zone == server.Zone && s.keeps(other, model) {
+			cost += zoneWeight
+		}
+	}
+	if s.planner.readRate <= 0 {
+		return cost
+	}
+	for _, holding := range server.Holdings() {
+		if s.keeps(server, holding.Model) {
+			share := s.tallies[holding.Model].tokens / s.planner.readRate / float64(max(s.replicas[holding.Model], 1))
+			cost += loadWeight * share
+		}
+	}
+	return cost
+}
+
 // victims returns the models whose loss makes room, and what the loss costs.
 func (s *site) victims(server *vrfleet.Server, w wish) ([]vrid.ModelID, float64, bool) {
 	free := s.room(server)
--- a/verbenacore/vrresidence/vrresidence.go
+++ b/verbenacore/vrresidence/vrresidence.go
@@ -61,14 +61,16 @@
 
 // Planner is the placement owner's memory.
 type Planner struct {
-	opts   Options
-	began  time.Time
-	demand map[key]*demand
-	work   map[vrid.ServerID]*work
-	counts map[vrid.ServerID]orderCount
-	asked  map[vrid.ServerID]time.Time
-	cool   map[vrid.ServerID]time.Time
-	stores map[vrid.ServiceID]*weightStore
+	opts  Options
+	began time.Time
+	// readRate is how many prompt tokens a second one server reads, or zero.
+	readRate float64
+	demand   map[key]*demand
+	work     map[vrid.ServerID]*work
+	counts   map[vrid.ServerID]orderCount
+	asked    map[vrid.ServerID]time.Time
+	cool     map[vrid.ServerID]time.Time
+	stores   map[vrid.ServiceID]*weightStore
 	// held is when the planner first saw a model on a server.
 	held map[resident]time.Time
 }
--- a/verbenacore/vrresidence/work.go
+++ b/verbenacore/vrresidence/work.go
@@ -76,7 +76,7 @@
 	reading   bool
 	// unsure is set while the count of orders that the server accepted is not known.
 	unsure bool
-	from      tier
+	from   tier
 	// begun is when the load was accepted, eta how long it is expected to take, beside
 	// how many others from the weight store.
 	begun  time.Time
--- a/verbenacore/vrwire/fleet.go
+++ b/verbenacore/vrwire/fleet.go
@@ -16,6 +16,9 @@
 	// Remaining is the time until the last of the waiting requests gives up, in
 	// milliseconds; clocks of machines differ, so no time of day is sent.
 	Remaining int64 `protobuf:"varint,7,opt,name=remaining,proto3"`
+	// Tokens counts the prompt tokens of the requests that arrived since the previous
+	// message.
+	Tokens uint64 `protobuf:"varint,9,opt,name=tokens,proto3"`
 	// Priority is the best rank among the waiting requests; 0 comes first.
 	Priority int32 `protobuf:"varint,8,opt,name=priority,proto3"`
 }
@@ -24,6 +27,9 @@
 // that no server holds, and each second with what arrived and what runs.
 type Wants struct {
 	Items []Want `protobuf:"bytes,1,rep,name=items,proto3"`
+	// ReadRate is how many prompt tokens a second one server reads, as the sender measured
+	// it; zero if it has not.
+	ReadRate uint64 `protobuf:"varint,3,opt,name=readRate,proto3"`
 	// Full is set when the items are everything that waits or runs at the sender.
 	Full bool `protobuf:"varint,2,opt,name=full,proto3"`
 }
--- a/verbenaroute/internal/vrnode/store.go
+++ b/verbenaroute/internal/vrnode/store.go
@@ -219,4 +219,3 @@
 	case <-ctx.Done():
 	}
 }
-
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -57,10 +57,10 @@
 	leaving atomic.Bool
 	catalog atomic.Pointer[vrcatalog.Catalog]
 	// grace is the time for a shutdown, which new settings may change.
-	grace   atomic.Int64
-	base    context.Context
-	cancel  context.CancelFunc
-	loops   conc.WaitGroup
+	grace  atomic.Int64
+	base   context.Context
+	cancel context.CancelFunc
+	loops  conc.WaitGroup
 }
 
 // New builds a Node that does not run yet.
@@ -255,6 +255,8 @@
 	// rotationTime is how long the balancer may go on to send new connections: two
 	// questions a second apart have to fail.
 	rotationTime = 2500 * time.Millisecond
+	// answerTime before the end of the grace, open calls get their final answers.
+	answerTime = 900 * time.Millisecond
 	// exitMargin is kept from the end of the grace.
 	exitMargin = 400 * time.Millisecond
 )
@@ -267,6 +269,11 @@
 	n.log.Info("gateway stops", zap.Int("openCalls", n.front.Active()))
 	n.Submit(vrevent.ShutdownRequested{})
 	time.Sleep(rotationTime)
+	expire := time.AfterFunc(time.Until(begun.Add(time.Duration(n.grace.Load())-answerTime)), func() {
+		n.Submit(vrevent.GraceEnds{})
+		n.front.Expire()
+	})
+	defer expire.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(time.Duration(n.grace.Load())-exitMargin))
 	defer cancel()
 	err := n.front.Close(ctx)
--- a/verbenaroute/internal/vrrelay/exchange.go
+++ b/verbenaroute/internal/vrrelay/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"verbenaroute.example/verbenacore/vrevent"
@@ -18,6 +19,8 @@
 	writer  http.ResponseWriter
 	control *http.ResponseController
 	effects chan vrevent.Effect
+	// sending is the connection of the present send.
+	sending atomic.Pointer[conn]
 
 	// begun is set once the status and headers of a server were passed on.
 	begun bool
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -41,13 +41,18 @@
 
 func (e *UnsignedError) Error() string { return fmt.Sprintf("status %d without a signature", e.Status) }
 
+// _past is a deadline that ends reads and writes at once.
+var _past = time.Unix(1, 0)
+
 // attempt is one send.
 type attempt struct {
-	x      *exchange
-	send   *vrevent.SendCall
-	conn   *conn
-	begun  time.Time
-	first  time.Duration
+	x     *exchange
+	send  *vrevent.SendCall
+	conn  *conn
+	begun time.Time
+	first time.Duration
+	// told is set once the reducer knows of the first event.
+	told   bool
 	result vrevent.SendEnded
 	// reusable is set when the connection may serve another request.
 	reusable bool
@@ -73,7 +78,9 @@
 		return
 	}
 	a.conn = c
-	stop := context.AfterFunc(a.x.request.Context(), func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	a.x.sending.Store(c)
+	defer a.x.sending.Store(nil)
+	stop := context.AfterFunc(a.x.request.Context(), func() { _ = c.SetDeadline(_past) })
 	defer func() {
 		undisturbed := stop()
 		if a.reusable && undisturbed && a.bodyOut() {
@@ -110,8 +117,8 @@
 	left := until.Sub(a.x.front.opts.Clock.Now())
 	_ = a.conn.SetDeadline(time.Now().Add(left))
 	// The client may have left before the deadline was set.
-	if a.x.request.Context().Err() != nil {
-		_ = a.conn.SetDeadline(time.Unix(1, 0))
+	if a.x.request.Context().Err() != nil || a.x.front.expired.Load() {
+		_ = a.conn.SetDeadline(_past)
 	}
 }
 
--- a/verbenaroute/internal/vrrelay/stream.go
+++ b/verbenaroute/internal/vrrelay/stream.go
@@ -24,7 +24,11 @@
 	chunk := make([]byte, readSize)
 	for {
 		a.setDeadline(a.nextBy())
+		asked := time.Now()
 		n, err := answer.Body.Read(chunk)
+		if a.x.events > 0 && n > 0 {
+			a.result.Longest = max(a.result.Longest, time.Since(asked))
+		}
 		pending = append(pending, chunk[:n]...)
 		whole := wholeEvents(pending)
 		if errors.Is(err, io.EOF) {
@@ -66,8 +70,10 @@
 
 // pass writes whole events to the client; false means that the client is gone.
 func (a *attempt) pass(answer *http.Response, events []byte) bool {
-	if a.x.events == 0 {
+	if !a.told {
+		a.told = true
 		a.first = time.Since(a.begun)
+		a.x.front.opts.Submit(vrevent.SendBegan{Call: a.send.Call, Send: a.send.Send, ToFirst: a.first})
 	}
 	if !a.x.begun {
 		a.x.begin(answer.StatusCode, answer.Header, lengthUnknown)
--- a/verbenaroute/internal/vrrelay/vrrelay.go
+++ b/verbenaroute/internal/vrrelay/vrrelay.go
@@ -62,16 +62,18 @@
 	pool    *pool
 	next    atomic.Uint64
 	leaving atomic.Bool
+	// expired is set once the time for a shutdown is nearly over.
+	expired atomic.Bool
 	open    sync.WaitGroup
 	active  atomic.Int64
 
 	mu    sync.Mutex
-	calls map[vrevent.CallID]chan vrevent.Effect
+	calls map[vrevent.CallID]*exchange
 }
 
 // New returns a Front that does not serve yet.
 func New(opts Options) *Front {
-	f := &Front{opts: opts, pool: newPool(), calls: make(map[vrevent.CallID]chan vrevent.Effect)}
+	f := &Front{opts: opts, pool: newPool(), calls: make(map[vrevent.CallID]*exchange)}
 	f.server = &http.Server{
 		Handler: f, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerMost,
 	}
@@ -92,6 +94,19 @@
 	f.server.SetKeepAlivesEnabled(false)
 }
 
+// Expire ends every send, so that each open call gets its final answer while there is time
+// for it.
+func (f *Front) Expire() {
+	f.expired.Store(true)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, x := range f.calls {
+		if c := x.sending.Load(); c != nil {
+			_ = c.SetDeadline(_past)
+		}
+	}
+}
+
 // Active is the number of calls that are open.
 func (f *Front) Active() int { return int(f.active.Load()) }
 
@@ -125,7 +140,7 @@
 	f.mu.Unlock()
 	if waiting != nil {
 		select {
-		case waiting <- effect:
+		case waiting.effects <- effect:
 		default:
 		}
 	}
@@ -149,7 +164,7 @@
 		effects: make(chan vrevent.Effect, effectRoom),
 	}
 	f.mu.Lock()
-	f.calls[call.ID] = x.effects
+	f.calls[call.ID] = x
 	f.mu.Unlock()
 	defer func() {
 		f.mu.Lock()
