Fade past outcomes of servers, measure the read rate as a mean, leave unreached servers

The read rate was a maximum over prompts partly kept: half of the servers needed. An order that could not be given was tried eleven times at a dead server.

--- a/verbenacore/vrchoice/vrchoice.go
+++ b/verbenacore/vrchoice/vrchoice.go
@@ -123,8 +123,9 @@
 	default:
 		cost += otherRegionDelay
 	}
+	known := failureDelay * server.FailureRate()
 	if pace := server.Pace(); fastest > 0 && pace > fastest {
-		cost += min((pace - fastest).Seconds(), paceMost)
+		known += min((pace - fastest).Seconds(), paceMost)
 	}
-	return cost + failureDelay*server.FailureRate() + spread*c.Random.Float64()
+	return cost + known*server.Memory(now) + spread*c.Random.Float64()
 }
--- a/verbenacore/vrfleet/health.go
+++ b/verbenacore/vrfleet/health.go
@@ -1,6 +1,9 @@
 package vrfleet
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Limits of a server's health as seen by this daemon's requests.
 const (
@@ -29,11 +32,22 @@
 	samples int
 	// pace is the smoothed time to the first byte.
 	pace time.Duration
+	// at is the time of the newest outcome.
+	at time.Time
 }
 
 // Aside reports whether the server is set aside; after its time it is tried again.
 func (s *Server) Aside(now time.Time) bool { return now.Before(s.health.until) }
 
+// memoryTime is how fast past outcomes lose weight: a server that is avoided gives no new
+// ones, and would be avoided for good.
+const memoryTime = 2 * time.Second
+
+// Memory is the weight of the server's past outcomes, from 1 down to 0.
+func (s *Server) Memory(now time.Time) float64 {
+	return math.Exp(-max(0, now.Sub(s.health.at).Seconds()) / memoryTime.Seconds())
+}
+
 // FailureRate is the smoothed share of this daemon's requests that the server failed.
 func (s *Server) FailureRate() float64 { return s.health.rate }
 
@@ -41,8 +55,9 @@
 func (s *Server) Pace() time.Duration { return s.health.pace }
 
 // Succeeded notes an answer and its time to the first byte.
-func (s *Server) Succeeded(toFirst time.Duration) {
+func (s *Server) Succeeded(now time.Time, toFirst time.Duration) {
 	h := &s.health
+	h.at = now
 	h.strikes, h.asides = 0, 0
 	h.samples++
 	h.rate -= h.rate * rateWeight
@@ -58,6 +73,7 @@
 // rate above a limit only counts where they do better.
 func (s *Server) Failed(now time.Time, usual float64) bool {
 	h := &s.health
+	h.at = now
 	h.strikes++
 	h.samples++
 	h.rate += (1 - h.rate) * rateWeight
@@ -91,8 +107,8 @@
 	// rateTokens is the length of a prompt from which its time to the first event tells how
 	// fast prompts are read; shorter ones mostly tell of the network.
 	rateTokens = 1200
-	// rateFade lets a rate fall that was measured when much of a prompt was kept.
-	rateFade = 0.98
+	// rateShare is the weight of one prompt in the mean rate.
+	rateShare = 0.05
 	// firstRate is assumed until a prompt was measured, in tokens a second.
 	firstRate = 20_000.0
 )
@@ -102,7 +118,11 @@
 	if tokens < rateTokens || toFirst <= 0 {
 		return
 	}
-	f.readRate = max(f.readRate*rateFade, float64(tokens)/toFirst.Seconds())
+	rate := float64(tokens) / toFirst.Seconds()
+	if f.readRate == 0 {
+		f.readRate = rate
+	}
+	f.readRate += (rate - f.readRate) * rateShare
 }
 
 // ReadRate is how many prompt tokens a second one server reads, about; zero before it was
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -219,7 +219,7 @@
 	failed := false
 	switch e.Result {
 	case vrevent.AttemptAnswered:
-		server.Succeeded(e.ToFirst)
+		server.Succeeded(now, e.ToFirst)
 	case vrevent.AttemptNotLoaded:
 		server.Missing(now, c.Model, c.Adapter)
 	case vrevent.AttemptBusy:
--- a/verbenacore/vrgateway/log.go
+++ b/verbenacore/vrgateway/log.go
@@ -18,3 +18,8 @@
 func text[T ~string](name string, value T) vrevent.LogField {
 	return vrevent.LogField{Name: name, Value: string(value)}
 }
+
+func decimal(name string, value float64) vrevent.LogField {
+	const digits, bits = 3, 64
+	return vrevent.LogField{Name: name, Value: strconv.FormatFloat(value, 'g', digits, bits)}
+}
--- a/verbenacore/vrresidence/demand.go
+++ b/verbenacore/vrresidence/demand.go
@@ -43,7 +43,10 @@
 
 // Wants takes a daemon's word of what arrived, waits and runs.
 func (p *Planner) Wants(now time.Time, from vrid.DaemonID, wants *vrwire.Wants) {
-	p.readRate = max(p.readRate, float64(wants.ReadRate))
+	if wants.ReadRate > 0 {
+		// Each daemon measures; the newest word stands for all.
+		p.readRate = float64(wants.ReadRate)
+	}
 	named := make(map[key]bool, len(wants.Items))
 	for i := range wants.Items {
 		item := &wants.Items[i]
--- a/verbenacore/vrresidence/plan.go
+++ b/verbenacore/vrresidence/plan.go
@@ -27,6 +27,9 @@
 	// busyRate is the rate, in requests a second, from which a model is kept on a second
 	// server, so that the loss of one interrupts nobody for a load.
 	busyRate = 1.0
+	// spareServers is how many servers more than needed a busy model may have before it is
+	// dropped from one: its need varies with each burst, and an unload waits for what runs.
+	spareServers = 1
 	// keepLeast is how long a loaded model stays, so that those who waited are served.
 	keepLeast = 1500 * time.Millisecond
 	// toldPause is the pause between two notices to a daemon about one target.
@@ -202,6 +205,7 @@
 		model := &s.engine.Models[i]
 		t := s.tallies[model.ID]
 		have, need := s.replicas[model.ID], s.need(model.ID)
+		s.tellNeed(model.ID, t, have, need)
 		w := wish{model: model, tally: t, first: have == 0, ahead: t.waiting == 0}
 		switch {
 		case have == 0 && t.waiting > 0:
@@ -219,6 +223,20 @@
 	return wishes
 }
 
+// tellNeed notes a changed need for the log; one server or none is nothing to tell.
+func (s *site) tellNeed(model vrid.ModelID, t tally, have, need int) {
+	k := key{service: s.service.ID, model: model}
+	if s.planner.needs[k] == need || max(s.planner.needs[k], need) < 2 {
+		return
+	}
+	s.planner.needs[k] = need
+	told := ModelNeed{Model: model, Have: have, Need: need, Rate: t.rate}
+	if s.planner.readRate > 0 {
+		told.ReadShare = t.tokens / s.planner.readRate
+	}
+	s.out.Needs = append(s.out.Needs, told)
+}
+
 // grant starts the load of a model on the server where it costs least.
 func (s *site) grant(w wish) bool {
 	var best *candidate
@@ -341,7 +359,7 @@
 	if replicas <= 1 && t.waiting > 0 {
 		return 0, false
 	}
-	if replicas <= need && t.rate >= busyRate {
+	if replicas <= need+spareServers && t.rate >= busyRate {
 		return 0, false
 	}
 	declared := s.engine.Model(model)
--- a/verbenacore/vrresidence/vrresidence.go
+++ b/verbenacore/vrresidence/vrresidence.go
@@ -50,6 +50,17 @@
 	Notices []Notice
 	// Reads are servers whose report is needed.
 	Reads []vrid.ServerID
+	// Needs are the models whose wanted number of servers changed.
+	Needs []ModelNeed
+}
+
+// ModelNeed is how many servers a model should have, and why.
+type ModelNeed struct {
+	Model      vrid.ModelID
+	Have, Need int
+	Rate       float64
+	// ReadShare is the part of one server's time that its prompts take.
+	ReadShare float64
 }
 
 // key is a model or an adapter of a service.
@@ -73,6 +84,8 @@
 	stores   map[vrid.ServiceID]*weightStore
 	// held is when the planner first saw a model on a server.
 	held map[resident]time.Time
+	// needs are the wanted numbers of servers that were last told.
+	needs map[key]int
 }
 
 type resident struct {
@@ -108,7 +121,7 @@
 	return &Planner{
 		opts: opts, demand: make(map[key]*demand), work: make(map[vrid.ServerID]*work),
 		counts: make(map[vrid.ServerID]orderCount), asked: make(map[vrid.ServerID]time.Time), cool: make(map[vrid.ServerID]time.Time),
-		stores: make(map[vrid.ServiceID]*weightStore), held: make(map[resident]time.Time),
+		stores: make(map[vrid.ServiceID]*weightStore), held: make(map[resident]time.Time), needs: make(map[key]int),
 	}
 }
 
--- a/verbenacore/vrresidence/work.go
+++ b/verbenacore/vrresidence/work.go
@@ -16,6 +16,8 @@
 	// statusPause is how long after an order a report shows it: reports lag by some
 	// hundred milliseconds.
 	statusPause = 450 * time.Millisecond
+	// unreachedPause is how long a server gets no order after one could not be given.
+	unreachedPause = 700 * time.Millisecond
 	// conflictsMost conflicts of one step end its work.
 	conflictsMost = 40
 	// adapterTime is the expected time of an adapter load, of the order of ten
@@ -231,8 +233,9 @@
 		w.phase, w.retryAt = phaseDue, now.Add(statusPause)
 		w.conflicts++
 	case vrevent.OrderNotGiven:
-		w.phase, w.retryAt = phaseDue, now.Add(retryPause)
-		w.conflicts += 4
+		// The server is not reached; another one is chosen.
+		delete(p.work, server.ID)
+		p.cool[server.ID] = now.Add(unreachedPause)
 	default:
 		delete(p.work, server.ID)
 		p.cool[server.ID] = now.Add(time.Second)
