--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -127,6 +127,7 @@
 	c.server, c.sentAt = server, now
 	server.Sent()
 	server.Unread += c.PromptTokens
+	s.noteRun(c, server.ID, 1)
 	c.reading = true
 	s.counts.Sent++
 	effect := vrevent.SendCall{
@@ -189,6 +190,7 @@
 	server := c.server
 	c.server = nil
 	s.fleet.Ended(server)
+	s.noteRun(c, server.ID, -1)
 	s.read(c, server)
 	c.begun = c.begun || e.Begun
 	c.events = max(c.events, e.Events)
@@ -341,6 +343,7 @@
 	s.counts.Left++
 	if c.server != nil {
 		s.fleet.Ended(c.server)
+		s.noteRun(c, c.server.ID, -1)
 		s.read(c, c.server)
 		c.server = nil
 	}
--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -48,6 +48,37 @@
 	tokens  uint64
 }
 
+// serverModel is a model at a server.
+type serverModel struct {
+	server vrid.ServerID
+	model  vrid.ModelID
+}
+
+// noteRun counts a send of a call, or with -1 its end.
+func (s *State) noteRun(c *call, server vrid.ServerID, change int) {
+	if c.Model == "" {
+		return
+	}
+	key := serverModel{server: server, model: c.Model}
+	count := int(s.running[key]) + change
+	if count <= 0 {
+		delete(s.running, key)
+		return
+	}
+	s.running[key] = uint32(count)
+}
+
+func (s *State) serverUses() []vrwire.ServerUse {
+	uses := make([]vrwire.ServerUse, 0, len(s.running))
+	for key, count := range s.running {
+		uses = append(uses, vrwire.ServerUse{Server: key.server, Model: key.model, Running: count})
+	}
+	slices.SortFunc(uses, func(a, b vrwire.ServerUse) int {
+		return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Model, b.Model))
+	})
+	return uses
+}
+
 func (s *State) noteUse(_ time.Time, c *call) {
 	if c.Model == "" {
 		return
@@ -136,7 +167,7 @@
 		return
 	}
 	s.owner.sentAt = now
-	wants := &vrwire.Wants{Full: true}
+	wants := &vrwire.Wants{Full: true, Uses: s.serverUses()}
 	keys := make([]target, 0, len(s.uses))
 	for key := range s.uses {
 		keys = append(keys, key)
@@ -213,6 +244,9 @@
 		out.Info("order", text("server", order.Server), text("kind", order.Kind.String()), text("model", order.Model),
 			text("adapter", order.Adapter), number("expected", order.Expected), number("epoch", uint64(order.Epoch)))
 	}
+	for _, d := range decided.Debug {
+		out.Info("why", text("w", d))
+	}
 	for _, need := range decided.Needs {
 		out.Info("model need", text("model", need.Model), number("have", uint64(need.Have)), number("need", uint64(need.Need)),
 			decimal("rate", need.Rate), decimal("readShare", need.ReadShare))
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -59,6 +59,7 @@
 	store   storeHealth
 	owner   ownerLink
 	uses    map[target]*use
+	running map[serverModel]uint32
 	peers   []vrevent.Peer
 	started time.Time
 	// leaving is set when the daemon shuts down.
@@ -95,6 +96,8 @@
 		calls: make(map[vrevent.CallID]*call),
 		waits: make(map[target]*waitList),
 		uses:  make(map[target]*use),
+
+		running: make(map[serverModel]uint32),
 	}
 }
 
--- a/verbenacore/vrresidence/demand.go
+++ b/verbenacore/vrresidence/demand.go
@@ -64,6 +64,7 @@
 	if !wants.Full {
 		return
 	}
+	p.runs[from] = runs{heard: now, uses: wants.Uses}
 	for k, d := range p.demand {
 		if !named[k] {
 			delete(d.daemons, from)
@@ -102,6 +103,28 @@
 	d.fadedAt = now
 }
 
+// runs are one daemon's requests in flight.
+type runs struct {
+	heard time.Time
+	uses  []vrwire.ServerUse
+}
+
+// runningAt sums the requests in flight for a model at a server.
+func (p *Planner) runningAt(now time.Time, r resident) int {
+	count := 0
+	for _, daemon := range p.runs {
+		if now.Sub(daemon.heard) > wantTimeout {
+			continue
+		}
+		for _, use := range daemon.uses {
+			if use.Server == r.server && use.Model == r.model {
+				count += int(use.Running)
+			}
+		}
+	}
+	return count
+}
+
 // tally is the sum over the daemons.
 type tally struct {
 	rate     float64
--- a/verbenacore/vrresidence/plan.go
+++ b/verbenacore/vrresidence/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -36,6 +37,9 @@
 	toldPause = 700 * time.Millisecond
 	// lossWeight turns the loss of a victim into seconds of a load.
 	lossWeight = 4.0
+	// runLoss is the loss by an unload that waits for a request in flight: the server takes
+	// no other order meanwhile.
+	runLoss = 0.5
 	// unseenRate is the rate that is assumed of a model nobody asked for yet.
 	unseenRate = 0.02
 	// answerTime is the least time an answer takes after a load.
@@ -193,6 +197,9 @@
 		if s.grant(w) {
 			continue
 		}
+		if !w.ahead {
+			s.out.Debug = append(s.out.Debug, s.why(w))
+		}
 		if w.first && !w.ahead {
 			s.refuse(w)
 		}
@@ -223,6 +230,35 @@
 	return wishes
 }
 
+func (s *site) why(w wish) string {
+	r := string(w.model.ID[:4]) + fmt.Sprintf(" n=%d have=%d:", w.tally.waiting, s.replicas[w.model.ID])
+	for _, server := range s.servers {
+		p := s.planner
+		x := ""
+		switch {
+		case !server.Takes():
+			x = "notready"
+		case p.work[server.ID] != nil:
+			x = fmt.Sprintf("work(%v,%d)", p.work[server.ID].load().model[:4], p.work[server.ID].conflicts)
+		case server.Aside(s.now):
+			x = "aside"
+		case s.now.Before(p.cool[server.ID]):
+			x = "cool"
+		case hasModel(server, w.model.ID):
+			x = "has"
+		default:
+			if s.tierOf(server, w.model.ID) == tierStore && s.store.free() <= 0 {
+				x = "store"
+			} else {
+				_, loss, ok := s.victims(server, w)
+				x = fmt.Sprintf("%v/%.2f", ok, loss)
+			}
+		}
+		r += " " + string(server.ID[2:6]) + "=" + x
+	}
+	return r
+}
+
 // tellNeed notes a changed need for the log; one server or none is nothing to tell.
 func (s *site) tellNeed(model vrid.ModelID, t tally, have, need int) {
 	k := key{service: s.service.ID, model: model}
@@ -262,7 +298,7 @@
 
 func (s *site) candidate(server *vrfleet.Server, w wish) *candidate {
 	p := s.planner
-	if !server.Takes() || p.work[server.ID] != nil || server.Aside(s.now) || s.now.Before(p.cool[server.ID]) || hasModel(server, w.model.ID) || !p.settled(s.now, server, s.out) {
+	if !server.Takes() || p.work[server.ID] != nil || s.now.Before(p.cool[server.ID]) || hasModel(server, w.model.ID) || !p.settled(s.now, server, s.out) {
 		return nil
 	}
 	from := s.tierOf(server, w.model.ID)
@@ -371,6 +407,7 @@
 	if replicas > 1 {
 		loss *= 0.2
 	}
+	loss += runLoss * float64(s.planner.runningAt(s.now, resident{server.ID, model}))
 	if w.ahead && s.tierOf(server, model) == tierStore && replicas <= 1 {
 		// A copy is not made at the price of the only other one.
 		return 0, false
--- a/verbenacore/vrresidence/vrresidence.go
+++ b/verbenacore/vrresidence/vrresidence.go
@@ -52,6 +52,7 @@
 	Reads []vrid.ServerID
 	// Needs are the models whose wanted number of servers changed.
 	Needs []ModelNeed
+	Debug []string
 }
 
 // ModelNeed is how many servers a model should have, and why.
@@ -84,6 +85,7 @@
 	stores   map[vrid.ServiceID]*weightStore
 	// held is when the planner first saw a model on a server.
 	held map[resident]time.Time
+	runs map[vrid.DaemonID]runs
 	// needs are the wanted numbers of servers that were last told.
 	needs map[key]int
 }
@@ -121,7 +123,7 @@
 	return &Planner{
 		opts: opts, demand: make(map[key]*demand), work: make(map[vrid.ServerID]*work),
 		counts: make(map[vrid.ServerID]orderCount), asked: make(map[vrid.ServerID]time.Time), cool: make(map[vrid.ServerID]time.Time),
-		stores: make(map[vrid.ServiceID]*weightStore), held: make(map[resident]time.Time), needs: make(map[key]int),
+		stores: make(map[vrid.ServiceID]*weightStore), held: make(map[resident]time.Time), needs: make(map[key]int), runs: make(map[vrid.DaemonID]runs),
 	}
 }
 
--- a/verbenacore/vrresidence/work.go
+++ b/verbenacore/vrresidence/work.go
@@ -75,7 +75,9 @@
 	// expected is the count that the present order was sent with.
 	expected  uint64
 	conflicts int
-	reading   bool
+	// begunSteps counts the steps that were accepted.
+	begunSteps int
+	reading    bool
 	// unsure is set while the count of orders that the server accepted is not known.
 	unsure bool
 	from   tier
@@ -91,6 +93,7 @@
 // next goes on to the following step or ends the work.
 func (w *work) next(now time.Time) {
 	w.steps = w.steps[1:]
+	w.begunSteps++
 	w.conflicts = 0
 	w.phase = phaseDue
 	w.retryAt = now
@@ -252,7 +255,12 @@
 func (p *Planner) conflict(now time.Time, _ *vrfleet.Server, w *work) {
 	w.conflicts++
 	w.phase, w.retryAt = phaseDue, now.Add(retryPause)
-	const readEach = 4
+	// The server refuses while it waits for the end of requests whose model it drops; that
+	// is expected after a step of this work.
+	readEach := 4
+	if w.begunSteps > 0 {
+		readEach = 20
+	}
 	if w.conflicts%readEach == 0 {
 		w.reading = true
 		w.retryAt = now
--- a/verbenacore/vrwire/fleet.go
+++ b/verbenacore/vrwire/fleet.go
@@ -23,6 +23,13 @@
 	Priority int32 `protobuf:"varint,8,opt,name=priority,proto3"`
 }
 
+// ServerUse is how many requests for a model a daemon has in flight at a server.
+type ServerUse struct {
+	Server  vrid.ServerID `protobuf:"bytes,1,opt,name=server,proto3"`
+	Model   vrid.ModelID  `protobuf:"bytes,2,opt,name=model,proto3"`
+	Running uint32        `protobuf:"varint,3,opt,name=running,proto3"`
+}
+
 // Wants goes from a daemon to the placement owner: at once when a request meets a model
 // that no server holds, and each second with what arrived and what runs.
 type Wants struct {
@@ -30,6 +37,8 @@
 	// ReadRate is how many prompt tokens a second one server reads, as the sender measured
 	// it; zero if it has not.
 	ReadRate uint64 `protobuf:"varint,3,opt,name=readRate,proto3"`
+	// Uses are all requests in flight, in a full message.
+	Uses []ServerUse `protobuf:"bytes,4,rep,name=uses,proto3"`
 	// Full is set when the items are everything that waits or runs at the sender.
 	Full bool `protobuf:"varint,2,opt,name=full,proto3"`
 }
