Plan from a ledger of each server's accepted orders

Change: what a server holds is a report plus the orders it accepted since; the order names that count, so it can't meet another state.

--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -293,21 +293,6 @@
 	return max(s.Running+s.Waiting+s.SentSince, s.InFlight)
 }
 
-// AdaptersOf lists the adapters of a model that the server holds or is getting.
-func (s *Server) AdaptersOf(_ time.Time, model vrid.ModelID) []vrid.AdapterID {
-	var adapters []vrid.AdapterID
-	if holding := s.holding(model); holding != nil {
-		adapters = slices.Clone(holding.Adapters)
-	}
-	for key := range s.placed {
-		if key.model == model && !slices.Contains(adapters, key.adapter) {
-			adapters = append(adapters, key.adapter)
-		}
-	}
-	slices.Sort(adapters)
-	return adapters
-}
-
 // Correct replaces what the server holds by its own report, which is newer than its entry.
 func (s *Server) Correct(holds []Holding, inHost, onDisk []vrid.ModelID) {
 	s.Entry.Holds, s.InHost, s.OnDisk = holds, inHost, onDisk
--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -244,9 +244,6 @@
 		out.Info("order", text("server", order.Server), text("kind", order.Kind.String()), text("model", order.Model),
 			text("adapter", order.Adapter), number("expected", order.Expected), number("epoch", uint64(order.Epoch)))
 	}
-	for _, d := range decided.Debug {
-		out.Info("why", text("w", d))
-	}
 	for _, need := range decided.Needs {
 		out.Info("model need", text("model", need.Model), number("have", uint64(need.Have)), number("need", uint64(need.Need)),
 			decimal("rate", need.Rate), decimal("readShare", need.ReadShare))
--- a/verbenacore/vrresidence/adapters.go
+++ b/verbenacore/vrresidence/adapters.go
@@ -53,10 +53,14 @@
 			return
 		}
 		held = true
-		if s.planner.work[server.ID] != nil || server.Aside(s.now) || !s.planner.settled(s.now, server, s.out) {
+		if s.planner.work[server.ID] != nil || server.Aside(s.now) {
 			continue
 		}
-		victimModel, victim, ok := s.adapterVictim(server)
+		known := s.planner.ledgerOf(s.now, server, s.out)
+		if known == nil || known.find(w.model) == nil {
+			continue
+		}
+		victimModel, victim, ok := s.adapterVictim(server, known)
 		if !ok {
 			continue
 		}
@@ -98,14 +102,13 @@
 
 // adapterVictim returns nothing when a server has an adapter place, the adapter that was
 // used least lately, or false when all are in use.
-func (s *site) adapterVictim(server *vrfleet.Server) (vrid.ModelID, vrid.AdapterID, bool) {
-	places := 0
+func (s *site) adapterVictim(server *vrfleet.Server, known *ledger) (vrid.ModelID, vrid.AdapterID, bool) {
+	places := known.adapters()
 	var model vrid.ModelID
 	var victim vrid.AdapterID
 	var oldest time.Time
-	for _, holding := range server.Holdings() {
-		for _, adapter := range server.AdaptersOf(s.now, holding.Model) {
-			places++
+	for _, holding := range known.holds {
+		for _, adapter := range holding.Adapters {
 			last := time.Time{}
 			if d := s.planner.demand[key{service: s.service.ID, model: holding.Model, adapter: adapter}]; d != nil {
 				last = d.last
@@ -115,7 +118,7 @@
 			}
 		}
 	}
-	roomy := s.room(server) >= s.largestAdapter()
+	roomy := s.room(server, known) >= s.largestAdapter()
 	if places < s.engine.AdapterPlaces-s.adapterReserve(server) && roomy {
 		return "", "", true
 	}
--- a/verbenacore/vrresidence/plan.go
+++ b/verbenacore/vrresidence/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -197,9 +196,6 @@
 		if s.grant(w) {
 			continue
 		}
-		if !w.ahead {
-			s.out.Debug = append(s.out.Debug, s.why(w))
-		}
 		if w.first && !w.ahead {
 			s.refuse(w)
 		}
@@ -230,35 +226,6 @@
 	return wishes
 }
 
-func (s *site) why(w wish) string {
-	r := string(w.model.ID[:4]) + fmt.Sprintf(" n=%d have=%d:", w.tally.waiting, s.replicas[w.model.ID])
-	for _, server := range s.servers {
-		p := s.planner
-		x := ""
-		switch {
-		case !server.Takes():
-			x = "notready"
-		case p.work[server.ID] != nil:
-			x = fmt.Sprintf("work(%v,%d)", p.work[server.ID].load().model[:4], p.work[server.ID].conflicts)
-		case server.Aside(s.now):
-			x = "aside"
-		case s.now.Before(p.cool[server.ID]):
-			x = "cool"
-		case hasModel(server, w.model.ID):
-			x = "has"
-		default:
-			if s.tierOf(server, w.model.ID) == tierStore && s.store.free() <= 0 {
-				x = "store"
-			} else {
-				_, loss, ok := s.victims(server, w)
-				x = fmt.Sprintf("%v/%.2f", ok, loss)
-			}
-		}
-		r += " " + string(server.ID[2:6]) + "=" + x
-	}
-	return r
-}
-
 // tellNeed notes a changed need for the log; one server or none is nothing to tell.
 func (s *site) tellNeed(model vrid.ModelID, t tally, have, need int) {
 	k := key{service: s.service.ID, model: model}
@@ -298,7 +265,11 @@
 
 func (s *site) candidate(server *vrfleet.Server, w wish) *candidate {
 	p := s.planner
-	if !server.Takes() || p.work[server.ID] != nil || s.now.Before(p.cool[server.ID]) || hasModel(server, w.model.ID) || !p.settled(s.now, server, s.out) {
+	if !server.Takes() || p.work[server.ID] != nil || s.now.Before(p.cool[server.ID]) {
+		return nil
+	}
+	known := p.ledgerOf(s.now, server, s.out)
+	if known == nil || known.find(w.model.ID) != nil {
 		return nil
 	}
 	from := s.tierOf(server, w.model.ID)
@@ -308,7 +279,7 @@
 	if w.ahead && w.first && from != tierStore {
 		return nil
 	}
-	victims, loss, ok := s.victims(server, w)
+	victims, loss, ok := s.victims(server, known, w)
 	if !ok {
 		return nil
 	}
@@ -344,14 +315,14 @@
 }
 
 // victims returns the models whose loss makes room, and what the loss costs.
-func (s *site) victims(server *vrfleet.Server, w wish) ([]vrid.ModelID, float64, bool) {
-	free := s.room(server)
+func (s *site) victims(server *vrfleet.Server, known *ledger, w wish) ([]vrid.ModelID, float64, bool) {
+	free := s.room(server, known)
 	type choice struct {
 		model vrid.ModelID
 		loss  float64
 	}
 	var choices []choice
-	for _, holding := range server.Holdings() {
+	for _, holding := range known.holds {
 		if loss, ok := s.loss(server, holding.Model, w); ok {
 			choices = append(choices, choice{holding.Model, loss})
 		}
@@ -367,7 +338,7 @@
 		}
 		victims = append(victims, c.model)
 		loss += c.loss
-		free += s.sizeOn(server, c.model)
+		free += s.sizeOf(known.find(c.model))
 	}
 	if free < w.model.Weights {
 		return nil, 0, false
@@ -416,10 +387,10 @@
 }
 
 // room is the free memory of a server.
-func (s *site) room(server *vrfleet.Server) vrid.Bytes {
+func (s *site) room(server *vrfleet.Server, known *ledger) vrid.Bytes {
 	free := s.engine.Memory - s.reserve(server)
-	for _, holding := range server.Holdings() {
-		free -= s.sizeOn(server, holding.Model)
+	for i := range known.holds {
+		free -= s.sizeOf(&known.holds[i])
 	}
 	return free
 }
@@ -431,25 +402,25 @@
 	if !fresh || !server.Reborn {
 		return 0
 	}
-	var largest vrid.Bytes
-	for i := range s.engine.Models {
-		largest = max(largest, s.engine.Models[i].Weights)
-	}
-	return largest
+	return s.largestModel()
 }
 
-func (s *site) sizeOn(server *vrfleet.Server, model vrid.ModelID) vrid.Bytes {
-	declared := s.engine.Model(model)
+// sizeOf is the memory of a model with its adapters. One that is no longer declared counts
+// as the largest.
+func (s *site) sizeOf(holding *vrfleet.Holding) vrid.Bytes {
+	declared := s.engine.Model(holding.Model)
 	if declared == nil {
-		return 0
+		return s.largestModel() + vrid.Bytes(len(holding.Adapters))*s.largestAdapter()
 	}
-	size := declared.Weights
-	for _, holding := range server.Holdings() {
-		if holding.Model == model {
-			size += vrid.Bytes(len(holding.Adapters)) * declared.AdapterSize
-		}
+	return declared.Weights + vrid.Bytes(len(holding.Adapters))*declared.AdapterSize
+}
+
+func (s *site) largestModel() vrid.Bytes {
+	var largest vrid.Bytes
+	for i := range s.engine.Models {
+		largest = max(largest, s.engine.Models[i].Weights)
 	}
-	return size
+	return largest
 }
 
 func (s *site) begin(c *candidate, w wish) {
--- a/verbenacore/vrresidence/vrresidence.go
+++ b/verbenacore/vrresidence/vrresidence.go
@@ -52,7 +52,6 @@
 	Reads []vrid.ServerID
 	// Needs are the models whose wanted number of servers changed.
 	Needs []ModelNeed
-	Debug []string
 }
 
 // ModelNeed is how many servers a model should have, and why.
@@ -79,7 +78,7 @@
 	readRate float64
 	demand   map[key]*demand
 	work     map[vrid.ServerID]*work
-	counts   map[vrid.ServerID]orderCount
+	ledgers  map[vrid.ServerID]*ledger
 	asked    map[vrid.ServerID]time.Time
 	cool     map[vrid.ServerID]time.Time
 	stores   map[vrid.ServiceID]*weightStore
@@ -95,34 +94,11 @@
 	model  vrid.ModelID
 }
 
-// orderCount is how many orders a life of a server accepted, by its report and answers.
-type orderCount struct {
-	born   int64
-	orders uint64
-}
-
-// readPause is the pause between two questions for a server's report.
-const readPause = 300 * time.Millisecond
-
-// settled reports whether the number of orders that a server accepted is known. It asks
-// for the report of one of which it is not.
-func (p *Planner) settled(now time.Time, server *vrfleet.Server, decided *Decision) bool {
-	count, known := p.counts[server.ID]
-	if known && count.born == server.Born {
-		return true
-	}
-	if now.Sub(p.asked[server.ID]) >= readPause {
-		p.asked[server.ID] = now
-		decided.Reads = append(decided.Reads, server.ID)
-	}
-	return false
-}
-
 // New returns a planner that knows of no demand.
 func New(opts Options) *Planner {
 	return &Planner{
 		opts: opts, demand: make(map[key]*demand), work: make(map[vrid.ServerID]*work),
-		counts: make(map[vrid.ServerID]orderCount), asked: make(map[vrid.ServerID]time.Time), cool: make(map[vrid.ServerID]time.Time),
+		ledgers: make(map[vrid.ServerID]*ledger), asked: make(map[vrid.ServerID]time.Time), cool: make(map[vrid.ServerID]time.Time),
 		stores: make(map[vrid.ServiceID]*weightStore), held: make(map[resident]time.Time), needs: make(map[key]int), runs: make(map[vrid.DaemonID]runs),
 	}
 }
@@ -131,58 +107,13 @@
 func (p *Planner) Begin(now time.Time) {
 	p.began = now
 	clear(p.work)
-	clear(p.counts)
+	clear(p.ledgers)
 	clear(p.stores)
 }
 
 // Forget drops what is known of a life of a server.
 func (p *Planner) Forget(id vrid.ServerID) {
 	delete(p.work, id)
-	delete(p.counts, id)
+	delete(p.ledgers, id)
 	delete(p.cool, id)
 }
-
-// StatusRead takes a server's own report. What it holds and how many orders it accepted are
-// of one moment, so a plan that is made from both is safe: an order is only accepted if the
-// count still stands.
-func (p *Planner) StatusRead(now time.Time, e vrevent.StatusRead, fleet *vrfleet.Fleet) {
-	w := p.work[e.Server]
-	server := fleet.Server(e.Server)
-	if w != nil && w.phase != phaseDue {
-		return
-	}
-	if e.Status == nil || server == nil || e.Status.Born != server.Born {
-		p.cool[e.Server] = now.Add(retryPause)
-		if w != nil && w.reading {
-			w.reading = false
-			w.retryAt = now.Add(retryPause)
-		}
-		return
-	}
-	server.Load(now, e.Status.Running, e.Status.Waiting)
-	if e.Status.Busy || e.Status.PendingAdapters > 0 {
-		// An order that is under way counts already, but what it loads is not in the list
-		// yet: a plan from this report could take the same room twice.
-		delete(p.counts, e.Server)
-		if w != nil && w.reading {
-			w.reading = false
-			w.retryAt = now.Add(retryPause)
-			w.unsure = true
-		}
-		return
-	}
-	count, known := p.counts[e.Server]
-	if !known || count != (orderCount{born: e.Status.Born, orders: e.Status.Orders}) {
-		p.counts[e.Server] = orderCount{born: e.Status.Born, orders: e.Status.Orders}
-		server.Correct(e.Status.Holds, e.Status.InHost, e.Status.OnDisk)
-	}
-	if w == nil {
-		return
-	}
-	w.reading = false
-	w.unsure = false
-	w.statusRead(now, e.Status)
-	if w.phase == phaseDropped {
-		delete(p.work, e.Server)
-	}
-}
--- a/verbenacore/vrresidence/work.go
+++ b/verbenacore/vrresidence/work.go
@@ -78,9 +78,7 @@
 	// begunSteps counts the steps that were accepted.
 	begunSteps int
 	reading    bool
-	// unsure is set while the count of orders that the server accepted is not known.
-	unsure bool
-	from   tier
+	from       tier
 	// begun is when the load was accepted, eta how long it is expected to take, beside
 	// how many others from the weight store.
 	begun  time.Time
@@ -102,37 +100,6 @@
 	}
 }
 
-// statusRead settles a step whose outcome was unknown, or lets it be tried again.
-func (w *work) statusRead(now time.Time, status *vrevent.ServerStatus) {
-	if w.phase != phaseDue || len(w.steps) == 0 {
-		return
-	}
-	w.retryAt = now
-	if status.Busy {
-		w.retryAt = now.Add(retryPause)
-	}
-	switch {
-	case status.Orders == w.expected:
-	case status.Orders == w.expected+1 && status.Born == w.born && w.holds(status):
-		// The unanswered order was accepted.
-		w.next(now)
-	default:
-		// Another order was accepted: what makes room was planned from another state.
-		w.phase = phaseDropped
-	}
-}
-
-// holds reports whether a report shows the present step as done.
-func (w *work) holds(status *vrevent.ServerStatus) bool {
-	current := w.steps[0]
-	index := slices.IndexFunc(status.Holds, func(h vrfleet.Holding) bool { return h.Model == current.model })
-	held := index >= 0
-	if held && current.adapter != "" {
-		held = slices.Contains(status.Holds[index].Adapters, current.adapter)
-	}
-	return held == (current.kind == vrevent.OrderLoad)
-}
-
 // due returns the orders that are to be given now.
 func (p *Planner) due(now time.Time, view View, decided *Decision) {
 	for _, id := range p.workers() {
@@ -146,10 +113,6 @@
 		if p.work[id] == nil || w.phase != phaseDue || now.Before(w.retryAt) || w.reading {
 			continue
 		}
-		if w.unsure {
-			w.reading = true
-			continue
-		}
 		p.order(now, server, w, decided)
 	}
 }
@@ -171,7 +134,12 @@
 	}
 	w.phase = phaseSent
 	w.sentAt = now
-	w.expected = p.counts[server.ID].orders
+	known := p.ledgers[server.ID]
+	if known == nil || known.born != server.Born {
+		delete(p.work, server.ID)
+		return
+	}
+	w.expected = known.orders
 	decided.Orders = append(decided.Orders, vrevent.PlacementOrder{
 		Server: server.ID, Address: server.Address, Kind: current.kind,
 		Model: current.model, Adapter: current.adapter, Expected: w.expected,
@@ -203,7 +171,9 @@
 		if w.from == tierStore {
 			p.store(w.service).ended(now.Sub(w.begun), w)
 		}
+		// Whether it is still under way is for the server's report to say.
 		delete(p.work, server.ID)
+		delete(p.ledgers, server.ID)
 	}
 }
 
@@ -221,11 +191,15 @@
 	current := w.steps[0]
 	switch e.Outcome {
 	case vrevent.OrderAccepted, vrevent.OrderHolds:
+		known := p.ledgers[server.ID]
+		if known == nil || known.born != server.Born || known.orders != w.expected {
+			delete(p.work, server.ID)
+			return nil
+		}
+		known.apply(current)
 		if e.Outcome == vrevent.OrderHolds && current.kind == vrevent.OrderLoad {
 			// Whether an order that changes nothing counts is not known.
-			delete(p.counts, server.ID)
-		} else {
-			p.counts[server.ID] = orderCount{born: server.Born, orders: w.expected + 1}
+			delete(p.ledgers, server.ID)
 		}
 		return p.accepted(now, server, w, current)
 	case vrevent.OrderConflict:
@@ -235,6 +209,7 @@
 		// is accepted, the other one meets another count.
 		w.phase, w.retryAt = phaseDue, now.Add(statusPause)
 		w.conflicts++
+		w.reading = w.conflicts > 1
 	case vrevent.OrderNotGiven:
 		// The server is not reached; another one is chosen.
 		delete(p.work, server.ID)
