--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -293,6 +293,14 @@
 	return max(s.Running+s.Waiting+s.SentSince, s.InFlight)
 }
 
+// Gain notes that the server holds a model, ahead of its entry.
+func (s *Server) Gain(model vrid.ModelID) {
+	delete(s.missing, model)
+	if s.holding(model) == nil {
+		s.Entry.Holds = append(slices.Clone(s.Entry.Holds), Holding{Model: model})
+	}
+}
+
 // Correct replaces what the server holds by its own report, which is newer than its entry.
 func (s *Server) Correct(holds []Holding, inHost, onDisk []vrid.ModelID) {
 	s.Entry.Holds, s.InHost, s.OnDisk = holds, inHost, onDisk
--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -261,7 +261,7 @@
 	byDaemon := make(map[vrid.DaemonID][]vrwire.Notice)
 	for i := range notices {
 		notice := &notices[i]
-		if notice.Kind == vrwire.NoticeLosing {
+		if notice.Kind == vrwire.NoticeLosing || notice.Kind == vrwire.NoticeHeld {
 			for _, peer := range s.peers {
 				byDaemon[peer.Daemon] = append(byDaemon[peer.Daemon], notice.Notice)
 			}
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -88,7 +88,9 @@
 		lease: vrlease.New(vrlease.Options{
 			Key: vrplatform.KeyFleetLease, Daemon: opts.Daemon, Boot: opts.Boot, Peer: opts.Address,
 			Ops: &vrevent.Ops{}, Random: random,
-			Timing: vrlease.Timing{Duration: lease * 2 / 3, Renew: lease / 5, Suspect: lease * 2 / 3, Quiet: lease},
+			Timing: vrlease.Timing{
+				Duration: lease * 2 / 3, Renew: lease / 4, Observe: lease / 3, Suspect: lease * 2 / 3, Quiet: lease,
+			},
 		}),
 		planner: vrresidence.New(vrresidence.Options{
 			Ceiling: opts.Bounds.Ceiling, FirstStart: opts.FirstStart, Zone: opts.Zone, Regions: opts.Regions,
--- a/verbenacore/vrgateway/waits.go
+++ b/verbenacore/vrgateway/waits.go
@@ -19,7 +19,10 @@
 	// ownerPart is the part of a call's time for which it waits without word from the
 	// placement owner; ownerMost bounds it.
 	ownerPart = 0.12
-	ownerMost = 2 * time.Second
+	ownerMost = 600 * time.Millisecond
+	// ownerRetry is when a client may come back where no placement owner answers: a new one
+	// begins to order about that long after the former one was lost.
+	ownerRetry = 3 * time.Second
 	// serveLeast is the least time that an answer takes once a model is held.
 	serveLeast = 300 * time.Millisecond
 	// waitMost bounds the calls that wait for one model at one daemon.
@@ -169,6 +172,9 @@
 	if list.ready.After(now) {
 		return list.ready.Sub(now)
 	}
+	if list.heard.IsZero() && (list.lack == vrchoice.LackModel || list.lack == vrchoice.LackAdapter) {
+		return ownerRetry
+	}
 	return max(shortRetry, c.route.Target/4)
 }
 
@@ -194,6 +200,10 @@
 		if list := s.waits[key]; list != nil {
 			list.heard, list.ready = now, now.Add(in)
 		}
+	case vrwire.NoticeHeld:
+		if server != nil {
+			server.Gain(notice.Model)
+		}
 	case vrwire.NoticeRefused:
 		list := s.waits[key]
 		if list == nil {
--- a/verbenacore/vrlease/vrlease.go
+++ b/verbenacore/vrlease/vrlease.go
@@ -68,6 +68,8 @@
 	Duration time.Duration
 	// Renew is the pause between renewals, shorter than Duration.
 	Renew time.Duration
+	// Observe is the pause between two readings of another's lease; zero takes Renew.
+	Observe time.Duration
 	// Suspect replaces Duration for a holder that can't be reached.
 	Suspect time.Duration
 	// Quiet is how long after the end of another machine's hold a new holder waits before
@@ -119,6 +121,9 @@
 	if opts.Timing == (Timing{}) {
 		opts.Timing = Timing{Duration: Duration, Renew: RenewInterval, Suspect: suspectDuration}
 	}
+	if opts.Timing.Observe == 0 {
+		opts.Timing.Observe = opts.Timing.Renew
+	}
 	return &Lease{opts: opts}
 }
 
@@ -261,7 +266,7 @@
 func (l *Lease) read(now time.Time, out *vrevent.Effects) {
 	l.op = l.opts.Ops.Next()
 	l.opSent = now
-	l.nextRead = now.Add(l.opts.Timing.Renew)
+	l.nextRead = now.Add(l.opts.Timing.Observe)
 	out.Add(vrevent.ReadObject{Op: l.op, Key: l.opts.Key})
 }
 
--- a/verbenacore/vrresidence/work.go
+++ b/verbenacore/vrresidence/work.go
@@ -109,7 +109,7 @@
 			delete(p.work, id)
 			continue
 		}
-		p.settle(now, server, w)
+		p.settle(now, server, w, decided)
 		if p.work[id] == nil || w.phase != phaseDue || now.Before(w.retryAt) || w.reading {
 			continue
 		}
@@ -153,7 +153,7 @@
 
 // settle ends an accepted step that the server's entry shows as done, and gives up on one
 // that is long overdue.
-func (p *Planner) settle(now time.Time, server *vrfleet.Server, w *work) {
+func (p *Planner) settle(now time.Time, server *vrfleet.Server, w *work, decided *Decision) {
 	if w.phase != phaseAccepted {
 		return
 	}
@@ -164,6 +164,9 @@
 		}
 		p.held[resident{server.ID, current.model}] = now
 		p.served(key{service: w.service, model: current.model})
+		decided.Notices = append(decided.Notices, Notice{Notice: vrwire.Notice{
+			Kind: vrwire.NoticeHeld, Service: w.service, Model: current.model, Server: server.ID,
+		}})
 		delete(p.work, server.ID)
 		return
 	}
--- a/verbenacore/vrsettings/gateway.go
+++ b/verbenacore/vrsettings/gateway.go
@@ -33,6 +33,8 @@
 type GatewayBounds struct {
 	// Lease is the least time between orders of two machines to one server.
 	Lease vrid.Duration `json:"lease"`
+	// Contact is the time after which a silent connection must have been noticed.
+	Contact vrid.Duration `json:"contact"`
 	// Drain is the time in which a leaving server has to be without new requests.
 	Drain vrid.Duration `json:"drain"`
 	// Grace is the time between the signal to stop and the end by force.
@@ -50,6 +52,7 @@
 // of the deployments known today.
 const (
 	defaultLease         = vrid.Duration(3 * time.Second)
+	defaultContact       = vrid.Duration(3 * time.Second)
 	defaultDrain         = vrid.Duration(2500 * time.Millisecond)
 	defaultGrace         = vrid.Duration(8 * time.Second)
 	defaultRetryRatio    = 0.2
@@ -63,6 +66,7 @@
 func (g *Gateway) WithDefaults() *Gateway {
 	filled := *g
 	fill(&filled.Bounds.Lease, defaultLease)
+	fill(&filled.Bounds.Contact, defaultContact)
 	fill(&filled.Bounds.Drain, defaultDrain)
 	fill(&filled.Bounds.Grace, defaultGrace)
 	fill(&filled.Bounds.RetryRatio, defaultRetryRatio)
@@ -86,7 +90,7 @@
 	}
 	b := g.Bounds
 	for field, value := range map[string]vrid.Duration{
-		"bounds.lease": b.Lease, "bounds.drain": b.Drain, "bounds.grace": b.Grace,
+		"bounds.lease": b.Lease, "bounds.contact": b.Contact, "bounds.drain": b.Drain, "bounds.grace": b.Grace,
 		"bounds.retryWindow": b.RetryWindow, "bounds.ceilingWindow": b.CeilingWindow,
 	} {
 		c.Require(value > 0, field, value, "a positive time")
--- a/verbenacore/vrwire/fleet.go
+++ b/verbenacore/vrwire/fleet.go
@@ -64,6 +64,8 @@
 	NoticeLosing
 	// NoticeRefused: it can't be held in time; In is when it may be worth asking again.
 	NoticeRefused
+	// NoticeHeld: the server holds it, as the owner saw before the sender's entry tells all.
+	NoticeHeld
 )
 
 // Notice is the placement owner's word about one model or adapter.
@@ -86,7 +88,7 @@
 // Validate checks that each notice has a known kind and names a model.
 func (n *Notices) Validate() error {
 	for _, item := range n.Items {
-		if item.Kind < NoticeComing || item.Kind > NoticeRefused || item.Model == "" {
+		if item.Kind < NoticeComing || item.Kind > NoticeHeld || item.Model == "" {
 			return &DecodeError{Message: "Notices", Field: "items", Problem: "an unknown kind or no model"}
 		}
 	}
--- a/verbenaroute/internal/vrnode/store.go
+++ b/verbenaroute/internal/vrnode/store.go
@@ -16,13 +16,16 @@
 const (
 	// callTimeout bounds a call to the store, which answers in some milliseconds.
 	callTimeout = 1500 * time.Millisecond
-	// watchWait is how long a watch waits for news. It is short because a connection may
-	// go silent: a server that leaves has to be known within the drain bound all the same.
-	watchWait  = 1200 * time.Millisecond
-	watchSlack = 500 * time.Millisecond
-	// serversRest is the pause between two watches of the servers, which gathers changes:
-	// every call has its price.
-	serversRest = 150 * time.Millisecond
+	// watchSlack is how much longer than its wait a watch may take, watchMargin what is left
+	// of the contact bound for the list that follows a silent one.
+	watchSlack  = 400 * time.Millisecond
+	watchMargin = 400 * time.Millisecond
+	watchLeast  = 500 * time.Millisecond
+	// ownerRest and serversRest are the pauses between two watches of the servers, which
+	// gather changes, since every call has its price. The placement owner waits for the end
+	// of loads and tells the others.
+	ownerRest   = 150 * time.Millisecond
+	serversRest = 700 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
@@ -70,12 +73,29 @@
 	n.Submit(vrevent.StatusRead{Server: e.Server, Status: status})
 }
 
+// watchWait is how long a watch waits for news: a connection that went silent has to be
+// noticed, and a list read, before the machine counts as in contact again.
+func (n *Node) watchWait() time.Duration {
+	return max(n.settings.Bounds.Contact.Std()-watchSlack-watchMargin, watchLeast)
+}
+
+// serversRest is shorter for the placement owner.
+func (n *Node) serversRest() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.state.Owns(n.clock.Now()) {
+		return ownerRest
+	}
+	return serversRest
+}
+
 // follower keeps one kind of the store's objects up to date: a list, then watches.
 type follower struct {
 	node  *Node
 	name  string
 	after vrid.ObjectVersion
-	rest  time.Duration
+	// rest is the pause after news.
+	rest func() time.Duration
 	// list reads everything, watch what changed since a revision.
 	list  func(ctx context.Context) (vrid.ObjectVersion, error)
 	watch func(ctx context.Context, after vrid.ObjectVersion) (vrid.ObjectVersion, bool, error)
@@ -89,7 +109,7 @@
 			f.relist()
 			continue
 		}
-		ctx, cancel := context.WithTimeout(n.base, watchWait+watchSlack)
+		ctx, cancel := context.WithTimeout(n.base, n.watchWait()+watchSlack)
 		after, changed, err := f.watch(ctx, f.after)
 		cancel()
 		var gone *vradapter.HistoryGoneError
@@ -104,8 +124,8 @@
 		default:
 			f.succeeded()
 			f.after = after
-			if changed {
-				pause(n.base, f.rest)
+			if changed && f.rest != nil {
+				pause(n.base, f.rest())
 			}
 		}
 	}
@@ -155,7 +175,7 @@
 		return version, err
 	}
 	f.watch = func(ctx context.Context, after vrid.ObjectVersion) (vrid.ObjectVersion, bool, error) {
-		catalog, version, err := n.store.WatchCatalog(ctx, after, watchWait)
+		catalog, version, err := n.store.WatchCatalog(ctx, after, n.watchWait())
 		if err == nil && catalog != nil {
 			n.Submit(vrevent.CatalogSeen{Catalog: catalog})
 		}
@@ -165,7 +185,7 @@
 }
 
 func (n *Node) followServers() {
-	f := &follower{node: n, name: "servers", rest: serversRest}
+	f := &follower{node: n, name: "servers", rest: n.serversRest}
 	f.list = func(ctx context.Context) (vrid.ObjectVersion, error) {
 		entries, version, err := n.store.ListServers(ctx)
 		if err == nil {
@@ -176,7 +196,7 @@
 		return version, err
 	}
 	f.watch = func(ctx context.Context, after vrid.ObjectVersion) (vrid.ObjectVersion, bool, error) {
-		changed, version, err := n.store.WatchServers(ctx, after, watchWait)
+		changed, version, err := n.store.WatchServers(ctx, after, n.watchWait())
 		if err == nil && n.catalog.Load() != nil {
 			n.ready.Store(true)
 		}
