Wait for a server with a near copy instead of loading from the weight store

Ruled out: the time to see the end of a load (0.15 s), the order of waiting models.

Change: no load from the store while a server that does not hold the model has a copy near. Also: hopeful requests first; work held up by an unload does not count as a replica; calls wait through a change of the placement owner, and leave a daemon that is cut off; a released lease shortens the new holder's wait.

--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -51,6 +51,10 @@
 	// waiting is set while the call is in a wait list, since when.
 	waiting   bool
 	waitSince time.Time
+	// promised is when the placement owner first said that the call's model would be held.
+	promised time.Time
+	// rare is set when the call had to wait for its model.
+	rare bool
 	// held is set while a server's failure is kept back.
 	held bool
 	// reading is set from a send until its first event.
@@ -191,6 +195,9 @@
 	c.server = nil
 	s.fleet.Ended(server)
 	s.noteRun(c, server.ID, -1)
+	if c.rare {
+		s.tellSoon(now)
+	}
 	s.read(c, server)
 	c.begun = c.begun || e.Begun
 	c.events = max(c.events, e.Events)
--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -18,6 +18,8 @@
 	wantInterval = time.Second
 	// askInterval is the pause between two messages for one target.
 	askInterval = 500 * time.Millisecond
+	// tellDelay gathers changes of what runs where into one message.
+	tellDelay = 150 * time.Millisecond
 	// planInterval is the pause between two plans without news.
 	planInterval = 100 * time.Millisecond
 	// candidateSpread spreads the daemons' first try for the lease.
@@ -29,18 +31,25 @@
 	daemon  vrid.DaemonID
 	address string
 	epoch   vrid.Epoch
-	// unreachable is set when a message could not be delivered.
-	unreachable bool
-	sentAt      time.Time
-	planAt      time.Time
+	// unreachableAt is when a message could last not be delivered.
+	unreachableAt time.Time
+	sentAt        time.Time
+	planAt        time.Time
 }
 
-func (o *ownerLink) lost(peer vrid.DaemonID) {
+func (o *ownerLink) lost(now time.Time, peer vrid.DaemonID) {
 	if peer == o.daemon {
-		o.unreachable = true
+		o.unreachableAt = now
 	}
 }
 
+// unreachableTime is how long a message that was not delivered counts.
+const unreachableTime = 1500 * time.Millisecond
+
+func (o *ownerLink) unreachable(now time.Time) bool {
+	return !o.unreachableAt.IsZero() && now.Sub(o.unreachableAt) < unreachableTime
+}
+
 // use counts what this daemon's calls ask for, for the next message of wants.
 type use struct {
 	arrived uint32
@@ -110,7 +119,7 @@
 	s.lease.Tick(now, vrlease.Request{
 		Observe:   true,
 		Candidate: s.catalog != nil && !s.leaving && !early && s.fleet.Len() > 0,
-		Suspected: s.owner.unreachable,
+		Suspected: s.owner.unreachable(now),
 		Chunks:    1,
 	}, out)
 }
@@ -154,6 +163,10 @@
 	want.Running -= min(want.Running, want.Waiting)
 	for i, c := range list.calls {
 		want.Remaining = max(want.Remaining, c.until.Sub(now).Milliseconds())
+		if waited := now.Sub(c.arrived); waited < c.route.Target {
+			want.Hopeful++
+			want.Oldest = max(want.Oldest, waited.Milliseconds())
+		}
 		if priority := int32(c.route.Priority); i == 0 || priority < want.Priority {
 			want.Priority = priority
 		}
@@ -161,6 +174,14 @@
 	return want
 }
 
+// tellSoon brings the next full message forward: what runs where has changed in a way that
+// the placement owner waits for.
+func (s *State) tellSoon(now time.Time) {
+	if soon := now.Add(tellDelay - wantInterval); soon.Before(s.owner.sentAt) {
+		s.owner.sentAt = soon
+	}
+}
+
 // tickWants sends everything that arrived, waits and runs.
 func (s *State) tickWants(now time.Time, out *vrevent.Effects) {
 	if now.Sub(s.owner.sentAt) < wantInterval {
@@ -215,6 +236,9 @@
 		s.owner.planAt = time.Time{}
 		s.plan(now, out)
 	}
+	if envelope.From == s.owner.daemon {
+		s.owner.unreachableAt = time.Time{}
+	}
 	if notices := envelope.Notices; notices != nil && notices.Epoch >= s.owner.epoch {
 		for i := range notices.Items {
 			s.noticed(now, &notices.Items[i], out)
@@ -244,6 +268,10 @@
 		out.Info("order", text("server", order.Server), text("kind", order.Kind.String()), text("model", order.Model),
 			text("adapter", order.Adapter), number("expected", order.Expected), number("epoch", uint64(order.Epoch)))
 	}
+	for _, end := range decided.Loaded {
+		out.Info("load ended", text("server", end.Server), text("model", end.Model), text("from", end.From),
+			millis("waitedMs", end.Waited), millis("tookMs", end.Took), millis("expectedMs", end.Expected), boolean("held", end.Held))
+	}
 	for _, need := range decided.Needs {
 		out.Info("model need", text("model", need.Model), number("have", uint64(need.Have)), number("need", uint64(need.Need)),
 			decimal("rate", need.Rate), decimal("readShare", need.ReadShare))
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -89,7 +89,7 @@
 			Key: vrplatform.KeyFleetLease, Daemon: opts.Daemon, Boot: opts.Boot, Peer: opts.Address,
 			Ops: &vrevent.Ops{}, Random: random,
 			Timing: vrlease.Timing{
-				Duration: lease * 2 / 3, Renew: lease / 4, Observe: lease / 3, Suspect: lease * 2 / 3, Quiet: lease,
+				Duration: lease / 2, Renew: lease / 5, Observe: lease / 4, Suspect: lease / 2, Quiet: lease,
 			},
 		}),
 		planner: vrresidence.New(vrresidence.Options{
@@ -167,7 +167,7 @@
 	case vrevent.PeerMessage:
 		s.peerMessage(now, e.Envelope, out)
 	case vrevent.PeerUnreachable:
-		s.owner.lost(e.Peer)
+		s.owner.lost(now, e.Peer)
 	case vrevent.ShutdownRequested:
 		s.leaving = true
 		s.lease.Release(now, out)
--- a/verbenacore/vrgateway/waits.go
+++ b/verbenacore/vrgateway/waits.go
@@ -16,15 +16,23 @@
 	stallPart  = 0.5
 	stallLeast = 100 * time.Millisecond
 	stallMost  = time.Second
-	// ownerPart is the part of a call's time for which it waits without word from the
-	// placement owner; ownerMost bounds it.
-	ownerPart = 0.12
-	ownerMost = 600 * time.Millisecond
+	// ownerSilence is how long after the placement owner's last word about a target its
+	// silence counts; it repeats itself each second while calls wait.
+	ownerSilence = 2500 * time.Millisecond
+	// ownerPart is the part of a call's time for which it waits while no placement owner
+	// answers, for example until a new one may order; ownerMost bounds it.
+	ownerPart = 0.3
+	ownerMost = 8 * time.Second
+	// cutOffMost is the same where this daemon alone does not reach the owner: another
+	// daemon serves the call at once.
+	cutOffMost = 250 * time.Millisecond
 	// ownerRetry is when a client may come back where no placement owner answers: a new one
 	// begins to order about that long after the former one was lost.
 	ownerRetry = 3 * time.Second
 	// serveLeast is the least time that an answer takes once a model is held.
 	serveLeast = 300 * time.Millisecond
+	// promiseSlack is how long after the first promised time a call goes on waiting.
+	promiseSlack = 12 * time.Second
 	// waitMost bounds the calls that wait for one model at one daemon.
 	waitMost = 256
 )
@@ -120,6 +128,8 @@
 		}
 		s.unwait(c)
 		s.send(now, c, server, out)
+		c.rare = true
+		s.tellSoon(now)
 	}
 }
 
@@ -153,10 +163,38 @@
 	if list.lack == vrchoice.LackHealthy || list.lack == vrchoice.LackServers {
 		return waited >= min(max(time.Duration(stallPart*float64(c.route.Target)), stallLeast), stallMost)
 	}
-	if list.heard.IsZero() {
-		return waited >= min(time.Duration(ownerPart*float64(c.until.Sub(c.arrived))), ownerMost)
+	if silent := now.Sub(later(c.waitSince, list.heard)); list.heard.IsZero() || silent > ownerSilence {
+		return silent >= s.ownerPatience(now, c)
 	}
-	return !list.ready.IsZero() && list.ready.After(c.until.Add(-serveLeast))
+	if list.ready.IsZero() {
+		return false
+	}
+	if c.promised.IsZero() {
+		c.promised = list.ready
+	}
+	return list.ready.After(c.until.Add(-serveLeast)) || now.Sub(c.promised) > promiseSlack
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// ownerPatience is how long a call waits for word from the placement owner.
+func (s *State) ownerPatience(now time.Time, c *call) time.Duration {
+	if s.cutOff(now) {
+		return cutOffMost
+	}
+	return min(time.Duration(ownerPart*float64(c.until.Sub(c.arrived))), ownerMost)
+}
+
+// cutOff reports whether this daemon does not reach the placement owner although the owner
+// is there: it has lost the store, or sees the lease renewed while messages fail.
+func (s *State) cutOff(now time.Time) bool {
+	renewed := now.Sub(s.lease.ChangedAt()) < s.opts.Bounds.Lease/2
+	return s.store.lost || (s.owner.unreachable(now) && renewed && !s.lease.Holding())
 }
 
 func (s *State) hopelessReason(c *call) vrwire.Reason {
@@ -172,6 +210,9 @@
 	if list.ready.After(now) {
 		return list.ready.Sub(now)
 	}
+	if s.cutOff(now) {
+		return shortRetry
+	}
 	if list.heard.IsZero() && (list.lack == vrchoice.LackModel || list.lack == vrchoice.LackAdapter) {
 		return ownerRetry
 	}
--- a/verbenacore/vrlease/vrlease.go
+++ b/verbenacore/vrlease/vrlease.go
@@ -114,6 +114,8 @@
 	reclaim bool
 	// others is when a record of another machine was last seen to change.
 	others time.Time
+	// othersReleased is set when that record gave the lease up.
+	othersReleased bool
 }
 
 // New returns a lease that has not been read yet.
@@ -127,6 +129,9 @@
 	return &Lease{opts: opts}
 }
 
+// ChangedAt is when the newest record was first seen.
+func (l *Lease) ChangedAt() time.Time { return l.changed }
+
 // Until is when the hold ends unless it is renewed.
 func (l *Lease) Until() time.Time { return l.confirmed.Add(l.opts.Timing.Duration) }
 
@@ -136,6 +141,10 @@
 	if l.others.IsZero() {
 		return time.Time{}
 	}
+	if l.othersReleased {
+		// Who gives a lease up gives no order after it.
+		return l.others.Add(l.opts.Timing.Quiet)
+	}
 	return l.others.Add(l.opts.Timing.Duration + l.opts.Timing.Quiet)
 }
 
@@ -326,7 +335,7 @@
 	l.version = version
 	l.known = record
 	if record.Holder != l.opts.Daemon && l.changed.Equal(now) {
-		l.others = now
+		l.others, l.othersReleased = now, record.Released
 	}
 	mine := record.Holder == l.opts.Daemon && record.Boot == l.opts.Boot && !record.Released
 	wasHolding := l.holding
--- a/verbenacore/vrresidence/demand.go
+++ b/verbenacore/vrresidence/demand.go
@@ -32,8 +32,11 @@
 // share is one daemon's part.
 type share struct {
 	waiting  int
+	hopeful  int
 	running  int
 	priority int
+	// oldest is how long the first of the hopeful requests had waited when it was heard.
+	oldest time.Duration
 	// until is when the last of the waiting requests gives up.
 	until time.Time
 	heard time.Time
@@ -91,6 +94,7 @@
 	}
 	s.waiting, s.running, s.heard = int(item.Waiting), int(item.Running), now
 	s.priority = int(item.Priority)
+	s.hopeful, s.oldest = int(item.Hopeful), time.Duration(item.Oldest)*time.Millisecond
 	s.until = now.Add(time.Duration(item.Remaining) * time.Millisecond)
 }
 
@@ -130,8 +134,10 @@
 	rate     float64
 	tokens   float64
 	waiting  int
+	hopeful  int
 	running  int
 	priority int
+	oldest   time.Duration
 	// until is the latest time at which a waiting request gives up.
 	until time.Time
 	last  time.Time
@@ -157,6 +163,10 @@
 			t.priority = s.priority
 		}
 		t.waiting += s.waiting
+		t.hopeful += s.hopeful
+		if s.hopeful > 0 {
+			t.oldest = max(t.oldest, s.oldest+now.Sub(s.heard))
+		}
 		if s.until.After(t.until) {
 			t.until = s.until
 		}
--- a/verbenacore/vrresidence/plan.go
+++ b/verbenacore/vrresidence/plan.go
@@ -38,7 +38,7 @@
 	lossWeight = 4.0
 	// runLoss is the loss by an unload that waits for a request in flight: the server takes
 	// no other order meanwhile.
-	runLoss = 0.5
+	runLoss = 1.0
 	// unseenRate is the rate that is assumed of a model nobody asked for yet.
 	unseenRate = 0.02
 	// answerTime is the least time an answer takes after a load.
@@ -104,7 +104,7 @@
 				s.copies[model]++
 			}
 		}
-		if w := p.work[server.ID]; w != nil && w.load().adapter == "" {
+		if w := p.work[server.ID]; w != nil && w.load().adapter == "" && !w.stuck() {
 			s.replicas[w.load().model]++
 			s.copies[w.load().model]++
 			if w.from == tierStore {
@@ -212,7 +212,7 @@
 		w := wish{model: model, tally: t, first: have == 0, ahead: t.waiting == 0}
 		switch {
 		case have == 0 && t.waiting > 0:
-			w.value = float64(t.waiting) + s.demandOf(model.ID)
+			w.value = s.waitValue(t) + s.demandOf(model.ID)
 		case have < need:
 			w.value = s.demandOf(model.ID) * float64(need-have) / float64(have+1)
 		case s.copies[model.ID] == 0:
@@ -240,6 +240,13 @@
 	s.out.Needs = append(s.out.Needs, told)
 }
 
+// waitValue is what a load is worth to those who wait: most to those who can still be
+// served in time, and among equals to those who waited longest.
+func (s *site) waitValue(t tally) float64 {
+	const late, hurry = 0.2, 0.1
+	return float64(t.hopeful) + late*float64(t.waiting-t.hopeful) + hurry*t.oldest.Seconds()
+}
+
 // grant starts the load of a model on the server where it costs least.
 func (s *site) grant(w wish) bool {
 	var best *candidate
@@ -273,7 +280,7 @@
 		return nil
 	}
 	from := s.tierOf(server, w.model.ID)
-	if from == tierStore && s.store.free() <= 0 {
+	if from == tierStore && (s.store.free() <= 0 || s.nearElsewhere(w.model.ID)) {
 		return nil
 	}
 	if w.ahead && w.first && from != tierStore {
@@ -287,6 +294,24 @@
 	return &candidate{server: server, victims: victims, from: from, cost: cost}
 }
 
+// nearElsewhere reports whether a server that does not hold a model has a copy near it. A load
+// from the weight store takes several times as long, and its server takes no other order
+// meanwhile, so it is worth waiting for that server.
+func (s *site) nearElsewhere(model vrid.ModelID) bool {
+	for _, server := range s.servers {
+		if !server.Takes() || hasModel(server, model) || s.now.Before(s.planner.cool[server.ID]) {
+			continue
+		}
+		if w := s.planner.work[server.ID]; w != nil && w.load().model == model {
+			continue
+		}
+		if s.tierOf(server, model) != tierStore {
+			return true
+		}
+	}
+	return false
+}
+
 // Weights of crowding, in seconds of a load.
 const (
 	zoneWeight = 1.0
@@ -425,7 +450,7 @@
 
 func (s *site) begin(c *candidate, w wish) {
 	work := &work{
-		service: s.service.ID, born: c.server.Born, from: c.from, retryAt: s.now,
+		service: s.service.ID, born: c.server.Born, from: c.from, retryAt: s.now, decided: s.now,
 		eta: loadTime(w.model, c.from), beside: s.store.running + 1,
 	}
 	for _, victim := range c.victims {
--- a/verbenacore/vrresidence/vrresidence.go
+++ b/verbenacore/vrresidence/vrresidence.go
@@ -52,6 +52,20 @@
 	Reads []vrid.ServerID
 	// Needs are the models whose wanted number of servers changed.
 	Needs []ModelNeed
+	// Loaded are the loads that ended.
+	Loaded []LoadEnd
+}
+
+// LoadEnd is the end of a load of a model.
+type LoadEnd struct {
+	Server vrid.ServerID
+	Model  vrid.ModelID
+	// From is where the weights came from.
+	From string
+	// Waited is the time from the decision to the accepted load, Took from then to its end.
+	Waited, Took, Expected time.Duration
+	// Held is false for a load that was given up.
+	Held bool
 }
 
 // ModelNeed is how many servers a model should have, and why.
--- a/verbenacore/vrresidence/work.go
+++ b/verbenacore/vrresidence/work.go
@@ -19,7 +19,7 @@
 	// unreachedPause is how long a server gets no order after one could not be given.
 	unreachedPause = 700 * time.Millisecond
 	// conflictsMost conflicts of one step end its work.
-	conflictsMost = 40
+	conflictsMost = 60
 	// adapterTime is the expected time of an adapter load, of the order of ten
 	// milliseconds while few are in transit.
 	adapterTime = 15 * time.Millisecond
@@ -81,13 +81,20 @@
 	from       tier
 	// begun is when the load was accepted, eta how long it is expected to take, beside
 	// how many others from the weight store.
-	begun  time.Time
-	eta    time.Duration
-	beside int
+	begun   time.Time
+	decided time.Time
+	eta     time.Duration
+	beside  int
 }
 
 func (w *work) load() step { return w.steps[len(w.steps)-1] }
 
+// stuckConflicts is from how many conflicts on a load counts as held up by an unload
+// that waits for long requests; another server may then load the model.
+const stuckConflicts = 8
+
+func (w *work) stuck() bool { return w.phase == phaseDue && w.conflicts >= stuckConflicts }
+
 // next goes on to the following step or ends the work.
 func (w *work) next(now time.Time) {
 	w.steps = w.steps[1:]
@@ -163,6 +170,7 @@
 			p.store(w.service).ended(now.Sub(w.begun), w)
 		}
 		p.held[resident{server.ID, current.model}] = now
+		decided.Loaded = append(decided.Loaded, w.ended(now, server.ID, true))
 		p.served(key{service: w.service, model: current.model})
 		decided.Notices = append(decided.Notices, Notice{Notice: vrwire.Notice{
 			Kind: vrwire.NoticeHeld, Service: w.service, Model: current.model, Server: server.ID,
@@ -174,12 +182,20 @@
 		if w.from == tierStore {
 			p.store(w.service).ended(now.Sub(w.begun), w)
 		}
+		decided.Loaded = append(decided.Loaded, w.ended(now, server.ID, false))
 		// Whether it is still under way is for the server's report to say.
 		delete(p.work, server.ID)
 		delete(p.ledgers, server.ID)
 	}
 }
 
+func (w *work) ended(now time.Time, server vrid.ServerID, held bool) LoadEnd {
+	return LoadEnd{
+		Server: server, Model: w.load().model, From: w.from.String(), Waited: w.begun.Sub(w.decided), Took: now.Sub(w.begun),
+		Expected: w.eta, Held: held,
+	}
+}
+
 func hasModel(server *vrfleet.Server, model vrid.ModelID) bool {
 	return slices.ContainsFunc(server.Holdings(), func(h vrfleet.Holding) bool { return h.Model == model })
 }
--- a/verbenacore/vrwire/fleet.go
+++ b/verbenacore/vrwire/fleet.go
@@ -9,6 +9,10 @@
 	Adapter vrid.AdapterID `protobuf:"bytes,3,opt,name=adapter,proto3"`
 	// Waiting counts the requests that wait for it now.
 	Waiting uint32 `protobuf:"varint,4,opt,name=waiting,proto3"`
+	// Hopeful counts those of them that can still be served within their target.
+	Hopeful uint32 `protobuf:"varint,10,opt,name=hopeful,proto3"`
+	// Oldest is how long the first of the hopeful ones has waited, in milliseconds.
+	Oldest int64 `protobuf:"varint,11,opt,name=oldest,proto3"`
 	// Arrived counts the requests since the previous message.
 	Arrived uint32 `protobuf:"varint,5,opt,name=arrived,proto3"`
 	// Running counts the sender's requests in flight.
