Average the read rate over the daemons

Cause: each daemon's word replaced the rate, and they differ by a factor of two, so a model's need jumped between four and nine servers within a second.

--- a/verbenacore/vrresidence/demand.go
+++ b/verbenacore/vrresidence/demand.go
@@ -12,6 +12,8 @@
 	// rateTime smooths arrival rates. It spans a few messages of each daemon and is short
 	// beside a shift of demand.
 	rateTime = 4 * time.Second
+	// readRateShare is the weight of one daemon's word in the mean read rate.
+	readRateShare = 0.03
 	// wantTimeout is how long a daemon's word of what waits counts.
 	wantTimeout = 2500 * time.Millisecond
 	// recentUse is how long a used adapter is spared when a place is needed.
@@ -47,8 +49,11 @@
 // Wants takes a daemon's word of what arrived, waits and runs.
 func (p *Planner) Wants(now time.Time, from vrid.DaemonID, wants *vrwire.Wants) {
 	if wants.ReadRate > 0 {
-		// Each daemon measures; the newest word stands for all.
-		p.readRate = float64(wants.ReadRate)
+		// Each daemon measures with its own luck.
+		if p.readRate == 0 {
+			p.readRate = float64(wants.ReadRate)
+		}
+		p.readRate += (float64(wants.ReadRate) - p.readRate) * readRateShare
 	}
 	named := make(map[key]bool, len(wants.Items))
 	for i := range wants.Items {
