--- a/verbenacore/vrresidence/plan.go
+++ b/verbenacore/vrresidence/plan.go
@@ -200,6 +200,22 @@
 			s.refuse(w)
 		}
 	}
+	s.tellComing()
+}
+
+// tellComing tells those who ask for a model that is being loaded already.
+func (s *site) tellComing() {
+	for _, server := range s.servers {
+		work := s.planner.work[server.ID]
+		if work == nil || work.load().adapter != "" {
+			continue
+		}
+		model := s.engine.Model(work.load().model)
+		if model == nil || s.tallies[model.ID].waiting == 0 {
+			continue
+		}
+		s.tell(wish{model: model}, vrwire.NoticeComing, server.ID, work.left(s.now))
+	}
 }
 
 func (s *site) wishes() []wish {
--- a/verbenacore/vrresidence/plan_test.go
+++ b/verbenacore/vrresidence/plan_test.go
@@ -104,6 +104,7 @@
 		e := w.engines[id]
 		w.planner.StatusRead(w.now, vrevent.StatusRead{Server: id, Status: &vrevent.ServerStatus{
 			Orders: e.orders, Born: e.entry.Born, Busy: e.busy(), Holds: append([]vrfleet.Holding(nil), e.holds...),
+			OnDisk: e.entry.OnDisk,
 		}}, w.fleet)
 	}
 	for _, order := range decided.Orders {
@@ -167,6 +168,7 @@
 func TestPlanDoesNotTrustEntriesOfAnOutage(t *testing.T) {
 	w := newWorld(t, 5, 1)
 	w.engines["s0"].holds = []vrfleet.Holding{{Model: "m0"}}
+	w.engines["s0"].entry.OnDisk = []vrid.ModelID{"m0", "m1", "m2", "m3", "m4"}
 	w.run(time.Second)
 	w.want(1, 1)
 	w.step(50 * time.Millisecond)
--- a/verbenacore/vrresidence/work.go
+++ b/verbenacore/vrresidence/work.go
@@ -95,6 +95,14 @@
 
 func (w *work) stuck() bool { return w.phase == phaseDue && w.conflicts >= stuckConflicts }
 
+// left is how long the load is expected to take from now.
+func (w *work) left(now time.Time) time.Duration {
+	if w.phase != phaseAccepted {
+		return w.eta
+	}
+	return max(w.eta-now.Sub(w.begun), 0)
+}
+
 // next goes on to the following step or ends the work.
 func (w *work) next(now time.Time) {
 	w.steps = w.steps[1:]
--- /dev/null
+++ b/verbenaroute/internal/vrrelay/relay_test.go
@@ -0,0 +1,351 @@
+package vrrelay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenaroute.example/platform/vradapter"
+	"verbenaroute.example/verbenacore/vrcatalog"
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+type wallClock struct{}
+
+func (wallClock) Now() time.Time { return time.Now() }
+
+// relay is a Front with scripted servers in place of the reducer: each send of a call goes
+// to the next server of the script.
+type relay struct {
+	t       *testing.T
+	front   *Front
+	url     string
+	mu      sync.Mutex
+	ended   []vrevent.SendEnded
+	left    []vrevent.CallID
+	servers []string
+	send    vrevent.SendCall
+	// after says what follows a send without an answer; nil refuses.
+	after func(vrevent.SendEnded) vrevent.Effect
+}
+
+// server answers each connection with the next reply; a reply may close it at any point.
+func server(t *testing.T, replies ...func(request *http.Request, c net.Conn)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for _, reply := range replies {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			request, err := http.ReadRequest(bufio.NewReader(c))
+			if err == nil {
+				reply(request, c)
+			}
+			_ = c.Close()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// raw replies with text in which ID stands for the request's id.
+func raw(text string) func(*http.Request, net.Conn) {
+	return func(request *http.Request, c net.Conn) {
+		_, _ = io.ReadAll(io.LimitReader(request.Body, max(request.ContentLength, 0)))
+		_, _ = io.WriteString(c, strings.ReplaceAll(text, "ID", request.Header.Get("Request-Id")))
+	}
+}
+
+func newRelay(t *testing.T, send vrevent.SendCall, servers ...string) *relay {
+	r := &relay{t: t, servers: servers, send: send}
+	r.front = New(Options{
+		Submit: r.submit, Dialect: vradapter.Headers{}, Clock: wallClock{},
+		Limits: func() vrcatalog.Limits { return vrcatalog.Limits{Body: 1 << 20} },
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r.url = "http://" + listener.Addr().String()
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = r.front.Serve(listener)
+	}()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = r.front.Close(ctx)
+		<-served
+	})
+	return r
+}
+
+func (r *relay) submit(event vrevent.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch e := event.(type) {
+	case vrevent.CallArrived:
+		r.front.Handle(r.next(e.Call.ID, false))
+	case vrevent.CallLeft:
+		r.left = append(r.left, e.Call)
+	case vrevent.SendEnded:
+		r.ended = append(r.ended, e)
+		if e.Result == vrevent.AttemptAnswered || e.Result == vrevent.AttemptCallerGone {
+			return
+		}
+		if r.after != nil {
+			r.front.Handle(r.after(e))
+			return
+		}
+		r.front.Handle(vrevent.RefuseCall{
+			Call: e.Call, Reason: vrwire.ReasonOutcomeUnknown, NotRun: e.Result.ProvesNotRun(), RetryAfter: time.Second,
+		})
+	}
+}
+
+func (r *relay) next(id vrevent.CallID, resume bool) vrevent.SendCall {
+	send := r.send
+	send.Call, send.Send, send.Resume = id, len(r.ended)+1, resume
+	send.Server, send.Address = vrid.ServerID(fmt.Sprint("i-", len(r.ended))), r.servers[min(len(r.ended), len(r.servers)-1)]
+	send.Deadline = time.Now().Add(3 * time.Second)
+	return send
+}
+
+func (r *relay) post(body string) (*http.Response, string, error) {
+	request, err := http.NewRequest(http.MethodPost, r.url+"/a/b?c=%2Fd", strings.NewReader(body))
+	require.NoError(r.t, err)
+	request.Header.Set("Request-Id", "req1")
+	request.Header.Set("Deadline-Ms", "3000")
+	request.Header.Set("Hold", "stolen")
+	answer, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	data, err := io.ReadAll(answer.Body)
+	return answer, string(data), err
+}
+
+func (r *relay) results() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var names []string
+	for _, ended := range r.ended {
+		names = append(names, ended.Result.String())
+	}
+	return names
+}
+
+const signed = "Request-Id: ID\r\nResponse-Signature: sig\r\n"
+
+// The bytes of a request must reach the server unchanged, without headers that are the
+// system's to set.
+func TestRequestIsPassedOnUnchanged(t *testing.T) {
+	seen := make(chan string, 1)
+	r := newRelay(t, vrevent.SendCall{Once: true}, server(t, func(request *http.Request, c net.Conn) {
+		body, _ := io.ReadAll(request.Body)
+		seen <- fmt.Sprint(request.Method, " ", request.RequestURI, " ", string(body), " hold=", request.Header.Get("Hold"),
+			" expects=", request.Header.Get("Expected-Instance"))
+		raw("HTTP/1.1 200 OK\r\n"+signed+"Content-Length: 2\r\n\r\nok")(request, c)
+	}))
+	answer, body, err := r.post("hello")
+	require.NoError(t, err)
+	require.Equal(t, "POST /a/b?c=%2Fd hello hold= expects=i-0", <-seen)
+	require.Equal(t, http.StatusOK, answer.StatusCode)
+	require.Equal(t, "sig", answer.Header.Get("Response-Signature"))
+	require.Equal(t, "ok", body)
+}
+
+// What a client gets for each way in which a server can spoil an answer. A success must be
+// the server's whole answer to this request; 503 promises that nothing ran.
+func TestSpoiledAnswersAreNoSuccess(t *testing.T) {
+	for _, test := range []struct {
+		name, reply string
+		status      int
+		result      string
+	}{
+		{"cut body", "HTTP/1.1 200 OK\r\n" + signed + "Content-Length: 9\r\n\r\nhal", http.StatusBadGateway, "broken"},
+		{"cut chunks", "HTTP/1.1 200 OK\r\n" + signed + "Transfer-Encoding: chunked\r\n\r\n3\r\nhal\r\n", http.StatusBadGateway, "broken"},
+		{"no signature", "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nContent-Length: 2\r\n\r\nok", http.StatusBadGateway, "broken"},
+		{"only another's answer", "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Signature: s\r\nContent-Length: 2\r\n\r\nno", http.StatusBadGateway, "broken"},
+		{"no answer", "", http.StatusBadGateway, "broken"},
+		{"no HTTP", "garbage\r\n\r\n", http.StatusBadGateway, "broken"},
+		{"refused unrun", "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", http.StatusServiceUnavailable, "busy"},
+		{"another server", "HTTP/1.1 421 Misdirected\r\nInstance-Id: i-9\r\nContent-Length: 0\r\n\r\n", http.StatusServiceUnavailable, "leaving"},
+		{"model missing", "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n", http.StatusServiceUnavailable, "notLoaded"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRelay(t, vrevent.SendCall{Once: true}, server(t, raw(test.reply)))
+			answer, _, err := r.post("x")
+			require.NoError(t, err)
+			require.Equal(t, test.status, answer.StatusCode)
+			require.Equal(t, []string{test.result}, r.results())
+			require.Equal(t, test.status == http.StatusServiceUnavailable, answer.Header.Get("Retry-After") != "")
+		})
+	}
+}
+
+// A late answer to another request comes first on the connection; the right one follows.
+func TestStrayAnswerIsSkipped(t *testing.T) {
+	r := newRelay(t, vrevent.SendCall{Once: true}, server(t, raw(
+		"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Signature: s\r\nContent-Length: 2\r\n\r\nno"+
+			"HTTP/1.1 200 OK\r\n"+signed+"Content-Length: 3\r\n\r\nyes")))
+	answer, body, err := r.post("x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, answer.StatusCode)
+	require.Equal(t, "yes", body)
+}
+
+// Bytes after a complete answer belong to no request: the connection must not be used
+// again, or the next client gets them.
+func TestConnectionWithExtraBytesIsClosed(t *testing.T) {
+	r := newRelay(t, vrevent.SendCall{Once: true}, server(t, raw(
+		"HTTP/1.1 200 OK\r\n"+signed+"Content-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")))
+	_, body, err := r.post("x")
+	require.NoError(t, err)
+	require.Equal(t, "ok", body)
+	require.Eventually(t, func() bool { return r.front.Active() == 0 }, time.Second, time.Millisecond)
+	r.front.pool.mu.Lock()
+	defer r.front.pool.mu.Unlock()
+	for _, held := range r.front.pool.idle {
+		require.Empty(t, held)
+	}
+}
+
+// An answer without a length ends with its connection, and is whole.
+func TestAnswerThatEndsWithItsConnection(t *testing.T) {
+	r := newRelay(t, vrevent.SendCall{Once: true}, server(t, raw("HTTP/1.1 200 OK\r\n"+signed+"\r\nall of it")))
+	_, body, err := r.post("x")
+	require.NoError(t, err)
+	require.Equal(t, "all of it", body)
+}
+
+func chunked(parts ...string) string {
+	var text strings.Builder
+	for _, part := range parts {
+		fmt.Fprintf(&text, "%x\r\n%s\r\n", len(part), part)
+	}
+	return text.String()
+}
+
+const chunkedHead = "HTTP/1.1 200 OK\r\n" + signed + "Transfer-Encoding: chunked\r\n\r\n"
+
+// A stream that breaks in the middle of an event goes on at another server after the last
+// whole event: no event may come twice, and no half.
+func TestStreamGoesOnAfterTheLastWholeEvent(t *testing.T) {
+	lastEvent := make(chan string, 1)
+	r := newRelay(t, vrevent.SendCall{Stream: true},
+		server(t, raw(chunkedHead+chunked("id: 1\ndata: a\n\n", "id: 2\ndata: b\n\nid: 3\nda"))),
+		server(t, func(request *http.Request, c net.Conn) {
+			lastEvent <- request.Header.Get("Last-Event-Id")
+			raw(chunkedHead+chunked("id: 3\ndata: c\n\n")+"0\r\n\r\n")(request, c)
+		}))
+	r.after = func(e vrevent.SendEnded) vrevent.Effect { return r.next(e.Call, e.Begun) }
+	_, body, err := r.post("x")
+	require.NoError(t, err)
+	require.Equal(t, "2", <-lastEvent)
+	require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", body)
+}
+
+// A stream that can't go on must look broken to its client.
+func TestBrokenStreamLooksBroken(t *testing.T) {
+	r := newRelay(t, vrevent.SendCall{Stream: true}, server(t, raw(chunkedHead+chunked("id: 1\ndata: a\n\n"))))
+	r.after = func(e vrevent.SendEnded) vrevent.Effect { return vrevent.BreakCall{Call: e.Call} }
+	_, body, err := r.post("x")
+	require.Error(t, err)
+	require.Equal(t, "id: 1\ndata: a\n\n", body)
+}
+
+// A server's failure that is held back is delivered unchanged when nobody else answers.
+func TestHeldFailureIsDelivered(t *testing.T) {
+	r := newRelay(t, vrevent.SendCall{HoldErrors: true}, server(t, raw("HTTP/1.1 500 Oops\r\n"+signed+"Content-Length: 4\r\n\r\nsick")))
+	r.after = func(e vrevent.SendEnded) vrevent.Effect { return vrevent.DeliverCall{Call: e.Call} }
+	answer, body, err := r.post("x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusInternalServerError, answer.StatusCode)
+	require.Equal(t, "sig", answer.Header.Get("Response-Signature"))
+	require.Equal(t, "sick", body)
+}
+
+// A server goes on working for a client that has left unless its connection closes.
+func TestClientThatLeavesEndsTheSend(t *testing.T) {
+	closed := make(chan error, 1)
+	r := newRelay(t, vrevent.SendCall{Stream: true}, server(t, func(_ *http.Request, c net.Conn) {
+		_, err := c.Read(make([]byte, 1))
+		closed <- err
+	}))
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url+"/x/", strings.NewReader("x"))
+	require.NoError(t, err)
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err = (&http.Transport{}).RoundTrip(request)
+	require.ErrorIs(t, err, context.Canceled)
+	select {
+	case err := <-closed:
+		require.Error(t, err)
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the server was not told within half a second")
+	}
+}
+
+// A kept connection that its server closed meanwhile must not carry a request that may run
+// only once.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	address := server(t,
+		raw("HTTP/1.1 200 OK\r\n"+signed+"Content-Length: 2\r\n\r\nok"),
+		raw("HTTP/1.1 200 OK\r\n"+signed+"Content-Length: 2\r\n\r\nok"))
+	r := newRelay(t, vrevent.SendCall{Once: true}, address)
+	for range 2 {
+		answer, _, err := r.post("x")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, answer.StatusCode)
+		require.Eventually(t, func() bool { return r.front.Active() == 0 }, time.Second, time.Millisecond)
+		r.mu.Lock()
+		r.ended = nil
+		r.mu.Unlock()
+	}
+}
+
+// A body that is too long is refused; a chunked one too.
+func TestBodyOverTheLimit(t *testing.T) {
+	r := newRelay(t, vrevent.SendCall{}, "127.0.0.1:1")
+	answer, err := http.Post(r.url, "", io.LimitReader(neverEnding('x'), 2<<20))
+	if err != nil {
+		var network *net.OpError
+		require.True(t, errors.As(err, &network))
+		return
+	}
+	defer func() { _ = answer.Body.Close() }()
+	require.Equal(t, http.StatusRequestEntityTooLarge, answer.StatusCode)
+}
+
+type neverEnding byte
+
+func (b neverEnding) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = byte(b)
+	}
+	return len(p), nil
+}
+
+func TestWholeEvents(t *testing.T) {
+	for text, want := range map[string]int{
+		"": 0, "id: 1\n": 0, "id: 1\n\n": 7, "id: 1\n\nid: 2": 7, "id: 1\r\n\r\nid": 9, "a\n\nb\n\n": 6,
+	} {
+		require.Equal(t, want, wholeEvents([]byte(text)), "%q", text)
+	}
+}
+
