--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -266,6 +266,7 @@
 		s.owner.unreachableAt = time.Time{}
 	}
 	if notices := envelope.Notices; notices != nil && notices.Epoch >= s.owner.epoch {
+		s.heartbeat(now, notices)
 		for i := range notices.Items {
 			s.noticed(now, &notices.Items[i], out)
 		}
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -61,6 +61,8 @@
 	uses    map[target]*use
 	running map[serverModel]uint32
 	peers   []vrevent.Peer
+	guide   guide
+	beatAt  time.Time
 	started time.Time
 	// leaving is set when the daemon shuts down.
 	leaving bool
@@ -179,6 +181,7 @@
 	s.tickWaits(now, out)
 	s.tickLease(now, out)
 	s.tickWants(now, out)
+	s.tickHeartbeat(now, out)
 	s.plan(now, out)
 }
 
--- a/verbenacore/vrlease/vrlease.go
+++ b/verbenacore/vrlease/vrlease.go
@@ -133,6 +133,9 @@
 	return &Lease{opts: opts}
 }
 
+// ConfirmedAt is when the newest acknowledged write of a hold was sent.
+func (l *Lease) ConfirmedAt() time.Time { return l.confirmed }
+
 // ChangedAt is when the newest record was first seen.
 func (l *Lease) ChangedAt() time.Time { return l.changed }
 
--- a/verbenacore/vrwire/fleet.go
+++ b/verbenacore/vrwire/fleet.go
@@ -89,6 +89,11 @@
 type Notices struct {
 	Items []Notice   `protobuf:"bytes,1,rep,name=items,proto3"`
 	Epoch vrid.Epoch `protobuf:"varint,2,opt,name=epoch,proto3"`
+	// Catalog is the owner's catalog version in a heartbeat, otherwise zero.
+	Catalog vrid.ConfigVersion `protobuf:"varint,3,opt,name=catalog,proto3"`
+	// StoreAge is how long before the sending the owner last had an answer of the store, in
+	// milliseconds.
+	StoreAge int64 `protobuf:"varint,4,opt,name=storeAge,proto3"`
 }
 
 // Validate checks that each notice has a known kind and names a model.
--- a/verbenaroute/internal/vrnode/store.go
+++ b/verbenaroute/internal/vrnode/store.go
@@ -25,6 +25,11 @@
 	// gather changes, since every call has its price. The placement owner waits for the end
 	// of loads and tells the others.
 	ownerRest = 150 * time.Millisecond
+	// guidedPause is the pause between two looks at what the placement owner said.
+	guidedPause = 200 * time.Millisecond
+	// guidedRest is the part of the drain bound that a daemon rests which the owner tells of
+	// leaving servers.
+	guidedRest = 0.75
 	// drainPart is the part of the drain bound that the others rest.
 	drainPart = 2
 	// retryFirst and retryMost bound the pause after a failed call.
@@ -87,6 +92,9 @@
 	if n.state.Owns(n.clock.Now()) {
 		return ownerRest
 	}
+	if guided, _ := n.state.Guided(n.clock.Now()); guided {
+		return time.Duration(guidedRest * float64(n.settings.Bounds.Drain.Std()))
+	}
 	return n.settings.Bounds.Drain.Std() / drainPart
 }
 
@@ -101,11 +109,17 @@
 	list  func(ctx context.Context) (vrid.ObjectVersion, error)
 	watch func(ctx context.Context, after vrid.ObjectVersion) (vrid.ObjectVersion, bool, error)
 	fails int
+	// guided reports whether the placement owner's word replaces a watch now; may be nil.
+	guided func() bool
 }
 
 func (f *follower) run() {
 	n := f.node
 	for n.base.Err() == nil {
+		if f.after != 0 && f.guided != nil && f.guided() {
+			pause(n.base, guidedPause)
+			continue
+		}
 		if f.after == 0 {
 			f.relist()
 			continue
@@ -166,8 +180,16 @@
 	f.fails = 0
 }
 
+// catalogGuided reports whether the owner's heartbeats say that the catalog is the newest.
+func (n *Node) catalogGuided() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	guided, current := n.state.Guided(n.clock.Now())
+	return guided && current
+}
+
 func (n *Node) followCatalog() {
-	f := &follower{node: n, name: "catalog"}
+	f := &follower{node: n, name: "catalog", guided: n.catalogGuided}
 	f.list = func(ctx context.Context) (vrid.ObjectVersion, error) {
 		catalog, version, err := n.store.ListCatalog(ctx)
 		if err == nil && catalog != nil {
--- a/verbenaroute/internal/vrrelay/relay_test.go
+++ b/verbenaroute/internal/vrrelay/relay_test.go
@@ -124,7 +124,13 @@
 	return send
 }
 
-func (r *relay) post(body string) (*http.Response, string, error) {
+// reply is an answer that was read to its end.
+type reply struct {
+	status int
+	header http.Header
+}
+
+func (r *relay) post(body string) (reply, string, error) {
 	request, err := http.NewRequest(http.MethodPost, r.url+"/a/b?c=%2Fd", strings.NewReader(body))
 	require.NoError(r.t, err)
 	request.Header.Set("Request-Id", "req1")
@@ -132,11 +138,11 @@
 	request.Header.Set("Hold", "stolen")
 	answer, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
 	if err != nil {
-		return nil, "", err
+		return reply{}, "", err
 	}
 	defer func() { _ = answer.Body.Close() }()
 	data, err := io.ReadAll(answer.Body)
-	return answer, string(data), err
+	return reply{status: answer.StatusCode, header: answer.Header}, string(data), err
 }
 
 func (r *relay) results() []string {
@@ -164,8 +170,8 @@
 	answer, body, err := r.post("hello")
 	require.NoError(t, err)
 	require.Equal(t, "POST /a/b?c=%2Fd hello hold= expects=i-0", <-seen)
-	require.Equal(t, http.StatusOK, answer.StatusCode)
-	require.Equal(t, "sig", answer.Header.Get("Response-Signature"))
+	require.Equal(t, http.StatusOK, answer.status)
+	require.Equal(t, "sig", answer.header.Get("Response-Signature"))
 	require.Equal(t, "ok", body)
 }
 
@@ -191,9 +197,9 @@
 			r := newRelay(t, vrevent.SendCall{Once: true}, server(t, raw(test.reply)))
 			answer, _, err := r.post("x")
 			require.NoError(t, err)
-			require.Equal(t, test.status, answer.StatusCode)
+			require.Equal(t, test.status, answer.status)
 			require.Equal(t, []string{test.result}, r.results())
-			require.Equal(t, test.status == http.StatusServiceUnavailable, answer.Header.Get("Retry-After") != "")
+			require.Equal(t, test.status == http.StatusServiceUnavailable, answer.header.Get("Retry-After") != "")
 		})
 	}
 }
@@ -205,7 +211,7 @@
 			"HTTP/1.1 200 OK\r\n"+signed+"Content-Length: 3\r\n\r\nyes")))
 	answer, body, err := r.post("x")
 	require.NoError(t, err)
-	require.Equal(t, http.StatusOK, answer.StatusCode)
+	require.Equal(t, http.StatusOK, answer.status)
 	require.Equal(t, "yes", body)
 }
 
@@ -275,8 +281,8 @@
 	r.after = func(e vrevent.SendEnded) vrevent.Effect { return vrevent.DeliverCall{Call: e.Call} }
 	answer, body, err := r.post("x")
 	require.NoError(t, err)
-	require.Equal(t, http.StatusInternalServerError, answer.StatusCode)
-	require.Equal(t, "sig", answer.Header.Get("Response-Signature"))
+	require.Equal(t, http.StatusInternalServerError, answer.status)
+	require.Equal(t, "sig", answer.header.Get("Response-Signature"))
 	require.Equal(t, "sick", body)
 }
 
@@ -291,7 +297,7 @@
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url+"/x/", strings.NewReader("x"))
 	require.NoError(t, err)
 	time.AfterFunc(50*time.Millisecond, cancel)
-	_, err = (&http.Transport{}).RoundTrip(request)
+	_, err = (&http.Transport{}).RoundTrip(request) //nolint:bodyclose // it fails
 	require.ErrorIs(t, err, context.Canceled)
 	select {
 	case err := <-closed:
@@ -311,7 +317,7 @@
 	for range 2 {
 		answer, _, err := r.post("x")
 		require.NoError(t, err)
-		require.Equal(t, http.StatusOK, answer.StatusCode)
+		require.Equal(t, http.StatusOK, answer.status)
 		require.Eventually(t, func() bool { return r.front.Active() == 0 }, time.Second, time.Millisecond)
 		r.mu.Lock()
 		r.ended = nil
@@ -348,4 +354,3 @@
 		require.Equal(t, want, wholeEvents([]byte(text)), "%q", text)
 	}
 }
-
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -94,7 +94,8 @@
 		a.fail(err)
 		return
 	}
-	answer, info, err := a.readHead()
+	// The body is read to its end, or the connection is closed.
+	answer, info, err := a.readHead() //nolint:bodyclose // see above
 	if err != nil {
 		a.fail(err)
 		return
--- a/verbenaroute/internal/vrrelay/vrrelay.go
+++ b/verbenaroute/internal/vrrelay/vrrelay.go
@@ -64,7 +64,6 @@
 	leaving atomic.Bool
 	// expired is set once the time for a shutdown is nearly over.
 	expired atomic.Bool
-	open    sync.WaitGroup
 	active  atomic.Int64
 
 	mu    sync.Mutex
