Log through a bounded queue that never blocks

Cause: the log was buffered, and an output that does not take lines would have held up the lock of all decisions.

While the owner's heartbeats come, nobody looks after its lease.

--- a/verbenacore/vrgateway/heartbeat.go
+++ b/verbenacore/vrgateway/heartbeat.go
@@ -60,3 +60,9 @@
 	}
 	return true, s.catalog.Version >= s.guide.catalog
 }
+
+// ownerAlive reports whether the owner's heartbeats come: nobody has to look after its
+// lease then.
+func (s *State) ownerAlive(now time.Time) bool {
+	return !s.guide.heard.IsZero() && now.Sub(s.guide.heard) <= ownerHeard && !s.lease.Holding()
+}
--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -122,7 +122,7 @@
 	early := now.Sub(s.started) < time.Duration(s.random.Int64N(int64(candidateSpread)))
 	s.lease.Tick(now, vrlease.Request{
 		Observe:   true,
-		Candidate: s.catalog != nil && !s.leaving && !early && s.fleet.Len() > 0,
+		Candidate: s.catalog != nil && !s.leaving && !early && s.fleet.Len() > 0 && !s.ownerAlive(now),
 		Suspected: s.owner.unreachable(now),
 		Chunks:    1,
 		Readers:   len(s.peers),
--- a/verbenaroute/gateway.go
+++ b/verbenaroute/gateway.go
@@ -46,16 +46,20 @@
 	}
 	debug.SetGCPercent(_gatewayCollect)
 	debug.SetMemoryLimit(int64(settings.Memory) * 3 / 4)
-	log, flush := vrlog.New(os.Stdout)
-	defer flush()
+	output := vrlog.NewBounded(os.Stdout)
+	defer output.Close(flushTime)
+	log := vrlog.NewBoundedLog(output)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signal.Ignore(syscall.SIGPIPE)
-	node := vrnode.New(settings, log)
+	node := vrnode.New(settings, log, output.Dropped)
 	go followSettings(ctx, path, node, log)
 	return node.Run(ctx)
 }
 
+// flushTime bounds the writing of the last log lines.
+const flushTime = 200 * time.Millisecond
+
 // settingsInterval is the pause between two looks at the settings file, which also changes
 // without a signal.
 const settingsInterval = 2 * time.Second
--- a/verbenaroute/internal/vrlog/vrlog.go
+++ b/verbenaroute/internal/vrlog/vrlog.go
@@ -19,13 +19,20 @@
 // New writes JSON lines. Lines are buffered, because effects are logged under the
 // runtime's lock; flush writes what is left.
 func New(out io.Writer) (log *zap.Logger, flush func()) {
+	sink := &zapcore.BufferedWriteSyncer{WS: zapcore.AddSync(out), Size: _logBuffer, FlushInterval: _logFlush}
+	return zap.New(newCore(sink)), func() { _ = sink.Stop() }
+}
+
+// NewBoundedLog writes JSON lines to an output that may not take them: who logs is never held
+// up, and lines that don't fit are dropped and counted.
+func NewBoundedLog(out *Bounded) *zap.Logger { return zap.New(newCore(out)) }
+
+func newCore(sink zapcore.WriteSyncer) zapcore.Core {
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	config.TimeKey = "time"
 	config.MessageKey = "message"
-	sink := &zapcore.BufferedWriteSyncer{WS: zapcore.AddSync(out), Size: _logBuffer, FlushInterval: _logFlush}
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), sink, zapcore.InfoLevel)
-	return zap.New(core), func() { _ = sink.Stop() }
+	return zapcore.NewCore(zapcore.NewJSONEncoder(config), sink, zapcore.InfoLevel)
 }
 
 // Error is a field with an error and the type of its cause, for example "*net.OpError",
--- a/verbenaroute/internal/vrnode/metrics.go
+++ b/verbenaroute/internal/vrnode/metrics.go
@@ -14,8 +14,9 @@
 	node *Node
 }
 
-func newMetrics(n *Node) *metrics {
+func newMetrics(n *Node, dropped func() uint64) *metrics {
 	m := &metrics{set: vmetrics.NewSet(), node: n}
+	m.set.NewGauge("verbena_log_lines_dropped_total", func() float64 { return float64(dropped()) })
 	gauge := func(name string, read func() float64) {
 		m.set.NewGauge(name, func() float64 {
 			n.mu.Lock()
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -63,12 +63,12 @@
 	loops  conc.WaitGroup
 }
 
-// New builds a Node that does not run yet.
-func New(settings *vrsettings.Gateway, log *zap.Logger) *Node {
+// New builds a Node that does not run yet. dropped counts the log lines that were dropped.
+func New(settings *vrsettings.Gateway, log *zap.Logger, dropped func() uint64) *Node {
 	n := &Node{settings: settings, log: log, boot: vrid.BootID(ulid.Make().String()), engine: vradapter.NewEngine()}
 	n.base, n.cancel = context.WithCancel(context.Background())
 	n.grace.Store(int64(settings.Bounds.Grace.Std()))
-	n.metrics = newMetrics(n)
+	n.metrics = newMetrics(n, dropped)
 	n.store = vradapter.NewStore(vradapter.StoreOptions{
 		Address: settings.Store, Calls: n.metrics.storeCall, Bad: n.badObject(),
 	})
