verbenactl trace: from a request's id to its cause through collected lines

Cause: a failed request could be followed only by hand through nine logs.

Change: trace reads JSON lines of gateways, prints the request's course, what happened around it and one sentence on its end.

--- a/verbenactl/internal/vrterminal/commands.go
+++ b/verbenactl/internal/vrterminal/commands.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -16,6 +17,7 @@
 
 	"verbenaroute.example/verbenactl/internal/vraudit"
 	"verbenaroute.example/verbenactl/internal/vrburn"
+	"verbenaroute.example/verbenactl/internal/vrtrace"
 )
 
 func (t *terminal) explainCommand() *cobra.Command {
@@ -31,6 +33,44 @@
 	}
 }
 
+// traceCommand needs no daemon: it reads collected log lines.
+func (t *terminal) traceCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "trace request [file...]",
+		Short: "Walk from a request's id to the cause of its end through gateways' log lines",
+		Long: "Walk from a request's id to the cause of its end through the JSON lines that gateways wrote,\n" +
+			"one file for each daemon, or the standard input.",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			log := &vrtrace.Log{}
+			for _, path := range args[1:] {
+				if err := addLog(log, path); err != nil {
+					return err
+				}
+			}
+			if len(args) == 1 {
+				if err := log.Add("-", t.streams.In); err != nil {
+					return err
+				}
+			}
+			found, err := log.Explain(args[0])
+			if err != nil {
+				return err
+			}
+			return found.Write(t.streams.Out)
+		},
+	}
+}
+
+func addLog(log *vrtrace.Log, path string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	return log.Add(filepath.Base(path), file)
+}
+
 func (t *terminal) auditCommand() *cobra.Command {
 	audit := &cobra.Command{Use: "audit", Short: "Check the record"}
 	var since string
--- a/verbenactl/internal/vrterminal/vrterminal.go
+++ b/verbenactl/internal/vrterminal/vrterminal.go
@@ -174,7 +174,7 @@
 	root.Flags().StringVarP(&t.file, "file", "f", "", "file with one statement a line, - for the standard input")
 	root.Flags().BoolVar(&t.noWait, "no-wait", false, "do not wait until a change is in force in every zone")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &UsageError{Message: err.Error()} })
-	root.AddCommand(t.explainCommand(), t.auditCommand(), t.reportCommand(), t.importCommand(), t.exportCommand())
+	root.AddCommand(t.explainCommand(), t.traceCommand(), t.auditCommand(), t.reportCommand(), t.importCommand(), t.exportCommand())
 	return root
 }
 
