--- a/verbenaroute/gateway.go
+++ b/verbenaroute/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -39,6 +40,24 @@
 	return command
 }
 
+func newCheckGatewayCommand() *cobra.Command {
+	path := os.Getenv(_settingsVariable)
+	command := &cobra.Command{
+		Use:   "check-gateway",
+		Short: "Check a gateway's settings file and print every mistake",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if _, err := vrsettings.LoadGateway(path); err != nil {
+				return err
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), "the settings are valid")
+			return nil
+		},
+	}
+	command.Flags().StringVar(&path, "settings", path, "settings file, JSON with comments")
+	return command
+}
+
 func runGateway(path string) error {
 	settings, err := vrsettings.LoadGateway(path)
 	if err != nil {
--- a/verbenaroute/main.go
+++ b/verbenaroute/main.go
@@ -45,6 +45,7 @@
 	root.PersistentFlags().StringVar(&path, "config", "verbenaroute.json", "settings file, JSON with comments")
 	root.AddCommand(
 		newGatewayCommand(),
+		newCheckGatewayCommand(),
 		&cobra.Command{
 			Use:   "serve",
 			Short: "Run the daemon until SIGTERM or SIGINT",
