--- a/verbenacore/vrresidence/plan_test.go
+++ b/verbenacore/vrresidence/plan_test.go
@@ -41,6 +41,8 @@
 	// frozen keeps entries as they are, as when the store is gone.
 	frozen bool
 	loads  []vrevent.PlacementOrder
+	// lost is how many orders are carried out without an answer.
+	lost int
 }
 
 func newWorld(t *testing.T, models, servers int) *world {
@@ -108,7 +110,12 @@
 		}}, w.fleet)
 	}
 	for _, order := range decided.Orders {
-		w.planner.OrderEnded(w.now, vrevent.OrderEnded{Order: order, Outcome: w.carryOut(order)}, w.fleet)
+		outcome := w.carryOut(order)
+		if outcome == vrevent.OrderAccepted && w.lost > 0 {
+			w.lost--
+			outcome = vrevent.OrderUnknown
+		}
+		w.planner.OrderEnded(w.now, vrevent.OrderEnded{Order: order, Outcome: outcome}, w.fleet)
 	}
 }
 
@@ -239,3 +246,46 @@
 	require.GreaterOrEqual(t, holders, 4)
 	w.requireNoCrash()
 }
+
+// More loads that begin at the weight store than the ceiling allows slow all of them down,
+// over all servers and in any window (CEILING).
+func TestLoadsStayUnderTheCeiling(t *testing.T) {
+	const models, servers = 60, 24
+	w := newWorld(t, models, servers)
+	var begins []time.Time
+	seen := 0
+	for range 400 {
+		for model := range models {
+			w.want(model, 2)
+		}
+		w.step(50 * time.Millisecond)
+		for ; seen < len(w.loads); seen++ {
+			begins = append(begins, w.now)
+		}
+	}
+	require.NotEmpty(t, begins)
+	const window, rate = 5 * time.Second, 4.0
+	for i, from := range begins {
+		inWindow := 0
+		for _, at := range begins[i:] {
+			if at.Sub(from) <= window {
+				inWindow++
+			}
+		}
+		require.LessOrEqual(t, float64(inWindow), rate*window.Seconds()*1.1+3)
+	}
+}
+
+// An order whose answer is lost may be carried out later. It is sent again with the same
+// count, so that only one of the two can be accepted.
+func TestUnansweredOrderIsSentWithTheSameCount(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.engines["s0"].entry.OnDisk = []vrid.ModelID{"m0", "m1"}
+	w.lost = 1
+	w.run(time.Second)
+	w.want(1, 1)
+	w.run(3 * time.Second)
+	require.Len(t, w.loads, 1)
+	require.EqualValues(t, 1, w.engines["s0"].orders)
+	w.requireNoCrash()
+}
