Drop options that nothing reads

Cause: read as a newcomer: the planner carried the zone, the regions and its begin, the gateway whether it is the first start; none was used.

--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -139,7 +139,7 @@
 		Deadline: c.until.Add(-answerMargin), Priority: c.route.Priority,
 		Resume: c.begun, Stream: c.route.Kind == vrcatalog.RouteStream, Once: !c.route.Repeatable(),
 	}
-	if s.mayRepeat(c) && c.runs+1 < c.route.MaxAttempts {
+	if c.route.Repeatable() && c.runs+1 < c.route.MaxAttempts {
 		effect.HoldErrors = true
 		effect.FirstBy = now.Add(firstWait(c.route.Target))
 		effect.Pause = pauseTargets * c.route.PauseTarget
@@ -165,8 +165,6 @@
 	return s.budget.Take(now, c.service)
 }
 
-func (s *State) mayRepeat(c *call) bool { return c.route.Repeatable() }
-
 // sendBegan takes the first event of a stream: its prompt has been read.
 func (s *State) sendBegan(e vrevent.SendBegan) {
 	c := s.calls[e.Call]
@@ -271,7 +269,7 @@
 	if result.ProvesNotRun() {
 		return c.unrun <= unrunMost
 	}
-	return s.mayRepeat(c) && c.runs < c.route.MaxAttempts
+	return c.route.Repeatable() && c.runs < c.route.MaxAttempts
 }
 
 // endFailed ends a call that will not be sent again.
--- a/verbenacore/vrgateway/gateway_test.go
+++ b/verbenacore/vrgateway/gateway_test.go
@@ -267,13 +267,13 @@
 
 // Without a catalog every answer is "not run, come back", never "not found".
 func TestNoCatalogIsNoRefusalForGood(t *testing.T) {
-	refusal := newDaemon(t).call2("once")
+	refusal := newDaemon(t).refusedCall("once")
 	require.Equal(t, vrwire.ReasonNoConfiguration, refusal.Reason)
 	require.True(t, refusal.NotRun)
 	require.Positive(t, refusal.RetryAfter)
 }
 
-func (d *daemon) call2(route string) vrevent.RefuseCall { return d.refused(d.call(route)) }
+func (d *daemon) refusedCall(route string) vrevent.RefuseCall { return d.refused(d.call(route)) }
 
 // A call for a model that nobody holds is refused at once by a daemon that is cut off, and
 // waits where a new placement owner can still come.
@@ -314,7 +314,7 @@
 	refusal := d.refused(d.do(vrevent.GraceEnds{}))
 	require.True(t, refusal.NotRun)
 	require.Equal(t, vrwire.ReasonShuttingDown, refusal.Reason)
-	require.True(t, d.call2("stream").NotRun)
+	require.True(t, d.refusedCall("stream").NotRun)
 }
 
 // Only a holder whose lease was acknowledged lately gives orders, and each order says until
--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -136,7 +136,7 @@
 	}
 	switch change {
 	case vrlease.ChangeAcquired:
-		s.planner.Begin(now)
+		s.planner.Begin()
 		s.announce(out)
 		out.Info("lease acquired", number("epoch", uint64(s.lease.Epoch())),
 			millis("ordersInMs", max(0, s.lease.OrdersFrom().Sub(now))))
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -37,9 +37,6 @@
 	Zone    vrid.ZoneID
 	Regions map[vrid.ZoneID]vrid.RegionID
 	Bounds  Bounds
-	// FirstStart is set when the whole system starts for the first time, so that no order
-	// of an earlier run can still be on its way.
-	FirstStart bool
 	// Random seeds the generator.
 	Random uint64
 }
@@ -94,12 +91,10 @@
 				Duration: lease / 2, Renew: lease / 5, Observe: lease / 4, Suspect: lease / 2, Quiet: lease,
 			},
 		}),
-		planner: vrresidence.New(vrresidence.Options{
-			Ceiling: opts.Bounds.Ceiling, FirstStart: opts.FirstStart, Zone: opts.Zone, Regions: opts.Regions,
-		}),
-		calls: make(map[vrevent.CallID]*call),
-		waits: make(map[target]*waitList),
-		uses:  make(map[target]*use),
+		planner: vrresidence.New(vrresidence.Options{Ceiling: opts.Bounds.Ceiling}),
+		calls:   make(map[vrevent.CallID]*call),
+		waits:   make(map[target]*waitList),
+		uses:    make(map[target]*use),
 
 		running: make(map[serverModel]uint32),
 	}
--- a/verbenacore/vrgateway/waits.go
+++ b/verbenacore/vrgateway/waits.go
@@ -148,7 +148,7 @@
 		}
 		for _, c := range slices.Clone(list.calls) {
 			if s.hopeless(now, c, list) {
-				s.end(now, c, s.hopelessReason(c), s.retryAfter(now, c, list), out)
+				s.end(now, c, hopelessReason(c), s.retryAfter(now, c, list), out)
 			}
 		}
 	}
@@ -197,7 +197,7 @@
 	return s.store.lost || (s.owner.unreachable(now) && renewed && !s.lease.Holding())
 }
 
-func (s *State) hopelessReason(c *call) vrwire.Reason {
+func hopelessReason(c *call) vrwire.Reason {
 	if c.runs > 0 {
 		return vrwire.ReasonBackendFailed
 	}
--- a/verbenacore/vrresidence/plan_test.go
+++ b/verbenacore/vrresidence/plan_test.go
@@ -66,7 +66,7 @@
 		}}
 	}
 	w.publish()
-	w.planner.Begin(w.now)
+	w.planner.Begin()
 	return w
 }
 
--- a/verbenacore/vrresidence/vrresidence.go
+++ b/verbenacore/vrresidence/vrresidence.go
@@ -26,10 +26,7 @@
 
 // Options of a planner.
 type Options struct {
-	Ceiling    Ceiling
-	FirstStart bool
-	Zone       vrid.ZoneID
-	Regions    map[vrid.ZoneID]vrid.RegionID
+	Ceiling Ceiling
 }
 
 // View is what a plan is made from.
@@ -118,8 +115,7 @@
 }
 
 // Begin starts this daemon's time as the owner.
-func (p *Planner) Begin(now time.Time) {
-	p.began = now
+func (p *Planner) Begin() {
 	clear(p.work)
 	clear(p.ledgers)
 	clear(p.stores)
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -75,7 +75,7 @@
 	bounds := settings.Bounds
 	n.state = vrgateway.New(vrgateway.Options{
 		Daemon: settings.Daemon, Boot: n.boot, Address: settings.Peers, Zone: settings.Zone, Regions: settings.Regions,
-		FirstStart: settings.FirstStart, Random: rand.Uint64(),
+		Random: rand.Uint64(),
 		Bounds: vrgateway.Bounds{
 			Lease:   bounds.Lease.Std(),
 			Retries: retryOptions(bounds),
