--- a/verbenacore/vrresidence/vrresidence.go
+++ b/verbenacore/vrresidence/vrresidence.go
@@ -83,8 +83,7 @@
 
 // Planner is the placement owner's memory.
 type Planner struct {
-	opts  Options
-	began time.Time
+	opts Options
 	// readRate is how many prompt tokens a second one server reads, or zero.
 	readRate float64
 	demand   map[key]*demand
