Keep a second body and an endless head away from callers

Cause: a body of more than 256 KiB is forwarded while it is read. When it broke off, a repeatable call was sent again and the second server's body was written behind the first part, so the caller got one complete answer made of two. http.ReadResponse reads a head without a limit, so a server that sends one without end filled the memory until the deadline. A connection that had delivered a late response to another request went back to the pool, and a rejection without a request id was taken for the answer on a connection in use again, where it may be a late copy.

Change: only a stream goes on after a part was forwarded; the reducer ends the call, the relay writes no second head, and the oracle of the gateway fuzz test checks it (planted fault joinBodies). The head of a response, with the interim ones before it, is limited by limits.responseHead (64 KiB). A connection with a stray response is closed; a rejection without an id counts only on a connection that carried nothing else. The body of a rejection is read for 100 ms at most.

--- a/verbenabench/internal/vrgatefuzz/oracle.go
+++ b/verbenabench/internal/vrgatefuzz/oracle.go
@@ -114,7 +114,7 @@
 	return slices.DeleteFunc(times, func(at time.Time) bool { return now.Sub(at) > window })
 }
 
-// Arrived checks DRAIN, GONE, ORDER and the retry budget when a request reaches a server.
+// Arrived checks DRAIN, GONE, ORDER, MIXED and the retry budget when a request reaches a server.
 func (o *oracle) Arrived(server *vrgateworld.Server, a *vrgateworld.Attempt) {
 	call, now := a.Call, o.world.Now()
 	d := call.Process.Daemon
@@ -128,7 +128,10 @@
 	if !call.DisconnectedAt.IsZero() && a.SentAt.Sub(call.DisconnectedAt) > maxSendAfterClose {
 		o.fail("GONE", "%s sends %s %s after its client closed the connection", d.ID, call.Request, a.SentAt.Sub(call.DisconnectedAt))
 	}
-	if (call.Events > 0) != a.Send.Resume {
+	if call.PartForwarded {
+		o.fail("MIXED", "%s sends %s again after part of a body reached the client", d.ID, call.Request)
+	}
+	if !call.PartForwarded && (call.Events > 0) != a.Send.Resume {
 		o.fail("ORDER", "%s sends %s after %d events with resume set to %t", d.ID, call.Request, call.Events, a.Send.Resume)
 	}
 	if !o.arrivedCalls[call] {
--- a/verbenabench/internal/vrgateworld/call.go
+++ b/verbenabench/internal/vrgateworld/call.go
@@ -24,6 +24,9 @@
 	// midStreamBreakRatio is the probability that a connection breaks at an event, relative to
 	// that at the start of the request.
 	midStreamBreakRatio = 0.1
+	// midBodyBreakRatio is the probability that a connection breaks after part of a large body was
+	// forwarded, relative to that at the start of the request.
+	midBodyBreakRatio = 0.3
 )
 
 // End is the outcome of a call as its client sees it.
@@ -61,6 +64,8 @@
 	// Sends counts the sends, Events the stream events that reached the client.
 	Sends  int
 	Events int
+	// PartForwarded is set once part of a body that is no stream reached the client.
+	PartForwarded bool
 	// DisconnectedAt is when the daemon could first notice that the client closed the connection.
 	DisconnectedAt time.Time
 
@@ -212,7 +217,7 @@
 	if c.End != EndOpen {
 		return
 	}
-	event := vrevent.SendEnded{Call: c.ID, Send: a.Send.Send, Result: result, PartForwarded: c.Events > 0, Events: c.Events}
+	event := vrevent.SendEnded{Call: c.ID, Send: a.Send.Send, Result: result, PartForwarded: c.Events > 0 || c.PartForwarded, Events: c.Events}
 	if !a.firstByteAt.IsZero() {
 		event.TimeToFirstByte = a.firstByteAt.Sub(a.SentAt)
 	}
@@ -303,9 +308,15 @@
 		s.afterIfRunning(a, serviceTime, func() { s.sendEvent(a) })
 		return
 	}
+	breaksInBody := s.BreakRate > 0 && w.chance(midBodyBreakRatio*s.BreakRate)
 	s.afterIfRunning(a, serviceTime, func() {
 		s.drop(a)
 		a.firstByteAt = w.Now()
+		if breaksInBody {
+			a.Call.PartForwarded = true
+			a.finishAfter(netDelay, vrevent.AttemptBroken)
+			return
+		}
 		a.finishAfter(netDelay, vrevent.AttemptAnswered)
 	})
 }
--- a/verbenacore/vrfault/vrfault.go
+++ b/verbenacore/vrfault/vrfault.go
@@ -82,6 +82,8 @@
 	TrustBusyReports
 	// RestartEvents resumes a broken stream from its first event.
 	RestartEvents
+	// JoinBodies sends a call again after part of a body that is no stream was forwarded.
+	JoinBodies
 	// KeepLeft keeps a waiting call after its client disconnected.
 	KeepLeft
 	// HoldPastLimit lets calls wait beyond their time limit.
@@ -128,6 +130,7 @@
 	ForgetLoads:          "forgetLoads",
 	TrustBusyReports:     "trustBusyReports",
 	RestartEvents:        "restartEvents",
+	JoinBodies:           "joinBodies",
 	KeepLeft:             "keepLeft",
 	HoldPastLimit:        "holdPastLimit",
 }
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -287,6 +287,11 @@
 	if s.graceExpired || !now.Before(c.deadline.Add(-deadlineMargin)) {
 		return false
 	}
+	if c.responseStarted && c.route.Kind != vrcatalog.RouteStream && !vrfault.On(vrfault.JoinBodies) {
+		// Only a stream can go on at another server. A second body behind the first part would
+		// look like one complete response.
+		return false
+	}
 	if result.ProvesNotRun() {
 		return c.notRunSends <= maxNotRunRetries
 	}
--- a/verbenacore/vrgateway/gateway_test.go
+++ b/verbenacore/vrgateway/gateway_test.go
@@ -236,6 +236,15 @@
 		d.reduce(vrevent.SendEnded{Call: send.Call, Send: 2, Result: vrevent.AttemptBroken, PartForwarded: true, Events: 3}))
 }
 
+// A call whose body was partly forwarded must not be sent again, even if it may be repeated: the
+// client would take the parts of two bodies for one complete response.
+func TestStartedBodyIsNotSentAgain(t *testing.T) {
+	d := newReadyDaemon(t, appEntry("a1"), appEntry("a2"))
+	send := d.requireSent(d.arrive("read"))
+	require.Equal(t, []vrevent.Effect{vrevent.AbortCall{Call: send.Call}},
+		d.reduce(vrevent.SendEnded{Call: send.Call, Send: 1, Result: vrevent.AttemptBroken, PartForwarded: true}))
+}
+
 // A draining server must get no new calls, and neither must one whose entry was removed.
 func TestDrainingServersGetNoCalls(t *testing.T) {
 	d := newReadyDaemon(t, appEntry("a1"), appEntry("a2"))
--- a/verbenacore/vrsettings/gateway.go
+++ b/verbenacore/vrsettings/gateway.go
@@ -28,6 +28,14 @@
 	// Memory is the memory that the gateway may use.
 	Memory vrid.Bytes    `json:"memory"`
 	Bounds GatewayBounds `json:"bounds"`
+	Limits GatewayLimits `json:"limits"`
+}
+
+// GatewayLimits bound what the gateway reads from servers.
+type GatewayLimits struct {
+	// ResponseHead is the largest head of a server's response, together with the interim
+	// responses before it. A longer one counts as a broken connection.
+	ResponseHead vrid.Bytes `json:"responseHead"`
 }
 
 // GatewayBounds are the time limits and ratios that the deployment sets.
@@ -64,9 +72,14 @@
 	defaultCeilingFactor  = 1.1
 	defaultCeilingWindow  = vrid.Duration(5 * time.Second)
 	defaultGatewayMemory  = 256 * vrid.MiB
+	defaultResponseHead   = 64 * vrid.KiB
 )
 
-// WithDefaults returns a copy in which the memory and every bound, except RetrySlack, are
+// minResponseHead is the smallest limit for the head of a response. The heads of ordinary
+// responses are a few hundred bytes.
+const minResponseHead = vrid.KiB
+
+// WithDefaults returns a copy in which the memory, every limit and every bound, except RetrySlack, are
 // set to their default if they are zero.
 func (g *Gateway) WithDefaults() *Gateway {
 	completed := *g
@@ -79,6 +92,7 @@
 	setDefault(&completed.Bounds.CeilingFactor, defaultCeilingFactor)
 	setDefault(&completed.Bounds.CeilingWindow, defaultCeilingWindow)
 	setDefault(&completed.Memory, defaultGatewayMemory)
+	setDefault(&completed.Limits.ResponseHead, defaultResponseHead)
 	return &completed
 }
 
@@ -102,6 +116,7 @@
 	}
 	c.Require(b.RetryRatio > 0, "bounds.retryRatio", b.RetryRatio, "a positive number")
 	c.Require(b.RetrySlack >= 0, "bounds.retrySlack", b.RetrySlack, "0 or more")
+	c.Require(g.Limits.ResponseHead >= minResponseHead, "limits.responseHead", g.Limits.ResponseHead, "1024 bytes or more")
 	c.Require(b.CeilingFactor > 0, "bounds.ceilingFactor", b.CeilingFactor, "a positive number")
 	return c.Err()
 }
--- a/verbenacore/vrsettings/gateway_test.go
+++ b/verbenacore/vrsettings/gateway_test.go
@@ -1,10 +1,12 @@
 package vrsettings_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrsettings"
 )
 
@@ -24,6 +26,15 @@
 	require.EqualValues(t, 58, settings.Bounds.RetrySlack)
 }
 
+// Guards against a limit so small that every response of a server would count as broken.
+func TestParseGatewayChecksLimits(t *testing.T) {
+	settings, err := vrsettings.ParseGateway([]byte(_validGateway))
+	require.NoError(t, err)
+	require.Equal(t, 64*vrid.KiB, settings.Limits.ResponseHead)
+	_, err = vrsettings.ParseGateway([]byte(strings.Replace(_validGateway, `"bounds"`, `"limits": {"responseHead": 100}, "bounds"`, 1)))
+	require.ErrorContains(t, err, "limits.responseHead")
+}
+
 // Guards against reporting only the first invalid field, which would make the operator
 // start the gateway once for each of them.
 func TestParseGatewayReportsEveryInvalidField(t *testing.T) {
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -88,6 +88,7 @@
 	})
 	n.proxy = vrrelay.New(vrrelay.Options{
 		Submit: n.Submit, Dialect: vradapter.Headers{}, Clock: n.clock, Limits: n.limits,
+		MaxResponseHead: settings.Limits.ResponseHead,
 	})
 	return n
 }
--- a/verbenaroute/internal/vrrelay/conn.go
+++ b/verbenaroute/internal/vrrelay/conn.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -40,6 +42,8 @@
 	net.Conn
 	backend backend
 	reader  *bufio.Reader
+	// source is what reader reads from. It limits the heads of responses.
+	source *headLimiter
 	// used is set once the connection has carried a complete exchange.
 	used      bool
 	idleSince time.Time
@@ -78,7 +82,49 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: netConn, backend: key, reader: bufio.NewReaderSize(netConn, readBufferSize), maxIdle: defaultMaxIdle}, nil
+	source := &headLimiter{reader: netConn}
+	return &conn{
+		Conn: netConn, backend: key, source: source, reader: bufio.NewReaderSize(source, readBufferSize), maxIdle: defaultMaxIdle,
+	}, nil
+}
+
+// HeadTooLargeError reports a response whose head, with the interim responses before it, exceeds
+// the limit.
+type HeadTooLargeError struct{ Limit vrid.Bytes }
+
+func (e *HeadTooLargeError) Error() string {
+	return fmt.Sprintf("response head exceeds the limit of %d bytes (limits.responseHead)", e.Limit)
+}
+
+// headLimiter reads from a connection. While a head is read, it fails once the head exceeds the
+// limit, because http.ReadResponse would read a head without end until the memory is full.
+type headLimiter struct {
+	reader    io.Reader
+	limit     vrid.Bytes
+	remaining vrid.Bytes
+	inHead    bool
+	// failed is set once a read was refused because the head exceeds the limit.
+	failed bool
+}
+
+// beginHead limits the bytes that are read until endHead.
+func (l *headLimiter) beginHead(limit vrid.Bytes) {
+	l.limit, l.remaining, l.inHead = limit, limit, true
+}
+
+func (l *headLimiter) endHead() { l.inHead = false }
+
+// exceeded reports whether a head exceeded the limit.
+func (l *headLimiter) exceeded() bool { return l.failed }
+
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if l.inHead && l.remaining <= 0 {
+		l.failed = true
+		return 0, &HeadTooLargeError{Limit: l.limit}
+	}
+	n, err := l.reader.Read(p)
+	l.remaining -= vrid.Bytes(n)
+	return n, err
 }
 
 // pop removes and returns the connection that became idle last, or nil.
--- a/verbenaroute/internal/vrrelay/exchange.go
+++ b/verbenaroute/internal/vrrelay/exchange.go
@@ -66,9 +66,11 @@
 		}
 		return ended.Result == vrevent.AttemptAnswered
 	case vrevent.RefuseCall:
+		h.requireNothingForwarded()
 		h.refuse(&e)
 		return true
 	case vrevent.ForwardFailure:
+		h.requireNothingForwarded()
 		h.setWriteDeadline(time.Time{})
 		h.forward(h.heldFailure)
 		return true
@@ -80,6 +82,14 @@
 	return false
 }
 
+// requireNothingForwarded closes the client's connection if part of a server's response was
+// forwarded. Another response written behind that part would look like its continuation.
+func (h *callHandler) requireNothingForwarded() {
+	if h.headerWritten {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // refuse responds with a problem document.
 func (h *callHandler) refuse(e *vrevent.RefuseCall) {
 	status := refusalStatus(e)
--- a/verbenaroute/internal/vrrelay/relay_test.go
+++ b/verbenaroute/internal/vrrelay/relay_test.go
@@ -91,6 +91,30 @@
 	return listener.Addr().String()
 }
 
+// startServerWithReuse starts a server that answers the requests of one connection with the
+// replies in order, and then closes the connection.
+func startServerWithReuse(t *testing.T, replies []string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		reader := bufio.NewReader(c)
+		for _, reply := range replies {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			replyWith(reply)(request, c)
+		}
+	}()
+	return listener.Addr().String()
+}
+
 // replyWith returns a reply that writes text, in which ID stands for the request's id.
 func replyWith(text string) func(*http.Request, net.Conn) {
 	return func(request *http.Request, c net.Conn) {
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -25,8 +25,10 @@
 	// minConcurrentBody is the size from which a body is written concurrently with reading the
 	// response, because a server may respond before it has read the whole body.
 	minConcurrentBody = 16 << 10
-	// maxDrainedBody limits how much is read of a response that is not forwarded.
+	// maxDrainedBody and drainTimeout limit how much is read, and for how long, of a response
+	// that is not forwarded. The call waits meanwhile, and a body may trickle without end.
 	maxDrainedBody = 16 << 10
+	drainTimeout   = 100 * time.Millisecond
 )
 
 // StrayResponseError reports a response that belongs to another request.
@@ -43,11 +45,12 @@
 	return fmt.Sprintf("response with status %d has no signature", e.Status)
 }
 
-// ResumeError reports that a server refused to resume a stream.
+// ResumeError reports a response that can't continue the part that was forwarded: the server
+// refused to resume the stream, or the response is no stream.
 type ResumeError struct{ Status int }
 
 func (e *ResumeError) Error() string {
-	return fmt.Sprintf("server refused to resume the stream: status %d", e.Status)
+	return fmt.Sprintf("response with status %d cannot continue the forwarded part", e.Status)
 }
 
 // _past is a deadline that makes reads and writes fail at once.
@@ -65,6 +68,9 @@
 	result            vrevent.SendEnded
 	// reusable is set if the connection may carry another request.
 	reusable bool
+	// strays counts the responses to other requests that were skipped. A connection that
+	// delivered one carries no further request.
+	strays int
 	// bodyWritten receives the result of writing a body concurrently; nil if there is none.
 	bodyWritten chan error
 }
@@ -93,7 +99,7 @@
 	stop := context.AfterFunc(a.handler.request.Context(), func() { _ = c.SetDeadline(_past) })
 	defer func() {
 		clientConnected := stop()
-		if a.reusable && clientConnected && a.isBodyWritten() {
+		if a.reusable && a.strays == 0 && clientConnected && a.isBodyWritten() {
 			a.handler.proxy.pool.put(c)
 			return
 		}
@@ -124,6 +130,13 @@
 	return a.send.FirstByteDeadline
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // setDeadline sets the deadline of reads and writes on the connection to the server.
 func (a *sendAttempt) setDeadline(deadline time.Time) {
 	remaining := deadline.Sub(a.handler.proxy.opts.Clock.Now())
@@ -248,9 +261,15 @@
 // readResponseHead reads the head of the response to this request. It skips interim responses
 // and up to maxStrayResponses late responses to earlier requests.
 func (a *sendAttempt) readResponseHead() (*http.Response, vrdialect.ResponseInfo, error) {
-	strays := 0
+	source := a.conn.source
+	source.beginHead(a.handler.proxy.opts.MaxResponseHead)
+	defer source.endHead()
 	for {
 		response, err := http.ReadResponse(a.conn.reader, a.handler.request)
+		if source.exceeded() {
+			// The error of http.ReadResponse may hide that of the reader.
+			return nil, vrdialect.ResponseInfo{}, &HeadTooLargeError{Limit: source.limit}
+		}
 		if err != nil {
 			return nil, vrdialect.ResponseInfo{}, unexpectedEOF(err)
 		}
@@ -258,20 +277,36 @@
 			continue
 		}
 		info := a.handler.proxy.opts.Dialect.ParseResponse(response.StatusCode, response.Header, a.send.Server)
-		if info.Request == a.handler.call.Request || (info.Request == "" && info.NotRun) {
+		if a.answersRequest(&info) {
 			return response, info, nil
 		}
-		if strays++; strays > maxStrayResponses {
+		a.strays++
+		if a.strays > maxStrayResponses {
 			return nil, info, &StrayResponseError{Want: string(a.handler.call.Request), Got: string(info.Request)}
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedResponse)); err != nil {
+		source.endHead()
+		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedResponse))
+		if err != nil {
 			return nil, info, err
 		}
-		// After a stray response the connection is not trusted with another request.
-		a.conn.maxIdle = 0
+		if skipped >= maxBufferedResponse {
+			// The rest of this body must not be taken for the next response.
+			return nil, info, &StrayResponseError{Want: string(a.handler.call.Request), Got: string(info.Request)}
+		}
+		source.beginHead(a.handler.proxy.opts.MaxResponseHead)
 	}
 }
 
+// answersRequest reports whether a response belongs to this request. A rejection without a request
+// id is accepted only on a connection that carried no other request, because elsewhere it may be a
+// late copy of the rejection of an earlier one.
+func (a *sendAttempt) answersRequest(info *vrdialect.ResponseInfo) bool {
+	if info.Request == a.handler.call.Request {
+		return true
+	}
+	return info.Request == "" && info.NotRun && !a.conn.used && a.strays == 0
+}
+
 // unexpectedEOF makes a connection that ended before the response an error other than io.EOF.
 func unexpectedEOF(err error) error {
 	if errors.Is(err, io.EOF) {
@@ -289,6 +324,11 @@
 		return
 	}
 	success := response.StatusCode < http.StatusMultipleChoices
+	if a.handler.headerWritten && !a.send.Stream {
+		// The body of another response must not follow the part that was forwarded.
+		a.end(vrevent.AttemptBroken, &ResumeError{Status: response.StatusCode})
+		return
+	}
 	if success && !info.Signed {
 		a.end(vrevent.AttemptBroken, &UnsignedError{Status: response.StatusCode})
 		return
@@ -322,6 +362,7 @@
 // drain reads a response that is not forwarded. It reports whether the response was complete
 // and the connection can be reused.
 func (a *sendAttempt) drain(response *http.Response) bool {
+	a.setDeadline(earlier(a.send.Deadline, a.handler.proxy.opts.Clock.Now().Add(drainTimeout)))
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainedBody))
 	return err == nil && n < maxDrainedBody && allowsReuse(response)
 }
--- a/verbenaroute/internal/vrrelay/vrrelay.go
+++ b/verbenaroute/internal/vrrelay/vrrelay.go
@@ -45,6 +45,8 @@
 	Clock   Clock
 	// Limits returns the limits for client requests from the newest catalog.
 	Limits func() vrcatalog.Limits
+	// MaxResponseHead limits the head of a server's response. Zero means the default.
+	MaxResponseHead vrid.Bytes
 	// WriteSlack is how long after a call's deadline writes to its client may still go on.
 	// Zero means the default.
 	WriteSlack time.Duration
@@ -60,6 +62,8 @@
 	// bodyTimeout is the timeout for reading the body of a client that states no timeout.
 	bodyTimeout       = 30 * time.Second
 	defaultWriteSlack = 2 * time.Second
+	// defaultMaxResponseHead is the default of Options.MaxResponseHead.
+	defaultMaxResponseHead = 64 * vrid.KiB
 	// effectBuffer is the number of effects of one call that can wait for its handler.
 	effectBuffer = 4
 )
@@ -85,6 +89,9 @@
 	if opts.WriteSlack <= 0 {
 		opts.WriteSlack = defaultWriteSlack
 	}
+	if opts.MaxResponseHead <= 0 {
+		opts.MaxResponseHead = defaultMaxResponseHead
+	}
 	p := &Proxy{opts: opts, pool: newPool(), handlers: make(map[vrevent.CallID]*callHandler)}
 	p.server = &http.Server{
 		Handler: p, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
