Store blocks without entries under the hour in which they are built

Cause: the key of a record block holds the hour of its last entry. A block that only states the ends of runs has no entry, so it was stored under 1970-01-01T00, which the audit does not list, and the next block's predecessor seemed to be missing (missingBlock after each rolling restart).

Change: such a block has the time at which it is built. An audit of the whole record also lists the start of Unix time, where earlier versions stored these blocks.

Measured: TestBlockWithoutEntriesIsStoredUnderItsHour fails before (the hour is 1970-01-01) and passes after.

--- a/verbenacore/vrjournal/vrjournal_test.go
+++ b/verbenacore/vrjournal/vrjournal_test.go
@@ -461,3 +461,32 @@
 	require.EqualValues(t, 3*runCleanupThreshold/2, report.Lost)
 	require.LessOrEqual(t, len(z.nodes["d1"].writer.runs), runCleanupThreshold+1)
 }
+
+// Guards against blocks that the audit does not find. A block that only states the end of a run
+// has no entry and was stored under the hour 1970-01-01T00, so that the next block's predecessor
+// seemed to be missing (missingBlock after a rolling restart).
+func TestBlockWithoutEntriesIsStoredUnderItsHour(t *testing.T) {
+	z := newZone(t, 1, "d1", "d2")
+	z.setWriter("d1")
+	z.advance(5, 20)
+	z.advanceUntilDurable()
+	z.advance(3, 0)
+	z.nodes["d2"].stopped = true
+	z.nodes["d1"].CloseRun(z.now, "d2", "B1", z.nodes["d2"].Opened())
+	z.advance(5, 0)
+	empty := 0
+	for key, data := range z.objects {
+		block, err := vrrecord.DecodeBlock(data)
+		require.NoError(t, err)
+		name, err := vrrecord.ParseKey(key)
+		require.NoError(t, err)
+		hour, err := name.HourStart()
+		require.NoError(t, err)
+		require.WithinDuration(t, z.now, hour, time.Hour, key)
+		if len(block.Entries) == 0 {
+			empty++
+		}
+	}
+	require.Positive(t, empty, "no block without entries was written")
+	require.Empty(t, z.verifyRecord().Findings)
+}
--- a/verbenacore/vrjournal/writer.go
+++ b/verbenacore/vrjournal/writer.go
@@ -285,7 +285,7 @@
 // write builds the next block and starts its write.
 func (w *writer) write(now time.Time, effects *vrevent.Effects) {
 	entries := w.nextBlockEntries()
-	block := w.buildBlock(entries)
+	block := w.buildBlock(now, entries)
 	value, err := vrrecord.EncodeBlock(block)
 	if err != nil {
 		effects.Add(vrevent.Log{Level: vrevent.LogError, Message: "cannot encode record block", Fields: []vrevent.LogField{vrevent.Field("error", err.Error())}})
@@ -325,11 +325,16 @@
 	return w.buffer
 }
 
-func (w *writer) buildBlock(entries []bufferedEntry) *vrrecord.Block {
+// buildBlock builds the next block. A block without entries, which only states the ends of runs,
+// has the time at which it is built, because its key contains the hour of that time.
+func (w *writer) buildBlock(now time.Time, entries []bufferedEntry) *vrrecord.Block {
 	block := &vrrecord.Block{
 		Zone: w.options.Zone, Writer: w.options.Daemon, Boot: w.options.Boot,
 		Sequence: w.sequence + 1, Previous: w.previousHash,
 	}
+	if len(entries) == 0 {
+		block.From, block.Until = now.UnixMilli(), now.UnixMilli()
+	}
 	covered := make(map[vrrecord.Run]*vrrecord.NumberSet)
 	var order []vrrecord.Run
 	for _, entry := range entries {
--- a/verbenacore/vrrecord/block.go
+++ b/verbenacore/vrrecord/block.go
@@ -80,7 +80,7 @@
 	// Previous is the Hash of the previous block of the chain; empty in the first one.
 	Previous []byte
 	// From and Until are the earliest and the latest time of the entries, in milliseconds
-	// of Unix time.
+	// of Unix time. In a block without entries both are the time at which it was built.
 	From     int64
 	Until    int64
 	Coverage []Coverage
--- a/verbenactl/internal/vraudit/vraudit.go
+++ b/verbenactl/internal/vraudit/vraudit.go
@@ -182,6 +182,14 @@
 			break
 		}
 	}
+	if a.options.Since.IsZero() {
+		// Earlier versions stored blocks without entries under the start of Unix time.
+		blocks, err := a.source.BlockKeys(a.ctx, zone, time.Unix(0, 0).UTC())
+		if err != nil {
+			return nil, err
+		}
+		a.addPrefixes(blocks, prefixSet)
+	}
 	return slices.Sorted(maps.Keys(prefixSet)), nil
 }
 
