Keep an older report from ending a load of the zone's ledger

Cause: a load report that was taken before an unload lists the model as loaded.

Change: the ledger keeps when an order for a removed entry was last answered. A report that may be older than that says nothing about a later entry of the same model unless it lists one of its orders. The oracle of the zone fuzz test now refuses an order beside an open one.

--- a/verbenabench/internal/vrfuzz/oracle.go
+++ b/verbenabench/internal/vrfuzz/oracle.go
@@ -126,6 +126,11 @@
 	if adapter != "" {
 		return
 	}
+	for other, held := range engine.Models {
+		if other != model && !held.Loaded {
+			o.fail("I2", "server %s gets an order for %s beside the one for %s", engine.ID, model, other)
+		}
+	}
 	replicas := 0
 	for _, other := range o.world.Engines {
 		if other.Zone == engine.Zone && other.Models[model] != nil {
--- a/verbenacore/vrledger/settle.go
+++ b/verbenacore/vrledger/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -233,7 +234,9 @@
 		l.setFenced(s)
 	}
 	taken := time.UnixMilli(report.TakenAt)
+	maps.DeleteFunc(s.removedAnsweredAt, func(_ entryKey, at time.Time) bool { return taken.After(at.Add(maxReportLag)) })
 	for _, entry := range slices.Clone(s.entries) {
+		attemptApplied := entry.hasAppliedAttempt(report.AppliedOrders)
 		l.dropAttempts(s, entry, func(attempt Attempt) bool {
 			at, unanswered := s.unansweredAt[attempt.Order]
 			return unanswered && taken.After(at.Add(lateOrderWindow)) ||
@@ -244,7 +247,12 @@
 		// ledger for as long as orders for other models keep coming.
 		lagElapsed := taken.After(s.lastAnswerAt(entry).Add(maxReportLag))
 		afterAnswer := lagElapsed || slices.Contains(report.AppliedOrders, entry.LastAnsweredOrder)
-		l.reconcile(s, entry, reportedState(report, entry), afterAnswer)
+		state := reportedState(report, entry)
+		if _, removed := s.removedAnsweredAt[keyOf(entry)]; removed && state != 0 && !attemptApplied {
+			// The report may show the removed entry of the same model.
+			continue
+		}
+		l.reconcile(s, entry, state, afterAnswer)
 	}
 }
 
@@ -267,6 +275,8 @@
 		return
 	}
 	s.fenced = false
+	// A report of this run can't show an entry of the earlier one.
+	clear(s.removedAnsweredAt)
 	for _, entry := range s.entries {
 		l.dropAttempts(s, entry, func(attempt Attempt) bool {
 			if at, unanswered := s.unansweredAt[attempt.Order]; unanswered && !s.bootReportTakenAt.After(at.Add(maxClockSkew)) {
@@ -294,6 +304,11 @@
 	return 0
 }
 
+// hasAppliedAttempt reports whether an order of the entry's attempts is among the applied orders.
+func (e *Entry) hasAppliedAttempt(applied []vrid.OrderID) bool {
+	return slices.ContainsFunc(e.Attempts, func(attempt Attempt) bool { return slices.Contains(applied, attempt.Order) })
+}
+
 // reconcile updates an entry to the state that a report shows. afterAnswer is set if the
 // report was certainly taken after the last answer to an order for the entry.
 func (l *Ledger) reconcile(s *serverState, entry *Entry, reported vrwire.ReplicaState, afterAnswer bool) {
--- a/verbenacore/vrledger/settle_test.go
+++ b/verbenacore/vrledger/settle_test.go
@@ -314,6 +314,30 @@
 	require.EqualValues(t, 5, o.ledger.Reserved("s"))
 }
 
+// TestOlderReportDoesNotEndLoad guards against an order beside another one. A report that was taken
+// before an unload lists the model as loaded. After the model was ordered again, that report ended
+// the load in the ledger, and the server got the next order while it was still loading (fuzz seed
+// 61000199, and once in the scenario flood-urgent).
+func TestOlderReportDoesNotEndLoad(t *testing.T) {
+	o := newOwner(t)
+	o.advance(31 * time.Second)
+	o.load()
+	o.answer(o.orders[0], vrengine.OrderDone)
+	taken := o.now.UnixMilli()
+	require.Equal(t, vrledger.RefusalNone, o.ledger.Apply(vrledger.Action{Kind: vrledger.ActionUnload, Server: "s", Model: "m"}))
+	o.advance(20 * time.Millisecond)
+	o.answer(o.orders[1], vrengine.OrderDone)
+	o.load()
+	o.ledger.HandleReport(o.now, &vrwire.LoadReport{
+		Server: "s", Boot: "s1", AppliedOrders: []vrid.OrderID{o.orders[0].OrderID}, TakenAt: taken,
+		Models: []vrwire.LoadedModel{{Model: "m", State: vrwire.ReplicaLoaded}},
+	})
+	other := vrledger.Action{Kind: vrledger.ActionLoad, Server: "s", Model: "n", Bytes: 5, MaxReplicas: 1}
+	require.Equal(t, vrledger.RefusalBusy, o.ledger.CheckAction(other))
+	o.report("s1", o.orders[2].OrderID)
+	require.Equal(t, vrledger.RefusalNone, o.ledger.CheckAction(other))
+}
+
 // TestFormerOwnersGrantIsNotRevokedBeforeReport guards against a successor that revokes a
 // former owner's grant as unused. The former owner may have used the grant without another
 // write before it stopped sending, and the successor then dropped the entry of a loaded model
--- a/verbenacore/vrledger/vrledger.go
+++ b/verbenacore/vrledger/vrledger.go
@@ -41,6 +41,9 @@
 	adoptedAt time.Time
 	// entryAnsweredAt is when an order for each entry was last answered.
 	entryAnsweredAt map[entryKey]time.Time
+	// removedAnsweredAt is when an order for a removed entry was last answered, usually its unload.
+	// A report that may be older does not show the state of a later entry of the same key.
+	removedAnsweredAt map[entryKey]time.Time
 	// fenced is set when an engine that honours fencing tokens has acknowledged this epoch.
 	fenced bool
 	// inFlight holds this owner's orders that were sent and not answered yet.
@@ -172,6 +175,7 @@
 		s = &serverState{
 			inFlight: make(map[vrid.OrderID]inFlightOrder), unansweredAt: make(map[vrid.OrderID]time.Time),
 			answeredAt: now, adoptedAt: now, entryAnsweredAt: make(map[entryKey]time.Time),
+			removedAnsweredAt: make(map[entryKey]time.Time),
 		}
 		l.servers[info.ID] = s
 		l.serverIDs = append(l.serverIDs, info.ID)
@@ -267,7 +271,10 @@
 }
 
 func (l *Ledger) removeEntry(s *serverState, entry *Entry) {
-	delete(s.entryAnsweredAt, keyOf(entry))
+	if at, known := s.entryAnsweredAt[keyOf(entry)]; known {
+		s.removedAnsweredAt[keyOf(entry)] = at
+		delete(s.entryAnsweredAt, keyOf(entry))
+	}
 	for i, candidate := range s.entries {
 		if candidate == entry {
 			s.entries = append(s.entries[:i], s.entries[i+1:]...)
