Let one daemon of a zone watch the servers for the others

Daemons also listed each other every five seconds, and each heartbeat of the owner that came 0.4 s late made them watch the catalog.

Change: the new package vrfeed decides which daemon of a zone feeds the others: the first one, or the next after silence. It sends what changed between two versions of the store and an eighth of the rest. A daemon that misses a version or hears nothing for 1.5 s watches for itself. Zones with fewer than four daemons work as before. Daemons register their zone; one that does not is not fed. Heartbeats show the catalog to be current for as long as bounds.configApply allows. A recorded adapter load ends by itself.

Ruled out: changes sent by the placement owner to all daemons. With about 65 orders a second on the large site its messages would need more than the 20 Mbit/s of a small machine, and two thirds of them would cross regions.

TestQuietMinuteOfALargeZone: 87 calls where 882 were made.

--- a/verbenabench/internal/vrgateworld/follow.go
+++ b/verbenabench/internal/vrgateworld/follow.go
@@ -14,6 +14,7 @@
 	minRetryDelay      = 100 * time.Millisecond
 	maxRetryDelay      = 800 * time.Millisecond
 	ownerPollInterval  = 150 * time.Millisecond
+	feederPollInterval = 650 * time.Millisecond
 	guidedPollInterval = Drain * 3 / 4
 	otherPollInterval  = Drain / 2
 	// storeLostThreshold is the number of consecutive failed polls after which the store counts
@@ -90,10 +91,15 @@
 
 func (p *Process) pollServers(after vrid.ObjectVersion) time.Duration {
 	if after == 0 {
-		p.reduce(vrevent.FleetListed{Entries: p.world.Store.list()})
+		p.reduce(vrevent.FleetListed{Entries: p.world.Store.list(), Version: p.world.Store.revision})
 		return pollInterval
 	}
+	if p.State.ServersFed(p.world.Now()) {
+		return pollInterval
+	}
+	after = p.State.ServersVersion()
 	changed := p.world.Store.since(after)
+	changed.After, changed.Version = after, p.world.Store.revision
 	if len(changed.Entries)+len(changed.Removed) == 0 {
 		return pollInterval
 	}
@@ -102,6 +108,8 @@
 	switch {
 	case p.State.IsPlacementOwner(p.world.Now()):
 		return ownerPollInterval
+	case p.State.FeedsZone(p.world.Now()):
+		return feederPollInterval
 	case guided:
 		return guidedPollInterval
 	}
--- a/verbenabench/internal/vrgateworld/vrgateworld.go
+++ b/verbenabench/internal/vrgateworld/vrgateworld.go
@@ -117,7 +117,7 @@
 	for i := range options.Daemons {
 		d := &Daemon{ID: vrid.DaemonID(fmt.Sprintf("d%02d", i)), Zone: w.zone(i), world: w}
 		w.Daemons = append(w.Daemons, d)
-		w.Store.peers = append(w.Store.peers, vrevent.Peer{Daemon: d.ID, Address: "peer:" + string(d.ID)})
+		w.Store.peers = append(w.Store.peers, vrevent.Peer{Daemon: d.ID, Address: "peer:" + string(d.ID), Zone: d.Zone})
 	}
 	for _, d := range w.Daemons {
 		d.Start()
--- a/verbenacore/vrevent/gateway.go
+++ b/verbenacore/vrevent/gateway.go
@@ -124,6 +124,8 @@
 type Peer struct {
 	Daemon  vrid.DaemonID
 	Address string
+	// Zone is empty if the daemon's version does not register it.
+	Zone vrid.ZoneID
 }
 
 // Events of the gateway.
@@ -159,13 +161,19 @@
 	// ClientGone reports that the client of a waiting call closed its connection.
 	ClientGone struct{ Call CallID }
 
-	// FleetListed carries the full list of the registered servers.
-	FleetListed struct{ Entries []vrfleet.Entry }
+	// FleetListed carries the full list of the registered servers and the store's version of it,
+	// zero if it is unknown.
+	FleetListed struct {
+		Entries []vrfleet.Entry
+		Version vrid.ObjectVersion
+	}
 
-	// FleetChanged carries what changed since the last list or change.
+	// FleetChanged carries what changed between two versions of the store, which are zero if they
+	// are unknown.
 	FleetChanged struct {
-		Entries []vrfleet.Entry
-		Removed []vrid.ServerID
+		Entries        []vrfleet.Entry
+		Removed        []vrid.ServerID
+		After, Version vrid.ObjectVersion
 	}
 
 	// CatalogSeen carries a validated catalog.
--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -238,7 +238,7 @@
 	if loaded == nil {
 		return false
 	}
-	if ready, ok := s.adapterReadyAt[adapterKey{model, adapter}]; ok {
+	if ready, ok := s.adapterReadyAt[adapterKey{model, adapter}]; ok && now.Sub(ready) <= adapterReadyTTL {
 		return !now.Before(ready)
 	}
 	return slices.Contains(loaded.Adapters, adapter)
--- a/verbenacore/vrgateway/heartbeat.go
+++ b/verbenacore/vrgateway/heartbeat.go
@@ -10,9 +10,8 @@
 
 // Timing of the placement owner's heartbeats. In a large fleet, store calls that every daemon
 // makes are expensive, so the owner sends the newest catalog version to the other daemons
-// instead. An owner that loses the store is trusted for at most maxStoreAge + heartbeatTTL
-// afterwards, which is less than the shortest time within which a new catalog has to be in
-// force (2.5 s).
+// instead. An owner that loses the store is trusted for at most maxStoreAge + catalogTTL
+// afterwards, which is less than the time within which a new catalog has to be in force.
 const (
 	heartbeatInterval = 800 * time.Millisecond
 	// maxDaemonsWithoutHeartbeat is the number of daemons up to which the owner sends no
@@ -21,8 +20,10 @@
 	// maxStoreAge is the maximum age of the owner's last response from the store when it
 	// sends a heartbeat.
 	maxStoreAge = time.Second
-	// heartbeatTTL is how long a received heartbeat is valid.
+	// heartbeatTTL is how long a received heartbeat shows that the owner is alive.
 	heartbeatTTL = 1200 * time.Millisecond
+	// adoptionTime is the part of Bounds.ConfigApply that reading a new catalog may take.
+	adoptionTime = 700 * time.Millisecond
 )
 
 // ownerHeartbeat is the last heartbeat received from the placement owner.
@@ -54,11 +55,18 @@
 	}
 }
 
+// catalogTTL is how long a received heartbeat shows that the catalog is current. It is longer than
+// heartbeatTTL where the deployment allows it, because every daemon that misses a heartbeat would
+// watch the catalog.
+func (s *State) catalogTTL() time.Duration {
+	return max(heartbeatTTL, s.opts.Bounds.ConfigApply-maxStoreAge-adoptionTime)
+}
+
 // HeartbeatStatus reports whether the last heartbeat of the placement owner is still valid
 // (fresh), so that this daemon need not watch the catalog itself, and if so, whether the catalog
 // in force is as new as the owner's (current).
 func (s *State) HeartbeatStatus(now time.Time) (fresh, current bool) {
-	if s.heartbeat.receivedAt.IsZero() || now.Sub(s.heartbeat.receivedAt) > heartbeatTTL || s.catalog == nil {
+	if s.heartbeat.receivedAt.IsZero() || now.Sub(s.heartbeat.receivedAt) > s.catalogTTL() || s.catalog == nil {
 		return false, false
 	}
 	return true, s.catalog.Version >= s.heartbeat.catalogVersion
--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -271,11 +271,12 @@
 	out.Add(vrevent.SendPeer{Peer: s.owner.daemon, Address: s.owner.address, Envelope: &vrwire.Envelope{PlacementDemand: report}})
 }
 
-func (s *State) applyPeerList(e vrevent.PeersListed, out *vrevent.Effects) {
+func (s *State) applyPeerList(now time.Time, e vrevent.PeersListed, out *vrevent.Effects) {
 	if len(e.Peers) != len(s.peers) {
 		out.Info("daemon count changed", number("count", uint64(len(e.Peers))))
 	}
 	s.peers = e.Peers
+	s.setFeedMembers(now)
 	s.retryBudget.SetDaemons(len(e.Peers))
 }
 
@@ -285,6 +286,9 @@
 		s.expeditePlan()
 		s.plan(now, out)
 	}
+	if envelope.FleetChanges != nil {
+		s.handleFeed(now, envelope, out)
+	}
 	if notices := envelope.Notices; notices != nil && notices.Epoch > s.owner.epoch {
 		s.setAnnouncedOwner(envelope.From, notices.Epoch, out)
 	}
--- a/verbenacore/vrgateway/servers.go
+++ b/verbenacore/vrgateway/servers.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrfeed"
 	"verbenaroute.example/verbenacore/vrfleet"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrresidence"
@@ -51,6 +52,9 @@
 // applyFleetList applies a full list of the registered servers. Servers that are not on the list
 // are removed, unless the store has only just recovered.
 func (s *State) applyFleetList(now time.Time, e vrevent.FleetListed, out *vrevent.Effects) {
+	if !s.feed.HandleList(e.Version, e.Entries) {
+		return
+	}
 	listed := make(map[vrid.ServerID]bool, len(e.Entries))
 	for _, entry := range e.Entries {
 		listed[entry.ID] = true
@@ -64,8 +68,18 @@
 	s.dispatchWaiting(now, out)
 }
 
-// applyFleetChanges applies the registrations that changed since the last list or change.
+// applyFleetChanges applies the registrations that changed since the last list or change, and
+// passes them on if this daemon feeds its zone.
 func (s *State) applyFleetChanges(now time.Time, e vrevent.FleetChanged, out *vrevent.Effects) {
+	message, isNew := s.feed.HandleWatch(&vrfeed.Changes{After: e.After, Version: e.Version, Entries: e.Entries, Removed: e.Removed})
+	if !isNew {
+		return
+	}
+	s.sendFeed(now, message, out)
+	s.applyChangedEntries(now, e, out)
+}
+
+func (s *State) applyChangedEntries(now time.Time, e vrevent.FleetChanged, out *vrevent.Effects) {
 	for _, entry := range e.Entries {
 		s.applyEntry(now, entry, out)
 	}
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -13,6 +13,7 @@
 	"verbenaroute.example/verbenacore/vrchoice"
 	"verbenaroute.example/verbenacore/vrevent"
 	"verbenaroute.example/verbenacore/vrfault"
+	"verbenaroute.example/verbenacore/vrfeed"
 	"verbenaroute.example/verbenacore/vrfleet"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrlease"
@@ -26,6 +27,8 @@
 	// Lease is the minimum time between placement orders that two different daemons give to
 	// the same server.
 	Lease time.Duration
+	// ConfigApply is the time within which a new catalog has to be in force.
+	ConfigApply time.Duration
 	// Retries is the budget for requests that are sent to another server after a failure.
 	Retries vrretry.Options
 	// Ceiling limits the rate of model loads from the weight store.
@@ -64,8 +67,11 @@
 	// report, and those open.
 	demand map[target]*targetDemand
 	// inFlight counts the calls that were sent and have not ended, by server and model.
-	inFlight        map[serverModel]uint32
-	peers           []vrevent.Peer
+	inFlight map[serverModel]uint32
+	peers    []vrevent.Peer
+	feed     *vrfeed.Feed
+	// feedDaemons is the number of daemons that the feeder of the zone knows.
+	feedDaemons     int
 	heartbeat       ownerHeartbeat
 	heartbeatSentAt time.Time
 	startedAt       time.Time
@@ -105,6 +111,7 @@
 		demand:    make(map[target]*targetDemand),
 
 		inFlight: make(map[serverModel]uint32),
+		feed:     vrfeed.New(opts.Daemon),
 	}
 }
 
@@ -160,7 +167,7 @@
 	case vrevent.GracePeriodEnding:
 		s.handleGraceExpired(now, out)
 	case vrevent.PeersListed:
-		s.applyPeerList(e, out)
+		s.applyPeerList(now, e, out)
 	case vrevent.ObjectRead:
 		s.handleLeaseChange(now, s.lease.HandleRead(now, e, out), out)
 	case vrevent.ObjectWritten:
--- a/verbenacore/vrwire/vrwire.go
+++ b/verbenacore/vrwire/vrwire.go
@@ -112,6 +112,7 @@
 	ServerNotice    *ServerNotice    `protobuf:"bytes,29,opt,name=serverNotice,proto3"`
 	PlacementDemand *PlacementDemand `protobuf:"bytes,30,opt,name=wants,proto3"`
 	Notices         *Notices         `protobuf:"bytes,31,opt,name=notices,proto3"`
+	FleetChanges    *FleetChanges    `protobuf:"bytes,32,opt,name=fleetChanges,proto3"`
 }
 
 // setMessages returns the messages that are set; a valid envelope has exactly one.
@@ -143,6 +144,7 @@
 	add(e.ServerNotice != nil, e.ServerNotice)
 	add(e.PlacementDemand != nil, e.PlacementDemand)
 	add(e.Notices != nil, e.Notices)
+	add(e.FleetChanges != nil, e.FleetChanges)
 	return set
 }
 
--- a/verbenaroute/internal/vrnode/store.go
+++ b/verbenaroute/internal/vrnode/store.go
@@ -28,8 +28,11 @@
 	// pause lets several changes arrive in one response. The owner pauses less, because it
 	// waits for the end of loads and notifies the other daemons.
 	ownerPause = 150 * time.Millisecond
-	// heartbeatPollInterval is the interval at which a daemon that does not watch the catalog
-	// checks whether the placement owner's heartbeats still allow it not to.
+	// feederPause is the pause of the daemon that watches the servers for its zone. Two messages
+	// fit into the time for which the others rely on one.
+	feederPause = 650 * time.Millisecond
+	// heartbeatPollInterval is the interval at which a daemon that does not watch the catalog or
+	// the servers checks whether other daemons' messages still allow it not to.
 	heartbeatPollInterval = 200 * time.Millisecond
 	// freshHeartbeatFraction is the fraction of DrainTimeout that a daemon pauses while it
 	// receives the placement owner's heartbeats, because the owner also notifies it of leaving
@@ -48,6 +51,9 @@
 	peersInterval        = 5 * time.Second
 	startupPeersInterval = 700 * time.Millisecond
 	startupPeersLists    = 5
+	// maxPeersAge is how long a daemon does without a list of the daemons while the feeder of its
+	// zone knows as many as it does itself.
+	maxPeersAge = 30 * time.Second
 	// storeLostAfter consecutive failed calls count as the loss of the store.
 	storeLostAfter = 2
 	// orderTimeout is the timeout of an order, which a server answers without waiting for the
@@ -103,6 +109,9 @@
 	if n.state.IsPlacementOwner(n.clock.Now()) {
 		return ownerPause
 	}
+	if n.state.FeedsZone(n.clock.Now()) {
+		return feederPause
+	}
 	if fresh, _ := n.state.HeartbeatStatus(n.clock.Now()); fresh {
 		return time.Duration(freshHeartbeatFraction * float64(n.settings.Bounds.DrainTimeout.Std()))
 	}
@@ -124,9 +133,12 @@
 	watch func(ctx context.Context, after vrid.ObjectVersion) (vrid.ObjectVersion, bool, error)
 	// failures is the number of consecutive failed calls.
 	failures int
-	// skipWatch reports whether no watch is needed at present, because the placement owner's
-	// heartbeats show that nothing changed; it may be nil.
+	// skipWatch reports whether no watch is needed at present, because another daemon tells this
+	// one of changes; it may be nil.
 	skipWatch func() bool
+	// knownVersion returns the version up to which changes are known from another daemon; it may
+	// be nil.
+	knownVersion func() vrid.ObjectVersion
 }
 
 // run lists and watches until the node stops.
@@ -141,6 +153,9 @@
 			f.relist()
 			continue
 		}
+		if f.knownVersion != nil {
+			f.after = max(f.after, f.knownVersion())
+		}
 		ctx, cancel := context.WithTimeout(n.baseCtx, n.watchWait()+watchTimeoutMargin)
 		after, changed, err := f.watch(ctx, f.after)
 		cancel()
@@ -211,6 +226,27 @@
 	return fresh && current
 }
 
+// serversFed reports whether the feeder of the zone keeps this daemon's view of the servers up to
+// date.
+func (n *Node) serversFed() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.ServersFed(n.clock.Now())
+}
+
+func (n *Node) serversVersion() vrid.ObjectVersion {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.ServersVersion()
+}
+
+// peersCurrent reports whether this daemon's list of the daemons is as long as the feeder's.
+func (n *Node) peersCurrent() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.PeersCurrent(n.clock.Now())
+}
+
 func (n *Node) followCatalog() {
 	f := &follower{node: n, name: "catalog", skipWatch: n.catalogIsCurrent}
 	f.list = func(ctx context.Context) (vrid.ObjectVersion, error) {
@@ -231,12 +267,14 @@
 }
 
 func (n *Node) followServers() {
-	f := &follower{node: n, name: "servers", pauseAfterChange: n.serversPause}
+	f := &follower{
+		node: n, name: "servers", pauseAfterChange: n.serversPause, skipWatch: n.serversFed, knownVersion: n.serversVersion,
+	}
 	f.list = func(ctx context.Context) (vrid.ObjectVersion, error) {
 		entries, version, err := n.store.ListServers(ctx)
 		if err == nil {
 			f.handleSuccess()
-			n.Submit(vrevent.FleetListed{Entries: entries})
+			n.Submit(vrevent.FleetListed{Entries: entries, Version: version})
 			n.ready.Store(n.catalog.Load() != nil)
 		}
 		return version, err
@@ -258,15 +296,21 @@
 // followPeers registers this daemon in the store and lists the others at intervals.
 func (n *Node) followPeers() {
 	registered := false
+	var listedAt time.Time
 	for round := 0; n.baseCtx.Err() == nil; round++ {
+		if registered && !listedAt.IsZero() && n.clock.Now().Sub(listedAt) < maxPeersAge && n.peersCurrent() {
+			pause(n.baseCtx, startupPeersInterval/2+rand.N(startupPeersInterval))
+			continue
+		}
 		ctx, cancel := context.WithTimeout(n.baseCtx, storeTimeout)
 		if !registered {
-			err := n.store.Register(ctx, vrevent.Peer{Daemon: n.settings.Daemon, Address: n.settings.Peers}, n.boot)
+			err := n.store.Register(ctx, vrevent.Peer{Daemon: n.settings.Daemon, Address: n.settings.Peers, Zone: n.settings.Zone}, n.boot)
 			registered = err == nil
 		}
 		peers, err := n.store.Peers(ctx)
 		cancel()
 		if err == nil {
+			listedAt = n.clock.Now()
 			n.Submit(vrevent.PeersListed{Peers: peers})
 		}
 		if round < startupPeersLists {
