Log and count requests without a complete response

Cause: a request that ended without a complete response could not be explained from the logs. Nothing was logged if its head or body could not be read, if the handler panicked or if an effect was dropped. A client that left, a failed write, a missed write deadline and a connection that the gateway closed all ended as callerGone. An answer whose last bytes could not be written after the handler had returned counted as answered. No line told a kept connection from a new one, or a stop, a reload or a new catalog from normal operation.

Change: vrrelay records the errors of each client connection and reports each such request once, with its cause. vrnode writes one line, "request cut", with the sends, the bytes of the response, the number of earlier requests on the connection and the times since SIGTERM, the last reload and the last catalog, and counts it in verbena_requests_cut_total by cause. "call ended" says for broken and callerGone how much time was left and whether the daemon was stopping, and names the server and the error of a failed write. verbenactl trace explains the new line. What is sent, waited for and closed is as before.

Result: go test -race passes in vrrelay, vrnode, vrgateway and vrtrace. Of 16 trial mutations of the new code, one at a time, each failed a test.

--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -234,7 +234,7 @@
 		s.counts.Delivered++
 	case vrevent.AttemptCallerGone:
 		s.counts.CallerGone++
-		s.removeCall(now, c, "callerGone", "", out)
+		s.removeCall(now, c, "callerGone", "", out, append(s.cutFields(now, c), text("server", server.ID), text("detail", e.Detail))...)
 	default:
 		s.retryOrEnd(now, c, server, e, out)
 	}
@@ -327,7 +327,7 @@
 	case c.responseStarted:
 		s.counts.Broken++
 		out.Add(vrevent.AbortCall{Call: c.ID})
-		s.removeCall(now, c, "broken", reason, out)
+		s.removeCall(now, c, "broken", reason, out, s.cutFields(now, c)...)
 	case c.errorHeld:
 		s.counts.Delivered++
 		out.Add(vrevent.ForwardFailure{Call: c.ID})
@@ -356,6 +356,12 @@
 	return vrevent.LogField{Name: name, Value: "false"}
 }
 
+// cutFields returns the log fields of a call that ends without a complete response: the time that
+// it had left, and whether the daemon was shutting down.
+func (s *State) cutFields(now time.Time, c *call) []vrevent.LogField {
+	return []vrevent.LogField{millis("leftMs", c.deadline.Sub(now)), boolean("stopping", s.shuttingDown)}
+}
+
 // removeCall drops a call that has ended from the state, and emits its metrics and log line.
 func (s *State) removeCall(now time.Time, c *call, outcome string, reason vrwire.Reason, out *vrevent.Effects, fields ...vrevent.LogField) {
 	s.dequeue(c)
@@ -396,7 +402,7 @@
 		s.clearPendingPrompt(c, c.server)
 		c.server = nil
 	}
-	s.removeCall(now, c, "callerGone", "", out)
+	s.removeCall(now, c, "callerGone", "", out, s.cutFields(now, c)...)
 }
 
 // handleGraceExpired ends the waiting calls, so that their clients retry at another daemon,
--- a/verbenactl/internal/vrtrace/vrtrace.go
+++ b/verbenactl/internal/vrtrace/vrtrace.go
@@ -162,7 +162,7 @@
 		}
 		sameDaemon := line.Source == steps[0].Source
 		switch line.currentMessage() {
-		case "store unavailable", "store available again", "catalog adopted", "gateway stopping", "gateway starting":
+		case "store unavailable", "store available again", "catalog adopted", "settings reloaded", "gateway stopping", "gateway starting":
 			if sameDaemon {
 				selected = append(selected, *line)
 			}
@@ -181,9 +181,10 @@
 	return selected
 }
 
-// causeOf derives the cause from the last send failure, the last wait and the end of a request.
+// causeOf derives the cause from the last send failure, the last wait and the end of a request, and
+// from the line that says that its response did not reach the client in full.
 func causeOf(steps []Line) string {
-	var lastFailure, lastWait, end *Line
+	var lastFailure, lastWait, end, cut *Line
 	for i := range steps {
 		switch steps[i].currentMessage() {
 		case "send failed":
@@ -192,8 +193,27 @@
 			lastWait = &steps[i]
 		case "call ended":
 			end = &steps[i]
+		case "request cut":
+			cut = &steps[i]
 		}
 	}
+	if cut == nil || cut.Text("cause") == "clientGone" {
+		return causeOfEnd(lastFailure, lastWait, end)
+	}
+	text := "its connection was cut: " + cut.Text("cause")
+	if detail := cut.Text("detail"); detail != "" {
+		text += " (" + detail + ")"
+	}
+	if end == nil || end.Text("outcome") == "callerGone" {
+		// The reducer knows nothing of the request, or took the cut for a client that left.
+		return text
+	}
+	return causeOfEnd(lastFailure, lastWait, end) + "; " + text
+}
+
+// causeOfEnd derives the cause from the last send failure, the last wait and the end of a request,
+// each of which may be nil.
+func causeOfEnd(lastFailure, lastWait, end *Line) string {
 	switch {
 	case end == nil:
 		return "its end was not logged: the daemon was killed, or its lines are missing"
--- a/verbenaroute/internal/vrnode/metrics.go
+++ b/verbenaroute/internal/vrnode/metrics.go
@@ -9,6 +9,8 @@
 	vmetrics "github.com/VictoriaMetrics/metrics"
 
 	"verbenaroute.example/verbenacore/vrevent"
+
+	"verbenaroute.example/verbenaroute/internal/vrrelay"
 )
 
 // metrics holds the counters and histograms of a gateway. Their names follow the conventions
@@ -87,6 +89,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`verbena_sends_ended_total{result=%q}`, result)).Inc()
 }
 
+// requestCut counts a request that ended without a complete response.
+func (m *metrics) requestCut(cause vrrelay.CutCause) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`verbena_requests_cut_total{cause=%q}`, cause)).Inc()
+}
+
 func (m *metrics) serve(w http.ResponseWriter, _ *http.Request) {
 	for kind, count := range m.droppedLines() {
 		m.set.GetOrCreateCounter(fmt.Sprintf(`verbena_log_lines_dropped_total{kind=%q}`, kind)).Set(count)
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -57,6 +57,7 @@
 	ready        atomic.Bool
 	shuttingDown atomic.Bool
 	catalog      atomic.Pointer[vrcatalog.Catalog]
+	planned      plannedWork
 	// grace is the time limit of a shutdown in nanoseconds, which Reload may change.
 	grace atomic.Int64
 	// baseCtx is the context of all background work; cancel ends it after a shutdown.
@@ -88,7 +89,7 @@
 	})
 	n.proxy = vrrelay.New(vrrelay.Options{
 		Submit: n.Submit, Dialect: vradapter.Headers{}, Clock: n.clock, Limits: n.limits,
-		MaxResponseHead: settings.Limits.ResponseHead,
+		MaxResponseHead: settings.Limits.ResponseHead, OnCut: n.requestCut,
 	})
 	return n
 }
@@ -127,6 +128,7 @@
 	n.state.Reduce(n.clock.Now(), event, &n.effects)
 	if catalog := n.state.Catalog(); catalog != n.catalog.Load() {
 		n.catalog.Store(catalog)
+		markNow(&n.planned.catalogAt)
 	}
 	for _, effect := range n.effects.List {
 		n.execute(effect)
@@ -178,6 +180,7 @@
 // Reload applies new settings. The retry limits and the grace period take effect at once.
 // Changed addresses or a changed zone need a restart, which the log line then says.
 func (n *Node) Reload(settings *vrsettings.Gateway) {
+	markNow(&n.planned.reloadedAt)
 	n.Submit(vrevent.RetryOptionsChanged{Options: retryOptions(settings.Bounds)})
 	n.grace.Store(int64(settings.Bounds.GracePeriod.Std()))
 	needsRestart := settings.Callers != n.settings.Callers || settings.Peers != n.settings.Peers || settings.Zone != n.settings.Zone
@@ -284,6 +287,7 @@
 func (n *Node) shutdown() error {
 	startedAt := time.Now()
 	n.shuttingDown.Store(true)
+	markNow(&n.planned.stoppedAt)
 	n.proxy.StartDraining()
 	n.log.Info("gateway stopping", zap.Int("openCalls", n.proxy.Active()))
 	n.Submit(vrevent.ShutdownRequested{})
--- a/verbenaroute/internal/vrrelay/exchange.go
+++ b/verbenaroute/internal/vrrelay/exchange.go
@@ -20,6 +20,7 @@
 	writer  http.ResponseWriter
 	control *http.ResponseController
 	effects chan vrevent.Effect
+	record  *requestRecord
 	// activeConn is the connection of the send in progress, or nil.
 	activeConn atomic.Pointer[conn]
 
@@ -59,7 +60,9 @@
 func (h *callHandler) execute(effect vrevent.Effect) bool {
 	switch e := effect.(type) {
 	case vrevent.SendCall:
+		h.record.sendStarted(e.Server)
 		ended := h.send(&e)
+		h.record.sendEnded(ended.Result)
 		h.proxy.opts.Submit(ended)
 		if ended.Result == vrevent.AttemptCallerGone {
 			panic(http.ErrAbortHandler)
@@ -77,6 +80,7 @@
 	case vrevent.AbortCall:
 		// The connection closes before the response is complete, so that the client sees an
 		// error.
+		h.record.abortAfterPart(h.proxy.sendsAborted.Load())
 		panic(http.ErrAbortHandler)
 	}
 	return false
@@ -86,6 +90,7 @@
 // forwarded. Another response written behind that part would look like its continuation.
 func (h *callHandler) requireNothingForwarded() {
 	if h.headerWritten {
+		h.record.abortAfterPart(h.proxy.sendsAborted.Load())
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/verbenaroute/internal/vrrelay/relay_test.go
+++ b/verbenaroute/internal/vrrelay/relay_test.go
@@ -62,6 +62,7 @@
 	mu      sync.Mutex
 	ended   []vrevent.SendEnded
 	gone    []vrevent.CallID
+	cuts    []CutRequest
 	servers []string
 	send    vrevent.SendCall
 	// afterSend returns the effect that follows a send without a response. If it is nil, the
@@ -129,6 +130,11 @@
 		Submit: p.submit, Dialect: testDialect{}, Clock: wallClock{},
 		Limits:     func() vrcatalog.Limits { return vrcatalog.Limits{Body: 1 << 20} },
 		WriteSlack: 20 * time.Millisecond,
+		OnCut: func(cut CutRequest) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.cuts = append(p.cuts, cut)
+		},
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/verbenaroute/internal/vrrelay/vrrelay.go
+++ b/verbenaroute/internal/vrrelay/vrrelay.go
@@ -50,6 +50,9 @@
 	// WriteSlack is how long after a call's deadline writes to its client may still go on.
 	// Zero means the default.
 	WriteSlack time.Duration
+	// OnCut is called once for each request that ended without a complete response, on any
+	// goroutine. It must not block. It may be nil.
+	OnCut func(CutRequest)
 }
 
 // Limits of client connections, and the body limit of a daemon that has no catalog yet.
@@ -95,13 +98,14 @@
 	p := &Proxy{opts: opts, pool: newPool(), handlers: make(map[vrevent.CallID]*callHandler)}
 	p.server = &http.Server{
 		Handler: p, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: p.trackConnState, ConnContext: withClientConn,
 	}
 	return p
 }
 
 // Serve accepts connections until Close.
 func (p *Proxy) Serve(listener net.Listener) error {
-	if err := p.server.Serve(listener); err != nil && err != http.ErrServerClosed {
+	if err := p.server.Serve(clientListener{listener}); err != nil && err != http.ErrServerClosed {
 		return err
 	}
 	return nil
@@ -140,11 +144,26 @@
 // closes the remaining connections.
 func (p *Proxy) Close(ctx context.Context) error {
 	if err := p.server.Shutdown(ctx); err != nil {
-		return p.server.Close()
+		err = p.server.Close()
+		p.reportClosedConnections()
+		return err
 	}
 	return nil
 }
 
+// reportClosedConnections reports the open calls whose connections were closed.
+func (p *Proxy) reportClosedConnections() {
+	p.mu.Lock()
+	open := make([]*callHandler, 0, len(p.handlers))
+	for _, handler := range p.handlers {
+		open = append(open, handler)
+	}
+	p.mu.Unlock()
+	for _, handler := range open {
+		handler.record.connectionClosed()
+	}
+}
+
 // HandleEffect passes an effect to the handler of its call. It returns false for effects that
 // belong to no call.
 func (p *Proxy) HandleEffect(effect vrevent.Effect) bool {
@@ -168,6 +187,7 @@
 		select {
 		case handler.effects <- effect:
 		default:
+			handler.record.effectDropped(effect)
 		}
 	}
 	return true
@@ -178,15 +198,24 @@
 	p.activeCalls.Add(1)
 	defer p.activeCalls.Add(-1)
 	call := p.opts.Dialect.ParseCall(r.Header)
+	record := clientConnOf(r.Context()).startRequest(call.Request, p.opts.OnCut)
+	defer func() {
+		value := recover()
+		record.end(value)
+		if value != nil {
+			panic(value)
+		}
+	}()
 	control := http.NewResponseController(w)
-	body, ok := p.readBody(w, r, control, call.Timeout)
+	body, ok := p.readBody(w, r, control, call.Timeout, record)
 	if !ok {
 		return
 	}
+	record.bodyRead()
 	call.ID = vrevent.CallID(p.lastCallID.Add(1))
 	call.Host, call.Path = r.Host, r.URL.EscapedPath()
 	handler := &callHandler{
-		proxy: p, call: call, request: r, body: body, writer: w, control: control,
+		proxy: p, call: call, request: r, body: body, writer: w, control: control, record: record,
 		effects: make(chan vrevent.Effect, effectBuffer),
 	}
 	p.mu.Lock()
@@ -202,7 +231,7 @@
 
 // readBody reads the whole body, so that it can be sent to a second server. If the body is too
 // long, it responds with status 413 and returns false.
-func (p *Proxy) readBody(w http.ResponseWriter, r *http.Request, control *http.ResponseController, timeout time.Duration) ([]byte, bool) {
+func (p *Proxy) readBody(w http.ResponseWriter, r *http.Request, control *http.ResponseController, timeout time.Duration, record *requestRecord) ([]byte, bool) {
 	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
 		return nil, true
 	}
@@ -221,6 +250,7 @@
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
 	if err != nil {
 		// The client disconnected or stopped sending; it reads no response.
+		record.abort(CutBodyUnread, err.Error())
 		panic(http.ErrAbortHandler)
 	}
 	_ = control.SetReadDeadline(time.Time{})
