Move a stalled stream only to a reserved place

Such a server may be silent for more than 1.2 s, for example while a preempted request is read anew.

Cause: a stream without an event for four pause targets was given up first, and where it could go on was decided afterwards. The check for another server was made when the request was sent; by the time of the stall that server could be full, ejected or gone, or the retry budget spent. The class of fault is a decision that can't be taken back on a condition that was checked earlier.

Change: the proxy reports a stalled stream (SendStalled) and keeps reading. The reducer takes the retry from the budget and asks another server for a place (ReservePlace, POST /hold-take); only an answer with a reservation ends the stalled send (AbandonSend), and the call goes on with it. Without a place the stream goes on.

The scripted reducer of vrrelay's tests now abandons the send when it is told of a stall, so TestTrickledStreamEnds checks what it did before. TestReserve, TestStalledStreamMovesOnlyToReservedPlace, TestStalledStreamStaysWithoutAlternative, TestLapsedReservationIsNotUsed, TestStalledStreamGoesOnUnlessAbandoned and TestAbandonAfterProgressIsIgnored are new.

--- a/verbenacore/vrcatalog/vrcatalog.go
+++ b/verbenacore/vrcatalog/vrcatalog.go
@@ -92,8 +92,11 @@
 	CacheTokens int
 	// LoadRate is the maximum number of model loads from the weight store that may begin
 	// per second, over all servers.
-	LoadRate   float64
-	modelsByID map[vrid.ModelID]*Model
+	LoadRate float64
+	// MaxReservation is the longest time for which a server reserves a place for a request. It is
+	// zero if servers reserve none.
+	MaxReservation time.Duration
+	modelsByID     map[vrid.ModelID]*Model
 }
 
 // Model returns the declared model with the id, or nil.
--- a/verbenacore/vrdialect/vrdialect.go
+++ b/verbenacore/vrdialect/vrdialect.go
@@ -19,6 +19,8 @@
 	// LastEvent is the id of the last event that the client has received. It is set if this
 	// server is to resume a stream.
 	LastEvent string
+	// Reservation is the place that this server reserved for the request, or empty.
+	Reservation vrid.ReservationID
 }
 
 // ResponseInfo holds the contents of the headers of a server's response.
--- a/verbenacore/vrevent/gateway.go
+++ b/verbenacore/vrevent/gateway.go
@@ -158,6 +158,23 @@
 		TimeToFirstByte time.Duration
 	}
 
+	// SendStalled reports that a stream has had no event for SendCall.MaxPause although part of it
+	// was forwarded. It is repeated while the pause goes on.
+	SendStalled struct {
+		Call CallID
+		Send int
+	}
+
+	// PlaceReserved is the answer to ReservePlace. Reservation is empty if the server reserved no
+	// place.
+	PlaceReserved struct {
+		Call        CallID
+		Send        int
+		Server      vrid.ServerID
+		Reservation vrid.ReservationID
+		Detail      string
+	}
+
 	// ClientGone reports that the client of a waiting call closed its connection.
 	ClientGone struct{ Call CallID }
 
@@ -211,6 +228,8 @@
 func (CallArrived) isEvent()         {}
 func (FirstByteReceived) isEvent()   {}
 func (SendEnded) isEvent()           {}
+func (SendStalled) isEvent()         {}
+func (PlaceReserved) isEvent()       {}
 func (ClientGone) isEvent()          {}
 func (FleetListed) isEvent()         {}
 func (FleetChanged) isEvent()        {}
@@ -236,9 +255,13 @@
 		// FirstByteDeadline is the deadline for the first byte, or zero. A send that misses it
 		// may be retried on another server.
 		FirstByteDeadline time.Time
-		// MaxPause is the longest allowed pause between two reads of a stream, or zero.
+		// MaxPause is the pause between two events of a stream, or after its head, after which it
+		// counts as stalled, or zero. A stream of which nothing was forwarded then ends; any other
+		// one is reported by SendStalled.
 		MaxPause time.Duration
-		Priority int
+		// Reservation is the place that the server reserved for the call, or empty.
+		Reservation vrid.ReservationID
+		Priority    int
 		// Resume asks for what follows the last event that the client has received.
 		Resume bool
 		// HoldErrors holds a server's failure back until ForwardFailure or another SendCall.
@@ -261,6 +284,23 @@
 	// ForwardFailure forwards to the client a server's failure that was held back.
 	ForwardFailure struct{ Call CallID }
 
+	// ReservePlace asks a server for a place for a call whose send has stalled at another one.
+	ReservePlace struct {
+		Call    CallID
+		Send    int
+		Server  vrid.ServerID
+		Address string
+		// Tokens is the size of the call, and Duration how long the place is needed.
+		Tokens   int
+		Duration time.Duration
+	}
+
+	// AbandonSend ends a send that is still stalled.
+	AbandonSend struct {
+		Call CallID
+		Send int
+	}
+
 	// AbortCall closes the client's connection, because part of an answer that can't be
 	// completed has already been forwarded.
 	AbortCall struct{ Call CallID }
@@ -304,6 +344,8 @@
 func (SendCall) isEffect()           {}
 func (RefuseCall) isEffect()         {}
 func (ForwardFailure) isEffect()     {}
+func (ReservePlace) isEffect()       {}
+func (AbandonSend) isEffect()        {}
 func (AbortCall) isEffect()          {}
 func (SendPlacementOrder) isEffect() {}
 func (ReadStatus) isEffect()         {}
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -66,6 +66,10 @@
 	// promptPending is set from a send until the first byte of its response or its end, while
 	// the server processes the prompt.
 	promptPending bool
+	// move is the place to which the call goes on once its stalled send has ended, or nil.
+	// retryReserved is set once the next retry was counted in the retry budget.
+	move          *move
+	retryReserved bool
 	// timeToFirstByte is the time from the arrival to the first byte of the response. It is
 	// set once the response is complete.
 	timeToFirstByte time.Duration
@@ -117,9 +121,13 @@
 		s.endPastDeadline(now, c, out)
 		return
 	}
+	if server, reservation := s.reservedServer(now, c); server != nil {
+		s.send(now, c, server, reservation, out)
+		return
+	}
 	server, missing := s.chooser.Best(now, s.requirements(c))
 	if server != nil {
-		s.send(now, c, server, out)
+		s.send(now, c, server, "", out)
 		return
 	}
 	s.enqueue(now, c, missing, out)
@@ -134,8 +142,9 @@
 	s.endCall(now, c, reason, 0, out)
 }
 
-// send sends a call to a server, unless it is a retry beyond the retry budget.
-func (s *State) send(now time.Time, c *call, server *vrfleet.Server, out *vrevent.Effects) {
+// send sends a call to a server, unless it is a retry beyond the retry budget. reservation is the
+// place that the server reserved for the call, or empty.
+func (s *State) send(now time.Time, c *call, server *vrfleet.Server, reservation vrid.ReservationID, out *vrevent.Effects) {
 	if !s.takeRetryBudget(now, c) {
 		s.endCall(now, c, vrwire.ReasonNoReplica, shortRetryAfter, out)
 		return
@@ -151,14 +160,15 @@
 		Call: c.ID, Send: c.sends, Server: server.ID, Address: server.Address,
 		Deadline: c.deadline.Add(-deadlineMargin), Priority: c.route.Priority,
 		Resume: c.responseStarted && !vrfault.On(vrfault.RestartEvents), Stream: c.route.Kind == vrcatalog.RouteStream, AtMostOnce: !c.route.Repeatable(),
+		Reservation: reservation,
 	}
 	if c.route.Repeatable() && c.possibleRuns+1 < c.route.MaxAttempts {
 		effect.HoldErrors = true
+		effect.MaxPause = pauseTimeoutFactor * c.route.PauseTarget
 		if s.chooser.HasOther(now, s.requirements(c), server) {
 			// A slow server is given up only for another one. Without one, its response is the
 			// only one that the call can get.
 			effect.FirstByteDeadline = now.Add(firstByteTimeout(c.route.Target))
-			effect.MaxPause = pauseTimeoutFactor * c.route.PauseTarget
 		}
 	}
 	out.Add(effect)
@@ -182,6 +192,10 @@
 		return true
 	}
 	s.counts.Resent++
+	if c.retryReserved {
+		c.retryReserved = false
+		return true
+	}
 	return s.retryBudget.AllowRetry(now, c.service) || vrfault.On(vrfault.IgnoreBudget)
 }
 
--- /dev/null
+++ b/verbenacore/vrgateway/stall_test.go
@@ -0,0 +1,78 @@
+package vrgateway_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrretry"
+)
+
+// newStreamingDaemon returns a daemon with two servers that reserve places, and a call whose stream
+// has begun on one of them.
+func newStreamingDaemon(t *testing.T) (*daemon, vrevent.SendCall) {
+	d := newReadyDaemon(t, engineEntry("e1", "m"), engineEntry("e2", "m"))
+	catalog := newCatalog(2)
+	for i := range catalog.Routes {
+		catalog.Routes[i].PauseTarget = 100 * time.Millisecond
+	}
+	catalog.Services[1].Engine.MaxReservation = 2 * time.Second
+	d.reduce(vrevent.CatalogSeen{Catalog: catalog})
+	send := d.requireSent(d.arrive("stream"))
+	require.Equal(t, 400*time.Millisecond, send.MaxPause)
+	d.reduce(vrevent.FirstByteReceived{Call: send.Call, Send: send.Send})
+	return d, send
+}
+
+// A stream that stalls must be given up only once another server has reserved a place for it, and then
+// go on there. Streams of sound servers were cut because the other server was full or the retry budget
+// spent (LOST on hfw-fit-grown).
+func TestStalledStreamMovesOnlyToReservedPlace(t *testing.T) {
+	d, send := newStreamingDaemon(t)
+	stalled := vrevent.SendStalled{Call: send.Call, Send: send.Send}
+	reserve, ok := d.reduce(stalled)[0].(vrevent.ReservePlace)
+	require.True(t, ok)
+	require.NotEqual(t, send.Server, reserve.Server)
+	require.Empty(t, d.reduce(stalled), "the answer about the place is still to come")
+	require.Empty(t, d.reduce(vrevent.PlaceReserved{Call: send.Call, Send: send.Send, Server: reserve.Server, Detail: "full"}))
+
+	require.NotEmpty(t, d.reduce(stalled), "a place is asked for again while the pause goes on")
+	reserved := vrevent.PlaceReserved{Call: send.Call, Send: send.Send, Server: reserve.Server, Reservation: "h1"}
+	require.Equal(t, []vrevent.Effect{vrevent.AbandonSend{Call: send.Call, Send: send.Send}}, d.reduce(reserved))
+	next := d.requireSent(d.reduce(vrevent.SendEnded{Call: send.Call, Send: send.Send, Result: vrevent.AttemptTimedOut, PartForwarded: true, Events: 3}))
+	require.Equal(t, reserve.Server, next.Server)
+	require.Equal(t, reserved.Reservation, next.Reservation)
+	require.True(t, next.Resume)
+}
+
+// Nothing may be asked of another server if the call could not go on there.
+func TestStalledStreamStaysWithoutAlternative(t *testing.T) {
+	for name, prepare := range map[string]func(d *daemon){
+		"retry budget spent": func(d *daemon) {
+			d.reduce(vrevent.RetryOptionsChanged{Options: vrretry.Options{Window: 10 * time.Second}})
+		},
+		"other server left": func(d *daemon) { d.reduce(vrevent.FleetListed{Entries: nil}) },
+		"grace period over": func(d *daemon) { d.reduce(vrevent.GracePeriodEnding{}) },
+		"no reservations": func(d *daemon) {
+			d.reduce(vrevent.CatalogSeen{Catalog: newCatalog(3)})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, send := newStreamingDaemon(t)
+			prepare(d)
+			require.Empty(t, d.reduce(vrevent.SendStalled{Call: send.Call, Send: send.Send}))
+		})
+	}
+}
+
+// A place that came too late, or whose server has left, must not be used.
+func TestLapsedReservationIsNotUsed(t *testing.T) {
+	d, send := newStreamingDaemon(t)
+	reserve := d.reduce(vrevent.SendStalled{Call: send.Call, Send: send.Send})[0].(vrevent.ReservePlace)
+	d.reduce(vrevent.PlaceReserved{Call: send.Call, Send: send.Send, Server: reserve.Server, Reservation: "h1"})
+	d.now = d.now.Add(reserve.Duration)
+	next := d.requireSent(d.reduce(vrevent.SendEnded{Call: send.Call, Send: send.Send, Result: vrevent.AttemptBroken, PartForwarded: true, Events: 3}))
+	require.Empty(t, next.Reservation)
+}
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -148,6 +148,10 @@
 		s.handleFirstByte(e)
 	case vrevent.SendEnded:
 		s.handleSendResult(now, e, out)
+	case vrevent.SendStalled:
+		s.handleSendStalled(now, e, out)
+	case vrevent.PlaceReserved:
+		s.handlePlaceReserved(now, e, out)
 	case vrevent.ClientGone:
 		s.handleClientGone(now, e, out)
 	case vrevent.CatalogSeen:
--- a/verbenacore/vrgateway/waits.go
+++ b/verbenacore/vrgateway/waits.go
@@ -141,7 +141,7 @@
 			continue
 		}
 		s.dequeue(c)
-		s.send(now, c, server, out)
+		s.send(now, c, server, "", out)
 		c.waitedForServer = true
 		s.expediteDemand(now)
 	}
--- /dev/null
+++ b/verbenaroute/internal/vrnode/silence_test.go
@@ -0,0 +1,106 @@
+package vrnode_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"verbenaroute.example/platform/vrstandin"
+
+	"verbenaroute.example/verbenaroute/internal/vrnode"
+)
+
+// A sound server may be silent in the middle of a stream, for example while a preempted request is
+// read anew. Its stream must not be cut if no other server then takes the request: the answer of the
+// silent one is the only one that the client can get (LOST on hfw-fit-grown).
+func TestSilentStreamIsKeptWhenNoOtherServerTakesIt(t *testing.T) {
+	const (
+		pauseTarget = 50 * time.Millisecond
+		// The gateway gives a stream up after four pause targets.
+		silence     = 2 * time.Second
+		first       = "id: 1\ndata: a\n\n"
+		second      = "id: 2\ndata: b\n\n"
+		maxAttempts = 20
+	)
+	for _, test := range []struct {
+		name       string
+		retryRatio float64
+	}{
+		{"the other server is full", 1},
+		{"the retry budget is spent", 0.001},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+				if r.Header.Get("Last-Event-Id") != "" {
+					w.Header().Set("Not-Executed", "1")
+					w.WriteHeader(http.StatusServiceUnavailable)
+					return
+				}
+				w.Header().Set("Response-Signature", "signed")
+				_, _ = io.WriteString(w, first)
+				_ = http.NewResponseController(w).Flush()
+				select {
+				case <-time.After(silence):
+				case <-r.Context().Done():
+				}
+				_, _ = io.WriteString(w, second)
+			}))
+			t.Cleanup(backend.Close)
+			store := vrstandin.NewStore()
+			storeServer := httptest.NewServer(store)
+			t.Cleanup(storeServer.Close)
+			store.Configure(3, vrstandin.Route{
+				Name: "stream", Type: "streaming", Resumable: true, PauseTarget: pauseTarget, Timeout: time.Minute,
+			})
+			for i := range 2 {
+				store.Register(fmt.Sprint("i-", i), strings.TrimPrefix(backend.URL, "http://"), "ready", 1)
+			}
+			settings := newSettings(t, storeServer.URL, time.Second)
+			settings.Bounds.RetryRatio, settings.Bounds.RetrySlack = test.retryRatio, 100*test.retryRatio
+			node := vrnode.New(settings, zap.NewNop(), func() map[string]uint64 { return nil })
+			ctx, stop := context.WithCancel(context.Background())
+			stopped := make(chan error, 1)
+			go func() { stopped <- node.Run(ctx) }()
+			t.Cleanup(func() {
+				stop()
+				require.NoError(t, <-stopped)
+			})
+			require.Eventually(t, func() bool {
+				response, err := http.Get("http://" + settings.Readiness + "/readyz")
+				if err != nil {
+					return false
+				}
+				_ = response.Body.Close()
+				return response.StatusCode == http.StatusOK
+			}, 30*time.Second, 10*time.Millisecond)
+
+			var response *http.Response
+			// On a busy machine a request may be refused before its stream has begun.
+			for attempt := 0; response == nil; attempt++ {
+				request, err := http.NewRequest(http.MethodPost, "http://"+settings.Callers+"/stream/x", strings.NewReader("body"))
+				require.NoError(t, err)
+				request.Host = "h.example"
+				vrstandin.SetClientHeaders(request.Header, fmt.Sprint("r", attempt), time.Minute)
+				response, err = http.DefaultClient.Do(request)
+				require.NoError(t, err)
+				if response.StatusCode != http.StatusOK && attempt < maxAttempts {
+					require.NoError(t, response.Body.Close())
+					response = nil
+				}
+			}
+			body, err := io.ReadAll(response.Body)
+			require.NoError(t, response.Body.Close())
+			require.NoError(t, err, "received %q", body)
+			require.Equal(t, first+second, string(body))
+		})
+	}
+}
--- a/verbenaroute/internal/vrnode/store.go
+++ b/verbenaroute/internal/vrnode/store.go
@@ -83,6 +83,18 @@
 	n.Submit(vrevent.OrderEnded{Order: order, Outcome: outcome, Detail: detail})
 }
 
+func (n *Node) reservePlace(e vrevent.ReservePlace) {
+	ctx, cancel := context.WithTimeout(n.baseCtx, min(orderTimeout, e.Duration))
+	defer cancel()
+	answer := vrevent.PlaceReserved{Call: e.Call, Send: e.Send, Server: e.Server}
+	reservation, err := n.engine.Reserve(ctx, e.Address, e.Tokens, e.Duration)
+	if err != nil {
+		answer.Detail = err.Error()
+	}
+	answer.Reservation = reservation
+	n.Submit(answer)
+}
+
 func (n *Node) readStatus(e vrevent.ReadStatus) {
 	ctx, cancel := context.WithTimeout(n.baseCtx, orderTimeout)
 	defer cancel()
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -149,6 +149,8 @@
 		n.tasks.Go(func() { n.sendOrder(e.Order) })
 	case vrevent.ReadStatus:
 		n.tasks.Go(func() { n.readStatus(e) })
+	case vrevent.ReservePlace:
+		n.tasks.Go(func() { n.reservePlace(e) })
 	case vrevent.CallEnded:
 		n.metrics.callEnded(&e)
 	case vrevent.LoadEnded:
--- a/verbenaroute/internal/vrrelay/relay_test.go
+++ b/verbenaroute/internal/vrrelay/relay_test.go
@@ -65,6 +65,9 @@
 	cuts    []CutRequest
 	servers []string
 	send    vrevent.SendCall
+	// stalls counts the reports of stalled sends. They are abandoned unless keepStalled is set.
+	stalls      int
+	keepStalled bool
 	// afterSend returns the effect that follows a send without a response. If it is nil, the
 	// call is refused.
 	afterSend func(vrevent.SendEnded) vrevent.Effect
@@ -161,6 +164,11 @@
 		p.proxy.HandleEffect(p.nextSend(e.Call.ID, false))
 	case vrevent.ClientGone:
 		p.gone = append(p.gone, e.Call)
+	case vrevent.SendStalled:
+		p.stalls++
+		if !p.keepStalled {
+			p.proxy.HandleEffect(vrevent.AbandonSend(e))
+		}
 	case vrevent.SendEnded:
 		p.ended = append(p.ended, e)
 		if e.Result == vrevent.AttemptAnswered || e.Result == vrevent.AttemptCallerGone {
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -231,6 +231,7 @@
 	delete(header, "Expect")
 	info := vrdialect.RequestInfo{
 		Server: a.send.Server, Remaining: a.send.Deadline.Sub(a.handler.proxy.opts.Clock.Now()), Priority: a.send.Priority,
+		Reservation: a.send.Reservation,
 	}
 	if a.send.Resume {
 		info.LastEvent = a.handler.lastEventID
--- /dev/null
+++ b/verbenaroute/internal/vrrelay/stall_test.go
@@ -0,0 +1,63 @@
+package vrrelay
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenaroute.example/verbenacore/vrevent"
+)
+
+// pausingStream starts a server whose stream pauses between its two events until resume is closed.
+func pausingStream(t *testing.T, resume <-chan struct{}) string {
+	return startServer(t, func(request *http.Request, c net.Conn) {
+		replyWith(chunkedHead+chunkedBody("id: 1\ndata: a\n\n"))(request, c)
+		<-resume
+		_, _ = io.WriteString(c, chunkedBody("id: 2\ndata: b\n\n")+"0\r\n\r\n")
+	})
+}
+
+// A sound stream that pauses must not be cut by the proxy on its own: nobody may be able to go on
+// with it. Clients saw streams closed in the middle (LOST).
+func TestStalledStreamGoesOnUnlessAbandoned(t *testing.T) {
+	resume := make(chan struct{})
+	p := newTestProxy(t, vrevent.SendCall{Stream: true, MaxPause: 20 * time.Millisecond, Deadline: time.Now().Add(time.Minute)}, pausingStream(t, resume))
+	p.keepStalled = true
+	go func() {
+		defer close(resume)
+		// Several reports show that the pause goes on being reported.
+		for deadline := time.Now().Add(30 * time.Second); time.Now().Before(deadline); <-time.After(time.Millisecond) {
+			p.mu.Lock()
+			stalls := p.stalls
+			p.mu.Unlock()
+			if stalls >= 3 {
+				return
+			}
+		}
+	}()
+	_, body, err := p.post("x")
+	require.NoError(t, err)
+	require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", body)
+	require.GreaterOrEqual(t, p.stalls, 3)
+	require.Equal(t, []string{"answered"}, p.results())
+}
+
+// An order to abandon a send that comes after the stream has gone on must not cut it.
+func TestAbandonAfterProgressIsIgnored(t *testing.T) {
+	resume := make(chan struct{})
+	p := newTestProxy(t, vrevent.SendCall{Stream: true, MaxPause: time.Minute, Deadline: time.Now().Add(time.Minute)}, pausingStream(t, resume))
+	go func() {
+		defer close(resume)
+		for p.proxy.Active() == 0 {
+			<-time.After(time.Millisecond)
+		}
+		p.proxy.HandleEffect(vrevent.AbandonSend{Call: 1, Send: 1})
+	}()
+	_, body, err := p.post("x")
+	require.NoError(t, err)
+	require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", body)
+}
--- a/verbenaroute/internal/vrrelay/stream.go
+++ b/verbenaroute/internal/vrrelay/stream.go
@@ -23,6 +23,8 @@
 	var pending []byte
 	buffer := make([]byte, readBufferSize)
 	a.progressAt = a.handler.proxy.opts.Clock.Now()
+	watch := a.watchStalls()
+	defer watch.stop()
 	for {
 		a.setDeadline(a.readDeadline())
 		readStart := time.Now()
@@ -35,7 +37,7 @@
 		if errors.Is(err, io.EOF) {
 			complete = len(pending)
 		}
-		if complete > 0 && !a.forwardEvents(response, pending[:complete]) {
+		if complete > 0 && !a.forwardEvents(response, pending[:complete], watch) {
 			return
 		}
 		pending = append(pending[:0], pending[complete:]...)
@@ -54,13 +56,14 @@
 }
 
 // readDeadline returns the deadline for the next read of the stream. The longest pause counts from
-// the last event, because a stalled server may still send a byte now and then.
+// the last event, because a stalled server may still send a byte now and then. It bounds a read only
+// until part of the stream is forwarded.
 func (a *sendAttempt) readDeadline() time.Time {
-	if a.send.MaxPause <= 0 {
+	if a.send.MaxPause <= 0 || a.handler.headerWritten {
 		return a.send.Deadline
 	}
 	next := a.progressAt.Add(a.send.MaxPause)
-	if !a.handler.headerWritten && next.Before(a.firstByteDeadline()) {
+	if next.Before(a.firstByteDeadline()) {
 		next = a.firstByteDeadline()
 	}
 	if next.After(a.send.Deadline) {
@@ -71,7 +74,7 @@
 
 // forwardEvents writes complete events to the client. It returns false if the client has
 // disconnected.
-func (a *sendAttempt) forwardEvents(response *http.Response, events []byte) bool {
+func (a *sendAttempt) forwardEvents(response *http.Response, events []byte, watch *stallWatch) bool {
 	if !a.firstByteReported {
 		a.firstByteReported = true
 		a.timeToFirstByte = time.Since(a.startedAt)
@@ -91,6 +94,7 @@
 	count, lastID := parseEvents(events)
 	if count > 0 {
 		a.progressAt = a.handler.proxy.opts.Clock.Now()
+		watch.progress()
 	}
 	a.handler.eventCount += count
 	if lastID != "" {
--- a/verbenaroute/internal/vrrelay/vrrelay.go
+++ b/verbenaroute/internal/vrrelay/vrrelay.go
@@ -177,6 +177,9 @@
 		id = e.Call
 	case vrevent.AbortCall:
 		id = e.Call
+	case vrevent.AbandonSend:
+		p.abandonSend(e)
+		return true
 	default:
 		return false
 	}
@@ -193,6 +196,20 @@
 	return true
 }
 
+// abandonSend ends a send if its stream is still stalled. Its handler is blocked in a read meanwhile,
+// so the effect does not go through the handler's queue.
+func (p *Proxy) abandonSend(e vrevent.AbandonSend) {
+	p.mu.Lock()
+	handler := p.handlers[e.Call]
+	p.mu.Unlock()
+	if handler == nil {
+		return
+	}
+	if watch := handler.activeStream.Load(); watch != nil && watch.send == e.Send {
+		watch.abandon()
+	}
+}
+
 // ServeHTTP handles one client request to its end.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.activeCalls.Add(1)
