Keep SIGHUP caught until the gateway exits

A SIGHUP during a graceful shutdown ended the process and cut every open call without an answer.

Cause: the watch of the settings file ended with the first SIGTERM, and its signal.Stop restored the default action of SIGHUP, which ends the process. The same happened to a SIGHUP between the start of the process and the start of the watch.

Change: the signal is caught first thing and stays caught. During a shutdown it has no effect, the settings stay as they are.

--- a/verbenaroute/gateway.go
+++ b/verbenaroute/gateway.go
@@ -59,6 +59,10 @@
 }
 
 func runGateway(path string) error {
+	// SIGHUP stays caught until the process exits. Its default action would end the process, and
+	// with it all open calls, during the start or a graceful shutdown.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	settings, err := vrsettings.LoadGateway(path)
 	if err != nil {
 		return err
@@ -72,7 +76,7 @@
 	defer stop()
 	signal.Ignore(syscall.SIGPIPE)
 	node := vrnode.New(settings, log, output.Dropped)
-	go watchSettings(ctx, path, node, log)
+	go watchSettings(ctx, path, hangup, node, log)
 	return node.Run(ctx)
 }
 
@@ -83,13 +87,11 @@
 // because it may change without a SIGHUP.
 const _settingsPollInterval = 2 * time.Second
 
-// watchSettings reloads the settings on SIGHUP and when the file has changed. If the new
+// watchSettings reloads the settings on a signal and when the file has changed. If the new
 // settings are invalid, the error is logged and the active settings are kept. If the file
-// can't be read, it is read again at the next SIGHUP or poll.
-func watchSettings(ctx context.Context, path string, node *vrnode.Node, log *zap.Logger) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+// can't be read, it is read again at the next signal or poll. A gateway that shuts down keeps its
+// settings.
+func watchSettings(ctx context.Context, path string, hangup <-chan os.Signal, node *vrnode.Node, log *zap.Logger) {
 	ticker := time.NewTicker(_settingsPollInterval)
 	defer ticker.Stop()
 	lastRead, _ := os.ReadFile(path)
