Test that the gateway's own standstill cuts no stream

What callers saw: with a gateway that stood still for longer than the pause after which a stream counts as stalled, reads timed out although events had arrived, servers were ejected, and most open streams were cut at once.

Cause: the pause was a read deadline. With one processor the runtime handles timers that are due before it polls the network, so the reads fail before they see the bytes.

Change: TestOwnStandstillDoesNotCutStreams stops a gateway's process for 3 s under 20 streams.

--- a/verbenaroute/gateway_test.go
+++ b/verbenaroute/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,8 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -30,25 +33,81 @@
 	os.Exit(m.Run())
 }
 
-// writeGatewaySettings writes the settings of a gateway that listens on free addresses. It returns
-// the path of the file and the addresses for callers and readiness checks.
-func writeGatewaySettings(t *testing.T, storeURL string) (path, callers, readiness string) {
-	addresses := make([]string, 4)
-	for i := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		addresses[i] = listener.Addr().String()
-		defer func() { require.NoError(t, listener.Close()) }()
-	}
+// Limits of waits for the gateway's process.
+const (
+	_waitTimeout  = 30 * time.Second
+	_waitInterval = 10 * time.Millisecond
+)
+
+// gatewayProcess is a gateway that runs in a process of its own.
+type gatewayProcess struct {
+	*exec.Cmd
+	callers, readiness string
+}
+
+// startGateway starts a gateway on free addresses and waits until it is ready.
+func startGateway(t *testing.T, store *vrstandin.Store, environment ...string) *gatewayProcess {
+	storeServer := httptest.NewServer(store)
+	t.Cleanup(storeServer.Close)
+	addresses := freeAddresses(t, 4)
 	data, err := json.Marshal(map[string]any{
 		"daemon": "edge-1", "zone": "z", "regions": map[string]string{"z": "r"}, "callers": addresses[0], "readiness": addresses[1],
-		"peers": addresses[2], "metrics": addresses[3], "store": strings.TrimPrefix(storeURL, "http://"),
-		"bounds": map[string]any{"grace": "20s"},
+		"peers": addresses[2], "metrics": addresses[3], "store": strings.TrimPrefix(storeServer.URL, "http://"),
+		"bounds": map[string]any{"grace": "20s", "retrySlack": 1000},
 	})
 	require.NoError(t, err)
-	path = filepath.Join(t.TempDir(), "gateway.json")
+	path := filepath.Join(t.TempDir(), "gateway.json")
 	require.NoError(t, os.WriteFile(path, data, 0o600))
-	return path, addresses[0], addresses[1]
+	executable, err := os.Executable()
+	require.NoError(t, err)
+	g := &gatewayProcess{Cmd: exec.Command(executable, "gateway", "--settings", path), callers: addresses[0], readiness: addresses[1]}
+	g.Env = append(append(os.Environ(), _commandEnv+"=1"), environment...)
+	require.NoError(t, g.Start())
+	t.Cleanup(func() {
+		_ = g.Process.Kill()
+		_ = g.Wait()
+	})
+	require.Eventually(t, func() bool { return g.readyStatus() == http.StatusOK }, _waitTimeout, _waitInterval)
+	return g
+}
+
+// freeAddresses returns loopback addresses that no process listens on at this moment.
+func freeAddresses(t *testing.T, count int) []string {
+	addresses := make([]string, count)
+	for i := range addresses {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer func() { _ = listener.Close() }()
+		addresses[i] = listener.Addr().String()
+	}
+	return addresses
+}
+
+// readyStatus returns the status of a readiness check, zero if it fails.
+func (g *gatewayProcess) readyStatus() int {
+	response, err := http.Get("http://" + g.readiness + "/readyz")
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// call sends a request and returns its status and body.
+func (g *gatewayProcess) call(id, path string) (int, string, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+g.callers+path, strings.NewReader("body"))
+	if err != nil {
+		return 0, "", err
+	}
+	request.Host = "h.example"
+	vrstandin.SetClientHeaders(request.Header, id, time.Minute)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(body), err
 }
 
 // A settings change that is signaled while the gateway stops must not end the process: every open
@@ -66,63 +125,95 @@
 	}))
 	t.Cleanup(backend.Close)
 	store := vrstandin.NewStore()
-	storeServer := httptest.NewServer(store)
-	t.Cleanup(storeServer.Close)
 	store.Configure(3, vrstandin.Route{Name: "once", Type: "non_idempotent", Timeout: time.Minute})
 	store.Register("i-1", strings.TrimPrefix(backend.URL, "http://"), "ready", 1)
-	path, callers, readiness := writeGatewaySettings(t, storeServer.URL)
+	gateway := startGateway(t, store)
 
-	executable, err := os.Executable()
-	require.NoError(t, err)
-	gateway := exec.Command(executable, "gateway", "--settings", path)
-	gateway.Env = append(os.Environ(), _commandEnv+"=1")
-	require.NoError(t, gateway.Start())
-	t.Cleanup(func() { _ = gateway.Process.Kill() })
-	ready := func() int {
-		response, err := http.Get("http://" + readiness + "/readyz")
-		if err != nil {
-			return 0
-		}
-		_ = response.Body.Close()
-		return response.StatusCode
-	}
-	const timeout, interval = 30 * time.Second, 10 * time.Millisecond
-	require.Eventually(t, func() bool { return ready() == http.StatusOK }, timeout, interval)
-
-	type answer struct {
-		status int
-		body   string
-		err    error
-	}
-	answers := make(chan answer, 1)
+	var status int
+	var body string
+	var callErr error
+	answered := make(chan struct{})
 	go func() {
-		request, err := http.NewRequest(http.MethodPost, "http://"+callers+"/once/x", strings.NewReader("body"))
-		if err != nil {
-			panic(err)
-		}
-		request.Host = "h.example"
-		vrstandin.SetClientHeaders(request.Header, "r1", time.Minute)
-		response, err := http.DefaultClient.Do(request)
-		if err != nil {
-			answers <- answer{err: err}
-			return
-		}
-		body, err := io.ReadAll(response.Body)
-		_ = response.Body.Close()
-		answers <- answer{status: response.StatusCode, body: string(body), err: err}
+		defer close(answered)
+		status, body, callErr = gateway.call("r1", "/once/x")
 	}()
 	<-arrived
 	require.NoError(t, gateway.Process.Signal(syscall.SIGTERM))
-	require.Eventually(t, func() bool { return ready() != http.StatusOK }, timeout, interval)
+	require.Eventually(t, func() bool { return gateway.readyStatus() != http.StatusOK }, _waitTimeout, _waitInterval)
 	// Several, because the gateway may not have handled the first signal everywhere yet.
 	for range 20 {
 		_ = gateway.Process.Signal(syscall.SIGHUP)
-		<-time.After(interval)
+		<-time.After(_waitInterval)
 	}
 	close(release)
-	received := <-answers
-	require.NoError(t, received.err)
-	require.Equal(t, http.StatusOK, received.status)
-	require.Equal(t, "done", received.body)
+	<-answered
+	require.NoError(t, callErr)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, "done", body)
 	require.NoError(t, gateway.Wait())
 }
+
+// A standstill of the gateway's own process, as on a machine without free processor time, must not
+// count as the silence of its servers: their events have arrived meanwhile. All streams were cut at
+// once, with their servers ejected.
+func TestOwnStandstillDoesNotCutStreams(t *testing.T) {
+	const (
+		streams, events = 20, 100
+		eventInterval   = 50 * time.Millisecond
+		// The gateway gives a stream up after four pause targets.
+		pauseTarget = 500 * time.Millisecond
+		standstill  = 3 * time.Second
+	)
+	var begun sync.Map
+	allBegun := make(chan struct{})
+	var count atomic.Int64
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Response-Signature", "signed")
+		last := 0
+		if id := r.Header.Get("Last-Event-Id"); id != "" {
+			_, _ = fmt.Sscan(id, &last)
+		}
+		for i := last + 1; i <= events && r.Context().Err() == nil; i++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
+			_ = http.NewResponseController(w).Flush()
+			if _, known := begun.LoadOrStore(r.Header.Get("Request-Id"), true); !known && count.Add(1) == streams {
+				close(allBegun)
+			}
+			<-time.After(eventInterval)
+		}
+	}))
+	t.Cleanup(backend.Close)
+	store := vrstandin.NewStore()
+	store.Configure(3, vrstandin.Route{
+		Name: "stream", Type: "streaming", Resumable: true, PauseTarget: pauseTarget, Timeout: time.Minute,
+	})
+	for i := range 2 {
+		store.Register(fmt.Sprint("i-", i), strings.TrimPrefix(backend.URL, "http://"), "ready", 1)
+	}
+	// With one processor the runtime handles the timers that are due before it polls the network.
+	gateway := startGateway(t, store, "GOMAXPROCS=1")
+
+	faults := make(chan string, streams)
+	var running sync.WaitGroup
+	for i := range streams {
+		running.Go(func() {
+			status, body, err := gateway.call(fmt.Sprint("r", i), "/stream/x")
+			if received := strings.Count(body, "data: x\n\n"); err != nil || status != http.StatusOK || received != events {
+				faults <- fmt.Sprint("status ", status, ", ", received, " of ", events, " events, ", err)
+			}
+		})
+	}
+	<-allBegun
+	<-time.After(10 * eventInterval)
+	require.NoError(t, gateway.Process.Signal(syscall.SIGSTOP))
+	<-time.After(standstill)
+	require.NoError(t, gateway.Process.Signal(syscall.SIGCONT))
+	running.Wait()
+	close(faults)
+	var list []string
+	for fault := range faults {
+		list = append(list, fault)
+	}
+	require.Empty(t, list)
+}
