Treat a stream that ends inside an event as broken off

Cause: at the end of a response's body the proxy forwarded what was left of it as the end of the stream. A response without a length or chunks ends with its connection, also when its server crashes.

Change: a body that ends inside an event is a broken send, whatever marks its end; so is a stream without a length or chunks that ends before its first event. The call then goes on after the last whole event, or ends broken. A resumed stream may end without another event.

--- a/verbenaroute/internal/vrrelay/endless_test.go
+++ b/verbenaroute/internal/vrrelay/endless_test.go
@@ -249,3 +249,50 @@
 	require.Equal(t, events, strings.Count(received, "data: a"))
 	require.Equal(t, []string{"answered"}, p.results())
 }
+
+// A stream that ends inside an event was broken off by its server, however the end of its response
+// is marked. The unfinished event must not reach the client, for whom the stream would look complete
+// (verdict ORDER), and another server must go on after the last complete event.
+func TestStreamThatEndsInsideEventIsResumed(t *testing.T) {
+	const whole, unfinished = "id: 1\ndata: a\n\n", "id: 2\ndata: b"
+	for _, test := range []struct{ name, reply string }{
+		{"without a length", "HTTP/1.1 200 OK\r\n" + signedHeaders + "\r\n" + whole + unfinished},
+		{"with a length", fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n", signedHeaders, len(whole+unfinished)) + whole + unfinished},
+		{"with a last chunk", chunkedHead + chunkedBody(whole, unfinished) + "0\r\n\r\n"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := newTestProxy(t, vrevent.SendCall{Stream: true}, startServer(t, replyWith(test.reply)),
+				startServer(t, replyWith(chunkedHead+chunkedBody("id: 2\ndata: bc\n\n")+"0\r\n\r\n")))
+			p.afterSend = func(e vrevent.SendEnded) vrevent.Effect { return p.nextSend(e.Call, e.PartForwarded) }
+			_, received, err := p.post("x")
+			require.NoError(t, err)
+			require.Equal(t, whole+"id: 2\ndata: bc\n\n", received)
+			require.Equal(t, []string{"broken", "answered"}, p.results())
+		})
+	}
+}
+
+// A stream without a length or chunks that ends before its first event was broken off too. The client
+// got an empty success.
+func TestUnframedStreamWithoutEventsIsSentAgain(t *testing.T) {
+	for _, start := range []string{"", ": comment\n\n"} {
+		p := newTestProxy(t, vrevent.SendCall{Stream: true},
+			startServer(t, replyWith("HTTP/1.1 200 OK\r\n"+signedHeaders+"\r\n"+start)),
+			startServer(t, replyWith(chunkedHead+chunkedBody("id: 1\ndata: a\n\n")+"0\r\n\r\n")))
+		p.afterSend = func(e vrevent.SendEnded) vrevent.Effect { return p.nextSend(e.Call, e.PartForwarded) }
+		_, received, err := p.post("x")
+		require.NoError(t, err)
+		require.Equal(t, start+"id: 1\ndata: a\n\n", received)
+		require.Equal(t, []string{"broken", "answered"}, p.results())
+	}
+}
+
+// A stream without a length or chunks that ends after a whole event is complete.
+func TestStreamDelimitedByClose(t *testing.T) {
+	const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	p := newTestProxy(t, vrevent.SendCall{Stream: true}, startServer(t, replyWith("HTTP/1.1 200 OK\r\n"+signedHeaders+"\r\n"+events)))
+	_, received, err := p.post("x")
+	require.NoError(t, err)
+	require.Equal(t, events, received)
+	require.Equal(t, []string{"answered"}, p.results())
+}
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -372,7 +372,7 @@
 
 // allowsReuse reports whether the connection can carry another request after the response.
 func allowsReuse(response *http.Response) bool {
-	return !response.Close && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0)
+	return !response.Close && isFramed(response)
 }
 
 // forwardBuffered reads a response to the end and forwards it, unless it is a failure that is
--- a/verbenaroute/internal/vrrelay/stream.go
+++ b/verbenaroute/internal/vrrelay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -16,6 +17,19 @@
 // errEventTooLong ends a stream with an event of more than maxEventBytes.
 var errEventTooLong = errors.New("stream event exceeds 1 MiB")
 
+// errEndsInsideEvent reports a stream that was broken off, however the end of its body is marked.
+var errEndsInsideEvent = fmt.Errorf("stream ends inside an event: %w", io.ErrUnexpectedEOF)
+
+// errNoEvents reports a stream whose connection ended before its first event. Only a length or a
+// last chunk tells an empty stream from one that was broken off.
+var errNoEvents = fmt.Errorf("stream ends before its first event: %w", io.ErrUnexpectedEOF)
+
+// isFramed reports whether a response has a length or chunks. Any other response ends with its
+// connection.
+func isFramed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
 // forwardStream forwards events as they arrive. It forwards only complete events, so that
 // another server can resume the stream.
 func (a *sendAttempt) forwardStream(response *http.Response) {
@@ -34,14 +48,17 @@
 		}
 		pending = append(pending, buffer[:n]...)
 		complete := completeEventsLen(pending)
-		if errors.Is(err, io.EOF) {
-			complete = len(pending)
-		}
 		if complete > 0 && !a.forwardEvents(response, pending[:complete], watch) {
 			return
 		}
 		pending = append(pending[:0], pending[complete:]...)
 		switch {
+		case errors.Is(err, io.EOF) && len(pending) > 0:
+			a.fail(errEndsInsideEvent)
+			return
+		case errors.Is(err, io.EOF) && a.handler.eventCount == 0 && !isFramed(response):
+			a.fail(errNoEvents)
+			return
 		case errors.Is(err, io.EOF):
 			a.finishStream(response)
 			return
