Give a stalled stream up only for a usable place

What callers see: the connection closes in the middle of a stream whose server is sound (LOST, beside a planned stop or a configuration).

Cause: handlePlaceReserved gave the stalled send up on any reservation. It did not check that the server still accepts work and holds the model, nor that the reservation is still in force when the next send arrives. The call then depended on another server that was free at that moment.

Test: TestUnusablePlaceDoesNotEndStalledSend failed in all four cases without the change and passes.

--- a/verbenacore/vrchoice/vrchoice.go
+++ b/verbenacore/vrchoice/vrchoice.go
@@ -93,6 +93,13 @@
 	})
 }
 
+// CanServe reports whether the server accepts work and has what the request needs. An ejected or
+// excluded server may still serve a request for which it has reserved a place.
+func (c *Chooser) CanServe(now time.Time, server *vrfleet.Server, need Requirements) bool {
+	missing := c.missingFrom(now, server, &need)
+	return missing == MissingNone || missing == MissingHealthyServer
+}
+
 // missingFrom returns the first requirement that the server does not meet.
 func (c *Chooser) missingFrom(now time.Time, server *vrfleet.Server, need *Requirements) Missing {
 	switch {
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -121,7 +121,7 @@
 		s.endPastDeadline(now, c, out)
 		return
 	}
-	if server, reservation := s.reservedServer(now, c); server != nil {
+	if server, reservation := s.takePlace(now, c); server != nil {
 		s.send(now, c, server, reservation, out)
 		return
 	}
--- a/verbenacore/vrgateway/stall_test.go
+++ b/verbenacore/vrgateway/stall_test.go
@@ -7,6 +7,8 @@
 	"github.com/stretchr/testify/require"
 
 	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrfleet"
+	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrretry"
 )
 
@@ -76,3 +78,35 @@
 	next := d.requireSent(d.reduce(vrevent.SendEnded{Call: send.Call, Send: send.Send, Result: vrevent.AttemptBroken, PartForwarded: true, Events: 3}))
 	require.Empty(t, next.Reservation)
 }
+
+// A place that can no longer be used, because its server began to leave or its reservation lapsed while
+// the answer was on its way, must not end the stalled send: the call would have nowhere to go on and be
+// cut, although its server is sound.
+func TestUnusablePlaceDoesNotEndStalledSend(t *testing.T) {
+	for name, spoil := range map[string]func(d *daemon, reserve vrevent.ReservePlace){
+		"server is draining": func(d *daemon, reserve vrevent.ReservePlace) {
+			draining := engineEntry(reserve.Server, "m")
+			draining.State, draining.Beat = vrfleet.StateDraining, 1
+			d.reduce(vrevent.FleetChanged{Entries: []vrfleet.Entry{draining}})
+		},
+		"server is gone": func(d *daemon, reserve vrevent.ReservePlace) {
+			d.reduce(vrevent.FleetChanged{Removed: []vrid.ServerID{reserve.Server}})
+		},
+		"reservation lapsed": func(d *daemon, reserve vrevent.ReservePlace) { d.now = d.now.Add(reserve.Duration) },
+		"model was unloaded": func(d *daemon, reserve vrevent.ReservePlace) {
+			entry := engineEntry(reserve.Server)
+			entry.Beat = 1
+			d.reduce(vrevent.FleetChanged{Entries: []vrfleet.Entry{entry}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, send := newStreamingDaemon(t)
+			reserve, ok := d.reduce(vrevent.SendStalled{Call: send.Call, Send: send.Send})[0].(vrevent.ReservePlace)
+			require.True(t, ok)
+			spoil(d, reserve)
+			for _, effect := range d.reduce(vrevent.PlaceReserved{Call: send.Call, Send: send.Send, Server: reserve.Server, Reservation: "h1"}) {
+				require.NotEqual(t, vrevent.AbandonSend{Call: send.Call, Send: send.Send}, effect)
+			}
+		})
+	}
+}
