Report the pause of a stream that starts with a comment

What callers see: a stream whose server hangs after a comment is held until its deadline.

Cause: the comment is forwarded with the head, which ended the read deadline for the first event, but only an event started the timer of the stall watch.

Change: the first forwarded part starts the watch. Later comments don't count, as before.

Test: TestStreamThatStartsWithCommentIsReportedAsStalled failed without the change (no report within 2 s) and passes.

--- a/verbenaroute/internal/vrrelay/stall.go
+++ b/verbenaroute/internal/vrrelay/stall.go
@@ -29,8 +29,8 @@
 	stopped bool
 }
 
-// watchStalls starts the watch of a stream. The first pause counts from the first event, or from the
-// head if part of the stream was forwarded before by another server.
+// watchStalls starts the watch of a stream. The first pause counts from the first forwarded part, or from
+// the head if part of the stream was forwarded before by another server.
 func (a *sendAttempt) watchStalls() *stallWatch {
 	event := vrevent.SendStalled{Call: a.send.Call, Send: a.send.Send}
 	w := &stallWatch{
@@ -44,7 +44,7 @@
 	return w
 }
 
-// progress records an event.
+// progress records an event, or the first forwarded part.
 func (w *stallWatch) progress() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/verbenaroute/internal/vrrelay/stall_test.go
+++ b/verbenaroute/internal/vrrelay/stall_test.go
@@ -61,3 +61,24 @@
 	require.NoError(t, err)
 	require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", body)
 }
+
+// A stream that starts with a comment and then falls silent has no event that starts the watch of its
+// pauses, and its head was forwarded, so no read deadline but that of the call is left: the stream of
+// a server that hangs was held until the client gave up.
+func TestStreamThatStartsWithCommentIsReportedAsStalled(t *testing.T) {
+	resume := make(chan struct{})
+	p := newTestProxy(t, vrevent.SendCall{Stream: true, MaxPause: 20 * time.Millisecond, Deadline: time.Now().Add(2 * time.Second)},
+		startServer(t, func(request *http.Request, c net.Conn) {
+			replyWith(chunkedHead+chunkedBody(": alive\n\n"))(request, c)
+			<-resume
+		}))
+	defer close(resume)
+	p.keepStalled = true
+	p.afterSend = func(e vrevent.SendEnded) vrevent.Effect { return vrevent.AbortCall{Call: e.Call} }
+	_, received, err := p.post("x")
+	require.Error(t, err)
+	require.Equal(t, ": alive\n\n", received)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	require.Positive(t, p.stalls)
+}
--- a/verbenaroute/internal/vrrelay/stream.go
+++ b/verbenaroute/internal/vrrelay/stream.go
@@ -97,7 +97,8 @@
 		a.timeToFirstByte = time.Since(a.startedAt)
 		a.handler.proxy.opts.Submit(vrevent.FirstByteReceived{Call: a.send.Call, Send: a.send.Send, TimeToFirstByte: a.timeToFirstByte})
 	}
-	if !a.handler.headerWritten {
+	begins := !a.handler.headerWritten
+	if begins {
 		a.handler.writeHeader(response.StatusCode, response.Header, unknownLength)
 	}
 	_, err := a.handler.writer.Write(events)
@@ -109,7 +110,9 @@
 		return false
 	}
 	count, lastID := parseEvents(events)
-	if count > 0 {
+	// A stream that starts with a comment has no event yet, but its first part was forwarded, which
+	// ends the limit for the first event.
+	if count > 0 || begins {
 		a.progressAt = a.handler.proxy.opts.Clock.Now()
 		watch.progress()
 	}
