Give a resumed stream no limit for its first event

What callers see: with max_attempts above two, a stream that has moved once is cut in the middle of the answer of its second, sound server (LOST).

Cause: a resumed send got a first byte deadline if a third server could take the call when it was sent. At the deadline the proxy gave the send up by itself; then the retry budget could be spent or the third server full, and the client's connection was closed, because part of the stream was forwarded.

Change: a send that resumes a stream has no first byte deadline. The proxy watches its silence from the send on and not only from the head, and the reducer decides as for any stream that has begun.

Tests: TestResumedStreamIsNotGivenUpForItsFirstEvent failed without the change and passes. TestResumedStreamIsReportedAsStalledBeforeHead is new; it guards against a stream that is held until its deadline by a server that hangs before the head.

--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -165,7 +165,9 @@
 	if c.route.Repeatable() && c.possibleRuns+1 < c.route.MaxAttempts {
 		effect.HoldErrors = true
 		effect.MaxPause = pauseTimeoutFactor * c.route.PauseTarget
-		if s.chooser.HasOther(now, s.requirements(c), server) {
+		// A stream that goes on at another server has no limit of its own for the first event there: it
+		// is given up, like any stream that has begun, only for a place that is certain.
+		if !c.responseStarted && s.chooser.HasOther(now, s.requirements(c), server) {
 			// A slow server is given up only for another one. Without one, its response is the
 			// only one that the call can get.
 			effect.FirstByteDeadline = now.Add(firstByteTimeout(c.route.Target))
--- a/verbenacore/vrgateway/stall_test.go
+++ b/verbenacore/vrgateway/stall_test.go
@@ -110,3 +110,25 @@
 		})
 	}
 }
+
+// A stream that goes on at another server must not be given up there for its first event on the
+// condition that a third one could take it when it was sent: that server may be full or the retry
+// budget spent by then, and part of the stream was forwarded, so the client's connection is closed in
+// the middle of the answer of a sound server (LOST).
+func TestResumedStreamIsNotGivenUpForItsFirstEvent(t *testing.T) {
+	d := newReadyDaemon(t, engineEntry("e1", "m"), engineEntry("e2", "m"), engineEntry("e3", "m"))
+	catalog := newCatalog(2)
+	for i := range catalog.Routes {
+		catalog.Routes[i].PauseTarget, catalog.Routes[i].MaxAttempts = 100*time.Millisecond, 3
+	}
+	catalog.Services[1].Engine.MaxReservation = 2 * time.Second
+	d.reduce(vrevent.CatalogSeen{Catalog: catalog})
+	first := d.requireSentOn("stream")
+	d.reduce(vrevent.FirstByteReceived{Call: first.Call, Send: first.Send})
+	reserve, ok := d.reduce(vrevent.SendStalled{Call: first.Call, Send: first.Send})[0].(vrevent.ReservePlace)
+	require.True(t, ok)
+	d.reduce(vrevent.PlaceReserved{Call: first.Call, Send: first.Send, Server: reserve.Server, Reservation: "h1"})
+	resumed := d.requireSent(d.reduce(vrevent.SendEnded{Call: first.Call, Send: first.Send, Result: vrevent.AttemptTimedOut, PartForwarded: true, Events: 3}))
+	require.True(t, resumed.Resume)
+	require.Zero(t, resumed.FirstByteDeadline)
+}
--- a/verbenaroute/internal/vrrelay/exchange.go
+++ b/verbenaroute/internal/vrrelay/exchange.go
@@ -21,10 +21,10 @@
 	control *http.ResponseController
 	effects chan vrevent.Effect
 	record  *requestRecord
-	// activeConn is the connection of the send in progress, or nil. activeStream is its stream once
-	// it may stall.
-	activeConn   atomic.Pointer[conn]
-	activeStream atomic.Pointer[stallWatch]
+	// activeConn is the connection of the send in progress, or nil. activeWatch is the watch of the
+	// last send that had a connection.
+	activeConn  atomic.Pointer[conn]
+	activeWatch atomic.Pointer[stallWatch]
 
 	// headerWritten is set once the status and headers of a server's response were forwarded.
 	headerWritten bool
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -61,6 +61,7 @@
 	handler         *callHandler
 	send            *vrevent.SendCall
 	conn            *conn
+	watch           *stallWatch
 	startedAt       time.Time
 	timeToFirstByte time.Duration
 	// progressAt is when the last event of a stream was forwarded, or when its head arrived.
@@ -107,6 +108,8 @@
 		}
 		_ = c.Close()
 	}()
+	a.watchStalls()
+	defer a.watch.stop()
 	a.setDeadline(a.firstByteDeadline())
 	if err := a.writeRequest(); err != nil {
 		a.fail(err)
--- a/verbenaroute/internal/vrrelay/stall.go
+++ b/verbenaroute/internal/vrrelay/stall.go
@@ -29,19 +29,18 @@
 	stopped bool
 }
 
-// watchStalls starts the watch of a stream. The first pause counts from the first forwarded part, or from
-// the head if part of the stream was forwarded before by another server.
-func (a *sendAttempt) watchStalls() *stallWatch {
+// watchStalls starts the watch of a send. The first pause counts from the first forwarded part, or from
+// the send and then from the head if part of the stream was forwarded before by another server.
+func (a *sendAttempt) watchStalls() {
 	event := vrevent.SendStalled{Call: a.send.Call, Send: a.send.Send}
-	w := &stallWatch{
+	a.watch = &stallWatch{
 		conn: a.conn, send: a.send.Send, maxPause: a.send.MaxPause,
 		report: func() { a.handler.proxy.opts.Submit(event) },
 	}
-	a.handler.activeStream.Store(w)
-	if a.handler.headerWritten {
-		w.progress()
+	a.handler.activeWatch.Store(a.watch)
+	if a.send.Stream && a.handler.headerWritten {
+		a.watch.progress()
 	}
-	return w
 }
 
 // progress records an event, or the first forwarded part.
--- a/verbenaroute/internal/vrrelay/stall_test.go
+++ b/verbenaroute/internal/vrrelay/stall_test.go
@@ -62,6 +62,26 @@
 	require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", body)
 }
 
+// A resumed stream has no limit for its first event, so the silence of its new server must be reported from
+// the send on. Otherwise a server that hangs before the head would hold the stream until its deadline.
+func TestResumedStreamIsReportedAsStalledBeforeHead(t *testing.T) {
+	silent, _ := startSilentServer(t)
+	p := newTestProxy(t, vrevent.SendCall{Stream: true, MaxPause: 20 * time.Millisecond, Deadline: time.Now().Add(time.Minute)},
+		startServer(t, replyWith(chunkedHead+chunkedBody("id: 1\ndata: a\n\n"))), silent)
+	p.afterSend = func(e vrevent.SendEnded) vrevent.Effect {
+		if e.Send == 1 {
+			return p.nextSend(e.Call, true)
+		}
+		return vrevent.AbortCall{Call: e.Call}
+	}
+	startedAt := time.Now()
+	_, received, err := p.post("x")
+	require.Error(t, err)
+	require.Less(t, time.Since(startedAt), 30*time.Second, "the call has a minute")
+	require.Equal(t, "id: 1\ndata: a\n\n", received)
+	require.Equal(t, []string{"broken", "timedOut"}, p.results())
+}
+
 // A stream that starts with a comment and then falls silent has no event that starts the watch of its
 // pauses, and its head was forwarded, so no read deadline but that of the call is left: the stream of
 // a server that hangs was held until the client gave up.
--- a/verbenaroute/internal/vrrelay/stream.go
+++ b/verbenaroute/internal/vrrelay/stream.go
@@ -37,8 +37,9 @@
 	var pending []byte
 	buffer := make([]byte, readBufferSize)
 	a.progressAt = a.handler.proxy.opts.Clock.Now()
-	watch := a.watchStalls()
-	defer watch.stop()
+	if a.handler.headerWritten {
+		a.watch.progress()
+	}
 	for {
 		a.setDeadline(a.readDeadline())
 		readStart := time.Now()
@@ -48,7 +49,7 @@
 		}
 		pending = append(pending, buffer[:n]...)
 		complete := completeEventsLen(pending)
-		if complete > 0 && !a.forwardEvents(response, pending[:complete], watch) {
+		if complete > 0 && !a.forwardEvents(response, pending[:complete]) {
 			return
 		}
 		pending = append(pending[:0], pending[complete:]...)
@@ -91,7 +92,7 @@
 
 // forwardEvents writes complete events to the client. It returns false if the client has
 // disconnected.
-func (a *sendAttempt) forwardEvents(response *http.Response, events []byte, watch *stallWatch) bool {
+func (a *sendAttempt) forwardEvents(response *http.Response, events []byte) bool {
 	if !a.firstByteReported {
 		a.firstByteReported = true
 		a.timeToFirstByte = time.Since(a.startedAt)
@@ -114,7 +115,7 @@
 	// ends the limit for the first event.
 	if count > 0 || begins {
 		a.progressAt = a.handler.proxy.opts.Clock.Now()
-		watch.progress()
+		a.watch.progress()
 	}
 	a.handler.eventCount += count
 	if lastID != "" {
--- a/verbenaroute/internal/vrrelay/vrrelay.go
+++ b/verbenaroute/internal/vrrelay/vrrelay.go
@@ -205,7 +205,7 @@
 	if handler == nil {
 		return
 	}
-	if watch := handler.activeStream.Load(); watch != nil && watch.send == e.Send {
+	if watch := handler.activeWatch.Load(); watch != nil && watch.send == e.Send {
 		watch.abandon()
 	}
 }
