Decide in the reducer when a send without a first byte ends

What callers see: 502 for idempotent requests and resumable streams while their server is at work on them and seconds are left; and, after a standstill of the gateway's process, 502 or a second run for most requests that waited for their first byte, although the answers had arrived meanwhile.

Cause: the limit for the first byte was a read deadline that was set if another server could take the request when it was sent. At the deadline the proxy gave the send up first; only then did the reducer take the retry from the budget and look for a server. With one processor the runtime also handles timers that are due before it polls the network, so after a standstill the reads failed before they saw the bytes.

Change: the proxy ends a send by itself only at the deadline of the call, at the end of the grace period or when the client is gone. Unread bytes in the socket are no stall. The reducer gives the send up (AbandonSend) only if the call may be retried, another server can be chosen and the budget allows the retry at that moment; it is counted then and not again at the next send. The check for another server at the send, and Chooser.HasOther, are gone. A send that was given up counts as a failure of its server if it was silent for minFirstByteTimeout. The fuzz world reports stalls, pauses at random, and answers requests for places.

Open: two cases of the test, in which the other server refuses the request although the gateway had no sign of it, still end with 502 and are not part of this commit. A server without reservations can't be known to take a request before it is sent.

--- a/verbenabench/internal/vrgatefuzz/vrgatefuzz_test.go
+++ b/verbenabench/internal/vrgatefuzz/vrgatefuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -54,6 +55,28 @@
 	})
 }
 
+// TestFixedSeedsCoverStalls guards against a world in which no send stalls: then no plan would check the
+// decisions about calls that are given up before their first byte or moved to a reserved place.
+func TestFixedSeedsCoverStalls(t *testing.T) {
+	var givenUp, moved, refused int
+	for seed := 1; seed <= fixedSeedCount && (givenUp == 0 || moved == 0 || refused == 0); seed++ {
+		for _, line := range Run(PlanOf(seed), true).Lines {
+			abandons := strings.Contains(line, "-> vrevent.AbandonSend")
+			switch {
+			case abandons && strings.Contains(line, " vrevent.SendStalled"):
+				givenUp++
+			case abandons && strings.Contains(line, " vrevent.PlaceReserved"):
+				moved++
+			case strings.Contains(line, "Detail:refused"):
+				refused++
+			}
+		}
+	}
+	require.Positive(t, givenUp, "calls given up before their first byte")
+	require.Positive(t, moved, "streams moved to a reserved place")
+	require.Positive(t, refused, "refused places")
+}
+
 // TestSameSeedSameRun guards against runs that differ for the same seed, which would make it
 // impossible to reproduce a violation.
 func TestSameSeedSameRun(t *testing.T) {
--- a/verbenabench/internal/vrgateworld/call.go
+++ b/verbenabench/internal/vrgateworld/call.go
@@ -27,6 +27,14 @@
 	// midBodyBreakRatio is the probability that a connection breaks after part of a large body was
 	// forwarded, relative to that at the start of the request.
 	midBodyBreakRatio = 0.3
+	// minStallRepeat is the shortest time between two reports of the same stall.
+	minStallRepeat = 50 * time.Millisecond
+	// reservedRatio is the probability that a server that takes requests reserves a place.
+	reservedRatio = 0.5
+	// pauseRatio is the probability that a server pauses before the first byte or an event, for up
+	// to maxPause.
+	pauseRatio = 0.02
+	maxPause   = 2 * time.Second
 )
 
 // End is the outcome of a call as its client sees it.
@@ -85,6 +93,13 @@
 	events      int
 	firstByteAt time.Time
 	ended       bool
+	// stalled is set from a report of a stall to the next event, silentSince is the time of the
+	// last event or of the send, and limit the silence that counts as a stall, or zero.
+	stalled     bool
+	silentSince time.Time
+	limit       time.Duration
+	// watch counts the changes of the limit, so that a timer of an earlier one has no effect.
+	watch int
 }
 
 // Request sends a call to a daemon. It returns nil if the daemon does not run.
@@ -179,12 +194,12 @@
 		return
 	}
 	a.finishAfter(e.Deadline.Sub(w.Now()), vrevent.AttemptTimedOut)
-	if !e.FirstByteDeadline.IsZero() {
-		c.Process.after(e.FirstByteDeadline.Sub(w.Now()), func() {
-			if a.firstByteAt.IsZero() {
-				a.finish(vrevent.AttemptTimedOut)
-			}
-		})
+	a.silentSince = w.Now()
+	switch {
+	case e.Resume:
+		a.expectWithin(e.MaxPause)
+	case !e.FirstByteDeadline.IsZero():
+		a.expectWithin(e.FirstByteDeadline.Sub(w.Now()))
 	}
 	server := w.byAddress[e.Address]
 	if server == nil {
@@ -198,6 +213,58 @@
 	w.After(netDelay, func() { server.receive(a) })
 }
 
+// expectWithin sets the silence from now on that counts as a stall, zero for none.
+func (a *Attempt) expectWithin(limit time.Duration) {
+	a.watch++
+	a.stalled, a.limit = false, limit
+	if limit > 0 {
+		a.checkAfter(limit)
+	}
+}
+
+// checkAfter reports the send as stalled after a delay unless its limit changes before, and repeats the
+// report while the silence lasts. A process that was suspended meanwhile reads what has arrived first.
+func (a *Attempt) checkAfter(delay time.Duration) {
+	w, watch := a.Call.world, a.watch
+	due := w.Now().Add(delay)
+	a.Call.Process.after(delay, func() {
+		if a.ended || a.watch != watch || a.Call.End != EndOpen {
+			return
+		}
+		a.checkAfter(max(a.limit/4, minStallRepeat))
+		if w.Now().Equal(due) {
+			a.stalled = true
+			a.Call.Process.reduce(vrevent.SendStalled{Call: a.Call.ID, Send: a.Send.Send, Silence: w.Now().Sub(a.silentSince)})
+		}
+	})
+}
+
+// abandon ends a send that is still stalled.
+func (c *Call) abandon(send int) {
+	if a := c.attempt; a != nil && a.Send.Send == send && a.stalled {
+		a.finishAfter(0, vrevent.AttemptTimedOut)
+	}
+}
+
+// reservePlace asks a server for a place. A server that takes no requests refuses, any other one at random.
+func (p *Process) reservePlace(e vrevent.ReservePlace) {
+	w := p.world
+	answer := vrevent.PlaceReserved{Call: e.Call, Send: e.Send, Server: e.Server}
+	server := w.byAddress[e.Address]
+	if server == nil || !server.Alive || server.CutFrom[p.Daemon.ID] {
+		answer.Detail = "unreachable"
+		p.after(unreachableAfter, func() { p.reduce(answer) })
+		return
+	}
+	w.After(netDelay, func() {
+		answer.Detail = "refused"
+		if server.Alive && !server.Draining && w.chance(reservedRatio) {
+			answer.Detail, answer.Reservation = "", vrid.ReservationID(fmt.Sprint("h", w.Steps))
+		}
+		p.after(netDelay, func() { p.reduce(answer) })
+	})
+}
+
 func (a *Attempt) finishAfter(delay time.Duration, result vrevent.AttemptResult) {
 	a.Call.Process.after(delay, func() { a.finish(result) })
 }
@@ -293,6 +360,9 @@
 	a.server = s
 	s.running = append(s.running, a)
 	serviceTime := time.Duration(float64(w.randomDuration(minServiceTime, maxServiceTime)) * (1 + s.Slowdown))
+	if w.chance(pauseRatio) {
+		serviceTime += w.randomDuration(0, maxPause)
+	}
 	if w.chance(s.ErrorRate) {
 		s.afterIfRunning(a, serviceTime, func() {
 			s.drop(a)
@@ -345,6 +415,8 @@
 		}
 		a.events++
 		c.Events = max(c.Events, a.events)
+		a.silentSince = s.world.Now()
+		a.expectWithin(a.Send.MaxPause)
 	})
 	if s.world.chance(s.BreakRate * midStreamBreakRatio) {
 		a.breakConnection()
@@ -355,5 +427,9 @@
 		a.finishAfter(netDelay, vrevent.AttemptAnswered)
 		return
 	}
-	s.afterIfRunning(a, eventInterval, func() { s.sendEvent(a) })
+	interval := eventInterval
+	if s.world.chance(pauseRatio) {
+		interval = s.world.randomDuration(0, maxPause)
+	}
+	s.afterIfRunning(a, interval, func() { s.sendEvent(a) })
 }
--- a/verbenabench/internal/vrgateworld/daemon.go
+++ b/verbenabench/internal/vrgateworld/daemon.go
@@ -242,6 +242,10 @@
 		p.readStatus(e)
 	case vrevent.SendCall:
 		p.calls[e.Call].send(&e)
+	case vrevent.AbandonSend:
+		p.calls[e.Call].abandon(e.Send)
+	case vrevent.ReservePlace:
+		p.reservePlace(e)
 	case vrevent.RefuseCall:
 		p.calls[e.Call].refuse(&e)
 	case vrevent.ForwardFailure:
--- a/verbenabench/internal/vrgateworld/vrgateworld.go
+++ b/verbenabench/internal/vrgateworld/vrgateworld.go
@@ -179,7 +179,11 @@
 
 const (
 	routeTimeout = 6 * time.Second
-	routeTarget  = 400 * time.Millisecond
+	// pauseTarget is the longest pause between two events that a route aims at, maxReservation the
+	// longest time for which an engine reserves a place.
+	pauseTarget    = 100 * time.Millisecond
+	maxReservation = 2 * time.Second
+	routeTarget    = 400 * time.Millisecond
 	// LoadRate is the declared rate of loads from the weight store, in loads per second.
 	LoadRate       = 1.0
 	storeLoadTime  = 1500 * time.Millisecond
@@ -202,7 +206,7 @@
 	route := func(id vrcatalog.RouteID, kind vrcatalog.RouteKind, service vrid.ServiceID, resumable bool) vrcatalog.Route {
 		return vrcatalog.Route{
 			ID: id, Host: "h", Prefix: "/" + string(id) + "/", Kind: kind, Resumable: resumable, Timeout: routeTimeout,
-			Target: routeTarget, MaxAttempts: 2, Services: []vrcatalog.Split{{Service: service, Weight: 1}},
+			Target: routeTarget, PauseTarget: pauseTarget, MaxAttempts: 2, Services: []vrcatalog.Split{{Service: service, Weight: 1}},
 		}
 	}
 	moved := ServiceApp
@@ -218,6 +222,7 @@
 		},
 		Services: []vrcatalog.Service{{ID: ServiceApp}, {ID: ServiceOther}, {ID: ServiceEngine, Engine: &vrcatalog.Engine{
 			Slots: slotsPerServer, Memory: vrid.Bytes(options.ModelsPerEngine) * modelMemory, LoadRate: LoadRate, AdapterSlots: MaxAdapters, CacheTokens: 1 << 20,
+			MaxReservation: maxReservation,
 		}}},
 	}
 	engine := catalog.Services[2].Engine
--- a/verbenacore/vrchoice/vrchoice.go
+++ b/verbenacore/vrchoice/vrchoice.go
@@ -86,13 +86,6 @@
 	return c.cheapest(now, usable), MissingNone
 }
 
-// HasOther reports whether the request can also be sent to a server other than the given one.
-func (c *Chooser) HasOther(now time.Time, need Requirements, server *vrfleet.Server) bool {
-	return slices.ContainsFunc(c.Fleet.ServersOf(need.Service), func(other *vrfleet.Server) bool {
-		return other != server && c.missingFrom(now, other, &need) == MissingNone
-	})
-}
-
 // CanServe reports whether the server accepts work and has what the request needs. An ejected or
 // excluded server may still serve a request for which it has reserved a place.
 func (c *Chooser) CanServe(now time.Time, server *vrfleet.Server, need Requirements) bool {
--- a/verbenacore/vrevent/gateway.go
+++ b/verbenacore/vrevent/gateway.go
@@ -158,11 +158,13 @@
 		TimeToFirstByte time.Duration
 	}
 
-	// SendStalled reports that a stream has had no event for SendCall.MaxPause although part of it
-	// was forwarded. It is repeated while the pause goes on.
+	// SendStalled reports that a send has no first byte by SendCall.FirstByteDeadline, or that its
+	// stream has had no event for SendCall.MaxPause. It is repeated while the silence goes on.
 	SendStalled struct {
 		Call CallID
 		Send int
+		// Silence is the time since the last event, or since the send if there was none.
+		Silence time.Duration
 	}
 
 	// PlaceReserved is the answer to ReservePlace. Reservation is empty if the server reserved no
@@ -252,12 +254,10 @@
 		Address string
 		// Deadline is when the answer has to be complete.
 		Deadline time.Time
-		// FirstByteDeadline is the deadline for the first byte, or zero. A send that misses it
-		// may be retried on another server.
+		// FirstByteDeadline is when a send without a first byte counts as stalled, or zero.
 		FirstByteDeadline time.Time
 		// MaxPause is the pause between two events of a stream, or after its head, after which it
-		// counts as stalled, or zero. A stream of which nothing was forwarded then ends; any other
-		// one is reported by SendStalled.
+		// counts as stalled, or zero. A stalled send goes on unless AbandonSend ends it.
 		MaxPause time.Duration
 		// Reservation is the place that the server reserved for the call, or empty.
 		Reservation vrid.ReservationID
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -17,9 +17,8 @@
 	// maxNotRunRetries is the maximum number of retries of a call after sends that provably
 	// did not run it.
 	maxNotRunRetries = 3
-	// firstByteTimeoutFactor is the timeout for the first byte of a response, as a multiple of
-	// the route's latency target, if the call can be sent to another server afterwards.
-	// minFirstByteTimeout and maxFirstByteTimeout bound it.
+	// firstByteTimeoutFactor is the time after which a send without a first byte counts as
+	// stalled, as a multiple of the route's latency target. minFirstByteTimeout and maxFirstByteTimeout bound it.
 	minFirstByteTimeout    = 300 * time.Millisecond
 	maxFirstByteTimeout    = 1200 * time.Millisecond
 	firstByteTimeoutFactor = 2.5
@@ -70,6 +69,8 @@
 	// retryReserved is set once the next retry was counted in the retry budget.
 	move          *move
 	retryReserved bool
+	// silentSince is the start of the silence for which the send was given up, zero otherwise.
+	silentSince time.Time
 	// timeToFirstByte is the time from the arrival to the first byte of the response. It is
 	// set once the response is complete.
 	timeToFirstByte time.Duration
@@ -150,7 +151,7 @@
 		return
 	}
 	c.sends++
-	c.server, c.sentAt = server, now
+	c.server, c.sentAt, c.silentSince = server, now, time.Time{}
 	server.RecordSend()
 	server.PendingPromptTokens += c.PromptTokens
 	s.addInFlight(c, server.ID, 1)
@@ -165,11 +166,8 @@
 	if c.route.Repeatable() && c.possibleRuns+1 < c.route.MaxAttempts {
 		effect.HoldErrors = true
 		effect.MaxPause = pauseTimeoutFactor * c.route.PauseTarget
-		// A stream that goes on at another server has no limit of its own for the first event there: it
-		// is given up, like any stream that has begun, only for a place that is certain.
-		if !c.responseStarted && s.chooser.HasOther(now, s.requirements(c), server) {
-			// A slow server is given up only for another one. Without one, its response is the
-			// only one that the call can get.
+		if !c.responseStarted {
+			// A stream that goes on at another server is only given up as any stream that has begun.
 			effect.FirstByteDeadline = now.Add(firstByteTimeout(c.route.Target))
 		}
 	}
@@ -275,9 +273,9 @@
 	case vrevent.AttemptNotSent, vrevent.AttemptBroken, vrevent.AttemptLeaving, vrevent.AttemptServerError:
 		failed = true
 	case vrevent.AttemptTimedOut:
-		// If little time was left when the call was sent, a late response says nothing about the
-		// server.
-		failed = now.Sub(c.sentAt) >= minFirstByteTimeout
+		// If little time was left when the call was sent, or its stream paused only briefly, a late
+		// response says nothing about the server.
+		failed = now.Sub(later(c.sentAt, c.silentSince)) >= minFirstByteTimeout
 	default:
 	}
 	if failed && server.RecordFailure(now, s.fleet.PeerFailureRate(server)) {
--- a/verbenacore/vrgateway/stall.go
+++ b/verbenacore/vrgateway/stall.go
@@ -8,10 +8,11 @@
 	"verbenaroute.example/verbenacore/vrid"
 )
 
-// A stream that has begun and then stalls may come from a server that hangs, or from a sound one that
-// reads the prompts of other requests. Its answer is the only one that the client can get until
-// another server has a place for the request. So the retry budget and the place are secured first,
-// and only then is the stalled send given up.
+// A send that stalls may be at a server that hangs, or at a sound one that reads the prompts of other
+// requests. Its answer is the only one that the client can get unless another server takes the request.
+// So a call without a first byte is given up only if another server can be chosen and the retry budget
+// allows the retry at that moment. For a stream that has begun, of which the client would notice the
+// loss, the place at another server is reserved first.
 
 // reservationTime is how long a reserved place is kept: a round trip between regions for the answer,
 // the end of the stalled send, and the next send.
@@ -28,20 +29,26 @@
 	reservation vrid.ReservationID
 	// expiresAt is when the reservation lapses. It is used for a new send until usableUntil.
 	expiresAt, usableUntil time.Time
+	// silentSince is the start of the silence for which the place was asked.
+	silentSince time.Time
 }
 
-// handleSendStalled reserves a place for a call whose stream has stalled, or gives the send up if
-// one is reserved.
+// handleSendStalled gives a send without a first byte up if another server can take the call. For a
+// stream that has begun it reserves a place first. Otherwise the send goes on until the next report.
 func (s *State) handleSendStalled(now time.Time, e vrevent.SendStalled, out *vrevent.Effects) {
 	c := s.calls[e.Call]
 	if c == nil || c.server == nil || e.Send != c.sends || !s.mayMove(now, c) {
 		return
 	}
+	if c.promptPending && !c.responseStarted {
+		s.moveWithoutPlace(now, c, e.Silence, out)
+		return
+	}
 	if c.move != nil && c.move.reservation == "" && now.Before(c.move.expiresAt) {
 		return
 	}
 	if s.usablePlace(now, c) != nil {
-		out.Add(vrevent.AbandonSend{Call: c.ID, Send: c.sends})
+		s.abandonSend(c, c.move.silentSince, out)
 		return
 	}
 	c.move = nil
@@ -49,21 +56,13 @@
 	if service == nil || service.Engine == nil || service.Engine.MaxReservation <= 0 {
 		return
 	}
-	need := s.requirements(c)
-	need.Exclude = append([]vrid.ServerID{c.server.ID}, need.Exclude...)
-	server, _ := s.chooser.Best(now, need)
-	if server == nil {
+	server := s.otherServer(now, c)
+	if server == nil || !s.reserveRetry(now, c) {
 		return
 	}
-	if !c.retryReserved {
-		if !s.retryBudget.AllowRetry(now, c.service) {
-			return
-		}
-		c.retryReserved = true
-	}
 	duration := min(reservationTime, service.Engine.MaxReservation)
 	expiresAt := now.Add(duration)
-	c.move = &move{server: server.ID, expiresAt: expiresAt, usableUntil: expiresAt.Add(-min(reservationMargin, duration/4))}
+	c.move = &move{server: server.ID, expiresAt: expiresAt, usableUntil: expiresAt.Add(-min(reservationMargin, duration/4)), silentSince: now.Add(-e.Silence)}
 	out.Add(vrevent.ReservePlace{
 		Call: c.ID, Send: c.sends, Server: server.ID, Address: server.Address, Tokens: c.PromptTokens + c.OutputTokens, Duration: duration,
 	})
@@ -91,9 +90,43 @@
 		out.Info("reserved place is unusable, the stalled stream goes on", text("request", c.Request), text("server", e.Server))
 		return
 	}
+	s.abandonSend(c, c.move.silentSince, out)
+}
+
+// moveWithoutPlace gives a send up if another server can be chosen and the retry budget allows the retry.
+func (s *State) moveWithoutPlace(now time.Time, c *call, silence time.Duration, out *vrevent.Effects) {
+	server := s.otherServer(now, c)
+	if server == nil || !s.reserveRetry(now, c) {
+		return
+	}
+	if c.silentSince.IsZero() {
+		out.Info("send stalled, giving it up", text("request", c.Request), number("send", uint64(c.sends)),
+			text("server", c.server.ID), text("next", server.ID), millis("silentMs", silence), millis("leftMs", c.deadline.Sub(now)))
+	}
+	s.abandonSend(c, now.Add(-silence), out)
+}
+
+// abandonSend gives the send of a call up that has been silent since the given time.
+func (s *State) abandonSend(c *call, silentSince time.Time, out *vrevent.Effects) {
+	c.silentSince = silentSince
 	out.Add(vrevent.AbandonSend{Call: c.ID, Send: c.sends})
 }
 
+// otherServer returns the best server for a call apart from its present one and those that were tried,
+// or nil.
+func (s *State) otherServer(now time.Time, c *call) *vrfleet.Server {
+	need := s.requirements(c)
+	need.Exclude = append([]vrid.ServerID{c.server.ID}, need.Exclude...)
+	server, _ := s.chooser.Best(now, need)
+	return server
+}
+
+// reserveRetry counts the next retry of a call in the retry budget, and reports whether it is allowed.
+func (s *State) reserveRetry(now time.Time, c *call) bool {
+	c.retryReserved = c.retryReserved || s.retryBudget.AllowRetry(now, c.service)
+	return c.retryReserved
+}
+
 // mayMove reports whether a call whose send is given up now may be sent again.
 func (s *State) mayMove(now time.Time, c *call) bool {
 	return !s.graceExpired && now.Before(c.deadline.Add(-minServeTime)) &&
--- a/verbenaroute/gateway_test.go
+++ b/verbenaroute/gateway_test.go
@@ -217,3 +217,66 @@
 	}
 	require.Empty(t, list)
 }
+
+// A standstill of the gateway's own process must not count as a server that is slow to its first byte:
+// the answers have arrived meanwhile. All requests were sent once more at once, and their servers were
+// ejected.
+func TestOwnStandstillGivesUpNoRequest(t *testing.T) {
+	const (
+		requests, rounds = 20, 10
+		// The gateway gives a server up after 2.5 latency targets of 200 ms.
+		standstill = 3 * time.Second
+	)
+	var arrivals atomic.Int64
+	var release atomic.Pointer[chan struct{}]
+	standin := &vrstandin.Server{ResponseBody: "done"}
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		released := *release.Load()
+		arrivals.Add(1)
+		select {
+		case <-released:
+		case <-r.Context().Done():
+		}
+		standin.ServeHTTP(w, r)
+	}))
+	t.Cleanup(backend.Close)
+	store := vrstandin.NewStore()
+	store.Configure(3, vrstandin.Route{Name: "read", Type: "idempotent", Timeout: time.Minute})
+	for i := range 2 {
+		store.Register(fmt.Sprint("i-", i), strings.TrimPrefix(backend.URL, "http://"), "ready", 1)
+	}
+	// With one processor the runtime handles the timers that are due before it polls the network.
+	gateway := startGateway(t, store, "GOMAXPROCS=1")
+
+	for round := range rounds {
+		released := make(chan struct{})
+		release.Store(&released)
+		arrivals.Store(0)
+		var running sync.WaitGroup
+		var answered atomic.Int64
+		for i := range requests {
+			running.Go(func() {
+				if status, _, err := gateway.call(fmt.Sprint("r", round, "-", i), "/read/x"); err == nil && status == http.StatusOK {
+					answered.Add(1)
+				}
+			})
+		}
+		for deadline := time.Now().Add(_waitTimeout); arrivals.Load() < requests && time.Now().Before(deadline); {
+			<-time.After(time.Millisecond)
+		}
+		require.NoError(t, gateway.Process.Signal(syscall.SIGSTOP))
+		<-time.After(_waitInterval)
+		before := arrivals.Load()
+		close(released)
+		<-time.After(standstill)
+		require.NoError(t, gateway.Process.Signal(syscall.SIGCONT))
+		running.Wait()
+		if before != requests {
+			// On a busy machine requests may be sent once more before the gateway is stopped.
+			continue
+		}
+		require.Equal(t, []int64{requests, requests}, []int64{answered.Load(), arrivals.Load()}, "answered requests, arrivals at servers")
+		return
+	}
+	require.Fail(t, "the gateway was too slow to send each request once before the standstill")
+}
--- a/verbenaroute/internal/vrnode/silence_test.go
+++ b/verbenaroute/internal/vrnode/silence_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,3 +105,84 @@
 		})
 	}
 }
+
+// A sound server that is slow to its first byte must not be given up if the retry budget is spent: its answer is the only one that the client can get. Clients got
+// 502 for requests that their servers were at work on.
+func TestSlowServerIsKeptWhenRetryBudgetIsSpent(t *testing.T) {
+	const (
+		// The gateway gives a server up after 2.5 latency targets of 200 ms.
+		silence = 1500 * time.Millisecond
+		event   = "id: 1\ndata: a\n\n"
+	)
+	for _, test := range []struct {
+		name, kind string
+		retryRatio float64
+	}{
+		{"stream", "streaming", 0.001},
+		{"idempotent", "idempotent", 0.001},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var arrivals atomic.Int64
+			backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+				if arrivals.Add(1) > 1 {
+					w.Header().Set("Not-Executed", "1")
+					w.WriteHeader(http.StatusServiceUnavailable)
+					return
+				}
+				select {
+				case <-time.After(silence):
+				case <-r.Context().Done():
+				}
+				w.Header().Set("Response-Signature", "signed")
+				_, _ = io.WriteString(w, event)
+			}))
+			t.Cleanup(backend.Close)
+			store := vrstandin.NewStore()
+			storeServer := httptest.NewServer(store)
+			t.Cleanup(storeServer.Close)
+			store.Configure(3, vrstandin.Route{Name: "slow", Type: test.kind, Resumable: true, PauseTarget: 50 * time.Millisecond, Timeout: time.Minute})
+			for i := range 2 {
+				store.Register(fmt.Sprint("i-", i), strings.TrimPrefix(backend.URL, "http://"), "ready", 1)
+			}
+			settings := newSettings(t, storeServer.URL, time.Second)
+			settings.Bounds.RetryRatio, settings.Bounds.RetrySlack = test.retryRatio, 100*test.retryRatio
+			node := vrnode.New(settings, zap.NewNop(), func() map[string]uint64 { return nil })
+			ctx, stop := context.WithCancel(context.Background())
+			stopped := make(chan error, 1)
+			go func() { stopped <- node.Run(ctx) }()
+			t.Cleanup(func() {
+				stop()
+				require.NoError(t, <-stopped)
+			})
+			require.Eventually(t, func() bool {
+				response, err := http.Get("http://" + settings.Readiness + "/readyz")
+				if err != nil {
+					return false
+				}
+				_ = response.Body.Close()
+				return response.StatusCode == http.StatusOK
+			}, 30*time.Second, 10*time.Millisecond)
+
+			// A request that no server has seen may be refused on a busy machine.
+			for attempt := 0; ; attempt++ {
+				request, err := http.NewRequest(http.MethodPost, "http://"+settings.Callers+"/slow/x", strings.NewReader("body"))
+				require.NoError(t, err)
+				request.Host = "h.example"
+				vrstandin.SetClientHeaders(request.Header, fmt.Sprint("r", attempt), time.Minute)
+				response, err := http.DefaultClient.Do(request)
+				require.NoError(t, err)
+				body, err := io.ReadAll(response.Body)
+				require.NoError(t, err)
+				require.NoError(t, response.Body.Close())
+				if arrivals.Load() == 0 && attempt < 20 {
+					continue
+				}
+				require.Equal(t, http.StatusOK, response.StatusCode, "%s", body)
+				require.Equal(t, event, string(body))
+				break
+			}
+		})
+	}
+}
--- a/verbenaroute/internal/vrrelay/relay_test.go
+++ b/verbenaroute/internal/vrrelay/relay_test.go
@@ -167,7 +167,7 @@
 	case vrevent.SendStalled:
 		p.stalls++
 		if !p.keepStalled {
-			p.proxy.HandleEffect(vrevent.AbandonSend(e))
+			p.proxy.HandleEffect(vrevent.AbandonSend{Call: e.Call, Send: e.Send})
 		}
 	case vrevent.SendEnded:
 		p.ended = append(p.ended, e)
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -64,8 +64,6 @@
 	watch           *stallWatch
 	startedAt       time.Time
 	timeToFirstByte time.Duration
-	// progressAt is when the last event of a stream was forwarded, or when its head arrived.
-	progressAt time.Time
 	// firstByteReported is set once the reducer was told of the first event.
 	firstByteReported bool
 	result            vrevent.SendEnded
@@ -110,7 +108,7 @@
 	}()
 	a.watchStalls()
 	defer a.watch.stop()
-	a.setDeadline(a.firstByteDeadline())
+	a.setDeadline(a.send.Deadline)
 	if err := a.writeRequest(); err != nil {
 		a.fail(err)
 		return
@@ -127,14 +125,6 @@
 	a.handleResponse(response, info)
 }
 
-// firstByteDeadline returns the deadline for the first byte of the response.
-func (a *sendAttempt) firstByteDeadline() time.Time {
-	if a.send.FirstByteDeadline.IsZero() || a.send.FirstByteDeadline.After(a.send.Deadline) {
-		return a.send.Deadline
-	}
-	return a.send.FirstByteDeadline
-}
-
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -368,6 +358,7 @@
 // drain reads a response that is not forwarded. It reports whether the response was complete
 // and the connection can be reused.
 func (a *sendAttempt) drain(response *http.Response) bool {
+	a.watch.stop()
 	a.setDeadline(earlier(a.send.Deadline, a.handler.proxy.opts.Clock.Now().Add(drainTimeout)))
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainedBody))
 	return err == nil && n < maxDrainedBody && allowsReuse(response)
@@ -381,6 +372,7 @@
 // forwardBuffered reads a response to the end and forwards it, unless it is a failure that is
 // held back.
 func (a *sendAttempt) forwardBuffered(response *http.Response) {
+	a.watch.stop()
 	a.setDeadline(a.send.Deadline)
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponse))
 	if err != nil {
--- a/verbenaroute/internal/vrrelay/stall_test.go
+++ b/verbenaroute/internal/vrrelay/stall_test.go
@@ -1,6 +1,7 @@
 package vrrelay
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -46,6 +47,56 @@
 	require.Equal(t, []string{"answered"}, p.results())
 }
 
+// A server that is slow to its first byte must be reported and not be given up by the proxy on its own:
+// nobody else may take the request. Clients got 502 for requests that servers were at work on.
+func TestLateFirstByteIsReportedAndNotCut(t *testing.T) {
+	for reply, stream := range map[string]bool{chunkedHead + chunkedBody("data: a\n\n") + "0\r\n\r\n": true, okReply: false} {
+		t.Run(fmt.Sprint("stream ", stream), func(t *testing.T) {
+			resume := make(chan struct{})
+			p := newTestProxy(t, vrevent.SendCall{Stream: stream, FirstByteDeadline: time.Now().Add(20 * time.Millisecond), Deadline: time.Now().Add(time.Minute)},
+				startServer(t, func(request *http.Request, c net.Conn) {
+					<-resume
+					replyWith(reply)(request, c)
+				}))
+			p.keepStalled = true
+			go func() {
+				defer close(resume)
+				for deadline := time.Now().Add(30 * time.Second); time.Now().Before(deadline); <-time.After(time.Millisecond) {
+					p.mu.Lock()
+					stalls := p.stalls
+					p.mu.Unlock()
+					if stalls >= 3 {
+						return
+					}
+				}
+			}()
+			response, _, err := p.post("x")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, response.status)
+			require.GreaterOrEqual(t, p.stalls, 3)
+			require.Equal(t, []string{"answered"}, p.results())
+		})
+	}
+}
+
+// A send without a first byte must end when the reducer gives it up, also after the head of a stream. It
+// was held until the deadline of the call otherwise.
+func TestSendWithoutFirstByteEndsWhenAbandoned(t *testing.T) {
+	for name, text := range map[string]string{"nothing": "", "head": chunkedHead, "unfinished event": chunkedHead + chunkedBody("id: 1\n")} {
+		t.Run(name, func(t *testing.T) {
+			deadline := time.Now().Add(time.Minute)
+			p := newTestProxy(t, vrevent.SendCall{
+				Stream: true, FirstByteDeadline: time.Now().Add(20 * time.Millisecond), MaxPause: 20 * time.Millisecond, Deadline: deadline,
+			}, startServer(t, waitForClose(text)))
+			response, _, err := p.post("x")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusBadGateway, response.status)
+			require.True(t, time.Now().Before(deadline))
+			require.Equal(t, []string{"timedOut"}, p.results())
+		})
+	}
+}
+
 // An order to abandon a send that comes after the stream has gone on must not cut it.
 func TestAbandonAfterProgressIsIgnored(t *testing.T) {
 	resume := make(chan struct{})
--- a/verbenaroute/internal/vrrelay/stream.go
+++ b/verbenaroute/internal/vrrelay/stream.go
@@ -36,12 +36,9 @@
 	a.handler.setWriteDeadline(a.send.Deadline)
 	var pending []byte
 	buffer := make([]byte, readBufferSize)
-	a.progressAt = a.handler.proxy.opts.Clock.Now()
-	if a.handler.headerWritten {
-		a.watch.progress()
-	}
+	a.watch.headReceived()
 	for {
-		a.setDeadline(a.readDeadline())
+		a.setDeadline(a.send.Deadline)
 		readStart := time.Now()
 		n, err := response.Body.Read(buffer)
 		if a.handler.eventCount > 0 && n > 0 {
@@ -73,32 +70,20 @@
 	}
 }
 
-// readDeadline returns the deadline for the next read of the stream. The longest pause counts from
-// the last event, because a stalled server may still send a byte now and then. It bounds a read only
-// until part of the stream is forwarded.
-func (a *sendAttempt) readDeadline() time.Time {
-	if a.send.MaxPause <= 0 || a.handler.headerWritten {
-		return a.send.Deadline
-	}
-	next := a.progressAt.Add(a.send.MaxPause)
-	if next.Before(a.firstByteDeadline()) {
-		next = a.firstByteDeadline()
-	}
-	if next.After(a.send.Deadline) {
-		return a.send.Deadline
-	}
-	return next
-}
-
 // forwardEvents writes complete events to the client. It returns false if the client has
 // disconnected.
 func (a *sendAttempt) forwardEvents(response *http.Response, events []byte) bool {
+	// From the first forwarded part on, the call needs a place at another server before the send may be
+	// given up. An order that was given before must not end it.
+	begins := !a.handler.headerWritten
+	if begins {
+		a.watch.progress()
+	}
 	if !a.firstByteReported {
 		a.firstByteReported = true
 		a.timeToFirstByte = time.Since(a.startedAt)
 		a.handler.proxy.opts.Submit(vrevent.FirstByteReceived{Call: a.send.Call, Send: a.send.Send, TimeToFirstByte: a.timeToFirstByte})
 	}
-	begins := !a.handler.headerWritten
 	if begins {
 		a.handler.writeHeader(response.StatusCode, response.Header, unknownLength)
 	}
@@ -114,7 +99,6 @@
 	// A stream that starts with a comment has no event yet, but its first part was forwarded, which
 	// ends the limit for the first event.
 	if count > 0 || begins {
-		a.progressAt = a.handler.proxy.opts.Clock.Now()
 		a.watch.progress()
 	}
 	a.handler.eventCount += count
--- a/verbenaroute/internal/vrrelay/vrrelay.go
+++ b/verbenaroute/internal/vrrelay/vrrelay.go
@@ -196,7 +196,7 @@
 	return true
 }
 
-// abandonSend ends a send if its stream is still stalled. Its handler is blocked in a read meanwhile,
+// abandonSend ends a send if it is still stalled. Its handler is blocked in a read meanwhile,
 // so the effect does not go through the handler's queue.
 func (p *Proxy) abandonSend(e vrevent.AbandonSend) {
 	p.mu.Lock()
