Count the retry of a moved stream when it is given up

What callers see: servers may get more retries within one window than the budget allows (BUDGET), for example when a server crashes on which streams had stalled.

Cause: a stall took a retry from the budget before it asked for a place. Without a place the call kept it for the rest of its life, and a retry that was sent after the window in which it was counted was in no window at all.

Change: the budget is checked without counting (Budget.HasRetry) before a place is asked for, and the retry is counted when the send is given up. A counted retry that is not used within a second, or a tenth of the budget's window if that is shorter, is counted anew when the call is sent again.

TestCheckDoesNotCountRetry and TestCountedRetryLapses are new.

--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -66,9 +66,9 @@
 	// the server processes the prompt.
 	promptPending bool
 	// move is the place to which the call goes on once its stalled send has ended, or nil.
-	// retryReserved is set once the next retry was counted in the retry budget.
-	move          *move
-	retryReserved bool
+	// retryCountedAt is when the next retry was counted in the retry budget, zero if it was not.
+	move           *move
+	retryCountedAt time.Time
 	// silentSince is the start of the silence for which the send was given up, zero otherwise.
 	silentSince time.Time
 	// timeToFirstByte is the time from the arrival to the first byte of the response. It is
@@ -192,8 +192,9 @@
 		return true
 	}
 	s.counts.Resent++
-	if c.retryReserved {
-		c.retryReserved = false
+	countedAt := c.retryCountedAt
+	c.retryCountedAt = time.Time{}
+	if !countedAt.IsZero() && now.Sub(countedAt) <= s.retryBudget.CountedAge() {
 		return true
 	}
 	return s.retryBudget.AllowRetry(now, c.service) || vrfault.On(vrfault.IgnoreBudget)
--- a/verbenacore/vrgateway/stall.go
+++ b/verbenacore/vrgateway/stall.go
@@ -48,7 +48,9 @@
 		return
 	}
 	if s.usablePlace(now, c) != nil {
-		s.abandonSend(c, c.move.silentSince, out)
+		if s.countRetry(now, c) {
+			s.abandonSend(c, c.move.silentSince, out)
+		}
 		return
 	}
 	c.move = nil
@@ -57,7 +59,7 @@
 		return
 	}
 	server := s.otherServer(now, c)
-	if server == nil || !s.reserveRetry(now, c) {
+	if server == nil || !s.retryBudget.HasRetry(now, c.service) {
 		return
 	}
 	duration := min(reservationTime, service.Engine.MaxReservation)
@@ -85,9 +87,9 @@
 		return
 	}
 	c.move.reservation = e.Reservation
-	if !s.mayMove(now, c) || s.usablePlace(now, c) == nil {
+	if !s.mayMove(now, c) || s.usablePlace(now, c) == nil || !s.countRetry(now, c) {
 		c.move = nil
-		out.Info("reserved place is unusable, the stalled stream goes on", text("request", c.Request), text("server", e.Server))
+		out.Info("reserved place is not used, the stalled stream goes on", text("request", c.Request), text("server", e.Server))
 		return
 	}
 	s.abandonSend(c, c.move.silentSince, out)
@@ -96,7 +98,7 @@
 // moveWithoutPlace gives a send up if another server can be chosen and the retry budget allows the retry.
 func (s *State) moveWithoutPlace(now time.Time, c *call, silence time.Duration, out *vrevent.Effects) {
 	server := s.otherServer(now, c)
-	if server == nil || !s.reserveRetry(now, c) {
+	if server == nil || !s.countRetry(now, c) {
 		return
 	}
 	if c.silentSince.IsZero() {
@@ -121,10 +123,17 @@
 	return server
 }
 
-// reserveRetry counts the next retry of a call in the retry budget, and reports whether it is allowed.
-func (s *State) reserveRetry(now time.Time, c *call) bool {
-	c.retryReserved = c.retryReserved || s.retryBudget.AllowRetry(now, c.service)
-	return c.retryReserved
+// countRetry counts the next retry of a call in the retry budget unless it was counted a moment ago, and
+// reports whether it is allowed. Half of the time for which it counts is left for the end of the send.
+func (s *State) countRetry(now time.Time, c *call) bool {
+	if !c.retryCountedAt.IsZero() && now.Sub(c.retryCountedAt) <= s.retryBudget.CountedAge()/2 {
+		return true
+	}
+	if !s.retryBudget.AllowRetry(now, c.service) {
+		return false
+	}
+	c.retryCountedAt = now
+	return true
 }
 
 // mayMove reports whether a call whose send is given up now may be sent again.
--- a/verbenacore/vrgateway/stall_test.go
+++ b/verbenacore/vrgateway/stall_test.go
@@ -111,6 +111,59 @@
 	}
 }
 
+// The retry that a stall takes from the budget must be counted in the window in which it is sent.
+// Calls whose streams stalled without finding a place keep it; when they fail together later, the
+// servers get more retries in one window than the budget allows (BUDGET).
+func TestRetryReservedByStallIsCountedWhenSent(t *testing.T) {
+	const calls, window = 8, 200 * time.Millisecond
+	d := newReadyDaemon(t, engineEntry("e1", "m"), engineEntry("e2", "m"), engineEntry("e3", "m"))
+	catalog := newCatalog(2)
+	for i := range catalog.Routes {
+		catalog.Routes[i].PauseTarget = 100 * time.Millisecond
+	}
+	catalog.Services[1].Engine.MaxReservation = 2 * time.Second
+	d.reduce(vrevent.CatalogSeen{Catalog: catalog})
+	// 0.8 of the slack is used: one retry in each window.
+	d.reduce(vrevent.RetryOptionsChanged{Options: vrretry.Options{Slack: 1.25, Window: window}})
+	var sends []vrevent.SendCall
+	for range calls {
+		sends = append(sends, d.requireSentOn("stream"))
+	}
+	for _, send := range sends {
+		for _, effect := range d.reduce(vrevent.SendStalled{Call: send.Call, Send: send.Send}) {
+			if reserve, ok := effect.(vrevent.ReservePlace); ok {
+				d.reduce(vrevent.PlaceReserved{Call: send.Call, Send: send.Send, Server: reserve.Server, Detail: "full"})
+			}
+		}
+		d.now = d.now.Add(window + window/10)
+	}
+	retries := 0
+	for _, send := range sends {
+		for _, effect := range d.reduce(vrevent.SendEnded{Call: send.Call, Send: send.Send, Result: vrevent.AttemptBroken, PartForwarded: true, Events: 1}) {
+			if _, ok := effect.(vrevent.SendCall); ok {
+				retries++
+			}
+		}
+	}
+	require.LessOrEqual(t, retries, 1, "retries within one window")
+}
+
+// A retry that was counted for a send that then went on must not be used much later, in a window in which it
+// is not counted (BUDGET).
+func TestCountedRetryLapses(t *testing.T) {
+	const window = 200 * time.Millisecond
+	d := newReadyDaemon(t, appEntry("a1"), appEntry("a2"))
+	d.reduce(vrevent.RetryOptionsChanged{Options: vrretry.Options{Slack: 1.25, Window: window}})
+	sends := []vrevent.SendCall{d.requireSentOn("read"), d.requireSentOn("read")}
+	for _, send := range sends {
+		require.Len(t, d.reduce(vrevent.SendStalled{Call: send.Call, Send: send.Send}), 1)
+		d.now = d.now.Add(window + window/10)
+	}
+	d.now = d.now.Add(time.Second)
+	d.requireSent(d.endSend(sends[0], vrevent.AttemptBroken))
+	d.requireRefused(d.endSend(sends[1], vrevent.AttemptBroken))
+}
+
 // A stream that goes on at another server must not be given up there for its first event on the
 // condition that a third one could take it when it was sent: that server may be full or the retry
 // budget spent by then, and part of the stream was forwarded, so the client's connection is closed in
--- a/verbenacore/vrretry/vrretry.go
+++ b/verbenacore/vrretry/vrretry.go
@@ -85,18 +85,35 @@
 	w.requests[w.current]++
 }
 
+// maxCountedAge limits CountedAge.
+const maxCountedAge = time.Second
+
+// CountedAge is how long after AllowRetry the retry may be sent without being counted again: at most one
+// bucket, so that the retries that are sent within any window stay within the budget.
+func (b *Budget) CountedAge() time.Duration { return min(maxCountedAge, b.opts.Window/bucketCount) }
+
+// HasRetry reports whether a request might be retried now, without counting a retry.
+func (b *Budget) HasRetry(now time.Time, service vrid.ServiceID) bool {
+	return b.hasRetry(b.window(now, service))
+}
+
 // AllowRetry reports whether a request may be retried now, and if so counts the retry.
 func (b *Budget) AllowRetry(now time.Time, service vrid.ServiceID) bool {
 	w := b.window(now, service)
+	if !b.hasRetry(w) {
+		return false
+	}
+	w.retries[w.current]++
+	return true
+}
+
+// hasRetry reports whether the window has room for one more retry.
+func (b *Budget) hasRetry(w *window) bool {
 	requests, retries := 0, 0
 	for i := range bucketCount {
 		requests += w.requests[i]
 		retries += w.retries[i]
 	}
 	allowed := budgetFraction * (b.opts.Ratio*float64(requests) + b.opts.Slack/float64(b.daemons))
-	if float64(retries+1) > allowed {
-		return false
-	}
-	w.retries[w.current]++
-	return true
+	return float64(retries+1) <= allowed
 }
--- a/verbenacore/vrretry/vrretry_test.go
+++ b/verbenacore/vrretry/vrretry_test.go
@@ -59,3 +59,17 @@
 		require.LessOrEqual(t, float64(inWindow), 0.2*100+20, "window from %v", retries[i].Sub(start))
 	}
 }
+
+// The check alone must not use the budget up, and must deny what AllowRetry would deny: a caller that may
+// not send the retry after all would take it from others, and one that relies on the check would be denied.
+func TestCheckDoesNotCountRetry(t *testing.T) {
+	now := time.Unix(1_790_000_000, 0)
+	// 0.8 of the slack is used: one retry.
+	b := vrretry.New(vrretry.Options{Slack: 1.25, Window: 10 * time.Second})
+	for range 3 {
+		require.True(t, b.HasRetry(now, "app"))
+	}
+	require.Equal(t, 1, allowedRetries(b, now, 3))
+	require.False(t, b.HasRetry(now, "app"))
+	require.True(t, b.HasRetry(now.Add(11*time.Second), "app"))
+}
