Move a stream without a place before its client leaves

What callers see: a stream whose server hangs for good stops, and the client gives up after eight pause targets, although another server is free.

Services without an engine, and those whose hold_ms is zero, have no reservations, so the stream stayed with its server until the client left or the deadline.

Change: when the silence reaches the patience of clients, less 500 ms, and no place can be had (no reservations, or those that were asked refused or did not answer), the send is given up under the conditions for a call without a first byte: the call may be retried, another server can be chosen and the budget allows the retry. The formula of the patience is shared with the wait of calls.

TestStreamMovesWithoutPlaceBeforeClientLeaves and TestReservedPlaceIsUsedBeforeClientLeaves are new.

--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -69,6 +69,8 @@
 	// retryCountedAt is when the next retry was counted in the retry budget, zero if it was not.
 	move           *move
 	retryCountedAt time.Time
+	// placeAsked is set once a place was asked for to continue the present send elsewhere.
+	placeAsked bool
 	// silentSince is the start of the silence for which the send was given up, zero otherwise.
 	silentSince time.Time
 	// timeToFirstByte is the time from the arrival to the first byte of the response. It is
@@ -151,7 +153,7 @@
 		return
 	}
 	c.sends++
-	c.server, c.sentAt, c.silentSince = server, now, time.Time{}
+	c.server, c.sentAt, c.silentSince, c.placeAsked = server, now, time.Time{}, false
 	server.RecordSend()
 	server.PendingPromptTokens += c.PromptTokens
 	s.addInFlight(c, server.ID, 1)
--- a/verbenacore/vrgateway/stall.go
+++ b/verbenacore/vrgateway/stall.go
@@ -12,7 +12,8 @@
 // requests. Its answer is the only one that the client can get unless another server takes the request.
 // So a call without a first byte is given up only if another server can be chosen and the retry budget
 // allows the retry at that moment. For a stream that has begun, of which the client would notice the
-// loss, the place at another server is reserved first.
+// loss, the place at another server is reserved first. Where no place can be had, the stream moves without
+// one shortly before its client would leave.
 
 // reservationTime is how long a reserved place is kept: a round trip between regions for the answer,
 // the end of the stalled send, and the next send.
@@ -22,6 +23,10 @@
 // send and the way of the next one, a round trip between regions, must fit in.
 const reservationMargin = 200 * time.Millisecond
 
+// unreservedMoveLead is how long before its client gives up a stream moves without a reserved place: the
+// time until the next report, and for the first event of another server.
+const unreservedMoveLead = 500 * time.Millisecond
+
 // move is the place at another server to which a call goes on after a stall.
 type move struct {
 	server vrid.ServerID
@@ -44,24 +49,28 @@
 		s.moveWithoutPlace(now, c, e.Silence, out)
 		return
 	}
-	if c.move != nil && c.move.reservation == "" && now.Before(c.move.expiresAt) {
-		return
-	}
 	if s.usablePlace(now, c) != nil {
 		if s.countRetry(now, c) {
 			s.abandonSend(c, c.move.silentSince, out)
 		}
 		return
 	}
-	c.move = nil
 	service := s.catalog.Service(c.service)
-	if service == nil || service.Engine == nil || service.Engine.MaxReservation <= 0 {
+	canReserve := service != nil && service.Engine != nil && service.Engine.MaxReservation > 0
+	if e.Silence >= c.patience()-unreservedMoveLead && (!canReserve || c.placeAsked) {
+		c.move = nil
+		s.moveWithoutPlace(now, c, e.Silence, out)
+		return
+	}
+	if !canReserve || (c.move != nil && c.move.reservation == "" && now.Before(c.move.expiresAt)) {
 		return
 	}
+	c.move = nil
 	server := s.otherServer(now, c)
 	if server == nil || !s.retryBudget.HasRetry(now, c.service) {
 		return
 	}
+	c.placeAsked = true
 	duration := min(reservationTime, service.Engine.MaxReservation)
 	expiresAt := now.Add(duration)
 	c.move = &move{server: server.ID, expiresAt: expiresAt, usableUntil: expiresAt.Add(-min(reservationMargin, duration/4)), silentSince: now.Add(-e.Silence)}
--- a/verbenacore/vrgateway/stall_test.go
+++ b/verbenacore/vrgateway/stall_test.go
@@ -69,6 +69,71 @@
 	}
 }
 
+// Where no place can be had, because servers reserve none or all refused or did not answer, a stream that
+// has begun must stay with its server until shortly before its client would leave, and go on at another
+// server then. Streams of hung servers were held until their clients left.
+func TestStreamMovesWithoutPlaceBeforeClientLeaves(t *testing.T) {
+	// The client of the test's route leaves after a gap of 2 s.
+	const early, last = 1400 * time.Millisecond, 1500 * time.Millisecond
+	for name, prepare := range map[string]func(d *daemon, send vrevent.SendCall){
+		"no reservations": func(d *daemon, _ vrevent.SendCall) {
+			d.reduce(vrevent.CatalogSeen{Catalog: newCatalog(3)})
+		},
+		"refused": func(d *daemon, send vrevent.SendCall) {
+			for _, effect := range d.reduce(vrevent.SendStalled{Call: send.Call, Send: send.Send, Silence: early}) {
+				if reserve, ok := effect.(vrevent.ReservePlace); ok {
+					d.reduce(vrevent.PlaceReserved{Call: send.Call, Send: send.Send, Server: reserve.Server, Detail: "full"})
+				}
+			}
+		},
+		"no answer": func(d *daemon, send vrevent.SendCall) {
+			d.reduce(vrevent.SendStalled{Call: send.Call, Send: send.Send, Silence: early})
+		},
+	} {
+		start := func(t *testing.T) (d *daemon, stalled vrevent.SendStalled) {
+			d, send := newStreamingDaemon(t)
+			prepare(d, send)
+			return d, vrevent.SendStalled{Call: send.Call, Send: send.Send, Silence: last}
+		}
+		t.Run(name, func(t *testing.T) {
+			d, stalled := start(t)
+			stalled.Silence = early
+			require.NotContains(t, d.reduce(stalled), vrevent.AbandonSend{Call: stalled.Call, Send: stalled.Send})
+			stalled.Silence = last
+			require.Equal(t, []vrevent.Effect{vrevent.AbandonSend{Call: stalled.Call, Send: stalled.Send}}, d.reduce(stalled))
+			next := d.requireSent(d.reduce(vrevent.SendEnded{Call: stalled.Call, Send: stalled.Send, Result: vrevent.AttemptTimedOut, PartForwarded: true, Events: 3}))
+			require.True(t, next.Resume)
+			require.Empty(t, next.Reservation)
+		})
+		for condition, spoil := range map[string]func(d *daemon){
+			"retry budget spent": func(d *daemon) {
+				d.reduce(vrevent.RetryOptionsChanged{Options: vrretry.Options{Window: 10 * time.Second}})
+			},
+			"other server left": func(d *daemon) { d.reduce(vrevent.FleetListed{Entries: nil}) },
+			"little time left":  func(d *daemon) { d.now = d.now.Add(1750 * time.Millisecond) },
+		} {
+			t.Run(name+", "+condition, func(t *testing.T) {
+				d, stalled := start(t)
+				spoil(d)
+				require.Empty(t, d.reduce(stalled))
+			})
+		}
+	}
+}
+
+// A place that is reserved must be used, and not another server without one, also shortly before the client
+// leaves.
+func TestReservedPlaceIsUsedBeforeClientLeaves(t *testing.T) {
+	d, send := newStreamingDaemon(t)
+	stalled := vrevent.SendStalled{Call: send.Call, Send: send.Send, Silence: 1500 * time.Millisecond}
+	reserve, ok := d.reduce(stalled)[0].(vrevent.ReservePlace)
+	require.True(t, ok, "a place is asked for first")
+	d.reduce(vrevent.PlaceReserved{Call: send.Call, Send: send.Send, Server: reserve.Server, Reservation: "h1"})
+	require.Len(t, d.reduce(stalled), 1)
+	next := d.requireSent(d.reduce(vrevent.SendEnded{Call: send.Call, Send: send.Send, Result: vrevent.AttemptTimedOut, PartForwarded: true, Events: 3}))
+	require.EqualValues(t, "h1", next.Reservation)
+}
+
 // A place that came too late, or whose server has left, must not be used.
 func TestLapsedReservationIsNotUsed(t *testing.T) {
 	d, send := newStreamingDaemon(t)
--- a/verbenacore/vrgateway/waits.go
+++ b/verbenacore/vrgateway/waits.go
@@ -208,8 +208,12 @@
 	if c.route.Kind != vrcatalog.RouteStream || c.responseStarted {
 		return c.deadline
 	}
-	patience := max(minPatience, targetPatience*c.route.Target, pausePatience*c.route.PauseTarget)
-	return earlier(c.deadline, c.arrivedAt.Add(patience))
+	return earlier(c.deadline, c.arrivedAt.Add(c.patience()))
+}
+
+// patience returns the gap in the stream of a call after which its client gives up.
+func (c *call) patience() time.Duration {
+	return max(minPatience, targetPatience*c.route.Target, pausePatience*c.route.PauseTarget)
 }
 
 func earlier(a, b time.Time) time.Time {
