Keep a held server error until a retry brings an answer

What callers see: 502 of the gateway instead of the server's own failure, which was held back for a retry that no server took.

Cause: retryOrEnd set errorHeld from the result of the last send only, so a retry that was rejected, not sent or broken off dropped the failure that was held.

Change: the failure stays held until the call ends.

Test: TestHeldServerErrorSurvivesFailedRetry failed in all three cases without the change (RefuseCall instead of ForwardFailure) and passes.

--- a/verbenacore/vrevent/gateway.go
+++ b/verbenacore/vrevent/gateway.go
@@ -264,7 +264,7 @@
 		Priority    int
 		// Resume asks for what follows the last event that the client has received.
 		Resume bool
-		// HoldErrors holds a server's failure back until ForwardFailure or another SendCall.
+		// HoldErrors holds a server's failure back until ForwardFailure or another response.
 		HoldErrors bool
 		Stream     bool
 		// AtMostOnce is set if the call may run at most once, so that no lower layer, such as the
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -291,7 +291,8 @@
 	out.Info("send failed", text("request", c.Request), number("send", uint64(c.sends)), text("server", server.ID),
 		text("result", e.Result.String()), number("status", uint64(e.Status)), text("detail", e.Detail),
 		number("events", uint64(c.eventsDelivered)), millis("tookMs", now.Sub(c.sentAt)))
-	c.errorHeld = e.Result == vrevent.AttemptServerError
+	// A failure that is held back remains the client's answer if no later send brings a better one.
+	c.errorHeld = c.errorHeld || e.Result == vrevent.AttemptServerError
 	if !s.mayRetry(now, c, e.Result) {
 		s.endFailedCall(now, c, out)
 		return
--- a/verbenacore/vrgateway/gateway_test.go
+++ b/verbenacore/vrgateway/gateway_test.go
@@ -508,3 +508,17 @@
 	}
 	require.LessOrEqual(t, failed["a1"], 3)
 }
+
+// A server's failure that was held back for a retry is the client's answer if no other server then takes
+// the request. It was dropped for a 502 of the gateway when the retry was rejected or broken off.
+func TestHeldServerErrorSurvivesFailedRetry(t *testing.T) {
+	for _, result := range []vrevent.AttemptResult{vrevent.AttemptBusy, vrevent.AttemptNotSent, vrevent.AttemptBroken} {
+		t.Run(result.String(), func(t *testing.T) {
+			d := newReadyDaemon(t, appEntry("a1"), appEntry("a2"))
+			second := d.requireSent(d.endSend(d.requireSentOn("read"), vrevent.AttemptServerError))
+			effects := d.endSend(second, result)
+			effects = append(effects, d.runFor(time.Second, storeDown)...)
+			require.Contains(t, effects, vrevent.ForwardFailure{Call: second.Call})
+		})
+	}
+}
