Name the expected server in a request for a place

What callers see: a stream may be given up for a place at a server that has got the address of the chosen one. The request names the chosen server, is rejected with 421, and the stream ends broken if no other server takes it (LOST).

Cause: Reserve sent no Expected-Instance, unlike requests and orders.

Change: Reserve takes the id of the server and sends it. Whether servers check it on this call is not stated in PROTOCOL.md.

Test: TestReserveNamesExpectedServer failed without the change (no header).

--- a/verbenaroute/internal/vrnode/store.go
+++ b/verbenaroute/internal/vrnode/store.go
@@ -87,7 +87,7 @@
 	ctx, cancel := context.WithTimeout(n.baseCtx, min(orderTimeout, e.Duration))
 	defer cancel()
 	answer := vrevent.PlaceReserved{Call: e.Call, Send: e.Send, Server: e.Server}
-	reservation, err := n.engine.Reserve(ctx, e.Address, e.Tokens, e.Duration)
+	reservation, err := n.engine.Reserve(ctx, e.Server, e.Address, e.Tokens, e.Duration)
 	if err != nil {
 		answer.Detail = err.Error()
 	}
