Keep the known load of a server that refuses a place

What callers see: requests are sent to the server with the longest queue after it refused a place, and wait there or are given up for their first byte.

Cause: on any failure of the reservation, also a timeout of the call, the load of the server was set to all slots running and none waiting. That is less than a server with a queue has reported, and counted as a new report for 2 s.

Change: the load is left as reported. The call remembers the servers that refused a place and asks them again only once all others have refused as well.

Tests: TestRefusedPlaceDoesNotHideQueue failed without the change (the next request went to the server with 24 requests instead of that with 14) and passes, 3 of 3 runs. TestPlaceIsAskedOfEachServer is new.

--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -70,7 +70,9 @@
 	move           *move
 	retryCountedAt time.Time
 	// placeAsked is set once a place was asked for to continue the present send elsewhere.
-	placeAsked bool
+	// refusedPlaces lists the servers that have refused one since all others had.
+	placeAsked    bool
+	refusedPlaces []vrid.ServerID
 	// silentSince is the start of the silence for which the send was given up, zero otherwise.
 	silentSince time.Time
 	// timeToFirstByte is the time from the arrival to the first byte of the response. It is
@@ -153,7 +155,8 @@
 		return
 	}
 	c.sends++
-	c.server, c.sentAt, c.silentSince, c.placeAsked = server, now, time.Time{}, false
+	c.server, c.sentAt, c.silentSince = server, now, time.Time{}
+	c.placeAsked, c.refusedPlaces = false, nil
 	server.RecordSend()
 	server.PendingPromptTokens += c.PromptTokens
 	s.addInFlight(c, server.ID, 1)
--- a/verbenacore/vrgateway/stall.go
+++ b/verbenacore/vrgateway/stall.go
@@ -1,6 +1,7 @@
 package vrgateway
 
 import (
+	"slices"
 	"time"
 
 	"verbenaroute.example/verbenacore/vrevent"
@@ -66,7 +67,11 @@
 		return
 	}
 	c.move = nil
-	server := s.otherServer(now, c)
+	server := s.otherServer(now, c, c.refusedPlaces...)
+	if server == nil && len(c.refusedPlaces) > 0 {
+		c.refusedPlaces = nil
+		server = s.otherServer(now, c)
+	}
 	if server == nil || !s.retryBudget.HasRetry(now, c.service) {
 		return
 	}
@@ -89,9 +94,7 @@
 	}
 	if e.Reservation == "" {
 		c.move = nil
-		if server := s.fleet.Server(e.Server); server != nil {
-			server.SetLoad(now, server.Slots, 0)
-		}
+		c.refusedPlaces = append(c.refusedPlaces, e.Server)
 		out.Info("no place reserved, the stalled stream goes on", text("request", c.Request), text("server", e.Server), text("detail", e.Detail))
 		return
 	}
@@ -123,11 +126,11 @@
 	out.Add(vrevent.AbandonSend{Call: c.ID, Send: c.sends})
 }
 
-// otherServer returns the best server for a call apart from its present one and those that were tried,
-// or nil.
-func (s *State) otherServer(now time.Time, c *call) *vrfleet.Server {
+// otherServer returns the best server for a call apart from its present one, those that were tried and
+// the excluded ones, or nil.
+func (s *State) otherServer(now time.Time, c *call, exclude ...vrid.ServerID) *vrfleet.Server {
 	need := s.requirements(c)
-	need.Exclude = append([]vrid.ServerID{c.server.ID}, need.Exclude...)
+	need.Exclude = slices.Concat([]vrid.ServerID{c.server.ID}, need.Exclude, exclude)
 	server, _ := s.chooser.Best(now, need)
 	return server
 }
--- a/verbenacore/vrgateway/stall_test.go
+++ b/verbenacore/vrgateway/stall_test.go
@@ -250,3 +250,50 @@
 	require.True(t, resumed.Resume)
 	require.Zero(t, resumed.FirstByteDeadline)
 }
+
+// A refused reservation says nothing about the number of requests at a server, and must not make a
+// server with a long queue look shorter than it reported.
+func TestRefusedPlaceDoesNotHideQueue(t *testing.T) {
+	d, send := newStreamingDaemon(t)
+	reserve, ok := d.reduce(vrevent.SendStalled{Call: send.Call, Send: send.Send})[0].(vrevent.ReservePlace)
+	require.True(t, ok)
+	// The other server reports 4 running and 20 waiting requests, the stalled one 4 and 10.
+	other := d.requireSentTo("single", reserve.Server)
+	d.reduce(vrevent.SendEnded{Call: other.Call, Send: 1, Result: vrevent.AttemptAnswered, Load: &vrevent.ServerLoad{Running: 4, Waiting: 20}})
+	own := d.requireSentTo("single", send.Server)
+	d.reduce(vrevent.SendEnded{Call: own.Call, Send: 1, Result: vrevent.AttemptAnswered, Load: &vrevent.ServerLoad{Running: 4, Waiting: 10}})
+	require.Equal(t, send.Server, d.requireSentOn("single").Server)
+	d.reduce(vrevent.PlaceReserved{Call: send.Call, Send: send.Send, Server: reserve.Server, Detail: "status 503"})
+	require.Equal(t, send.Server, d.requireSentOn("single").Server)
+}
+
+// A server that refused a place must not be asked again before all others were: they may have one.
+func TestPlaceIsAskedOfEachServer(t *testing.T) {
+	d := newReadyDaemon(t, engineEntry("e1", "m"), engineEntry("e2", "m"), engineEntry("e3", "m"), engineEntry("e4", "m"))
+	catalog := newCatalog(2)
+	catalog.Services[1].Engine.MaxReservation = 2 * time.Second
+	d.reduce(vrevent.CatalogSeen{Catalog: catalog})
+	send := d.requireSentOn("stream")
+	d.reduce(vrevent.FirstByteReceived{Call: send.Call, Send: send.Send})
+	for range 3 {
+		asked := map[vrid.ServerID]bool{}
+		for range 3 {
+			reserve, ok := d.reduce(vrevent.SendStalled{Call: send.Call, Send: send.Send})[0].(vrevent.ReservePlace)
+			require.True(t, ok)
+			asked[reserve.Server] = true
+			d.reduce(vrevent.PlaceReserved{Call: send.Call, Send: send.Send, Server: reserve.Server, Detail: "full"})
+		}
+		require.Len(t, asked, 3)
+	}
+}
+
+// requireSentTo sends calls on a route until one goes to the server.
+func (d *daemon) requireSentTo(route string, server vrid.ServerID) vrevent.SendCall {
+	for range 100 {
+		if send := d.requireSentOn(route); send.Server == server {
+			return send
+		}
+	}
+	require.Fail(d.t, "no call was sent to the server")
+	return vrevent.SendCall{}
+}
