Don't count an unread end of a response as silence

After a standstill of the gateway a stream that is complete could be reported as stalled, take a retry and a place, and be given up and run on at another server.

Cause: hasUnreadBytes counted only bytes. The end of a connection or a reset, after which a read does not wait either, counted as silence of the server.

Change: anything but "would block" counts as unread. The method is now hasUnread.

Test: TestUnreadEndOfStreamIsNoStall failed without the change and passes.

--- a/verbenaroute/internal/vrrelay/stall.go
+++ b/verbenaroute/internal/vrrelay/stall.go
@@ -1,6 +1,7 @@
 package vrrelay
 
 import (
+	"errors"
 	"sync"
 	"syscall"
 	"time"
@@ -118,14 +119,14 @@
 	w.checkAndUnlock()
 }
 
-// checkAndUnlock reports the send as stalled, unless bytes of the response have arrived that this process
-// has not read: then not the server but this process was held up.
+// checkAndUnlock reports the send as stalled, unless bytes of the response, or its end, have arrived that
+// this process has not read: then not the server but this process was held up.
 func (w *stallWatch) checkAndUnlock() {
 	if w.stopped {
 		w.mu.Unlock()
 		return
 	}
-	w.stalled = !w.conn.hasUnreadBytes()
+	w.stalled = !w.conn.hasUnread()
 	stalled, silence := w.stalled, time.Since(w.silentSince)
 	w.timer.Reset(min(max(time.Duration(stallRepeatFraction*float64(w.limit)), minStallRepeat), maxStallRepeat))
 	w.mu.Unlock()
@@ -138,7 +139,7 @@
 func (w *stallWatch) abandon() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.stalled && !w.stopped && !w.conn.hasUnreadBytes() {
+	if w.stalled && !w.stopped && !w.conn.hasUnread() {
 		_ = w.conn.SetDeadline(_past)
 	}
 }
@@ -153,9 +154,9 @@
 	}
 }
 
-// hasUnreadBytes reports whether bytes have arrived that were not read. Unlike isUsable it may be
-// called while another goroutine reads.
-func (c *conn) hasUnreadBytes() bool {
+// hasUnread reports whether bytes, the end of the connection or an error have arrived that were not read,
+// so that a read would not wait. Unlike isUsable it may be called while another goroutine reads.
+func (c *conn) hasUnread() bool {
 	syscallConn, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
@@ -167,8 +168,8 @@
 	unread := false
 	err = rawConn.Control(func(fd uintptr) {
 		var probe [1]byte
-		n, _, recvErr := syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		unread = recvErr == nil && n > 0
+		_, _, recvErr := syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		unread = !errors.Is(recvErr, syscall.EAGAIN) && !errors.Is(recvErr, syscall.EWOULDBLOCK)
 	})
 	return err == nil && unread
 }
--- a/verbenaroute/internal/vrrelay/stall_test.go
+++ b/verbenaroute/internal/vrrelay/stall_test.go
@@ -153,3 +153,36 @@
 	defer p.mu.Unlock()
 	require.Positive(t, p.stalls)
 }
+
+// watchedConn returns a watch of a connection that has stalled, both ends of the connection and the
+// number of reports so far.
+func watchedConn(t *testing.T) (w *stallWatch, client, server net.Conn, reports *int) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	client, err = net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = client.Close() })
+	server, err = listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = server.Close() })
+	reports = new(int)
+	w = &stallWatch{conn: &conn{Conn: client}, maxPause: time.Hour, report: func(time.Duration) { *reports++ }}
+	t.Cleanup(w.stop)
+	w.progress()
+	w.check()
+	require.Equal(t, 1, *reports)
+	return w, client, server, reports
+}
+
+// A stream whose end has arrived and is not yet read is no stall either: a process that was held up
+// would ask for a place for, and then abandon, a stream that is complete.
+func TestUnreadEndOfStreamIsNoStall(t *testing.T) {
+	w, client, server, reports := watchedConn(t)
+	require.NoError(t, server.Close())
+	// A read waits for the end and does not consume it.
+	_, err := client.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	w.check()
+	require.Equal(t, 1, *reports)
+}
