Test the checks of the stall watch that no test needed

Cause: with hasUnreadBytes always false, or without the reset of stalled at an event, or without stopped, the tests of vrrelay and vrnode passed, and so did TestOwnStandstillDoesNotCutStreams, whose service has no reservations.

Change: TestUnreadBytesAreNoStall and TestLateAbandonIsIgnored. Both pass; each of the three mutations, in a scratch copy, fails one of them.

--- a/verbenaroute/internal/vrrelay/stall_test.go
+++ b/verbenaroute/internal/vrrelay/stall_test.go
@@ -175,6 +175,38 @@
 	return w, client, server, reports
 }
 
+// Bytes that have arrived and are not yet read are no stall. Streams of sound servers were reported,
+// and could be cut, after this process was held up.
+func TestUnreadBytesAreNoStall(t *testing.T) {
+	w, client, server, reports := watchedConn(t)
+	_, err := io.WriteString(server, "ab")
+	require.NoError(t, err)
+	// The second byte has arrived too: the two were sent together.
+	_, err = client.Read(make([]byte, 1))
+	require.NoError(t, err)
+	w.abandon()
+	w.check()
+	require.Equal(t, 1, *reports)
+	_, err = client.Read(make([]byte, 1))
+	require.NoError(t, err)
+}
+
+// An order to abandon a send that comes after its next event or its end must not cut what the connection
+// carries then.
+func TestLateAbandonIsIgnored(t *testing.T) {
+	for name, happens := range map[string]func(*stallWatch){"event": (*stallWatch).progress, "end": (*stallWatch).stop} {
+		t.Run(name, func(t *testing.T) {
+			w, client, server, _ := watchedConn(t)
+			happens(w)
+			w.abandon()
+			_, err := io.WriteString(server, "a")
+			require.NoError(t, err)
+			_, err = client.Read(make([]byte, 1))
+			require.NoError(t, err)
+		})
+	}
+}
+
 // A stream whose end has arrived and is not yet read is no stall either: a process that was held up
 // would ask for a place for, and then abandon, a stream that is complete.
 func TestUnreadEndOfStreamIsNoStall(t *testing.T) {
