Test that the retry of a moved stream is counted once

Cause: without retryReserved the tests of vrgateway passed, because their budget has room for two retries.

Change: TestRetryOfMovedStreamIsCountedOnce has a budget of one. It passes; the mutation, in a scratch copy, fails it.

--- a/verbenacore/vrgateway/stall_test.go
+++ b/verbenacore/vrgateway/stall_test.go
@@ -144,6 +144,19 @@
 	require.Empty(t, next.Reservation)
 }
 
+// The retry for which a place was reserved is in the budget already. If it were taken once more, the
+// call could not go on after its stalled send was given up.
+func TestRetryOfMovedStreamIsCountedOnce(t *testing.T) {
+	d, send := newStreamingDaemon(t)
+	// 0.8 of the slack is used: one retry.
+	d.reduce(vrevent.RetryOptionsChanged{Options: vrretry.Options{Slack: 1.25, Window: 10 * time.Second}})
+	reserve, ok := d.reduce(vrevent.SendStalled{Call: send.Call, Send: send.Send})[0].(vrevent.ReservePlace)
+	require.True(t, ok)
+	d.reduce(vrevent.PlaceReserved{Call: send.Call, Send: send.Send, Server: reserve.Server, Reservation: "h1"})
+	next := d.requireSent(d.reduce(vrevent.SendEnded{Call: send.Call, Send: send.Send, Result: vrevent.AttemptTimedOut, PartForwarded: true, Events: 3}))
+	require.Equal(t, reserve.Server, next.Server)
+}
+
 // A place that can no longer be used, because its server began to leave or its reservation lapsed while
 // the answer was on its way, must not end the stalled send: the call would have nowhere to go on and be
 // cut, although its server is sound.
