Test the conditions of the moves that no test needed

Cause: with the check of the retry at the answer about a place, the margin of a reservation, the record of the silence of a send that was given up, or the check of the timer's due time removed, all tests of vrgateway and vrrelay passed.

Change: two cases of TestUnusablePlaceDoesNotEndStalledSend, TestBriefPauseIsNoFailure and TestTimerOfEarlierSilenceIsIgnored.

--- a/verbenacore/vrgateway/stall_test.go
+++ b/verbenacore/vrgateway/stall_test.go
@@ -171,6 +171,10 @@
 			d.reduce(vrevent.FleetChanged{Removed: []vrid.ServerID{reserve.Server}})
 		},
 		"reservation lapsed": func(d *daemon, reserve vrevent.ReservePlace) { d.now = d.now.Add(reserve.Duration) },
+		"reservation is about to lapse": func(d *daemon, reserve vrevent.ReservePlace) {
+			d.now = d.now.Add(reserve.Duration - 100*time.Millisecond)
+		},
+		"grace period over": func(d *daemon, _ vrevent.ReservePlace) { d.reduce(vrevent.GracePeriodEnding{}) },
 		"model was unloaded": func(d *daemon, reserve vrevent.ReservePlace) {
 			entry := engineEntry(reserve.Server)
 			entry.Beat = 1
@@ -300,6 +304,39 @@
 	}
 }
 
+// A stream that was given up for a pause shorter than minFirstByteTimeout (300 ms) must not count as a failure
+// of its server, however long it ran before: routes with a short pause target would eject sound servers.
+func TestBriefPauseIsNoFailure(t *testing.T) {
+	for silence, ejected := range map[time.Duration]bool{200 * time.Millisecond: false, 400 * time.Millisecond: true} {
+		t.Run(silence.String(), func(t *testing.T) {
+			d := newReadyDaemon(t, engineEntry("e1", "m"), engineEntry("e2", "m"))
+			catalog := newCatalog(2)
+			catalog.Services[1].Engine.MaxReservation = 2 * time.Second
+			d.reduce(vrevent.CatalogSeen{Catalog: catalog})
+			wasEjected := false
+			for range 20 {
+				send := d.requireSentTo("stream", "e1")
+				d.reduce(vrevent.FirstByteReceived{Call: send.Call, Send: send.Send})
+				d.now = d.now.Add(time.Second)
+				reserve, ok := d.reduce(vrevent.SendStalled{Call: send.Call, Send: send.Send, Silence: silence})[0].(vrevent.ReservePlace)
+				require.True(t, ok)
+				d.reduce(vrevent.PlaceReserved{Call: send.Call, Send: send.Send, Server: reserve.Server, Reservation: "h1"})
+				next := d.requireSent(d.reduce(vrevent.SendEnded{Call: send.Call, Send: send.Send, Result: vrevent.AttemptTimedOut, PartForwarded: true, Events: 1}))
+				for _, effect := range d.out.List {
+					if line, ok := effect.(vrevent.Log); ok && line.Message == "server ejected" {
+						wasEjected = true
+					}
+				}
+				d.reduce(vrevent.SendEnded{Call: next.Call, Send: next.Send, Result: vrevent.AttemptAnswered})
+				if wasEjected {
+					break
+				}
+			}
+			require.Equal(t, ejected, wasEjected)
+		})
+	}
+}
+
 // requireSentTo sends calls on a route until one goes to the server.
 func (d *daemon) requireSentTo(route string, server vrid.ServerID) vrevent.SendCall {
 	for range 100 {
--- a/verbenaroute/internal/vrrelay/stall_test.go
+++ b/verbenaroute/internal/vrrelay/stall_test.go
@@ -191,6 +191,15 @@
 	require.NoError(t, err)
 }
 
+// A timer that fires while an event is handled must not report the event's server as silent: the report
+// would be taken for one about the first byte, and a stream that has just begun be given up.
+func TestTimerOfEarlierSilenceIsIgnored(t *testing.T) {
+	w, _, _, reports := watchedConn(t)
+	w.progress()
+	w.expire()
+	require.Equal(t, 1, *reports)
+}
+
 // An order to abandon a send that comes after its next event or its end must not cut what the connection
 // carries then.
 func TestLateAbandonIsIgnored(t *testing.T) {
