--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -17,9 +17,8 @@
 	// maxNotRunRetries is the maximum number of retries of a call after sends that provably
 	// did not run it.
 	maxNotRunRetries = 3
-	// firstByteTimeoutFactor is the timeout for the first byte of a response, as a multiple of
-	// the route's latency target, if the call can be sent to another server afterwards.
-	// minFirstByteTimeout and maxFirstByteTimeout bound it.
+	// firstByteTimeoutFactor is the time after which a send without a first byte counts as
+	// stalled, as a multiple of the route's latency target. minFirstByteTimeout and maxFirstByteTimeout bound it.
 	minFirstByteTimeout    = 300 * time.Millisecond
 	maxFirstByteTimeout    = 1200 * time.Millisecond
 	firstByteTimeoutFactor = 2.5
@@ -67,9 +66,15 @@
 	// the server processes the prompt.
 	promptPending bool
 	// move is the place to which the call goes on once its stalled send has ended, or nil.
-	// retryReserved is set once the next retry was counted in the retry budget.
-	move          *move
-	retryReserved bool
+	// retryCountedAt is when the next retry was counted in the retry budget, zero if it was not.
+	move           *move
+	retryCountedAt time.Time
+	// placeAsked is set once a place was asked for to continue the present send elsewhere.
+	// refusedPlaces lists the servers that have refused one since all others had.
+	placeAsked    bool
+	refusedPlaces []vrid.ServerID
+	// silentSince is the start of the silence for which the send was given up, zero otherwise.
+	silentSince time.Time
 	// timeToFirstByte is the time from the arrival to the first byte of the response. It is
 	// set once the response is complete.
 	timeToFirstByte time.Duration
@@ -121,7 +126,7 @@
 		s.endPastDeadline(now, c, out)
 		return
 	}
-	if server, reservation := s.reservedServer(now, c); server != nil {
+	if server, reservation := s.takePlace(now, c); server != nil {
 		s.send(now, c, server, reservation, out)
 		return
 	}
@@ -150,7 +155,8 @@
 		return
 	}
 	c.sends++
-	c.server, c.sentAt = server, now
+	c.server, c.sentAt, c.silentSince = server, now, time.Time{}
+	c.placeAsked, c.refusedPlaces = false, nil
 	server.RecordSend()
 	server.PendingPromptTokens += c.PromptTokens
 	s.addInFlight(c, server.ID, 1)
@@ -165,9 +171,8 @@
 	if c.route.Repeatable() && c.possibleRuns+1 < c.route.MaxAttempts {
 		effect.HoldErrors = true
 		effect.MaxPause = pauseTimeoutFactor * c.route.PauseTarget
-		if s.chooser.HasOther(now, s.requirements(c), server) {
-			// A slow server is given up only for another one. Without one, its response is the
-			// only one that the call can get.
+		if !c.responseStarted {
+			// A stream that goes on at another server is only given up as any stream that has begun.
 			effect.FirstByteDeadline = now.Add(firstByteTimeout(c.route.Target))
 		}
 	}
@@ -192,8 +197,9 @@
 		return true
 	}
 	s.counts.Resent++
-	if c.retryReserved {
-		c.retryReserved = false
+	countedAt := c.retryCountedAt
+	c.retryCountedAt = time.Time{}
+	if !countedAt.IsZero() && now.Sub(countedAt) <= s.retryBudget.CountedAge() {
 		return true
 	}
 	return s.retryBudget.AllowRetry(now, c.service) || vrfault.On(vrfault.IgnoreBudget)
@@ -273,9 +279,9 @@
 	case vrevent.AttemptNotSent, vrevent.AttemptBroken, vrevent.AttemptLeaving, vrevent.AttemptServerError:
 		failed = true
 	case vrevent.AttemptTimedOut:
-		// If little time was left when the call was sent, a late response says nothing about the
-		// server.
-		failed = now.Sub(c.sentAt) >= minFirstByteTimeout
+		// If little time was left when the call was sent, or its stream paused only briefly, a late
+		// response says nothing about the server.
+		failed = now.Sub(later(c.sentAt, c.silentSince)) >= minFirstByteTimeout
 	default:
 	}
 	if failed && server.RecordFailure(now, s.fleet.PeerFailureRate(server)) {
@@ -288,7 +294,8 @@
 	out.Info("send failed", text("request", c.Request), number("send", uint64(c.sends)), text("server", server.ID),
 		text("result", e.Result.String()), number("status", uint64(e.Status)), text("detail", e.Detail),
 		number("events", uint64(c.eventsDelivered)), millis("tookMs", now.Sub(c.sentAt)))
-	c.errorHeld = e.Result == vrevent.AttemptServerError
+	// A failure that is held back remains the client's answer if no later send brings a better one.
+	c.errorHeld = c.errorHeld || e.Result == vrevent.AttemptServerError
 	if !s.mayRetry(now, c, e.Result) {
 		s.endFailedCall(now, c, out)
 		return
--- a/verbenaroute/internal/vrrelay/vrrelay.go
+++ b/verbenaroute/internal/vrrelay/vrrelay.go
@@ -196,7 +196,7 @@
 	return true
 }
 
-// abandonSend ends a send if its stream is still stalled. Its handler is blocked in a read meanwhile,
+// abandonSend ends a send if it is still stalled. Its handler is blocked in a read meanwhile,
 // so the effect does not go through the handler's queue.
 func (p *Proxy) abandonSend(e vrevent.AbandonSend) {
 	p.mu.Lock()
@@ -205,7 +205,7 @@
 	if handler == nil {
 		return
 	}
-	if watch := handler.activeStream.Load(); watch != nil && watch.send == e.Send {
+	if watch := handler.activeWatch.Load(); watch != nil && watch.send == e.Send {
 		watch.abandon()
 	}
 }
