Keep prompts that crash servers away from them

Cause: a failure that a request itself brings about was taken for one of its server. The request was sent to the next server, and new ones with the same part to any, since each daemon sees only some of the crashes.

Change: package vrquarantine. A part that crashes servers never gets an answer, so answers clear parts, and after a crash the parts without one are suspected. The placement owner gathers what the daemons see; a suspected part is sent with one request at a time, whose crash blocks it, or the combination of suspected parts in its prompt. Blocked prompts are refused at once (promptQuarantined).

--- a/verbenabench/internal/vrgatefuzz/oracle.go
+++ b/verbenabench/internal/vrgatefuzz/oracle.go
@@ -39,6 +39,9 @@
 	arrivedCalls map[*vrgateworld.Call]bool
 	// catalogVersions holds the version of each process's catalog.
 	catalogVersions map[*vrgateworld.Process]vrid.ConfigVersion
+	// lateDeadly counts the requests with the deadly part that reached engines when it had to be
+	// known.
+	lateDeadly int
 }
 
 type receivedOrder struct {
@@ -128,6 +131,7 @@
 	if !call.DisconnectedAt.IsZero() && a.SentAt.Sub(call.DisconnectedAt) > maxSendAfterClose {
 		o.fail("GONE", "%s sends %s %s after its client closed the connection", d.ID, call.Request, a.SentAt.Sub(call.DisconnectedAt))
 	}
+	o.checkDeadly(a)
 	if call.PartForwarded {
 		o.fail("MIXED", "%s sends %s again after part of a body reached the client", d.ID, call.Request)
 	}
@@ -144,6 +148,23 @@
 	o.checkBudget(server.Service)
 }
 
+// checkDeadly checks that at most maxLateDeadly requests with the deadly part reach engines later than
+// the bound Contact after crashesToLearn crashes.
+func (o *oracle) checkDeadly(a *vrgateworld.Attempt) {
+	const crashesToLearn, maxLateDeadly = 5, 3
+	crashes := o.world.Crashes
+	if !a.Call.Deadly() || len(crashes) < crashesToLearn {
+		return
+	}
+	known := crashes[crashesToLearn-1].Add(vrgateworld.Contact)
+	if a.SentAt.Before(known) || !a.Call.Process.Daemon.StableAt(a.SentAt) || !o.world.Store.Stable() {
+		return
+	}
+	if o.lateDeadly++; o.lateDeadly > maxLateDeadly {
+		o.fail("BUDGET", "%s is request %d with the deadly part that reaches a server after %d crashes", a.Call.Request, o.lateDeadly, len(crashes))
+	}
+}
+
 // checkBudget checks the repeats in the current window against the budget. The budget is
 // taken from the window with the most first arrivals: the current one, the one before it, or
 // the one half a window before it.
--- a/verbenabench/internal/vrgatefuzz/plan.go
+++ b/verbenabench/internal/vrgatefuzz/plan.go
@@ -76,8 +76,8 @@
 func (p Plan) String() string {
 	var text strings.Builder
 	w := p.World
-	fmt.Fprintf(&text, "world seed %d, %d zones, %d daemons, %d engines, %d servers per app service, %d models, %d models per engine, disk share %g\n",
-		w.Seed, w.Zones, w.Daemons, w.Engines, w.Apps, w.Models, w.ModelsPerEngine, w.DiskShare)
+	fmt.Fprintf(&text, "world seed %d, %d zones, %d daemons, %d engines, %d servers per app service, %d models, %d models per engine, disk share %g, poison share %g from %s\n",
+		w.Seed, w.Zones, w.Daemons, w.Engines, w.Apps, w.Models, w.ModelsPerEngine, w.DiskShare, w.PoisonShare, w.PoisonFrom)
 	for i, action := range p.Actions {
 		fmt.Fprintf(&text, "%3d %s\n", i, action)
 	}
@@ -105,11 +105,18 @@
 	maxActions = 200
 )
 
+const (
+	// maxPoisonDelay is the maximum time in seconds from the end of the warm-up to the first prompt
+	// with a deadly part, and poisonTime the time for which such prompts come.
+	maxPoisonDelay = 30
+	poisonTime     = 40 * time.Second
+)
+
 // Plans returns a generator of plans with minLen to maxLen actions.
 func Plans(minLen, maxLen int) *rapid.Generator[Plan] {
 	return rapid.Custom(func(t *rapid.T) Plan {
 		muted := _actionGenerator.DrawMuted(t)
-		return Plan{
+		plan := Plan{
 			World: vrgateworld.Options{
 				Seed:            rapid.Uint64().Draw(t, "seed"),
 				Zones:           rapid.IntRange(1, 3).Draw(t, "zones"),
@@ -123,6 +130,11 @@
 			},
 			Actions: rapid.SliceOfN(_actionGenerator.Actions(muted), minLen, maxLen).Draw(t, "actions"),
 		}
+		// Drawn last, so that the other draws of a seed stay as they were before deadly parts.
+		plan.World.PoisonShare = rapid.SampledFrom([]float64{0, 0.2, 0.6}).Draw(t, "poisonShare")
+		plan.World.PoisonFrom = warmUp + time.Duration(rapid.IntRange(0, maxPoisonDelay).Draw(t, "poisonFrom"))*time.Second
+		plan.World.PoisonUntil = plan.World.PoisonFrom + poisonTime
+		return plan
 	})
 }
 
--- a/verbenabench/internal/vrgateworld/call.go
+++ b/verbenabench/internal/vrgateworld/call.go
@@ -85,6 +85,8 @@
 	events      int
 	firstByteAt time.Time
 	ended       bool
+	// serverDown is set if the connection broke because the server crashed.
+	serverDown bool
 }
 
 // Request sends a call to a daemon. It returns nil if the daemon does not run.
@@ -102,6 +104,9 @@
 		Route: route, Process: p, Sent: w.Now(), Deadline: w.Now().Add(routeTimeout), world: w,
 		eventCount: 1 + w.rng.IntN(maxEvents),
 	}
+	if call.Streaming() {
+		call.PromptParts = w.promptParts()
+	}
 	w.Calls = append(w.Calls, call)
 	p.calls[call.ID] = call
 	p.deliver(vrevent.CallArrived{Call: call.Call})
@@ -217,7 +222,7 @@
 	if c.End != EndOpen {
 		return
 	}
-	event := vrevent.SendEnded{Call: c.ID, Send: a.Send.Send, Result: result, PartForwarded: c.Events > 0 || c.PartForwarded, Events: c.Events}
+	event := vrevent.SendEnded{Call: c.ID, Send: a.Send.Send, Result: result, PartForwarded: c.Events > 0 || c.PartForwarded, Events: c.Events, ServerDown: a.serverDown}
 	if !a.firstByteAt.IsZero() {
 		event.TimeToFirstByte = a.firstByteAt.Sub(a.SentAt)
 	}
@@ -231,6 +236,7 @@
 // breakConnection stops a request at its server and reports a broken connection to the
 // daemon netDelay later.
 func (a *Attempt) breakConnection() {
+	a.serverDown = !a.server.Alive && a.firstByteAt.IsZero()
 	a.server.drop(a)
 	a.finishAfter(netDelay, vrevent.AttemptBroken)
 }
@@ -244,6 +250,7 @@
 func (s *Server) receive(a *Attempt) {
 	w := s.world
 	if !s.Alive {
+		a.serverDown = true
 		a.finishAfter(refusalDelay, vrevent.AttemptBroken)
 		return
 	}
@@ -335,6 +342,10 @@
 // sendEvent sends the next event of a stream.
 func (s *Server) sendEvent(a *Attempt) {
 	c := a.Call
+	if a.firstByteAt.IsZero() && c.Deadly() {
+		s.crashByPrompt()
+		return
+	}
 	c.Process.run(func() {
 		if a.ended || c.End != EndOpen {
 			return
--- a/verbenabench/internal/vrgateworld/store.go
+++ b/verbenabench/internal/vrgateworld/store.go
@@ -44,8 +44,8 @@
 	cutZones   map[vrid.ZoneID]bool
 	cutDaemons map[vrid.DaemonID]bool
 	revision   vrid.ObjectVersion
-	// leases lists the versions of the lease object, the newest last.
-	leases  []leaseVersion
+	// objects lists the versions of each object that daemons write, the newest last.
+	objects map[string][]objectVersion
 	entries map[vrid.ServerID]vrfleet.Entry
 	changes []change
 	peers   []vrevent.Peer
@@ -57,7 +57,7 @@
 	At      time.Time
 }
 
-type leaseVersion struct {
+type objectVersion struct {
 	version vrid.ObjectVersion
 	value   []byte
 	at      time.Time
@@ -71,7 +71,7 @@
 }
 
 func newStore(w *World) *Store {
-	return &Store{world: w, cutZones: make(map[vrid.ZoneID]bool), cutDaemons: make(map[vrid.DaemonID]bool), entries: make(map[vrid.ServerID]vrfleet.Entry)}
+	return &Store{world: w, cutZones: make(map[vrid.ZoneID]bool), cutDaemons: make(map[vrid.DaemonID]bool), entries: make(map[vrid.ServerID]vrfleet.Entry), objects: make(map[string][]objectVersion)}
 }
 
 // Disturb records a disruption that lasts for a duration from now.
@@ -220,29 +220,29 @@
 
 func (s *Store) read(p *Process, e vrevent.ReadObject) {
 	work := func() vrevent.Event {
-		lease := s.leaseAt(e.Fresh)
-		if lease.version == 0 {
+		object := s.objectAt(e.Key, e.Fresh)
+		if object.version == 0 {
 			return vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeNotFound}
 		}
-		return vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeOK, Version: lease.version, Value: lease.value}
+		return vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeOK, Version: object.version, Value: object.value}
 	}
 	s.call(p, false, work, vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeUnavailable},
 		vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeUnknown})
 }
 
-// leaseAt returns the current version of the lease object, or if fresh is false possibly one
-// that was current up to maxReadAge ago.
-func (s *Store) leaseAt(fresh bool) leaseVersion {
+// objectAt returns the current version of an object, or if fresh is false possibly one that was
+// current up to maxReadAge ago.
+func (s *Store) objectAt(key string, fresh bool) objectVersion {
 	at := s.world.Now()
 	if !fresh {
 		at = at.Add(-s.world.randomDuration(0, maxReadAge))
 	}
-	for _, lease := range slices.Backward(s.leases) {
-		if !lease.at.After(at) {
-			return lease
+	for _, object := range slices.Backward(s.objects[key]) {
+		if !object.at.After(at) {
+			return object
 		}
 	}
-	return leaseVersion{}
+	return objectVersion{}
 }
 
 func (s *Store) write(p *Process, e vrevent.WriteObject) {
@@ -250,11 +250,11 @@
 		return vrevent.ObjectWritten{Op: e.Op, Key: e.Key, Outcome: outcome, Version: version}
 	}
 	work := func() vrevent.Event {
-		if lease := s.leaseAt(true); lease.version != e.IfVersion {
-			return answer(vrplatform.OutcomeConflict, lease.version)
+		if object := s.objectAt(e.Key, true); object.version != e.IfVersion {
+			return answer(vrplatform.OutcomeConflict, object.version)
 		}
 		s.revision++
-		s.leases = append(s.leases, leaseVersion{version: s.revision, value: e.Value, at: s.world.Now()})
+		s.objects[e.Key] = append(s.objects[e.Key], objectVersion{version: s.revision, value: e.Value, at: s.world.Now()})
 		return answer(vrplatform.OutcomeOK, s.revision)
 	}
 	s.call(p, true, work, answer(vrplatform.OutcomeUnavailable, 0), answer(vrplatform.OutcomeUnknown, 0))
--- a/verbenabench/internal/vrgateworld/vrgateworld.go
+++ b/verbenabench/internal/vrgateworld/vrgateworld.go
@@ -49,6 +49,10 @@
 	ModelsPerEngine int
 	// DiskShare is the probability that a model is on an engine's disk from the start.
 	DiskShare float64
+	// PoisonShare is the share of the calls for engines whose prompts hold DeadlyPart, which crashes
+	// each engine that begins to answer it, between PoisonFrom and PoisonUntil after the start.
+	PoisonShare             float64
+	PoisonFrom, PoisonUntil time.Duration
 	// Trace records a line for each event that a daemon reduces, except ticks without effects.
 	Trace bool
 	// Observer is notified during the run.
@@ -91,8 +95,14 @@
 	// Digest is a hash of the times of all events and the number of their effects.
 	Digest uint64
 	Lines  []string
-
-	rng         *rand.Rand
+	// Crashes are the times of the crashes by DeadlyPart.
+	Crashes []time.Time
+
+	rng *rand.Rand
+	// promptRng draws the parts of prompts. It is apart from rng, so that plans without deadly
+	// parts run as they would without any parts.
+	promptRng   *rand.Rand
+	startedAt   time.Time
 	byAddress   map[string]*Server
 	bootCount   int
 	serverCount int
@@ -103,8 +113,10 @@
 	w := &World{
 		Timeline: vrtimeline.New(time.Unix(1_790_000_000, 0).UTC()),
 		Options:  options, rng: rand.New(rand.NewPCG(options.Seed, 0x2545f4914f6cdd1d)),
+		promptRng: rand.New(rand.NewPCG(options.Seed, 0x9e3779b97f4a7c15)),
 		byAddress: make(map[string]*Server),
 	}
+	w.startedAt = w.Now()
 	w.Store = newStore(w)
 	w.Store.Publish(NewCatalog(1, options))
 	for i := range options.Engines {
--- a/verbenacore/vrevent/gateway.go
+++ b/verbenacore/vrevent/gateway.go
@@ -27,6 +27,8 @@
 	Adapter vrid.AdapterID
 	// PromptTokens and OutputTokens are the upper bounds that the client declares.
 	PromptTokens, OutputTokens int
+	// PromptParts are the parts of the prompt that other requests may share.
+	PromptParts []vrid.PromptPartID
 }
 
 // ServerLoad is the load that a server reports: its running and waiting requests.
@@ -148,10 +150,13 @@
 		PartForwarded bool
 		// Events is the number of events that were forwarded to the client.
 		Events int
-		Detail string
+		// ServerDown is set if the connection broke and the server accepted no other one.
+		ServerDown bool
+		Detail     string
 	}
 
-	// FirstByteReceived reports that the first bytes of an answer's body arrived.
+	// FirstByteReceived reports that the first bytes of an answer's body, or the first event of a
+	// stream, arrived.
 	FirstByteReceived struct {
 		Call            CallID
 		Send            int
--- a/verbenacore/vrfault/vrfault.go
+++ b/verbenacore/vrfault/vrfault.go
@@ -88,6 +88,8 @@
 	KeepLeft
 	// HoldPastLimit lets calls wait beyond their time limit.
 	HoldPastLimit
+	// IgnoreQuarantine sends calls whose prompts crash servers.
+	IgnoreQuarantine
 )
 
 // Names maps the faults that do not belong to gateways to their names.
@@ -133,4 +135,5 @@
 	JoinBodies:           "joinBodies",
 	KeepLeft:             "keepLeft",
 	HoldPastLimit:        "holdPastLimit",
+	IgnoreQuarantine:     "ignoreQuarantine",
 }
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -10,6 +10,7 @@
 	"verbenaroute.example/verbenacore/vrfault"
 	"verbenaroute.example/verbenacore/vrfleet"
 	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrquarantine"
 	"verbenaroute.example/verbenacore/vrwire"
 )
 
@@ -70,6 +71,12 @@
 	// retryReserved is set once the next retry was counted in the retry budget.
 	move          *move
 	retryReserved bool
+	// held is set while the call waits until a suspected part of its prompt is cleared. heldSince
+	// is when it first had to wait for that.
+	held      bool
+	heldSince time.Time
+	// probe is set while the call is in progress as the probe of a suspected part.
+	probe vrquarantine.Probe
 	// timeToFirstByte is the time from the arrival to the first byte of the response. It is
 	// set once the response is complete.
 	timeToFirstByte time.Duration
@@ -121,16 +128,22 @@
 		s.endPastDeadline(now, c, out)
 		return
 	}
+	if s.refuseBlocked(now, c, out) {
+		return
+	}
 	if server, reservation := s.reservedServer(now, c); server != nil {
 		s.send(now, c, server, reservation, out)
 		return
 	}
 	server, missing := s.chooser.Best(now, s.requirements(c))
-	if server != nil {
+	switch {
+	case server == nil:
+		s.enqueue(now, c, missing, out)
+	case s.mustHold(now, c):
+		s.hold(now, c, out)
+	default:
 		s.send(now, c, server, "", out)
-		return
 	}
-	s.enqueue(now, c, missing, out)
 }
 
 // endPastDeadline ends a call for which too little time is left to send it.
@@ -155,6 +168,7 @@
 	server.PendingPromptTokens += c.PromptTokens
 	s.addInFlight(c, server.ID, 1)
 	c.promptPending = true
+	c.probe = s.quarantine.parts.TakeProbe(now, c.PromptParts)
 	s.counts.Sent++
 	effect := vrevent.SendCall{
 		Call: c.ID, Send: c.sends, Server: server.ID, Address: server.Address,
@@ -201,12 +215,14 @@
 
 // handleFirstByte handles the first byte of a response, which shows that the server has processed
 // the prompt.
-func (s *State) handleFirstByte(e vrevent.FirstByteReceived) {
+func (s *State) handleFirstByte(now time.Time, e vrevent.FirstByteReceived) {
 	c := s.calls[e.Call]
 	if c == nil || c.server == nil || e.Send != c.sends || !c.promptPending {
 		return
 	}
 	s.clearPendingPrompt(c, c.server)
+	c.probe = vrquarantine.Probe{}
+	s.quarantine.parts.RecordAnswer(now, c.PromptParts)
 	s.fleet.RecordPromptTime(c.PromptTokens, e.TimeToFirstByte)
 }
 
@@ -231,9 +247,10 @@
 	if c.waitedForServer {
 		s.expediteDemand(now)
 	}
+	c.eventsDelivered = max(c.eventsDelivered, e.Events)
+	s.recordPromptOutcome(now, c, server.ID, &e, out)
 	s.clearPendingPrompt(c, server)
 	c.responseStarted = c.responseStarted || e.PartForwarded
-	c.eventsDelivered = max(c.eventsDelivered, e.Events)
 	s.recordOutcome(now, c, server, e, out)
 	if e.Result.ProvesNotRun() {
 		c.notRunSends++
@@ -252,6 +269,10 @@
 	default:
 		s.retryOrEnd(now, c, server, e, out)
 	}
+	if e.ServerDown {
+		// A report at once saves the time until the next tick, in which more servers may crash.
+		s.reportPrompts(now, out)
+	}
 }
 
 // recordOutcome updates the known load, health and models of the server from the outcome of a
@@ -379,6 +400,7 @@
 // removeCall drops a call that has ended from the state, and emits its metrics and log line.
 func (s *State) removeCall(now time.Time, c *call, outcome string, reason vrwire.Reason, out *vrevent.Effects, fields ...vrevent.LogField) {
 	s.dequeue(c)
+	s.release(c)
 	delete(s.calls, c.ID)
 	s.countDemandEnd(c)
 	common := []vrevent.LogField{
@@ -414,6 +436,7 @@
 		s.fleet.RecordEnd(c.server)
 		s.addInFlight(c, c.server.ID, -1)
 		s.clearPendingPrompt(c, c.server)
+		s.quarantine.parts.RecordProbeEnd(c.probe)
 		c.server = nil
 	}
 	s.removeCall(now, c, "callerGone", "", out, s.cutFields(now, c)...)
@@ -423,6 +446,9 @@
 // and stops sending. The runtime ends the open sends.
 func (s *State) handleGraceExpired(now time.Time, out *vrevent.Effects) {
 	s.graceExpired = true
+	for _, c := range slices.Clone(s.quarantine.held) {
+		s.endCall(now, c, vrwire.ReasonShuttingDown, shortRetryAfter, out)
+	}
 	for _, key := range s.waitingTargets() {
 		for _, c := range slices.Clone(s.waitLists[key].calls) {
 			s.endCall(now, c, vrwire.ReasonShuttingDown, shortRetryAfter, out)
--- a/verbenacore/vrgateway/heartbeat.go
+++ b/verbenacore/vrgateway/heartbeat.go
@@ -44,6 +44,7 @@
 		}
 		out.Add(vrevent.SendPeer{Peer: peer.Daemon, Address: peer.Address, Envelope: &vrwire.Envelope{Notices: &vrwire.Notices{
 			Epoch: s.lease.Epoch(), CatalogVersion: s.catalog.Version, StoreAge: now.Sub(s.lease.ConfirmedAt()).Milliseconds(),
+			QuarantineVersion: s.quarantine.parts.Version(),
 		}}})
 	}
 }
--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -152,6 +152,7 @@
 	switch change {
 	case vrlease.ChangeAcquired:
 		s.planner.BecomeOwner(s.lease.OtherRunEnd())
+		s.becomeQuarantineOwner()
 		s.announceOwnership(out)
 		out.Info("lease acquired", number("epoch", uint64(s.lease.Epoch())),
 			millis("ordersInMs", max(0, s.lease.OrdersAllowedAt().Sub(now))))
@@ -289,6 +290,13 @@
 	if envelope.FleetChanges != nil {
 		s.handleFeed(now, envelope, out)
 	}
+	if report := envelope.PromptReport; report != nil && s.decidesQuarantine() {
+		s.quarantine.parts.HandleReport(now, envelope.From, report)
+		s.tickQuarantine(now, out)
+	}
+	if envelope.Quarantine != nil {
+		s.handleQuarantine(now, envelope, out)
+	}
 	if notices := envelope.Notices; notices != nil && notices.Epoch > s.owner.epoch {
 		s.setAnnouncedOwner(envelope.From, notices.Epoch, out)
 	}
@@ -297,6 +305,7 @@
 	}
 	if notices := envelope.Notices; notices != nil && notices.Epoch >= s.owner.epoch {
 		s.recordHeartbeat(now, notices)
+		s.quarantine.parts.HandleVersion(notices.Epoch, notices.QuarantineVersion)
 		for i := range notices.Items {
 			s.applyNotice(now, &notices.Items[i], out)
 		}
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -18,6 +18,7 @@
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrlease"
 	"verbenaroute.example/verbenacore/vrplatform"
+	"verbenaroute.example/verbenacore/vrquarantine"
 	"verbenaroute.example/verbenacore/vrresidence"
 	"verbenaroute.example/verbenacore/vrretry"
 )
@@ -70,6 +71,7 @@
 	feed     *vrfeed.Feed
 	// feedDaemons is the number of daemons that the feeder of the zone knows.
 	feedDaemons     int
+	quarantine      quarantineState
 	heartbeat       ownerHeartbeat
 	heartbeatSentAt time.Time
 	startedAt       time.Time
@@ -110,6 +112,8 @@
 
 		inFlight: make(map[serverModel]uint32),
 		feed:     vrfeed.New(opts.Daemon),
+
+		quarantine: quarantineState{parts: vrquarantine.New(opts.Daemon)},
 	}
 }
 
@@ -119,9 +123,10 @@
 // Counts returns the running totals.
 func (s *State) Counts() Counts { return s.counts }
 
-// WaitingCalls returns the number of calls that wait for a server.
+// WaitingCalls returns the number of calls that wait for a server or for the clearance of their
+// prompt.
 func (s *State) WaitingCalls() int {
-	count := 0
+	count := len(s.quarantine.held)
 	for _, list := range s.waitLists {
 		count += len(list.calls)
 	}
@@ -145,7 +150,7 @@
 	case vrevent.CallArrived:
 		s.handleArrival(now, e.Call, out)
 	case vrevent.FirstByteReceived:
-		s.handleFirstByte(e)
+		s.handleFirstByte(now, e)
 	case vrevent.SendEnded:
 		s.handleSendResult(now, e, out)
 	case vrevent.SendStalled:
@@ -171,8 +176,16 @@
 	case vrevent.PeersListed:
 		s.applyPeerList(now, e, out)
 	case vrevent.ObjectRead:
+		if e.Key == vrplatform.KeyQuarantine {
+			s.handleQuarantineRead(now, e, out)
+			return
+		}
 		s.handleLeaseChange(now, s.lease.HandleRead(now, e, out), out)
 	case vrevent.ObjectWritten:
+		if e.Key == vrplatform.KeyQuarantine {
+			s.handleQuarantineWritten(e)
+			return
+		}
 		s.handleLeaseChange(now, s.lease.HandleWritten(now, e, out), out)
 	case vrevent.OrderEnded:
 		s.handleOrderResult(now, e, out)
@@ -194,6 +207,7 @@
 	s.tickLease(now, out)
 	s.tickDemand(now, out)
 	s.tickHeartbeat(now, out)
+	s.tickQuarantine(now, out)
 	s.plan(now, out)
 }
 
--- a/verbenacore/vrgateway/waits.go
+++ b/verbenacore/vrgateway/waits.go
@@ -135,12 +135,19 @@
 		return
 	}
 	for _, c := range slices.Clone(list.calls) {
+		if s.refuseBlocked(now, c, out) {
+			continue
+		}
 		server, missing := s.chooser.Best(now, s.requirements(c))
 		list.missing = missing
 		if server == nil {
 			continue
 		}
 		s.dequeue(c)
+		if s.mustHold(now, c) {
+			s.hold(now, c, out)
+			continue
+		}
 		s.send(now, c, server, "", out)
 		c.waitedForServer = true
 		s.expediteDemand(now)
--- a/verbenacore/vrid/vrid.go
+++ b/verbenacore/vrid/vrid.go
@@ -39,6 +39,8 @@
 	RequestID string
 	// OrderID identifies one order sent to a language server; each retry has its own ID.
 	OrderID string
+	// PromptPartID identifies a part of a prompt, which many requests may share.
+	PromptPartID string
 	// ReservationID identifies a place that a server reserved for one request.
 	ReservationID string
 	// IdempotencyKey is chosen by the caller to make retries of a non-idempotent call safe.
--- a/verbenacore/vrplatform/types.go
+++ b/verbenacore/vrplatform/types.go
@@ -127,9 +127,11 @@
 	PrefixHistory = "config/history/"
 	// PrefixConfigAck is followed by a zone. The object holds the configuration version that
 	// is in force there.
-	PrefixConfigAck  = "config/ack/"
-	PrefixLeases     = "leases/"
-	KeyFleetLease    = "leases/fleet"
+	PrefixConfigAck = "config/ack/"
+	PrefixLeases    = "leases/"
+	KeyFleetLease   = "leases/fleet"
+	// KeyQuarantine holds the parts of prompts that are blocked because they crash servers.
+	KeyQuarantine    = "quarantine/prompts"
 	PrefixLedgers    = "ledgers/"
 	PrefixClaims     = "claims/"
 	PrefixRecord     = "record/"
--- /dev/null
+++ b/verbenacore/vrquarantine/vrquarantine_test.go
@@ -0,0 +1,337 @@
+package vrquarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+// fleet is a placement owner and the other daemons that report to it, in virtual time.
+type fleet struct {
+	now     time.Time
+	daemons map[vrid.DaemonID]*Quarantine
+	owner   vrid.DaemonID
+}
+
+func newFleet(ids ...vrid.DaemonID) *fleet {
+	f := &fleet{now: time.Unix(1_790_000_000, 0), daemons: make(map[vrid.DaemonID]*Quarantine), owner: ids[0]}
+	for _, id := range ids {
+		f.daemons[id] = New(id)
+	}
+	return f
+}
+
+// run lets time pass and exchanges messages every 25 ms.
+func (f *fleet) run(duration time.Duration) {
+	for end := f.now.Add(duration); f.now.Before(end); f.now = f.now.Add(25 * time.Millisecond) {
+		f.exchange()
+	}
+}
+
+func (f *fleet) exchange() {
+	owner := f.daemons[f.owner]
+	for id, q := range f.daemons {
+		if report := q.Report(f.now); report != nil {
+			owner.HandleReport(f.now, id, report)
+		}
+	}
+	owner.Tick(f.now)
+	owner.MessageSent()
+	for id, q := range f.daemons {
+		if id == f.owner {
+			q.Acknowledge(owner.Message(f.now, id, 1).Acknowledged)
+			continue
+		}
+		q.HandleMessage(f.now, owner.Message(f.now, id, 1))
+	}
+}
+
+func (f *fleet) state(id vrid.PromptPartID) []State {
+	var states []State
+	for _, daemon := range []vrid.DaemonID{"d1", "d2", "d3"} {
+		if q := f.daemons[daemon]; q != nil {
+			states = append(states, q.Check(f.now, []vrid.PromptPartID{id}).State)
+		}
+	}
+	return states
+}
+
+// probe waits with a request at a daemon until the daemon may send it as a probe.
+func (f *fleet) probe(t *testing.T, daemon vrid.DaemonID, parts []vrid.PromptPartID) Probe {
+	t.Helper()
+	q := f.daemons[daemon]
+	for range 40 {
+		q.RecordWaiting(f.now, parts)
+		f.run(25 * time.Millisecond)
+		if probe := q.TakeProbe(f.now, parts); probe.Number != 0 {
+			return probe
+		}
+	}
+	require.Fail(t, "no probe was permitted")
+	return Probe{}
+}
+
+// crash reports a crash under a request of a daemon.
+func (f *fleet) crash(daemon vrid.DaemonID, request vrid.RequestID, probe Probe, parts ...vrid.PromptPartID) {
+	f.daemons[daemon].RecordCrash(f.now, CrashedRequest{Request: request, Parts: parts, Probe: probe})
+	f.run(50 * time.Millisecond)
+}
+
+// Two crashes under requests with one part have to block it at every daemon. Otherwise each daemon
+// loses servers before it learns of the part by itself.
+func TestCrashOfProbeBlocksPartEverywhere(t *testing.T) {
+	f := newFleet("d1", "d2", "d3")
+	f.crash("d2", "r1", Probe{}, "deadly")
+	require.Equal(t, []State{Suspected, Suspected, Suspected}, f.state("deadly"))
+	f.crash("d2", "r1", f.probe(t, "d2", []vrid.PromptPartID{"deadly"}), "deadly")
+	require.Equal(t, []State{Blocked, Blocked, Blocked}, f.state("deadly"))
+}
+
+// Only one request with a suspected part may be in progress at a time, however many daemons
+// have requests waiting. Otherwise a deadly part crashes one server per daemon.
+func TestOneProbeAtATime(t *testing.T) {
+	f := newFleet("d1", "d2", "d3")
+	parts := []vrid.PromptPartID{"p"}
+	f.crash("d1", "r1", Probe{}, "p")
+	f.probe(t, "d2", parts)
+	for range 20 {
+		for id, q := range f.daemons {
+			q.RecordWaiting(f.now, parts)
+			require.Zero(t, q.TakeProbe(f.now, parts), id)
+		}
+		f.run(25 * time.Millisecond)
+	}
+}
+
+// A part that any daemon has seen answered a moment ago must not be suspected, although it was in
+// a prompt on a crashed server: all requests with a popular part would wait.
+func TestAnswerAtAnotherDaemonClearsPart(t *testing.T) {
+	f := newFleet("d1", "d2", "d3")
+	f.daemons["d3"].RecordAnswer(f.now, []vrid.PromptPartID{"popular"})
+	f.crash("d2", "r1", Probe{}, "popular")
+	f.run(100 * time.Millisecond)
+	require.Equal(t, []State{Clear, Clear, Clear}, f.state("popular"))
+}
+
+// check returns the states of requests with the given parts at a daemon.
+func (f *fleet) check(daemon vrid.DaemonID, parts ...vrid.PromptPartID) State {
+	return f.daemons[daemon].Check(f.now, parts).State
+}
+
+// A sound part that shares the prompts of a deadly one must not be blocked with it: only requests with
+// both are refused until an answer tells them apart.
+func TestSoundPartBesideDeadlyOneIsNotBlocked(t *testing.T) {
+	f := newFleet("d1", "d2")
+	both := []vrid.PromptPartID{"a-sound", "deadly"}
+	f.crash("d1", "r1", Probe{}, both...)
+	f.crash("d1", "r1", f.probe(t, "d1", both), both...)
+	require.Equal(t, Blocked, f.check("d2", "popular", "a-sound", "deadly"))
+	require.Equal(t, Suspected, f.check("d2", "a-sound"))
+	f.probe(t, "d2", []vrid.PromptPartID{"a-sound"})
+	f.daemons["d2"].RecordAnswer(f.now, []vrid.PromptPartID{"a-sound"})
+	f.run(50 * time.Millisecond)
+	require.Equal(t, []State{Clear, Clear}, f.state("a-sound"))
+	require.Equal(t, []State{Blocked, Blocked}, f.state("deadly"))
+}
+
+// A part whose prompts all have another new part must be found by what they have in common. Otherwise
+// each of them crashes a server.
+func TestPartInUnlikePromptsIsFound(t *testing.T) {
+	f := newFleet("d1", "d2")
+	for i, daemon := range []vrid.DaemonID{"d1", "d2"} {
+		parts := []vrid.PromptPartID{"deadly", vrid.PromptPartID(fmt.Sprint("new", i))}
+		f.crash(daemon, vrid.RequestID(fmt.Sprint("r", i)), Probe{}, parts...)
+		f.crash(daemon, vrid.RequestID(fmt.Sprint("r", i)), f.probe(t, daemon, parts), parts...)
+	}
+	require.Equal(t, []State{Blocked, Blocked}, f.state("deadly"))
+	require.Equal(t, Blocked, f.check("d1", "deadly", "new2"))
+	require.NotEqual(t, Blocked, f.check("d1", "new0"))
+}
+
+// A probe that is in progress on the same server as a deadly one must not have its part blocked.
+func TestProbeBesideDeadlyOneIsRepeated(t *testing.T) {
+	f := newFleet("d1", "d2")
+	f.crash("d1", "r1", Probe{}, "deadly")
+	f.crash("d2", "r2", Probe{}, "sound")
+	deadly, sound := []vrid.PromptPartID{"deadly"}, []vrid.PromptPartID{"sound"}
+	first, second := f.probe(t, "d1", deadly), f.probe(t, "d2", sound)
+	f.daemons["d1"].RecordCrash(f.now, CrashedRequest{Request: "r1", Parts: deadly, Probe: first})
+	f.crash("d2", "r2", second, "sound")
+	require.Equal(t, []State{Suspected, Suspected}, f.state("deadly"))
+	require.Equal(t, []State{Suspected, Suspected}, f.state("sound"))
+	f.crash("d1", "r1", f.probe(t, "d1", deadly), "deadly")
+	require.Equal(t, []State{Blocked, Blocked}, f.state("deadly"))
+	f.probe(t, "d2", sound)
+	f.daemons["d2"].RecordAnswer(f.now, sound)
+	f.run(50 * time.Millisecond)
+	require.Equal(t, []State{Clear, Clear}, f.state("sound"))
+}
+
+// Requests with the same suspected parts must not be sent at once as probes of different parts.
+func TestSharedPartsHaveOneProbe(t *testing.T) {
+	f := newFleet("d1", "d2", "d3")
+	both := []vrid.PromptPartID{"x", "y"}
+	f.crash("d1", "r1", Probe{}, both...)
+	f.run(sharedProbeDelay)
+	probes := 0
+	for range 20 {
+		for _, q := range f.daemons {
+			q.RecordWaiting(f.now, both)
+			if q.TakeProbe(f.now, both).Number != 0 {
+				probes++
+			}
+		}
+		f.run(25 * time.Millisecond)
+	}
+	require.Equal(t, 1, probes)
+}
+
+// A combination must not turn into the block of one of its parts because the other was forgotten.
+func TestForgottenPartBlocksNoOther(t *testing.T) {
+	f := newFleet("d1")
+	both := []vrid.PromptPartID{"x", "y"}
+	f.crash("d1", "r1", Probe{}, both...)
+	f.crash("d1", "r1", f.probe(t, "d1", both), both...)
+	require.Equal(t, Blocked, f.check("d1", both...))
+	f.run(2 * suspicionTTL)
+	require.NotEqual(t, Blocked, f.check("d1", "x"))
+	require.NotEqual(t, Blocked, f.check("d1", "y"))
+	f.run(suspicionTTL)
+	require.NotEqual(t, Blocked, f.check("d1", both...))
+}
+
+// A part that was blocked by mistake has to come free by itself, and one that still crashes servers
+// has to be probed less and less often.
+func TestBlockEndsWithProbe(t *testing.T) {
+	f := newFleet("d1", "d2")
+	parts := []vrid.PromptPartID{"p"}
+	f.crash("d1", "r1", Probe{}, "p")
+	f.crash("d1", "r1", f.probe(t, "d1", parts), "p")
+	require.Equal(t, []State{Blocked, Blocked}, f.state("p"))
+	require.Equal(t, minBlock, f.daemons["d2"].Check(f.now, parts).Until.Sub(f.now).Round(time.Second))
+	f.run(minBlock)
+	require.Equal(t, []State{Suspected, Suspected}, f.state("p"))
+	f.crash("d2", "r2", f.probe(t, "d2", parts), "p")
+	require.Equal(t, 2*minBlock, f.daemons["d1"].Check(f.now, parts).Until.Sub(f.now).Round(time.Second))
+	f.run(2 * minBlock)
+	f.probe(t, "d2", parts)
+	f.daemons["d2"].RecordAnswer(f.now, parts)
+	f.run(50 * time.Millisecond)
+	require.Equal(t, []State{Clear, Clear}, f.state("p"))
+}
+
+// A probe whose daemon dies or whose server is busy must not keep the part suspected for good.
+func TestLostProbeIsFollowedByAnother(t *testing.T) {
+	f := newFleet("d1", "d2")
+	parts := []vrid.PromptPartID{"p"}
+	f.crash("d1", "r1", Probe{}, "p")
+	f.probe(t, "d2", parts)
+	f.run(probeTimeout)
+	probe := f.probe(t, "d1", parts)
+	f.daemons["d1"].RecordProbeEnd(probe)
+	require.Greater(t, f.probe(t, "d1", parts).Number, probe.Number)
+}
+
+// A new owner must know what its predecessor has blocked, also if all daemons were restarted at
+// once.
+func TestBlocksSurviveTheOwner(t *testing.T) {
+	f := newFleet("d1", "d2")
+	f.crash("d1", "r1", Probe{}, "p")
+	f.crash("d1", "r1", f.probe(t, "d1", []vrid.PromptPartID{"p"}), "p")
+	require.True(t, f.daemons["d1"].StoreChanged())
+	stored := f.daemons["d1"].Stored(f.now)
+	f.owner = "d2"
+	f.daemons["d2"].BecomeOwner()
+	f.daemons["d1"] = New("d1")
+	f.run(50 * time.Millisecond)
+	require.Equal(t, []State{Blocked, Blocked}, f.state("p"))
+
+	restarted := newFleet("d1", "d2")
+	restarted.daemons["d1"].HandleStored(restarted.now, stored)
+	restarted.run(50 * time.Millisecond)
+	require.Equal(t, []State{Blocked, Blocked}, restarted.state("p"))
+}
+
+// A daemon that does not reach the owner has to block a part, or a combination, by itself, and the owner
+// has to learn of it afterwards.
+func TestDaemonDecidesAlone(t *testing.T) {
+	for _, parts := range [][]vrid.PromptPartID{{"p"}, {"p", "q"}} {
+		f := newFleet("d1", "d2")
+		q := f.daemons["d2"]
+		tick := func() {
+			q.SetAlone(f.now, true)
+			q.Report(f.now)
+			q.Tick(f.now)
+			f.now = f.now.Add(25 * time.Millisecond)
+		}
+		q.RecordCrash(f.now, CrashedRequest{Request: "r1", Parts: parts})
+		var probe Probe
+		for range 40 {
+			q.RecordWaiting(f.now, parts)
+			tick()
+			if probe = q.TakeProbe(f.now, parts); probe.Number != 0 {
+				break
+			}
+		}
+		require.NotZero(t, probe)
+		q.RecordCrash(f.now, CrashedRequest{Request: "r1", Parts: parts, Probe: probe})
+		tick()
+		require.Equal(t, Clear, f.check("d1", parts...))
+		require.Equal(t, Blocked, f.check("d2", parts...))
+		q.SetAlone(f.now, false)
+		f.run(time.Second)
+		require.Equal(t, Blocked, f.check("d1", parts...))
+		require.Equal(t, Blocked, f.check("d2", parts...))
+	}
+}
+
+// A daemon that missed the owner's message has to ask for it once it hears of its version, and only
+// then: in a large fleet the owner does not repeat its messages.
+func TestMissedMessageIsAskedFor(t *testing.T) {
+	owner, q := New("d1"), New("d2")
+	now := time.Unix(1_790_000_000, 0)
+	owner.RecordCrash(now, CrashedRequest{Request: "r1", Parts: []vrid.PromptPartID{"p"}})
+	q.HandleVersion(1, owner.Version())
+	report := q.Report(now)
+	require.NotNil(t, report)
+	require.Empty(t, report.Items)
+	owner.HandleReport(now, "d2", report)
+	require.True(t, owner.Unacknowledged("d2"))
+	q.HandleMessage(now, owner.Message(now, "d2", 1))
+	require.Equal(t, Suspected, q.Check(now, []vrid.PromptPartID{"p"}).State)
+	q.HandleVersion(1, owner.Version())
+	require.Nil(t, q.Report(now))
+}
+
+// A suspicion that the owner has not heard of must not end with the owner's next message.
+func TestUnacknowledgedSuspicionStays(t *testing.T) {
+	f := newFleet("d1", "d2")
+	f.daemons["d2"].RecordCrash(f.now, CrashedRequest{Request: "r1", Parts: []vrid.PromptPartID{"p"}})
+	f.daemons["d2"].HandleMessage(f.now, &vrwire.Quarantine{})
+	require.Equal(t, []State{Clear, Suspected}, f.state("p"))
+}
+
+// Requests that bring new parts without end must not take memory without end, and must not push
+// out a blocked part.
+func TestMemoryIsBounded(t *testing.T) {
+	f := newFleet("d1")
+	q := f.daemons["d1"]
+	f.crash("d1", "r1", Probe{}, "p")
+	f.crash("d1", "r1", f.probe(t, "d1", []vrid.PromptPartID{"p"}), "p")
+	for i := range 20_000 {
+		q.RecordAnswer(f.now, []vrid.PromptPartID{vrid.PromptPartID(fmt.Sprint("answered", i))})
+		q.RecordCrash(f.now, CrashedRequest{Request: vrid.RequestID(fmt.Sprint(i)), Parts: []vrid.PromptPartID{vrid.PromptPartID(fmt.Sprint("crashed", i))}})
+		if i%100 == 0 {
+			f.exchange()
+		}
+	}
+	require.LessOrEqual(t, q.answered.Len(), maxAnswered)
+	require.LessOrEqual(t, len(q.parts), maxParts)
+	require.LessOrEqual(t, len(q.reports.pending)+len(q.reports.sent), 2*maxPending)
+	require.Equal(t, []State{Blocked}, f.state("p"))
+}
--- a/verbenacore/vrwire/fleet.go
+++ b/verbenacore/vrwire/fleet.go
@@ -102,6 +102,8 @@
 	// StoreAge is how long before sending the owner last received an answer from the
 	// store, in milliseconds.
 	StoreAge int64 `protobuf:"varint,4,opt,name=storeAge,proto3"`
+	// QuarantineVersion is the version of the owner's Quarantine in a heartbeat.
+	QuarantineVersion uint64 `protobuf:"varint,5,opt,name=quarantineVersion,proto3"`
 }
 
 // Validate checks that each notice has a known kind and, unless the server is leaving,
--- a/verbenacore/vrwire/problem.go
+++ b/verbenacore/vrwire/problem.go
@@ -31,6 +31,7 @@
 	ReasonNoConfiguration          Reason = "noConfiguration"
 	ReasonShuttingDown             Reason = "shuttingDown"
 	ReasonCallerGone               Reason = "callerGone"
+	ReasonPromptQuarantined        Reason = "promptQuarantined"
 )
 
 type reasonInfo struct {
@@ -71,6 +72,7 @@
 	ReasonNoConfiguration:          {statusUnavailable, "The daemon has no configuration yet"},
 	ReasonShuttingDown:             {statusUnavailable, "The daemon is shutting down"},
 	ReasonCallerGone:               {statusClientClosed, "The caller closed the connection"},
+	ReasonPromptQuarantined:        {statusUnavailable, "A part of the prompt crashes servers"},
 }
 
 // Reasons lists every reason in alphabetical order.
--- a/verbenaroute/internal/vrnode/metrics.go
+++ b/verbenaroute/internal/vrnode/metrics.go
@@ -47,6 +47,8 @@
 	gauge("verbena_sends_total", func() float64 { return float64(n.state.Counts().Sent) })
 	gauge("verbena_resends_total", func() float64 { return float64(n.state.Counts().Resent) })
 	gauge("verbena_resumes_total", func() float64 { return float64(n.state.Counts().Resumed) })
+	gauge(`verbena_prompt_parts{state="suspected"}`, func() float64 { suspected, _ := n.state.PromptParts(); return float64(suspected) })
+	gauge(`verbena_prompt_parts{state="blocked"}`, func() float64 { _, blocked := n.state.PromptParts(); return float64(blocked) })
 	gauge("verbena_orders_total", func() float64 { return float64(n.state.Counts().Orders) })
 	gauge("verbena_orders_unknown_total", func() float64 { return float64(n.state.Counts().OrdersUnknown) })
 	return m
--- a/verbenaroute/internal/vrrelay/conn.go
+++ b/verbenaroute/internal/vrrelay/conn.go
@@ -37,6 +37,21 @@
 	address string
 }
 
+// refusalTimeout is how long a server that broke a connection may take to refuse another one. A
+// server that has crashed refuses it within one round trip.
+const refusalTimeout = 100 * time.Millisecond
+
+// refusesConnections reports whether nothing listens at the server's address, which tells a crashed
+// server from one that only closed a connection.
+func (b backend) refusesConnections() bool {
+	c, err := net.DialTimeout("tcp", b.address, refusalTimeout)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = c.Close()
+	return false
+}
+
 // conn is a connection to a server.
 type conn struct {
 	net.Conn
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -162,6 +162,9 @@
 		if a.conn.used {
 			a.handler.proxy.pool.closeIdle(a.conn.backend)
 		}
+		if !a.firstByteReported && len(a.handler.call.PromptParts) > 0 {
+			a.result.ServerDown = a.conn.backend.refusesConnections()
+		}
 		a.end(vrevent.AttemptBroken, err)
 	}
 }
--- a/verbenaroute/internal/vrrelay/stream.go
+++ b/verbenaroute/internal/vrrelay/stream.go
@@ -92,7 +92,8 @@
 // forwardEvents writes complete events to the client. It returns false if the client has
 // disconnected.
 func (a *sendAttempt) forwardEvents(response *http.Response, events []byte, watch *stallWatch) bool {
-	if !a.firstByteReported {
+	count, lastID := parseEvents(events)
+	if count > 0 && !a.firstByteReported {
 		a.firstByteReported = true
 		a.timeToFirstByte = time.Since(a.startedAt)
 		a.handler.proxy.opts.Submit(vrevent.FirstByteReceived{Call: a.send.Call, Send: a.send.Send, TimeToFirstByte: a.timeToFirstByte})
@@ -108,7 +109,6 @@
 		a.end(vrevent.AttemptCallerGone, err)
 		return false
 	}
-	count, lastID := parseEvents(events)
 	if count > 0 {
 		a.progressAt = a.handler.proxy.opts.Clock.Now()
 		watch.progress()
