--- a/verbenacore/vrevent/gateway.go
+++ b/verbenacore/vrevent/gateway.go
@@ -155,19 +155,23 @@
 		Detail     string
 	}
 
-	// FirstByteReceived reports that the first bytes of an answer's body, or the first event of a
-	// stream, arrived.
+	// FirstByteReceived reports that the first bytes of an answer's body arrived. If they hold no
+	// event of a stream, it is repeated with the first event.
 	FirstByteReceived struct {
 		Call            CallID
 		Send            int
 		TimeToFirstByte time.Duration
+		// Answer is set if the bytes hold an event. A comment alone is no answer.
+		Answer bool
 	}
 
-	// SendStalled reports that a stream has had no event for SendCall.MaxPause although part of it
-	// was forwarded. It is repeated while the pause goes on.
+	// SendStalled reports that a send has no first byte by SendCall.FirstByteDeadline, or that its
+	// stream has had no event for SendCall.MaxPause. It is repeated while the silence goes on.
 	SendStalled struct {
 		Call CallID
 		Send int
+		// Silence is the time since the last event, or since the send if there was none.
+		Silence time.Duration
 	}
 
 	// PlaceReserved is the answer to ReservePlace. Reservation is empty if the server reserved no
@@ -257,19 +261,17 @@
 		Address string
 		// Deadline is when the answer has to be complete.
 		Deadline time.Time
-		// FirstByteDeadline is the deadline for the first byte, or zero. A send that misses it
-		// may be retried on another server.
+		// FirstByteDeadline is when a send without a first byte counts as stalled, or zero.
 		FirstByteDeadline time.Time
 		// MaxPause is the pause between two events of a stream, or after its head, after which it
-		// counts as stalled, or zero. A stream of which nothing was forwarded then ends; any other
-		// one is reported by SendStalled.
+		// counts as stalled, or zero. A stalled send goes on unless AbandonSend ends it.
 		MaxPause time.Duration
 		// Reservation is the place that the server reserved for the call, or empty.
 		Reservation vrid.ReservationID
 		Priority    int
 		// Resume asks for what follows the last event that the client has received.
 		Resume bool
-		// HoldErrors holds a server's failure back until ForwardFailure or another SendCall.
+		// HoldErrors holds a server's failure back until ForwardFailure or another response.
 		HoldErrors bool
 		Stream     bool
 		// AtMostOnce is set if the call may run at most once, so that no lower layer, such as the
--- a/verbenacore/vrgateway/quarantine.go
+++ b/verbenacore/vrgateway/quarantine.go
@@ -134,7 +134,7 @@
 	switch {
 	case e.Result == vrevent.AttemptAnswered && e.Status < statusError:
 		s.quarantine.parts.RecordAnswer(now, c.PromptParts)
-	case e.Result == vrevent.AttemptBroken && e.ServerDown && c.promptPending && c.eventsDelivered == 0:
+	case e.Result == vrevent.AttemptBroken && e.ServerDown && !c.answerBegan && c.eventsDelivered == 0:
 		out.Info("server crashed before its answer began", text("request", c.Request), text("server", server),
 			text("parts", joinParts(c.PromptParts)), number("probe", uint64(probe.Number)))
 		s.quarantine.parts.RecordCrash(now, vrquarantine.CrashedRequest{Request: c.Request, Parts: c.PromptParts, Probe: probe})
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -61,13 +61,13 @@
 	handler         *callHandler
 	send            *vrevent.SendCall
 	conn            *conn
+	watch           *stallWatch
 	startedAt       time.Time
 	timeToFirstByte time.Duration
-	// progressAt is when the last event of a stream was forwarded, or when its head arrived.
-	progressAt time.Time
-	// firstByteReported is set once the reducer was told of the first event.
-	firstByteReported bool
-	result            vrevent.SendEnded
+	// firstByteReported is set once the reducer was told of the first part of a stream,
+	// answerReported once it was told of the first event.
+	firstByteReported, answerReported bool
+	result                            vrevent.SendEnded
 	// reusable is set if the connection may carry another request.
 	reusable bool
 	// strays counts the responses to other requests that were skipped. A connection that
@@ -107,7 +107,9 @@
 		}
 		_ = c.Close()
 	}()
-	a.setDeadline(a.firstByteDeadline())
+	a.watchStalls()
+	defer a.watch.stop()
+	a.setDeadline(a.send.Deadline)
 	if err := a.writeRequest(); err != nil {
 		a.fail(err)
 		return
@@ -124,14 +126,6 @@
 	a.handleResponse(response, info)
 }
 
-// firstByteDeadline returns the deadline for the first byte of the response.
-func (a *sendAttempt) firstByteDeadline() time.Time {
-	if a.send.FirstByteDeadline.IsZero() || a.send.FirstByteDeadline.After(a.send.Deadline) {
-		return a.send.Deadline
-	}
-	return a.send.FirstByteDeadline
-}
-
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -162,7 +156,7 @@
 		if a.conn.used {
 			a.handler.proxy.pool.closeIdle(a.conn.backend)
 		}
-		if !a.firstByteReported && len(a.handler.call.PromptParts) > 0 {
+		if !a.answerReported && len(a.handler.call.PromptParts) > 0 {
 			a.result.ServerDown = a.conn.backend.refusesConnections()
 		}
 		a.end(vrevent.AttemptBroken, err)
@@ -368,6 +362,7 @@
 // drain reads a response that is not forwarded. It reports whether the response was complete
 // and the connection can be reused.
 func (a *sendAttempt) drain(response *http.Response) bool {
+	a.watch.stop()
 	a.setDeadline(earlier(a.send.Deadline, a.handler.proxy.opts.Clock.Now().Add(drainTimeout)))
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainedBody))
 	return err == nil && n < maxDrainedBody && allowsReuse(response)
@@ -381,6 +376,7 @@
 // forwardBuffered reads a response to the end and forwards it, unless it is a failure that is
 // held back.
 func (a *sendAttempt) forwardBuffered(response *http.Response) {
+	a.watch.stop()
 	a.setDeadline(a.send.Deadline)
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponse))
 	if err != nil {
--- a/verbenaroute/internal/vrrelay/stream.go
+++ b/verbenaroute/internal/vrrelay/stream.go
@@ -36,11 +36,9 @@
 	a.handler.setWriteDeadline(a.send.Deadline)
 	var pending []byte
 	buffer := make([]byte, readBufferSize)
-	a.progressAt = a.handler.proxy.opts.Clock.Now()
-	watch := a.watchStalls()
-	defer watch.stop()
+	a.watch.headReceived()
 	for {
-		a.setDeadline(a.readDeadline())
+		a.setDeadline(a.send.Deadline)
 		readStart := time.Now()
 		n, err := response.Body.Read(buffer)
 		if a.handler.eventCount > 0 && n > 0 {
@@ -48,7 +46,7 @@
 		}
 		pending = append(pending, buffer[:n]...)
 		complete := completeEventsLen(pending)
-		if complete > 0 && !a.forwardEvents(response, pending[:complete], watch) {
+		if complete > 0 && !a.forwardEvents(response, pending[:complete]) {
 			return
 		}
 		pending = append(pending[:0], pending[complete:]...)
@@ -72,33 +70,18 @@
 	}
 }
 
-// readDeadline returns the deadline for the next read of the stream. The longest pause counts from
-// the last event, because a stalled server may still send a byte now and then. It bounds a read only
-// until part of the stream is forwarded.
-func (a *sendAttempt) readDeadline() time.Time {
-	if a.send.MaxPause <= 0 || a.handler.headerWritten {
-		return a.send.Deadline
-	}
-	next := a.progressAt.Add(a.send.MaxPause)
-	if next.Before(a.firstByteDeadline()) {
-		next = a.firstByteDeadline()
-	}
-	if next.After(a.send.Deadline) {
-		return a.send.Deadline
-	}
-	return next
-}
-
 // forwardEvents writes complete events to the client. It returns false if the client has
 // disconnected.
-func (a *sendAttempt) forwardEvents(response *http.Response, events []byte, watch *stallWatch) bool {
+func (a *sendAttempt) forwardEvents(response *http.Response, events []byte) bool {
 	count, lastID := parseEvents(events)
-	if count > 0 && !a.firstByteReported {
-		a.firstByteReported = true
-		a.timeToFirstByte = time.Since(a.startedAt)
-		a.handler.proxy.opts.Submit(vrevent.FirstByteReceived{Call: a.send.Call, Send: a.send.Send, TimeToFirstByte: a.timeToFirstByte})
+	// From the first forwarded part on, the call needs a place at another server before the send may be
+	// given up. An order that was given before must not end it.
+	begins := !a.handler.headerWritten
+	if begins {
+		a.watch.progress()
 	}
-	if !a.handler.headerWritten {
+	a.reportFirstByte(count > 0)
+	if begins {
 		a.handler.writeHeader(response.StatusCode, response.Header, unknownLength)
 	}
 	_, err := a.handler.writer.Write(events)
@@ -109,9 +92,10 @@
 		a.end(vrevent.AttemptCallerGone, err)
 		return false
 	}
-	if count > 0 {
-		a.progressAt = a.handler.proxy.opts.Clock.Now()
-		watch.progress()
+	// A stream that starts with a comment has no event yet, but its first part was forwarded, which
+	// ends the limit for the first event.
+	if count > 0 || begins {
+		a.watch.progress()
 	}
 	a.handler.eventCount += count
 	if lastID != "" {
@@ -120,6 +104,21 @@
 	return true
 }
 
+// reportFirstByte tells the reducer of the first part of a stream and, if that was no event, of the first
+// event, with which the answer begins.
+func (a *sendAttempt) reportFirstByte(hasEvent bool) {
+	if a.answerReported || (a.firstByteReported && !hasEvent) {
+		return
+	}
+	if !a.firstByteReported {
+		a.timeToFirstByte = time.Since(a.startedAt)
+	}
+	a.firstByteReported, a.answerReported = true, hasEvent
+	a.handler.proxy.opts.Submit(vrevent.FirstByteReceived{
+		Call: a.send.Call, Send: a.send.Send, TimeToFirstByte: a.timeToFirstByte, Answer: hasEvent,
+	})
+}
+
 // finishStream ends a send whose stream was forwarded to its end.
 func (a *sendAttempt) finishStream(response *http.Response) {
 	if !a.handler.headerWritten {
