Test that the crash of a slow probe blocks its part

What callers see: a part of prompts that crashes servers is never blocked if its prompts wait for longer than 2 s at their servers, as they do on a loaded fleet; each further probe crashes a server (BUDGET).

Cause: Tick ends a probe after probeTimeout and clears its prober, so that judgeProbe ignores its crash afterwards, and permits the next probe, which ends the same way.

The test fails on, go test ./vrquarantine -run TestCrashOfSlowProbe: "8" is not less than or equal to "5" (the loop stops at 8 crashes; the part is not blocked then).

--- a/verbenacore/vrquarantine/vrquarantine_test.go
+++ b/verbenacore/vrquarantine/vrquarantine_test.go
@@ -335,3 +335,19 @@
 	require.LessOrEqual(t, len(q.reports.pending)+len(q.reports.sent), 2*maxPending)
 	require.Equal(t, []State{Blocked}, f.state("p"))
 }
+
+// A probe may wait at its server for longer than the owner waits for its end. Its crash has to block
+// the part nevertheless. Otherwise each further probe crashes a server, without end.
+func TestCrashOfSlowProbeBlocksPart(t *testing.T) {
+	f := newFleet("d1", "d2", "d3")
+	parts := []vrid.PromptPartID{"deadly"}
+	f.crash("d1", "r", Probe{}, parts...)
+	crashes := 1
+	for ; crashes < 8 && f.check("d1", parts...) != Blocked; crashes++ {
+		daemon := []vrid.DaemonID{"d1", "d2", "d3"}[crashes%3]
+		probe := f.probe(t, daemon, parts)
+		f.run(probeTimeout + 500*time.Millisecond)
+		f.crash(daemon, vrid.RequestID(fmt.Sprint("r", crashes)), probe, parts...)
+	}
+	require.LessOrEqual(t, crashes, 5)
+}
