Test that a block ends at a daemon that missed messages

What callers see: calls with a part that all other daemons serve are refused without end by one daemon, with a Retry-After of zero or less (LOST).

Cause: only a daemon that decides runs Tick, and Check refuses a blocked part or combination whatever its end. An owner without parts repeats nothing (sendQuarantine, !q.Empty()), and up to 12 daemons get no heartbeats, so a daemon that was frozen or cut off when the last part came free is never told. Refused calls are not held, so nothing is reported that would bring an answer.

The test fails on, go test ./vrgateway -run TestBlockEndsAtDaemonThat: two minutes after a block of one minute both calls, with a part and with a combination, are refused.

--- a/verbenacore/vrgateway/quarantine_test.go
+++ b/verbenacore/vrgateway/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -209,3 +210,29 @@
 	require.NoError(t, err)
 	require.Equal(t, vrid.PromptPartID("deadly"), decoded.Parts[0].Part)
 }
+
+func isRefusal(effect vrevent.Effect) bool {
+	_, ok := effect.(vrevent.RefuseCall)
+	return ok
+}
+
+// A daemon that missed the owner's message that all parts are clear must not refuse calls for longer
+// than the block was to last: an owner without parts repeats nothing.
+func TestBlockEndsAtDaemonThatMissedMessages(t *testing.T) {
+	for name, message := range map[string]*vrwire.Quarantine{
+		"part": {Epoch: 1, Version: 1, Parts: []vrwire.QuarantinedPart{{Part: "p", Blocked: true, Remaining: 60_000, Blocks: 1}}},
+		"combination": {
+			Epoch: 1, Version: 1, Parts: []vrwire.QuarantinedPart{{Part: "p"}, {Part: "q"}},
+			Combinations: []vrwire.BlockedCombination{{Parts: []vrid.PromptPartID{"p", "q"}, Remaining: 60_000}},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newInformedDaemon(t, engineEntry("e1", "m"), engineEntry("e2", "m"))
+			d.reduce(vrevent.PeersListed{Peers: []vrevent.Peer{{Daemon: "d1"}, {Daemon: "d2", Address: "10.0.0.2:1"}}})
+			d.reduce(vrevent.PeerMessage{Envelope: &vrwire.Envelope{From: "d2", Quarantine: message}})
+			d.requireRefused(d.arriveWith("stream", "p", "q"))
+			d.runFor(2*time.Minute, storeDown)
+			require.False(t, slices.ContainsFunc(d.arriveWith("stream", "p", "q"), isRefusal))
+		})
+	}
+}
