Test that an owner clears what a daemon blocked alone

Cause: handleBlocked ignores a part that was answered at the owner a moment ago, and HandleMessage keeps a local block that the owner does not list and reports it again at once. handleQuarantine sends that report at once, the owner answers it at once, and the two go on so at the rate of the round trip. A combination that the owner reduced to one part is kept the same way.

The test fails on, go test ./vrquarantine -run TestOwnerClearsWhatDaemon: expected: [clear, clear], actual: [clear, blocked]

--- a/verbenacore/vrquarantine/vrquarantine_test.go
+++ b/verbenacore/vrquarantine/vrquarantine_test.go
@@ -351,3 +351,42 @@
 	}
 	require.LessOrEqual(t, crashes, 5)
 }
+
+// A part that a daemon blocked while it did not reach the owner has to come free once the owner tells
+// that it is clear, and the two must not go on exchanging messages about it.
+func TestOwnerClearsWhatDaemonBlockedAlone(t *testing.T) {
+	f := newFleet("d1", "d2")
+	parts := []vrid.PromptPartID{"p"}
+	q := f.daemons["d2"]
+	q.RecordCrash(f.now, CrashedRequest{Request: "r1", Parts: parts})
+	tick := func() {
+		q.SetAlone(f.now, true)
+		q.Report(f.now)
+		q.Tick(f.now)
+		f.now = f.now.Add(25 * time.Millisecond)
+	}
+	var probe Probe
+	for range 40 {
+		q.RecordWaiting(f.now, parts)
+		tick()
+		if probe = q.TakeProbe(f.now, parts); probe.Number != 0 {
+			break
+		}
+	}
+	q.RecordCrash(f.now, CrashedRequest{Request: "r1", Parts: parts, Probe: probe})
+	tick()
+	require.Equal(t, Blocked, f.check("d2", parts...))
+	q.SetAlone(f.now, false)
+	reports := 0
+	for range 40 {
+		f.daemons["d1"].RecordAnswer(f.now, parts)
+		if report := q.Report(f.now); report != nil {
+			reports++
+			f.daemons["d1"].HandleReport(f.now, "d2", report)
+		}
+		q.HandleMessage(f.now, f.daemons["d1"].Message(f.now, "d2", 1))
+		f.now = f.now.Add(25 * time.Millisecond)
+	}
+	require.Equal(t, []State{Clear, Clear}, f.state("p"))
+	require.LessOrEqual(t, reports, 3)
+}
