Test that a stored block does not return after its part was cleared

What callers see: a sound part whose block has ended is refused by all daemons for another minute or longer (LOST).

Cause: after a write that failed the owner reads quarantine/prompts again, and HandleStored blocks each stored part that it does not know. A part that it has just cleared is such a part if another daemon saw the answer.

The test fails on, go test ./vrquarantine -run TestStoredBlockDoesNotReturn: expected: [clear, clear], actual: [blocked, blocked]

--- a/verbenacore/vrquarantine/vrquarantine_test.go
+++ b/verbenacore/vrquarantine/vrquarantine_test.go
@@ -390,3 +390,22 @@
 	require.Equal(t, []State{Clear, Clear}, f.state("p"))
 	require.LessOrEqual(t, reports, 3)
 }
+
+// A stored block must not return after the owner has cleared its part: another daemon saw the answer.
+func TestStoredBlockDoesNotReturnAfterClearing(t *testing.T) {
+	f := newFleet("d1", "d2")
+	parts := []vrid.PromptPartID{"p"}
+	f.crash("d1", "r1", Probe{}, "p")
+	f.crash("d1", "r1", f.probe(t, "d1", parts), "p")
+	stored := f.daemons["d1"].Stored(f.now)
+	f.run(minBlock)
+	f.probe(t, "d2", parts)
+	f.daemons["d2"].RecordAnswer(f.now, parts)
+	f.run(50 * time.Millisecond)
+	require.Equal(t, []State{Clear, Clear}, f.state("p"))
+	f.daemons["d1"].Stored(f.now)
+	f.daemons["d1"].StoreFailed()
+	f.daemons["d1"].HandleStored(f.now, stored)
+	f.run(50 * time.Millisecond)
+	require.Equal(t, []State{Clear, Clear}, f.state("p"))
+}
