Test that frequent reports are acknowledged

What callers see: a daemon with several suspected parts decides for itself though the owner answers each of its reports, and sends probes of its own (BUDGET). Until then its old observations are applied at the owner with each report, so that a part which was cleared meanwhile is suspected anew.

Cause: Acknowledge drops what was sent only if the number is that of the last report, and each report holds all that was sent and gets a new number. With new observations in each round trip, no acknowledgement ever matches.

--- a/verbenacore/vrquarantine/vrquarantine_test.go
+++ b/verbenacore/vrquarantine/vrquarantine_test.go
@@ -409,3 +409,42 @@
 	f.run(50 * time.Millisecond)
 	require.Equal(t, []State{Clear, Clear}, f.state("p"))
 }
+
+// A daemon that reports more often than the owner's acknowledgements take to arrive must not take
+// the owner for silent, and its old observations must not be applied again and again: a part that was
+// cleared would be suspected anew.
+func TestReportsWithinRoundTripAreAcknowledged(t *testing.T) {
+	const oneWay = 50 * time.Millisecond
+	owner, q := New("d1"), New("d2")
+	now := time.Unix(1_790_000_000, 0)
+	type delayed struct {
+		at      time.Time
+		report  *vrwire.PromptReport
+		message *vrwire.Quarantine
+	}
+	var network []delayed
+	applied := 0
+	for i := range 200 {
+		if i%3 == 0 {
+			id := vrid.PromptPartID(fmt.Sprint("p", i%30))
+			q.RecordCrash(now, CrashedRequest{Request: vrid.RequestID(fmt.Sprint(i)), Parts: []vrid.PromptPartID{id}})
+		}
+		if report := q.Report(now); report != nil {
+			network = append(network, delayed{at: now.Add(oneWay), report: report})
+		}
+		for len(network) > 0 && !now.Before(network[0].at) {
+			first := network[0]
+			network = network[1:]
+			if first.report == nil {
+				q.HandleMessage(now, first.message)
+				continue
+			}
+			applied += len(first.report.Items)
+			owner.HandleReport(now, "d2", first.report)
+			network = append(network, delayed{at: now.Add(oneWay), message: owner.Message(now, "d2", 1)})
+		}
+		require.False(t, q.OwnerSilent(now), "the owner counts as silent after %s, though it answered each report", time.Duration(i)*25*time.Millisecond)
+		now = now.Add(25 * time.Millisecond)
+	}
+	require.Less(t, applied, 5*67)
+}
