Test that acknowledgements of a former run drop no report

What callers see: the crashes that a restarted daemon saw first are not counted, and servers are lost to a part that had been reported.

Cause: a restarted daemon numbers its reports from 1. The owner keeps the number of the former run, repeats it in each message, and does not look at the boot id of the envelope. If the new report with that number is lost, or is still on its way, the repeated message drops it.

The test fails on, go test ./vrquarantine -run TestAcknowledgementOfFormer: expected: [suspected, suspected], actual: [clear, clear]

--- a/verbenacore/vrquarantine/vrquarantine_test.go
+++ b/verbenacore/vrquarantine/vrquarantine_test.go
@@ -448,3 +448,20 @@
 	}
 	require.Less(t, applied, 5*67)
 }
+
+// A restarted daemon numbers its reports anew. An acknowledgement of its former run must not drop
+// what the owner has not heard.
+func TestAcknowledgementOfFormerRunDropsNoReport(t *testing.T) {
+	f := newFleet("d1", "d2")
+	f.crash("d2", "r1", Probe{}, "other")
+	f.daemons["d2"] = New("d2")
+	q := f.daemons["d2"]
+	q.RecordCrash(f.now, CrashedRequest{Request: "r2", Parts: []vrid.PromptPartID{"deadly"}})
+	for q.reports.number < f.daemons["d1"].acknowledgements["d2"] {
+		require.NotNil(t, q.Report(f.now), "this report is lost")
+		f.now = f.now.Add(ackTimeout)
+	}
+	q.HandleMessage(f.now, f.daemons["d1"].Message(f.now, "d2", 1))
+	f.run(time.Second)
+	require.Equal(t, []State{Suspected, Suspected}, f.state("deadly"))
+}
