Test that daemons without waiting requests delay no probe

What callers see: after a crash, sound requests with a rare part are held for 3 s and refused, time after time, until all daemons at which others waited before have had a permission.

Cause: a daemon stays in part.waiting after its requests have ended. It does not return the permission that it gets, so each costs probeTimeout, one after the other.

The test fails on, go test ./vrquarantine -run TestDaemonsWithoutWaiting: no probe was permitted within 3 s (ten daemons whose requests have ended, one whose request waits).

--- a/verbenacore/vrquarantine/vrquarantine_test.go
+++ b/verbenacore/vrquarantine/vrquarantine_test.go
@@ -465,3 +465,28 @@
 	f.run(time.Second)
 	require.Equal(t, []State{Suspected, Suspected}, f.state("deadly"))
 }
+
+// Daemons whose requests have stopped waiting must not take the permissions to probe a part from those
+// where requests wait: sound requests would be refused meanwhile.
+func TestDaemonsWithoutWaitingRequestsDelayNoProbe(t *testing.T) {
+	ids := []vrid.DaemonID{"d1"}
+	for i := range 10 {
+		ids = append(ids, vrid.DaemonID(fmt.Sprintf("d%d", i+2)))
+	}
+	f := newFleet(ids...)
+	parts := []vrid.PromptPartID{"p"}
+	f.crash("d1", "r1", Probe{}, parts...)
+	f.run(sharedProbeDelay)
+	for _, id := range ids[:10] {
+		f.daemons[id].RecordWaiting(f.now, parts)
+	}
+	f.run(4 * time.Second) // the requests have been refused by now
+	for range 120 {
+		f.daemons["d11"].RecordWaiting(f.now, parts)
+		f.run(25 * time.Millisecond)
+		if f.daemons["d11"].TakeProbe(f.now, parts).Number != 0 {
+			return
+		}
+	}
+	require.Fail(t, "no probe was permitted within 3 s")
+}
