Test a deadly part behind many new parts

What callers see: requests with more than 64 declared parts of which one crashes servers are never refused (BUDGET).

Cause: RecordCrash adds all parts of a prompt, which push each other out of the 64 remembered ones and end the combination that the last crash had blocked; the items beyond 256 are not reported at all. The number of parts comes from the client (Prompt-Prefix).

The test fails on, go test ./vrquarantine -run TestDeadlyPartBehind, for 74 and 266 parts: eight requests with the part crashed a server each. With 10 it passes.

--- a/verbenacore/vrquarantine/vrquarantine_test.go
+++ b/verbenacore/vrquarantine/vrquarantine_test.go
@@ -490,3 +490,30 @@
 	}
 	require.Fail(t, "no probe was permitted within 3 s")
 }
+
+// A client may put any number of parts before the one that crashes servers. They must not push it
+// out, or all servers crash one after the other.
+func TestDeadlyPartBehindManyNewParts(t *testing.T) {
+	for _, count := range []int{10, maxParts + 10, maxPending + 10} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			f := newFleet("d1", "d2")
+			blocked := false
+			for i := range 8 {
+				var parts []vrid.PromptPartID
+				for j := range count {
+					parts = append(parts, vrid.PromptPartID(fmt.Sprint("new", i, "-", j)))
+				}
+				parts = append(parts, "deadly")
+				if blocked = f.check("d1", parts...) == Blocked; blocked {
+					break
+				}
+				probe := Probe{}
+				if f.check("d1", parts...) == Suspected {
+					probe = f.probe(t, "d1", parts)
+				}
+				f.crash("d1", vrid.RequestID(fmt.Sprint("r", i)), probe, parts...)
+			}
+			require.True(t, blocked, "eight requests with the part crashed a server each")
+		})
+	}
+}
