Test that a late read does not replace the owner's message

What callers see: a daemon that has just started refuses calls with a part that the owner has cleared, for the rest of the stored block, up to an hour (LOST).

Cause: handleQuarantineRead adds each stored block of a part that the daemon does not know, also after it has applied the owner's message, in which such a part is clear. Reads at a start may be seconds old, and are repeated until one succeeds. Neither the repetition (only while the owner has parts) nor the version in the heartbeats corrects it: the version has been applied.

The test fails on, go test ./vrgateway -run TestLateReadDoesNotReplace: the call is refused.

--- a/verbenacore/vrgateway/quarantine_test.go
+++ b/verbenacore/vrgateway/quarantine_test.go
@@ -236,3 +236,15 @@
 		})
 	}
 }
+
+// A stored block that is read after the owner's message must not block a part that the message has
+// as clear: reads at a start may be seconds old.
+func TestLateReadDoesNotReplaceOwnersMessage(t *testing.T) {
+	stored, err := vrwire.Marshal(&vrwire.Quarantine{Parts: []vrwire.QuarantinedPart{{Part: "p", Blocked: true, Remaining: 60_000, Blocks: 1}}})
+	require.NoError(t, err)
+	d := newReadyDaemon(t, engineEntry("e1", "m"))
+	d.reduce(vrevent.PeersListed{Peers: []vrevent.Peer{{Daemon: "d1"}, {Daemon: "d2", Address: "10.0.0.2:1"}}})
+	d.reduce(vrevent.PeerMessage{Envelope: &vrwire.Envelope{From: "d2", Quarantine: &vrwire.Quarantine{Epoch: 1, Version: 7}}})
+	d.reduce(vrevent.ObjectRead{Key: vrplatform.KeyQuarantine, Outcome: vrplatform.OutcomeOK, Version: 3, Value: stored})
+	require.NotEmpty(t, sends(d.arriveWith("stream", "p")))
+}
