Test that messages are bounded with long parts

What callers see: the crashes that a daemon reports do not reach the owner, so that each daemon decides for itself (BUDGET).

Cause: clients choose the ids of parts, whose length has no limit but that of the header. A report holds up to 256 of them, the owner's message and the object in the store up to 64 and their combinations. A frame between daemons has a limit, and so has an object of the store. Remembered ids are also substrings of the client's header, which each of the 4,096 remembered answers keeps in memory.

The test fails on, go test ./vrquarantine -run TestMessagesAreBounded, with ids of 8 kB.

--- a/verbenacore/vrquarantine/vrquarantine_test.go
+++ b/verbenacore/vrquarantine/vrquarantine_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrplatform"
 	"verbenaroute.example/verbenacore/vrwire"
 )
 
@@ -517,3 +519,16 @@
 		})
 	}
 }
+
+// Clients choose the ids of parts. Long ones must not make reports or the owner's message larger than a
+// frame between daemons or an object of the store may be: neither would arrive.
+func TestMessagesAreBoundedWithLongParts(t *testing.T) {
+	f := newFleet("d1", "d2")
+	for i := range maxPending {
+		id := vrid.PromptPartID(fmt.Sprint(i, strings.Repeat("x", 8<<10)))
+		f.daemons["d2"].RecordCrash(f.now, CrashedRequest{Request: vrid.RequestID(fmt.Sprint(i)), Parts: []vrid.PromptPartID{id}})
+	}
+	report, err := vrwire.Marshal(f.daemons["d2"].Report(f.now))
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(report), min(vrwire.MaxFrameBytes, vrplatform.MaxValueBytes))
+}
