Test a stored combination that names one part twice

What callers see: a daemon ends with a panic. The gateway itself writes no such object; one that was edited by hand or damaged suffices, and each daemon that clears the part ends.

Cause: BlockedCombination is checked for two parts, not for two different ones; removeFromCombinations takes the first of the parts that are left.

--- a/verbenacore/vrquarantine/vrquarantine_test.go
+++ b/verbenacore/vrquarantine/vrquarantine_test.go
@@ -532,3 +532,16 @@
 	require.NoError(t, err)
 	require.LessOrEqual(t, len(report), min(vrwire.MaxFrameBytes, vrplatform.MaxValueBytes))
 }
+
+// A stored combination that names one part twice must not stop the daemon that clears the part.
+func TestCombinationOfOnePartTwice(t *testing.T) {
+	q, now := New("d1"), time.Unix(1_790_000_000, 0)
+	stored := &vrwire.Quarantine{Combinations: []vrwire.BlockedCombination{{Parts: []vrid.PromptPartID{"p", "p"}, Remaining: 60_000}}}
+	if stored.Validate() != nil {
+		return
+	}
+	q.HandleStored(now, stored)
+	require.NotPanics(t, func() {
+		q.HandleReport(now, "d2", &vrwire.PromptReport{Number: 1, Items: []vrwire.PromptReportItem{{Part: "p", Event: vrwire.PromptAnswered}}})
+	})
+}
