Test a part that begins to crash servers beside new parts

Cause: RecordCrash reports only the parts without a remembered answer if there is one, and likelyCauses leaves out those that were answered earlier. So each crash blocks the new part of its prompt and nothing else, though the old part is in all of them. An answer is remembered without a limit of time.

The test fails on, go test ./vrquarantine -run TestPartThatBegins: twelve requests with the part crashed a server each

--- a/verbenacore/vrquarantine/vrquarantine_test.go
+++ b/verbenacore/vrquarantine/vrquarantine_test.go
@@ -545,3 +545,28 @@
 		q.HandleReport(now, "d2", &vrwire.PromptReport{Number: 1, Items: []vrwire.PromptReportItem{{Part: "p", Event: vrwire.PromptAnswered}}})
 	})
 }
+
+// A part may begin to crash servers after an update of their software, though it was answered before.
+// It must be found also if each prompt has a new part beside it.
+func TestPartThatBeginsToCrashServersIsFoundBesideNewParts(t *testing.T) {
+	f := newFleet("d1", "d2")
+	for _, q := range f.daemons {
+		q.RecordAnswer(f.now, []vrid.PromptPartID{"deadly"})
+	}
+	f.run(5 * time.Second)
+	crashes := 0
+	for ; crashes < 12; crashes++ {
+		daemon := []vrid.DaemonID{"d1", "d2"}[crashes%2]
+		parts := []vrid.PromptPartID{"deadly", vrid.PromptPartID(fmt.Sprint("new", crashes))}
+		probe := Probe{}
+		switch f.check(daemon, parts...) {
+		case Blocked:
+			require.LessOrEqual(t, crashes, 8)
+			return
+		case Suspected:
+			probe = f.probe(t, daemon, parts)
+		}
+		f.crash(daemon, vrid.RequestID(fmt.Sprint("r", crashes)), probe, parts...)
+	}
+	require.Fail(t, "twelve requests with the part crashed a server each")
+}
