Test that failing requests do not eject all servers

What callers see: sound calls wait for the end of an ejection (0.5 s, doubling to 4 s) while servers are idle, if some requests at a time fail at each server for what they hold.

Cause: the same as that of the crashes: a failure that a request brings about is taken for one of its server. recordOutcome counts server errors, and first bytes that come too late for a long prompt, against the server; two in a row eject it, whatever the other servers do with such requests, and the choice has no fallback if all are ejected.

The test fails on, go test ./vrgateway -run TestFailuresOfRequests: nine calls at a time with server errors on three servers, then a sound call, which is queued for a healthy server.

--- a/verbenacore/vrgateway/quarantine_test.go
+++ b/verbenacore/vrgateway/quarantine_test.go
@@ -248,3 +248,24 @@
 	d.reduce(vrevent.ObjectRead{Key: vrplatform.KeyQuarantine, Outcome: vrplatform.OutcomeOK, Version: 3, Value: stored})
 	require.NotEmpty(t, sends(d.arriveWith("stream", "p")))
 }
+
+// Requests that servers fail because of what they hold must not take the servers from sound requests.
+func TestFailuresOfRequestsDoNotEjectAllServers(t *testing.T) {
+	d := newInformedDaemon(t, engineEntry("e1", "m"), engineEntry("e2", "m"), engineEntry("e3", "m"))
+	var running []vrevent.SendCall
+	for range 9 {
+		running = append(running, sends(d.arriveWith("stream", "bad"))...)
+	}
+	for range 4 {
+		var repeated []vrevent.SendCall
+		for _, send := range running {
+			result := vrevent.AttemptAnswered
+			if send.HoldErrors {
+				result = vrevent.AttemptServerError
+			}
+			repeated = append(repeated, sends(d.endSend(send, result))...)
+		}
+		running = repeated
+	}
+	require.NotEmpty(t, sends(d.arriveWith("stream", "sound")))
+}
