Test that the crash of a former probe blocks nothing

What callers see: a sound part is blocked for a minute without a crash of its probe.

Cause: the numbers of probes start at 1 again when a part is suspected anew, and judgeProbe compares daemon and number only. A crash under a probe that was sent before the part was cleared, or the repeated report of one, is taken for that of the probe in progress. For the same reason a daemon that has used number 1 ignores a new permission with it until it lapses after 2 s.

The test fails on, go test ./vrquarantine -run TestCrashOfFormerProbe: expected: suspected, actual: blocked

--- a/verbenacore/vrquarantine/vrquarantine_test.go
+++ b/verbenacore/vrquarantine/vrquarantine_test.go
@@ -570,3 +570,28 @@
 	}
 	require.Fail(t, "twelve requests with the part crashed a server each")
 }
+
+// The crash of a probe that was sent before its part was cleared must not be taken for that of a later
+// probe, which may be answered: the part would be blocked without a crash.
+func TestCrashOfFormerProbeBlocksNothing(t *testing.T) {
+	q, now := New("d1"), time.Unix(1_790_000_000, 0)
+	number := uint64(0)
+	report := func(from vrid.DaemonID, items ...vrwire.PromptReportItem) {
+		number++
+		q.HandleReport(now, from, &vrwire.PromptReport{Number: number, Items: items})
+	}
+	permit := func() uint32 {
+		report("d3", vrwire.PromptReportItem{Part: "p", Event: vrwire.PromptCrashed, Request: "r1"})
+		report("d2", vrwire.PromptReportItem{Part: "p", Event: vrwire.PromptWaiting})
+		now = now.Add(sharedProbeDelay)
+		q.Tick(now)
+		require.Equal(t, vrid.DaemonID("d2"), q.parts["p"].prober)
+		return q.parts["p"].probe
+	}
+	former := permit()
+	report("d3", vrwire.PromptReportItem{Part: "p", Event: vrwire.PromptAnswered})
+	require.Equal(t, Clear, q.Check(now, []vrid.PromptPartID{"p"}).State)
+	permit()
+	report("d2", vrwire.PromptReportItem{Part: "p", Event: vrwire.PromptCrashed, Request: "r2", Probe: former})
+	require.Equal(t, Suspected, q.Check(now, []vrid.PromptPartID{"p"}).State)
+}
