Test that sound requests are sent after unrelated crashes

Cause: each part without an answer is suspected after any crash, and the fleet permits four probes at a time (one for 10 s after the crash of a probe), so that the parts are cleared one batch per time to the first byte. The bound does not grow with the number of servers or of suspected parts.

The test fails on, go test ./vrquarantine -run TestSoundRequestsAreSent: 24 of 40 requests with a rare part each are sent within 3 s, with 0.5 s to the first byte.

--- a/verbenacore/vrquarantine/vrquarantine_test.go
+++ b/verbenacore/vrquarantine/vrquarantine_test.go
@@ -595,3 +595,45 @@
 	report("d2", vrwire.PromptReportItem{Part: "p", Event: vrwire.PromptCrashed, Request: "r2", Probe: former})
 	require.Equal(t, Suspected, q.Check(now, []vrid.PromptPartID{"p"}).State)
 }
+
+// Servers that crash for other reasons must not cost the sound requests that they had not begun to
+// answer: each has a rare part, other servers answer within half a second, and calls wait for 3 s.
+func TestSoundRequestsAreSentAfterUnrelatedCrashes(t *testing.T) {
+	const (
+		requests    = 40
+		timeToFirst = 500 * time.Millisecond
+		patience    = 3 * time.Second
+	)
+	type request struct {
+		daemon     vrid.DaemonID
+		parts      []vrid.PromptPartID
+		answeredAt time.Time
+	}
+	daemons := []vrid.DaemonID{"d1", "d2", "d3", "d4"}
+	f := newFleet(daemons...)
+	var list []*request
+	for i := range requests {
+		r := &request{daemon: daemons[i%len(daemons)], parts: []vrid.PromptPartID{vrid.PromptPartID(fmt.Sprint("rare", i))}}
+		list = append(list, r)
+		f.daemons[r.daemon].RecordCrash(f.now, CrashedRequest{Request: vrid.RequestID(fmt.Sprint(i)), Parts: r.parts})
+	}
+	sent := 0
+	for until := f.now.Add(patience); f.now.Before(until); f.run(25 * time.Millisecond) {
+		for _, r := range list {
+			q := f.daemons[r.daemon]
+			switch {
+			case !r.answeredAt.IsZero():
+				if !f.now.Before(r.answeredAt) {
+					q.RecordAnswer(f.now, r.parts)
+				}
+			case q.Check(f.now, r.parts).State == Clear:
+				q.TakeProbe(f.now, r.parts)
+				r.answeredAt = f.now.Add(timeToFirst)
+				sent++
+			default:
+				q.RecordWaiting(f.now, r.parts)
+			}
+		}
+	}
+	require.Equal(t, requests, sent)
+}
