Carry prompt messages in notices, which former builds accept

Cause: the messages about parts of prompts were fields of the envelope. A build that does not know them sees an envelope without a message, rejects it, and ends the session after eight rejected frames. During a rolling upgrade a former owner would thus have lost the demand reports of new daemons some 4 s after a crash of a server, by reading; no mixed fleet was run with such crashes.

Change: Notices carries both messages. Former builds ignore its unknown fields, and a report has epoch 0, so that a former owner takes nothing else from it.

--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -290,12 +290,8 @@
 	if envelope.FleetChanges != nil {
 		s.handleFeed(now, envelope, out)
 	}
-	if report := envelope.PromptReport; report != nil && s.decidesQuarantine() {
-		s.quarantine.parts.HandleReport(now, envelope.From, report)
-		s.tickQuarantine(now, out)
-	}
-	if envelope.Quarantine != nil {
-		s.handleQuarantine(now, envelope, out)
+	if envelope.Notices != nil {
+		s.handlePromptMessages(now, envelope, out)
 	}
 	if notices := envelope.Notices; notices != nil && notices.Epoch > s.owner.epoch {
 		s.setAnnouncedOwner(envelope.From, notices.Epoch, out)
--- a/verbenacore/vrgateway/quarantine.go
+++ b/verbenacore/vrgateway/quarantine.go
@@ -181,7 +181,9 @@
 		q.HandleReport(now, s.opts.Daemon, report)
 		q.AcknowledgeAll()
 	case s.owner.address != "" && s.owner.daemon != s.opts.Daemon:
-		out.Add(vrevent.SendPeer{Peer: s.owner.daemon, Address: s.owner.address, Envelope: &vrwire.Envelope{PromptReport: report}})
+		out.Add(vrevent.SendPeer{Peer: s.owner.daemon, Address: s.owner.address, Envelope: &vrwire.Envelope{
+			Notices: &vrwire.Notices{PromptReport: report},
+		}})
 	}
 }
 
@@ -207,14 +209,25 @@
 			continue
 		}
 		out.Add(vrevent.SendPeer{Peer: peer.Daemon, Address: peer.Address, Envelope: &vrwire.Envelope{
-			Quarantine: q.Message(now, peer.Daemon, s.owner.epoch),
+			Notices: &vrwire.Notices{Epoch: s.owner.epoch, Quarantine: q.Message(now, peer.Daemon, s.owner.epoch)},
 		}})
 	}
 }
 
+// handlePromptMessages applies what an envelope holds about parts of prompts.
+func (s *State) handlePromptMessages(now time.Time, envelope *vrwire.Envelope, out *vrevent.Effects) {
+	if report := envelope.Notices.PromptReport; report != nil && s.decidesQuarantine() {
+		s.quarantine.parts.HandleReport(now, envelope.From, report)
+		s.tickQuarantine(now, out)
+	}
+	if envelope.Notices.Quarantine != nil {
+		s.handleQuarantine(now, envelope, out)
+	}
+}
+
 // handleQuarantine applies the placement owner's message about parts of prompts.
 func (s *State) handleQuarantine(now time.Time, envelope *vrwire.Envelope, out *vrevent.Effects) {
-	message := envelope.Quarantine
+	message := envelope.Notices.Quarantine
 	if message.Epoch < s.owner.epoch || (message.Epoch == s.owner.epoch && s.decidesQuarantine()) {
 		return
 	}
--- a/verbenacore/vrgateway/quarantine_test.go
+++ b/verbenacore/vrgateway/quarantine_test.go
@@ -174,8 +174,8 @@
 	collect := func(effect vrevent.Effect) vrevent.Event {
 		switch e := effect.(type) {
 		case vrevent.SendPeer:
-			if e.Envelope.Quarantine != nil {
-				messages = append(messages, e.Envelope.Quarantine)
+			if e.Envelope.Notices != nil && e.Envelope.Notices.Quarantine != nil {
+				messages = append(messages, e.Envelope.Notices.Quarantine)
 			}
 		case vrevent.WriteObject:
 			if e.Key == vrplatform.KeyQuarantine {
@@ -185,12 +185,12 @@
 		return d.storeUp(effect)
 	}
 	report := func(probe uint32) {
-		for _, effect := range d.reduce(vrevent.PeerMessage{Envelope: &vrwire.Envelope{From: "d2", PromptReport: &vrwire.PromptReport{
+		for _, effect := range d.reduce(vrevent.PeerMessage{Envelope: &vrwire.Envelope{From: "d2", Notices: &vrwire.Notices{PromptReport: &vrwire.PromptReport{
 			Number: 1, Items: []vrwire.PromptReportItem{
 				{Part: "deadly", Event: vrwire.PromptCrashed, Request: "r", Probe: probe},
 				{Part: "deadly", Event: vrwire.PromptWaiting},
 			},
-		}}}) {
+		}}}}) {
 			if answer := collect(effect); answer != nil {
 				d.reduce(answer)
 			}
@@ -229,7 +229,7 @@
 		t.Run(name, func(t *testing.T) {
 			d := newInformedDaemon(t, engineEntry("e1", "m"), engineEntry("e2", "m"))
 			d.reduce(vrevent.PeersListed{Peers: []vrevent.Peer{{Daemon: "d1"}, {Daemon: "d2", Address: "10.0.0.2:1"}}})
-			d.reduce(vrevent.PeerMessage{Envelope: &vrwire.Envelope{From: "d2", Quarantine: message}})
+			d.reduce(vrevent.PeerMessage{Envelope: &vrwire.Envelope{From: "d2", Notices: &vrwire.Notices{Quarantine: message}}})
 			d.requireRefused(d.arriveWith("stream", "p", "q"))
 			d.runFor(2*time.Minute, storeDown)
 			require.False(t, slices.ContainsFunc(d.arriveWith("stream", "p", "q"), isRefusal))
@@ -244,7 +244,7 @@
 	require.NoError(t, err)
 	d := newReadyDaemon(t, engineEntry("e1", "m"))
 	d.reduce(vrevent.PeersListed{Peers: []vrevent.Peer{{Daemon: "d1"}, {Daemon: "d2", Address: "10.0.0.2:1"}}})
-	d.reduce(vrevent.PeerMessage{Envelope: &vrwire.Envelope{From: "d2", Quarantine: &vrwire.Quarantine{Epoch: 1, Version: 7}}})
+	d.reduce(vrevent.PeerMessage{Envelope: &vrwire.Envelope{From: "d2", Notices: &vrwire.Notices{Quarantine: &vrwire.Quarantine{Epoch: 1, Version: 7}}}})
 	d.reduce(vrevent.ObjectRead{Key: vrplatform.KeyQuarantine, Outcome: vrplatform.OutcomeOK, Version: 3, Value: stored})
 	require.NotEmpty(t, sends(d.arriveWith("stream", "p")))
 }
--- a/verbenacore/vrwire/fleet.go
+++ b/verbenacore/vrwire/fleet.go
@@ -92,7 +92,8 @@
 }
 
 // Notices is sent by the placement owner to daemons; without items it only identifies the
-// owner.
+// owner. It also carries the messages about parts of prompts: builds that know none ignore unknown
+// fields, but reject envelopes without a known message and then end the session.
 type Notices struct {
 	Items []Notice   `protobuf:"bytes,1,rep,name=items,proto3"`
 	Epoch vrid.Epoch `protobuf:"varint,2,opt,name=epoch,proto3"`
@@ -104,15 +105,28 @@
 	StoreAge int64 `protobuf:"varint,4,opt,name=storeAge,proto3"`
 	// QuarantineVersion is the version of the owner's Quarantine in a heartbeat.
 	QuarantineVersion uint64 `protobuf:"varint,5,opt,name=quarantineVersion,proto3"`
+	// PromptReport is a daemon's report to the owner. Epoch is zero then, so that the other fields
+	// have no effect.
+	PromptReport *PromptReport `protobuf:"bytes,6,opt,name=promptReport,proto3"`
+	// Quarantine is the owner's view of the suspected and blocked parts of prompts.
+	Quarantine *Quarantine `protobuf:"bytes,7,opt,name=quarantine,proto3"`
 }
 
 // Validate checks that each notice has a known kind and, unless the server is leaving,
-// names a model.
+// names a model, and the messages about parts of prompts.
 func (n *Notices) Validate() error {
 	for _, item := range n.Items {
 		if item.Kind < NoticeLoading || item.Kind > NoticeLeaving || (item.Model == "" && item.Kind != NoticeLeaving) {
 			return &DecodeError{Message: "Notices", Field: "items", Problem: "a notice has an unknown kind or no model"}
 		}
 	}
+	if n.PromptReport != nil {
+		if err := n.PromptReport.Validate(); err != nil {
+			return err
+		}
+	}
+	if n.Quarantine != nil {
+		return n.Quarantine.Validate()
+	}
 	return nil
 }
--- a/verbenacore/vrwire/vrwire.go
+++ b/verbenacore/vrwire/vrwire.go
@@ -113,8 +113,6 @@
 	PlacementDemand *PlacementDemand `protobuf:"bytes,30,opt,name=wants,proto3"`
 	Notices         *Notices         `protobuf:"bytes,31,opt,name=notices,proto3"`
 	FleetChanges    *FleetChanges    `protobuf:"bytes,32,opt,name=fleetChanges,proto3"`
-	PromptReport    *PromptReport    `protobuf:"bytes,33,opt,name=promptReport,proto3"`
-	Quarantine      *Quarantine      `protobuf:"bytes,34,opt,name=quarantine,proto3"`
 }
 
 // setMessages returns the messages that are set; a valid envelope has exactly one.
@@ -147,8 +145,6 @@
 	add(e.PlacementDemand != nil, e.PlacementDemand)
 	add(e.Notices != nil, e.Notices)
 	add(e.FleetChanges != nil, e.FleetChanges)
-	add(e.PromptReport != nil, e.PromptReport)
-	add(e.Quarantine != nil, e.Quarantine)
 	return set
 }
 
--- a/verbenacore/vrwire/vrwire_test.go
+++ b/verbenacore/vrwire/vrwire_test.go
@@ -41,6 +41,12 @@
 		}}},
 		"summary": {ZoneSummary: &vrwire.ZoneSummary{Zone: "zone-a", Owner: "daemon-1", Servers: servers, Members: members}},
 		"grant":   {SlotGrant: &vrwire.SlotGrant{SentAt: 5}},
+		"prompt report": {Notices: &vrwire.Notices{PromptReport: &vrwire.PromptReport{
+			Number: 2, Run: 7, Items: []vrwire.PromptReportItem{{Part: "p", Event: vrwire.PromptCrashed, Request: "r", Probe: 3}},
+		}}},
+		"quarantine": {Notices: &vrwire.Notices{Epoch: 2, Quarantine: &vrwire.Quarantine{
+			Epoch: 2, Version: 4, Parts: []vrwire.QuarantinedPart{{Part: "p", Prober: "d1", Probe: 1}},
+		}}},
 	} {
 		t.Run(name, func(t *testing.T) { requireRoundTrip(t, envelope) })
 	}
