Number probes of all parts in one sequence

Cause: the numbers of a part's probes started at 1 again when it was suspected anew, so the late crash of a probe from before its clearing was taken for that of the probe in progress and blocked a sound part.

Change: one sequence for all parts that starts from the time, also after a change of the owner.

Run: go test ./vrquarantine -run TestCrashOfFormerProbeBlocksNothing passes.

--- a/verbenacore/vrquarantine/decide.go
+++ b/verbenacore/vrquarantine/decide.go
@@ -237,7 +237,8 @@
 // permitProbe permits the daemon that has waited longest to send a request with a part.
 func (q *Quarantine) permitProbe(now time.Time, p *part) {
 	p.prober, p.waiting = p.waiting[0].daemon, p.waiting[1:]
-	p.probe++
+	q.lastProbe = max(q.lastProbe+1, uint32(now.UnixMilli()))
+	p.probe = q.lastProbe
 	p.probeAt = now
 	if len(p.issued) >= maxIssued {
 		p.issued = p.issued[1:]
--- a/verbenacore/vrquarantine/vrquarantine.go
+++ b/verbenacore/vrquarantine/vrquarantine.go
@@ -177,8 +177,12 @@
 	combinations []combination
 	// probeCrashedAt is when the last crash of a probe was reported.
 	probeCrashedAt time.Time
-	changes        []Change
-	reports        reportQueue
+	// lastProbe is the number of the last permitted probe. The numbers start from the time, so that a
+	// late report of a probe that a former owner permitted, or one of a part that was cleared since, is
+	// not taken for that of another probe.
+	lastProbe uint32
+	changes   []Change
+	reports   reportQueue
 	// alone is set while this daemon decides for itself.
 	alone bool
 	// changed is set if the parts have changed since the last MessageSent, version counts these
