Send more probes at a time while they are answered

Cause: after a crash of a server for another reason, the rare parts of all its requests are suspected, and four probes at a time cleared them. With half a second to the first byte, 24 of 40 sound requests were sent within 3 s, the others were refused.

Change: each answered probe raises the limit by one, up to 32. The crash of a probe, or a moment without suspected parts, sets it back.

--- a/verbenacore/vrquarantine/decide.go
+++ b/verbenacore/vrquarantine/decide.go
@@ -41,6 +41,9 @@
 			}
 		case vrwire.PromptAnswered:
 			if p != nil {
+				if p.prober != "" {
+					q.answeredProbes++
+				}
 				q.clear(now, p)
 			}
 		case vrwire.PromptAnsweredEarlier:
@@ -114,7 +117,7 @@
 		return
 	}
 	overlapped := probe.at.Before(q.probeCrashedAt) || q.otherProbeInProgress(p)
-	q.probeCrashedAt = now
+	q.probeCrashedAt, q.answeredProbes = now, 0
 	if overlapped {
 		// Another probe may have crashed the server. Each is sent again, one after the other.
 		return
@@ -201,12 +204,15 @@
 	if !q.probeCrashedAt.IsZero() && now.Sub(q.probeCrashedAt) < exclusiveTime {
 		return 1
 	}
-	return maxProbes
+	return min(minProbes+q.answeredProbes, maxProbes)
 }
 
 // Tick ends blocks and suspicions, and permits probes, at a daemon that decides.
 func (q *Quarantine) Tick(now time.Time) {
 	q.expireCombinations(now)
+	if q.Count(Suspected) == 0 {
+		q.answeredProbes = 0
+	}
 	for _, id := range q.sortedIDs() {
 		p := q.parts[id]
 		if p.state == Blocked {
--- a/verbenacore/vrquarantine/vrquarantine.go
+++ b/verbenacore/vrquarantine/vrquarantine.go
@@ -45,9 +45,12 @@
 	sharedProbeDelay = 150 * time.Millisecond
 	// probeTimeout is how long a probe may take before another daemon may send one.
 	probeTimeout = 2 * time.Second
-	// maxProbes limits the probes in progress. exclusiveTime is how long after the crash of a probe
-	// there is only one at a time: one that crashes its server also breaks the others there.
-	maxProbes     = 4
+	// minProbes limits the probes in progress. Each answered probe raises the limit by one, up to
+	// maxProbes, because after an unrelated crash all the suspected parts are sound. exclusiveTime is how
+	// long after the crash of a probe there is only one at a time: one that crashes its server also breaks
+	// the others there.
+	minProbes     = 4
+	maxProbes     = 32
 	exclusiveTime = 10 * time.Second
 	// minBlock and maxBlock bound the time for which a part is blocked. It doubles with each
 	// block, because each probe of a part that still crashes servers costs one.
@@ -177,6 +180,8 @@
 	combinations []combination
 	// probeCrashedAt is when the last crash of a probe was reported.
 	probeCrashedAt time.Time
+	// answeredProbes counts the answers to probes since then and since parts are suspected.
+	answeredProbes int
 	// lastProbe is the number of the last permitted probe. The numbers start from the time, so that a
 	// late report of a probe that a former owner permitted, or one of a part that was cleared since, is
 	// not taken for that of another probe.
--- a/verbenacore/vrquarantine/vrquarantine_test.go
+++ b/verbenacore/vrquarantine/vrquarantine_test.go
@@ -565,6 +565,7 @@
 			return
 		case Suspected:
 			probe = f.probe(t, daemon, parts)
+		case Clear:
 		}
 		f.crash(daemon, vrid.RequestID(fmt.Sprint("r", crashes)), probe, parts...)
 	}
