--- a/verbenabench/internal/vrgatefuzz/planted_test.go
+++ b/verbenabench/internal/vrgatefuzz/planted_test.go
@@ -11,7 +11,7 @@
 )
 
 // maxSteps is the number of actions within which each injected fault has to be found.
-const maxSteps = 40_000
+const maxSteps = 160_000
 
 // TestPlantedFaultsAreFound guards against missing checks and actions: the campaign has to
 // find every fault that can be injected into the gateway.
