--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -64,9 +64,10 @@
 	watch           *stallWatch
 	startedAt       time.Time
 	timeToFirstByte time.Duration
-	// firstByteReported is set once the reducer was told of the first event.
-	firstByteReported bool
-	result            vrevent.SendEnded
+	// firstByteReported is set once the reducer was told of the first part of a stream,
+	// answerReported once it was told of the first event.
+	firstByteReported, answerReported bool
+	result                            vrevent.SendEnded
 	// reusable is set if the connection may carry another request.
 	reusable bool
 	// strays counts the responses to other requests that were skipped. A connection that
@@ -155,6 +156,9 @@
 		if a.conn.used {
 			a.handler.proxy.pool.closeIdle(a.conn.backend)
 		}
+		if !a.answerReported && len(a.handler.call.PromptParts) > 0 {
+			a.result.ServerDown = a.conn.backend.refusesConnections()
+		}
 		a.end(vrevent.AttemptBroken, err)
 	}
 }
--- a/verbenaroute/internal/vrrelay/stream.go
+++ b/verbenaroute/internal/vrrelay/stream.go
@@ -73,17 +73,14 @@
 // forwardEvents writes complete events to the client. It returns false if the client has
 // disconnected.
 func (a *sendAttempt) forwardEvents(response *http.Response, events []byte) bool {
+	count, lastID := parseEvents(events)
 	// From the first forwarded part on, the call needs a place at another server before the send may be
 	// given up. An order that was given before must not end it.
 	begins := !a.handler.headerWritten
 	if begins {
 		a.watch.progress()
 	}
-	if !a.firstByteReported {
-		a.firstByteReported = true
-		a.timeToFirstByte = time.Since(a.startedAt)
-		a.handler.proxy.opts.Submit(vrevent.FirstByteReceived{Call: a.send.Call, Send: a.send.Send, TimeToFirstByte: a.timeToFirstByte})
-	}
+	a.reportFirstByte(count > 0)
 	if begins {
 		a.handler.writeHeader(response.StatusCode, response.Header, unknownLength)
 	}
@@ -95,7 +92,6 @@
 		a.end(vrevent.AttemptCallerGone, err)
 		return false
 	}
-	count, lastID := parseEvents(events)
 	// A stream that starts with a comment has no event yet, but its first part was forwarded, which
 	// ends the limit for the first event.
 	if count > 0 || begins {
@@ -108,6 +104,21 @@
 	return true
 }
 
+// reportFirstByte tells the reducer of the first part of a stream and, if that was no event, of the first
+// event, with which the answer begins.
+func (a *sendAttempt) reportFirstByte(hasEvent bool) {
+	if a.answerReported || (a.firstByteReported && !hasEvent) {
+		return
+	}
+	if !a.firstByteReported {
+		a.timeToFirstByte = time.Since(a.startedAt)
+	}
+	a.firstByteReported, a.answerReported = true, hasEvent
+	a.handler.proxy.opts.Submit(vrevent.FirstByteReceived{
+		Call: a.send.Call, Send: a.send.Send, TimeToFirstByte: a.timeToFirstByte, Answer: hasEvent,
+	})
+}
+
 // finishStream ends a send whose stream was forwarded to its end.
 func (a *sendAttempt) finishStream(response *http.Response) {
 	if !a.handler.headerWritten {
