List a slow server that is given up for a full one

Without a reservation, the gateway learns only from the other server's refusal that it is full.

Change: the test has all four cases again.

--- a/verbenaroute/internal/vrnode/silence_test.go
+++ b/verbenaroute/internal/vrnode/silence_test.go
@@ -106,9 +106,10 @@
 	}
 }
 
-// A sound server that is slow to its first byte must not be given up if the retry budget is spent: its answer is the only one that the client can get. Clients got
+// A sound server that is slow to its first byte must not be given up if the retry budget is spent or no
+// other server then takes the request: its answer is the only one that the client can get. Clients got
 // 502 for requests that their servers were at work on.
-func TestSlowServerIsKeptWhenRetryBudgetIsSpent(t *testing.T) {
+func TestSlowServerIsKept(t *testing.T) {
 	const (
 		// The gateway gives a server up after 2.5 latency targets of 200 ms.
 		silence = 1500 * time.Millisecond
@@ -118,8 +119,10 @@
 		name, kind string
 		retryRatio float64
 	}{
-		{"stream", "streaming", 0.001},
-		{"idempotent", "idempotent", 0.001},
+		{"stream, budget spent", "streaming", 0.001},
+		{"idempotent, budget spent", "idempotent", 0.001},
+		{"stream, other full", "streaming", 1},
+		{"idempotent, other full", "idempotent", 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			var arrivals atomic.Int64
