--- a/verbenaroute/internal/vrnode/node_test.go
+++ b/verbenaroute/internal/vrnode/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -38,6 +39,42 @@
 	}).WithDefaults()
 }
 
+// startNode runs a gateway until the end of the test, and returns once it is ready.
+func startNode(t *testing.T, settings *vrsettings.Gateway, logger *zap.Logger) {
+	node := vrnode.New(settings, logger, func() map[string]uint64 { return nil })
+	ctx, stop := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- node.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		require.NoError(t, <-stopped)
+	})
+	require.Eventually(t, func() bool {
+		response, err := http.Get("http://" + settings.Readiness + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	}, 30*time.Second, 10*time.Millisecond)
+}
+
+// startNodeWithTwoServers runs a gateway with one route to two servers at one address, and returns the
+// gateway's address for clients.
+func startNodeWithTwoServers(t *testing.T, serverURL string, route vrstandin.Route, retryRatio float64) string {
+	store := vrstandin.NewStore()
+	storeServer := httptest.NewServer(store)
+	t.Cleanup(storeServer.Close)
+	store.Configure(3, route)
+	for i := range 2 {
+		store.Register(fmt.Sprint("i-", i), strings.TrimPrefix(serverURL, "http://"), "ready", 1)
+	}
+	settings := newSettings(t, storeServer.URL, time.Second)
+	settings.Bounds.RetryRatio, settings.Bounds.RetrySlack = retryRatio, 100*retryRatio
+	startNode(t, settings, zap.NewNop())
+	return settings.Callers
+}
+
 // getBody gets a path, requires status 200 and returns the body of the response.
 func getBody(t *testing.T, address, path string) string {
 	response, err := http.Get("http://" + address + path)
--- a/verbenaroute/internal/vrnode/silence_test.go
+++ b/verbenaroute/internal/vrnode/silence_test.go
@@ -1,7 +1,6 @@
 package vrnode_test
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,11 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"go.uber.org/zap"
 
 	"verbenaroute.example/platform/vrstandin"
-
-	"verbenaroute.example/verbenaroute/internal/vrnode"
 )
 
 // A sound server may be silent in the middle of a stream, for example while a preempted request is
@@ -40,13 +36,11 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-				if r.Header.Get("Last-Event-Id") != "" {
-					w.Header().Set("Not-Executed", "1")
-					w.WriteHeader(http.StatusServiceUnavailable)
+				if vrstandin.IsResumed(r) {
+					vrstandin.RefuseNotRun(w, r)
 					return
 				}
-				w.Header().Set("Response-Signature", "signed")
+				vrstandin.SetAnswerHeaders(w.Header(), r)
 				_, _ = io.WriteString(w, first)
 				_ = http.NewResponseController(w).Flush()
 				select {
@@ -56,38 +50,14 @@
 				_, _ = io.WriteString(w, second)
 			}))
 			t.Cleanup(backend.Close)
-			store := vrstandin.NewStore()
-			storeServer := httptest.NewServer(store)
-			t.Cleanup(storeServer.Close)
-			store.Configure(3, vrstandin.Route{
+			callers := startNodeWithTwoServers(t, backend.URL, vrstandin.Route{
 				Name: "stream", Type: "streaming", Resumable: true, PauseTarget: pauseTarget, Timeout: time.Minute,
-			})
-			for i := range 2 {
-				store.Register(fmt.Sprint("i-", i), strings.TrimPrefix(backend.URL, "http://"), "ready", 1)
-			}
-			settings := newSettings(t, storeServer.URL, time.Second)
-			settings.Bounds.RetryRatio, settings.Bounds.RetrySlack = test.retryRatio, 100*test.retryRatio
-			node := vrnode.New(settings, zap.NewNop(), func() map[string]uint64 { return nil })
-			ctx, stop := context.WithCancel(context.Background())
-			stopped := make(chan error, 1)
-			go func() { stopped <- node.Run(ctx) }()
-			t.Cleanup(func() {
-				stop()
-				require.NoError(t, <-stopped)
-			})
-			require.Eventually(t, func() bool {
-				response, err := http.Get("http://" + settings.Readiness + "/readyz")
-				if err != nil {
-					return false
-				}
-				_ = response.Body.Close()
-				return response.StatusCode == http.StatusOK
-			}, 30*time.Second, 10*time.Millisecond)
+			}, test.retryRatio)
 
 			var response *http.Response
 			// On a busy machine a request may be refused before its stream has begun.
 			for attempt := 0; response == nil; attempt++ {
-				request, err := http.NewRequest(http.MethodPost, "http://"+settings.Callers+"/stream/x", strings.NewReader("body"))
+				request, err := http.NewRequest(http.MethodPost, "http://"+callers+"/stream/x", strings.NewReader("body"))
 				require.NoError(t, err)
 				request.Host = "h.example"
 				vrstandin.SetClientHeaders(request.Header, fmt.Sprint("r", attempt), time.Minute)
@@ -128,49 +98,25 @@
 			var arrivals atomic.Int64
 			backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				_, _ = io.Copy(io.Discard, r.Body)
-				w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 				if arrivals.Add(1) > 1 {
-					w.Header().Set("Not-Executed", "1")
-					w.WriteHeader(http.StatusServiceUnavailable)
+					vrstandin.RefuseNotRun(w, r)
 					return
 				}
 				select {
 				case <-time.After(silence):
 				case <-r.Context().Done():
 				}
-				w.Header().Set("Response-Signature", "signed")
+				vrstandin.SetAnswerHeaders(w.Header(), r)
 				_, _ = io.WriteString(w, event)
 			}))
 			t.Cleanup(backend.Close)
-			store := vrstandin.NewStore()
-			storeServer := httptest.NewServer(store)
-			t.Cleanup(storeServer.Close)
-			store.Configure(3, vrstandin.Route{Name: "slow", Type: test.kind, Resumable: true, PauseTarget: 50 * time.Millisecond, Timeout: time.Minute})
-			for i := range 2 {
-				store.Register(fmt.Sprint("i-", i), strings.TrimPrefix(backend.URL, "http://"), "ready", 1)
-			}
-			settings := newSettings(t, storeServer.URL, time.Second)
-			settings.Bounds.RetryRatio, settings.Bounds.RetrySlack = test.retryRatio, 100*test.retryRatio
-			node := vrnode.New(settings, zap.NewNop(), func() map[string]uint64 { return nil })
-			ctx, stop := context.WithCancel(context.Background())
-			stopped := make(chan error, 1)
-			go func() { stopped <- node.Run(ctx) }()
-			t.Cleanup(func() {
-				stop()
-				require.NoError(t, <-stopped)
-			})
-			require.Eventually(t, func() bool {
-				response, err := http.Get("http://" + settings.Readiness + "/readyz")
-				if err != nil {
-					return false
-				}
-				_ = response.Body.Close()
-				return response.StatusCode == http.StatusOK
-			}, 30*time.Second, 10*time.Millisecond)
+			callers := startNodeWithTwoServers(t, backend.URL, vrstandin.Route{
+				Name: "slow", Type: test.kind, Resumable: true, PauseTarget: 50 * time.Millisecond, Timeout: time.Minute,
+			}, test.retryRatio)
 
 			// A request that no server has seen may be refused on a busy machine.
 			for attempt := 0; ; attempt++ {
-				request, err := http.NewRequest(http.MethodPost, "http://"+settings.Callers+"/slow/x", strings.NewReader("body"))
+				request, err := http.NewRequest(http.MethodPost, "http://"+callers+"/slow/x", strings.NewReader("body"))
 				require.NoError(t, err)
 				request.Host = "h.example"
 				vrstandin.SetClientHeaders(request.Header, fmt.Sprint("r", attempt), time.Minute)
@@ -201,9 +147,8 @@
 	)
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
-		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-		w.Header().Set("Response-Signature", "signed")
-		if r.Header.Get("Last-Event-Id") != "" {
+		vrstandin.SetAnswerHeaders(w.Header(), r)
+		if vrstandin.IsResumed(r) {
 			_, _ = io.WriteString(w, second)
 			return
 		}
@@ -212,34 +157,12 @@
 		<-r.Context().Done()
 	}))
 	t.Cleanup(backend.Close)
-	store := vrstandin.NewStore()
-	storeServer := httptest.NewServer(store)
-	t.Cleanup(storeServer.Close)
-	store.Configure(3, vrstandin.Route{Name: "stream", Type: "streaming", Resumable: true, PauseTarget: pauseTarget, Timeout: time.Minute})
-	for i := range 2 {
-		store.Register(fmt.Sprint("i-", i), strings.TrimPrefix(backend.URL, "http://"), "ready", 1)
-	}
-	settings := newSettings(t, storeServer.URL, time.Second)
-	settings.Bounds.RetryRatio, settings.Bounds.RetrySlack = 1, 100
-	node := vrnode.New(settings, zap.NewNop(), func() map[string]uint64 { return nil })
-	ctx, stop := context.WithCancel(context.Background())
-	stopped := make(chan error, 1)
-	go func() { stopped <- node.Run(ctx) }()
-	t.Cleanup(func() {
-		stop()
-		require.NoError(t, <-stopped)
-	})
-	require.Eventually(t, func() bool {
-		response, err := http.Get("http://" + settings.Readiness + "/readyz")
-		if err != nil {
-			return false
-		}
-		_ = response.Body.Close()
-		return response.StatusCode == http.StatusOK
-	}, 30*time.Second, 10*time.Millisecond)
+	callers := startNodeWithTwoServers(t, backend.URL, vrstandin.Route{
+		Name: "stream", Type: "streaming", Resumable: true, PauseTarget: pauseTarget, Timeout: time.Minute,
+	}, 1)
 
 	for attempt := 0; ; attempt++ {
-		request, err := http.NewRequest(http.MethodPost, "http://"+settings.Callers+"/stream/x", strings.NewReader("body"))
+		request, err := http.NewRequest(http.MethodPost, "http://"+callers+"/stream/x", strings.NewReader("body"))
 		require.NoError(t, err)
 		request.Host = "h.example"
 		vrstandin.SetClientHeaders(request.Header, fmt.Sprint("r", attempt), time.Minute)
