--- a/verbenacore/vrevent/gateway.go
+++ b/verbenacore/vrevent/gateway.go
@@ -264,7 +264,7 @@
 		// FirstByteDeadline is when a send without a first byte counts as stalled, or zero.
 		FirstByteDeadline time.Time
 		// MaxPause is the pause between two events of a stream, or after its head, after which it
-		// counts as stalled, or zero. A stalled send goes on unless AbandonSend ends it.
+		// counts as stalled, or zero. A stalled send goes on unless a hedge supersedes it.
 		MaxPause time.Duration
 		// Reservation is the place that the server reserved for the call, or empty.
 		Reservation vrid.ReservationID
@@ -277,6 +277,10 @@
 		// AtMostOnce is set if the call may run at most once, so that no lower layer, such as the
 		// HTTP client, may send it again on its own.
 		AtMostOnce bool
+		// Hedge sends the call to a second server while its present send goes on. The first of the two
+		// to bring an answer, or the next event of a stream, is forwarded, and the other one ends as
+		// AttemptSuperseded.
+		Hedge bool
 	}
 
 	// RefuseCall ends a call with an answer that the daemon generates.
@@ -302,12 +306,6 @@
 		Duration time.Duration
 	}
 
-	// AbandonSend ends a send that is still stalled.
-	AbandonSend struct {
-		Call CallID
-		Send int
-	}
-
 	// AbortCall closes the client's connection, because part of an answer that can't be
 	// completed has already been forwarded.
 	AbortCall struct{ Call CallID }
@@ -352,7 +350,6 @@
 func (RefuseCall) isEffect()         {}
 func (ForwardFailure) isEffect()     {}
 func (ReservePlace) isEffect()       {}
-func (AbandonSend) isEffect()        {}
 func (AbortCall) isEffect()          {}
 func (SendPlacementOrder) isEffect() {}
 func (ReadStatus) isEffect()         {}
--- a/verbenacore/vrevent/vrevent.go
+++ b/verbenacore/vrevent/vrevent.go
@@ -73,12 +73,15 @@
 	AttemptCallerGone
 	// AttemptServerError: the server's complete answer is a failure, which is held back.
 	AttemptServerError
+	// AttemptSuperseded: another send of the same call has brought an answer, or its next event, first.
+	AttemptSuperseded
 )
 
 // String returns the name that logs and metrics use.
 func (r AttemptResult) String() string {
 	names := [...]string{
 		"none", "notSent", "busy", "notLoaded", "leaving", "answered", "broken", "timedOut", "callerGone", "serverError",
+		"superseded",
 	}
 	if int(r) >= len(names) {
 		return names[0]
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -46,9 +46,10 @@
 	// sends counts the sends of the call, notRunSends the ended sends that provably did not run
 	// it, and possibleRuns the ended sends that may have.
 	sends, notRunSends, possibleRuns int
-	server                           *vrfleet.Server
-	sentAt                           time.Time
-	tried                            []vrid.ServerID
+	// attempt is the present send. hedge is a second one beside it, or nil.
+	attempt
+	hedge *attempt
+	tried []vrid.ServerID
 	// responseStarted is set once part of a response was passed to the client.
 	responseStarted bool
 	eventsDelivered int
@@ -63,32 +64,52 @@
 	// errorHeld is set while a server's error response is held back because the call may be
 	// retried.
 	errorHeld bool
-	// promptPending is set from a send until the first byte of its response or its end, while
-	// the server processes the prompt.
-	promptPending bool
-	// move is the place to which the call goes on once its stalled send has ended, or nil.
-	// retryCountedAt is when the next retry was counted in the retry budget, zero if it was not.
-	move           *move
-	retryCountedAt time.Time
-	// placeAsked is set once a place was asked for to continue the present send elsewhere.
+	// place is the place that was asked for to hedge the present send, or nil if none is or it was
+	// answered.
+	place *placeRequest
+	// placeAsked is set once a place was asked for.
 	// refusedPlaces lists the servers that have refused one since all others had.
 	placeAsked    bool
 	refusedPlaces []vrid.ServerID
-	// silentSince is the start of the silence for which the send was given up, zero otherwise.
-	silentSince time.Time
 	// held is set while the call waits until a suspected part of its prompt is cleared. heldSince
 	// is when it first had to wait for that.
 	held      bool
 	heldSince time.Time
-	// probe is set while the call is in progress as the probe of a suspected part. answerBegan is
-	// set once the present send has brought an event or a whole response.
-	probe       vrquarantine.Probe
-	answerBegan bool
 	// timeToFirstByte is the time from the arrival to the first byte of the response. It is
 	// set once the response is complete.
 	timeToFirstByte time.Duration
 }
 
+// attempt is one send of a call to a server.
+type attempt struct {
+	// number is the number of the send among those of the call, beginning with 1.
+	number int
+	// server is nil if no send is in progress.
+	server *vrfleet.Server
+	sentAt time.Time
+	// promptPending is set until the first byte of the response or the end of the send, while the
+	// server processes the prompt.
+	promptPending bool
+	// silentSince is the start of the silence for which the send was hedged, zero otherwise.
+	silentSince time.Time
+	// probe is set while the send is the probe of a suspected part. answerBegan is set once the send has
+	// brought an event or a whole response.
+	probe       vrquarantine.Probe
+	answerBegan bool
+}
+
+// attemptOf returns the send in progress with the number, or nil.
+func (c *call) attemptOf(number int) *attempt {
+	switch {
+	case c.server != nil && c.number == number:
+		return &c.attempt
+	case c.hedge != nil && c.hedge.number == number:
+		return c.hedge
+	default:
+		return nil
+	}
+}
+
 func (c *call) target() target {
 	return target{service: c.service, model: c.Model, adapter: c.Adapter}
 }
@@ -139,10 +160,6 @@
 	if s.refuseBlocked(now, c, out) {
 		return
 	}
-	if server, reservation := s.takePlace(now, c); server != nil {
-		s.send(now, c, server, reservation, out)
-		return
-	}
 	server, missing := s.chooser.Best(now, s.requirements(c))
 	switch {
 	case server == nil:
@@ -150,7 +167,7 @@
 	case s.mustHold(now, c):
 		s.hold(now, c, out)
 	default:
-		s.send(now, c, server, "", out)
+		s.send(now, c, server, out)
 	}
 }
 
@@ -163,41 +180,52 @@
 	s.endCall(now, c, reason, 0, out)
 }
 
-// send sends a call to a server, unless it is a retry beyond the retry budget. reservation is the
-// place that the server reserved for the call, or empty.
-func (s *State) send(now time.Time, c *call, server *vrfleet.Server, reservation vrid.ReservationID, out *vrevent.Effects) {
+// send sends a call to a server, unless it is a retry beyond the retry budget.
+func (s *State) send(now time.Time, c *call, server *vrfleet.Server, out *vrevent.Effects) {
 	if !s.takeRetryBudget(now, c) {
 		s.endCall(now, c, vrwire.ReasonNoReplica, shortRetryAfter, out)
 		return
 	}
-	c.sends++
-	c.server, c.sentAt, c.silentSince = server, now, time.Time{}
-	c.placeAsked, c.refusedPlaces = false, nil
-	server.RecordSend()
-	server.PendingPromptTokens += c.PromptTokens
-	s.addInFlight(c, server.ID, 1)
-	c.promptPending, c.answerBegan = true, false
-	c.probe = s.quarantine.parts.TakeProbe(now, c.PromptParts)
-	s.counts.Sent++
-	effect := vrevent.SendCall{
-		Call: c.ID, Send: c.sends, Server: server.ID, Address: server.Address,
-		Deadline: c.deadline.Add(-deadlineMargin), Priority: c.route.Priority,
-		Resume: c.responseStarted && !vrfault.On(vrfault.RestartEvents), Stream: c.route.Kind == vrcatalog.RouteStream, AtMostOnce: !c.route.Repeatable(),
-		Reservation: reservation,
-	}
+	c.attempt = s.beginAttempt(now, c, server)
+	c.place, c.placeAsked, c.refusedPlaces = nil, false, nil
+	effect := s.newSend(c, &c.attempt)
+	effect.Resume = c.responseStarted && !vrfault.On(vrfault.RestartEvents)
 	if c.route.Repeatable() && c.possibleRuns+1 < c.route.MaxAttempts {
 		effect.HoldErrors = true
 		effect.MaxPause = pauseTimeoutFactor * c.route.PauseTarget
 		if !c.responseStarted {
-			// A stream that goes on at another server is only given up as any stream that has begun.
+			// A stream that goes on at another server is hedged as any stream that has begun.
 			effect.FirstByteDeadline = now.Add(firstByteTimeout(c.route.Target))
 		}
 	}
 	out.Add(effect)
-	out.Info("call dispatched", text("request", c.Request), number("send", uint64(c.sends)), text("server", server.ID),
-		number("busy", uint64(server.EstimatedRequests(now))), number("slots", uint64(server.Slots)),
-		millis("loadAgeMs", min(now.Sub(server.LoadReportedAt), time.Hour)), millis("waitedMs", now.Sub(c.arrivedAt)),
-		millis("leftMs", c.deadline.Sub(now)))
+	s.logSend(now, c, &c.attempt, out)
+}
+
+// beginAttempt counts a new send of a call to a server.
+func (s *State) beginAttempt(now time.Time, c *call, server *vrfleet.Server) attempt {
+	c.sends++
+	server.RecordSend()
+	server.PendingPromptTokens += c.PromptTokens
+	s.addInFlight(c, server.ID, 1)
+	s.counts.Sent++
+	return attempt{number: c.sends, server: server, sentAt: now, promptPending: true, probe: s.quarantine.parts.TakeProbe(now, c.PromptParts)}
+}
+
+// newSend returns the effect of a send without what its response may do.
+func (s *State) newSend(c *call, a *attempt) vrevent.SendCall {
+	return vrevent.SendCall{
+		Call: c.ID, Send: a.number, Server: a.server.ID, Address: a.server.Address,
+		Deadline: c.deadline.Add(-deadlineMargin), Priority: c.route.Priority,
+		Stream: c.route.Kind == vrcatalog.RouteStream, AtMostOnce: !c.route.Repeatable(),
+	}
+}
+
+func (s *State) logSend(now time.Time, c *call, a *attempt, out *vrevent.Effects) {
+	out.Info("call dispatched", text("request", c.Request), number("send", uint64(a.number)), text("server", a.server.ID),
+		number("busy", uint64(a.server.EstimatedRequests(now))), number("slots", uint64(a.server.Slots)),
+		millis("loadAgeMs", min(now.Sub(a.server.LoadReportedAt), time.Hour)), millis("waitedMs", now.Sub(c.arrivedAt)),
+		millis("leftMs", c.deadline.Sub(now)), boolean("hedge", a == c.hedge))
 }
 
 // firstByteTimeout returns the wait for the first byte of a response on a route with the given
@@ -214,11 +242,6 @@
 		return true
 	}
 	s.counts.Resent++
-	countedAt := c.retryCountedAt
-	c.retryCountedAt = time.Time{}
-	if !countedAt.IsZero() && now.Sub(countedAt) <= s.retryBudget.CountedAge() {
-		return true
-	}
 	return s.retryBudget.AllowRetry(now, c.service) || vrfault.On(vrfault.IgnoreBudget)
 }
 
@@ -226,62 +249,98 @@
 // the prompt.
 func (s *State) handleFirstByte(now time.Time, e vrevent.FirstByteReceived) {
 	c := s.calls[e.Call]
-	if c == nil || c.server == nil || e.Send != c.sends {
+	if c == nil {
+		return
+	}
+	a := c.attemptOf(e.Send)
+	if a == nil {
 		return
 	}
 	if e.Answer {
-		c.answerBegan, c.probe = true, vrquarantine.Probe{}
+		a.answerBegan, a.probe = true, vrquarantine.Probe{}
 		s.quarantine.parts.RecordAnswer(now, c.PromptParts)
 	}
-	if !c.promptPending {
+	if !a.promptPending {
 		return
 	}
-	s.clearPendingPrompt(c, c.server)
+	a.clearPendingPrompt(c)
 	s.fleet.RecordPromptTime(c.PromptTokens, e.TimeToFirstByte)
 }
 
-// clearPendingPrompt subtracts the call's prompt from the pending prompt tokens of its server.
-func (s *State) clearPendingPrompt(c *call, server *vrfleet.Server) {
-	if c.promptPending {
-		c.promptPending = false
-		server.PendingPromptTokens = max(0, server.PendingPromptTokens-c.PromptTokens)
+// clearPendingPrompt subtracts the call's prompt from the pending prompt tokens of the server.
+func (a *attempt) clearPendingPrompt(c *call) {
+	if a.promptPending {
+		a.promptPending = false
+		a.server.PendingPromptTokens = max(0, a.server.PendingPromptTokens-c.PromptTokens)
+	}
+}
+
+// releaseServer ends the count of a send at its server and returns the send as it was.
+func (s *State) releaseServer(c *call, a *attempt) attempt {
+	ended := *a
+	s.fleet.RecordEnd(a.server)
+	s.addInFlight(c, a.server.ID, -1)
+	a.clearPendingPrompt(c)
+	a.server = nil
+	if a == c.hedge {
+		c.hedge = nil
+	}
+	return ended
+}
+
+// cancelAttempts ends the sends in progress of a call that has ended.
+func (s *State) cancelAttempts(c *call) {
+	for _, a := range []*attempt{&c.attempt, c.hedge} {
+		if a != nil && a.server != nil {
+			s.quarantine.parts.RecordProbeEnd(a.probe)
+			s.releaseServer(c, a)
+		}
 	}
 }
 
-// handleSendResult handles the end of a send: it ends the call or retries it.
+// handleSendResult handles the end of a send: it ends the call, retries it, or leaves it to the send
+// beside it.
 func (s *State) handleSendResult(now time.Time, e vrevent.SendEnded, out *vrevent.Effects) {
 	c := s.calls[e.Call]
-	if c == nil || e.Send != c.sends || c.server == nil {
+	if c == nil {
+		return
+	}
+	a := c.attemptOf(e.Send)
+	if a == nil {
 		return
 	}
-	server := c.server
-	c.server = nil
-	s.fleet.RecordEnd(server)
-	s.addInFlight(c, server.ID, -1)
+	isHedge := a == c.hedge
+	ended := s.releaseServer(c, a)
 	if c.waitedForServer {
 		s.expediteDemand(now)
 	}
 	c.eventsDelivered = max(c.eventsDelivered, e.Events)
-	s.recordPromptOutcome(now, c, server.ID, &e, out)
-	s.clearPendingPrompt(c, server)
+	s.recordPromptOutcome(now, c, &ended, &e, out)
 	c.responseStarted = c.responseStarted || e.PartForwarded
-	s.recordOutcome(now, c, server, e, out)
+	s.recordOutcome(now, c, &ended, isHedge, e, out)
 	if e.Result.ProvesNotRun() {
 		c.notRunSends++
 	} else {
 		c.possibleRuns++
 	}
-	switch e.Result {
-	case vrevent.AttemptAnswered:
-		c.timeToFirstByte = c.sentAt.Add(e.TimeToFirstByte).Sub(c.arrivedAt)
-		s.removeCall(now, c, "answered", "", out, number("status", uint64(e.Status)), text("server", server.ID),
-			millis("toFirstMs", e.TimeToFirstByte), millis("longestPauseMs", e.LongestPause), millis("waitedMs", c.sentAt.Sub(c.arrivedAt)))
+	switch {
+	case e.Result == vrevent.AttemptAnswered:
+		c.timeToFirstByte = ended.sentAt.Add(e.TimeToFirstByte).Sub(c.arrivedAt)
+		s.removeCall(now, c, "answered", "", out, number("status", uint64(e.Status)), text("server", ended.server.ID),
+			millis("toFirstMs", e.TimeToFirstByte), millis("longestPauseMs", e.LongestPause), millis("waitedMs", ended.sentAt.Sub(c.arrivedAt)))
 		s.counts.Delivered++
-	case vrevent.AttemptCallerGone:
+	case e.Result == vrevent.AttemptCallerGone:
 		s.counts.CallerGone++
-		s.removeCall(now, c, "callerGone", "", out, append(s.cutFields(now, c), text("server", server.ID), text("detail", e.Detail))...)
+		s.removeCall(now, c, "callerGone", "", out, append(s.cutFields(now, c), text("server", ended.server.ID), text("detail", e.Detail))...)
+	case c.server != nil || c.hedge != nil:
+		s.logFailedSend(now, c, &ended, &e, out)
+		c.tried = append(c.tried, ended.server.ID)
+		if !isHedge {
+			c.attempt, c.hedge = *c.hedge, nil
+			c.place, c.placeAsked, c.refusedPlaces = nil, false, nil
+		}
 	default:
-		s.retryOrEnd(now, c, server, e, out)
+		s.retryOrEnd(now, c, &ended, &e, out)
 	}
 	if e.ServerDown {
 		// A report at once saves the time until the next tick, in which more servers may crash.
@@ -291,7 +350,8 @@
 
 // recordOutcome updates the known load, health and models of the server from the outcome of a
 // send.
-func (s *State) recordOutcome(now time.Time, c *call, server *vrfleet.Server, e vrevent.SendEnded, out *vrevent.Effects) {
+func (s *State) recordOutcome(now time.Time, c *call, a *attempt, isHedge bool, e vrevent.SendEnded, out *vrevent.Effects) {
+	server := a.server
 	if e.Load != nil {
 		server.SetLoad(now, e.Load.Running, e.Load.Waiting)
 	}
@@ -310,7 +370,10 @@
 	case vrevent.AttemptTimedOut:
 		// If little time was left when the call was sent, or its stream paused only briefly, a late
 		// response says nothing about the server.
-		failed = now.Sub(later(c.sentAt, c.silentSince)) >= minFirstByteTimeout
+		failed = now.Sub(later(a.sentAt, a.silentSince)) >= minFirstByteTimeout
+	case vrevent.AttemptSuperseded:
+		// A hedge that is superseded had less time than the send beside it.
+		failed = !isHedge && now.Sub(later(a.sentAt, a.silentSince)) >= minFirstByteTimeout
 	default:
 	}
 	if failed && server.RecordFailure(now, s.fleet.PeerFailureRate(server)) {
@@ -319,23 +382,28 @@
 }
 
 // retryOrEnd retries or ends a call after a failed send.
-func (s *State) retryOrEnd(now time.Time, c *call, server *vrfleet.Server, e vrevent.SendEnded, out *vrevent.Effects) {
-	out.Info("send failed", text("request", c.Request), number("send", uint64(c.sends)), text("server", server.ID),
-		text("result", e.Result.String()), number("status", uint64(e.Status)), text("detail", e.Detail),
-		number("events", uint64(c.eventsDelivered)), millis("tookMs", now.Sub(c.sentAt)))
-	// A failure that is held back remains the client's answer if no later send brings a better one.
-	c.errorHeld = c.errorHeld || e.Result == vrevent.AttemptServerError
+func (s *State) retryOrEnd(now time.Time, c *call, a *attempt, e *vrevent.SendEnded, out *vrevent.Effects) {
+	s.logFailedSend(now, c, a, e, out)
 	if !s.mayRetry(now, c, e.Result) {
 		s.endFailedCall(now, c, out)
 		return
 	}
-	c.tried = append(c.tried, server.ID)
+	c.tried = append(c.tried, a.server.ID)
 	if c.responseStarted {
 		s.counts.Resumed++
 	}
 	s.dispatch(now, c, out)
 }
 
+// logFailedSend logs a send that brought no answer, and notes a failure that is held back: it remains
+// the client's answer if no other send brings a better one.
+func (s *State) logFailedSend(now time.Time, c *call, a *attempt, e *vrevent.SendEnded, out *vrevent.Effects) {
+	out.Info("send failed", text("request", c.Request), number("send", uint64(a.number)), text("server", a.server.ID),
+		text("result", e.Result.String()), number("status", uint64(e.Status)), text("detail", e.Detail),
+		number("events", uint64(c.eventsDelivered)), millis("tookMs", now.Sub(a.sentAt)))
+	c.errorHeld = c.errorHeld || e.Result == vrevent.AttemptServerError
+}
+
 // mayRetry reports whether a call may be sent again after a send with the given result.
 func (s *State) mayRetry(now time.Time, c *call, result vrevent.AttemptResult) bool {
 	if s.graceExpired || !now.Before(c.deadline.Add(-deadlineMargin)) {
@@ -416,6 +484,7 @@
 func (s *State) removeCall(now time.Time, c *call, outcome string, reason vrwire.Reason, out *vrevent.Effects, fields ...vrevent.LogField) {
 	s.dequeue(c)
 	s.release(c)
+	s.cancelAttempts(c)
 	delete(s.calls, c.ID)
 	s.countDemandEnd(c)
 	common := []vrevent.LogField{
@@ -447,13 +516,6 @@
 		return
 	}
 	s.counts.CallerGone++
-	if c.server != nil {
-		s.fleet.RecordEnd(c.server)
-		s.addInFlight(c, c.server.ID, -1)
-		s.clearPendingPrompt(c, c.server)
-		s.quarantine.parts.RecordProbeEnd(c.probe)
-		c.server = nil
-	}
 	s.removeCall(now, c, "callerGone", "", out, s.cutFields(now, c)...)
 }
 
--- /dev/null
+++ b/verbenacore/vrgateway/hedge_test.go
@@ -0,0 +1,185 @@
+package vrgateway_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrfleet"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrretry"
+)
+
+// requireHedge requires that the only effect is a hedge.
+func (d *daemon) requireHedge(effects []vrevent.Effect) vrevent.SendCall {
+	d.t.Helper()
+	require.Len(d.t, effects, 1)
+	hedge, ok := effects[0].(vrevent.SendCall)
+	require.True(d.t, ok, "%v", effects)
+	require.True(d.t, hedge.Hedge && hedge.HoldErrors)
+	return hedge
+}
+
+// newHedgedDaemon returns a daemon with the given servers, a send of a call on the route that is stalled
+// before its first byte, and its hedge.
+func newHedgedDaemon(t *testing.T, route string, entries ...vrfleet.Entry) (d *daemon, send, hedge vrevent.SendCall) {
+	d = newReadyDaemon(t, entries...)
+	send = d.requireSentOn(route)
+	d.now = send.FirstByteDeadline
+	hedge = d.requireHedge(d.reduce(vrevent.SendStalled{Call: send.Call, Send: send.Send, Silence: 500 * time.Millisecond}))
+	require.NotEqual(t, send.Server, hedge.Server)
+	require.False(t, hedge.Resume)
+	return d, send, hedge
+}
+
+func threeAppServers() []vrfleet.Entry {
+	return []vrfleet.Entry{appEntry("a1"), appEntry("a2"), appEntry("a3")}
+}
+
+// A slow but sound server must not be given up for another one that then refuses, fails or is slower: its
+// answer is the only one under way. Clients got 502, cut streams, or nothing before they left.
+func TestSlowSendGoesOnBesideItsHedge(t *testing.T) {
+	for _, result := range []vrevent.AttemptResult{
+		vrevent.AttemptBusy, vrevent.AttemptNotSent, vrevent.AttemptNotLoaded, vrevent.AttemptLeaving, vrevent.AttemptBroken,
+		vrevent.AttemptTimedOut, vrevent.AttemptServerError, vrevent.AttemptSuperseded,
+	} {
+		t.Run(result.String(), func(t *testing.T) {
+			d, send, hedge := newHedgedDaemon(t, "read", threeAppServers()...)
+			require.Empty(t, d.endSend(hedge, result))
+			require.Zero(t, d.state.Counts().Refused+d.state.Counts().Broken)
+			require.Empty(t, d.endSend(send, vrevent.AttemptAnswered))
+			require.EqualValues(t, 1, d.state.Counts().Delivered)
+			require.Zero(t, d.state.OpenCalls())
+		})
+	}
+}
+
+// A stalled send must be hedged again if a server refused the first hedge.
+func TestRefusedHedgeIsTriedElsewhere(t *testing.T) {
+	d, send, hedge := newHedgedDaemon(t, "read", threeAppServers()...)
+	stalled := vrevent.SendStalled{Call: send.Call, Send: send.Send, Silence: 600 * time.Millisecond}
+	require.Empty(t, d.reduce(stalled), "a hedge is in progress")
+	require.Empty(t, d.endSend(hedge, vrevent.AttemptBusy))
+	second := d.requireHedge(d.reduce(stalled))
+	require.NotContains(t, []vrid.ServerID{send.Server, hedge.Server}, second.Server)
+	require.Empty(t, d.endSend(second, vrevent.AttemptBroken))
+	require.Empty(t, d.reduce(stalled), "two servers may have run the call, which is all that its route allows")
+}
+
+// When the slow send fails, its hedge must take the call over, and nothing be sent or refused.
+func TestHedgeTakesOverFromFailedSend(t *testing.T) {
+	for _, result := range []vrevent.AttemptResult{
+		vrevent.AttemptBusy, vrevent.AttemptBroken, vrevent.AttemptTimedOut, vrevent.AttemptServerError, vrevent.AttemptSuperseded,
+	} {
+		t.Run(result.String(), func(t *testing.T) {
+			d, send, hedge := newHedgedDaemon(t, "read", threeAppServers()...)
+			require.Empty(t, d.endSend(send, result))
+			require.Empty(t, d.endSend(hedge, vrevent.AttemptAnswered))
+			require.EqualValues(t, 1, d.state.Counts().Delivered)
+			require.Zero(t, d.state.OpenCalls())
+		})
+	}
+}
+
+// The held failure of a server must reach the client if neither the send nor its hedge brings an answer.
+func TestFailureOfHedgeIsForwardedIfSlowSendBreaks(t *testing.T) {
+	d, send, hedge := newHedgedDaemon(t, "read", appEntry("a1"), appEntry("a2"))
+	require.Empty(t, d.endSend(hedge, vrevent.AttemptServerError))
+	require.Equal(t, []vrevent.Effect{vrevent.ForwardFailure{Call: send.Call}}, d.endSend(send, vrevent.AttemptBroken))
+}
+
+// A hedge needs another server that can take the call, room in the retry budget, and time. Otherwise a sound
+// server would get repeats beyond the budget (BUDGET).
+func TestSlowServerIsHedgedOnlyAtAnother(t *testing.T) {
+	for _, route := range []string{"stream", "read"} {
+		start := func(entries ...vrfleet.Entry) (d *daemon, stalled vrevent.SendStalled) {
+			d = newReadyDaemon(t, append(entries, engineEntry("e1", "m"), engineEntry("e2"), appEntry("a1"))...)
+			send := d.requireSentOn(route)
+			require.Equal(t, d.now.Add(500*time.Millisecond), send.FirstByteDeadline)
+			d.now = send.FirstByteDeadline
+			return d, vrevent.SendStalled{Call: send.Call, Send: send.Send, Silence: 500 * time.Millisecond}
+		}
+		others := []vrfleet.Entry{engineEntry("e3", "m"), appEntry("a3")}
+		alone, stalled := start()
+		require.Empty(t, alone.reduce(stalled))
+		alone.reduce(vrevent.FleetChanged{Entries: others})
+		alone.requireHedge(alone.reduce(stalled))
+
+		left, stalled := start(others...)
+		left.reduce(vrevent.FleetChanged{Removed: []vrid.ServerID{"a1", "a3", "e1", "e3"}})
+		require.Empty(t, left.reduce(stalled))
+
+		spent, stalled := start(others...)
+		spent.reduce(vrevent.RetryOptionsChanged{Options: vrretry.Options{Window: 10 * time.Second}})
+		require.Empty(t, spent.reduce(stalled))
+
+		late, stalled := start(others...)
+		late.now = late.now.Add(1300 * time.Millisecond)
+		require.Empty(t, late.reduce(stalled), "the call has 200 ms")
+
+		ending, stalled := start(others...)
+		ending.reduce(vrevent.GracePeriodEnding{})
+		require.Empty(t, ending.reduce(stalled))
+	}
+}
+
+// A hedge is one retry: it must be counted once, also when it takes the call over.
+func TestHedgeIsCountedOnce(t *testing.T) {
+	d := newReadyDaemon(t, appEntry("a1"), appEntry("a2"))
+	// 0.8 of the slack is used: one retry.
+	d.reduce(vrevent.RetryOptionsChanged{Options: vrretry.Options{Slack: 1.25, Window: 10 * time.Second}})
+	send, other := d.requireSentOn("read"), d.requireSentOn("read")
+	hedge := d.requireHedge(d.reduce(vrevent.SendStalled{Call: send.Call, Send: send.Send}))
+	require.Empty(t, d.reduce(vrevent.SendStalled{Call: other.Call, Send: other.Send}))
+	require.Empty(t, d.endSend(send, vrevent.AttemptTimedOut))
+	require.Empty(t, d.endSend(hedge, vrevent.AttemptAnswered))
+	require.EqualValues(t, 1, d.state.Counts().Delivered)
+}
+
+// A call of which a part of the prompt may crash servers must not be sent to a second one beside the first.
+func TestSuspectedPromptIsNotHedged(t *testing.T) {
+	d := newInformedDaemon(t, engineEntry("e1", "m"), engineEntry("e2", "m"), engineEntry("e3", "m"))
+	slow := sends(d.arriveWith("stream", "deadly"))[0]
+	crashed := sends(d.arriveWith("stream", "deadly"))[0]
+	d.reduce(vrevent.SendEnded{Call: crashed.Call, Send: crashed.Send, Result: vrevent.AttemptBroken, ServerDown: true})
+	d.now = slow.FirstByteDeadline
+	require.Empty(t, sends(d.reduce(vrevent.SendStalled{Call: slow.Call, Send: slow.Send, Silence: 500 * time.Millisecond})))
+}
+
+// The end of a call must release the servers of both sends, so that neither looks busy for good.
+func TestEndOfHedgedCallReleasesBothServers(t *testing.T) {
+	for name, end := range map[string]func(d *daemon, send, hedge vrevent.SendCall){
+		"answered by the send":  func(d *daemon, send, _ vrevent.SendCall) { d.endSend(send, vrevent.AttemptAnswered) },
+		"answered by the hedge": func(d *daemon, _, hedge vrevent.SendCall) { d.endSend(hedge, vrevent.AttemptAnswered) },
+		"client gone":           func(d *daemon, send, _ vrevent.SendCall) { d.reduce(vrevent.ClientGone{Call: send.Call}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, send, hedge := newHedgedDaemon(t, "read", appEntry("a1"), appEntry("a2"))
+			end(d, send, hedge)
+			require.Empty(t, d.endSend(send, vrevent.AttemptBroken))
+			require.Empty(t, d.endSend(hedge, vrevent.AttemptBroken))
+			for range 2 {
+				d.requireSentOn("read")
+				require.Equal(t, "1", d.dispatchedBusy(), "requests at the server, the new one included")
+			}
+		})
+	}
+}
+
+// dispatchedBusy returns the number of requests at its server that the last dispatch logged.
+func (d *daemon) dispatchedBusy() string {
+	for _, effect := range d.out.List {
+		line, ok := effect.(vrevent.Log)
+		if !ok || line.Message != "call dispatched" {
+			continue
+		}
+		for _, field := range line.Fields {
+			if field.Name == "busy" {
+				return field.Value
+			}
+		}
+	}
+	return ""
+}
--- a/verbenacore/vrgateway/quarantine.go
+++ b/verbenacore/vrgateway/quarantine.go
@@ -128,14 +128,13 @@
 }
 
 // recordPromptOutcome records what the end of a send shows about the parts of the prompt.
-func (s *State) recordPromptOutcome(now time.Time, c *call, server vrid.ServerID, e *vrevent.SendEnded, out *vrevent.Effects) {
-	probe := c.probe
-	c.probe = vrquarantine.Probe{}
+func (s *State) recordPromptOutcome(now time.Time, c *call, a *attempt, e *vrevent.SendEnded, out *vrevent.Effects) {
+	probe := a.probe
 	switch {
 	case e.Result == vrevent.AttemptAnswered && e.Status < statusError:
 		s.quarantine.parts.RecordAnswer(now, c.PromptParts)
-	case e.Result == vrevent.AttemptBroken && e.ServerDown && !c.answerBegan && c.eventsDelivered == 0:
-		out.Info("server crashed before its answer began", text("request", c.Request), text("server", server),
+	case e.Result == vrevent.AttemptBroken && e.ServerDown && !a.answerBegan && c.eventsDelivered == 0:
+		out.Info("server crashed before its answer began", text("request", c.Request), text("server", a.server.ID),
 			text("parts", joinParts(c.PromptParts)), number("probe", uint64(probe.Number)))
 		s.quarantine.parts.RecordCrash(now, vrquarantine.CrashedRequest{Request: c.Request, Parts: c.PromptParts, Probe: probe})
 	default:
--- a/verbenacore/vrgateway/waits.go
+++ b/verbenacore/vrgateway/waits.go
@@ -148,7 +148,7 @@
 			s.hold(now, c, out)
 			continue
 		}
-		s.send(now, c, server, "", out)
+		s.send(now, c, server, out)
 		c.waitedForServer = true
 		s.expediteDemand(now)
 	}
--- a/verbenacore/vrretry/vrretry.go
+++ b/verbenacore/vrretry/vrretry.go
@@ -85,13 +85,6 @@
 	w.requests[w.current]++
 }
 
-// maxCountedAge limits CountedAge.
-const maxCountedAge = time.Second
-
-// CountedAge is how long after AllowRetry the retry may be sent without being counted again: at most one
-// bucket, so that the retries that are sent within any window stay within the budget.
-func (b *Budget) CountedAge() time.Duration { return min(maxCountedAge, b.opts.Window/bucketCount) }
-
 // HasRetry reports whether a request might be retried now, without counting a retry.
 func (b *Budget) HasRetry(now time.Time, service vrid.ServiceID) bool {
 	return b.hasRetry(b.window(now, service))
--- a/verbenaroute/internal/vrrelay/exchange.go
+++ b/verbenaroute/internal/vrrelay/exchange.go
@@ -3,7 +3,8 @@
 import (
 	"encoding/json"
 	"net/http"
-	"sync/atomic"
+	"slices"
+	"sync"
 	"time"
 
 	"verbenaroute.example/verbenacore/vrevent"
@@ -21,11 +22,18 @@
 	control *http.ResponseController
 	effects chan vrevent.Effect
 	record  *requestRecord
-	// activeConn is the connection of the send in progress, or nil. activeWatch is the watch of the
-	// last send that had a connection.
-	activeConn  atomic.Pointer[conn]
-	activeWatch atomic.Pointer[stallWatch]
+	// hedgeEnded receives the result of a hedge that ended the call.
+	hedgeEnded chan vrevent.AttemptResult
 
+	attemptsMu sync.Mutex
+	// attempts are the sends in progress: one, or two while one is hedged.
+	attempts []*sendAttempt
+
+	// forwardMu is held while a part of a response is written to the client, and protects the fields
+	// below.
+	forwardMu sync.Mutex
+	// closed is set once the handler has returned.
+	closed bool
 	// headerWritten is set once the status and headers of a server's response were forwarded.
 	headerWritten bool
 	// lastEventID is the id of the last forwarded event, eventCount the number of them.
@@ -51,6 +59,11 @@
 			if h.execute(effect) {
 				return
 			}
+		case result := <-h.hedgeEnded:
+			if result == vrevent.AttemptCallerGone {
+				panic(http.ErrAbortHandler)
+			}
+			return
 		case <-h.request.Context().Done():
 			h.proxy.opts.Submit(vrevent.ClientGone{Call: h.call.ID})
 			panic(http.ErrAbortHandler)
@@ -62,14 +75,11 @@
 func (h *callHandler) execute(effect vrevent.Effect) bool {
 	switch e := effect.(type) {
 	case vrevent.SendCall:
-		h.record.sendStarted(e.Server)
-		ended := h.send(&e)
-		h.record.sendEnded(ended.Result)
-		h.proxy.opts.Submit(ended)
-		if ended.Result == vrevent.AttemptCallerGone {
+		result := h.send(&e)
+		if result == vrevent.AttemptCallerGone {
 			panic(http.ErrAbortHandler)
 		}
-		return ended.Result == vrevent.AttemptAnswered
+		return result == vrevent.AttemptAnswered
 	case vrevent.RefuseCall:
 		h.requireNothingForwarded()
 		h.refuse(&e)
@@ -88,10 +98,104 @@
 	return false
 }
 
+// runHedge carries out a send beside the one that the handler is carrying out.
+func (h *callHandler) runHedge(e *vrevent.SendCall) {
+	result := h.send(e)
+	if result == vrevent.AttemptAnswered || result == vrevent.AttemptCallerGone {
+		h.hedgeEnded <- result
+	}
+}
+
+// startAttempt adds a send to those in progress and notes what was forwarded before it. A hedge that
+// was decided before the stream began, or after the handler returned, is not sent.
+func (h *callHandler) startAttempt(a *sendAttempt) bool {
+	h.forwardMu.Lock()
+	defer h.forwardMu.Unlock()
+	a.partForwarded, a.lastEventID, a.eventsBefore = h.headerWritten, h.lastEventID, h.eventCount
+	h.attemptsMu.Lock()
+	defer h.attemptsMu.Unlock()
+	if h.closed || (a.send.Hedge && a.send.Resume != h.headerWritten) {
+		return false
+	}
+	h.attempts = append(h.attempts, a)
+	return true
+}
+
+func (h *callHandler) endAttempt(a *sendAttempt) {
+	h.attemptsMu.Lock()
+	defer h.attemptsMu.Unlock()
+	h.attempts = slices.DeleteFunc(h.attempts, func(other *sendAttempt) bool { return other == a })
+}
+
+// forwardFrom calls write, which passes a part of the response of a send on to the client, unless another
+// send has superseded this one. A part with an event or a whole answer supersedes the other send. It returns
+// false if write was not called.
+func (h *callHandler) forwardFrom(a *sendAttempt, isAnswer bool, write func()) bool {
+	h.forwardMu.Lock()
+	defer h.forwardMu.Unlock()
+	if h.closed || a.superseded.Load() {
+		return false
+	}
+	if isAnswer {
+		h.supersedeOthers(a)
+	}
+	write()
+	return true
+}
+
+// supersedeOthers ends the sends in progress apart from one, and reports their ends before any later event
+// of that one. The caller holds forwardMu.
+func (h *callHandler) supersedeOthers(winner *sendAttempt) {
+	h.attemptsMu.Lock()
+	var ended []*sendAttempt
+	for _, a := range h.attempts {
+		if a != winner && a.superseded.CompareAndSwap(false, true) {
+			ended = append(ended, a)
+			a.abort()
+		}
+	}
+	h.attemptsMu.Unlock()
+	for _, a := range ended {
+		h.proxy.opts.Submit(vrevent.SendEnded{
+			Call: a.send.Call, Send: a.send.Send, Result: vrevent.AttemptSuperseded, PartForwarded: h.headerWritten, Events: h.eventCount,
+		})
+	}
+}
+
+// abortAttempts makes the reads and writes of all sends in progress fail.
+func (h *callHandler) abortAttempts() {
+	h.attemptsMu.Lock()
+	defer h.attemptsMu.Unlock()
+	for _, a := range h.attempts {
+		a.abort()
+	}
+}
+
+// close ends the sends that are still in progress when the handler returns. None of them writes to the
+// client from then on.
+func (h *callHandler) close() {
+	h.attemptsMu.Lock()
+	for _, a := range h.attempts {
+		a.superseded.Store(true)
+		a.abort()
+	}
+	h.attemptsMu.Unlock()
+	h.forwardMu.Lock()
+	defer h.forwardMu.Unlock()
+	h.closed = true
+}
+
+// isPartForwarded reports whether part of a server's response was forwarded.
+func (h *callHandler) isPartForwarded() bool {
+	h.forwardMu.Lock()
+	defer h.forwardMu.Unlock()
+	return h.headerWritten
+}
+
 // requireNothingForwarded closes the client's connection if part of a server's response was
 // forwarded. Another response written behind that part would look like its continuation.
 func (h *callHandler) requireNothingForwarded() {
-	if h.headerWritten {
+	if h.isPartForwarded() {
 		h.record.abortAfterPart(h.proxy.sendsAborted.Load())
 		panic(http.ErrAbortHandler)
 	}
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"verbenaroute.example/verbenacore/vrdialect"
@@ -60,10 +61,19 @@
 type sendAttempt struct {
 	handler         *callHandler
 	send            *vrevent.SendCall
-	conn            *conn
+	conn            atomic.Pointer[conn]
 	watch           *stallWatch
 	startedAt       time.Time
 	timeToFirstByte time.Duration
+	// superseded is set once another send has brought an answer or the next event, or the handler has
+	// returned. Nothing of this one is forwarded or reported from then on.
+	superseded atomic.Bool
+	// partForwarded, lastEventID and eventsBefore say what was forwarded before the send.
+	partForwarded bool
+	lastEventID   string
+	eventsBefore  int
+	// events is the number of events that this send has forwarded.
+	events int
 	// firstByteReported is set once the reducer was told of the first part of a stream,
 	// answerReported once it was told of the first event.
 	firstByteReported, answerReported bool
@@ -77,14 +87,27 @@
 	bodyWritten chan error
 }
 
-// send carries out one send and returns how it ended.
-func (h *callHandler) send(e *vrevent.SendCall) vrevent.SendEnded {
+// send carries out one send, reports its end and returns its result.
+func (h *callHandler) send(e *vrevent.SendCall) vrevent.AttemptResult {
 	a := &sendAttempt{handler: h, send: e, startedAt: time.Now()}
 	a.result = vrevent.SendEnded{Call: e.Call, Send: e.Send}
-	a.roundTrip()
+	h.record.sendStarted(e.Server)
+	if h.startAttempt(a) {
+		a.roundTrip()
+		h.endAttempt(a)
+	} else {
+		a.end(vrevent.AttemptSuperseded, nil)
+	}
+	if a.superseded.Load() {
+		return vrevent.AttemptSuperseded
+	}
+	h.forwardMu.Lock()
 	a.result.PartForwarded, a.result.Events = h.headerWritten, h.eventCount
+	h.forwardMu.Unlock()
 	a.result.TimeToFirstByte = a.timeToFirstByte
-	return a.result
+	h.record.sendEnded(a.result.Result)
+	h.proxy.opts.Submit(a.result)
+	return a.result.Result
 }
 
 // roundTrip sends the request and forwards the response. It sets a.result.
@@ -95,13 +118,13 @@
 		a.end(vrevent.AttemptNotSent, err)
 		return
 	}
-	a.conn = c
-	a.handler.activeConn.Store(c)
-	defer a.handler.activeConn.Store(nil)
+	a.conn.Store(c)
 	stop := context.AfterFunc(a.handler.request.Context(), func() { _ = c.SetDeadline(_past) })
 	defer func() {
 		clientConnected := stop()
-		if a.reusable && a.strays == 0 && clientConnected && a.isBodyWritten() {
+		// Once the connection is in the pool, it may carry another request, which must not be aborted.
+		a.handler.endAttempt(a)
+		if a.reusable && a.strays == 0 && clientConnected && !a.superseded.Load() && a.isBodyWritten() {
 			a.handler.proxy.pool.put(c)
 			return
 		}
@@ -126,6 +149,13 @@
 	a.handleResponse(response, info)
 }
 
+// abort makes the reads and writes of the send fail.
+func (a *sendAttempt) abort() {
+	if c := a.conn.Load(); c != nil {
+		_ = c.SetDeadline(_past)
+	}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -136,28 +166,32 @@
 // setDeadline sets the deadline of reads and writes on the connection to the server.
 func (a *sendAttempt) setDeadline(deadline time.Time) {
 	remaining := deadline.Sub(a.handler.proxy.opts.Clock.Now())
-	_ = a.conn.SetDeadline(time.Now().Add(remaining))
-	// The client may have disconnected before the deadline was set, which overwrites the one
-	// that aborts the send.
-	if a.handler.request.Context().Err() != nil || a.handler.proxy.sendsAborted.Load() {
-		_ = a.conn.SetDeadline(_past)
+	c := a.conn.Load()
+	_ = c.SetDeadline(time.Now().Add(remaining))
+	// The client may have disconnected, or another send have superseded this one, before the deadline
+	// was set, which overwrites the one that aborts the send.
+	if a.handler.request.Context().Err() != nil || a.handler.proxy.sendsAborted.Load() || a.superseded.Load() {
+		_ = c.SetDeadline(_past)
 	}
 }
 
 // fail ends a send whose request the server may have run.
 func (a *sendAttempt) fail(err error) {
+	c := a.conn.Load()
 	switch {
+	case a.superseded.Load():
+		a.end(vrevent.AttemptSuperseded, err)
 	case a.handler.request.Context().Err() != nil:
 		a.end(vrevent.AttemptCallerGone, err)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		a.handler.proxy.pool.closeIdle(a.conn.backend)
+		a.handler.proxy.pool.closeIdle(c.backend)
 		a.end(vrevent.AttemptTimedOut, err)
 	default:
-		if a.conn.used {
-			a.handler.proxy.pool.closeIdle(a.conn.backend)
+		if c.used {
+			a.handler.proxy.pool.closeIdle(c.backend)
 		}
 		if !a.answerReported && len(a.handler.call.PromptParts) > 0 {
-			a.result.ServerDown = a.conn.backend.refusesConnections()
+			a.result.ServerDown = c.backend.refusesConnections()
 		}
 		a.end(vrevent.AttemptBroken, err)
 	}
@@ -184,17 +218,18 @@
 		return err
 	}
 	message.WriteString("\r\n")
+	c := a.conn.Load()
 	if len(a.handler.body) < minConcurrentBody {
 		message.Write(a.handler.body)
-		_, err := a.conn.Write(message.Bytes())
+		_, err := c.Write(message.Bytes())
 		return err
 	}
-	if _, err := a.conn.Write(message.Bytes()); err != nil {
+	if _, err := c.Write(message.Bytes()); err != nil {
 		return err
 	}
 	a.bodyWritten = make(chan error, 1)
 	go func() {
-		_, err := a.conn.Write(a.handler.body)
+		_, err := c.Write(a.handler.body)
 		a.bodyWritten <- err
 	}()
 	return nil
@@ -231,7 +266,7 @@
 		Reservation: a.send.Reservation,
 	}
 	if a.send.Resume {
-		info.LastEvent = a.handler.lastEventID
+		info.LastEvent = a.lastEventID
 	}
 	dialect.SetRequestHeaders(header, info)
 	return header
@@ -261,11 +296,12 @@
 // readResponseHead reads the head of the response to this request. It skips interim responses
 // and up to maxStrayResponses late responses to earlier requests.
 func (a *sendAttempt) readResponseHead() (*http.Response, vrdialect.ResponseInfo, error) {
-	source := a.conn.source
+	c := a.conn.Load()
+	source := c.source
 	source.beginHead(a.handler.proxy.opts.MaxResponseHead)
 	defer source.endHead()
 	for {
-		response, err := http.ReadResponse(a.conn.reader, a.handler.request)
+		response, err := http.ReadResponse(c.reader, a.handler.request)
 		if source.exceeded() {
 			// The error of http.ReadResponse may hide that of the reader.
 			return nil, vrdialect.ResponseInfo{}, &HeadTooLargeError{Limit: source.limit}
@@ -304,7 +340,7 @@
 	if info.Request == a.handler.call.Request {
 		return true
 	}
-	return info.Request == "" && info.NotRun && !a.conn.used && a.strays == 0
+	return info.Request == "" && info.NotRun && !a.conn.Load().used && a.strays == 0
 }
 
 // unexpectedEOF makes a connection that ended before the response an error other than io.EOF.
@@ -324,7 +360,8 @@
 		return
 	}
 	success := response.StatusCode < http.StatusMultipleChoices
-	if a.handler.headerWritten && !a.send.Stream {
+	partForwarded := a.handler.isPartForwarded()
+	if partForwarded && !a.send.Stream {
 		// The body of another response must not follow the part that was forwarded.
 		a.end(vrevent.AttemptBroken, &ResumeError{Status: response.StatusCode})
 		return
@@ -333,7 +370,7 @@
 		a.end(vrevent.AttemptBroken, &UnsignedError{Status: response.StatusCode})
 		return
 	}
-	if a.handler.headerWritten && !success {
+	if partForwarded && !success {
 		// The client has already received the header of a successful stream.
 		a.reusable = a.drain(response)
 		a.end(vrevent.AttemptBroken, &ResumeError{Status: response.StatusCode})
@@ -390,27 +427,38 @@
 	a.reusable = allowsReuse(response)
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	if a.send.HoldErrors && response.StatusCode >= http.StatusInternalServerError {
-		a.handler.heldFailure = buffered
+		a.handler.forwardFrom(a, false, func() { a.handler.heldFailure = buffered })
 		a.end(vrevent.AttemptServerError, nil)
 		return
 	}
-	a.handler.setWriteDeadline(a.send.Deadline)
-	a.handler.forward(buffered)
+	forwarded := a.handler.forwardFrom(a, true, func() {
+		a.handler.setWriteDeadline(a.send.Deadline)
+		a.handler.forward(buffered)
+	})
+	if !forwarded {
+		a.end(vrevent.AttemptSuperseded, nil)
+		return
+	}
 	a.end(vrevent.AttemptAnswered, nil)
 }
 
 // forwardLarge forwards a response that is too large to be buffered.
 func (a *sendAttempt) forwardLarge(response *http.Response, prefix []byte) {
-	a.handler.setWriteDeadline(a.send.Deadline)
-	a.handler.writeHeader(response.StatusCode, response.Header, int(response.ContentLength))
-	if _, err := a.handler.writer.Write(prefix); err != nil {
-		a.end(vrevent.AttemptCallerGone, err)
-		return
-	}
-	if _, err := io.Copy(a.handler.writer, bufio.NewReader(response.Body)); err != nil {
-		a.fail(err)
-		return
+	forwarded := a.handler.forwardFrom(a, true, func() {
+		a.handler.setWriteDeadline(a.send.Deadline)
+		a.handler.writeHeader(response.StatusCode, response.Header, int(response.ContentLength))
+		if _, err := a.handler.writer.Write(prefix); err != nil {
+			a.end(vrevent.AttemptCallerGone, err)
+			return
+		}
+		if _, err := io.Copy(a.handler.writer, bufio.NewReader(response.Body)); err != nil {
+			a.fail(err)
+			return
+		}
+		a.reusable = allowsReuse(response)
+		a.end(vrevent.AttemptAnswered, nil)
+	})
+	if !forwarded {
+		a.end(vrevent.AttemptSuperseded, nil)
 	}
-	a.reusable = allowsReuse(response)
-	a.end(vrevent.AttemptAnswered, nil)
 }
--- a/verbenaroute/internal/vrrelay/stall.go
+++ b/verbenaroute/internal/vrrelay/stall.go
@@ -19,11 +19,10 @@
 )
 
 // stallWatch reports a send whose server is silent for too long: until the first byte of the response,
-// or between two events of a stream. The send goes on: the reducer ends it only if the call can go on at
-// another server, because otherwise the server's answer is the only one that the client can get.
+// or between two events of a stream. The send goes on until another server has brought an answer: otherwise its
+// answer is the only one that the client can get.
 type stallWatch struct {
 	conn     *conn
-	send     int
 	maxPause time.Duration
 	report   func(silence time.Duration)
 
@@ -44,23 +43,23 @@
 // the deadline for the first byte, or the longest pause if part of the stream was forwarded before by
 // another server.
 func (a *sendAttempt) watchStalls() {
-	a.watch = &stallWatch{
-		conn: a.conn, send: a.send.Send, maxPause: a.send.MaxPause, silentSince: a.startedAt,
+	watch := &stallWatch{
+		conn: a.conn.Load(), maxPause: a.send.MaxPause, silentSince: a.startedAt,
 		report: func(silence time.Duration) {
 			a.handler.proxy.opts.Submit(vrevent.SendStalled{Call: a.send.Call, Send: a.send.Send, Silence: silence})
 		},
 	}
-	a.handler.activeWatch.Store(a.watch)
+	a.watch = watch
 	limit := time.Duration(0)
 	switch {
-	case a.send.Stream && a.handler.headerWritten:
+	case a.send.Stream && a.partForwarded:
 		limit = a.send.MaxPause
 	case !a.send.FirstByteDeadline.IsZero():
 		limit = max(a.send.FirstByteDeadline.Sub(a.handler.proxy.opts.Clock.Now()), time.Millisecond)
 	}
-	a.watch.mu.Lock()
-	defer a.watch.mu.Unlock()
-	a.watch.arm(limit)
+	watch.mu.Lock()
+	defer watch.mu.Unlock()
+	watch.arm(limit)
 }
 
 // arm sets the silence that is allowed from now on. The caller holds the lock.
@@ -135,15 +134,6 @@
 	}
 }
 
-// abandon ends the send if it is still stalled.
-func (w *stallWatch) abandon() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.stalled && !w.stopped && !w.conn.hasUnread() {
-		_ = w.conn.SetDeadline(_past)
-	}
-}
-
 // stop ends the watch.
 func (w *stallWatch) stop() {
 	w.mu.Lock()
--- a/verbenaroute/internal/vrrelay/stream.go
+++ b/verbenaroute/internal/vrrelay/stream.go
@@ -33,7 +33,6 @@
 // forwardStream forwards events as they arrive. It forwards only complete events, so that
 // another server can resume the stream.
 func (a *sendAttempt) forwardStream(response *http.Response) {
-	a.handler.setWriteDeadline(a.send.Deadline)
 	var pending []byte
 	buffer := make([]byte, readBufferSize)
 	a.watch.headReceived()
@@ -41,7 +40,7 @@
 		a.setDeadline(a.send.Deadline)
 		readStart := time.Now()
 		n, err := response.Body.Read(buffer)
-		if a.handler.eventCount > 0 && n > 0 {
+		if a.events > 0 && n > 0 {
 			a.result.LongestPause = max(a.result.LongestPause, time.Since(readStart))
 		}
 		pending = append(pending, buffer[:n]...)
@@ -54,7 +53,7 @@
 		case errors.Is(err, io.EOF) && len(pending) > 0:
 			a.fail(errEndsInsideEvent)
 			return
-		case errors.Is(err, io.EOF) && a.handler.eventCount == 0 && !isFramed(response):
+		case errors.Is(err, io.EOF) && a.eventsBefore+a.events == 0 && !isFramed(response):
 			a.fail(errNoEvents)
 			return
 		case errors.Is(err, io.EOF):
@@ -70,38 +69,49 @@
 	}
 }
 
-// forwardEvents writes complete events to the client. It returns false if the client has
-// disconnected.
+// forwardEvents writes complete events to the client. It returns false if the send has ended: the
+// client has disconnected, or another send has superseded this one.
 func (a *sendAttempt) forwardEvents(response *http.Response, events []byte) bool {
+	h := a.handler
 	count, lastID := parseEvents(events)
-	// From the first forwarded part on, the call needs a place at another server before the send may be
-	// given up. An order that was given before must not end it.
-	begins := !a.handler.headerWritten
-	if begins {
-		a.watch.progress()
+	if count == 0 && a.send.Hedge && a.events == 0 {
+		// A comment does not decide which of the two sends is forwarded.
+		return true
 	}
-	a.reportFirstByte(count > 0)
-	if begins {
-		a.handler.writeHeader(response.StatusCode, response.Header, unknownLength)
-	}
-	_, err := a.handler.writer.Write(events)
-	if err == nil {
-		err = a.handler.control.Flush()
-	}
-	if err != nil {
+	var err error
+	forwarded := h.forwardFrom(a, count > 0, func() {
+		begins := !h.headerWritten
+		a.reportFirstByte(count > 0)
+		if a.events == 0 {
+			h.setWriteDeadline(a.send.Deadline)
+		}
+		if begins {
+			h.writeHeader(response.StatusCode, response.Header, unknownLength)
+		}
+		if _, err = h.writer.Write(events); err == nil {
+			err = h.control.Flush()
+		}
+		if err != nil {
+			return
+		}
+		// A stream that starts with a comment has no event yet, but its first part was forwarded, which
+		// ends the limit for the first event.
+		if count > 0 || begins {
+			a.watch.progress()
+		}
+		a.events += count
+		h.eventCount += count
+		if lastID != "" {
+			h.lastEventID = lastID
+		}
+	})
+	switch {
+	case !forwarded:
+		a.end(vrevent.AttemptSuperseded, nil)
+	case err != nil:
 		a.end(vrevent.AttemptCallerGone, err)
-		return false
-	}
-	// A stream that starts with a comment has no event yet, but its first part was forwarded, which
-	// ends the limit for the first event.
-	if count > 0 || begins {
-		a.watch.progress()
-	}
-	a.handler.eventCount += count
-	if lastID != "" {
-		a.handler.lastEventID = lastID
 	}
-	return true
+	return forwarded && err == nil
 }
 
 // reportFirstByte tells the reducer of the first part of a stream and, if that was no event, of the first
@@ -121,8 +131,16 @@
 
 // finishStream ends a send whose stream was forwarded to its end.
 func (a *sendAttempt) finishStream(response *http.Response) {
-	if !a.handler.headerWritten {
-		a.handler.writeHeader(response.StatusCode, response.Header, unknownLength)
+	h := a.handler
+	forwarded := h.forwardFrom(a, true, func() {
+		if !h.headerWritten {
+			h.setWriteDeadline(a.send.Deadline)
+			h.writeHeader(response.StatusCode, response.Header, unknownLength)
+		}
+	})
+	if !forwarded {
+		a.end(vrevent.AttemptSuperseded, nil)
+		return
 	}
 	a.reusable = allowsReuse(response)
 	a.end(vrevent.AttemptAnswered, nil)
--- a/verbenaroute/internal/vrrelay/vrrelay.go
+++ b/verbenaroute/internal/vrrelay/vrrelay.go
@@ -131,9 +131,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, handler := range p.handlers {
-		if c := handler.activeConn.Load(); c != nil {
-			_ = c.SetDeadline(_past)
-		}
+		handler.abortAttempts()
 	}
 }
 
@@ -177,15 +175,16 @@
 		id = e.Call
 	case vrevent.AbortCall:
 		id = e.Call
-	case vrevent.AbandonSend:
-		p.abandonSend(e)
-		return true
 	default:
 		return false
 	}
 	p.mu.Lock()
 	handler := p.handlers[id]
 	p.mu.Unlock()
+	if send, ok := effect.(vrevent.SendCall); ok && send.Hedge && handler != nil {
+		go handler.runHedge(&send)
+		return true
+	}
 	if handler != nil {
 		select {
 		case handler.effects <- effect:
@@ -196,20 +195,6 @@
 	return true
 }
 
-// abandonSend ends a send if it is still stalled. Its handler is blocked in a read meanwhile,
-// so the effect does not go through the handler's queue.
-func (p *Proxy) abandonSend(e vrevent.AbandonSend) {
-	p.mu.Lock()
-	handler := p.handlers[e.Call]
-	p.mu.Unlock()
-	if handler == nil {
-		return
-	}
-	if watch := handler.activeWatch.Load(); watch != nil && watch.send == e.Send {
-		watch.abandon()
-	}
-}
-
 // ServeHTTP handles one client request to its end.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.activeCalls.Add(1)
@@ -233,7 +218,7 @@
 	call.Host, call.Path = r.Host, r.URL.EscapedPath()
 	handler := &callHandler{
 		proxy: p, call: call, request: r, body: body, writer: w, control: control, record: record,
-		effects: make(chan vrevent.Effect, effectBuffer),
+		effects: make(chan vrevent.Effect, effectBuffer), hedgeEnded: make(chan vrevent.AttemptResult, 1),
 	}
 	p.mu.Lock()
 	p.handlers[call.ID] = handler
@@ -243,6 +228,7 @@
 		delete(p.handlers, call.ID)
 		p.mu.Unlock()
 	}()
+	defer handler.close()
 	handler.run()
 }
 
