Let a connection to a server carry each request id only once

Clients were told "not run, try again" for a request that its server had run: a send was refused on a kept connection, the same request was sent to the same server on it again, and a second copy of the refusal, which bears the same id, counted as the answer to the second send.

The id was the only thing that tied a response to a send, and two sends of one request on one connection share it. A connection now keeps a hash of the id of each request it has carried, at most 1,024, and the pool gives out no connection that has carried the id. A request without an id always gets a new connection, because its responses can't be told from those of another one. A response with the id of a request can then not be a copy of one that was written for an earlier send on the connection. Other requests keep using a connection on which one was refused, so that a refusal costs no new connection.

TestClosedIdleConnectionIsNotUsed and TestRejectionWithoutIDIsNoAnswerOnReusedConnection sent the same id twice on one connection; they send two ids now, so that their second request still finds the kept connection, and check as much as before.

--- a/verbenaroute/internal/vrrelay/conn.go
+++ b/verbenaroute/internal/vrrelay/conn.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,8 +30,13 @@
 	maxIdleConns      = 16
 	readBufferSize    = 4 << 10
 	keepAlivePeriod   = 15 * time.Second
+	// maxRequestsPerConn bounds the memory for the ids of the requests that a connection has carried.
+	maxRequestsPerConn = 1024
 )
 
+// _requestHashSeed is the seed of the hashes in conn.requests.
+var _requestHashSeed = maphash.MakeSeed()
+
 // backend is the pool's key for the connections of one server. It contains the server's id,
 // because an address can be reassigned to another server.
 type backend struct {
@@ -60,7 +67,11 @@
 	// source is what reader reads from. It limits the heads of responses.
 	source *headLimiter
 	// used is set once the connection has carried a complete exchange.
-	used      bool
+	used bool
+	// requests holds a hash of the id of each request that the connection has carried. It carries
+	// no id twice: a copy of the response to the first of two requests could not be told from the
+	// response to the second. Two ids with the same hash only cost another connection.
+	requests  []uint64
 	idleSince time.Time
 	// maxIdle is how long the connection may be idle before it is not used again.
 	maxIdle time.Duration
@@ -74,12 +85,12 @@
 
 func newPool() *pool { return &pool{idle: make(map[backend][]*conn)} }
 
-// get returns an idle connection that still appears to be open, or dials a new one. A dial
-// error proves that nothing was sent.
-func (p *pool) get(key backend, atMostOnce bool) (*conn, error) {
+// get returns an idle connection that still appears to be open and may carry a request with this
+// id, or dials a new one. A dial error proves that nothing was sent.
+func (p *pool) get(key backend, request vrid.RequestID, atMostOnce bool) (*conn, error) {
 	now := time.Now()
 	for {
-		c := p.pop(key)
+		c := p.pop(key, request)
 		if c == nil {
 			break
 		}
@@ -142,8 +153,10 @@
 	return n, err
 }
 
-// pop removes and returns the connection that became idle last, or nil.
-func (p *pool) pop(key backend) *conn {
+// pop removes and returns the connection that became idle last among those that may carry a request
+// with this id, or nil. A response without an id can't be told from another one, so a request without
+// an id gets a new connection.
+func (p *pool) pop(key backend, request vrid.RequestID) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[key]
@@ -151,14 +164,26 @@
 		delete(p.idle, key)
 		return nil
 	}
-	c := idle[len(idle)-1]
-	p.idle[key] = idle[:len(idle)-1]
-	return c
+	if request == "" {
+		return nil
+	}
+	hash := hashRequestID(request)
+	for i, c := range slices.Backward(idle) {
+		if !slices.Contains(c.requests, hash) {
+			p.idle[key] = slices.Delete(idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
+func hashRequestID(request vrid.RequestID) uint64 {
+	return maphash.String(_requestHashSeed, string(request))
 }
 
 // put returns a connection to the pool after its response was read to the end.
 func (p *pool) put(c *conn) {
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || len(c.requests) >= maxRequestsPerConn {
 		// Bytes after a complete response belong to no request.
 		_ = c.Close()
 		return
--- /dev/null
+++ b/verbenaroute/internal/vrrelay/copy_test.go
@@ -0,0 +1,143 @@
+package vrrelay
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrid"
+)
+
+const (
+	refusal = "HTTP/1.1 503 Full\r\nX-Request: ID\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	success = "HTTP/1.1 200 OK\r\n" + signedHeaders + "Content-Length: 2\r\n\r\nok"
+)
+
+// serveConns serves the connections of a listener at the same time. serve gets the number of the
+// connection, from zero, and returns when the connection is to be closed.
+func serveConns(t *testing.T, serve func(number int, reader *bufio.Reader, c net.Conn)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for number := 0; ; number++ {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				serve(number, bufio.NewReader(c), c)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// startScriptedServer answers the requests of connection i with the replies scripts[i], in order, and
+// those of any further connection with a success.
+func startScriptedServer(t *testing.T, scripts ...[]string) string {
+	return serveConns(t, func(number int, reader *bufio.Reader, c net.Conn) {
+		replies := []string{success}
+		if number < len(scripts) {
+			replies = scripts[number]
+		}
+		for _, reply := range replies {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			replyWith(reply)(request, c)
+		}
+		_, _ = io.Copy(io.Discard, c)
+	})
+}
+
+// retryOnce makes a proxy send a refused call once more to the same server.
+func (p *testProxy) retryOnce() {
+	p.afterSend = func(e vrevent.SendEnded) vrevent.Effect {
+		if e.Send > 1 {
+			return vrevent.RefuseCall{Call: e.Call, NotRun: e.Result.ProvesNotRun()}
+		}
+		send := p.nextSend(e.Call, false)
+		send.Server = "i-0"
+		return send
+	}
+}
+
+// Guards against a second copy of a refusal passing for the answer to the second send of the same
+// request: the client was told that the request did not run, which the server had run.
+func TestCopyOfRefusalDoesNotAnswerSecondSend(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		replies []string
+	}{
+		{"in place of the answer", []string{refusal, refusal}},
+		{"ahead of the answer", []string{refusal, refusal + success}},
+		{"twice ahead of the answer", []string{refusal, refusal + refusal + success}},
+		{"after an interim response", []string{refusal, "HTTP/1.1 102 Processing\r\n\r\n" + refusal + success}},
+		{"model not loaded", []string{
+			"HTTP/1.1 421 Misdirected\r\nX-Request: ID\r\nContent-Length: 0\r\n\r\n",
+			"HTTP/1.1 421 Misdirected\r\nX-Request: ID\r\nContent-Length: 0\r\n\r\n" + success,
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := newTestProxy(t, vrevent.SendCall{AtMostOnce: true}, startScriptedServer(t, test.replies))
+			p.retryOnce()
+			response, body, err := p.post("x")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, response.status)
+			require.Equal(t, "ok", body)
+		})
+	}
+}
+
+// Guards against a copy of an earlier refusal without a request id answering a request that has no
+// id either.
+func TestCopyOfRefusalDoesNotAnswerRequestWithoutID(t *testing.T) {
+	const noID = "HTTP/1.1 400 Bad Request\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	p := newTestProxy(t, vrevent.SendCall{AtMostOnce: true}, startScriptedServer(t, []string{noID, noID + success}))
+	p.retryOnce()
+	response, _, err := p.postAs("", "x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.status)
+}
+
+// Guards against connections that no longer carry several requests: only those with an id that the
+// connection has carried need another one.
+func TestKeptConnectionCarriesOtherRequests(t *testing.T) {
+	p := newTestProxy(t, vrevent.SendCall{AtMostOnce: true},
+		startScriptedServer(t, []string{refusal, success, success}, []string{strings.Replace(success, "200 OK", "500 Oops", 1)}))
+	for i, id := range []string{"req1", "req2", "req3"} {
+		response, _, err := p.postAs(id, "x")
+		require.NoError(t, err)
+		require.Equal(t, i > 0, response.status == http.StatusOK, id)
+		require.Eventually(t, func() bool { return p.proxy.Active() == 0 }, 10*time.Second, time.Millisecond)
+		p.mu.Lock()
+		p.ended = nil // The next send goes to the same server.
+		p.mu.Unlock()
+	}
+}
+
+// Guards against a connection that remembers the ids of requests without bound.
+func TestConnectionIsClosedAfterMaxRequests(t *testing.T) {
+	key := backend{server: "i-0", address: startScriptedServer(t)}
+	p := newPool()
+	for i := range maxRequestsPerConn {
+		request := vrid.RequestID(strconv.Itoa(i))
+		c, err := p.get(key, request, false)
+		require.NoError(t, err)
+		require.Equal(t, i > 0, c.used)
+		c.requests = append(c.requests, hashRequestID(request))
+		p.put(c)
+	}
+	require.Nil(t, p.pop(key, "next"))
+}
--- a/verbenaroute/internal/vrrelay/endless_test.go
+++ b/verbenaroute/internal/vrrelay/endless_test.go
@@ -165,7 +165,7 @@
 	p.mu.Lock()
 	p.ended = nil // The next send goes to the same server.
 	p.mu.Unlock()
-	response, _, err = p.post("x")
+	response, _, err = p.postAs("req2", "x")
 	require.NoError(t, err)
 	require.Equal(t, http.StatusBadGateway, response.status, "status 503 promises that the request did not run")
 	require.Equal(t, []string{"broken"}, p.results())
--- a/verbenaroute/internal/vrrelay/relay_test.go
+++ b/verbenaroute/internal/vrrelay/relay_test.go
@@ -200,10 +200,13 @@
 	header http.Header
 }
 
-func (p *testProxy) post(body string) (testResponse, string, error) {
+// post sends a request whose id is req1.
+func (p *testProxy) post(body string) (testResponse, string, error) { return p.postAs("req1", body) }
+
+func (p *testProxy) postAs(id, body string) (testResponse, string, error) {
 	request, err := http.NewRequest(http.MethodPost, p.url+"/a/b?c=%2Fd", strings.NewReader(body))
 	require.NoError(p.t, err)
-	request.Header.Set("X-Request", "req1")
+	request.Header.Set("X-Request", id)
 	request.Header.Set("X-Wait", "3000")
 	request.Header.Set("X-Hold", "stolen")
 	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
@@ -385,8 +388,8 @@
 		replyWith("HTTP/1.1 200 OK\r\n"+signedHeaders+"Content-Length: 2\r\n\r\nok"),
 		replyWith("HTTP/1.1 200 OK\r\n"+signedHeaders+"Content-Length: 2\r\n\r\nok"))
 	p := newTestProxy(t, vrevent.SendCall{AtMostOnce: true}, address)
-	for range 2 {
-		response, _, err := p.post("x")
+	for _, id := range []string{"req1", "req2"} {
+		response, _, err := p.postAs(id, "x")
 		require.NoError(t, err)
 		require.Equal(t, http.StatusOK, response.status)
 		require.Eventually(t, func() bool { return p.proxy.Active() == 0 }, time.Second, time.Millisecond)
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -90,11 +90,12 @@
 // roundTrip sends the request and forwards the response. It sets a.result.
 func (a *sendAttempt) roundTrip() {
 	key := backend{server: a.send.Server, address: a.send.Address}
-	c, err := a.handler.proxy.pool.get(key, a.send.AtMostOnce)
+	c, err := a.handler.proxy.pool.get(key, a.handler.call.Request, a.send.AtMostOnce)
 	if err != nil {
 		a.end(vrevent.AttemptNotSent, err)
 		return
 	}
+	c.requests = append(c.requests, hashRequestID(a.handler.call.Request))
 	a.conn = c
 	a.handler.activeConn.Store(c)
 	defer a.handler.activeConn.Store(nil)
