Don't believe a refusal that an answer to the same request follows

Clients were told "not run, try again" for a request that its server had run: a faulty server wrote a refusal with the id of the request, and the answer of the run behind it. The proxy concluded from the refusal alone and closed the connection because of the bytes behind it, without a look at them.

An answer to the same request that is no refusal makes the outcome of the send unknown. A second refusal, a response to another request and garbage change nothing. A refusal with nothing behind it costs one more system call and no wait; an answer that comes later than that is not seen.

--- a/verbenaroute/internal/vrrelay/copy_test.go
+++ b/verbenaroute/internal/vrrelay/copy_test.go
@@ -233,3 +233,28 @@
 		})
 	}
 }
+
+// Guards against a refusal being believed although the answer of a run of the same request follows it:
+// the client was told that the request did not run.
+func TestRefusalFollowedByAnswerProvesNothing(t *testing.T) {
+	const longRefusal = "HTTP/1.1 503 Full\r\nX-Request: ID\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nfull"
+	for _, test := range []struct {
+		name, reply, result string
+	}{
+		{"success", refusal + success, "broken"},
+		{"failure", refusal + "HTTP/1.1 500 Oops\r\n" + signedHeaders + "Content-Length: 4\r\n\r\nsick", "broken"},
+		{"begun stream", longRefusal + chunkedHead + chunkedBody("id: 1\ndata: a\n\n"), "broken"},
+		{"two refusals and a success", refusal + longRefusal + success, "broken"},
+		{"response to another request and a success", refusal + strings.ReplaceAll(success, "ID", "other") + success, "broken"},
+		{"second refusal", refusal + longRefusal, "busy"},
+		{"response to another request", refusal + strings.ReplaceAll(success, "ID", "other"), "busy"},
+		{"garbage", refusal + "garbage\r\n\r\n", "busy"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := newTestProxy(t, vrevent.SendCall{AtMostOnce: true}, startScriptedServer(t, []string{test.reply}))
+			_, _, err := p.post("x")
+			require.NoError(t, err)
+			require.Equal(t, []string{test.result}, p.results())
+		})
+	}
+}
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -53,6 +53,13 @@
 	return fmt.Sprintf("response with status %d cannot continue the forwarded part", e.Status)
 }
 
+// ContradictedRefusalError reports a refusal that was followed by an answer to the same request.
+type ContradictedRefusalError struct{ Refusal, Answer int }
+
+func (e *ContradictedRefusalError) Error() string {
+	return fmt.Sprintf("refusal with status %d is followed by an answer with status %d to the same request", e.Refusal, e.Answer)
+}
+
 // _past is a deadline that makes reads and writes fail at once.
 var _past = time.Unix(1, 0)
 
@@ -355,8 +362,7 @@
 // the request.
 func (a *sendAttempt) handleResponse(response *http.Response, info vrdialect.ResponseInfo) {
 	if info.NotRun {
-		a.reusable = a.drain(response)
-		a.end(notRunResult(response.StatusCode, info), nil)
+		a.handleRefusal(response, info)
 		return
 	}
 	success := response.StatusCode < http.StatusMultipleChoices
@@ -371,7 +377,7 @@
 	}
 	if a.handler.headerWritten && !success {
 		// The client has already received the header of a successful stream.
-		a.reusable = a.drain(response)
+		a.reusable = a.drain(response) && allowsReuse(response)
 		a.end(vrevent.AttemptBroken, &ResumeError{Status: response.StatusCode})
 		return
 	}
@@ -382,6 +388,42 @@
 	a.forwardBuffered(response)
 }
 
+// handleRefusal ends a send whose server states that it did not run the request.
+func (a *sendAttempt) handleRefusal(response *http.Response, info vrdialect.ResponseInfo) {
+	if a.drain(response) {
+		a.reusable = allowsReuse(response)
+		if status := a.nextAnswer(); status != 0 {
+			a.end(vrevent.AttemptBroken, &ContradictedRefusalError{Refusal: response.StatusCode, Answer: status})
+			return
+		}
+	}
+	a.end(notRunResult(response.StatusCode, info), nil)
+}
+
+// nextAnswer returns the status of a response to this request that is no refusal and whose head has
+// arrived behind a refusal, or zero. The deadline of drain still applies.
+func (a *sendAttempt) nextAnswer() int {
+	source := a.conn.source
+	defer source.endHead()
+	for a.conn.reader.Buffered() > 0 || a.conn.hasUnread() {
+		a.reusable = false
+		source.beginHead(a.handler.proxy.opts.MaxResponseHead)
+		response, err := http.ReadResponse(a.conn.reader, a.handler.request)
+		if err != nil {
+			return 0
+		}
+		source.endHead()
+		info := a.handler.proxy.opts.Dialect.ParseResponse(response.StatusCode, response.Header, a.send.Server)
+		if response.StatusCode >= http.StatusOK && !info.NotRun && info.Request == a.handler.call.Request {
+			return response.StatusCode
+		}
+		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainedBody)); err != nil || n >= maxDrainedBody {
+			return 0
+		}
+	}
+	return 0
+}
+
 // notRunResult returns the result of a send whose server guarantees that it did not run
 // the request.
 func notRunResult(status int, info vrdialect.ResponseInfo) vrevent.AttemptResult {
@@ -395,13 +437,12 @@
 	}
 }
 
-// drain reads a response that is not forwarded. It reports whether the response was complete
-// and the connection can be reused.
+// drain reads a response that is not forwarded. It reports whether it was read to its end.
 func (a *sendAttempt) drain(response *http.Response) bool {
 	a.watch.stop()
 	a.setDeadline(earlier(a.send.Deadline, a.handler.proxy.opts.Clock.Now().Add(drainTimeout)))
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainedBody))
-	return err == nil && n < maxDrainedBody && allowsReuse(response)
+	return err == nil && n < maxDrainedBody
 }
 
 // allowsReuse reports whether the connection can carry another request after the response.
