Don't write a stream behind the part of a failure that broke off

Clients of a resumable stream found its events behind a part of another server's failure: a failure of 256 KiB or more is forwarded while it is read, also where failures are held back for a retry. When it broke off, the call was sent to the next server, since on a stream route a call goes on elsewhere after a part was forwarded, and that server's events were written behind the part. In chunks, the answer looked complete.

The proxy took any forwarded part on a stream route for the begin of a stream. It now records whether a part of a stream was forwarded, and a response continues only such a part.

Both cases of TestStreamIsNotAppendedToBrokenFailure failed before: events behind the part with a length, and no error for the client with chunks.

--- a/verbenaroute/internal/vrrelay/resume_test.go
+++ b/verbenaroute/internal/vrrelay/resume_test.go
@@ -216,3 +216,23 @@
 		})
 	}
 }
+
+// Guards against a stream written behind the part of a large failure that broke off: the head of the
+// failure had been forwarded, and the proxy took its body for a stream that had begun.
+func TestStreamIsNotAppendedToBrokenFailure(t *testing.T) {
+	failure := "HTTP/1.1 500 Oops\r\n" + signedHeaders + "Content-Type: text/event-stream\r\n"
+	for _, test := range []struct{ name, reply string }{
+		{"with a length", failure + "Content-Length: 1048576\r\n\r\n" + strings.Repeat("x", 512<<10)},
+		{"with chunks", failure + chunkedLine + chunkedBody(strings.Repeat("x", 512<<10))},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := newTestProxy(t, vrevent.SendCall{Stream: true, HoldErrors: true},
+				startServer(t, replyWith(test.reply)), startServer(t, replyWith(withLength(streamHead, eventOne))))
+			p.resumeOnce()
+			response, received, err := p.post("x")
+			require.Equal(t, http.StatusInternalServerError, response.status)
+			require.Error(t, err)
+			require.False(t, strings.Contains(received, "id:"), "the stream was appended to the failure")
+		})
+	}
+}
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -366,7 +366,7 @@
 		return
 	}
 	success := response.StatusCode < http.StatusMultipleChoices
-	if a.handler.headerWritten && !a.send.Stream {
+	if a.handler.headerWritten && !(a.send.Stream && a.handler.streamBegun) {
 		// The body of another response must not follow the part that was forwarded.
 		a.end(vrevent.AttemptBroken, &ResumeError{Status: response.StatusCode})
 		return
--- a/verbenaroute/internal/vrrelay/stream.go
+++ b/verbenaroute/internal/vrrelay/stream.go
@@ -83,6 +83,7 @@
 	a.reportFirstByte(count > 0)
 	if begins {
 		a.handler.writeHeader(response.StatusCode, response.Header, unknownLength)
+		a.handler.streamBegun = true
 	}
 	_, err := a.handler.writer.Write(events)
 	if err == nil {
