Continue a stream only with a response of the same format

Clients found text or JSON of another server in the middle of their stream, or a broken stream ended as if it were complete: when the server at which a broken stream went on answered with a signed success that was no event stream, each part of its body up to an empty line was forwarded as events, and an empty body, or a 204, ended the stream as complete.

Of a successful response only the signature was checked. A response now continues a stream only if it has the status, the media type and the content encoding of the response whose head the client got; any other one ends the send as broken, as a refusal to resume does.

All eight cases of TestResumedStreamKeepsStatusAndType failed before (204, 206, text, text that looks like events, JSON, empty JSON, no type, gzip).

--- a/verbenaroute/internal/vrrelay/exchange.go
+++ b/verbenaroute/internal/vrrelay/exchange.go
@@ -28,8 +28,9 @@
 
 	// headerWritten is set once the status and headers of a server's response were forwarded.
 	headerWritten bool
-	// streamBegun is set once part of a stream was forwarded, so that another server can go on with it.
-	streamBegun bool
+	// stream describes the stream of which a part was forwarded, so that another server can go on with
+	// it. It is nil if there is none.
+	stream *streamFormat
 	// lastEventID is the id of the last forwarded event, eventCount the number of them.
 	lastEventID string
 	eventCount  int
--- a/verbenaroute/internal/vrrelay/resume_test.go
+++ b/verbenaroute/internal/vrrelay/resume_test.go
@@ -236,3 +236,18 @@
 		})
 	}
 }
+
+// Guards against a successful response that is no continuation of the stream, as text, JSON or nothing
+// in place of events, reaching the client in the middle of its stream or ending it as complete.
+func TestResumedStreamKeepsStatusAndType(t *testing.T) {
+	testResumeAnswers(t, []resumeAnswer{
+		{name: "204", reply: "HTTP/1.1 204 No Content\r\n" + signedHeaders + "\r\n"},
+		{name: "206", reply: strings.Replace(withLength(streamHead, eventThree), "200 OK", "206 Partial Content", 1)},
+		{name: "200 text", reply: withLength("HTTP/1.1 200 OK\r\n"+signedHeaders+"Content-Type: text/plain\r\n", "failed\n\n")},
+		{name: "200 text that looks like events", reply: withLength("HTTP/1.1 200 OK\r\n"+signedHeaders+"Content-Type: text/plain\r\n", eventThree)},
+		{name: "200 JSON", reply: withLength("HTTP/1.1 200 OK\r\n"+signedHeaders+"Content-Type: application/json\r\n", "{\"error\":\n\n\"x\"}\n\n")},
+		{name: "200 empty JSON", reply: withLength("HTTP/1.1 200 OK\r\n"+signedHeaders+"Content-Type: application/json\r\n", "")},
+		{name: "200 without a type", reply: withLength("HTTP/1.1 200 OK\r\n"+signedHeaders, eventThree)},
+		{name: "200 with an encoding", reply: withLength(streamHead+"Content-Encoding: gzip\r\n", "\x1f\x8b\n\n")},
+	})
+}
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -46,7 +46,7 @@
 }
 
 // ResumeError reports a response that can't continue the part that was forwarded: the server
-// refused to resume the stream, or the response is no stream.
+// refused to resume the stream, or the response is no stream of the same format.
 type ResumeError struct{ Status int }
 
 func (e *ResumeError) Error() string {
@@ -366,7 +366,7 @@
 		return
 	}
 	success := response.StatusCode < http.StatusMultipleChoices
-	if a.handler.headerWritten && !(a.send.Stream && a.handler.streamBegun) {
+	if a.handler.headerWritten && !(a.send.Stream && a.handler.stream != nil) {
 		// The body of another response must not follow the part that was forwarded.
 		a.end(vrevent.AttemptBroken, &ResumeError{Status: response.StatusCode})
 		return
@@ -381,6 +381,11 @@
 		a.end(vrevent.AttemptBroken, &ResumeError{Status: response.StatusCode})
 		return
 	}
+	if a.handler.headerWritten && formatOf(response) != *a.handler.stream {
+		// The client would take this body for a part of its stream.
+		a.end(vrevent.AttemptBroken, &ResumeError{Status: response.StatusCode})
+		return
+	}
 	if a.send.Stream && success {
 		a.forwardStream(response)
 		return
--- a/verbenaroute/internal/vrrelay/stream.go
+++ b/verbenaroute/internal/vrrelay/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"verbenaroute.example/verbenacore/vrevent"
@@ -30,6 +31,21 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
+// streamFormat is what two responses have in common that are parts of one stream.
+type streamFormat struct {
+	status              int
+	mediaType, encoding string
+}
+
+// formatOf returns the format of a response. Parameters of its content type don't matter.
+func formatOf(response *http.Response) streamFormat {
+	mediaType, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
+	return streamFormat{
+		status: response.StatusCode, mediaType: strings.ToLower(strings.TrimSpace(mediaType)),
+		encoding: response.Header.Get("Content-Encoding"),
+	}
+}
+
 // forwardStream forwards events as they arrive. It forwards only complete events, so that
 // another server can resume the stream.
 func (a *sendAttempt) forwardStream(response *http.Response) {
@@ -83,7 +99,8 @@
 	a.reportFirstByte(count > 0)
 	if begins {
 		a.handler.writeHeader(response.StatusCode, response.Header, unknownLength)
-		a.handler.streamBegun = true
+		format := formatOf(response)
+		a.handler.stream = &format
 	}
 	_, err := a.handler.writer.Write(events)
 	if err == nil {
