Check that the events of a resumed stream follow the forwarded ones

Clients found events twice, or another server's error text, in the middle of a stream that ended as complete: the server at which a broken stream went on answered with an event stream that began again, repeated events, or held its error as an event. All its events were forwarded as they came.

The ids of events are increasing numbers. On a send that goes on with a stream, the first event must now have an id above that of the last forwarded one, and each later id must rise; otherwise the send ends as broken, with nothing of that batch forwarded. Repeated events are not skipped: a server that starts over has begun another run, and its further pieces would be joined to those of the first. An event without an id counts as a part of the run once an event with a later id has come, so that pings don't end a stream. A stream whose events have no ids can't go on at another server. The first server's events are forwarded as they come, as before.

Failed before: 11 of the 13 cases of TestResumedStreamGoesOnAfterLastEventID (the others are streams that go on) and both of TestStreamWithoutIDsIsNotResumed. TestStreamIsResumedAfterEventWithoutID passed before and bounds the check.

--- a/verbenaroute/internal/vrrelay/resume_test.go
+++ b/verbenaroute/internal/vrrelay/resume_test.go
@@ -251,3 +251,51 @@
 		{name: "200 with an encoding", reply: withLength(streamHead+"Content-Encoding: gzip\r\n", "\x1f\x8b\n\n")},
 	})
 }
+
+// Guards against events that a resumed stream repeats, and against an error that the next server sends
+// as an event, in the middle of the client's stream.
+func TestResumedStreamGoesOnAfterLastEventID(t *testing.T) {
+	testResumeAnswers(t, []resumeAnswer{
+		{name: "event without an id behind the rest", reply: withLength(streamHead, eventThree+"event: end\ndata: d\n\n"), complete: true, events: eventThree + "event: end\ndata: d\n\n"},
+		{name: "long ids", reply: withLength(streamHead, "id: 99999999999999999999\ndata: c\n\nid: 0100000000000000000000\ndata: d\n\n"), complete: true, events: "id: 99999999999999999999\ndata: c\n\nid: 0100000000000000000000\ndata: d\n\n"},
+		{name: "repeated event in another form", reply: withLength(streamHead, "id: 02\r\ndata: b\r\n\r\n"+eventThree)},
+		{name: "empty id", reply: withLength(streamHead, "id:\ndata: c\n\n")},
+		{name: "id in a comment", reply: withLength(streamHead, ": id: 3\ndata: c\n\n")},
+		{name: "error event without an id", reply: withLength(streamHead, "event: error\ndata: failed\n\n")},
+		{name: "text in an event stream", reply: withLength(streamHead, "Internal Server Error\n\n")},
+		{name: "head in an event stream", reply: withLength(streamHead, "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n")},
+		{name: "from the start", reply: withLength(streamHead, eventOne+eventTwo+eventThree)},
+		{name: "last event again", reply: withLength(streamHead, eventTwo+eventThree)},
+		{name: "event twice", reply: streamHead + chunkedLine + chunkedBody(eventThree, eventThree) + chunkedTail},
+		{name: "ids that go back", reply: streamHead + chunkedLine + chunkedBody(eventThree, eventTwo) + chunkedTail},
+		{name: "id that is no number", reply: withLength(streamHead, "id: x\ndata: c\n\n")},
+	})
+}
+
+// Guards against events that are sent twice because no id says where the stream goes on.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	for _, test := range []struct{ name, first, second string }{
+		{"no ids", "data: a\n\n", "data: a\n\ndata: b\n\n"},
+		{"last event without an id", eventOne + "data: b\n\n", "data: b\n\n" + eventThree},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := newTestProxy(t, vrevent.SendCall{Stream: true}, startServer(t, replyWith(streamHead+chunkedLine+chunkedBody(test.first))),
+				startServer(t, replyWith(withLength(streamHead, test.second))))
+			p.resumeOnce()
+			_, received, err := p.post("x")
+			require.Error(t, err)
+			require.Equal(t, test.first, received)
+		})
+	}
+}
+
+// Guards against a pause without pieces, filled with events that have no id, ending a stream that goes on.
+func TestStreamIsResumedAfterEventWithoutID(t *testing.T) {
+	const ping = "event: ping\ndata: {}\n\n"
+	p := newTestProxy(t, vrevent.SendCall{Stream: true}, startServer(t, replyWith(streamHead+chunkedLine+chunkedBody(eventOne+ping))),
+		startServer(t, replyWith(withLength(streamHead, eventTwo+ping+eventThree))))
+	p.resumeOnce()
+	_, received, err := p.post("x")
+	require.NoError(t, err)
+	require.Equal(t, eventOne+ping+eventTwo+ping+eventThree, received)
+}
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -75,6 +75,9 @@
 	// answerReported once it was told of the first event.
 	firstByteReported, answerReported bool
 	result                            vrevent.SendEnded
+	// resumed is set if events of another server were forwarded before, continued once an event with a
+	// later id has come.
+	resumed, continued bool
 	// reusable is set if the connection may carry another request.
 	reusable bool
 	// strays counts the responses to other requests that were skipped. A connection that
--- a/verbenaroute/internal/vrrelay/stream.go
+++ b/verbenaroute/internal/vrrelay/stream.go
@@ -50,6 +50,7 @@
 // another server can resume the stream.
 func (a *sendAttempt) forwardStream(response *http.Response) {
 	a.handler.setWriteDeadline(a.send.Deadline)
+	a.resumed = a.handler.eventCount > 0
 	var pending []byte
 	buffer := make([]byte, readBufferSize)
 	a.watch.headReceived()
@@ -86,10 +87,14 @@
 	}
 }
 
-// forwardEvents writes complete events to the client. It returns false if the client has
-// disconnected.
+// forwardEvents writes complete events to the client. It returns false if the send has ended, because
+// the client has disconnected or the events don't follow those that were forwarded.
 func (a *sendAttempt) forwardEvents(response *http.Response, events []byte) bool {
-	count, lastID := parseEvents(events)
+	count, lastID, err := a.checkEvents(events)
+	if err != nil {
+		a.end(vrevent.AttemptBroken, err)
+		return false
+	}
 	// From the first forwarded part on, the call needs a place at another server before the send may be
 	// given up. An order that was given before must not end it.
 	begins := !a.handler.headerWritten
@@ -102,7 +107,7 @@
 		format := formatOf(response)
 		a.handler.stream = &format
 	}
-	_, err := a.handler.writer.Write(events)
+	_, err = a.handler.writer.Write(events)
 	if err == nil {
 		err = a.handler.control.Flush()
 	}
@@ -116,12 +121,56 @@
 		a.watch.progress()
 	}
 	a.handler.eventCount += count
-	if lastID != "" {
-		a.handler.lastEventID = lastID
-	}
+	a.handler.lastEventID = lastID
 	return true
 }
 
+// EventOrderError reports an event of a resumed stream that does not follow the last forwarded one. Last
+// is the id of that one. An empty Got stands for an event without an id.
+type EventOrderError struct{ Last, Got string }
+
+func (e *EventOrderError) Error() string {
+	return fmt.Sprintf("resumed stream has event %q after event %q", e.Got, e.Last)
+}
+
+// checkEvents returns the number of events and the last id of the stream. If another server began the
+// stream, the ids must go on after the last forwarded one: a server that ignored it has started another
+// run, and one that skipped the repeated events would join the pieces of two runs. An event without an id
+// is taken for a part of the run once an event with an id has shown that it goes on.
+func (a *sendAttempt) checkEvents(events []byte) (count int, lastID string, err error) {
+	lastID = a.handler.lastEventID
+	parseEvents(events, func(id []byte) {
+		count++
+		switch {
+		case err != nil:
+		case len(id) == 0 && a.resumed && !a.continued:
+			err = &EventOrderError{Last: lastID}
+		case len(id) == 0:
+		case a.resumed && !isLaterID(string(id), lastID):
+			err = &EventOrderError{Last: lastID, Got: string(id)}
+		default:
+			a.continued, lastID = true, string(id)
+		}
+	})
+	return count, lastID, err
+}
+
+// isLaterID reports whether both ids are decimal numbers, of any length, and the first is the larger one.
+func isLaterID(id, last string) bool {
+	if !isNumber(id) || !isNumber(last) {
+		return false
+	}
+	id, last = strings.TrimLeft(id, "0"), strings.TrimLeft(last, "0")
+	if len(id) != len(last) {
+		return len(id) > len(last)
+	}
+	return id > last
+}
+
+func isNumber(id string) bool {
+	return id != "" && strings.Trim(id, "0123456789") == ""
+}
+
 // reportFirstByte tells the reducer of the first part of a stream and, if that was no event, of the first
 // event, with which the answer begins.
 func (a *sendAttempt) reportFirstByte(hasEvent bool) {
@@ -159,16 +208,17 @@
 	return end
 }
 
-// parseEvents returns the number of events and the last id among them.
-func parseEvents(data []byte) (count int, lastID string) {
+// parseEvents calls visit with the id of each event, which is empty for an event without one.
+func parseEvents(data []byte, visit func(id []byte)) {
 	inEvent := false
+	var id []byte
 	for line := range bytes.SplitSeq(data, []byte("\n")) {
 		line = bytes.TrimSuffix(line, []byte("\r"))
 		if len(line) == 0 {
 			if inEvent {
-				count++
+				visit(id)
 			}
-			inEvent = false
+			inEvent, id = false, nil
 			continue
 		}
 		if line[0] == ':' {
@@ -177,8 +227,7 @@
 		}
 		inEvent = true
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			lastID = string(bytes.TrimSpace(value))
+			id = bytes.TrimSpace(value)
 		}
 	}
-	return count, lastID
 }
