Don't take the end of an unframed resumed stream without events for its end

A broken stream ended as if it were complete: the server at which it went on answered with an event stream without a length or chunks, and closed its connection before the first event.

The rule that such an end is a break held only until the call's first event from any server. It now holds until the first event of each send. A length or a last chunk still ends a resumed stream without further events, because the first server may have broken off behind the last one.

Both cases of TestUnframedEndWithoutEventsDoesNotCompleteStream failed before.

--- a/verbenaroute/internal/vrrelay/resume_test.go
+++ b/verbenaroute/internal/vrrelay/resume_test.go
@@ -299,3 +299,12 @@
 	require.NoError(t, err)
 	require.Equal(t, eventOne+ping+eventTwo+ping+eventThree, received)
 }
+
+// Guards against a resumed stream whose connection closes before its first event looking complete: only a
+// length or a last chunk tells the end of the stream from a break.
+func TestUnframedEndWithoutEventsDoesNotCompleteStream(t *testing.T) {
+	testResumeAnswers(t, []resumeAnswer{
+		{name: "unframed end without events", reply: streamHead + "\r\n"},
+		{name: "unframed end after a comment", reply: streamHead + "\r\n: hello\n\n", events: ": hello\n\n"},
+	})
+}
--- a/verbenaroute/internal/vrrelay/stream.go
+++ b/verbenaroute/internal/vrrelay/stream.go
@@ -22,7 +22,7 @@
 var errEndsInsideEvent = fmt.Errorf("stream ends inside an event: %w", io.ErrUnexpectedEOF)
 
 // errNoEvents reports a stream whose connection ended before its first event. Only a length or a
-// last chunk tells an empty stream from one that was broken off.
+// last chunk tells an empty stream, or one that had no more events, from one that was broken off.
 var errNoEvents = fmt.Errorf("stream ends before its first event: %w", io.ErrUnexpectedEOF)
 
 // isFramed reports whether a response has a length or chunks. Any other response ends with its
@@ -50,7 +50,8 @@
 // another server can resume the stream.
 func (a *sendAttempt) forwardStream(response *http.Response) {
 	a.handler.setWriteDeadline(a.send.Deadline)
-	a.resumed = a.handler.eventCount > 0
+	eventsBefore := a.handler.eventCount
+	a.resumed = eventsBefore > 0
 	var pending []byte
 	buffer := make([]byte, readBufferSize)
 	a.watch.headReceived()
@@ -71,7 +72,7 @@
 		case errors.Is(err, io.EOF) && len(pending) > 0:
 			a.fail(errEndsInsideEvent)
 			return
-		case errors.Is(err, io.EOF) && a.handler.eventCount == 0 && !isFramed(response):
+		case errors.Is(err, io.EOF) && a.handler.eventCount == eventsBefore && !isFramed(response):
 			a.fail(errNoEvents)
 			return
 		case errors.Is(err, io.EOF):
