--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -369,7 +369,7 @@
 		return
 	}
 	success := response.StatusCode < http.StatusMultipleChoices
-	if a.handler.headerWritten && !(a.send.Stream && a.handler.stream != nil) {
+	if a.handler.headerWritten && (!a.send.Stream || a.handler.stream == nil) {
 		// The body of another response must not follow the part that was forwarded.
 		a.end(vrevent.AttemptBroken, &ResumeError{Status: response.StatusCode})
 		return
@@ -416,7 +416,7 @@
 	for a.conn.reader.Buffered() > 0 || a.conn.hasUnread() {
 		a.reusable = false
 		source.beginHead(a.handler.proxy.opts.MaxResponseHead)
-		response, err := http.ReadResponse(a.conn.reader, a.handler.request)
+		response, err := http.ReadResponse(a.conn.reader, a.handler.request) //nolint:bodyclose // the connection is closed
 		if err != nil {
 			return 0
 		}
