--- a/verbenaroute/internal/vrrelay/exchange.go
+++ b/verbenaroute/internal/vrrelay/exchange.go
@@ -36,6 +36,9 @@
 	closed bool
 	// headerWritten is set once the status and headers of a server's response were forwarded.
 	headerWritten bool
+	// stream describes the stream of which a part was forwarded, so that another server can go on with
+	// it. It is nil if there is none.
+	stream *streamFormat
 	// lastEventID is the id of the last forwarded event, eventCount the number of them.
 	lastEventID string
 	eventCount  int
@@ -128,12 +131,12 @@
 }
 
 // forwardFrom calls write, which passes a part of the response of a send on to the client, unless another
-// send has superseded this one. A part with an event or a whole answer supersedes the other send. It returns
+// send has superseded this one or begun a stream of another format. A part with an event or a whole answer supersedes the other send. It returns
 // false if write was not called.
 func (h *callHandler) forwardFrom(a *sendAttempt, isAnswer bool, write func()) bool {
 	h.forwardMu.Lock()
 	defer h.forwardMu.Unlock()
-	if h.closed || a.superseded.Load() {
+	if h.closed || a.superseded.Load() || (h.stream != nil && a.format != nil && *a.format != *h.stream) {
 		return false
 	}
 	if isAnswer {
@@ -185,17 +188,18 @@
 	h.closed = true
 }
 
-// isPartForwarded reports whether part of a server's response was forwarded.
-func (h *callHandler) isPartForwarded() bool {
+// forwardedPart reports whether part of a server's response was forwarded, and the format of the stream if
+// it was part of one.
+func (h *callHandler) forwardedPart() (bool, *streamFormat) {
 	h.forwardMu.Lock()
 	defer h.forwardMu.Unlock()
-	return h.headerWritten
+	return h.headerWritten, h.stream
 }
 
 // requireNothingForwarded closes the client's connection if part of a server's response was
 // forwarded. Another response written behind that part would look like its continuation.
 func (h *callHandler) requireNothingForwarded() {
-	if h.isPartForwarded() {
+	if forwarded, _ := h.forwardedPart(); forwarded {
 		h.record.abortAfterPart(h.proxy.sendsAborted.Load())
 		panic(http.ErrAbortHandler)
 	}
--- a/verbenaroute/internal/vrrelay/hedge_test.go
+++ b/verbenaroute/internal/vrrelay/hedge_test.go
@@ -260,7 +260,7 @@
 	defer p.proxy.pool.mu.Unlock()
 	require.Len(t, p.proxy.pool.idle, 1)
 	for _, idle := range p.proxy.pool.idle {
-		require.True(t, idle[0].isUsable())
+		require.False(t, idle[0].hasUnread())
 		_, err := idle[0].Write([]byte("GET / HTTP/1.1\r\nX-Request: req2\r\n\r\n"))
 		require.NoError(t, err)
 	}
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -47,13 +47,20 @@
 }
 
 // ResumeError reports a response that can't continue the part that was forwarded: the server
-// refused to resume the stream, or the response is no stream.
+// refused to resume the stream, or the response is no stream of the same format.
 type ResumeError struct{ Status int }
 
 func (e *ResumeError) Error() string {
 	return fmt.Sprintf("response with status %d cannot continue the forwarded part", e.Status)
 }
 
+// ContradictedRefusalError reports a refusal that was followed by an answer to the same request.
+type ContradictedRefusalError struct{ Refusal, Answer int }
+
+func (e *ContradictedRefusalError) Error() string {
+	return fmt.Sprintf("refusal with status %d is followed by an answer with status %d to the same request", e.Refusal, e.Answer)
+}
+
 // _past is a deadline that makes reads and writes fail at once.
 var _past = time.Unix(1, 0)
 
@@ -68,7 +75,8 @@
 	// superseded is set once another send has brought an answer or the next event, or the handler has
 	// returned. Nothing of this one is forwarded or reported from then on.
 	superseded atomic.Bool
-	// partForwarded, lastEventID and eventsBefore say what was forwarded before the send.
+	// partForwarded and eventsBefore say what was forwarded before the send. lastEventID is the id of
+	// the last event that was forwarded before it or by it.
 	partForwarded bool
 	lastEventID   string
 	eventsBefore  int
@@ -78,6 +86,10 @@
 	// answerReported once it was told of the first event.
 	firstByteReported, answerReported bool
 	result                            vrevent.SendEnded
+	// continued is set once an event with a later id than those of the server before has come.
+	continued bool
+	// format is that of the response, if it is a stream.
+	format *streamFormat
 	// reusable is set if the connection may carry another request.
 	reusable bool
 	// strays counts the responses to other requests that were skipped. A connection that
@@ -110,43 +122,79 @@
 	return a.result.Result
 }
 
+// errUnreadBeforeRequest reports a new connection that was closed, or on which bytes arrived, before
+// the request was written. Nothing was sent.
+var errUnreadBeforeRequest = errors.New("connection ended or brought data before the request was sent")
+
 // roundTrip sends the request and forwards the response. It sets a.result.
 func (a *sendAttempt) roundTrip() {
 	key := backend{server: a.send.Server, address: a.send.Address}
-	c, err := a.handler.proxy.pool.get(key, a.send.AtMostOnce)
-	if err != nil {
-		a.end(vrevent.AttemptNotSent, err)
-		return
+	for {
+		c, err := a.handler.proxy.pool.get(key, a.handler.call.Request, a.send.AtMostOnce)
+		if err != nil {
+			a.end(vrevent.AttemptNotSent, err)
+			return
+		}
+		switch {
+		case a.exchange(c):
+			return
+		case a.superseded.Load():
+			a.end(vrevent.AttemptSuperseded, nil)
+			return
+		case a.handler.request.Context().Err() != nil:
+			a.end(vrevent.AttemptCallerGone, errUnreadBeforeRequest)
+			return
+		case !c.used:
+			a.end(vrevent.AttemptNotSent, errUnreadBeforeRequest)
+			return
+		}
 	}
+}
+
+// exchange sends the request on a connection and forwards the response. It returns false, with nothing
+// written, if bytes or the end of the connection are there before: they can't be an answer to the request.
+func (a *sendAttempt) exchange(c *conn) (sent bool) {
+	c.requests = append(c.requests, hashRequestID(a.handler.call.Request))
 	a.conn.Store(c)
 	stop := context.AfterFunc(a.handler.request.Context(), func() { _ = c.SetDeadline(_past) })
 	defer func() {
 		clientConnected := stop()
-		// Once the connection is in the pool, it may carry another request, which must not be aborted.
-		a.handler.endAttempt(a)
-		if a.reusable && a.strays == 0 && clientConnected && !a.superseded.Load() && a.isBodyWritten() {
-			a.handler.proxy.pool.put(c)
-			return
+		if a.reusable && a.strays == 0 && clientConnected && a.isBodyWritten() {
+			// Once the connection is in the pool, it may carry another request, which must not be aborted.
+			a.handler.endAttempt(a)
+			if !a.superseded.Load() {
+				a.handler.proxy.pool.put(c)
+				return
+			}
 		}
 		_ = c.Close()
 	}()
 	a.watchStalls()
 	defer a.watch.stop()
 	a.setDeadline(a.send.Deadline)
-	if err := a.writeRequest(); err != nil {
+	message, err := a.requestHead()
+	if err != nil {
 		a.fail(err)
-		return
+		return true
+	}
+	if c.hasUnread() {
+		return false
+	}
+	if err := a.writeRequest(message); err != nil {
+		a.fail(err)
+		return true
 	}
 	// The body is read to the end, or the connection is closed.
 	response, info, err := a.readResponseHead() //nolint:bodyclose // see above
 	if err != nil {
 		a.fail(err)
-		return
+		return true
 	}
 	a.timeToFirstByte = time.Since(a.startedAt)
 	a.result.Status, a.result.Load = response.StatusCode, info.Load
 	c.maxIdle = maxIdleFromKeepAlive(response.Header.Get("Keep-Alive"))
 	a.handleResponse(response, info)
+	return true
 }
 
 // abort makes the reads and writes of the send fail.
@@ -205,19 +253,24 @@
 	}
 }
 
-// writeRequest writes the request's head and body.
-func (a *sendAttempt) writeRequest() error {
-	var message bytes.Buffer
+// requestHead returns the request's head.
+func (a *sendAttempt) requestHead() (*bytes.Buffer, error) {
+	message := &bytes.Buffer{}
 	r := a.handler.request
-	fmt.Fprintf(&message, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.RequestURI, r.Host)
+	fmt.Fprintf(message, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.RequestURI, r.Host)
 	header := a.requestHeader()
 	if len(a.handler.body) > 0 || r.ContentLength > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
 		header["Content-Length"] = []string{itoa(len(a.handler.body))}
 	}
-	if err := header.Write(&message); err != nil {
-		return err
+	if err := header.Write(message); err != nil {
+		return nil, err
 	}
 	message.WriteString("\r\n")
+	return message, nil
+}
+
+// writeRequest writes the request's head and body.
+func (a *sendAttempt) writeRequest(message *bytes.Buffer) error {
 	c := a.conn.Load()
 	if len(a.handler.body) < minConcurrentBody {
 		message.Write(a.handler.body)
@@ -355,13 +408,12 @@
 // the request.
 func (a *sendAttempt) handleResponse(response *http.Response, info vrdialect.ResponseInfo) {
 	if info.NotRun {
-		a.reusable = a.drain(response)
-		a.end(notRunResult(response.StatusCode, info), nil)
+		a.handleRefusal(response, info)
 		return
 	}
 	success := response.StatusCode < http.StatusMultipleChoices
-	partForwarded := a.handler.isPartForwarded()
-	if partForwarded && !a.send.Stream {
+	partForwarded, format := a.handler.forwardedPart()
+	if partForwarded && (!a.send.Stream || format == nil) {
 		// The body of another response must not follow the part that was forwarded.
 		a.end(vrevent.AttemptBroken, &ResumeError{Status: response.StatusCode})
 		return
@@ -372,7 +424,12 @@
 	}
 	if partForwarded && !success {
 		// The client has already received the header of a successful stream.
-		a.reusable = a.drain(response)
+		a.reusable = a.drain(response) && allowsReuse(response)
+		a.end(vrevent.AttemptBroken, &ResumeError{Status: response.StatusCode})
+		return
+	}
+	if partForwarded && formatOf(response) != *format {
+		// The client would take this body for a part of its stream.
 		a.end(vrevent.AttemptBroken, &ResumeError{Status: response.StatusCode})
 		return
 	}
@@ -383,6 +440,43 @@
 	a.forwardBuffered(response)
 }
 
+// handleRefusal ends a send whose server states that it did not run the request.
+func (a *sendAttempt) handleRefusal(response *http.Response, info vrdialect.ResponseInfo) {
+	if a.drain(response) {
+		a.reusable = allowsReuse(response)
+		if status := a.nextAnswer(); status != 0 {
+			a.end(vrevent.AttemptBroken, &ContradictedRefusalError{Refusal: response.StatusCode, Answer: status})
+			return
+		}
+	}
+	a.end(notRunResult(response.StatusCode, info), nil)
+}
+
+// nextAnswer returns the status of a response to this request that is no refusal and whose head has
+// arrived behind a refusal, or zero. The deadline of drain still applies.
+func (a *sendAttempt) nextAnswer() int {
+	c := a.conn.Load()
+	source := c.source
+	defer source.endHead()
+	for c.reader.Buffered() > 0 || c.hasUnread() {
+		a.reusable = false
+		source.beginHead(a.handler.proxy.opts.MaxResponseHead)
+		response, err := http.ReadResponse(c.reader, a.handler.request) //nolint:bodyclose // the connection is closed
+		if err != nil {
+			return 0
+		}
+		source.endHead()
+		info := a.handler.proxy.opts.Dialect.ParseResponse(response.StatusCode, response.Header, a.send.Server)
+		if response.StatusCode >= http.StatusOK && !info.NotRun && info.Request == a.handler.call.Request {
+			return response.StatusCode
+		}
+		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainedBody)); err != nil || n >= maxDrainedBody {
+			return 0
+		}
+	}
+	return 0
+}
+
 // notRunResult returns the result of a send whose server guarantees that it did not run
 // the request.
 func notRunResult(status int, info vrdialect.ResponseInfo) vrevent.AttemptResult {
@@ -396,13 +490,12 @@
 	}
 }
 
-// drain reads a response that is not forwarded. It reports whether the response was complete
-// and the connection can be reused.
+// drain reads a response that is not forwarded. It reports whether it was read to its end.
 func (a *sendAttempt) drain(response *http.Response) bool {
 	a.watch.stop()
 	a.setDeadline(earlier(a.send.Deadline, a.handler.proxy.opts.Clock.Now().Add(drainTimeout)))
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainedBody))
-	return err == nil && n < maxDrainedBody && allowsReuse(response)
+	return err == nil && n < maxDrainedBody
 }
 
 // allowsReuse reports whether the connection can carry another request after the response.
--- a/verbenaroute/internal/vrrelay/stream.go
+++ b/verbenaroute/internal/vrrelay/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"verbenaroute.example/verbenacore/vrevent"
@@ -21,7 +22,7 @@
 var errEndsInsideEvent = fmt.Errorf("stream ends inside an event: %w", io.ErrUnexpectedEOF)
 
 // errNoEvents reports a stream whose connection ended before its first event. Only a length or a
-// last chunk tells an empty stream from one that was broken off.
+// last chunk tells an empty stream, or one that had no more events, from one that was broken off.
 var errNoEvents = fmt.Errorf("stream ends before its first event: %w", io.ErrUnexpectedEOF)
 
 // isFramed reports whether a response has a length or chunks. Any other response ends with its
@@ -30,9 +31,26 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
+// streamFormat is what two responses have in common that are parts of one stream.
+type streamFormat struct {
+	status              int
+	mediaType, encoding string
+}
+
+// formatOf returns the format of a response. Parameters of its content type don't matter.
+func formatOf(response *http.Response) streamFormat {
+	mediaType, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
+	return streamFormat{
+		status: response.StatusCode, mediaType: strings.ToLower(strings.TrimSpace(mediaType)),
+		encoding: response.Header.Get("Content-Encoding"),
+	}
+}
+
 // forwardStream forwards events as they arrive. It forwards only complete events, so that
 // another server can resume the stream.
 func (a *sendAttempt) forwardStream(response *http.Response) {
+	format := formatOf(response)
+	a.format = &format
 	var pending []byte
 	buffer := make([]byte, readBufferSize)
 	a.watch.headReceived()
@@ -53,7 +71,7 @@
 		case errors.Is(err, io.EOF) && len(pending) > 0:
 			a.fail(errEndsInsideEvent)
 			return
-		case errors.Is(err, io.EOF) && a.eventsBefore+a.events == 0 && !isFramed(response):
+		case errors.Is(err, io.EOF) && a.events == 0 && !isFramed(response):
 			a.fail(errNoEvents)
 			return
 		case errors.Is(err, io.EOF):
@@ -70,15 +88,19 @@
 }
 
 // forwardEvents writes complete events to the client. It returns false if the send has ended: the
-// client has disconnected, or another send has superseded this one.
+// client has disconnected, the events don't follow those that were forwarded, or another send has
+// superseded this one.
 func (a *sendAttempt) forwardEvents(response *http.Response, events []byte) bool {
 	h := a.handler
-	count, lastID := parseEvents(events)
+	count, lastID, err := a.checkEvents(events)
+	if err != nil {
+		a.end(vrevent.AttemptBroken, err)
+		return false
+	}
 	if count == 0 && a.send.Hedge && a.events == 0 {
 		// A comment does not decide which of the two sends is forwarded.
 		return true
 	}
-	var err error
 	forwarded := h.forwardFrom(a, count > 0, func() {
 		begins := !h.headerWritten
 		a.reportFirstByte(count > 0)
@@ -87,6 +109,7 @@
 		}
 		if begins {
 			h.writeHeader(response.StatusCode, response.Header, unknownLength)
+			h.stream = a.format
 		}
 		if _, err = h.writer.Write(events); err == nil {
 			err = h.control.Flush()
@@ -101,19 +124,65 @@
 		}
 		a.events += count
 		h.eventCount += count
-		if lastID != "" {
-			h.lastEventID = lastID
-		}
+		a.lastEventID, h.lastEventID = lastID, lastID
 	})
 	switch {
 	case !forwarded:
 		a.end(vrevent.AttemptSuperseded, nil)
 	case err != nil:
 		a.end(vrevent.AttemptCallerGone, err)
+		a.end(vrevent.AttemptCallerGone, err)
 	}
 	return forwarded && err == nil
 }
 
+// EventOrderError reports an event of a resumed stream that does not follow the last forwarded one. Last
+// is the id of that one. An empty Got stands for an event without an id.
+type EventOrderError struct{ Last, Got string }
+
+func (e *EventOrderError) Error() string {
+	return fmt.Sprintf("resumed stream has event %q after event %q", e.Got, e.Last)
+}
+
+// checkEvents returns the number of events and the last id of the stream. If another server began the
+// stream, the ids must go on after the last forwarded one: a server that ignored it has started another
+// run, and one that skipped the repeated events would join the pieces of two runs. An event without an id
+// is taken for a part of the run once an event with an id has shown that it goes on.
+func (a *sendAttempt) checkEvents(events []byte) (count int, lastID string, err error) {
+	lastID = a.lastEventID
+	resumed := a.eventsBefore > 0
+	parseEvents(events, func(id []byte) {
+		count++
+		switch {
+		case err != nil:
+		case len(id) == 0 && resumed && !a.continued:
+			err = &EventOrderError{Last: lastID}
+		case len(id) == 0:
+		case resumed && !isLaterID(string(id), lastID):
+			err = &EventOrderError{Last: lastID, Got: string(id)}
+		default:
+			a.continued, lastID = true, string(id)
+		}
+	})
+	return count, lastID, err
+}
+
+// isLaterID reports whether both ids are decimal numbers, of any length, and the first is the larger one.
+func isLaterID(id, last string) bool {
+	if !isNumber(id) || !isNumber(last) {
+		return false
+	}
+	id, last = strings.TrimLeft(id, "0"), strings.TrimLeft(last, "0")
+	if len(id) != len(last) {
+		return len(id) > len(last)
+	}
+	return id > last
+}
+
+func isNumber(id string) bool {
+	return id != "" && strings.Trim(id, "0123456789") == ""
+}
+
 // reportFirstByte tells the reducer of the first part of a stream and, if that was no event, of the first
 // event, with which the answer begins.
 func (a *sendAttempt) reportFirstByte(hasEvent bool) {
@@ -159,16 +228,17 @@
 	return end
 }
 
-// parseEvents returns the number of events and the last id among them.
-func parseEvents(data []byte) (count int, lastID string) {
+// parseEvents calls visit with the id of each event, which is empty for an event without one.
+func parseEvents(data []byte, visit func(id []byte)) {
 	inEvent := false
+	var id []byte
 	for line := range bytes.SplitSeq(data, []byte("\n")) {
 		line = bytes.TrimSuffix(line, []byte("\r"))
 		if len(line) == 0 {
 			if inEvent {
-				count++
+				visit(id)
 			}
-			inEvent = false
+			inEvent, id = false, nil
 			continue
 		}
 		if line[0] == ':' {
@@ -177,8 +247,7 @@
 		}
 		inEvent = true
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			lastID = string(bytes.TrimSpace(value))
+			id = bytes.TrimSpace(value)
 		}
 	}
-	return count, lastID
 }
