Tell the versions of a restored store apart

A store that comes back from a copy gives out its revisions again. A daemon compared them across the restore: a watch went on from a revision that the new era had reached by other writes and missed the changes before it, and a conditional write on such a revision was confirmed although it had replaced an object that nobody had read.

The reducer does not handle the event yet.

--- a/verbenacore/vrevent/gateway.go
+++ b/verbenacore/vrevent/gateway.go
@@ -209,6 +209,9 @@
 	StoreLost struct{ Detail string }
 	// StoreRecovered reports that this daemon reaches the store again after StoreLost.
 	StoreRecovered struct{}
+	// StoreRestored reports that the platform's store was restored from a copy: the latest writes are
+	// lost, including this project's own. It comes before all events with versions of the new era.
+	StoreRestored struct{ Era vrid.StoreEra }
 
 	// PeersListed carries the registered daemons, whether alive or not.
 	PeersListed struct{ Peers []Peer }
@@ -245,6 +248,7 @@
 func (CatalogSeen) isEvent()         {}
 func (StoreLost) isEvent()           {}
 func (StoreRecovered) isEvent()      {}
+func (StoreRestored) isEvent()       {}
 func (PeersListed) isEvent()         {}
 func (OrderEnded) isEvent()          {}
 func (RetryOptionsChanged) isEvent() {}
--- a/verbenacore/vrid/vrid.go
+++ b/verbenacore/vrid/vrid.go
@@ -54,10 +54,38 @@
 // ConfigVersion counts accepted fleet configurations, starting at 1.
 type ConfigVersion uint64
 
-// ObjectVersion is the store revision at which an object was last written. Zero means
-// that the object does not exist.
+// StoreEra counts how often the store was restored from a copy. A restore loses the latest writes,
+// and the store gives out their revisions again.
+type StoreEra uint64
+
+// ObjectVersion is the store revision at which an object was last written, together with the era of
+// that revision. A version of a later era is higher than all versions of former ones. A version
+// without a revision means that the object does not exist.
 type ObjectVersion uint64
 
+// The low revisionBits bits of an ObjectVersion are the revision, the others the era. A store that
+// writes 400 objects a second reaches the highest revision after 20,000 years.
+const (
+	revisionBits = 48
+	maxRevision  = 1<<revisionBits - 1
+	maxStoreEra  = 1<<(64-revisionBits) - 1
+)
+
+// NewObjectVersion returns the version of a revision in an era. It reports false if one of them is
+// too large.
+func NewObjectVersion(era StoreEra, revision uint64) (ObjectVersion, bool) {
+	if era > maxStoreEra || revision > maxRevision {
+		return 0, false
+	}
+	return ObjectVersion(uint64(era)<<revisionBits | revision), true
+}
+
+// Era returns the era of the version.
+func (v ObjectVersion) Era() StoreEra { return StoreEra(v >> revisionBits) }
+
+// Revision returns the store's revision, which is unique only within the era.
+func (v ObjectVersion) Revision() uint64 { return uint64(v) & maxRevision }
+
 // Bytes is an amount of memory or traffic in bytes.
 type Bytes int64
 
