Never repeat a lease's epoch after a restore of the store

Cause: an acquisition took the epoch of the record that it replaced plus one. A restore loses the record with the highest epoch, and a late write of a former era may replace it within the new era.

Change: in a store with eras the epoch is built from the era and the revision that the acquisition replaces. Only one write succeeds on a revision, so the epoch needs no knowledge of earlier ones. The era is shifted by 37 bits: all eras of an ObjectVersion stay below 2^53, and 2^37 revisions are ten years of 400 writes a second. Records of a store without eras (era 0, the zone reducer) count up by one as before. An acquisition by a former build takes the next epoch, which is below that of any later revision.

--- /dev/null
+++ b/verbenacore/vrlease/restore_test.go
@@ -0,0 +1,189 @@
+package vrlease_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrlease"
+	"verbenaroute.example/verbenacore/vrplatform"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+// restoreTiming has the proportions that the gateway uses.
+var restoreTiming = vrlease.Timing{
+	Duration: 1500 * time.Millisecond, RenewInterval: 600 * time.Millisecond, ReadInterval: 750 * time.Millisecond,
+	UnreachableDuration: 1500 * time.Millisecond, QuietPeriod: 3 * time.Second,
+}
+
+// storeState is the state of the lease's object at one revision of the store. The object does not
+// exist if objectRevision is zero.
+type storeState struct {
+	revision       uint64
+	objectRevision uint64
+	value          []byte
+}
+
+// restoredStore stores one object and can be restored from a copy. Like the platform's store it
+// compares revisions only, not eras.
+type restoredStore struct {
+	era     vrid.StoreEra
+	state   storeState
+	history []storeState
+}
+
+func newRestoredStore() *restoredStore {
+	return &restoredStore{era: 1, state: storeState{revision: 100}}
+}
+
+// write carries out a write and reports whether its condition held.
+func (s *restoredStore) write(e vrevent.WriteObject) bool {
+	if e.IfVersion.Revision() != s.state.objectRevision {
+		return false
+	}
+	s.history = append(s.history, s.state)
+	s.state.revision++
+	s.state.objectRevision, s.state.value = s.state.revision, e.Value
+	return true
+}
+
+// restore starts a new era with a former state.
+func (s *restoredStore) restore(copied storeState) {
+	s.era++
+	s.history, s.state = nil, copied
+}
+
+// readState returns the result of a read that sees a state of the current era.
+func (s *restoredStore) readState(e vrevent.ReadObject, state storeState) vrevent.ObjectRead {
+	version, _ := vrid.NewObjectVersion(s.era, state.objectRevision)
+	outcome := vrplatform.OutcomeOK
+	if state.objectRevision == 0 {
+		outcome = vrplatform.OutcomeNotFound
+	}
+	return vrevent.ObjectRead{Op: e.Op, Outcome: outcome, Version: version, Value: state.value}
+}
+
+// written returns the result of a write as the store's client reports it.
+func (s *restoredStore) written(e vrevent.WriteObject, applied bool) vrevent.ObjectWritten {
+	version, _ := vrid.NewObjectVersion(s.era, s.state.objectRevision)
+	switch {
+	case !applied:
+		return vrevent.ObjectWritten{Op: e.Op, Outcome: vrplatform.OutcomeConflict}
+	case e.IfVersion.Revision() != 0 && e.IfVersion.Era() != s.era:
+		return vrevent.ObjectWritten{Op: e.Op, Outcome: vrplatform.OutcomeUnknown}
+	}
+	return vrevent.ObjectWritten{Op: e.Op, Outcome: vrplatform.OutcomeOK, Version: version}
+}
+
+// storeClient is a daemon with its lease and a virtual clock that the daemons of a test share.
+type storeClient struct {
+	lease *vrlease.Lease
+	store *restoredStore
+	now   *time.Time
+	// loseAnswers makes writes end with an unknown outcome. They are kept in late.
+	loseAnswers bool
+	late        []vrevent.WriteObject
+}
+
+func newStoreClient(store *restoredStore, now *time.Time, daemon vrid.DaemonID, boot vrid.BootID) *storeClient {
+	return &storeClient{store: store, now: now, lease: vrlease.New(vrlease.Options{
+		Key: "leases/f", Daemon: daemon, Boot: boot, Ops: &vrevent.Ops{}, Random: rand.New(rand.NewPCG(1, 2)), Timing: restoreTiming,
+	})}
+}
+
+// step ticks the lease and answers its calls. It returns the resulting change.
+func (c *storeClient) step(candidate bool) vrlease.Change {
+	change := vrlease.ChangeNone
+	out := &vrevent.Effects{}
+	c.lease.Tick(*c.now, vrlease.TickParams{Observe: true, Candidate: candidate}, out)
+	for len(out.List) > 0 {
+		effects := out.List
+		out.List = nil
+		for _, effect := range effects {
+			switch e := effect.(type) {
+			case vrevent.ReadObject:
+				change = max(change, c.lease.HandleRead(*c.now, c.store.readState(e, c.store.state), out))
+			case vrevent.WriteObject:
+				change = max(change, c.lease.HandleWritten(*c.now, c.answerWrite(e), out))
+			}
+		}
+	}
+	return change
+}
+
+func (c *storeClient) answerWrite(e vrevent.WriteObject) vrevent.ObjectWritten {
+	switch {
+	case c.loseAnswers:
+		c.late = append(c.late, e)
+		return vrevent.ObjectWritten{Op: e.Op, Outcome: vrplatform.OutcomeUnknown}
+	case e.IfVersion.Revision() != 0 && e.IfVersion.Era() != c.store.era:
+		return vrevent.ObjectWritten{Op: e.Op, Outcome: vrplatform.OutcomeConflict}
+	}
+	return c.store.written(e, c.store.write(e))
+}
+
+// acquire steps the lease until it is acquired.
+func (c *storeClient) acquire(t *testing.T) {
+	t.Helper()
+	start := *c.now
+	for c.step(true) != vrlease.ChangeAcquired {
+		*c.now = c.now.Add(50 * time.Millisecond)
+		require.Less(t, c.now.Sub(start), 10*time.Second, "the lease was not acquired")
+	}
+}
+
+// record returns the stored record.
+func (s *restoredStore) record(t *testing.T) *vrlease.Record {
+	t.Helper()
+	record, err := vrwire.Unmarshal[vrlease.Record](s.state.value)
+	require.NoError(t, err)
+	return record
+}
+
+// Guards against a fencing epoch that is given out again: a restore brings back a record from before
+// the last acquisition, and the next daemon to acquire the lease has never seen that acquisition.
+func TestEpochIsNotRepeatedAfterRestore(t *testing.T) {
+	now := time.Unix(1_790_000_000, 0)
+	store := newRestoredStore()
+	newStoreClient(store, &now, "d1", "b1").acquire(t)
+	copied := store.state
+	highest := vrid.Epoch(0)
+	for i := range 3 {
+		second := newStoreClient(store, &now, vrid.DaemonID(fmt.Sprint("e", i)), "b1")
+		second.acquire(t)
+		require.Greater(t, second.lease.Epoch(), highest)
+		highest = second.lease.Epoch()
+		store.restore(copied)
+	}
+	require.Less(t, highest, vrid.Epoch(1)<<53, "a JSON number is exact only below that")
+}
+
+// Guards against the same after a late write of a former era has replaced the record with the highest
+// epoch, because the object has the expected revision again.
+func TestEpochIsNotRepeatedAfterLateWrite(t *testing.T) {
+	now := time.Unix(1_790_000_000, 0)
+	store := newRestoredStore()
+	first := newStoreClient(store, &now, "d1", "b1")
+	first.acquire(t)
+	copied := store.state
+	now = now.Add(restoreTiming.RenewInterval)
+	first.step(true)
+	first.loseAnswers = true
+	now = now.Add(restoreTiming.RenewInterval)
+	first.step(true)
+	require.Len(t, first.late, 1)
+	store.restore(copied)
+
+	second := newStoreClient(store, &now, "d2", "b1")
+	second.acquire(t)
+	require.True(t, store.write(first.late[0]))
+	require.Less(t, store.record(t).Epoch, second.lease.Epoch())
+	third := newStoreClient(store, &now, "d3", "b1")
+	third.acquire(t)
+	require.Greater(t, third.lease.Epoch(), second.lease.Epoch())
+}
--- a/verbenacore/vrlease/vrlease.go
+++ b/verbenacore/vrlease/vrlease.go
@@ -32,6 +32,9 @@
 	// maxJitter is the upper bound of the random delay before a candidate acquires an
 	// expired lease, so that usually only one candidate tries.
 	maxJitter = 300 * time.Millisecond
+	// eraEpochBits is the number of bits of an epoch below the store's era: the largest era that an
+	// ObjectVersion holds and 2^37 revisions fit into 2^53, up to which JSON numbers are exact.
+	eraEpochBits = 37
 )
 
 // Record is the stored value of the lease object.
@@ -106,9 +109,11 @@
 // Lease is one daemon's view of a lease object.
 type Lease struct {
 	opts Options
-	// latest is the newest record seen. Its epoch never decreases.
+	// latest is the newest record seen. Its epoch decreases only after a restore of the store.
 	latest  Record
 	version vrid.ObjectVersion
+	// highestEpoch is the highest epoch seen in any record.
+	highestEpoch vrid.Epoch
 	// observed is set once the object's state is known, which may be that it does not exist.
 	observed bool
 	// changedAt is the local time at which this daemon first saw version.
@@ -267,7 +272,7 @@
 	if !l.observed {
 		return false
 	}
-	if l.version == 0 || l.latest.Released {
+	if l.version.Revision() == 0 || l.latest.Released {
 		return true
 	}
 	if l.latest.Holder == l.opts.Daemon {
@@ -280,7 +285,7 @@
 // readSinceExpiry reports whether the object was read after the lease could have expired.
 // A daemon that reads seldom has to read again before it treats the lease as expired.
 func (l *Lease) readSinceExpiry(holderUnreachable bool) bool {
-	if l.version == 0 || l.latest.Released || l.latest.Holder == l.opts.Daemon {
+	if l.version.Revision() == 0 || l.latest.Released || l.latest.Holder == l.opts.Daemon {
 		return true
 	}
 	return l.readAt.Sub(l.changedAt) >= l.expiryDelay(holderUnreachable)+l.jitter
@@ -309,7 +314,7 @@
 		Holder: l.opts.Daemon,
 		Boot:   l.opts.Boot,
 		Peer:   l.opts.Peer,
-		Epoch:  l.latest.Epoch + 1,
+		Epoch:  l.nextEpoch(),
 		Chunks: max(l.latest.Chunks, 1),
 	}
 	if l.latest.Chunks == 0 {
@@ -318,6 +323,18 @@
 	l.write(now, record, out)
 }
 
+// nextEpoch returns the epoch of an acquisition. A restored store may have lost the record with the
+// highest epoch, and a late write of a former era may replace it, so the epoch is also above all that
+// were given out in former eras and on lower revisions of this era. Only one write succeeds on a
+// revision.
+func (l *Lease) nextEpoch() vrid.Epoch {
+	epoch := l.highestEpoch + 1
+	if era := l.version.Era(); era > 0 {
+		epoch = max(epoch, vrid.Epoch(era)<<eraEpochBits+vrid.Epoch(l.version.Revision())+1)
+	}
+	return epoch
+}
+
 // Release releases a held lease, so that the next holder need not wait for its expiry.
 func (l *Lease) Release(now time.Time, out *vrevent.Effects) {
 	l.releasing = true
@@ -397,12 +414,12 @@
 	l.pendingOp = 0
 	switch event.Outcome {
 	case vrplatform.OutcomeNotFound:
-		if l.version != 0 {
+		if l.version.Revision() != 0 {
 			// A stale read shows the state from before the object was created.
 			return ChangeNone
 		}
 		l.observed = true
-		l.version = 0
+		l.version = event.Version
 		return ChangeNone
 	case vrplatform.OutcomeOK:
 	default:
@@ -431,6 +448,7 @@
 	l.readAt = now
 	l.version = version
 	l.latest = record
+	l.highestEpoch = max(l.highestEpoch, record.Epoch)
 	if l.changedAt.Equal(now) {
 		l.trackOtherHolders(now, &record)
 	}
