Acquire a lease whose object is gone after a restore

Callers would see: after a restore from a copy without the lease no daemon becomes the placement owner again. Calls for models that are not loaded are refused until the daemons restart.

Cause: a read that finds no object counted as a stale read once the object had been seen, in whatever era.

Change: the absence of the object in a later era than the known version frees the lease; the holder steps down. In the known era and in former ones it stays a stale read, and so does a record of a former era.

--- a/verbenacore/vrlease/restore_test.go
+++ b/verbenacore/vrlease/restore_test.go
@@ -187,3 +187,39 @@
 	third.acquire(t)
 	require.Greater(t, third.lease.Epoch(), second.lease.Epoch())
 }
+
+// Guards against a lease that no daemon acquires any more because a restore brought back a state from
+// before the object was created: each daemon took its absence for a stale read.
+func TestLeaseIsAcquiredAfterRestoreWithoutObject(t *testing.T) {
+	now := time.Unix(1_790_000_000, 0)
+	store := newRestoredStore()
+	copied := store.state
+	first, second := newStoreClient(store, &now, "d1", "b1"), newStoreClient(store, &now, "d2", "b1")
+	first.acquire(t)
+	second.step(true)
+	store.restore(copied)
+	now = now.Add(restoreTiming.ReadInterval)
+	require.Equal(t, vrlease.ChangeLost, first.step(true))
+	second.acquire(t)
+	require.Less(t, now.Sub(time.Unix(1_790_000_000, 0)), 2*restoreTiming.Duration)
+
+	// A read from before the creation or from a former era does not free the lease.
+	held := second.lease.Epoch()
+	for _, version := range []vrid.ObjectVersion{0, era(1, 0), era(2, 0), era(1, 1000)} {
+		out := &vrevent.Effects{}
+		for _, outcome := range []vrplatform.Outcome{vrplatform.OutcomeNotFound, vrplatform.OutcomeOK} {
+			second.lease.HandleRead(now, vrevent.ObjectRead{Outcome: outcome, Version: version, Value: store.state.value}, out)
+			require.True(t, second.lease.Confirmed(now))
+			require.Equal(t, held, second.lease.Epoch())
+		}
+	}
+	now = now.Add(restoreTiming.RenewInterval)
+	require.Equal(t, vrlease.ChangeNone, second.step(true))
+	require.Equal(t, now.Add(restoreTiming.Duration), second.lease.ExpiresAt(), "renewed on the version of its last write")
+}
+
+// era returns the version of a revision in an era.
+func era(number vrid.StoreEra, revision uint64) vrid.ObjectVersion {
+	version, _ := vrid.NewObjectVersion(number, revision)
+	return version
+}
--- a/verbenacore/vrlease/vrlease.go
+++ b/verbenacore/vrlease/vrlease.go
@@ -414,13 +414,7 @@
 	l.pendingOp = 0
 	switch event.Outcome {
 	case vrplatform.OutcomeNotFound:
-		if l.version.Revision() != 0 {
-			// A stale read shows the state from before the object was created.
-			return ChangeNone
-		}
-		l.observed = true
-		l.version = event.Version
-		return ChangeNone
+		return l.applyAbsence(event.Version)
 	case vrplatform.OutcomeOK:
 	default:
 		return ChangeNone
@@ -433,6 +427,24 @@
 	return l.apply(now, *record, event.Version, false)
 }
 
+// applyAbsence updates the lease after a read that found no object. version is of the era in which
+// it did not exist. In the era of a known object, and in former ones, that is a stale read, which
+// shows the state from before the object was created.
+func (l *Lease) applyAbsence(version vrid.ObjectVersion) Change {
+	if l.observed && version <= l.version {
+		return ChangeNone
+	}
+	wasHolding := l.holding
+	l.observed = true
+	l.version = version
+	l.latest = Record{}
+	l.holding, l.unconfirmed = false, false
+	if wasHolding {
+		return ChangeLost
+	}
+	return ChangeNone
+}
+
 // apply updates the lease with the record that the object has at version. written is set
 // if this daemon's acknowledged write stored it; only such a write confirms that the lease
 // is held.
