Wait for the holder of the former era after a restore of the store

After a restore a daemon that acquires the lease gives orders while the holder that the restore forgot still does.

Cause: the wait before the first order followed the record. A restore brings back a released record, one of an earlier run of the same daemon that was allowed to give orders, or none, and says nothing about who held the lease since.

Change: the record states the era in which it was written (field 9). A record of an earlier era than the store's, the absence of the object in an era above zero, and the first sight of a later era mean that another daemon may have held the lease until now, and may give orders for Timing.Duration more. The holder itself is exempt if its lease is valid, the era rose by one and its own record came back. In an era above zero an unsettled record means the same, because its holder may have acquired the lease just after the restore. Records of former builds count as records of an earlier era, which costs one wait. Nothing changes in a store without eras.

--- a/verbenacore/vrlease/restore_test.go
+++ b/verbenacore/vrlease/restore_test.go
@@ -223,3 +223,78 @@
 	version, _ := vrid.NewObjectVersion(number, revision)
 	return version
 }
+
+// Guards against a new holder that gives orders beside the holder of the former era. What the restore
+// brings back says nothing about who held the lease since: a released record, one of an earlier run
+// of this daemon that was allowed to give orders, or no object.
+func TestNewHolderStaysQuietAfterRestore(t *testing.T) {
+	for _, test := range []struct {
+		name               string
+		created, released  bool
+		holder             vrid.DaemonID
+		startedBefore      bool
+		runsBetween, spans int
+	}{
+		{name: "no object", holder: "d2", startedBefore: true, spans: 1},
+		{name: "no object, new run", holder: "d2", spans: 1},
+		{name: "released record", created: true, released: true, holder: "d3", startedBefore: true, spans: 1},
+		{name: "released record, new run", created: true, released: true, holder: "d3", spans: 1},
+		{name: "record of an earlier run", created: true, holder: "d2", spans: 1},
+		{name: "record of an earlier run, several restores", created: true, holder: "d2", spans: 3},
+		{name: "record of an earlier run that acquired after the restore", created: true, released: true, holder: "d3", spans: 1, runsBetween: 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1_790_000_000, 0)
+			store := newRestoredStore()
+			out := &vrevent.Effects{}
+			if test.created {
+				former := newStoreClient(store, &now, test.holder, "b1")
+				former.acquire(t)
+				if wait := former.lease.OrdersAllowedAt().Sub(now); wait > 0 {
+					now = now.Add(wait)
+				}
+				now = now.Add(restoreTiming.RenewInterval)
+				former.step(true)
+				if test.released {
+					former.lease.Release(now, out)
+					require.True(t, store.write(out.List[0].(vrevent.WriteObject)))
+				}
+				require.True(t, store.record(t).OrdersAllowed)
+			}
+			copied := store.state
+			holder := newStoreClient(store, &now, "d1", "b1")
+			holder.acquire(t)
+			second := newStoreClient(store, &now, "d2", "b2")
+			if test.startedBefore {
+				second.step(false)
+			}
+			now = now.Add(restoreTiming.RenewInterval)
+			holder.step(true)
+			for range test.spans {
+				store.restore(copied)
+			}
+			for range test.runsBetween {
+				newStoreClient(store, &now, "d2", "b1").acquire(t)
+			}
+			now = now.Add(restoreTiming.ReadInterval)
+			second.acquire(t)
+			require.GreaterOrEqual(t, second.lease.OrdersAllowedAt().Sub(holder.lease.ExpiresAt()), restoreTiming.QuietPeriod)
+			require.GreaterOrEqual(t, second.lease.OtherRunEnd(), holder.lease.ExpiresAt())
+		})
+	}
+}
+
+// Guards against a record of this era that is treated as one of a former era: a new run of the same
+// daemon would wait although no other daemon can have given orders.
+func TestNewRunDoesNotWaitInSameEra(t *testing.T) {
+	now := time.Unix(1_790_000_000, 0)
+	store := newRestoredStore()
+	first := newStoreClient(store, &now, "d1", "b1")
+	first.acquire(t)
+	now = first.lease.OrdersAllowedAt()
+	first.step(true)
+	require.True(t, store.record(t).OrdersAllowed)
+	second := newStoreClient(store, &now, "d1", "b2")
+	second.acquire(t)
+	require.False(t, now.Before(second.lease.OrdersAllowedAt()))
+}
--- a/verbenacore/vrlease/vrlease.go
+++ b/verbenacore/vrlease/vrlease.go
@@ -54,6 +54,9 @@
 	// OrdersAllowed is set once the holder may give orders: every order of another daemon is
 	// at least Timing.QuietPeriod old. A later run of the same daemon then need not wait.
 	OrdersAllowed bool `protobuf:"varint,8,opt,name=settled,proto3"`
+	// Era is the era of the store in which the record was written. If the store is in a later one,
+	// the record shows what was before a restore. Former builds write 0.
+	Era vrid.StoreEra `protobuf:"varint,9,opt,name=era,proto3"`
 }
 
 // Validate checks that the record names its holder and that the epoch is not zero.
@@ -126,6 +129,8 @@
 	holding bool
 	// confirmedAt is when the last acknowledged write was sent.
 	confirmedAt time.Time
+	// confirmedEra is the era of that write.
+	confirmedEra vrid.StoreEra
 	// pendingOp is the read or write that is not answered yet, zero if there is none.
 	pendingOp     vrevent.Op
 	pendingSentAt time.Time
@@ -185,14 +190,20 @@
 // trackOtherHolders updates the latest time at which other runs may have given orders from
 // a record that this daemon has just seen for the first time.
 func (l *Lease) trackOtherHolders(now time.Time, record *Record) {
+	if record.Era < l.version.Era() {
+		l.assumeOtherHolder(now)
+		return
+	}
 	mine := record.Holder == l.opts.Daemon
 	if mine && record.Boot == l.opts.Boot {
 		return
 	}
 	// A holder gives no orders after it released the lease, and neither does a run that has
-	// ended. Any other holder may give orders until its lease expires.
+	// ended. Any other holder may give orders until its lease expires. One that was not allowed to
+	// give orders yet may have acquired the lease just after a restore of the store, and then the
+	// holder of the former era may still give orders.
 	end := now
-	if !mine && !record.Released {
+	if (!mine && !record.Released) || (!record.OrdersAllowed && l.version.Era() > 0) {
 		end = now.Add(l.opts.Timing.Duration)
 	}
 	if end.After(l.otherRunEnd) {
@@ -205,6 +216,18 @@
 	}
 }
 
+// assumeOtherHolder records that another daemon may have acquired or renewed the lease until now. A
+// restored store does not show who did.
+func (l *Lease) assumeOtherHolder(now time.Time) {
+	end := now.Add(l.opts.Timing.Duration)
+	if end.After(l.otherRunEnd) {
+		l.otherRunEnd = end
+	}
+	if end.After(l.otherDaemonEnd) {
+		l.otherDaemonEnd = end
+	}
+}
+
 // Latest returns the newest record seen and whether there is one.
 func (l *Lease) Latest() (Record, bool) { return l.latest, l.observed && l.latest.Holder != "" }
 
@@ -356,6 +379,7 @@
 func (l *Lease) Released() bool { return !l.holding && l.pendingOp == 0 }
 
 func (l *Lease) write(now time.Time, record Record, out *vrevent.Effects) {
+	record.Era = l.version.Era()
 	record.OrdersAllowed = !now.Before(l.OrdersAllowedAt())
 	value, err := vrwire.Marshal(&record)
 	if err != nil {
@@ -414,7 +438,7 @@
 	l.pendingOp = 0
 	switch event.Outcome {
 	case vrplatform.OutcomeNotFound:
-		return l.applyAbsence(event.Version)
+		return l.applyAbsence(now, event.Version)
 	case vrplatform.OutcomeOK:
 	default:
 		return ChangeNone
@@ -430,7 +454,7 @@
 // applyAbsence updates the lease after a read that found no object. version is of the era in which
 // it did not exist. In the era of a known object, and in former ones, that is a stale read, which
 // shows the state from before the object was created.
-func (l *Lease) applyAbsence(version vrid.ObjectVersion) Change {
+func (l *Lease) applyAbsence(now time.Time, version vrid.ObjectVersion) Change {
 	if l.observed && version <= l.version {
 		return ChangeNone
 	}
@@ -439,6 +463,9 @@
 	l.version = version
 	l.latest = Record{}
 	l.holding, l.unconfirmed = false, false
+	if version.Era() > 0 {
+		l.assumeOtherHolder(now)
+	}
 	if wasHolding {
 		return ChangeLost
 	}
@@ -452,7 +479,10 @@
 	if version < l.version {
 		return ChangeNone
 	}
-	if version != l.version || !l.observed {
+	changed := version != l.version || !l.observed
+	restored := l.observed && version.Era() > l.version.Era()
+	holdsOn := l.holdsAcrossRestore(now, &record, version)
+	if changed {
 		l.changedAt = now
 		l.jitter = time.Duration(l.opts.Random.Int64N(int64(maxJitter)))
 	}
@@ -461,15 +491,19 @@
 	l.version = version
 	l.latest = record
 	l.highestEpoch = max(l.highestEpoch, record.Epoch)
-	if l.changedAt.Equal(now) {
+	if restored && !holdsOn {
+		l.assumeOtherHolder(now)
+	}
+	if changed && !holdsOn {
 		l.trackOtherHolders(now, &record)
 	}
-	mine := record.Holder == l.opts.Daemon && record.Boot == l.opts.Boot && !record.Released
+	mine := l.isOwn(&record)
 	wasHolding := l.holding
 	l.holding = mine && (written || wasHolding)
 	l.unconfirmed = mine && !l.holding
 	if written && mine {
 		l.confirmedAt = l.pendingSentAt
+		l.confirmedEra = version.Era()
 	}
 	if l.holding && !wasHolding {
 		l.nextReadAt = time.Time{}
@@ -481,6 +515,19 @@
 	return ChangeNone
 }
 
+// isOwn reports whether a record says that this run holds the lease.
+func (l *Lease) isOwn(record *Record) bool {
+	return record.Holder == l.opts.Daemon && record.Boot == l.opts.Boot && !record.Released
+}
+
+// holdsAcrossRestore reports whether a record of the former era shows that this daemon still is the
+// holder. A daemon that acquires the lease in the new era waits for longer than the lease of this
+// one lasts, so while that is valid nobody else has given orders.
+func (l *Lease) holdsAcrossRestore(now time.Time, record *Record, version vrid.ObjectVersion) bool {
+	return l.Confirmed(now) && record.Era < version.Era() && version.Era() == l.confirmedEra+1 &&
+		l.isOwn(record) && record.Epoch == l.latest.Epoch
+}
+
 // HandleNewerEpoch handles a peer's message about a newer epoch: the holder steps down at once
 // and reads the object with the next tick.
 func (l *Lease) HandleNewerEpoch(now time.Time, epoch vrid.Epoch) Change {
