Do not take a late write of a former era for a confirmation

Cause: a read that showed a record of this run made it renew that record, and an acknowledged creation counted whatever era it met. An unanswered write may be carried out after a restore if the object has the expected revision again, and a creation whenever there is no object.

Change: only a record that was written in the store's present era can be confirmed or renewed. One of a former era is replaced by an acquisition with a new epoch, after the wait for the holder that it may have displaced.

--- a/verbenacore/vrlease/restore_test.go
+++ b/verbenacore/vrlease/restore_test.go
@@ -298,3 +298,50 @@
 	second.acquire(t)
 	require.False(t, now.Before(second.lease.OrdersAllowedAt()))
 }
+
+// Guards against a late write of a former era that is taken for a confirmation: its daemon went on
+// with the epoch of that write beside the holder whose record the write replaced.
+func TestLateWriteOfFormerEraIsNotConfirmed(t *testing.T) {
+	now := time.Unix(1_790_000_000, 0)
+	store := newRestoredStore()
+	first := newStoreClient(store, &now, "d1", "b1")
+	first.acquire(t)
+	copied := store.state
+	now = now.Add(restoreTiming.RenewInterval)
+	first.step(true)
+	first.loseAnswers = true
+	now = now.Add(restoreTiming.RenewInterval)
+	first.step(true)
+	first.loseAnswers = false
+	require.Len(t, first.late, 1)
+	store.restore(copied)
+	now = now.Add(restoreTiming.Duration)
+	second := newStoreClient(store, &now, "d2", "b1")
+	second.acquire(t)
+	first.step(false)
+	require.False(t, first.lease.Holding())
+
+	require.True(t, store.write(first.late[0]))
+	replaced := now
+	now = now.Add(restoreTiming.ReadInterval)
+	first.acquire(t)
+	require.Greater(t, first.lease.Epoch(), second.lease.Epoch())
+	require.False(t, first.lease.OrdersAllowedAt().Before(replaced.Add(restoreTiming.Duration+restoreTiming.QuietPeriod)))
+}
+
+// Guards against the same for a write that creates the object, which the store carries out in any era
+// in which there is none.
+func TestCreationMeetingNewEraIsNotConfirmed(t *testing.T) {
+	now := time.Unix(1_790_000_000, 0)
+	store := newRestoredStore()
+	copied := store.state
+	first := newStoreClient(store, &now, "d1", "b1")
+	first.step(false)
+	store.restore(copied)
+	require.Equal(t, vrlease.ChangeNone, first.step(true))
+	require.Equal(t, vrid.StoreEra(1), store.record(t).Era)
+	require.False(t, first.lease.Confirmed(now))
+	first.acquire(t)
+	require.Equal(t, vrid.StoreEra(2), store.record(t).Era)
+	require.Greater(t, first.lease.Epoch(), vrid.Epoch(2)<<37)
+}
--- a/verbenacore/vrlease/vrlease.go
+++ b/verbenacore/vrlease/vrlease.go
@@ -498,9 +498,12 @@
 		l.trackOtherHolders(now, &record)
 	}
 	mine := l.isOwn(&record)
+	// A write of a former era may be carried out in this one if the object has the expected revision
+	// again, or if a restore has removed the object. What it replaced is unknown.
+	written = written && record.Era == version.Era()
 	wasHolding := l.holding
 	l.holding = mine && (written || wasHolding)
-	l.unconfirmed = mine && !l.holding
+	l.unconfirmed = mine && !l.holding && record.Era == version.Era()
 	if written && mine {
 		l.confirmedAt = l.pendingSentAt
 		l.confirmedEra = version.Era()
