Step down unless the lease was valid through the restore

Callers would see: two placement owners give orders at the same time (rule ONE). A holder that was away during a restore goes on with its old epoch, although another daemon may have acquired the lease and given orders since.

Cause: a read that showed the holder's own record kept the lease whatever had happened to the store, also with an expired lease, after several restores and for the record of an earlier acquisition.

Change: a record of a former era keeps the lease only if the lease is still valid when the record is seen, the era is the one after that of the last confirmation, and the record has the held epoch. The holder then goes on giving orders until its lease expires, and after that from the next acknowledged renewal. Otherwise it steps down, waits and competes.

--- a/verbenacore/vrlease/restore_test.go
+++ b/verbenacore/vrlease/restore_test.go
@@ -345,3 +345,72 @@
 	require.Equal(t, vrid.StoreEra(2), store.record(t).Era)
 	require.Greater(t, first.lease.Epoch(), vrid.Epoch(2)<<37)
 }
+
+// TestHolderGoesOnAfterRestore guards against a needless change of the holder: its own record came
+// back and nobody else can have given orders.
+func TestHolderGoesOnAfterRestore(t *testing.T) {
+	now := time.Unix(1_790_000_000, 0)
+	store := newRestoredStore()
+	holder := newStoreClient(store, &now, "d1", "b1")
+	holder.acquire(t)
+	ordersAllowedAt := holder.lease.OrdersAllowedAt()
+	copied := store.state
+	for restores := range 3 {
+		now = now.Add(restoreTiming.RenewInterval)
+		holder.step(true)
+		store.restore(copied)
+		confirmed := holder.lease.ExpiresAt()
+		now = now.Add(restoreTiming.RenewInterval)
+		require.Equal(t, vrlease.ChangeNone, holder.step(true))
+		require.Equal(t, confirmed, holder.lease.ExpiresAt(), "the lease is not confirmed in the new era")
+		now = now.Add(restoreTiming.ReadInterval)
+		for range 2 {
+			require.Equal(t, vrlease.ChangeNone, holder.step(true))
+		}
+		require.Equal(t, now.Add(restoreTiming.Duration), holder.lease.ExpiresAt())
+		require.Equal(t, vrid.StoreEra(restores+2), store.record(t).Era)
+		require.Equal(t, ordersAllowedAt, holder.lease.OrdersAllowedAt())
+	}
+}
+
+// Guards against a former holder that goes on with its record of a former era although another daemon
+// may have acquired the lease and given orders since.
+func TestHolderStepsDownAfterRestore(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		restores int
+		silence  time.Duration
+		older    bool
+	}{
+		{name: "lease expired", restores: 1, silence: restoreTiming.Duration},
+		{name: "two restores", restores: 2, silence: restoreTiming.RenewInterval},
+		{name: "record of an earlier acquisition", restores: 1, silence: restoreTiming.RenewInterval, older: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1_790_000_000, 0)
+			store := newRestoredStore()
+			holder := newStoreClient(store, &now, "d1", "b1")
+			holder.acquire(t)
+			copied := store.state
+			if test.older {
+				other := newStoreClient(store, &now, "d2", "b1")
+				other.acquire(t)
+				now = now.Add(restoreTiming.RenewInterval)
+				holder.step(false)
+				require.False(t, holder.lease.Holding())
+				holder.acquire(t)
+			}
+			epoch := holder.lease.Epoch()
+			for range test.restores {
+				store.restore(copied)
+			}
+			now = now.Add(test.silence)
+			require.Equal(t, vrlease.ChangeLost, holder.step(false))
+			require.False(t, holder.lease.Confirmed(now))
+			seen := now
+			holder.acquire(t)
+			require.Greater(t, holder.lease.Epoch(), epoch)
+			require.False(t, holder.lease.OrdersAllowedAt().Before(seen.Add(restoreTiming.Duration+restoreTiming.QuietPeriod)))
+		})
+	}
+}
--- a/verbenacore/vrlease/vrlease.go
+++ b/verbenacore/vrlease/vrlease.go
@@ -502,7 +502,7 @@
 	// again, or if a restore has removed the object. What it replaced is unknown.
 	written = written && record.Era == version.Era()
 	wasHolding := l.holding
-	l.holding = mine && (written || wasHolding)
+	l.holding = mine && (written || (wasHolding && (!changed || holdsOn || record.Era == version.Era())))
 	l.unconfirmed = mine && !l.holding && record.Era == version.Era()
 	if written && mine {
 		l.confirmedAt = l.pendingSentAt
