Run leases against a restored store in virtual time

TestRestoresKeepRuleOne runs two to four leases for a minute of virtual time against a store with restores from any of the last twelve states, lost answers, writes carried out up to 6 s late, stale reads, restarts, freezes and releases. Its oracle is rule ONE: no two daemons may give orders within the quiet period of each other, no epoch is acquired twice, none falls. Rapid prints the seed of a failure.

--- /dev/null
+++ b/verbenacore/vrlease/restore_model_test.go
@@ -0,0 +1,255 @@
+package vrlease_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrlease"
+	"verbenaroute.example/verbenacore/vrplatform"
+)
+
+const (
+	modelStep  = 50 * time.Millisecond
+	modelSteps = 1200
+	// modelDraws is the number of draws of each decision of a step, so that its probability is one in
+	// that many.
+	modelRestoreDraws = 80
+	modelRestartDraws = 200
+	modelFreezeDraws  = 100
+	modelReleaseDraws = 500
+	modelLostDraws    = 5
+	// modelCopies is the number of former states that restores and stale reads choose from.
+	modelCopies = 12
+)
+
+// modelCall is a call to the store that is not complete.
+type modelCall struct {
+	effect     vrevent.Effect
+	executeAt  time.Time
+	answerAt   time.Time
+	executed   bool
+	lostAnswer bool
+	// era is that of the answer.
+	era     vrid.StoreEra
+	read    vrevent.ObjectRead
+	written vrevent.ObjectWritten
+}
+
+// modelDaemon is one daemon with the part of the store's client that knows the era.
+type modelDaemon struct {
+	id        vrid.DaemonID
+	boot      int
+	lease     *vrlease.Lease
+	knownEra  vrid.StoreEra
+	calls     []*modelCall
+	frozenEnd time.Time
+	released  bool
+}
+
+// model runs daemons against one store in virtual time.
+type model struct {
+	t       *rapid.T
+	random  *rand.Rand
+	now     time.Time
+	store   *restoredStore
+	daemons []*modelDaemon
+	// orphans are calls of ended runs, which the store may still carry out.
+	orphans []*modelCall
+	// acquired holds the run that acquired the lease with an epoch.
+	acquired map[vrid.Epoch]string
+	// lastOrder holds the time of each daemon's last order.
+	lastOrder    map[vrid.DaemonID]time.Time
+	highestEpoch vrid.Epoch
+	acquisitions int
+	orders       int
+}
+
+func (m *model) oneIn(n int) bool { return m.random.IntN(n) == 0 }
+
+func (m *model) start(d *modelDaemon) {
+	d.boot++
+	d.released = false
+	d.knownEra = 0
+	m.orphans = append(m.orphans, d.calls...)
+	d.calls = nil
+	d.lease = vrlease.New(vrlease.Options{
+		Key: "leases/f", Daemon: d.id, Boot: vrid.BootID(fmt.Sprint("b", d.boot)), Ops: &vrevent.Ops{}, Random: m.random, Timing: restoreTiming,
+	})
+}
+
+// call starts the calls among the effects.
+func (m *model) call(d *modelDaemon, out *vrevent.Effects) {
+	const maxDelay, maxLate = 200, 6000
+	for _, effect := range out.List {
+		c := &modelCall{effect: effect, executeAt: m.now.Add(time.Duration(m.random.IntN(maxDelay)) * time.Millisecond)}
+		c.answerAt = c.executeAt.Add(time.Duration(m.random.IntN(maxDelay)) * time.Millisecond)
+		write, isWrite := effect.(vrevent.WriteObject)
+		switch {
+		case isWrite && write.IfVersion.Revision() != 0 && write.IfVersion.Era() != d.knownEra:
+			c.executed, c.written = true, vrevent.ObjectWritten{Op: write.Op, Outcome: vrplatform.OutcomeConflict}
+		case isWrite && m.oneIn(modelLostDraws):
+			c.lostAnswer = true
+			c.written = vrevent.ObjectWritten{Op: write.Op, Outcome: vrplatform.OutcomeUnknown}
+			if m.oneIn(2) {
+				c.executeAt = m.now.Add(time.Duration(m.random.IntN(maxLate)) * time.Millisecond)
+			}
+		}
+		d.calls = append(d.calls, c)
+	}
+}
+
+// execute carries out a call that is due at the store.
+func (m *model) execute(c *modelCall) {
+	if c.executed || m.now.Before(c.executeAt) {
+		return
+	}
+	c.executed = true
+	switch e := c.effect.(type) {
+	case vrevent.ReadObject:
+		state := m.store.state
+		if history := m.store.history; !e.Fresh && len(history) > 0 && m.oneIn(3) {
+			state = history[len(history)-1-m.random.IntN(min(len(history), modelCopies))]
+		}
+		c.read = m.store.readState(e, state)
+		c.era = state.era
+	case vrevent.WriteObject:
+		applied := m.store.write(e)
+		if !c.lostAnswer {
+			c.written = m.store.written(e, applied)
+			c.era = m.store.era
+		}
+	}
+}
+
+// answer passes on the results of complete calls.
+func (m *model) answer(d *modelDaemon) {
+	calls := d.calls
+	d.calls = nil
+	for _, c := range calls {
+		if m.now.Before(c.answerAt) {
+			d.calls = append(d.calls, c)
+			continue
+		}
+		if !c.executed {
+			m.orphans = append(m.orphans, c)
+		}
+		d.knownEra = max(d.knownEra, c.era)
+		out := &vrevent.Effects{}
+		change := vrlease.ChangeNone
+		switch c.effect.(type) {
+		case vrevent.ReadObject:
+			change = d.lease.HandleRead(m.now, c.read, out)
+		case vrevent.WriteObject:
+			change = d.lease.HandleWritten(m.now, c.written, out)
+		}
+		if change == vrlease.ChangeAcquired {
+			m.checkAcquired(d)
+		}
+		m.call(d, out)
+	}
+}
+
+func (m *model) checkAcquired(d *modelDaemon) {
+	m.acquisitions++
+	run := fmt.Sprint(d.id, " run ", d.boot)
+	if other, ok := m.acquired[d.lease.Epoch()]; ok {
+		m.t.Fatalf("%s acquired the lease with epoch %d, as %s did before", run, d.lease.Epoch(), other)
+	}
+	m.acquired[d.lease.Epoch()] = run
+}
+
+// checkOrders checks rule ONE for the daemons that may give orders now.
+func (m *model) checkOrders() {
+	for _, d := range m.daemons {
+		// The reducers give no orders once they have released the lease, whatever came of it.
+		if d.released || !d.lease.Confirmed(m.now) || m.now.Before(d.lease.OrdersAllowedAt()) {
+			continue
+		}
+		m.orders++
+		for other, at := range m.lastOrder {
+			if other != d.id && m.now.Sub(at) < restoreTiming.QuietPeriod {
+				m.t.Fatalf("%s may give orders %s after %s at %s", d.id, m.now.Sub(at), other, m.now.Sub(modelStart))
+			}
+		}
+		if epoch := d.lease.Epoch(); epoch < m.highestEpoch {
+			m.t.Fatalf("%s may give orders with epoch %d after %d at %s", d.id, epoch, m.highestEpoch, m.now.Sub(modelStart))
+		}
+		m.lastOrder[d.id], m.highestEpoch = m.now, d.lease.Epoch()
+	}
+}
+
+var modelStart = time.Unix(1_790_000_000, 0)
+
+// disturb restores the store and restarts, freezes or stops daemons at random.
+func (m *model) disturb() {
+	const maxFreeze = 5000
+	if history := m.store.history; len(history) > 0 && m.oneIn(modelRestoreDraws) {
+		m.store.restore(history[len(history)-1-m.random.IntN(min(len(history), modelCopies))])
+	}
+	for _, d := range m.daemons {
+		switch {
+		case m.oneIn(modelRestartDraws):
+			m.start(d)
+		case m.oneIn(modelFreezeDraws):
+			d.frozenEnd = m.now.Add(time.Duration(m.random.IntN(maxFreeze)) * time.Millisecond)
+		case m.oneIn(modelReleaseDraws):
+			d.released = true
+			out := &vrevent.Effects{}
+			d.lease.Release(m.now, out)
+			m.call(d, out)
+		}
+	}
+}
+
+func (m *model) run() {
+	for range modelSteps {
+		m.now = m.now.Add(modelStep)
+		m.disturb()
+		for _, c := range m.orphans {
+			m.execute(c)
+		}
+		for _, i := range m.random.Perm(len(m.daemons)) {
+			d := m.daemons[i]
+			for _, c := range d.calls {
+				m.execute(c)
+			}
+			if m.now.Before(d.frozenEnd) {
+				continue
+			}
+			m.answer(d)
+			out := &vrevent.Effects{}
+			d.lease.Tick(m.now, vrlease.TickParams{Observe: true, Candidate: !d.released}, out)
+			m.call(d, out)
+		}
+		m.checkOrders()
+	}
+}
+
+// TestRestoresKeepRuleOne guards against two daemons that give orders within the quiet period of each
+// other, and against epochs that are given out twice or fall, across restores of the store, lost
+// answers, late writes, stale reads, restarts and freezes.
+func TestRestoresKeepRuleOne(t *testing.T) {
+	acquisitions, orders := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		m := &model{
+			t: t, random: rand.New(rand.NewPCG(seed, 1)), now: modelStart, store: newRestoredStore(),
+			acquired: make(map[vrid.Epoch]string), lastOrder: make(map[vrid.DaemonID]time.Time),
+		}
+		for i := range rapid.IntRange(2, 4).Draw(t, "daemons") {
+			d := &modelDaemon{id: vrid.DaemonID(fmt.Sprint("d", i))}
+			m.daemons = append(m.daemons, d)
+			m.start(d)
+		}
+		m.run()
+		acquisitions += m.acquisitions
+		orders += m.orders
+	})
+	t.Logf("%d acquisitions, %d steps with orders", acquisitions, orders)
+}
--- a/verbenacore/vrlease/restore_test.go
+++ b/verbenacore/vrlease/restore_test.go
@@ -24,6 +24,7 @@
 // storeState is the state of the lease's object at one revision of the store. The object does not
 // exist if objectRevision is zero.
 type storeState struct {
+	era            vrid.StoreEra
 	revision       uint64
 	objectRevision uint64
 	value          []byte
@@ -32,13 +33,14 @@
 // restoredStore stores one object and can be restored from a copy. Like the platform's store it
 // compares revisions only, not eras.
 type restoredStore struct {
-	era     vrid.StoreEra
-	state   storeState
+	era   vrid.StoreEra
+	state storeState
+	// history holds the former states of all eras.
 	history []storeState
 }
 
 func newRestoredStore() *restoredStore {
-	return &restoredStore{era: 1, state: storeState{revision: 100}}
+	return &restoredStore{era: 1, state: storeState{era: 1, revision: 100}}
 }
 
 // write carries out a write and reports whether its condition held.
@@ -55,12 +57,14 @@
 // restore starts a new era with a former state.
 func (s *restoredStore) restore(copied storeState) {
 	s.era++
-	s.history, s.state = nil, copied
+	s.history = append(s.history, s.state)
+	s.state = copied
+	s.state.era = s.era
 }
 
-// readState returns the result of a read that sees a state of the current era.
+// readState returns the result of a read that sees a state.
 func (s *restoredStore) readState(e vrevent.ReadObject, state storeState) vrevent.ObjectRead {
-	version, _ := vrid.NewObjectVersion(s.era, state.objectRevision)
+	version, _ := vrid.NewObjectVersion(state.era, state.objectRevision)
 	outcome := vrplatform.OutcomeOK
 	if state.objectRevision == 0 {
 		outcome = vrplatform.OutcomeNotFound
