Write the lease only on a version that a fresh read or a write has shown

Cause: an ordinary read may be seconds old. Whether one that shows an object from before a restore states the old or the new era is not on the platform's pages. If it states the new one, its revision may be above the store's: later records seem older, and a conditional write on it is carried out as soon as the object has that revision, whoever holds the lease then.

Change: in a store with eras a conditional write needs a version from a fresh read or an acknowledged write; the lease is read fresh before if need be. Within an era a fresh read replaces a higher version, and another record at the same version counts as a change. A run that has lost the lease acquires it again with a new epoch, instead of renewing its record. A holder still renews without reads.

Evidence: the model's stale reads now state the new era in half of the cases.

--- a/verbenacore/vrlease/restore_model_test.go
+++ b/verbenacore/vrlease/restore_model_test.go
@@ -115,6 +115,10 @@
 		state := m.store.state
 		if history := m.store.history; !e.Fresh && len(history) > 0 && m.oneIn(3) {
 			state = history[len(history)-1-m.random.IntN(min(len(history), modelCopies))]
+			if m.oneIn(2) {
+				// A replica that lags may state the new era with an object of the former one.
+				state.era = m.store.era
+			}
 		}
 		c.read = m.store.readState(e, state)
 		c.era = state.era
--- a/verbenacore/vrlease/restore_test.go
+++ b/verbenacore/vrlease/restore_test.go
@@ -92,6 +92,10 @@
 	// loseAnswers makes writes end with an unknown outcome. They are kept in late.
 	loseAnswers bool
 	late        []vrevent.WriteObject
+	// stale is what ordinary reads show, if it is set.
+	stale *storeState
+	// writtenOn holds the versions on which writes were sent.
+	writtenOn []vrid.ObjectVersion
 }
 
 func newStoreClient(store *restoredStore, now *time.Time, daemon vrid.DaemonID, boot vrid.BootID) *storeClient {
@@ -111,7 +115,11 @@
 		for _, effect := range effects {
 			switch e := effect.(type) {
 			case vrevent.ReadObject:
-				change = max(change, c.lease.HandleRead(*c.now, c.store.readState(e, c.store.state), out))
+				state := c.store.state
+				if c.stale != nil && !e.Fresh {
+					state = *c.stale
+				}
+				change = max(change, c.lease.HandleRead(*c.now, c.store.readState(e, state), out))
 			case vrevent.WriteObject:
 				change = max(change, c.lease.HandleWritten(*c.now, c.answerWrite(e), out))
 			}
@@ -121,6 +129,7 @@
 }
 
 func (c *storeClient) answerWrite(e vrevent.WriteObject) vrevent.ObjectWritten {
+	c.writtenOn = append(c.writtenOn, e.IfVersion)
 	switch {
 	case c.loseAnswers:
 		c.late = append(c.late, e)
@@ -418,3 +427,38 @@
 		})
 	}
 }
+
+// Guards against a stale read from before a restore that already states the new era. Its revision may
+// be above the store's, so that newer records seemed older, and a write on it was carried out as soon
+// as the object had that revision, whoever held the lease then.
+func TestStaleReadStatingNewEraIsNotWrittenOn(t *testing.T) {
+	for _, exists := range []bool{true, false} {
+		now := time.Unix(1_790_000_000, 0)
+		store := newRestoredStore()
+		copied := store.state
+		first := newStoreClient(store, &now, "d1", "b1")
+		first.acquire(t)
+		if exists {
+			copied = store.state
+		}
+		for range 5 {
+			now = now.Add(restoreTiming.RenewInterval)
+			first.step(true)
+		}
+		stale := store.state
+		store.restore(copied)
+		stale.era = store.era
+
+		second := newStoreClient(store, &now, "d2", "b1")
+		second.stale = &stale
+		for step := range 160 {
+			if step == 40 {
+				second.stale = nil
+			}
+			now = now.Add(50 * time.Millisecond)
+			second.step(true)
+		}
+		require.True(t, second.lease.Confirmed(now))
+		require.Equal(t, era(store.era, copied.objectRevision), second.writtenOn[0])
+	}
+}
--- a/verbenacore/vrlease/vrlease.go
+++ b/verbenacore/vrlease/vrlease.go
@@ -70,6 +70,16 @@
 	return nil
 }
 
+// source says how this daemon learned of a version of the object.
+type source uint8
+
+// Values of source. An ordinary read may be stale.
+const (
+	sourceRead source = iota
+	sourceFreshRead
+	sourceWrite
+)
+
 // Change says whether an event made this daemon acquire or lose the lease.
 type Change uint8
 
@@ -115,6 +125,8 @@
 	// latest is the newest record seen. Its epoch decreases only after a restore of the store.
 	latest  Record
 	version vrid.ObjectVersion
+	// verified is set if version is from an acknowledged write or a fresh read.
+	verified bool
 	// highestEpoch is the highest epoch seen in any record.
 	highestEpoch vrid.Epoch
 	// observed is set once the object's state is known, which may be that it does not exist.
@@ -129,11 +141,14 @@
 	holding bool
 	// confirmedAt is when the last acknowledged write was sent.
 	confirmedAt time.Time
-	// confirmedEra is the era of that write.
+	// confirmedEra and heldEpoch are the era and the epoch of that write.
 	confirmedEra vrid.StoreEra
+	heldEpoch    vrid.Epoch
 	// pendingOp is the read or write that is not answered yet, zero if there is none.
 	pendingOp     vrevent.Op
 	pendingSentAt time.Time
+	// pendingFresh is set if pendingOp is a fresh read.
+	pendingFresh bool
 	// proposed is the record of the newest write.
 	proposed Record
 	// nextReadAt is when the next ordinary read is due. The holder does not renew before it.
@@ -378,7 +393,13 @@
 // write of it is unanswered.
 func (l *Lease) Released() bool { return !l.holding && l.pendingOp == 0 }
 
+// write sends a conditional write. An ordinary read may show an object from before a restore and state
+// the new era all the same, so in a store with eras only a verified version is written on.
 func (l *Lease) write(now time.Time, record Record, out *vrevent.Effects) {
+	if l.version.Era() > 0 && l.version.Revision() != 0 && !l.verified {
+		l.readFresh(now, out)
+		return
+	}
 	record.Era = l.version.Era()
 	record.OrdersAllowed = !now.Before(l.OrdersAllowedAt())
 	value, err := vrwire.Marshal(&record)
@@ -402,6 +423,7 @@
 	l.nextFreshReadAt = now.Add(l.opts.Timing.ReadInterval)
 	l.pendingOp = l.opts.Ops.Next()
 	l.pendingSentAt = now
+	l.pendingFresh = true
 	out.Add(vrevent.ReadObject{Op: l.pendingOp, Key: l.opts.Key, Fresh: true})
 }
 
@@ -420,10 +442,10 @@
 	l.pendingOp = 0
 	switch event.Outcome {
 	case vrplatform.OutcomeOK:
-		return l.apply(now, l.proposed, event.Version, true)
+		return l.apply(now, l.proposed, event.Version, sourceWrite)
 	case vrplatform.OutcomeConflict, vrplatform.OutcomeUnknown:
 		if event.Outcome == vrplatform.OutcomeUnknown && vrfault.On(vrfault.TrustUnansweredLease) {
-			return l.apply(now, l.proposed, l.version, true)
+			return l.apply(now, l.proposed, l.version, sourceWrite)
 		}
 		// A write whose answer was lost may have taken effect; only a read can tell.
 		l.read(now, out)
@@ -436,9 +458,14 @@
 // HandleRead handles the answer to a read.
 func (l *Lease) HandleRead(now time.Time, event vrevent.ObjectRead, out *vrevent.Effects) Change {
 	l.pendingOp = 0
+	source := sourceRead
+	if l.pendingFresh {
+		source = sourceFreshRead
+	}
+	l.pendingFresh = false
 	switch event.Outcome {
 	case vrplatform.OutcomeNotFound:
-		return l.applyAbsence(now, event.Version)
+		return l.applyAbsence(now, event.Version, source)
 	case vrplatform.OutcomeOK:
 	default:
 		return ChangeNone
@@ -448,14 +475,14 @@
 		out.Warn("lease record is malformed", vrevent.Field("key", l.opts.Key), vrevent.Field("error", err.Error()))
 		return ChangeNone
 	}
-	return l.apply(now, *record, event.Version, false)
+	return l.apply(now, *record, event.Version, source)
 }
 
 // applyAbsence updates the lease after a read that found no object. version is of the era in which
 // it did not exist. In the era of a known object, and in former ones, that is a stale read, which
 // shows the state from before the object was created.
-func (l *Lease) applyAbsence(now time.Time, version vrid.ObjectVersion) Change {
-	if l.observed && version <= l.version {
+func (l *Lease) applyAbsence(now time.Time, version vrid.ObjectVersion, source source) Change {
+	if l.observed && (version == l.version || l.isOutdated(version, source)) {
 		return ChangeNone
 	}
 	wasHolding := l.holding
@@ -472,14 +499,25 @@
 	return ChangeNone
 }
 
-// apply updates the lease with the record that the object has at version. written is set
-// if this daemon's acknowledged write stored it; only such a write confirms that the lease
-// is held.
-func (l *Lease) apply(now time.Time, record Record, version vrid.ObjectVersion, written bool) Change {
-	if version < l.version {
+// isOutdated reports whether a version is older than the known one. A fresh read is never outdated
+// within an era: it disproves an ordinary read from before the restore that stated the new era.
+func (l *Lease) isOutdated(version vrid.ObjectVersion, source source) bool {
+	if source == sourceFreshRead && version.Era() > 0 && version.Era() == l.version.Era() {
+		return false
+	}
+	return version < l.version
+}
+
+// apply updates the lease with the record that the object has at version. Only an acknowledged
+// write of this daemon confirms that the lease is held.
+func (l *Lease) apply(now time.Time, record Record, version vrid.ObjectVersion, source source) Change {
+	if l.isOutdated(version, source) {
 		return ChangeNone
 	}
-	changed := version != l.version || !l.observed
+	// A read from before a restore may have stated the revision of another record in the new era.
+	differs := version.Era() > 0 && record != l.latest
+	changed := version != l.version || !l.observed || differs
+	l.verified = source != sourceRead || (l.verified && !changed)
 	restored := l.observed && version.Era() > l.version.Era()
 	holdsOn := l.holdsAcrossRestore(now, &record, version)
 	if changed {
@@ -500,13 +538,17 @@
 	mine := l.isOwn(&record)
 	// A write of a former era may be carried out in this one if the object has the expected revision
 	// again, or if a restore has removed the object. What it replaced is unknown.
-	written = written && record.Era == version.Era()
+	written := source == sourceWrite && record.Era == version.Era()
 	wasHolding := l.holding
 	l.holding = mine && (written || (wasHolding && (!changed || holdsOn || record.Era == version.Era())))
-	l.unconfirmed = mine && !l.holding && record.Era == version.Era()
+	// In a store with eras, a run that has lost the lease acquires it again with a new epoch. Another
+	// daemon may have acquired it meanwhile with a higher one, which a late write has replaced.
+	again := version.Era() > 0 && record.Epoch <= l.heldEpoch
+	l.unconfirmed = mine && !l.holding && record.Era == version.Era() && !again
 	if written && mine {
 		l.confirmedAt = l.pendingSentAt
 		l.confirmedEra = version.Era()
+		l.heldEpoch = record.Epoch
 	}
 	if l.holding && !wasHolding {
 		l.nextReadAt = time.Time{}
