Test a renewed record at the revision of a stale read

A test of its own fails without the rule (the candidate writes on the holder's new version) and passes with it.

--- a/verbenacore/vrlease/restore_model_test.go
+++ b/verbenacore/vrlease/restore_model_test.go
@@ -17,6 +17,8 @@
 const (
 	modelStep  = 50 * time.Millisecond
 	modelSteps = 1200
+	// modelRuns is the number of runs of each drawn seed.
+	modelRuns = 4
 	// modelDraws is the number of draws of each decision of a step, so that its probability is one in
 	// that many.
 	modelRestoreDraws = 80
@@ -242,18 +244,21 @@
 	acquisitions, orders := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
-		m := &model{
-			t: t, random: rand.New(rand.NewPCG(seed, 1)), now: modelStart, store: newRestoredStore(),
-			acquired: make(map[vrid.Epoch]string), lastOrder: make(map[vrid.DaemonID]time.Time),
-		}
-		for i := range rapid.IntRange(2, 4).Draw(t, "daemons") {
-			d := &modelDaemon{id: vrid.DaemonID(fmt.Sprint("d", i))}
-			m.daemons = append(m.daemons, d)
-			m.start(d)
+		daemons := rapid.IntRange(2, 4).Draw(t, "daemons")
+		for stream := range uint64(modelRuns) {
+			m := &model{
+				t: t, random: rand.New(rand.NewPCG(seed, stream)), now: modelStart, store: newRestoredStore(),
+				acquired: make(map[vrid.Epoch]string), lastOrder: make(map[vrid.DaemonID]time.Time),
+			}
+			for i := range daemons {
+				d := &modelDaemon{id: vrid.DaemonID(fmt.Sprint("d", i))}
+				m.daemons = append(m.daemons, d)
+				m.start(d)
+			}
+			m.run()
+			acquisitions += m.acquisitions
+			orders += m.orders
 		}
-		m.run()
-		acquisitions += m.acquisitions
-		orders += m.orders
 	})
 	t.Logf("%d acquisitions, %d steps with orders", acquisitions, orders)
 }
--- a/verbenacore/vrlease/restore_test.go
+++ b/verbenacore/vrlease/restore_test.go
@@ -462,3 +462,36 @@
 		require.Equal(t, era(store.era, copied.objectRevision), second.writtenOn[0])
 	}
 }
+
+// Guards against a lease that seems unchanged since a stale read stated the revision of a later record:
+// a candidate acquired it although its holder had just renewed it.
+func TestRecordAtRevisionOfStaleReadCountsAsChange(t *testing.T) {
+	now := time.Unix(1_790_000_000, 0)
+	store := newRestoredStore()
+	first := newStoreClient(store, &now, "d1", "b1")
+	first.acquire(t)
+	copied := store.state
+	for range 3 {
+		now = now.Add(restoreTiming.RenewInterval)
+		first.step(true)
+	}
+	stale := store.state
+	store.restore(copied)
+	stale.era = store.era
+	second := newStoreClient(store, &now, "d2", "b1")
+	second.stale = &stale
+	second.step(true)
+	seen := now
+	for store.state.objectRevision != stale.objectRevision {
+		now = now.Add(50 * time.Millisecond)
+		first.step(true)
+	}
+	require.Greater(t, now.Sub(seen), restoreTiming.Duration+300*time.Millisecond)
+	require.True(t, first.lease.Confirmed(now))
+	second.stale = nil
+	for range 3 {
+		second.step(true)
+	}
+	require.Empty(t, second.writtenOn)
+	require.True(t, first.lease.Confirmed(now))
+}
