Do not rely on a feeder of a former era of the store

A daemon that has listed a restored store took the messages of a feeder that still sent the versions of the era before, or that runs a build without eras, as proof that its own view was up to date: their versions are lower than its own, as those of a message that arrives late. It did not watch the store and heard of no change. It also went on relying on a message that was received before its list of the new era.

A message of a former era now says nothing, so that the daemon watches for itself and the next member takes over from that feeder. A list of a later era ends the reliance on earlier messages. Changes between versions of two eras, or of an era that the view has no list of, are not applied.

--- a/verbenacore/vrfeed/vrfeed.go
+++ b/verbenacore/vrfeed/vrfeed.go
@@ -117,6 +117,10 @@
 	if version != 0 && version < f.version {
 		return false
 	}
+	if version.Era() != f.version.Era() {
+		// What a feeder sent before the restore of the store says nothing about the time since.
+		f.heardAt = time.Time{}
+	}
 	f.version = version
 	clear(f.entries)
 	for _, entry := range entries {
@@ -126,9 +130,9 @@
 }
 
 // HandleWatch applies changes that the daemon read from the store. It returns false if its view
-// includes them already, and otherwise what a feeder has to tell the others.
+// includes them already or is of another era, and otherwise what a feeder has to tell the others.
 func (f *Feed) HandleWatch(changes *Changes) (*Changes, bool) {
-	if changes.Version != 0 && changes.Version <= f.version {
+	if changes.Version != 0 && (changes.Version <= f.version || f.isOfAnotherEra(changes)) {
 		return nil, false
 	}
 	f.version = changes.Version
@@ -143,13 +147,25 @@
 	return message, true
 }
 
+// isOfAnotherEra reports whether changes don't continue from the view because the store was
+// restored in between. A view without a version is of no era.
+func (f *Feed) isOfAnotherEra(changes *Changes) bool {
+	era := changes.Version.Era()
+	return era != changes.After.Era() || (f.version != 0 && era != f.version.Era())
+}
+
 // HandleMessage handles the changes that a member of the zone sent. It returns whether they have
 // to be applied.
 func (f *Feed) HandleMessage(now time.Time, from vrid.DaemonID, changes *Changes) bool {
+	if changes.Version.Era() < f.version.Era() {
+		// The sender has not noticed that the store was restored, or its build knows no eras. It does
+		// not feed this daemon, so another one has to take over.
+		return false
+	}
 	if rank, found := slices.BinarySearch(f.members, from); found && rank < f.rank {
 		f.lowerHeardAt = now
 	}
-	if changes.After > f.version || f.version == 0 {
+	if changes.After > f.version || f.version == 0 || f.isOfAnotherEra(changes) {
 		// Changes are missing. The daemon watches the store until its view includes them.
 		f.heardAt = time.Time{}
 		return false
