Pause between lists if the store expires each watch

A follower listed and watched without a pause as long as the store answered each watch with 410: HistoryGoneError counted as no failure, and the list before it reset the count of failures.

The first expired watch after a successful one is followed by a list at once, as before, because it is the usual way to go on after lost history. Each further one is followed by the backoff of failed calls. The log line states the era.

TestExpiredWatchesAreFollowedByABackoff fails before: the follower makes more than 160 watches without a pause, where the bound for a minute of virtual time, from maxBackoff, is 160. TestFirstExpiredWatchIsFollowedByAListAtOnce passes before and guards against a backoff that delays the usual list.

--- a/verbenaroute/internal/vrnode/store.go
+++ b/verbenaroute/internal/vrnode/store.go
@@ -131,7 +131,8 @@
 }
 
 // follower keeps the local copy of one kind of the store's objects up to date: it lists them
-// once and then watches for changes. After a failed watch it lists them again.
+// once and then watches for changes. After a failed watch it lists them again, with a backoff if the
+// watch after the list fails too.
 type follower struct {
 	node *Node
 	name string
@@ -145,6 +146,9 @@
 	watch func(ctx context.Context, after vrid.ObjectVersion) (vrid.ObjectVersion, bool, error)
 	// failures is the number of consecutive failed calls.
 	failures int
+	// expired is the number of watches since the last successful one that found the store's history
+	// gone.
+	expired int
 	// skipWatch reports whether no watch is needed at present, because another daemon tells this
 	// one of changes; it may be nil.
 	skipWatch func() bool
@@ -174,8 +178,12 @@
 		var gone *vradapter.HistoryGoneError
 		switch {
 		case errors.As(err, &gone):
-			n.log.Info("store history expired, listing again", zap.String("kind", f.name), zap.Uint64("after", uint64(f.after)))
+			n.log.Info("store history expired, listing again", zap.String("kind", f.name), zap.Uint64("after", f.after.Revision()),
+				zap.Uint64("era", uint64(f.after.Era())))
 			f.after = 0
+			if f.expired++; f.expired > 1 {
+				pauseForBackoff(n.baseCtx, f.expired-1)
+			}
 		case err != nil:
 			// The changes since the last response may have left the store's history, so only a
 			// list shows which objects were removed.
@@ -183,6 +191,7 @@
 			f.after = 0
 		default:
 			f.handleSuccess()
+			f.expired = 0
 			f.after = after
 			if changed && f.pauseAfterChange != nil {
 				pause(n.baseCtx, f.pauseAfterChange())
@@ -217,8 +226,13 @@
 	if f.failures == storeLostAfter {
 		f.node.Submit(vrevent.StoreLost{Detail: f.name + ": " + err.Error()})
 	}
-	backoff := min(minBackoff<<min(f.failures, 10), maxBackoff)
-	pause(f.node.baseCtx, backoff/2+rand.N(backoff))
+	pauseForBackoff(f.node.baseCtx, f.failures)
+}
+
+// pauseForBackoff pauses for an exponential backoff with jitter after consecutive failures.
+func pauseForBackoff(ctx context.Context, failures int) {
+	backoff := min(minBackoff<<min(failures, 10), maxBackoff)
+	pause(ctx, backoff/2+rand.N(backoff))
 }
 
 // handleSuccess resets the count of failed calls and reports the recovery of a lost store.
