List again after a restore although another daemon sends messages

A daemon that another one told of changes did not watch the store, even if a call of its own had shown a later era. A feeder and a placement owner that had not noticed the restore kept it from listing the servers and the catalog as long as they sent messages: its view stayed the one of the former era.

A watch that would start in a former era is no longer skipped. The store's client ends it at once without a call, and the follower lists. The version known from the feeder raises the start of a watch only within the era.

TestFedDaemonListsAfterRestore, with a real daemon and a peer that sends messages of the first era, fails before in 4 of 4 runs: no list of the servers and the catalog within 30 s after the daemon has listed the daemons of the second era. It passes 6 of 6 times since.

--- /dev/null
+++ b/verbenaroute/internal/vrnode/restore_test.go
@@ -0,0 +1,122 @@
+package vrnode_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"verbenaroute.example/platform/vrstandin"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrpeer"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+const (
+	// restoreTimeout ends a wait that can only end with the failure of the test.
+	restoreTimeout = 30 * time.Second
+	pollInterval   = 20 * time.Millisecond
+	// watchGap is longer than the pause between two watches of a daemon that nobody feeds.
+	watchGap = 2500 * time.Millisecond
+)
+
+// startStore runs a store with one route and one server, and returns its URL. It rejects writes of
+// leases, so that the daemon does not become the placement owner, which relies on no other daemon.
+func startStore(t *testing.T) (*vrstandin.Store, string) {
+	store := vrstandin.NewStore()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodGet && strings.HasPrefix(r.URL.Path, "/objects/leases") {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		store.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	store.Configure(3, vrstandin.Route{Name: "once", Type: "non_idempotent"})
+	store.Register("i-1", "127.0.0.1:1", "ready", 1)
+	return store, server.URL
+}
+
+// registerDaemon writes the entry of another daemon of the zone.
+func registerDaemon(t *testing.T, storeURL, name, address string) {
+	body := fmt.Sprintf(`{"metadata":{"name":%q},"spec":{"peer":%q,"boot":"b","zone":"z"}}`, name, address)
+	response, err := http.Post(storeURL+"/objects/daemons", "application/json", strings.NewReader(body))
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
+
+// startFeeder runs a peer that feeds the zone with versions of the first era and sends heartbeats of
+// the placement owner, as a daemon does that has not noticed a restore.
+func startFeeder(t *testing.T, receiver string) *vrpeer.Hub {
+	ctx, stop := context.WithCancel(context.Background())
+	hub, err := vrpeer.Start(ctx, vrpeer.Options{
+		Self: "a-0", Boot: "b", Zone: "z", Listen: "127.0.0.1:0", Insecure: true, Log: zap.NewNop(),
+		OnReceive: func(*vrwire.Envelope) {}, OnUnreachable: func(vrid.DaemonID) {},
+	})
+	require.NoError(t, err)
+	version, ok := vrid.NewObjectVersion(1, 1)
+	require.True(t, ok)
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		ticker := time.NewTicker(100 * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			// A number of daemons that is not the receiver's lets it list them at intervals.
+			hub.Send("edge-1", receiver, &vrwire.Envelope{FleetChanges: &vrwire.FleetChanges{After: version, Version: version, Daemons: 9}})
+			hub.Send("edge-1", receiver, &vrwire.Envelope{Notices: &vrwire.Notices{Epoch: 1000, CatalogVersion: 3}})
+			select {
+			case <-ticker.C:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-sent
+		hub.Close()
+	})
+	return hub
+}
+
+// watchCounts returns the metrics lines that count the watches of the store.
+func watchCounts(t *testing.T, metricsAddress string) string {
+	var lines []string
+	for line := range strings.Lines(getBody(t, metricsAddress, "/metrics")) {
+		if strings.HasPrefix(line, `verbena_store_calls_total{kind="watch"`) {
+			lines = append(lines, line)
+		}
+	}
+	return strings.Join(lines, "")
+}
+
+// Guards against a daemon that knows from another call that the store was restored, and goes on
+// without a list because a feeder and an owner that have not noticed it still send messages.
+func TestFedDaemonListsAfterRestore(t *testing.T) {
+	store, storeURL := startStore(t)
+	settings := newSettings(t, storeURL, time.Second)
+	feeder := startFeeder(t, settings.Peers)
+	for i := range 3 {
+		registerDaemon(t, storeURL, fmt.Sprint("a-", i), feeder.Address())
+	}
+	startNode(t, settings, zap.NewNop())
+	before := "not counted yet"
+	require.Eventually(t, func() bool {
+		counts := watchCounts(t, settings.Metrics)
+		fed := counts == before
+		before = counts
+		return fed
+	}, restoreTimeout, watchGap, "the daemon never relied on its feeder")
+
+	store.Restore(store.Copy())
+	require.Eventually(t, func() bool { return store.Lists("daemons") > 0 }, restoreTimeout, pollInterval)
+	require.Eventually(t, func() bool { return store.Lists("servers") > 0 && store.Lists("config") > 0 }, restoreTimeout, pollInterval)
+}
--- a/verbenaroute/internal/vrnode/store.go
+++ b/verbenaroute/internal/vrnode/store.go
@@ -149,8 +149,11 @@
 	// expired is the number of watches since the last successful one that found the store's history
 	// gone.
 	expired int
+	// era returns the latest era of the store that this daemon knows of.
+	era func() vrid.StoreEra
 	// skipWatch reports whether no watch is needed at present, because another daemon tells this
-	// one of changes; it may be nil.
+	// one of changes; it may be nil. A watch that would start in a former era is never skipped,
+	// because that daemon may not have noticed the restore.
 	skipWatch func() bool
 	// knownVersion returns the version up to which changes are known from another daemon; it may
 	// be nil.
@@ -161,16 +164,18 @@
 func (f *follower) run() {
 	n := f.node
 	for n.baseCtx.Err() == nil {
-		if f.after != 0 && f.skipWatch != nil && f.skipWatch() {
-			pause(n.baseCtx, heartbeatPollInterval)
-			continue
-		}
 		if f.after == 0 {
 			f.relist()
 			continue
 		}
+		if f.skipWatch != nil && f.after.Era() == f.era() && f.skipWatch() {
+			pause(n.baseCtx, heartbeatPollInterval)
+			continue
+		}
 		if f.knownVersion != nil {
-			f.after = max(f.after, f.knownVersion())
+			if known := f.knownVersion(); known.Era() == f.after.Era() {
+				f.after = max(f.after, known)
+			}
 		}
 		ctx, cancel := context.WithTimeout(n.baseCtx, n.watchWait()+watchTimeoutMargin)
 		after, changed, err := f.watch(ctx, f.after)
@@ -274,7 +279,7 @@
 }
 
 func (n *Node) followCatalog() {
-	f := &follower{node: n, name: "catalog", skipWatch: n.catalogIsCurrent}
+	f := &follower{node: n, name: "catalog", era: n.store.Era, skipWatch: n.catalogIsCurrent}
 	f.list = func(ctx context.Context) (vrid.ObjectVersion, error) {
 		catalog, version, err := n.store.ListCatalog(ctx)
 		if err == nil && catalog != nil {
@@ -294,7 +299,8 @@
 
 func (n *Node) followServers() {
 	f := &follower{
-		node: n, name: "servers", pauseAfterChange: n.serversPause, skipWatch: n.serversFed, knownVersion: n.serversVersion,
+		node: n, name: "servers", era: n.store.Era, pauseAfterChange: n.serversPause, skipWatch: n.serversFed,
+		knownVersion: n.serversVersion,
 	}
 	f.list = func(ctx context.Context) (vrid.ObjectVersion, error) {
 		entries, version, err := n.store.ListServers(ctx)
