Report a restore of the store in the log, the metrics and to the reducer

A restore of the store showed only as lists that followed expired watches. It could not be told from a history that the store had dropped, and the reducer, which holds the lease and the catalog, was not told at all.

The runtime now submits StoreRestored, before any event with a version of the new era, and logs "store restored from a copy" with the era. verbena_store_era and verbena_store_restores_total expose it. The reducer ignores the event so far, so no test covers that it is submitted.

TestRestoreIsLoggedAndCounted fails before: there is no verbena_store_era.

--- a/verbenaroute/internal/vrnode/restore_test.go
+++ b/verbenaroute/internal/vrnode/restore_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"verbenaroute.example/platform/vrstandin"
 	"verbenaroute.example/verbenacore/vrid"
@@ -120,3 +121,23 @@
 	require.Eventually(t, func() bool { return store.Lists("daemons") > 0 }, restoreTimeout, pollInterval)
 	require.Eventually(t, func() bool { return store.Lists("servers") > 0 && store.Lists("config") > 0 }, restoreTimeout, pollInterval)
 }
+
+// Guards against a restore that neither the log nor the metrics show.
+func TestRestoreIsLoggedAndCounted(t *testing.T) {
+	store, storeURL := startStore(t)
+	settings := newSettings(t, storeURL, time.Second)
+	core, logged := observer.New(zap.WarnLevel)
+	startNode(t, settings, zap.New(core))
+	metrics := getBody(t, settings.Metrics, "/metrics")
+	require.Contains(t, metrics, "verbena_store_era 1\n")
+	require.Contains(t, metrics, "verbena_store_restores_total 0\n")
+
+	store.Restore(store.Copy())
+	require.Eventually(t, func() bool { return store.Lists("servers") > 0 && store.Lists("config") > 0 }, restoreTimeout, pollInterval)
+	metrics = getBody(t, settings.Metrics, "/metrics")
+	require.Contains(t, metrics, "verbena_store_era 2\n")
+	require.Contains(t, metrics, "verbena_store_restores_total 1\n")
+	restores := logged.FilterMessage("store restored from a copy").All()
+	require.Len(t, restores, 1)
+	require.EqualValues(t, 2, restores[0].ContextMap()["era"])
+}
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -76,6 +76,7 @@
 	n.metrics = newMetrics(n, droppedLines)
 	n.store = vradapter.NewStore(vradapter.StoreOptions{
 		Address: settings.Store, OnCall: n.metrics.storeCall, OnInvalidObject: n.invalidObjectLogger(),
+		OnRestored: n.storeRestored,
 	})
 	bounds := settings.Bounds
 	n.state = vrgateway.New(vrgateway.Options{
@@ -109,6 +110,13 @@
 	}
 }
 
+// storeRestored reports that the store was restored from a copy.
+func (n *Node) storeRestored(era vrid.StoreEra) {
+	n.log.Warn("store restored from a copy", zap.Uint64("era", uint64(era)))
+	n.metrics.storeRestores.Inc()
+	n.Submit(vrevent.StoreRestored{Era: era})
+}
+
 // limits returns the limits of the catalog in force, or zero limits before the first catalog.
 func (n *Node) limits() vrcatalog.Limits {
 	if catalog := n.catalog.Load(); catalog != nil {
