Register again after a restore of the store

A daemon registered once. A restored store that had lost the entry never got it again: the other daemons no longer listed this one, sent it no changes of servers and no notices, and used its part of the retry budget.

A daemon that notices a restore now registers again, at a random time within 10 ms for each daemon that it knows (0.7 s at least), so that the registrations take at most half of the 400 writes a second that the store takes of all daemons. Until all have had time to notice the restore and to register, the list of before stays in force, because a list may lack live daemons; then they are listed again. The number of restores is read by the metric too.

TestDaemonRegistersAgainAfterRestore fails before: no registration within 30 s of the restore. TestRegistrationsAfterRestoreLeaveWritesForLeases checks the rate; the function that it calls is new. No test covers that the list of before stays in force meanwhile.

--- a/verbenaroute/internal/vrnode/follower_test.go
+++ b/verbenaroute/internal/vrnode/follower_test.go
@@ -77,3 +77,14 @@
 		}
 	})
 }
+
+// Guards against registrations after a restore that take the writes which the placement owner needs for
+// its lease. The store takes 400 writes a second of all daemons together, and a daemon whose entry was
+// not lost needs two.
+func TestRegistrationsAfterRestoreLeaveWritesForLeases(t *testing.T) {
+	const writesPerSecond, writesPerRegistration = 400, 2
+	for _, daemons := range []int{1, 72, 295, 1000} {
+		writes := float64(daemons * writesPerRegistration)
+		require.LessOrEqual(t, writes/registrationSpread(daemons).Seconds(), float64(writesPerSecond)/2, "%d daemons", daemons)
+	}
+}
--- a/verbenaroute/internal/vrnode/metrics.go
+++ b/verbenaroute/internal/vrnode/metrics.go
@@ -19,8 +19,7 @@
 	set  *vmetrics.Set
 	node *Node
 	// droppedLines returns the number of dropped log lines by kind, which is a label value.
-	droppedLines  func() map[string]uint64
-	storeRestores *vmetrics.Counter
+	droppedLines func() map[string]uint64
 }
 
 func newMetrics(n *Node, droppedLines func() map[string]uint64) *metrics {
@@ -52,9 +51,9 @@
 	gauge(`verbena_prompt_parts{state="blocked"}`, func() float64 { _, blocked := n.state.PromptParts(); return float64(blocked) })
 	gauge("verbena_orders_total", func() float64 { return float64(n.state.Counts().Orders) })
 	gauge("verbena_orders_unknown_total", func() float64 { return float64(n.state.Counts().OrdersUnknown) })
-	m.storeRestores = m.set.NewCounter("verbena_store_restores_total")
-	// The store's client holds its lock while it submits an event, so this gauge must not hold the
+	// The store's client holds its lock while it submits an event, so these gauges must not hold the
 	// node's.
+	m.set.NewGauge("verbena_store_restores_total", func() float64 { return float64(n.restores.Load()) })
 	m.set.NewGauge("verbena_store_era", func() float64 { return float64(n.store.Era()) })
 	return m
 }
--- a/verbenaroute/internal/vrnode/restore_test.go
+++ b/verbenaroute/internal/vrnode/restore_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -141,3 +142,18 @@
 	require.Len(t, restores, 1)
 	require.EqualValues(t, 2, restores[0].ContextMap()["era"])
 }
+
+// Guards against a daemon that the others no longer know because the restored store has lost its
+// registration, which it wrote once.
+func TestDaemonRegistersAgainAfterRestore(t *testing.T) {
+	store, storeURL := startStore(t)
+	copied := store.Copy()
+	settings := newSettings(t, storeURL, time.Second)
+	startNode(t, settings, zap.NewNop())
+	for range 2 {
+		require.Eventually(t, func() bool { return slices.Contains(store.Writes(), "POST daemons/edge-1") }, restoreTimeout, pollInterval)
+		require.Eventually(t, func() bool { return store.Lists("daemons") > 0 }, restoreTimeout, pollInterval)
+		store.Restore(copied)
+	}
+	require.Eventually(t, func() bool { return slices.Contains(store.Writes(), "POST daemons/edge-1") }, restoreTimeout, pollInterval)
+}
--- a/verbenaroute/internal/vrnode/store.go
+++ b/verbenaroute/internal/vrnode/store.go
@@ -54,6 +54,10 @@
 	// maxPeersAge is how long a daemon does without a list of the daemons while the feeder of its
 	// zone knows as many as it does itself.
 	maxPeersAge = 30 * time.Second
+	// registrationInterval is the mean interval between two daemons that register again after a
+	// restore of the store. The store takes 400 writes a second of all daemons together. A
+	// registration takes up to two, so half of the writes are left for the leases.
+	registrationInterval = 10 * time.Millisecond
 	// storeLostAfter consecutive failed calls count as the loss of the store.
 	storeLostAfter = 2
 	// orderTimeout is the timeout of an order, which a server answers without waiting for the
@@ -325,30 +329,100 @@
 	f.run()
 }
 
-// followPeers registers this daemon in the store and lists the others at intervals.
+// peersFollower registers this daemon in the store and lists the others at intervals.
+type peersFollower struct {
+	node *Node
+	// registered is whether this daemon has registered since the last restore of the store. restores
+	// is the number of restores that the follower has handled.
+	registered bool
+	restores   uint64
+	// count is the number of listed daemons.
+	count int
+	// listedAt is when the daemons were last listed. settledAt is when all daemons have noticed the
+	// last restore and registered again.
+	listedAt, settledAt time.Time
+}
+
 func (n *Node) followPeers() {
-	registered := false
-	var listedAt time.Time
+	f := &peersFollower{node: n}
 	for round := 0; n.baseCtx.Err() == nil; round++ {
-		if registered && !listedAt.IsZero() && n.clock.Now().Sub(listedAt) < maxPeersAge && n.peersCurrent() {
-			pause(n.baseCtx, startupPeersInterval/2+rand.N(startupPeersInterval))
-			continue
-		}
-		ctx, cancel := context.WithTimeout(n.baseCtx, storeTimeout)
-		if !registered {
-			err := n.store.Register(ctx, vrevent.Peer{Daemon: n.settings.Daemon, Address: n.settings.Peers, Zone: n.settings.Zone}, n.boot)
-			registered = err == nil
+		f.handleRestore()
+		now := n.clock.Now()
+		switch {
+		case f.registered && f.isUnsettled():
+			n.pauseUnlessRestored(f.settledAt.Sub(now), f.restores)
+		case f.registered && f.listedAt.After(f.settledAt) && now.Sub(f.listedAt) < maxPeersAge && n.peersCurrent():
+			n.pauseUnlessRestored(startupPeersInterval/2+rand.N(startupPeersInterval), f.restores)
+		default:
+			f.update(round < startupPeersLists)
 		}
-		peers, err := n.store.Peers(ctx)
-		cancel()
-		if err == nil {
-			listedAt = n.clock.Now()
-			n.Submit(vrevent.PeersListed{Peers: peers})
+	}
+}
+
+// handleRestore makes the daemon register again after a restore of the store, which may have lost its
+// entry. It first pauses for a random part of the time over which the daemons register.
+func (f *peersFollower) handleRestore() {
+	n := f.node
+	for restores := n.restores.Load(); restores != f.restores; restores = n.restores.Load() {
+		spread := registrationSpread(f.count)
+		f.restores, f.registered = restores, false
+		f.settledAt = n.clock.Now().Add(n.settings.Bounds.ContactTimeout.Std() + spread)
+		n.pauseUnlessRestored(rand.N(spread), restores)
+	}
+}
+
+// isUnsettled reports whether a list may lack live daemons that have not registered again yet. The
+// previous list stays in force meanwhile: the daemons share the retry budget by their number.
+func (f *peersFollower) isUnsettled() bool {
+	return !f.listedAt.IsZero() && f.node.clock.Now().Before(f.settledAt)
+}
+
+// registrationSpread returns the time over which the daemons register again after a restore.
+func registrationSpread(daemons int) time.Duration {
+	return max(time.Duration(daemons)*registrationInterval, startupPeersInterval)
+}
+
+// update registers this daemon if that is due, lists the daemons unless a list may lack some, and
+// pauses.
+func (f *peersFollower) update(starting bool) {
+	n := f.node
+	ctx, cancel := context.WithTimeout(n.baseCtx, storeTimeout)
+	defer cancel()
+	if !f.registered {
+		err := n.store.Register(ctx, vrevent.Peer{Daemon: n.settings.Daemon, Address: n.settings.Peers, Zone: n.settings.Zone}, n.boot)
+		f.registered = err == nil
+	}
+	if f.isUnsettled() {
+		if !f.registered {
+			spread := registrationSpread(f.count)
+			n.pauseUnlessRestored(spread/2+rand.N(spread), f.restores)
 		}
-		if round < startupPeersLists {
-			pause(n.baseCtx, startupPeersInterval)
-		} else {
-			pause(n.baseCtx, peersInterval/2+rand.N(peersInterval))
+		return
+	}
+	peers, err := n.store.Peers(ctx)
+	if err == nil {
+		f.listedAt, f.count = n.clock.Now(), len(peers)
+		n.Submit(vrevent.PeersListed{Peers: peers})
+	}
+	if starting {
+		n.pauseUnlessRestored(startupPeersInterval, f.restores)
+	} else {
+		n.pauseUnlessRestored(peersInterval/2+rand.N(peersInterval), f.restores)
+	}
+}
+
+// pauseUnlessRestored sleeps for the duration, or until the node knows of another number of restores
+// of the store or stops.
+func (n *Node) pauseUnlessRestored(duration time.Duration, restores uint64) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	for n.restores.Load() == restores {
+		select {
+		case <-n.restored:
+		case <-timer.C:
+			return
+		case <-n.baseCtx.Done():
+			return
 		}
 	}
 }
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -58,6 +58,10 @@
 	shuttingDown atomic.Bool
 	catalog      atomic.Pointer[vrcatalog.Catalog]
 	planned      plannedWork
+	// restores is the number of restores of the store that this daemon has noticed. restored wakes
+	// followPeers after one.
+	restores atomic.Uint64
+	restored chan struct{}
 	// grace is the time limit of a shutdown in nanoseconds, which Reload may change.
 	grace atomic.Int64
 	// baseCtx is the context of all background work; cancel ends it after a shutdown.
@@ -70,7 +74,7 @@
 // New returns a Node that does not run yet. droppedLines returns the number of dropped log
 // lines by kind.
 func New(settings *vrsettings.Gateway, log *zap.Logger, droppedLines func() map[string]uint64) *Node {
-	n := &Node{settings: settings, log: log, boot: vrid.BootID(ulid.Make().String()), engine: vradapter.NewEngine()}
+	n := &Node{settings: settings, log: log, boot: vrid.BootID(ulid.Make().String()), engine: vradapter.NewEngine(), restored: make(chan struct{}, 1)}
 	n.baseCtx, n.cancel = context.WithCancel(context.Background())
 	n.grace.Store(int64(settings.Bounds.GracePeriod.Std()))
 	n.metrics = newMetrics(n, droppedLines)
@@ -113,8 +117,12 @@
 // storeRestored reports that the store was restored from a copy.
 func (n *Node) storeRestored(era vrid.StoreEra) {
 	n.log.Warn("store restored from a copy", zap.Uint64("era", uint64(era)))
-	n.metrics.storeRestores.Inc()
 	n.Submit(vrevent.StoreRestored{Era: era})
+	n.restores.Add(1)
+	select {
+	case n.restored <- struct{}{}:
+	default:
+	}
 }
 
 // limits returns the limits of the catalog in force, or zero limits before the first catalog.
