Start the peer of a test after the addresses of its daemon are bound

TestFedDaemonListsAfterRestore failed once in 4 runs with the race detector: "bind: address already in use". The peer that feeds the daemon opened its listener and its connections between the choice of the daemon's free addresses and their use, and got one of them. It now listens before and connects after.

--- a/verbenaroute/internal/vrnode/restore_test.go
+++ b/verbenaroute/internal/vrnode/restore_test.go
@@ -54,20 +54,25 @@
 	require.Equal(t, http.StatusOK, response.StatusCode)
 }
 
-// startFeeder runs a peer that feeds the zone with versions of the first era and sends heartbeats of
-// the placement owner, as a daemon does that has not noticed a restore.
-func startFeeder(t *testing.T, receiver string) *vrpeer.Hub {
-	ctx, stop := context.WithCancel(context.Background())
-	hub, err := vrpeer.Start(ctx, vrpeer.Options{
+// startPeer runs the hub of another daemon.
+func startPeer(t *testing.T) *vrpeer.Hub {
+	hub, err := vrpeer.Start(context.Background(), vrpeer.Options{
 		Self: "a-0", Boot: "b", Zone: "z", Listen: "127.0.0.1:0", Insecure: true, Log: zap.NewNop(),
 		OnReceive: func(*vrwire.Envelope) {}, OnUnreachable: func(vrid.DaemonID) {},
 	})
 	require.NoError(t, err)
+	t.Cleanup(hub.Close)
+	return hub
+}
+
+// feed sends changes of the zone's feeder with versions of the first era, and heartbeats of the
+// placement owner, until the end of the test, as a daemon does that has not noticed a restore.
+func feed(t *testing.T, hub *vrpeer.Hub, receiver string) {
 	version, ok := vrid.NewObjectVersion(1, 1)
 	require.True(t, ok)
-	sent := make(chan struct{})
+	stop, stopped := make(chan struct{}), make(chan struct{})
 	go func() {
-		defer close(sent)
+		defer close(stopped)
 		ticker := time.NewTicker(100 * time.Millisecond)
 		defer ticker.Stop()
 		for {
@@ -76,17 +81,15 @@
 			hub.Send("edge-1", receiver, &vrwire.Envelope{Notices: &vrwire.Notices{Epoch: 1000, CatalogVersion: 3}})
 			select {
 			case <-ticker.C:
-			case <-ctx.Done():
+			case <-stop:
 				return
 			}
 		}
 	}()
 	t.Cleanup(func() {
-		stop()
-		<-sent
-		hub.Close()
+		close(stop)
+		<-stopped
 	})
-	return hub
 }
 
 // watchCounts returns the metrics lines that count the watches of the store.
@@ -104,12 +107,13 @@
 // without a list because a feeder and an owner that have not noticed it still send messages.
 func TestFedDaemonListsAfterRestore(t *testing.T) {
 	store, storeURL := startStore(t)
-	settings := newSettings(t, storeURL, time.Second)
-	feeder := startFeeder(t, settings.Peers)
+	feeder := startPeer(t)
 	for i := range 3 {
 		registerDaemon(t, storeURL, fmt.Sprint("a-", i), feeder.Address())
 	}
+	settings := newSettings(t, storeURL, time.Second)
 	startNode(t, settings, zap.NewNop())
+	feed(t, feeder, settings.Peers)
 	before := "not counted yet"
 	require.Eventually(t, func() bool {
 		counts := watchCounts(t, settings.Metrics)
