--- a/verbenaroute/internal/vrnode/store.go
+++ b/verbenaroute/internal/vrnode/store.go
@@ -54,6 +54,10 @@
 	// maxPeersAge is how long a daemon does without a list of the daemons while the feeder of its
 	// zone knows as many as it does itself.
 	maxPeersAge = 30 * time.Second
+	// registrationInterval is the mean interval between two daemons that register again after a
+	// restore of the store. The store takes 400 writes a second of all daemons together. A
+	// registration takes up to two, so half of the writes are left for the leases.
+	registrationInterval = 10 * time.Millisecond
 	// storeLostAfter consecutive failed calls count as the loss of the store.
 	storeLostAfter = 2
 	// orderTimeout is the timeout of an order, which a server answers without waiting for the
@@ -131,7 +135,8 @@
 }
 
 // follower keeps the local copy of one kind of the store's objects up to date: it lists them
-// once and then watches for changes. After a failed watch it lists them again.
+// once and then watches for changes. After a failed watch it lists them again, with a backoff if the
+// watch after the list fails too.
 type follower struct {
 	node *Node
 	name string
@@ -145,8 +150,14 @@
 	watch func(ctx context.Context, after vrid.ObjectVersion) (vrid.ObjectVersion, bool, error)
 	// failures is the number of consecutive failed calls.
 	failures int
+	// expired is the number of watches since the last successful one that found the store's history
+	// gone.
+	expired int
+	// era returns the latest era of the store that this daemon knows of.
+	era func() vrid.StoreEra
 	// skipWatch reports whether no watch is needed at present, because another daemon tells this
-	// one of changes; it may be nil.
+	// one of changes; it may be nil. A watch that would start in a former era is never skipped,
+	// because that daemon may not have noticed the restore.
 	skipWatch func() bool
 	// knownVersion returns the version up to which changes are known from another daemon; it may
 	// be nil.
@@ -157,16 +168,18 @@
 func (f *follower) run() {
 	n := f.node
 	for n.baseCtx.Err() == nil {
-		if f.after != 0 && f.skipWatch != nil && f.skipWatch() {
-			pause(n.baseCtx, heartbeatPollInterval)
-			continue
-		}
 		if f.after == 0 {
 			f.relist()
 			continue
 		}
+		if f.skipWatch != nil && f.after.Era() == f.era() && f.skipWatch() {
+			pause(n.baseCtx, heartbeatPollInterval)
+			continue
+		}
 		if f.knownVersion != nil {
-			f.after = max(f.after, f.knownVersion())
+			if known := f.knownVersion(); known.Era() == f.after.Era() {
+				f.after = max(f.after, known)
+			}
 		}
 		ctx, cancel := context.WithTimeout(n.baseCtx, n.watchWait()+watchTimeoutMargin)
 		after, changed, err := f.watch(ctx, f.after)
@@ -174,8 +187,12 @@
 		var gone *vradapter.HistoryGoneError
 		switch {
 		case errors.As(err, &gone):
-			n.log.Info("store history expired, listing again", zap.String("kind", f.name), zap.Uint64("after", uint64(f.after)))
+			n.log.Info("store history expired, listing again", zap.String("kind", f.name), zap.Uint64("after", f.after.Revision()),
+				zap.Uint64("era", uint64(f.after.Era())))
 			f.after = 0
+			if f.expired++; f.expired > 1 {
+				pauseForBackoff(n.baseCtx, f.expired-1)
+			}
 		case err != nil:
 			// The changes since the last response may have left the store's history, so only a
 			// list shows which objects were removed.
@@ -183,6 +200,7 @@
 			f.after = 0
 		default:
 			f.handleSuccess()
+			f.expired = 0
 			f.after = after
 			if changed && f.pauseAfterChange != nil {
 				pause(n.baseCtx, f.pauseAfterChange())
@@ -217,8 +235,13 @@
 	if f.failures == storeLostAfter {
 		f.node.Submit(vrevent.StoreLost{Detail: f.name + ": " + err.Error()})
 	}
-	backoff := min(minBackoff<<min(f.failures, 10), maxBackoff)
-	pause(f.node.baseCtx, backoff/2+rand.N(backoff))
+	pauseForBackoff(f.node.baseCtx, f.failures)
+}
+
+// pauseForBackoff pauses for an exponential backoff with jitter after consecutive failures.
+func pauseForBackoff(ctx context.Context, failures int) {
+	backoff := min(minBackoff<<min(failures, 10), maxBackoff)
+	pause(ctx, backoff/2+rand.N(backoff))
 }
 
 // handleSuccess resets the count of failed calls and reports the recovery of a lost store.
@@ -260,7 +283,7 @@
 }
 
 func (n *Node) followCatalog() {
-	f := &follower{node: n, name: "catalog", skipWatch: n.catalogIsCurrent}
+	f := &follower{node: n, name: "catalog", era: n.store.Era, skipWatch: n.catalogIsCurrent}
 	f.list = func(ctx context.Context) (vrid.ObjectVersion, error) {
 		catalog, version, err := n.store.ListCatalog(ctx)
 		if err == nil && catalog != nil {
@@ -280,7 +303,8 @@
 
 func (n *Node) followServers() {
 	f := &follower{
-		node: n, name: "servers", pauseAfterChange: n.serversPause, skipWatch: n.serversFed, knownVersion: n.serversVersion,
+		node: n, name: "servers", era: n.store.Era, pauseAfterChange: n.serversPause, skipWatch: n.serversFed,
+		knownVersion: n.serversVersion,
 	}
 	f.list = func(ctx context.Context) (vrid.ObjectVersion, error) {
 		entries, version, err := n.store.ListServers(ctx)
@@ -305,30 +329,100 @@
 	f.run()
 }
 
-// followPeers registers this daemon in the store and lists the others at intervals.
+// peersFollower registers this daemon in the store and lists the others at intervals.
+type peersFollower struct {
+	node *Node
+	// registered is whether this daemon has registered since the last restore of the store. restores
+	// is the number of restores that the follower has handled.
+	registered bool
+	restores   uint64
+	// count is the number of listed daemons.
+	count int
+	// listedAt is when the daemons were last listed. settledAt is when all daemons have noticed the
+	// last restore and registered again.
+	listedAt, settledAt time.Time
+}
+
 func (n *Node) followPeers() {
-	registered := false
-	var listedAt time.Time
+	f := &peersFollower{node: n}
 	for round := 0; n.baseCtx.Err() == nil; round++ {
-		if registered && !listedAt.IsZero() && n.clock.Now().Sub(listedAt) < maxPeersAge && n.peersCurrent() {
-			pause(n.baseCtx, startupPeersInterval/2+rand.N(startupPeersInterval))
-			continue
-		}
-		ctx, cancel := context.WithTimeout(n.baseCtx, storeTimeout)
-		if !registered {
-			err := n.store.Register(ctx, vrevent.Peer{Daemon: n.settings.Daemon, Address: n.settings.Peers, Zone: n.settings.Zone}, n.boot)
-			registered = err == nil
+		f.handleRestore()
+		now := n.clock.Now()
+		switch {
+		case f.registered && f.isUnsettled():
+			n.pauseUnlessRestored(f.settledAt.Sub(now), f.restores)
+		case f.registered && f.listedAt.After(f.settledAt) && now.Sub(f.listedAt) < maxPeersAge && n.peersCurrent():
+			n.pauseUnlessRestored(startupPeersInterval/2+rand.N(startupPeersInterval), f.restores)
+		default:
+			f.update(round < startupPeersLists)
 		}
-		peers, err := n.store.Peers(ctx)
-		cancel()
-		if err == nil {
-			listedAt = n.clock.Now()
-			n.Submit(vrevent.PeersListed{Peers: peers})
+	}
+}
+
+// handleRestore makes the daemon register again after a restore of the store, which may have lost its
+// entry. It first pauses for a random part of the time over which the daemons register.
+func (f *peersFollower) handleRestore() {
+	n := f.node
+	for restores := n.restores.Load(); restores != f.restores; restores = n.restores.Load() {
+		spread := registrationSpread(f.count)
+		f.restores, f.registered = restores, false
+		f.settledAt = n.clock.Now().Add(n.settings.Bounds.ContactTimeout.Std() + spread)
+		n.pauseUnlessRestored(rand.N(spread), restores)
+	}
+}
+
+// isUnsettled reports whether a list may lack live daemons that have not registered again yet. The
+// previous list stays in force meanwhile: the daemons share the retry budget by their number.
+func (f *peersFollower) isUnsettled() bool {
+	return !f.listedAt.IsZero() && f.node.clock.Now().Before(f.settledAt)
+}
+
+// registrationSpread returns the time over which the daemons register again after a restore.
+func registrationSpread(daemons int) time.Duration {
+	return max(time.Duration(daemons)*registrationInterval, startupPeersInterval)
+}
+
+// update registers this daemon if that is due, lists the daemons unless a list may lack some, and
+// pauses.
+func (f *peersFollower) update(starting bool) {
+	n := f.node
+	ctx, cancel := context.WithTimeout(n.baseCtx, storeTimeout)
+	defer cancel()
+	if !f.registered {
+		err := n.store.Register(ctx, vrevent.Peer{Daemon: n.settings.Daemon, Address: n.settings.Peers, Zone: n.settings.Zone}, n.boot)
+		f.registered = err == nil
+	}
+	if f.isUnsettled() {
+		if !f.registered {
+			spread := registrationSpread(f.count)
+			n.pauseUnlessRestored(spread/2+rand.N(spread), f.restores)
 		}
-		if round < startupPeersLists {
-			pause(n.baseCtx, startupPeersInterval)
-		} else {
-			pause(n.baseCtx, peersInterval/2+rand.N(peersInterval))
+		return
+	}
+	peers, err := n.store.Peers(ctx)
+	if err == nil {
+		f.listedAt, f.count = n.clock.Now(), len(peers)
+		n.Submit(vrevent.PeersListed{Peers: peers})
+	}
+	if starting {
+		n.pauseUnlessRestored(startupPeersInterval, f.restores)
+	} else {
+		n.pauseUnlessRestored(peersInterval/2+rand.N(peersInterval), f.restores)
+	}
+}
+
+// pauseUnlessRestored sleeps for the duration, or until the node knows of another number of restores
+// of the store or stops.
+func (n *Node) pauseUnlessRestored(duration time.Duration, restores uint64) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	for n.restores.Load() == restores {
+		select {
+		case <-n.restored:
+		case <-timer.C:
+			return
+		case <-n.baseCtx.Done():
+			return
 		}
 	}
 }
