Name the process in a notice of a leaving server

A notice of the placement owner that a server is leaving names only its id. One that arrived late, after the server had started again under its id, made the daemon treat the new process as draining until its next changed registration, so callers were refused or waited although the server was ready.

The notice now carries the start of the process that it is about, and has no effect on another one. Notices of former builds have none and apply as before.

--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -149,14 +149,14 @@
 		f.reindex()
 		return ChangeRestarted
 	}
-	change := ChangeUpdated
-	if server.State != entry.State {
-		change = ChangeState
-	}
 	if entry.Beat < server.Beat {
 		// An older copy of the entry, for example from a stale read.
 		return ChangeNone
 	}
+	change := ChangeUpdated
+	if server.State != entry.State {
+		change = ChangeState
+	}
 	serviceChanged := server.Service != entry.Service
 	server.Entry = entry
 	clear(server.missingUntil)
@@ -323,8 +323,14 @@
 	return max(s.Running+s.Waiting+s.SentSinceReport, s.InFlight)
 }
 
-// MarkDraining records that the server accepts no new work, ahead of its entry.
-func (s *Server) MarkDraining() { s.State = StateDraining }
+// MarkDraining records that a process of the server accepts no new work, ahead of its entry. It has
+// no effect on a process that started at another time than born, in Unix milliseconds. A born of zero
+// stands for the current process.
+func (s *Server) MarkDraining(born int64) {
+	if born == 0 || born == s.Born {
+		s.State = StateDraining
+	}
+}
 
 // AddModel records that the server has a model loaded, ahead of its entry.
 func (s *Server) AddModel(model vrid.ModelID) {
--- a/verbenacore/vrgateway/servers.go
+++ b/verbenacore/vrgateway/servers.go
@@ -128,7 +128,7 @@
 	}
 	if change == vrfleet.ChangeState && entry.State == vrfleet.StateDraining && s.lease.Holding() {
 		s.sendNotices(now, []vrresidence.Notice{{Notice: vrwire.Notice{
-			Kind: vrwire.NoticeLeaving, Service: entry.Service, Server: entry.ID,
+			Kind: vrwire.NoticeLeaving, Service: entry.Service, Server: entry.ID, Born: entry.Born,
 		}}}, out)
 	}
 	if change == vrfleet.ChangeRestarted {
--- a/verbenacore/vrgateway/waits.go
+++ b/verbenacore/vrgateway/waits.go
@@ -300,7 +300,7 @@
 		}
 	case vrwire.NoticeLeaving:
 		if server != nil {
-			server.MarkDraining()
+			server.MarkDraining(notice.Born)
 		}
 	case vrwire.NoticeLoaded:
 		if server != nil {
--- a/verbenacore/vrwire/fleet.go
+++ b/verbenacore/vrwire/fleet.go
@@ -89,6 +89,9 @@
 	Server  vrid.ServerID  `protobuf:"bytes,5,opt,name=server,proto3"`
 	// Delay is measured from the time of sending, in milliseconds.
 	Delay int64 `protobuf:"varint,6,opt,name=in,proto3"`
+	// Born is the start of the leaving server's process in Unix milliseconds, or zero from builds
+	// that don't state it.
+	Born int64 `protobuf:"varint,7,opt,name=born,proto3"`
 }
 
 // Notices is sent by the placement owner to daemons; without items it only identifies the
