Keep a draining server draining until it restarts

A registration in which a draining server is ready made it accept work again if its count of renewals was not lower than the known one. The feeder repeats registrations with the known count on purpose, so a server that the placement owner had announced as leaving, before its changed registration was read, got requests again; an entry from a copy of the store or of another writer can do the same with any count.

A server reports that it drains before its shutdown and only ever exits afterwards (PROTOCOL.md names no way back), so the state is now final for one process: an id with its start. An entry with a higher count still updates everything else. Another start of the server is ready again.

--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -153,6 +153,11 @@
 		// An older copy of the entry, for example from a stale read.
 		return ChangeNone
 	}
+	if server.State == StateDraining {
+		// A draining server only ever shuts down. An entry in which it is ready was written before, or
+		// repeats one that was.
+		entry.State = StateDraining
+	}
 	change := ChangeUpdated
 	if server.State != entry.State {
 		change = ChangeState
