Ignore the registration of a server's former process

A server may start again under its id. A store restored from a copy then lists the former process, and a daemon took any other start for a newer process: it dropped the running process with what it had observed of it, the placement owner dropped its ledger, and requests were sent in the name of a process that had ended.

An entry that states an earlier start than the known one is now ignored and logged. If its count of renewals rises, which an entry of a copy never does, the process is alive and its machine's clock was set back before the restart: it is accepted.

TestFormerProcessDoesNotReplaceItsSuccessor fails on the parent; TestServerRestartedAfterClockStepReturns guards the way back.

--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -93,14 +93,25 @@
 	servers map[vrid.ServerID]*Server
 	// byService lists the servers with Gone unset, ordered by id.
 	byService map[vrid.ServiceID][]*Server
+	// doubted holds the last entry that was ignored of each server because it states an earlier start
+	// than the known one.
+	doubted map[vrid.ServerID]renewal
 	// promptRate is the smoothed number of prompt tokens that one server processes per
 	// second, zero before the first measurement.
 	promptRate float64
 }
 
+// renewal identifies a registration among those of a server's processes.
+type renewal struct {
+	born int64
+	beat uint64
+}
+
 // New returns an empty fleet.
 func New() *Fleet {
-	return &Fleet{servers: make(map[vrid.ServerID]*Server), byService: make(map[vrid.ServiceID][]*Server)}
+	return &Fleet{
+		servers: make(map[vrid.ServerID]*Server), byService: make(map[vrid.ServiceID][]*Server), doubted: make(map[vrid.ServerID]renewal),
+	}
 }
 
 // Server returns the server with the id, or nil if it is unknown.
@@ -129,6 +140,8 @@
 	ChangeRestarted
 	ChangeState
 	ChangeUpdated
+	// ChangeOutdated: the registration was ignored because it is of a former process of the server.
+	ChangeOutdated
 )
 
 // Put applies a registration and returns what it changed.
@@ -144,7 +157,10 @@
 		f.servers[entry.ID] = added
 		f.reindex()
 		return ChangeAdded
+	case entry.Born < server.Born && !f.renews(&entry):
+		return ChangeOutdated
 	case server.Born != entry.Born:
+		delete(f.doubted, entry.ID)
 		*server = Server{Entry: entry, SeenAt: now, Restarted: true, InFlight: server.InFlight}
 		f.reindex()
 		return ChangeRestarted
@@ -172,6 +188,20 @@
 	return change
 }
 
+// renews reports whether an entry that states an earlier start than the known one is of a live process
+// nevertheless, whose machine's clock was set back: its count of renewals rises. An entry from a copy
+// of the store is never renewed.
+func (f *Fleet) renews(entry *Entry) bool {
+	doubted, known := f.doubted[entry.ID]
+	if known && doubted.born == entry.Born && entry.Beat > doubted.beat {
+		return true
+	}
+	if !known || doubted.born != entry.Born {
+		f.doubted[entry.ID] = renewal{born: entry.Born, beat: entry.Beat}
+	}
+	return false
+}
+
 // Remove applies the end of a registration. It reports whether the server was registered.
 func (f *Fleet) Remove(id vrid.ServerID) bool {
 	server := f.servers[id]
@@ -179,6 +209,7 @@
 		return false
 	}
 	server.Gone = true
+	delete(f.doubted, id)
 	if server.InFlight == 0 {
 		delete(f.servers, id)
 	}
--- a/verbenacore/vrfleet/vrfleet_test.go
+++ b/verbenacore/vrfleet/vrfleet_test.go
@@ -50,3 +50,25 @@
 	fleet.Put(start, readyEntry(born, 6))
 	require.False(t, fleet.Server("a").AcceptsWork())
 }
+
+// Guards against the return of a server's former process, whose entry a restored store lists again. The
+// daemon sent requests in its name, which the running process refuses, and dropped what it had observed.
+func TestFormerProcessDoesNotReplaceItsSuccessor(t *testing.T) {
+	fleet := vrfleet.New()
+	fleet.Put(start, readyEntry(100, 40))
+	require.Equal(t, vrfleet.ChangeRestarted, fleet.Put(start, readyEntry(200, 1)))
+	for range 2 {
+		require.Equal(t, vrfleet.ChangeOutdated, fleet.Put(start, readyEntry(100, 35)))
+		require.EqualValues(t, 200, fleet.Server("a").Born)
+	}
+}
+
+// Guards against a server that is never used again because its machine's clock was set back before it
+// restarted, so that the new process states an earlier start.
+func TestServerRestartedAfterClockStepReturns(t *testing.T) {
+	fleet := vrfleet.New()
+	fleet.Put(start, readyEntry(200, 40))
+	fleet.Put(start, readyEntry(100, 1))
+	require.Equal(t, vrfleet.ChangeRestarted, fleet.Put(start, readyEntry(100, 2)))
+	require.EqualValues(t, 100, fleet.Server("a").Born)
+}
--- a/verbenacore/vrgateway/servers.go
+++ b/verbenacore/vrgateway/servers.go
@@ -124,6 +124,9 @@
 			text("change", changeName(change)), text("state", stateName(entry.State)), number("beat", entry.Beat),
 			number("holds", uint64(len(entry.Holds))), number("onDisk", uint64(len(entry.OnDisk))),
 			number("inHost", uint64(len(entry.InHost))))
+	case vrfleet.ChangeOutdated:
+		out.Info("outdated server registration ignored", text("server", entry.ID), text("state", stateName(entry.State)),
+			number("beat", entry.Beat), number("born", uint64(entry.Born)))
 	default:
 	}
 	if change == vrfleet.ChangeState && entry.State == vrfleet.StateDraining && s.lease.Holding() {
