Do not bring removed servers back from a copy of the store

A daemon forgot a server with its registration. A store restored from a copy some seconds old lists the servers that left since, and the feeder repeats what it was told, so a daemon sent requests to a server again whose leaving it had acknowledged (DRAIN), or to an address that another service may have by now.

An entry counts as proof of life only if it is of a later start or has a higher count.

--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -96,6 +96,8 @@
 	// doubted holds the last entry that was ignored of each server because it states an earlier start
 	// than the known one.
 	doubted map[vrid.ServerID]renewal
+	// removed remembers the servers whose registrations were removed.
+	removed removedServers
 	// promptRate is the smoothed number of prompt tokens that one server processes per
 	// second, zero before the first measurement.
 	promptRate float64
@@ -111,6 +113,7 @@
 func New() *Fleet {
 	return &Fleet{
 		servers: make(map[vrid.ServerID]*Server), byService: make(map[vrid.ServiceID][]*Server), doubted: make(map[vrid.ServerID]renewal),
+		removed: removedServers{last: make(map[vrid.ServerID]removedServer)},
 	}
 }
 
@@ -140,7 +143,8 @@
 	ChangeRestarted
 	ChangeState
 	ChangeUpdated
-	// ChangeOutdated: the registration was ignored because it is of a former process of the server.
+	// ChangeOutdated: the registration was ignored because it is of a former process of the server, or
+	// of one whose registration was removed.
 	ChangeOutdated
 )
 
@@ -149,6 +153,9 @@
 	server := f.servers[entry.ID]
 	switch {
 	case server == nil || server.Gone:
+		if !f.removed.admit(&entry) {
+			return ChangeOutdated
+		}
 		added := &Server{Entry: entry, SeenAt: now}
 		if server != nil {
 			added.InFlight = server.InFlight
@@ -210,6 +217,7 @@
 	}
 	server.Gone = true
 	delete(f.doubted, id)
+	f.removed.add(server)
 	if server.InFlight == 0 {
 		delete(f.servers, id)
 	}
--- a/verbenacore/vrgateway/restore_test.go
+++ b/verbenacore/vrgateway/restore_test.go
@@ -7,6 +7,7 @@
 
 	"verbenaroute.example/verbenacore/vrevent"
 	"verbenaroute.example/verbenacore/vrfleet"
+	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrwire"
 )
 
@@ -25,3 +26,19 @@
 	d.reduce(vrevent.PeerMessage{Envelope: &vrwire.Envelope{From: "d2", Notices: &vrwire.Notices{Epoch: 1, Items: []vrwire.Notice{leaving}}}})
 	require.Empty(t, d.arrive("once"))
 }
+
+// renewed returns a registration with another count of renewals.
+func renewed(entry vrfleet.Entry, beat uint64) vrfleet.Entry {
+	entry.Beat = beat
+	return entry
+}
+
+// Guards against requests to a server that had left before the store was restored from a copy which
+// lists it, and against one that comes back only late after a lapse.
+func TestServerThatLeftIsNotBroughtBackByCopy(t *testing.T) {
+	d := newReadyDaemon(t, renewed(appEntry("a1"), 9))
+	d.reduce(vrevent.FleetChanged{Version: 2, Removed: []vrid.ServerID{"a1"}})
+	d.reduce(vrevent.FleetListed{Version: 3, Entries: []vrfleet.Entry{renewed(appEntry("a1"), 7)}})
+	require.Empty(t, sends(d.arrive("once")))
+	require.Len(t, sends(d.reduce(vrevent.FleetChanged{Version: 4, Entries: []vrfleet.Entry{renewed(appEntry("a1"), 10)}})), 1)
+}
