Keep a missing server marked when a copy of the store lists it

A server that leaves while the list can't be trusted is marked as missing and removed at the end of that time. Any entry of it ended the mark, also the one that a store restored meanwhile has from before, so the server was kept and got requests until the store removed the entry again.

Only an entry that is newer than the known one ends the mark now. A server that lives renews its registration with a higher count within the same time.

TestCopyDoesNotProveThatAbsentServerRuns fails on the parent for the counts 7 and 9.

--- a/verbenacore/vrgateway/restore_test.go
+++ b/verbenacore/vrgateway/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -42,3 +43,17 @@
 	require.Empty(t, sends(d.arrive("once")))
 	require.Len(t, sends(d.reduce(vrevent.FleetChanged{Version: 4, Entries: []vrfleet.Entry{renewed(appEntry("a1"), 10)}})), 1)
 }
+
+// Guards against a server that left after an outage of the store, while the list was not trusted, and is
+// kept because a copy of the store lists it again.
+func TestCopyDoesNotProveThatAbsentServerRuns(t *testing.T) {
+	for _, beat := range []uint64{7, 9} {
+		d := newReadyDaemon(t, renewed(appEntry("a1"), 9))
+		d.reduce(vrevent.StoreLost{})
+		d.reduce(vrevent.StoreRecovered{})
+		d.reduce(vrevent.FleetChanged{Version: 2, Removed: []vrid.ServerID{"a1"}})
+		d.reduce(vrevent.FleetListed{Version: 3, Entries: []vrfleet.Entry{renewed(appEntry("a1"), beat)}})
+		d.runFor(3*time.Second, storeDown)
+		require.Empty(t, sends(d.arrive("once")), "count %d", beat)
+	}
+}
--- a/verbenacore/vrgateway/servers.go
+++ b/verbenacore/vrgateway/servers.go
@@ -116,8 +116,13 @@
 // applyEntry applies a server's registration. As the placement owner, it also tells all daemons
 // if the server has started to drain.
 func (s *State) applyEntry(now time.Time, entry vrfleet.Entry, out *vrevent.Effects) {
-	delete(s.store.absentSince, entry.ID)
+	known := s.fleet.Server(entry.ID)
+	renewed := known == nil || entry.Born != known.Born || entry.Beat > known.Beat
 	change := s.fleet.Put(now, entry)
+	if renewed && change != vrfleet.ChangeOutdated {
+		// An entry with a known count may come from a copy of the store.
+		delete(s.store.absentSince, entry.ID)
+	}
 	switch change {
 	case vrfleet.ChangeAdded, vrfleet.ChangeRestarted, vrfleet.ChangeState:
 		out.Info("server registration changed", text("server", entry.ID), text("service", entry.Service), text("zone", entry.Zone),
