Keep servers that a restored store does not list yet

A store that is restored from a copy lacks the servers that registered since. A daemon that had not seen an outage just before removed them at once, with their requests and, at the placement owner, their ledgers, although they were running.

The reducer now handles StoreRestored: the list is not trusted for storeRecoveryGrace from then on, as after an outage, also if an outage that the daemon saw had ended before. An outage that still lasts keeps its own end. A second event for the same era changes nothing.

TestServersMissingFromCopyAreKept fails on the parent where no outage was seen or one had ended before; a restore within an outage was handled already. TestRestoreIsHandledOnce guards the end of the time.

--- a/verbenacore/vrgateway/restore_test.go
+++ b/verbenacore/vrgateway/restore_test.go
@@ -57,3 +57,42 @@
 		require.Empty(t, sends(d.arrive("once")), "count %d", beat)
 	}
 }
+
+// Guards against servers that are dropped because they registered after the copy from which the store
+// was restored. They get requests until they had the time to register again, whether the daemon saw an
+// outage before the restore, during it, or none.
+func TestServersMissingFromCopyAreKept(t *testing.T) {
+	restored := vrevent.StoreRestored{Era: 2}
+	for name, events := range map[string][]vrevent.Event{
+		"no outage seen": {restored},
+		"in an outage":   {vrevent.StoreLost{}, restored, vrevent.StoreRecovered{}},
+		"after a lapse":  {vrevent.StoreLost{}, vrevent.StoreRecovered{}, restored},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newReadyDaemon(t, renewed(appEntry("a1"), 9))
+			for _, event := range events {
+				d.now = d.now.Add(3 * time.Second)
+				d.reduce(event)
+			}
+			version, ok := vrid.NewObjectVersion(2, 90)
+			require.True(t, ok)
+			d.reduce(vrevent.FleetListed{Version: version})
+			d.runFor(2*time.Second, storeDown)
+			require.Len(t, sends(d.arrive("once")), 1)
+			d.runFor(time.Second, storeDown)
+			require.Empty(t, sends(d.arrive("once")), "the server has not registered again")
+		})
+	}
+}
+
+// Guards against a store that is trusted again because a daemon hears of the same restore twice, or that
+// is never trusted again.
+func TestRestoreIsHandledOnce(t *testing.T) {
+	d := newReadyDaemon(t, renewed(appEntry("a1"), 9))
+	for range 3 {
+		d.reduce(vrevent.StoreRestored{Era: 2})
+		d.now = d.now.Add(time.Second)
+	}
+	d.reduce(vrevent.FleetListed{})
+	require.Empty(t, sends(d.arrive("once")))
+}
--- a/verbenacore/vrgateway/servers.go
+++ b/verbenacore/vrgateway/servers.go
@@ -11,16 +11,20 @@
 	"verbenaroute.example/verbenacore/vrwire"
 )
 
-// storeRecoveryGrace is how long after an outage of the store a live server may be missing from
-// its list. Registrations that expired during the outage are renewed within two seconds, and
-// the list is read again shortly after.
+// storeRecoveryGrace is how long after an outage or a restore of the store a live server may be
+// missing from its list. Registrations that expired during the outage are renewed within two seconds,
+// and the list is read again shortly after. After a restore, those that are newer than the copy are
+// missing until the servers renew them.
 const storeRecoveryGrace = 2200 * time.Millisecond
 
 // storeHealth tracks whether this daemon can reach the platform's store.
 type storeHealth struct {
-	lost        bool
-	lostAt      time.Time
+	lost   bool
+	lostAt time.Time
+	// recoveredAt is the end of the last outage, or when the last restore was seen if that was later.
 	recoveredAt time.Time
+	// era is the era of the last restore that was seen.
+	era vrid.StoreEra
 	// absentSince holds the servers that were missing from the store's list while it could not
 	// be trusted, and when they were first missing.
 	absentSince map[vrid.ServerID]time.Time
@@ -49,8 +53,18 @@
 	out.Info("store available again", millis("lostMs", now.Sub(s.store.lostAt)))
 }
 
+// handleStoreRestored records that the store was restored from a copy. What is known of the servers is
+// kept, since the copy is older.
+func (s *State) handleStoreRestored(now time.Time, e vrevent.StoreRestored, out *vrevent.Effects) {
+	if e.Era <= s.store.era {
+		return
+	}
+	s.store.era, s.store.recoveredAt = e.Era, now
+	out.Warn("store restored from a copy", number("era", uint64(e.Era)))
+}
+
 // applyFleetList applies a full list of the registered servers. Servers that are not on the list
-// are removed, unless the store has only just recovered.
+// are removed, unless the store has only just recovered or was restored.
 func (s *State) applyFleetList(now time.Time, e vrevent.FleetListed, out *vrevent.Effects) {
 	if !s.feed.HandleList(e.Version, e.Entries) {
 		return
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -169,6 +169,8 @@
 		s.handleStoreLost(now, e, out)
 	case vrevent.StoreRecovered:
 		s.handleStoreRecovered(now, out)
+	case vrevent.StoreRestored:
+		s.handleStoreRestored(now, e, out)
 	case vrevent.RetryOptionsChanged:
 		s.retryBudget.SetOptions(e.Options)
 	case vrevent.GracePeriodEnding:
