Tie the owner's heartbeats to the era of the store

A daemon that gets the placement owner's heartbeats does not watch the catalog while its own is as new as theirs.

Heartbeats now state the owner's era. One of a former era is ignored, a restore ends the last one, and an owner sends none for storeRecoveryGrace after a restore, which a watch from before does not outlast. An older catalog from the copy was ignored already.

TestHeartbeatFromBeforeRestoreProvesNothing and TestOwnerHeartbeatsAfterRestore fail on the parent with the new field of the message.

--- a/verbenacore/vrgateway/heartbeat.go
+++ b/verbenacore/vrgateway/heartbeat.go
@@ -32,11 +32,16 @@
 	catalogVersion vrid.ConfigVersion
 }
 
-// tickHeartbeat sends heartbeats to all other daemons if this daemon is the placement owner.
+// tickHeartbeat sends heartbeats to all other daemons if this daemon is the placement owner. It sends
+// none for storeRecoveryGrace after a restore of the store: its watch of the catalog may be one from
+// before, which shows no change of the restored store.
 func (s *State) tickHeartbeat(now time.Time, out *vrevent.Effects) {
 	if len(s.peers) <= maxDaemonsWithoutHeartbeat || s.catalog == nil || !s.lease.Confirmed(now) || now.Sub(s.heartbeatSentAt) < heartbeatInterval {
 		return
 	}
+	if now.Sub(s.store.restoredAt) < storeRecoveryGrace {
+		return
+	}
 	s.heartbeatSentAt = now
 	for _, peer := range s.peers {
 		if peer.Daemon == s.opts.Daemon {
@@ -44,13 +49,17 @@
 		}
 		out.Add(vrevent.SendPeer{Peer: peer.Daemon, Address: peer.Address, Envelope: &vrwire.Envelope{Notices: &vrwire.Notices{
 			Epoch: s.lease.Epoch(), CatalogVersion: s.catalog.Version, StoreAge: now.Sub(s.lease.ConfirmedAt()).Milliseconds(),
-			QuarantineVersion: s.quarantine.parts.Version(),
+			QuarantineVersion: s.quarantine.parts.Version(), Era: s.store.era,
 		}}})
 	}
 }
 
-// recordHeartbeat records a heartbeat if the owner had recent contact with the store.
+// recordHeartbeat records a heartbeat if the owner had recent contact with the store, and not before a
+// restore that this daemon knows of.
 func (s *State) recordHeartbeat(now time.Time, notices *vrwire.Notices) {
+	if notices.Era < s.store.era {
+		return
+	}
 	if notices.CatalogVersion > 0 && time.Duration(notices.StoreAge)*time.Millisecond <= maxStoreAge {
 		s.heartbeat = ownerHeartbeat{receivedAt: now, catalogVersion: notices.CatalogVersion}
 	}
--- a/verbenacore/vrgateway/restore_test.go
+++ b/verbenacore/vrgateway/restore_test.go
@@ -1,6 +1,7 @@
 package vrgateway_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -96,3 +97,63 @@
 	d.reduce(vrevent.FleetListed{})
 	require.Empty(t, sends(d.arrive("once")))
 }
+
+// Guards against a catalog that counts as current because of a heartbeat from before a restore, or from
+// an owner that does not know of the restore: a newer catalog would come into force too late.
+func TestHeartbeatFromBeforeRestoreProvesNothing(t *testing.T) {
+	d := newReadyDaemon(t, appEntry("a1"))
+	heartbeat := func(era vrid.StoreEra) {
+		d.reduce(vrevent.PeerMessage{Envelope: &vrwire.Envelope{From: "d2", Notices: &vrwire.Notices{Epoch: 1, CatalogVersion: 1, Era: era}}})
+	}
+	requireCurrent := func(want bool) {
+		t.Helper()
+		fresh, current := d.state.HeartbeatStatus(d.now)
+		require.Equal(t, want, fresh && current)
+	}
+	heartbeat(1)
+	requireCurrent(true)
+	d.reduce(vrevent.StoreRestored{Era: 2})
+	requireCurrent(false)
+	heartbeat(1)
+	requireCurrent(false)
+	d.reduce(vrevent.CatalogSeen{Catalog: newCatalog(1)})
+	requireCurrent(false)
+	heartbeat(2)
+	requireCurrent(true)
+}
+
+// Guards against an owner that tells the other daemons of the newest catalog while it may not have read
+// the restored store's, and against one whose heartbeats count for nothing because it started after a
+// restore.
+func TestOwnerHeartbeatsAfterRestore(t *testing.T) {
+	d := newDaemon(t)
+	d.reduce(vrevent.CatalogSeen{Catalog: newCatalog(7)})
+	version, ok := vrid.NewObjectVersion(3, 90)
+	require.True(t, ok)
+	d.reduce(vrevent.FleetListed{Version: version, Entries: []vrfleet.Entry{appEntry("a1")}})
+	var peers []vrevent.Peer
+	for i := range 20 {
+		peers = append(peers, vrevent.Peer{Daemon: vrid.DaemonID(fmt.Sprintf("d%d", i+1)), Address: "10.0.0.9:1"})
+	}
+	d.reduce(vrevent.PeersListed{Peers: peers})
+	heartbeats := func(duration time.Duration) []vrwire.Notices {
+		var sent []vrwire.Notices
+		for _, effect := range d.runFor(duration, d.storeUp) {
+			if send, ok := effect.(vrevent.SendPeer); ok && send.Envelope.Notices != nil && send.Envelope.Notices.CatalogVersion > 0 {
+				sent = append(sent, *send.Envelope.Notices)
+			}
+		}
+		return sent
+	}
+	before := heartbeats(6 * time.Second)
+	require.NotEmpty(t, before)
+	require.EqualValues(t, 3, before[0].Era)
+	d.reduce(vrevent.StoreRestored{Era: 4})
+	d.leaseVersion, _ = vrid.NewObjectVersion(4, 50)
+	require.Empty(t, heartbeats(2*time.Second))
+	d.reduce(vrevent.CatalogSeen{Catalog: newCatalog(5)})
+	after := heartbeats(6 * time.Second)
+	require.NotEmpty(t, after)
+	require.EqualValues(t, 4, after[0].Era)
+	require.EqualValues(t, 7, after[0].CatalogVersion, "the copy's older catalog is ignored")
+}
--- a/verbenacore/vrgateway/servers.go
+++ b/verbenacore/vrgateway/servers.go
@@ -23,8 +23,9 @@
 	lostAt time.Time
 	// recoveredAt is the end of the last outage, or when the last restore was seen if that was later.
 	recoveredAt time.Time
-	// era is the era of the last restore that was seen.
-	era vrid.StoreEra
+	// era is the latest era that was seen, restoredAt is when the restore that began it was.
+	era        vrid.StoreEra
+	restoredAt time.Time
 	// absentSince holds the servers that were missing from the store's list while it could not
 	// be trusted, and when they were first missing.
 	absentSince map[vrid.ServerID]time.Time
@@ -59,13 +60,18 @@
 	if e.Era <= s.store.era {
 		return
 	}
-	s.store.era, s.store.recoveredAt = e.Era, now
+	s.store.era, s.store.restoredAt, s.store.recoveredAt = e.Era, now, now
+	s.heartbeat = ownerHeartbeat{}
 	out.Warn("store restored from a copy", number("era", uint64(e.Era)))
 }
 
 // applyFleetList applies a full list of the registered servers. Servers that are not on the list
 // are removed, unless the store has only just recovered or was restored.
 func (s *State) applyFleetList(now time.Time, e vrevent.FleetListed, out *vrevent.Effects) {
+	if s.feed.Version() == 0 {
+		// The first list states the era in which this daemon started.
+		s.store.era = max(s.store.era, e.Version.Era())
+	}
 	if !s.feed.HandleList(e.Version, e.Entries) {
 		return
 	}
--- a/verbenacore/vrwire/fleet.go
+++ b/verbenacore/vrwire/fleet.go
@@ -113,6 +113,9 @@
 	PromptReport *PromptReport `protobuf:"bytes,6,opt,name=promptReport,proto3"`
 	// Quarantine is the owner's view of the suspected and blocked parts of prompts.
 	Quarantine *Quarantine `protobuf:"bytes,7,opt,name=quarantine,proto3"`
+	// Era is the era of the store in which the owner knows its catalog to be the newest, in a
+	// heartbeat. Builds that don't know eras leave it zero.
+	Era vrid.StoreEra `protobuf:"varint,8,opt,name=era,proto3"`
 }
 
 // Validate checks that each notice has a known kind and, unless the server is leaving,
