Do not rely on a feeder that has not seen the restore

A daemon does not watch the servers while its zone's feeder tells it of the changes. For 1.5 s after a restore of the store it still relied on a message from before, and longer on a feeder that had not seen the restore: a message of the former era counted as one without news. Registrations that changed in the restored store, such as that of a leaving server, were then learned late (DRAIN).

Such messages are now ignored, and a view of a former era is no reason not to watch.

TestFeederBeforeRestoreProvesNothing fails on the parent, at the message from before the restore and at the one of a feeder that has not seen it.

--- a/verbenacore/vrgateway/feed.go
+++ b/verbenacore/vrgateway/feed.go
@@ -38,8 +38,12 @@
 // handleFeed applies the changes that the feeder of the zone sent.
 func (s *State) handleFeed(now time.Time, envelope *vrwire.Envelope, out *vrevent.Effects) {
 	message := envelope.FleetChanges
-	s.feedDaemons = int(message.Daemons)
 	changes := message.Changes()
+	if changes.Version.Era() < s.store.era {
+		// The feeder does not know of the last restore of the store.
+		return
+	}
+	s.feedDaemons = int(message.Daemons)
 	if s.feed.HandleMessage(now, envelope.From, changes) {
 		s.applyChangedEntries(now, vrevent.FleetChanged{Entries: changes.Entries, Removed: changes.Removed}, out)
 	}
@@ -50,9 +54,9 @@
 
 // ServersFed reports whether another daemon keeps this one's view of the servers up to date, so
 // that it need not watch them itself. The placement owner always does, because it plans from
-// them.
+// them. What the feeder sent before a restore of the store proves nothing of the time after it.
 func (s *State) ServersFed(now time.Time) bool {
-	return s.feed.IsFresh(now) && !s.lease.Holding() && !s.store.lost
+	return s.feed.IsFresh(now) && s.feed.Version().Era() >= s.store.era && !s.lease.Holding() && !s.store.lost
 }
 
 // PeersCurrent reports whether the feeder of the zone knows as many daemons as this one, so that
--- a/verbenacore/vrgateway/restore_test.go
+++ b/verbenacore/vrgateway/restore_test.go
@@ -157,3 +157,33 @@
 	require.EqualValues(t, 4, after[0].Era)
 	require.EqualValues(t, 7, after[0].CatalogVersion, "the copy's older catalog is ignored")
 }
+
+// Guards against a daemon that does not watch the servers because of messages of a feeder that has not
+// seen the restore of the store: a leaving server would get requests for too long.
+func TestFeederBeforeRestoreProvesNothing(t *testing.T) {
+	version := func(era vrid.StoreEra, revision uint64) vrid.ObjectVersion {
+		v, ok := vrid.NewObjectVersion(era, revision)
+		require.True(t, ok)
+		return v
+	}
+	d := newReadyDaemon(t)
+	var peers []vrevent.Peer
+	for _, id := range []vrid.DaemonID{"d0", "d1", "d2", "d3"} {
+		peers = append(peers, vrevent.Peer{Daemon: id, Zone: "z", Address: "10.0.0.9:1"})
+	}
+	d.reduce(vrevent.PeersListed{Peers: peers})
+	d.reduce(vrevent.FleetListed{Version: version(1, 90), Entries: []vrfleet.Entry{appEntry("a1")}})
+	feed := func(after, until vrid.ObjectVersion) {
+		d.reduce(vrevent.PeerMessage{Envelope: &vrwire.Envelope{From: "d0", FleetChanges: &vrwire.FleetChanges{After: after, Version: until, Daemons: 4}}})
+	}
+	feed(version(1, 90), version(1, 91))
+	require.True(t, d.state.ServersFed(d.now))
+	d.reduce(vrevent.StoreRestored{Era: 2})
+	require.False(t, d.state.ServersFed(d.now), "message from before the restore")
+	d.reduce(vrevent.FleetListed{Version: version(2, 85), Entries: []vrfleet.Entry{appEntry("a1")}})
+	d.now = d.now.Add(2 * time.Second)
+	feed(version(1, 91), version(1, 92))
+	require.False(t, d.state.ServersFed(d.now), "the feeder has not seen the restore")
+	feed(version(2, 85), version(2, 86))
+	require.True(t, d.state.ServersFed(d.now))
+}
