Write the blocked prompt parts again after a restore of the store

The placement owner writes the blocked parts of prompts to the store after a change only. After a restore from a copy the object was older or gone and stayed so, because nothing had changed at the owner. A daemon that started then read no block, and its first calls with the part crashed a server again. A new owner that knew of the blocks from its predecessor's messages did not write them either.

The owner now reads the object again after a restore and, whenever it reads it, writes its own parts if the stored ones differ. The version of an object or a write of a former era is not used: the object is read again. That a failed call leads to another one, and that an older copy unblocks nothing that the owner's message blocks, was so already and has a test now.

--- a/verbenacore/vrgateway/quarantine.go
+++ b/verbenacore/vrgateway/quarantine.go
@@ -249,8 +249,9 @@
 	s.quarantine.loaded, s.quarantine.storeCallAt = false, time.Time{}
 }
 
-// storeQuarantine reads the stored blocked parts after the start and after this daemon became the
-// placement owner, and writes them as the owner after a change.
+// storeQuarantine reads the stored blocked parts after the start, after this daemon became the
+// placement owner and, as the owner, after a restore of the store. It writes them as the owner after a
+// change and if the stored ones differ.
 func (s *State) storeQuarantine(now time.Time, out *vrevent.Effects) {
 	state := &s.quarantine
 	if state.storeBusy || s.store.lost || now.Sub(state.storeCallAt) < quarantineStoreInterval {
@@ -272,6 +273,14 @@
 	}
 }
 
+// rereadQuarantine makes the owner read the stored blocked parts again, because a restore of the store
+// may have undone its last write.
+func (s *State) rereadQuarantine() {
+	if s.lease.Holding() {
+		s.quarantine.loaded = false
+	}
+}
+
 // handleQuarantineRead adds the blocked parts that an owner has stored.
 func (s *State) handleQuarantineRead(now time.Time, e vrevent.ObjectRead, out *vrevent.Effects) {
 	state := &s.quarantine
@@ -279,8 +288,10 @@
 	switch e.Outcome {
 	case vrplatform.OutcomeNotFound:
 		state.loaded, state.known, state.version = true, true, 0
+		s.compareStoredQuarantine(now, &vrwire.Quarantine{})
 	case vrplatform.OutcomeOK:
-		state.loaded, state.known, state.version = true, true, e.Version
+		// The version of an object read before a restore is of no use.
+		state.loaded, state.known, state.version = e.Version.Era() >= s.store.era, true, e.Version
 		stored, err := vrwire.Unmarshal[vrwire.Quarantine](e.Value)
 		if err != nil {
 			out.Warn("stored prompt parts are malformed", text("error", err.Error()))
@@ -290,18 +301,27 @@
 			// A read may be older than the owner's message, in which other parts are clear.
 			state.parts.HandleStored(now, stored)
 		}
+		s.compareStoredQuarantine(now, stored)
 		s.logQuarantine(out)
 	default:
 	}
 	s.dispatchHeld(now, out)
 }
 
-// handleQuarantineWritten records the outcome of a write. After one that failed, the object is
-// read again, because the write may have taken effect or another owner may have written.
+// compareStoredQuarantine makes the owner write the blocked parts again if the stored ones differ.
+func (s *State) compareStoredQuarantine(now time.Time, stored *vrwire.Quarantine) {
+	if s.lease.Holding() {
+		s.quarantine.parts.CompareStored(now, stored)
+	}
+}
+
+// handleQuarantineWritten records the outcome of a write. After one that failed, or that a restore of
+// the store may have undone, the object is read again, because the write may have taken effect or
+// another owner may have written.
 func (s *State) handleQuarantineWritten(e vrevent.ObjectWritten) {
 	state := &s.quarantine
 	state.storeBusy = false
-	if e.Outcome == vrplatform.OutcomeOK {
+	if e.Outcome == vrplatform.OutcomeOK && e.Version.Era() >= s.store.era {
 		state.version = e.Version
 		return
 	}
--- a/verbenacore/vrgateway/restore_test.go
+++ b/verbenacore/vrgateway/restore_test.go
@@ -10,6 +10,7 @@
 	"verbenaroute.example/verbenacore/vrevent"
 	"verbenaroute.example/verbenacore/vrfleet"
 	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrplatform"
 	"verbenaroute.example/verbenacore/vrwire"
 )
 
@@ -187,3 +188,135 @@
 	feed(version(2, 85), version(2, 86))
 	require.True(t, d.state.ServersFed(d.now))
 }
+
+// quarantineStore is a store's object with the blocked parts.
+type quarantineStore struct {
+	daemon  *daemon
+	version vrid.ObjectVersion
+	value   []byte
+	writes  int
+	// unavailable makes calls for the object fail.
+	unavailable bool
+}
+
+// answer answers calls for the object, and those for the lease as storeUp does.
+func (q *quarantineStore) answer(effect vrevent.Effect) vrevent.Event {
+	switch e := effect.(type) {
+	case vrevent.ReadObject:
+		switch {
+		case e.Key != vrplatform.KeyQuarantine:
+		case q.unavailable:
+			return vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeUnavailable}
+		case q.value != nil:
+			return vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeOK, Version: q.version, Value: q.value}
+		}
+	case vrevent.WriteObject:
+		if e.Key != vrplatform.KeyQuarantine {
+			break
+		}
+		if q.unavailable {
+			return vrevent.ObjectWritten{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeUnavailable}
+		}
+		if (q.value != nil || e.IfVersion.Revision() != 0) && e.IfVersion != q.version {
+			return vrevent.ObjectWritten{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeConflict}
+		}
+		q.version++
+		q.value = e.Value
+		q.writes++
+		return vrevent.ObjectWritten{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeOK, Version: q.version}
+	}
+	return q.daemon.storeUp(effect)
+}
+
+// requireStored requires that the object holds exactly the given blocked parts.
+func (q *quarantineStore) requireStored(parts ...vrid.PromptPartID) {
+	q.daemon.t.Helper()
+	stored, err := vrwire.Unmarshal[vrwire.Quarantine](q.value)
+	require.NoError(q.daemon.t, err)
+	var blocked []vrid.PromptPartID
+	for _, part := range stored.Parts {
+		blocked = append(blocked, part.Part)
+	}
+	require.Equal(q.daemon.t, parts, blocked)
+}
+
+func storedBlocks(t *testing.T, parts ...vrid.PromptPartID) []byte {
+	message := &vrwire.Quarantine{}
+	for _, part := range parts {
+		message.Parts = append(message.Parts, vrwire.QuarantinedPart{Part: part, Blocked: true, Remaining: 60_000, Blocks: 1})
+	}
+	value, err := vrwire.Marshal(message)
+	require.NoError(t, err)
+	return value
+}
+
+// Guards against blocked prompt parts that are lost with a restore of the store: a daemon that starts
+// later reads them from there, and its first calls crash a server. The owner has to write them again,
+// whatever the copy holds, and also if the store fails for a moment or the restore meets its write.
+func TestOwnerWritesBlocksAgainAfterRestore(t *testing.T) {
+	for name, copied := range map[string][]byte{
+		"no object": nil, "empty object": storedBlocks(t), "older object": storedBlocks(t, "old"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newReadyDaemon(t, engineEntry("e1", "m"))
+			store := &quarantineStore{daemon: d, value: storedBlocks(t, "deadly"), version: 9}
+			d.runFor(5*time.Second, store.answer)
+			require.True(t, d.state.IsPlacementOwner(d.now))
+			store.requireStored("deadly")
+
+			d.reduce(vrevent.StoreRestored{Era: 2})
+			d.leaseVersion, _ = vrid.NewObjectVersion(2, 50)
+			store.value, store.unavailable = copied, true
+			store.version, _ = vrid.NewObjectVersion(2, 9)
+			d.runFor(2*time.Second, store.answer)
+			store.unavailable = false
+			d.runFor(8*time.Second, store.answer)
+			want := []vrid.PromptPartID{"deadly"}
+			if name == "older object" {
+				want = append(want, "old")
+			}
+			store.requireStored(want...)
+
+			written := store.writes
+			d.runFor(5*time.Second, store.answer)
+			require.Equal(t, written, store.writes, "the owner goes on writing")
+		})
+	}
+}
+
+// Guards against a write that was acknowledged before the restore which undid it, and whose answer the
+// owner handles after the restore.
+func TestWriteUndoneByRestoreIsRepeated(t *testing.T) {
+	d := newReadyDaemon(t, engineEntry("e1", "m"))
+	store := &quarantineStore{daemon: d, value: storedBlocks(t, "deadly"), version: 9}
+	restored := false
+	d.runFor(12*time.Second, func(effect vrevent.Effect) vrevent.Event {
+		event := store.answer(effect)
+		if _, written := event.(vrevent.ObjectWritten); written && store.writes == 1 && !restored {
+			restored = true
+			d.reduce(vrevent.StoreRestored{Era: 2})
+			d.leaseVersion, _ = vrid.NewObjectVersion(2, 50)
+			store.value = nil
+		}
+		return event
+	})
+	require.True(t, restored)
+	require.NotNil(t, store.value)
+	store.requireStored("deadly")
+}
+
+// Guards against a daemon that starts after a restore, reads an older copy and then sends calls whose
+// part the owner has blocked.
+func TestCopyDoesNotUnblockWhatOwnerBlocks(t *testing.T) {
+	d := newReadyDaemon(t, engineEntry("e1", "m"))
+	d.reduce(vrevent.PeersListed{Peers: []vrevent.Peer{{Daemon: "d1"}, {Daemon: "d2", Address: "10.0.0.2:1"}}})
+	d.reduce(vrevent.PeerMessage{Envelope: &vrwire.Envelope{From: "d2", Notices: &vrwire.Notices{Quarantine: &vrwire.Quarantine{
+		Epoch: 1, Version: 7, Parts: []vrwire.QuarantinedPart{{Part: "p", Blocked: true, Remaining: 60_000, Blocks: 1}},
+	}}}})
+	for _, value := range [][]byte{storedBlocks(t), storedBlocks(t, "other")} {
+		d.reduce(vrevent.ObjectRead{Key: vrplatform.KeyQuarantine, Outcome: vrplatform.OutcomeOK, Version: 3, Value: value})
+		d.requireRefused(d.arriveWith("stream", "p"))
+	}
+	d.reduce(vrevent.ObjectRead{Key: vrplatform.KeyQuarantine, Outcome: vrplatform.OutcomeNotFound})
+	d.requireRefused(d.arriveWith("stream", "p"))
+}
--- a/verbenacore/vrquarantine/replica.go
+++ b/verbenacore/vrquarantine/replica.go
@@ -1,6 +1,7 @@
 package vrquarantine
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -142,6 +143,38 @@
 // StoreFailed records that the parts which Stored returned may not have been stored.
 func (q *Quarantine) StoreFailed() { q.storeChanged = true }
 
+// CompareStored makes StoreChanged report a change if the stored parts, as read from the platform's
+// store, are not those that are blocked.
+func (q *Quarantine) CompareStored(now time.Time, stored *vrwire.Quarantine) {
+	var own, others []string
+	for _, id := range q.sortedIDs() {
+		if q.parts[id].state == Blocked {
+			own = append(own, string(id))
+		}
+	}
+	for i := range stored.Parts {
+		if stored.Parts[i].Blocked {
+			others = append(others, string(stored.Parts[i].Part))
+		}
+	}
+	if !equalSets(own, others) || !equalSets(combinationKeys(q.combinationMessages(now)), combinationKeys(stored.Combinations)) {
+		q.storeChanged = true
+	}
+}
+
+// combinationKeys returns a key for each combination that depends on its set of parts only.
+func combinationKeys(combinations []vrwire.BlockedCombination) []string {
+	keys := make([]string, len(combinations))
+	for i := range combinations {
+		keys[i] = fmt.Sprintf("%q", slices.Sorted(slices.Values(combinations[i].Parts)))
+	}
+	return keys
+}
+
+func equalSets(a, b []string) bool {
+	return slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
+}
+
 // HandleStored adds the blocked parts that a former owner has stored. Parts that are already known
 // stay as they are, because what daemons told of them is newer.
 func (q *Quarantine) HandleStored(now time.Time, stored *vrwire.Quarantine) {
