Test that the placement owner does not plan from a copy's entries

Without the handling of StoreRestored, on, the case of a server that the copy lacks fails: the call for its model is not sent. An older entry was ignored there too.

--- a/verbenacore/vrgateway/restore_test.go
+++ b/verbenacore/vrgateway/restore_test.go
@@ -320,3 +320,27 @@
 	d.reduce(vrevent.ObjectRead{Key: vrplatform.KeyQuarantine, Outcome: vrplatform.OutcomeNotFound})
 	d.requireRefused(d.arriveWith("stream", "p"))
 }
+
+// Guards against orders that are planned from a copy's entries: the owner has to keep what it knows of a
+// server's models, also if the copy lists fewer of them or lacks the server.
+func TestOwnerDoesNotPlanFromCopy(t *testing.T) {
+	for name, copied := range map[string][]vrfleet.Entry{
+		"older entry": {renewed(engineEntry("e1"), 7)}, "no entry": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newReadyDaemon(t, renewed(engineEntry("e1", "m"), 9))
+			d.runFor(5*time.Second, d.storeUp)
+			require.True(t, d.state.IsPlacementOwner(d.now))
+			d.reduce(vrevent.StoreRestored{Era: 2})
+			d.leaseVersion, _ = vrid.NewObjectVersion(2, 50)
+			version, ok := vrid.NewObjectVersion(2, 90)
+			require.True(t, ok)
+			d.reduce(vrevent.FleetListed{Version: version, Entries: copied})
+			require.EqualValues(t, "e1", d.requireSentOn("stream").Server)
+			for _, effect := range d.runFor(2*time.Second, d.storeUp) {
+				order, isOrder := effect.(vrevent.SendPlacementOrder)
+				require.False(t, isOrder, "%v", order)
+			}
+		})
+	}
+}
