--- a/verbenacore/vrgateway/servers.go
+++ b/verbenacore/vrgateway/servers.go
@@ -11,16 +11,21 @@
 	"verbenaroute.example/verbenacore/vrwire"
 )
 
-// storeRecoveryGrace is how long after an outage of the store a live server may be missing from
-// its list. Registrations that expired during the outage are renewed within two seconds, and
-// the list is read again shortly after.
+// storeRecoveryGrace is how long after an outage or a restore of the store a live server may be
+// missing from its list. Registrations that expired during the outage are renewed within two seconds,
+// and the list is read again shortly after. After a restore, those that are newer than the copy are
+// missing until the servers renew them.
 const storeRecoveryGrace = 2200 * time.Millisecond
 
 // storeHealth tracks whether this daemon can reach the platform's store.
 type storeHealth struct {
-	lost        bool
-	lostAt      time.Time
+	lost   bool
+	lostAt time.Time
+	// recoveredAt is the end of the last outage, or when the last restore was seen if that was later.
 	recoveredAt time.Time
+	// era is the latest era that was seen, restoredAt is when the restore that began it was.
+	era        vrid.StoreEra
+	restoredAt time.Time
 	// absentSince holds the servers that were missing from the store's list while it could not
 	// be trusted, and when they were first missing.
 	absentSince map[vrid.ServerID]time.Time
@@ -49,9 +54,25 @@
 	out.Info("store available again", millis("lostMs", now.Sub(s.store.lostAt)))
 }
 
+// handleStoreRestored records that the store was restored from a copy. What is known of the servers is
+// kept, since the copy is older.
+func (s *State) handleStoreRestored(now time.Time, e vrevent.StoreRestored, out *vrevent.Effects) {
+	if e.Era <= s.store.era {
+		return
+	}
+	s.store.era, s.store.restoredAt, s.store.recoveredAt = e.Era, now, now
+	s.heartbeat = ownerHeartbeat{}
+	s.rereadQuarantine()
+	out.Warn("store restored from a copy", number("era", uint64(e.Era)))
+}
+
 // applyFleetList applies a full list of the registered servers. Servers that are not on the list
-// are removed, unless the store has only just recovered.
+// are removed, unless the store has only just recovered or was restored.
 func (s *State) applyFleetList(now time.Time, e vrevent.FleetListed, out *vrevent.Effects) {
+	if s.feed.Version() == 0 {
+		// The first list states the era in which this daemon started.
+		s.store.era = max(s.store.era, e.Version.Era())
+	}
 	if !s.feed.HandleList(e.Version, e.Entries) {
 		return
 	}
@@ -116,19 +137,27 @@
 // applyEntry applies a server's registration. As the placement owner, it also tells all daemons
 // if the server has started to drain.
 func (s *State) applyEntry(now time.Time, entry vrfleet.Entry, out *vrevent.Effects) {
-	delete(s.store.absentSince, entry.ID)
+	known := s.fleet.Server(entry.ID)
+	renewed := known == nil || entry.Born != known.Born || entry.Beat > known.Beat
 	change := s.fleet.Put(now, entry)
+	if renewed && change != vrfleet.ChangeOutdated {
+		// An entry with a known count may come from a copy of the store.
+		delete(s.store.absentSince, entry.ID)
+	}
 	switch change {
 	case vrfleet.ChangeAdded, vrfleet.ChangeRestarted, vrfleet.ChangeState:
 		out.Info("server registration changed", text("server", entry.ID), text("service", entry.Service), text("zone", entry.Zone),
 			text("change", changeName(change)), text("state", stateName(entry.State)), number("beat", entry.Beat),
 			number("holds", uint64(len(entry.Holds))), number("onDisk", uint64(len(entry.OnDisk))),
 			number("inHost", uint64(len(entry.InHost))))
+	case vrfleet.ChangeOutdated:
+		out.Info("outdated server registration ignored", text("server", entry.ID), text("state", stateName(entry.State)),
+			number("beat", entry.Beat), number("born", uint64(entry.Born)))
 	default:
 	}
 	if change == vrfleet.ChangeState && entry.State == vrfleet.StateDraining && s.lease.Holding() {
 		s.sendNotices(now, []vrresidence.Notice{{Notice: vrwire.Notice{
-			Kind: vrwire.NoticeLeaving, Service: entry.Service, Server: entry.ID,
+			Kind: vrwire.NoticeLeaving, Service: entry.Service, Server: entry.ID, Born: entry.Born,
 		}}}, out)
 	}
 	if change == vrfleet.ChangeRestarted {
