--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -93,14 +93,28 @@
 	servers map[vrid.ServerID]*Server
 	// byService lists the servers with Gone unset, ordered by id.
 	byService map[vrid.ServiceID][]*Server
+	// doubted holds the last entry that was ignored of each server because it states an earlier start
+	// than the known one.
+	doubted map[vrid.ServerID]renewal
+	// removed remembers the servers whose registrations were removed.
+	removed removedServers
 	// promptRate is the smoothed number of prompt tokens that one server processes per
 	// second, zero before the first measurement.
 	promptRate float64
 }
 
+// renewal identifies a registration among those of a server's processes.
+type renewal struct {
+	born int64
+	beat uint64
+}
+
 // New returns an empty fleet.
 func New() *Fleet {
-	return &Fleet{servers: make(map[vrid.ServerID]*Server), byService: make(map[vrid.ServiceID][]*Server)}
+	return &Fleet{
+		servers: make(map[vrid.ServerID]*Server), byService: make(map[vrid.ServiceID][]*Server), doubted: make(map[vrid.ServerID]renewal),
+		removed: removedServers{last: make(map[vrid.ServerID]removedServer)},
+	}
 }
 
 // Server returns the server with the id, or nil if it is unknown.
@@ -129,6 +143,9 @@
 	ChangeRestarted
 	ChangeState
 	ChangeUpdated
+	// ChangeOutdated: the registration was ignored because it is of a former process of the server, or
+	// of one whose registration was removed.
+	ChangeOutdated
 )
 
 // Put applies a registration and returns what it changed.
@@ -136,6 +153,9 @@
 	server := f.servers[entry.ID]
 	switch {
 	case server == nil || server.Gone:
+		if !f.removed.admit(&entry) {
+			return ChangeOutdated
+		}
 		added := &Server{Entry: entry, SeenAt: now}
 		if server != nil {
 			added.InFlight = server.InFlight
@@ -144,19 +164,27 @@
 		f.servers[entry.ID] = added
 		f.reindex()
 		return ChangeAdded
+	case entry.Born < server.Born && !f.renews(&entry):
+		return ChangeOutdated
 	case server.Born != entry.Born:
+		delete(f.doubted, entry.ID)
 		*server = Server{Entry: entry, SeenAt: now, Restarted: true, InFlight: server.InFlight}
 		f.reindex()
 		return ChangeRestarted
 	}
-	change := ChangeUpdated
-	if server.State != entry.State {
-		change = ChangeState
-	}
 	if entry.Beat < server.Beat {
 		// An older copy of the entry, for example from a stale read.
 		return ChangeNone
 	}
+	if server.State == StateDraining {
+		// A draining server only ever shuts down. An entry in which it is ready was written before, or
+		// repeats one that was.
+		entry.State = StateDraining
+	}
+	change := ChangeUpdated
+	if server.State != entry.State {
+		change = ChangeState
+	}
 	serviceChanged := server.Service != entry.Service
 	server.Entry = entry
 	clear(server.missingUntil)
@@ -167,6 +195,20 @@
 	return change
 }
 
+// renews reports whether an entry that states an earlier start than the known one is of a live process
+// nevertheless, whose machine's clock was set back: its count of renewals rises. An entry from a copy
+// of the store is never renewed.
+func (f *Fleet) renews(entry *Entry) bool {
+	doubted, known := f.doubted[entry.ID]
+	if known && doubted.born == entry.Born && entry.Beat > doubted.beat {
+		return true
+	}
+	if !known || doubted.born != entry.Born {
+		f.doubted[entry.ID] = renewal{born: entry.Born, beat: entry.Beat}
+	}
+	return false
+}
+
 // Remove applies the end of a registration. It reports whether the server was registered.
 func (f *Fleet) Remove(id vrid.ServerID) bool {
 	server := f.servers[id]
@@ -174,6 +216,8 @@
 		return false
 	}
 	server.Gone = true
+	delete(f.doubted, id)
+	f.removed.add(server)
 	if server.InFlight == 0 {
 		delete(f.servers, id)
 	}
@@ -323,8 +367,14 @@
 	return max(s.Running+s.Waiting+s.SentSinceReport, s.InFlight)
 }
 
-// MarkDraining records that the server accepts no new work, ahead of its entry.
-func (s *Server) MarkDraining() { s.State = StateDraining }
+// MarkDraining records that a process of the server accepts no new work, ahead of its entry. It has
+// no effect on a process that started at another time than born, in Unix milliseconds. A born of zero
+// stands for the current process.
+func (s *Server) MarkDraining(born int64) {
+	if born == 0 || born == s.Born {
+		s.State = StateDraining
+	}
+}
 
 // AddModel records that the server has a model loaded, ahead of its entry.
 func (s *Server) AddModel(model vrid.ModelID) {
--- a/verbenacore/vrlease/vrlease.go
+++ b/verbenacore/vrlease/vrlease.go
@@ -32,6 +32,9 @@
 	// maxJitter is the upper bound of the random delay before a candidate acquires an
 	// expired lease, so that usually only one candidate tries.
 	maxJitter = 300 * time.Millisecond
+	// eraEpochBits is the number of bits of an epoch below the store's era: the largest era that an
+	// ObjectVersion holds and 2^37 revisions fit into 2^53, up to which JSON numbers are exact.
+	eraEpochBits = 37
 )
 
 // Record is the stored value of the lease object.
@@ -51,6 +54,9 @@
 	// OrdersAllowed is set once the holder may give orders: every order of another daemon is
 	// at least Timing.QuietPeriod old. A later run of the same daemon then need not wait.
 	OrdersAllowed bool `protobuf:"varint,8,opt,name=settled,proto3"`
+	// Era is the era of the store in which the record was written. If the store is in a later one,
+	// the record shows what was before a restore. Former builds write 0.
+	Era vrid.StoreEra `protobuf:"varint,9,opt,name=era,proto3"`
 }
 
 // Validate checks that the record names its holder and that the epoch is not zero.
@@ -64,6 +70,16 @@
 	return nil
 }
 
+// source says how this daemon learned of a version of the object.
+type source uint8
+
+// Values of source. An ordinary read may be stale.
+const (
+	sourceRead source = iota
+	sourceFreshRead
+	sourceWrite
+)
+
 // Change says whether an event made this daemon acquire or lose the lease.
 type Change uint8
 
@@ -106,9 +122,13 @@
 // Lease is one daemon's view of a lease object.
 type Lease struct {
 	opts Options
-	// latest is the newest record seen. Its epoch never decreases.
+	// latest is the newest record seen. Its epoch decreases only after a restore of the store.
 	latest  Record
 	version vrid.ObjectVersion
+	// verified is set if version is from an acknowledged write or a fresh read.
+	verified bool
+	// highestEpoch is the highest epoch seen in any record.
+	highestEpoch vrid.Epoch
 	// observed is set once the object's state is known, which may be that it does not exist.
 	observed bool
 	// changedAt is the local time at which this daemon first saw version.
@@ -121,9 +141,14 @@
 	holding bool
 	// confirmedAt is when the last acknowledged write was sent.
 	confirmedAt time.Time
+	// confirmedEra and heldEpoch are the era and the epoch of that write.
+	confirmedEra vrid.StoreEra
+	heldEpoch    vrid.Epoch
 	// pendingOp is the read or write that is not answered yet, zero if there is none.
 	pendingOp     vrevent.Op
 	pendingSentAt time.Time
+	// pendingFresh is set if pendingOp is a fresh read.
+	pendingFresh bool
 	// proposed is the record of the newest write.
 	proposed Record
 	// nextReadAt is when the next ordinary read is due. The holder does not renew before it.
@@ -180,14 +205,20 @@
 // trackOtherHolders updates the latest time at which other runs may have given orders from
 // a record that this daemon has just seen for the first time.
 func (l *Lease) trackOtherHolders(now time.Time, record *Record) {
+	if record.Era < l.version.Era() {
+		l.assumeOtherHolder(now)
+		return
+	}
 	mine := record.Holder == l.opts.Daemon
 	if mine && record.Boot == l.opts.Boot {
 		return
 	}
 	// A holder gives no orders after it released the lease, and neither does a run that has
-	// ended. Any other holder may give orders until its lease expires.
+	// ended. Any other holder may give orders until its lease expires. One that was not allowed to
+	// give orders yet may have acquired the lease just after a restore of the store, and then the
+	// holder of the former era may still give orders.
 	end := now
-	if !mine && !record.Released {
+	if (!mine && !record.Released) || (!record.OrdersAllowed && l.version.Era() > 0) {
 		end = now.Add(l.opts.Timing.Duration)
 	}
 	if end.After(l.otherRunEnd) {
@@ -200,6 +231,18 @@
 	}
 }
 
+// assumeOtherHolder records that another daemon may have acquired or renewed the lease until now. A
+// restored store does not show who did.
+func (l *Lease) assumeOtherHolder(now time.Time) {
+	end := now.Add(l.opts.Timing.Duration)
+	if end.After(l.otherRunEnd) {
+		l.otherRunEnd = end
+	}
+	if end.After(l.otherDaemonEnd) {
+		l.otherDaemonEnd = end
+	}
+}
+
 // Latest returns the newest record seen and whether there is one.
 func (l *Lease) Latest() (Record, bool) { return l.latest, l.observed && l.latest.Holder != "" }
 
@@ -267,7 +310,7 @@
 	if !l.observed {
 		return false
 	}
-	if l.version == 0 || l.latest.Released {
+	if l.version.Revision() == 0 || l.latest.Released {
 		return true
 	}
 	if l.latest.Holder == l.opts.Daemon {
@@ -280,7 +323,7 @@
 // readSinceExpiry reports whether the object was read after the lease could have expired.
 // A daemon that reads seldom has to read again before it treats the lease as expired.
 func (l *Lease) readSinceExpiry(holderUnreachable bool) bool {
-	if l.version == 0 || l.latest.Released || l.latest.Holder == l.opts.Daemon {
+	if l.version.Revision() == 0 || l.latest.Released || l.latest.Holder == l.opts.Daemon {
 		return true
 	}
 	return l.readAt.Sub(l.changedAt) >= l.expiryDelay(holderUnreachable)+l.jitter
@@ -309,7 +352,7 @@
 		Holder: l.opts.Daemon,
 		Boot:   l.opts.Boot,
 		Peer:   l.opts.Peer,
-		Epoch:  l.latest.Epoch + 1,
+		Epoch:  l.nextEpoch(),
 		Chunks: max(l.latest.Chunks, 1),
 	}
 	if l.latest.Chunks == 0 {
@@ -318,6 +361,18 @@
 	l.write(now, record, out)
 }
 
+// nextEpoch returns the epoch of an acquisition. A restored store may have lost the record with the
+// highest epoch, and a late write of a former era may replace it, so the epoch is also above all that
+// were given out in former eras and on lower revisions of this era. Only one write succeeds on a
+// revision.
+func (l *Lease) nextEpoch() vrid.Epoch {
+	epoch := l.highestEpoch + 1
+	if era := l.version.Era(); era > 0 {
+		epoch = max(epoch, vrid.Epoch(era)<<eraEpochBits+vrid.Epoch(l.version.Revision())+1)
+	}
+	return epoch
+}
+
 // Release releases a held lease, so that the next holder need not wait for its expiry.
 func (l *Lease) Release(now time.Time, out *vrevent.Effects) {
 	l.releasing = true
@@ -338,7 +393,14 @@
 // write of it is unanswered.
 func (l *Lease) Released() bool { return !l.holding && l.pendingOp == 0 }
 
+// write sends a conditional write. An ordinary read may show an object from before a restore and state
+// the new era all the same, so in a store with eras only a verified version is written on.
 func (l *Lease) write(now time.Time, record Record, out *vrevent.Effects) {
+	if l.version.Era() > 0 && l.version.Revision() != 0 && !l.verified {
+		l.readFresh(now, out)
+		return
+	}
+	record.Era = l.version.Era()
 	record.OrdersAllowed = !now.Before(l.OrdersAllowedAt())
 	value, err := vrwire.Marshal(&record)
 	if err != nil {
@@ -361,6 +423,7 @@
 	l.nextFreshReadAt = now.Add(l.opts.Timing.ReadInterval)
 	l.pendingOp = l.opts.Ops.Next()
 	l.pendingSentAt = now
+	l.pendingFresh = true
 	out.Add(vrevent.ReadObject{Op: l.pendingOp, Key: l.opts.Key, Fresh: true})
 }
 
@@ -379,10 +442,10 @@
 	l.pendingOp = 0
 	switch event.Outcome {
 	case vrplatform.OutcomeOK:
-		return l.apply(now, l.proposed, event.Version, true)
+		return l.apply(now, l.proposed, event.Version, sourceWrite)
 	case vrplatform.OutcomeConflict, vrplatform.OutcomeUnknown:
 		if event.Outcome == vrplatform.OutcomeUnknown && vrfault.On(vrfault.TrustUnansweredLease) {
-			return l.apply(now, l.proposed, l.version, true)
+			return l.apply(now, l.proposed, l.version, sourceWrite)
 		}
 		// A write whose answer was lost may have taken effect; only a read can tell.
 		l.read(now, out)
@@ -395,15 +458,14 @@
 // HandleRead handles the answer to a read.
 func (l *Lease) HandleRead(now time.Time, event vrevent.ObjectRead, out *vrevent.Effects) Change {
 	l.pendingOp = 0
+	source := sourceRead
+	if l.pendingFresh {
+		source = sourceFreshRead
+	}
+	l.pendingFresh = false
 	switch event.Outcome {
 	case vrplatform.OutcomeNotFound:
-		if l.version != 0 {
-			// A stale read shows the state from before the object was created.
-			return ChangeNone
-		}
-		l.observed = true
-		l.version = 0
-		return ChangeNone
+		return l.applyAbsence(now, event.Version, source)
 	case vrplatform.OutcomeOK:
 	default:
 		return ChangeNone
@@ -413,17 +475,52 @@
 		out.Warn("lease record is malformed", vrevent.Field("key", l.opts.Key), vrevent.Field("error", err.Error()))
 		return ChangeNone
 	}
-	return l.apply(now, *record, event.Version, false)
+	return l.apply(now, *record, event.Version, source)
 }
 
-// apply updates the lease with the record that the object has at version. written is set
-// if this daemon's acknowledged write stored it; only such a write confirms that the lease
-// is held.
-func (l *Lease) apply(now time.Time, record Record, version vrid.ObjectVersion, written bool) Change {
-	if version < l.version {
+// applyAbsence updates the lease after a read that found no object. version is of the era in which
+// it did not exist. In the era of a known object, and in former ones, that is a stale read, which
+// shows the state from before the object was created.
+func (l *Lease) applyAbsence(now time.Time, version vrid.ObjectVersion, source source) Change {
+	if l.observed && (version == l.version || l.isOutdated(version, source)) {
 		return ChangeNone
 	}
-	if version != l.version || !l.observed {
+	wasHolding := l.holding
+	l.observed = true
+	l.version = version
+	l.latest = Record{}
+	l.holding, l.unconfirmed = false, false
+	if version.Era() > 0 {
+		l.assumeOtherHolder(now)
+	}
+	if wasHolding {
+		return ChangeLost
+	}
+	return ChangeNone
+}
+
+// isOutdated reports whether a version is older than the known one. A fresh read is never outdated
+// within an era: it disproves an ordinary read from before the restore that stated the new era.
+func (l *Lease) isOutdated(version vrid.ObjectVersion, source source) bool {
+	if source == sourceFreshRead && version.Era() > 0 && version.Era() == l.version.Era() {
+		return false
+	}
+	return version < l.version
+}
+
+// apply updates the lease with the record that the object has at version. Only an acknowledged
+// write of this daemon confirms that the lease is held.
+func (l *Lease) apply(now time.Time, record Record, version vrid.ObjectVersion, source source) Change {
+	if l.isOutdated(version, source) {
+		return ChangeNone
+	}
+	// A read from before a restore may have stated the revision of another record in the new era.
+	differs := version.Era() > 0 && record != l.latest
+	changed := version != l.version || !l.observed || differs
+	l.verified = source != sourceRead || (l.verified && !changed)
+	restored := l.observed && version.Era() > l.version.Era()
+	holdsOn := l.holdsAcrossRestore(now, &record, version)
+	if changed {
 		l.changedAt = now
 		l.jitter = time.Duration(l.opts.Random.Int64N(int64(maxJitter)))
 	}
@@ -431,15 +528,27 @@
 	l.readAt = now
 	l.version = version
 	l.latest = record
-	if l.changedAt.Equal(now) {
+	l.highestEpoch = max(l.highestEpoch, record.Epoch)
+	if restored && !holdsOn {
+		l.assumeOtherHolder(now)
+	}
+	if changed && !holdsOn {
 		l.trackOtherHolders(now, &record)
 	}
-	mine := record.Holder == l.opts.Daemon && record.Boot == l.opts.Boot && !record.Released
+	mine := l.isOwn(&record)
+	// A write of a former era may be carried out in this one if the object has the expected revision
+	// again, or if a restore has removed the object. What it replaced is unknown.
+	written := source == sourceWrite && record.Era == version.Era()
 	wasHolding := l.holding
-	l.holding = mine && (written || wasHolding)
-	l.unconfirmed = mine && !l.holding
+	l.holding = mine && (written || (wasHolding && (!changed || holdsOn || record.Era == version.Era())))
+	// In a store with eras, a run that has lost the lease acquires it again with a new epoch. Another
+	// daemon may have acquired it meanwhile with a higher one, which a late write has replaced.
+	again := version.Era() > 0 && record.Epoch <= l.heldEpoch
+	l.unconfirmed = mine && !l.holding && record.Era == version.Era() && !again
 	if written && mine {
 		l.confirmedAt = l.pendingSentAt
+		l.confirmedEra = version.Era()
+		l.heldEpoch = record.Epoch
 	}
 	if l.holding && !wasHolding {
 		l.nextReadAt = time.Time{}
@@ -451,6 +560,19 @@
 	return ChangeNone
 }
 
+// isOwn reports whether a record says that this run holds the lease.
+func (l *Lease) isOwn(record *Record) bool {
+	return record.Holder == l.opts.Daemon && record.Boot == l.opts.Boot && !record.Released
+}
+
+// holdsAcrossRestore reports whether a record of the former era shows that this daemon still is the
+// holder. A daemon that acquires the lease in the new era waits for longer than the lease of this
+// one lasts, so while that is valid nobody else has given orders.
+func (l *Lease) holdsAcrossRestore(now time.Time, record *Record, version vrid.ObjectVersion) bool {
+	return l.Confirmed(now) && record.Era < version.Era() && version.Era() == l.confirmedEra+1 &&
+		l.isOwn(record) && record.Epoch == l.latest.Epoch
+}
+
 // HandleNewerEpoch handles a peer's message about a newer epoch: the holder steps down at once
 // and reads the object with the next tick.
 func (l *Lease) HandleNewerEpoch(now time.Time, epoch vrid.Epoch) Change {
