Answer streams that do not begin before their clients leave

Clients of a stream leave after a gap of two seconds, four targets or eight pause targets, also before its first event.

A send of a stream that has not begun now ends 40 ms before its client leaves, and the call is answered with deadlineExceeded (504) and not sent again. A stream of which any part was forwarded keeps its time.

--- a/verbenabench/internal/vrgateworld/call.go
+++ b/verbenabench/internal/vrgateworld/call.go
@@ -210,6 +210,13 @@
 		return
 	}
 	a.finishAfter(e.Deadline.Sub(w.Now()), vrevent.AttemptTimedOut)
+	if !e.BeginDeadline.IsZero() {
+		c.Process.after(e.BeginDeadline.Sub(w.Now()), func() {
+			if a.firstByteAt.IsZero() {
+				a.finish(vrevent.AttemptTimedOut)
+			}
+		})
+	}
 	a.silentSince = w.Now()
 	switch {
 	case e.Resume:
--- a/verbenacore/vrevent/gateway.go
+++ b/verbenacore/vrevent/gateway.go
@@ -265,6 +265,9 @@
 		Address string
 		// Deadline is when the answer has to be complete.
 		Deadline time.Time
+		// BeginDeadline is when a stream has to have brought its first event, because its client leaves
+		// soon after, or zero.
+		BeginDeadline time.Time
 		// FirstByteDeadline is when a send without a first byte counts as stalled, or zero.
 		FirstByteDeadline time.Time
 		// MaxPause is the pause between two events of a stream, or after its head, after which it
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -214,11 +214,15 @@
 
 // newSend returns the effect of a send without what its response may do.
 func (s *State) newSend(c *call, a *attempt) vrevent.SendCall {
-	return vrevent.SendCall{
+	effect := vrevent.SendCall{
 		Call: c.ID, Send: a.number, Server: a.server.ID, Address: a.server.Address,
 		Deadline: c.deadline.Add(-deadlineMargin), Priority: c.route.Priority,
 		Stream: c.route.Kind == vrcatalog.RouteStream, AtMostOnce: !c.route.Repeatable(),
 	}
+	if effect.Stream && !c.responseStarted {
+		effect.BeginDeadline = c.abandonedAt().Add(-deadlineMargin)
+	}
+	return effect
 }
 
 func (s *State) logSend(now time.Time, c *call, a *attempt, out *vrevent.Effects) {
@@ -406,7 +410,7 @@
 
 // mayRetry reports whether a call may be sent again after a send with the given result.
 func (s *State) mayRetry(now time.Time, c *call, result vrevent.AttemptResult) bool {
-	if s.graceExpired || !now.Before(c.deadline.Add(-deadlineMargin)) {
+	if s.graceExpired || !now.Before(c.abandonedAt().Add(-deadlineMargin)) {
 		return false
 	}
 	if c.responseStarted && c.route.Kind != vrcatalog.RouteStream && !vrfault.On(vrfault.JoinBodies) {
@@ -428,7 +432,7 @@
 	switch {
 	case c.possibleRuns == 0:
 		s.endCall(now, c, vrwire.ReasonNoReplica, shortRetryAfter, out)
-	case !now.Before(c.deadline.Add(-2 * deadlineMargin)):
+	case !now.Before(c.abandonedAt().Add(-2 * deadlineMargin)):
 		s.endCall(now, c, vrwire.ReasonDeadlineExceeded, 0, out)
 	case c.route.Repeatable():
 		s.endCall(now, c, vrwire.ReasonBackendFailed, 0, out)
--- a/verbenacore/vrgateway/hedge_test.go
+++ b/verbenacore/vrgateway/hedge_test.go
@@ -10,6 +10,7 @@
 	"verbenaroute.example/verbenacore/vrfleet"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrretry"
+	"verbenaroute.example/verbenacore/vrwire"
 )
 
 // requireHedge requires that the only effect is a hedge.
@@ -148,6 +149,34 @@
 	require.Empty(t, sends(d.reduce(vrevent.SendStalled{Call: slow.Call, Send: slow.Send, Silence: 500 * time.Millisecond})))
 }
 
+// A stream that does not begin before its client leaves must be answered while the client is still there, and
+// not be sent again. Clients left after two seconds without any answer, and did not come back.
+func TestStreamThatDoesNotBeginIsAnsweredBeforeClientLeaves(t *testing.T) {
+	d := newReadyDaemon(t, engineEntry("e1", "m"), engineEntry("e2", "m"), engineEntry("e3", "m"))
+	arrivedAt := d.now
+	send := d.requireSentOn("stream")
+	// The client of the test's route leaves after 2 s.
+	require.Equal(t, arrivedAt.Add(1960*time.Millisecond), send.BeginDeadline)
+	d.now = send.FirstByteDeadline
+	hedge := d.requireHedge(d.reduce(vrevent.SendStalled{Call: send.Call, Send: send.Send, Silence: 500 * time.Millisecond}))
+	require.Equal(t, send.BeginDeadline, hedge.BeginDeadline)
+	d.now = send.BeginDeadline
+	require.Empty(t, d.reduce(vrevent.SendEnded{Call: send.Call, Send: send.Send, Result: vrevent.AttemptTimedOut}))
+	refusal := d.requireRefused(d.reduce(vrevent.SendEnded{Call: hedge.Call, Send: hedge.Send, Result: vrevent.AttemptTimedOut}))
+	require.Equal(t, vrwire.ReasonDeadlineExceeded, refusal.Reason)
+	require.False(t, refusal.NotRun)
+}
+
+// A stream that goes on at another server has begun: its time is that of the call.
+func TestResumedStreamHasNoBeginDeadline(t *testing.T) {
+	d, send := newStreamingDaemon(t)
+	hedge := d.requireHedge(d.reduce(placeReserved(send, d.reservePlace(send, 0))))
+	require.Zero(t, hedge.BeginDeadline)
+	d, send = newStreamingDaemon(t)
+	next := d.requireSent(d.reduce(vrevent.SendEnded{Call: send.Call, Send: send.Send, Result: vrevent.AttemptBroken, PartForwarded: true, Events: 3}))
+	require.Zero(t, next.BeginDeadline)
+}
+
 // The end of a call must release the servers of both sends, so that neither looks busy for good.
 func TestEndOfHedgedCallReleasesBothServers(t *testing.T) {
 	for name, end := range map[string]func(d *daemon, send, hedge vrevent.SendCall){
--- a/verbenacore/vrgateway/stall.go
+++ b/verbenacore/vrgateway/stall.go
@@ -119,6 +119,9 @@
 	effect := s.newSend(c, c.hedge)
 	effect.Hedge, effect.Reservation = true, reservation
 	effect.Resume = c.responseStarted || !c.promptPending
+	if effect.Resume {
+		effect.BeginDeadline = time.Time{}
+	}
 	// The stalled send may still bring an answer when the hedge brings a failure.
 	effect.HoldErrors = true
 	if c.possibleRuns+2 < c.route.MaxAttempts {
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -80,8 +80,10 @@
 	partForwarded bool
 	lastEventID   string
 	eventsBefore  int
-	// events is the number of events that this send has forwarded.
+	// events is the number of events that this send has forwarded. begun is set once it has forwarded
+	// any part of a stream.
 	events int
+	begun  bool
 	// firstByteReported is set once the reducer was told of the first part of a stream,
 	// answerReported once it was told of the first event.
 	firstByteReported, answerReported bool
@@ -171,7 +173,7 @@
 	}()
 	a.watchStalls()
 	defer a.watch.stop()
-	a.setDeadline(a.send.Deadline)
+	a.setDeadline(a.readDeadline())
 	message, err := a.requestHead()
 	if err != nil {
 		a.fail(err)
@@ -204,6 +206,14 @@
 	}
 }
 
+// readDeadline returns the deadline for the next part of the response.
+func (a *sendAttempt) readDeadline() time.Time {
+	if a.send.BeginDeadline.IsZero() || a.partForwarded || a.begun {
+		return a.send.Deadline
+	}
+	return earlier(a.send.BeginDeadline, a.send.Deadline)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/verbenaroute/internal/vrrelay/stall_test.go
+++ b/verbenaroute/internal/vrrelay/stall_test.go
@@ -120,6 +120,38 @@
 	require.Positive(t, p.stalls)
 }
 
+// A stream that has not begun shortly before its client leaves must end, so that the client still gets an
+// answer, and one that has begun must not. Clients left without any answer after two seconds.
+func TestStreamEndsUnlessItBeginsInTime(t *testing.T) {
+	const limit = time.Second
+	for _, test := range []struct{ name, begin, result string }{
+		{"nothing", "", "timedOut"},
+		{"head", chunkedHead, "timedOut"},
+		{"unfinished event", chunkedHead + chunkedBody("id: 1\n"), "timedOut"},
+		{"event", chunkedHead + chunkedBody(firstEvent), "answered"},
+		{"comment", chunkedHead + chunkedBody(": alive\n\n"), "answered"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			startedAt := time.Now()
+			p := newTestProxy(t, vrevent.SendCall{Stream: true, BeginDeadline: startedAt.Add(limit), Deadline: startedAt.Add(time.Minute)},
+				startServer(t, func(request *http.Request, c net.Conn) {
+					if test.result == "timedOut" {
+						waitForClose(test.begin)(request, c)
+						return
+					}
+					replyWith(test.begin)(request, c)
+					<-time.After(2 * limit)
+					_, _ = io.WriteString(c, chunkedBody(secondEvent)+"0\r\n\r\n")
+				}))
+			_, _, err := p.post("x")
+			require.NoError(t, err)
+			require.Equal(t, []string{test.result}, p.results())
+			require.Less(t, time.Since(startedAt), 30*time.Second, "the call has a minute")
+		})
+	}
+}
+
 // watchedConn returns a watch of a connection that has stalled, both ends of the connection and the
 // number of reports so far.
 func watchedConn(t *testing.T) (w *stallWatch, client, server net.Conn, reports *int) {
--- a/verbenaroute/internal/vrrelay/stream.go
+++ b/verbenaroute/internal/vrrelay/stream.go
@@ -55,7 +55,7 @@
 	buffer := make([]byte, readBufferSize)
 	a.watch.headReceived()
 	for {
-		a.setDeadline(a.send.Deadline)
+		a.setDeadline(a.readDeadline())
 		readStart := time.Now()
 		n, err := response.Body.Read(buffer)
 		if a.events > 0 && n > 0 {
@@ -122,6 +122,7 @@
 		if count > 0 || begins {
 			a.watch.progress()
 		}
+		a.begun = true
 		a.events += count
 		h.eventCount += count
 		a.lastEventID, h.lastEventID = lastID, lastID
