Let hedges end after the handler of their request

When a client left while both sends of its call were hedges (the first one had taken over from a failed send), both ended the call. Only one result fits into the channel to the handler; if that one had returned for the closed connection, the goroutine of the second hedge was blocked for good and kept the request and its body.

A hedge now drops its result if another one has ended the call already.

Failed before: TestHedgesThatEndAfterTheHandlerDoNotBlock (blocked for its 30 s). Passes 20 of 20 runs under the race detector after.

--- a/verbenaroute/internal/vrrelay/exchange.go
+++ b/verbenaroute/internal/vrrelay/exchange.go
@@ -101,8 +101,13 @@
 // runHedge carries out a send beside the one that the handler is carrying out.
 func (h *callHandler) runHedge(e *vrevent.SendCall) {
 	result := h.send(e)
-	if result == vrevent.AttemptAnswered || result == vrevent.AttemptCallerGone {
-		h.hedgeEnded <- result
+	if result != vrevent.AttemptAnswered && result != vrevent.AttemptCallerGone {
+		return
+	}
+	select {
+	case h.hedgeEnded <- result:
+	default:
+		// Another hedge has ended the call already.
 	}
 }
 
--- a/verbenaroute/internal/vrrelay/hedge_test.go
+++ b/verbenaroute/internal/vrrelay/hedge_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
@@ -286,3 +287,31 @@
 	require.Equal(t, http.StatusBadGateway, response.status)
 	require.Equal(t, []string{"timedOut", "timedOut"}, p.sortedResults())
 }
+
+// A hedge that ends its call beside another one, or after the handler has returned, must not block: its
+// goroutine and the request's body were kept for good.
+func TestHedgesThatEndAfterTheHandlerDoNotBlock(t *testing.T) {
+	p := newTestProxy(t, vrevent.SendCall{})
+	ctx, leave := context.WithCancel(context.Background())
+	leave()
+	request := httptest.NewRequestWithContext(ctx, http.MethodPost, "/a", http.NoBody)
+	handler := p.proxy.newHandler(vrevent.Call{}, request, nil, httptest.NewRecorder(), &requestRecord{conn: &clientConn{}})
+	silent := func(*http.Request, net.Conn) {}
+	const hedges = 2
+	ended := make(chan struct{}, hedges)
+	for i := range hedges {
+		address := startServer(t, silent)
+		go func() {
+			handler.runHedge(&vrevent.SendCall{Send: i + 1, Address: address, Hedge: true, Deadline: time.Now().Add(time.Minute)})
+			ended <- struct{}{}
+		}()
+	}
+	for range hedges {
+		select {
+		case <-ended:
+		case <-time.After(30 * time.Second):
+			require.Fail(t, "a hedge is blocked")
+		}
+	}
+	require.Equal(t, []string{"callerGone", "callerGone"}, p.results())
+}
--- a/verbenaroute/internal/vrrelay/vrrelay.go
+++ b/verbenaroute/internal/vrrelay/vrrelay.go
@@ -216,10 +216,7 @@
 	record.bodyRead()
 	call.ID = vrevent.CallID(p.lastCallID.Add(1))
 	call.Host, call.Path = r.Host, r.URL.EscapedPath()
-	handler := &callHandler{
-		proxy: p, call: call, request: r, body: body, writer: w, control: control, record: record,
-		effects: make(chan vrevent.Effect, effectBuffer), hedgeEnded: make(chan vrevent.AttemptResult, 1),
-	}
+	handler := p.newHandler(call, r, body, w, record)
 	p.mu.Lock()
 	p.handlers[call.ID] = handler
 	p.mu.Unlock()
@@ -232,6 +229,13 @@
 	handler.run()
 }
 
+func (p *Proxy) newHandler(call vrevent.Call, r *http.Request, body []byte, w http.ResponseWriter, record *requestRecord) *callHandler {
+	return &callHandler{
+		proxy: p, call: call, request: r, body: body, writer: w, control: http.NewResponseController(w), record: record,
+		effects: make(chan vrevent.Effect, effectBuffer), hedgeEnded: make(chan vrevent.AttemptResult, 1),
+	}
+}
+
 // readBody reads the whole body, so that it can be sent to a second server. If the body is too
 // long, it responds with status 413 and returns false.
 func (p *Proxy) readBody(w http.ResponseWriter, r *http.Request, control *http.ResponseController, timeout time.Duration, record *requestRecord) ([]byte, bool) {
