Keep a panic in a hedge from ending the process

A hedge runs on a goroutine of its own. net/http recovers a panic only on the goroutine of the handler, so a broken invariant in a hedge, or one in the reducer that an event of a hedge reaches, would have ended the process and with it all requests in progress. Before sends were hedged such a panic closed one connection.

The handler now repeats the panic of a hedge: the connection is closed and the cut reported as handlerPanicked. The reducer is told that the call has ended, since the other send is superseded and reports no end.

Failed before: TestPanicInHedgeEndsOnlyItsRequest (the test binary ended with the panic).

--- a/verbenaroute/internal/vrrelay/exchange.go
+++ b/verbenaroute/internal/vrrelay/exchange.go
@@ -22,8 +22,8 @@
 	control *http.ResponseController
 	effects chan vrevent.Effect
 	record  *requestRecord
-	// hedgeEnded receives the result of a hedge that ended the call.
-	hedgeEnded chan vrevent.AttemptResult
+	// hedgeEnded receives the end of a hedge that ended the call.
+	hedgeEnded chan hedgeEnd
 
 	attemptsMu sync.Mutex
 	// attempts are the sends in progress: one, or two while one is hedged.
@@ -43,6 +43,12 @@
 	heldFailure *bufferedResponse
 }
 
+// hedgeEnd is how a hedge ended its call: with a result, or with a panic of the given value.
+type hedgeEnd struct {
+	result     vrevent.AttemptResult
+	panicValue any
+}
+
 // bufferedResponse is a response that was read to the end.
 type bufferedResponse struct {
 	status int
@@ -59,8 +65,12 @@
 			if h.execute(effect) {
 				return
 			}
-		case result := <-h.hedgeEnded:
-			if result == vrevent.AttemptCallerGone {
+		case end := <-h.hedgeEnded:
+			switch {
+			case end.panicValue != nil:
+				h.proxy.opts.Submit(vrevent.ClientGone{Call: h.call.ID})
+				panic(end.panicValue)
+			case end.result == vrevent.AttemptCallerGone:
 				panic(http.ErrAbortHandler)
 			}
 			return
@@ -98,14 +108,24 @@
 	return false
 }
 
-// runHedge carries out a send beside the one that the handler is carrying out.
+// runHedge carries out a send beside the one that the handler is carrying out. The handler repeats a panic,
+// because net/http recovers only those of its own goroutine.
 func (h *callHandler) runHedge(e *vrevent.SendCall) {
+	defer func() {
+		if value := recover(); value != nil {
+			h.endByHedge(hedgeEnd{panicValue: value})
+			h.supersedeAttempts()
+		}
+	}()
 	result := h.send(e)
-	if result != vrevent.AttemptAnswered && result != vrevent.AttemptCallerGone {
-		return
+	if result == vrevent.AttemptAnswered || result == vrevent.AttemptCallerGone {
+		h.endByHedge(hedgeEnd{result: result})
 	}
+}
+
+func (h *callHandler) endByHedge(end hedgeEnd) {
 	select {
-	case h.hedgeEnded <- result:
+	case h.hedgeEnded <- end:
 	default:
 		// Another hedge has ended the call already.
 	}
@@ -176,15 +196,20 @@
 	}
 }
 
-// close ends the sends that are still in progress when the handler returns. None of them writes to the
-// client from then on.
-func (h *callHandler) close() {
+// supersedeAttempts ends the sends in progress. Nothing of them is forwarded from then on.
+func (h *callHandler) supersedeAttempts() {
 	h.attemptsMu.Lock()
+	defer h.attemptsMu.Unlock()
 	for _, a := range h.attempts {
 		a.superseded.Store(true)
 		a.abort()
 	}
-	h.attemptsMu.Unlock()
+}
+
+// close ends the sends that are still in progress when the handler returns. None of them writes to the
+// client from then on.
+func (h *callHandler) close() {
+	h.supersedeAttempts()
 	h.forwardMu.Lock()
 	defer h.forwardMu.Unlock()
 	h.closed = true
--- a/verbenaroute/internal/vrrelay/hedge_test.go
+++ b/verbenaroute/internal/vrrelay/hedge_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -14,7 +15,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"verbenaroute.example/verbenacore/vrdialect"
 	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrid"
 )
 
 // newHedgingProxy returns a proxy with a script that hedges the first send at the second server once it has
@@ -288,6 +291,34 @@
 	require.Equal(t, []string{"timedOut", "timedOut"}, p.sortedResults())
 }
 
+// panicDialect panics on the response of one server.
+type panicDialect struct {
+	testDialect
+	server vrid.ServerID
+}
+
+func (d panicDialect) ParseResponse(status int, header http.Header, server vrid.ServerID) vrdialect.ResponseInfo {
+	if server == d.server {
+		panic("broken invariant")
+	}
+	return d.testDialect.ParseResponse(status, header, server)
+}
+
+// A panic in a hedge must end its request alone, as one in the handler does. It ended the process, and with
+// it all requests in progress.
+func TestPanicInHedgeEndsOnlyItsRequest(t *testing.T) {
+	p := newHedgingProxy(t, true, true, startServer(t, waitForClose(chunkedHead+chunkedBody(firstEvent))),
+		startServer(t, replyWith(chunkedHead)))
+	p.proxy.opts.Dialect = panicDialect{server: "i-other"}
+	p.proxy.server.ErrorLog = log.New(io.Discard, "", 0)
+	_, _, err := p.post("x")
+	require.Error(t, err)
+	cut := p.requireCut()
+	require.Equal(t, "handlerPanicked", cut.Cause.String())
+	require.Equal(t, "broken invariant", cut.Detail)
+	require.Len(t, p.gone, 1, "the reducer drops the call")
+}
+
 // A hedge that ends its call beside another one, or after the handler has returned, must not block: its
 // goroutine and the request's body were kept for good.
 func TestHedgesThatEndAfterTheHandlerDoNotBlock(t *testing.T) {
--- a/verbenaroute/internal/vrrelay/vrrelay.go
+++ b/verbenaroute/internal/vrrelay/vrrelay.go
@@ -232,7 +232,7 @@
 func (p *Proxy) newHandler(call vrevent.Call, r *http.Request, body []byte, w http.ResponseWriter, record *requestRecord) *callHandler {
 	return &callHandler{
 		proxy: p, call: call, request: r, body: body, writer: w, control: http.NewResponseController(w), record: record,
-		effects: make(chan vrevent.Effect, effectBuffer), hedgeEnded: make(chan vrevent.AttemptResult, 1),
+		effects: make(chan vrevent.Effect, effectBuffer), hedgeEnded: make(chan hedgeEnd, 1),
 	}
 }
 
