Report the silence of a hedge that has taken over

A hedge was sent without a limit for its first byte. When the send beside it failed, the hedge was the call's only send, but its silence was never reported: where a route allows a third attempt, a server that hung held the call until its client left. A send that replaced a stalled one had that limit before sends were hedged.

A hedge that does not resume a stream now gets the limit if a further server may run the call. Reports of a hedge beside its send are ignored, as before.

Failed before: TestSilenceOfHedgeIsReportedAfterItTakesOver (no limit).

--- a/verbenacore/vrgateway/hedge_test.go
+++ b/verbenacore/vrgateway/hedge_test.go
@@ -183,3 +183,31 @@
 	}
 	return ""
 }
+
+// newThreeAttemptDaemon returns a daemon with the given servers and routes that allow three attempts.
+func newThreeAttemptDaemon(t *testing.T, entries ...vrfleet.Entry) *daemon {
+	d := newReadyDaemon(t, entries...)
+	catalog := newCatalog(2)
+	for i := range catalog.Routes {
+		catalog.Routes[i].PauseTarget, catalog.Routes[i].MaxAttempts = 100*time.Millisecond, 3
+	}
+	d.reduce(vrevent.CatalogSeen{Catalog: catalog})
+	return d
+}
+
+// A hedge that takes over from a failed send must have a limit for its first byte where a third server may
+// run the call. Its server was never reported as silent, and the call was held there until its client left.
+func TestSilenceOfHedgeIsReportedAfterItTakesOver(t *testing.T) {
+	d := newThreeAttemptDaemon(t, threeAppServers()...)
+	send := d.requireSentOn("read")
+	d.now = send.FirstByteDeadline
+	hedge := d.requireHedge(d.reduce(vrevent.SendStalled{Call: send.Call, Send: send.Send, Silence: 500 * time.Millisecond}))
+	require.Equal(t, d.now.Add(500*time.Millisecond), hedge.FirstByteDeadline)
+	stalled := vrevent.SendStalled{Call: hedge.Call, Send: hedge.Send, Silence: 500 * time.Millisecond}
+	d.now = hedge.FirstByteDeadline
+	require.Empty(t, d.reduce(stalled), "the first send is still in progress")
+	require.Empty(t, d.endSend(send, vrevent.AttemptBroken))
+	last := d.requireHedge(d.reduce(stalled))
+	require.NotContains(t, []vrid.ServerID{send.Server, hedge.Server}, last.Server)
+	require.Zero(t, last.FirstByteDeadline, "no further server may run the call")
+}
--- a/verbenacore/vrgateway/stall.go
+++ b/verbenacore/vrgateway/stall.go
@@ -123,6 +123,9 @@
 	effect.HoldErrors = true
 	if c.possibleRuns+2 < c.route.MaxAttempts {
 		effect.MaxPause = pauseTimeoutFactor * c.route.PauseTarget
+		if !effect.Resume {
+			effect.FirstByteDeadline = now.Add(firstByteTimeout(c.route.Target))
+		}
 	}
 	out.Add(effect)
 	out.Info("send stalled, hedging it", text("request", c.Request), number("send", uint64(c.number)),
