Send calls again to servers whose send was superseded

A stalled stream was hedged and went on at its server, so the hedge was superseded; then that server crashed. The hedge's server counted as tried, no other was left, and the stream was cut although a sound server could go on with it. The same happened the other way round, when the hedge won and then broke.

Cause: the end of a send excluded its server for the rest of the call, also when the send ended only because the other one was faster, which says nothing against the server. A server whose send was superseded is now chosen if no other one can be. max_attempts and the retry budget hold as before.

Failed before: TestServerOfSupersededSendIsUsedAgain (both cases without a third server: nothing was sent). After: vrgateway passes under the race detector but for the known red TestFailuresOfRequestsDoNotEjectAllServers, and vrgatefuzz passes.

--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -49,7 +49,9 @@
 	// attempt is the present send. hedge is a second one beside it, or nil.
 	attempt
 	hedge *attempt
-	tried []vrid.ServerID
+	// tried lists the servers that are not tried again, superseded those of superseded sends, which are
+	// tried again if no other server is left.
+	tried, superseded []vrid.ServerID
 	// responseStarted is set once part of a response was passed to the client.
 	responseStarted bool
 	eventsDelivered int
@@ -147,6 +149,21 @@
 	return need
 }
 
+// chooseServer returns the best server for a call apart from those that were tried and the excluded ones, or
+// nil and what is missing. A server whose send was superseded is chosen only if there is no other.
+func (s *State) chooseServer(now time.Time, c *call, exclude ...vrid.ServerID) (*vrfleet.Server, vrchoice.Missing) {
+	need := s.requirements(c)
+	need.Exclude = slices.Concat(need.Exclude, exclude)
+	if len(c.superseded) > 0 {
+		preferred := need
+		preferred.Exclude = slices.Concat(need.Exclude, c.superseded)
+		if server, _ := s.chooser.Best(now, preferred); server != nil {
+			return server, vrchoice.MissingNone
+		}
+	}
+	return s.chooser.Best(now, need)
+}
+
 // dispatch sends a call to a server, puts it in a wait list or ends it.
 func (s *State) dispatch(now time.Time, c *call, out *vrevent.Effects) {
 	if s.graceExpired {
@@ -160,7 +177,7 @@
 	if s.refuseBlocked(now, c, out) {
 		return
 	}
-	server, missing := s.chooser.Best(now, s.requirements(c))
+	server, missing := s.chooseServer(now, c)
 	switch {
 	case server == nil:
 		s.enqueue(now, c, missing, out)
@@ -334,7 +351,11 @@
 		s.removeCall(now, c, "callerGone", "", out, append(s.cutFields(now, c), text("server", ended.server.ID), text("detail", e.Detail))...)
 	case c.server != nil || c.hedge != nil:
 		s.logFailedSend(now, c, &ended, &e, out)
-		c.tried = append(c.tried, ended.server.ID)
+		if e.Result == vrevent.AttemptSuperseded {
+			c.superseded = append(c.superseded, ended.server.ID)
+		} else {
+			c.tried = append(c.tried, ended.server.ID)
+		}
 		if !isHedge {
 			c.attempt, c.hedge = *c.hedge, nil
 			c.place, c.placeAsked, c.refusedPlaces = nil, false, nil
--- a/verbenacore/vrgateway/hedge_test.go
+++ b/verbenacore/vrgateway/hedge_test.go
@@ -1,6 +1,7 @@
 package vrgateway_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -211,3 +212,33 @@
 	require.NotContains(t, []vrid.ServerID{send.Server, hedge.Server}, last.Server)
 	require.Zero(t, last.FirstByteDeadline, "no further server may run the call")
 }
+
+// A send that ended because the one beside it was faster says nothing against its server, so the call must
+// be sent there if the faster one breaks and no other server is left. Streams were cut although a sound
+// server could go on with them.
+func TestServerOfSupersededSendIsUsedAgain(t *testing.T) {
+	for _, hedgeWins := range []bool{false, true} {
+		for _, spare := range []bool{false, true} {
+			t.Run(fmt.Sprintf("hedge wins %t, spare server %t", hedgeWins, spare), func(t *testing.T) {
+				entries := []vrfleet.Entry{engineEntry("e1", "m"), engineEntry("e2", "m")}
+				if spare {
+					entries = append(entries, engineEntry("e3", "m"))
+				}
+				d := newThreeAttemptDaemon(t, entries...)
+				winner := d.requireSentOn("stream")
+				d.reduce(vrevent.FirstByteReceived{Call: winner.Call, Send: winner.Send, Answer: true})
+				loser := d.requireHedge(d.reduce(vrevent.SendStalled{Call: winner.Call, Send: winner.Send, Silence: 400 * time.Millisecond}))
+				if hedgeWins {
+					winner, loser = loser, winner
+				}
+				end := vrevent.SendEnded{Call: loser.Call, Send: loser.Send, Result: vrevent.AttemptSuperseded, PartForwarded: true, Events: 2}
+				require.Empty(t, d.reduce(end))
+				end.Send, end.Result = winner.Send, vrevent.AttemptBroken
+				next := d.requireSent(d.reduce(end))
+				require.True(t, next.Resume)
+				require.NotEqual(t, winner.Server, next.Server)
+				require.Equal(t, spare, next.Server != loser.Server, "a server that was not tried yet is preferred")
+			})
+		}
+	}
+}
--- a/verbenacore/vrgateway/quarantine.go
+++ b/verbenacore/vrgateway/quarantine.go
@@ -105,7 +105,7 @@
 // for too long.
 func (s *State) dispatchHeld(now time.Time, out *vrevent.Effects) {
 	for _, c := range slices.Clone(s.quarantine.held) {
-		server, _ := s.chooser.Best(now, s.requirements(c))
+		server, _ := s.chooseServer(now, c)
 		switch {
 		case server == nil || !s.mustHold(now, c):
 			s.release(c)
--- a/verbenacore/vrgateway/stall.go
+++ b/verbenacore/vrgateway/stall.go
@@ -137,9 +137,7 @@
 // otherServer returns the best server for a call apart from its present one, those that were tried and
 // the excluded ones, or nil.
 func (s *State) otherServer(now time.Time, c *call, exclude ...vrid.ServerID) *vrfleet.Server {
-	need := s.requirements(c)
-	need.Exclude = slices.Concat([]vrid.ServerID{c.server.ID}, need.Exclude, exclude)
-	server, _ := s.chooser.Best(now, need)
+	server, _ := s.chooseServer(now, c, append(slices.Clone(exclude), c.server.ID)...)
 	return server
 }
 
--- a/verbenacore/vrgateway/waits.go
+++ b/verbenacore/vrgateway/waits.go
@@ -138,7 +138,7 @@
 		if s.refuseBlocked(now, c, out) {
 			continue
 		}
-		server, missing := s.chooser.Best(now, s.requirements(c))
+		server, missing := s.chooseServer(now, c)
 		list.missing = missing
 		if server == nil {
 			continue
