Let begun streams wait for the retry budget

A stream that had begun and whose server broke or refused it was cut at once if the retry budget was spent at that moment, with most of its time left and other servers free. A call that may still be refused loses little by that; a stream that has begun has no other end than the cut.

The call ends with noReplica only in send, after the budget, and in answer to a refusal of the placement owner; without a third server it would be queued and end with backendFailed.

Such a stream now waits as for a healthy server: half a latency target, at least 100 ms and at most 1 s. The budget counts and bounds the send as before.

Failed before: TestBegunStreamWaitsForRetryBudget (both cases, AbortCall at once). After: vrgateway passes under the race detector but for the known red TestFailuresOfRequestsDoNotEjectAllServers, and vrgatefuzz passes.

--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -150,18 +150,21 @@
 }
 
 // chooseServer returns the best server for a call apart from those that were tried and the excluded ones, or
-// nil and what is missing. A server whose send was superseded is chosen only if there is no other.
+// nil and what is missing. A server whose send was superseded is chosen only if there is no other. A stream
+// that has begun waits while the retry budget is spent, as for a healthy server, because its client can't be
+// refused any more.
 func (s *State) chooseServer(now time.Time, c *call, exclude ...vrid.ServerID) (*vrfleet.Server, vrchoice.Missing) {
 	need := s.requirements(c)
-	need.Exclude = slices.Concat(need.Exclude, exclude)
-	if len(c.superseded) > 0 {
-		preferred := need
-		preferred.Exclude = slices.Concat(need.Exclude, c.superseded)
-		if server, _ := s.chooser.Best(now, preferred); server != nil {
-			return server, vrchoice.MissingNone
-		}
+	need.Exclude = slices.Concat(need.Exclude, exclude, c.superseded)
+	server, missing := s.chooser.Best(now, need)
+	if server == nil && len(c.superseded) > 0 {
+		need.Exclude = slices.Concat(c.tried, exclude)
+		server, missing = s.chooser.Best(now, need)
+	}
+	if server != nil && c.responseStarted && !s.retryBudget.HasRetry(now, c.service) && !vrfault.On(vrfault.IgnoreBudget) {
+		return nil, vrchoice.MissingHealthyServer
 	}
-	return s.chooser.Best(now, need)
+	return server, missing
 }
 
 // dispatch sends a call to a server, puts it in a wait list or ends it.
--- a/verbenacore/vrgateway/hedge_test.go
+++ b/verbenacore/vrgateway/hedge_test.go
@@ -242,3 +242,44 @@
 		}
 	}
 }
+
+// A stream that has begun and whose server breaks must wait a moment for the retry budget if that is spent,
+// as it waits for a server. It was cut at once, with most of its time left, although other servers were free.
+func TestBegunStreamWaitsForRetryBudget(t *testing.T) {
+	for _, frees := range []bool{true, false} {
+		t.Run(fmt.Sprint("budget frees ", frees), func(t *testing.T) {
+			d := newThreeAttemptDaemon(t, engineEntry("e1", "m"), engineEntry("e2", "m"))
+			options := vrretry.Options{Window: 10 * time.Second}
+			d.reduce(vrevent.RetryOptionsChanged{Options: options})
+			send := d.requireSentOn("stream")
+			d.reduce(vrevent.FirstByteReceived{Call: send.Call, Send: send.Send, Answer: true})
+			require.Empty(t, d.reduce(vrevent.SendEnded{
+				Call: send.Call, Send: send.Send, Result: vrevent.AttemptBroken, PartForwarded: true, Events: 2,
+			}))
+			d.now = d.now.Add(vrevent.TickInterval)
+			waiting := d.reduce(vrevent.Tick{})
+			require.Empty(t, sends(waiting))
+			require.NotContains(t, waiting, vrevent.Effect(vrevent.AbortCall{Call: send.Call}))
+			if !frees {
+				d.requireCutWithoutBudget(send)
+				return
+			}
+			options.Slack = 10
+			d.reduce(vrevent.RetryOptionsChanged{Options: options})
+			next := sends(d.reduce(vrevent.Tick{}))
+			require.Len(t, next, 1)
+			require.True(t, next[0].Resume)
+		})
+	}
+}
+
+// requireCutWithoutBudget requires that a stream that waits for the retry budget is cut, and not sent, once it
+// has waited for as long as for a server.
+func (d *daemon) requireCutWithoutBudget(send vrevent.SendCall) {
+	d.t.Helper()
+	const maxServerWait = time.Second
+	d.now = d.now.Add(maxServerWait)
+	effects := d.reduce(vrevent.Tick{})
+	require.Empty(d.t, sends(effects))
+	require.Contains(d.t, effects, vrevent.Effect(vrevent.AbortCall{Call: send.Call}))
+}
