--- a/verbenacore/vrgateway/hedge_test.go
+++ b/verbenacore/vrgateway/hedge_test.go
@@ -1,6 +1,7 @@
 package vrgateway_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -212,3 +213,102 @@
 	}
 	return ""
 }
+
+// newThreeAttemptDaemon returns a daemon with the given servers and routes that allow three attempts.
+func newThreeAttemptDaemon(t *testing.T, entries ...vrfleet.Entry) *daemon {
+	d := newReadyDaemon(t, entries...)
+	catalog := newCatalog(2)
+	for i := range catalog.Routes {
+		catalog.Routes[i].PauseTarget, catalog.Routes[i].MaxAttempts = 100*time.Millisecond, 3
+	}
+	d.reduce(vrevent.CatalogSeen{Catalog: catalog})
+	return d
+}
+
+// A hedge that takes over from a failed send must have a limit for its first byte where a third server may
+// run the call. Its server was never reported as silent, and the call was held there until its client left.
+func TestSilenceOfHedgeIsReportedAfterItTakesOver(t *testing.T) {
+	d := newThreeAttemptDaemon(t, threeAppServers()...)
+	send := d.requireSentOn("read")
+	d.now = send.FirstByteDeadline
+	hedge := d.requireHedge(d.reduce(vrevent.SendStalled{Call: send.Call, Send: send.Send, Silence: 500 * time.Millisecond}))
+	require.Equal(t, d.now.Add(500*time.Millisecond), hedge.FirstByteDeadline)
+	stalled := vrevent.SendStalled{Call: hedge.Call, Send: hedge.Send, Silence: 500 * time.Millisecond}
+	d.now = hedge.FirstByteDeadline
+	require.Empty(t, d.reduce(stalled), "the first send is still in progress")
+	require.Empty(t, d.endSend(send, vrevent.AttemptBroken))
+	last := d.requireHedge(d.reduce(stalled))
+	require.NotContains(t, []vrid.ServerID{send.Server, hedge.Server}, last.Server)
+	require.Zero(t, last.FirstByteDeadline, "no further server may run the call")
+}
+
+// A send that ended because the one beside it was faster says nothing against its server, so the call must
+// be sent there if the faster one breaks and no other server is left. Streams were cut although a sound
+// server could go on with them.
+func TestServerOfSupersededSendIsUsedAgain(t *testing.T) {
+	for _, hedgeWins := range []bool{false, true} {
+		for _, spare := range []bool{false, true} {
+			t.Run(fmt.Sprintf("hedge wins %t, spare server %t", hedgeWins, spare), func(t *testing.T) {
+				entries := []vrfleet.Entry{engineEntry("e1", "m"), engineEntry("e2", "m")}
+				if spare {
+					entries = append(entries, engineEntry("e3", "m"))
+				}
+				d := newThreeAttemptDaemon(t, entries...)
+				winner := d.requireSentOn("stream")
+				d.reduce(vrevent.FirstByteReceived{Call: winner.Call, Send: winner.Send, Answer: true})
+				loser := d.requireHedge(d.reduce(vrevent.SendStalled{Call: winner.Call, Send: winner.Send, Silence: 400 * time.Millisecond}))
+				if hedgeWins {
+					winner, loser = loser, winner
+				}
+				end := vrevent.SendEnded{Call: loser.Call, Send: loser.Send, Result: vrevent.AttemptSuperseded, PartForwarded: true, Events: 2}
+				require.Empty(t, d.reduce(end))
+				end.Send, end.Result = winner.Send, vrevent.AttemptBroken
+				next := d.requireSent(d.reduce(end))
+				require.True(t, next.Resume)
+				require.NotEqual(t, winner.Server, next.Server)
+				require.Equal(t, spare, next.Server != loser.Server, "a server that was not tried yet is preferred")
+			})
+		}
+	}
+}
+
+// A stream that has begun and whose server breaks must wait a moment for the retry budget if that is spent,
+// as it waits for a server. It was cut at once, with most of its time left, although other servers were free.
+func TestBegunStreamWaitsForRetryBudget(t *testing.T) {
+	for _, frees := range []bool{true, false} {
+		t.Run(fmt.Sprint("budget frees ", frees), func(t *testing.T) {
+			d := newThreeAttemptDaemon(t, engineEntry("e1", "m"), engineEntry("e2", "m"))
+			options := vrretry.Options{Window: 10 * time.Second}
+			d.reduce(vrevent.RetryOptionsChanged{Options: options})
+			send := d.requireSentOn("stream")
+			d.reduce(vrevent.FirstByteReceived{Call: send.Call, Send: send.Send, Answer: true})
+			require.Empty(t, d.reduce(vrevent.SendEnded{
+				Call: send.Call, Send: send.Send, Result: vrevent.AttemptBroken, PartForwarded: true, Events: 2,
+			}))
+			d.now = d.now.Add(vrevent.TickInterval)
+			waiting := d.reduce(vrevent.Tick{})
+			require.Empty(t, sends(waiting))
+			require.NotContains(t, waiting, vrevent.Effect(vrevent.AbortCall{Call: send.Call}))
+			if !frees {
+				d.requireCutWithoutBudget(send)
+				return
+			}
+			options.Slack = 10
+			d.reduce(vrevent.RetryOptionsChanged{Options: options})
+			next := sends(d.reduce(vrevent.Tick{}))
+			require.Len(t, next, 1)
+			require.True(t, next[0].Resume)
+		})
+	}
+}
+
+// requireCutWithoutBudget requires that a stream that waits for the retry budget is cut, and not sent, once it
+// has waited for as long as for a server.
+func (d *daemon) requireCutWithoutBudget(send vrevent.SendCall) {
+	d.t.Helper()
+	const maxServerWait = time.Second
+	d.now = d.now.Add(maxServerWait)
+	effects := d.reduce(vrevent.Tick{})
+	require.Empty(d.t, sends(effects))
+	require.Contains(d.t, effects, vrevent.Effect(vrevent.AbortCall{Call: send.Call}))
+}
--- a/verbenacore/vrgateway/stall.go
+++ b/verbenacore/vrgateway/stall.go
@@ -126,6 +126,9 @@
 	effect.HoldErrors = true
 	if c.possibleRuns+2 < c.route.MaxAttempts {
 		effect.MaxPause = pauseTimeoutFactor * c.route.PauseTarget
+		if !effect.Resume {
+			effect.FirstByteDeadline = now.Add(firstByteTimeout(c.route.Target))
+		}
 	}
 	out.Add(effect)
 	out.Info("send stalled, hedging it", text("request", c.Request), number("send", uint64(c.number)),
@@ -137,9 +140,7 @@
 // otherServer returns the best server for a call apart from its present one, those that were tried and
 // the excluded ones, or nil.
 func (s *State) otherServer(now time.Time, c *call, exclude ...vrid.ServerID) *vrfleet.Server {
-	need := s.requirements(c)
-	need.Exclude = slices.Concat([]vrid.ServerID{c.server.ID}, need.Exclude, exclude)
-	server, _ := s.chooser.Best(now, need)
+	server, _ := s.chooseServer(now, c, append(slices.Clone(exclude), c.server.ID)...)
 	return server
 }
 
