Send no call to a server that has said it leaves

Cause: a server states in its responses that it leaves, before or without its registration. The reducer knew leaving servers only from their registrations and the owner's notices, so it went on sending to them, and a registration or a feeder's repeat that says ready made no difference. Change: the event ServerLeaving names a server and the start of the process that the request was meant for; SendCall, ReservePlace, ReadStatus and PlacementOrder carry that start. vrfleet.Fleet.MarkLeaving is final for one process, also after its registration was removed. Waiting calls are chosen for again; the ready time of a load at that server is dropped, so that no Retry-After names it, also if the owner announces the load afterwards. The owner tells all daemons; another daemon tells the owner by a notice without an epoch, which builds that don't know it ignore. One log line and a count for each process. Evidence: with the handling of the event and of the report switched off, each of the 12 tests of leaving_test.go failed; TestRetryAfterNamesNoLoadOfLeavingServer and TestResponseAfterRemovalKeepsServerLeaving fail if only the ready time, the late notice or the removed registration is not handled. They pass now, also under the race detector.

--- a/verbenacore/vrevent/gateway.go
+++ b/verbenacore/vrevent/gateway.go
@@ -61,6 +61,8 @@
 	// ExpectedOrders is the number of orders that the server must have accepted before this
 	// one. It keeps a delayed order from taking effect after a newer one.
 	ExpectedOrders uint64
+	// Born is the start of the server's process in Unix milliseconds.
+	Born int64
 	// Epoch is the fencing token, Holder the daemon that gives the order.
 	Epoch  vrid.Epoch
 	Holder vrid.DaemonID
@@ -174,6 +176,14 @@
 		Silence time.Duration
 	}
 
+	// ServerLeaving reports that a response to a send, an order, a reservation or a read of the status
+	// states that its server takes no new work.
+	ServerLeaving struct {
+		Server vrid.ServerID
+		// Born is the start of the process that the request was meant for, in Unix milliseconds.
+		Born int64
+	}
+
 	// PlaceReserved is the answer to ReservePlace. Reservation is empty if the server reserved no
 	// place.
 	PlaceReserved struct {
@@ -241,6 +251,7 @@
 func (FirstByteReceived) isEvent()   {}
 func (SendEnded) isEvent()           {}
 func (SendStalled) isEvent()         {}
+func (ServerLeaving) isEvent()       {}
 func (PlaceReserved) isEvent()       {}
 func (ClientGone) isEvent()          {}
 func (FleetListed) isEvent()         {}
@@ -263,6 +274,8 @@
 		Send    int
 		Server  vrid.ServerID
 		Address string
+		// Born is the start of the server's process in Unix milliseconds.
+		Born int64
 		// Deadline is when the answer has to be complete.
 		Deadline time.Time
 		// FirstByteDeadline is when a send without a first byte counts as stalled, or zero.
@@ -305,6 +318,8 @@
 		Send    int
 		Server  vrid.ServerID
 		Address string
+		// Born is the start of the server's process in Unix milliseconds.
+		Born int64
 		// Tokens is the size of the call, and Duration how long the place is needed.
 		Tokens   int
 		Duration time.Duration
@@ -321,6 +336,8 @@
 	ReadStatus struct {
 		Server  vrid.ServerID
 		Address string
+		// Born is the start of the server's process in Unix milliseconds.
+		Born int64
 	}
 
 	// CallEnded updates the metrics with the end of a call.
--- a/verbenacore/vrfleet/removed.go
+++ b/verbenacore/vrfleet/removed.go
@@ -46,6 +46,18 @@
 	}
 }
 
+// markDraining records that a process accepted no new work when its registration was removed, so that a
+// renewed entry of it does not bring it back as ready. It reports whether that was not known before.
+func (r *removedServers) markDraining(id vrid.ServerID, born int64) bool {
+	last, known := r.last[id]
+	if !known || last.draining || (born != 0 && born != last.born) {
+		return false
+	}
+	last.draining = true
+	r.last[id] = last
+	return true
+}
+
 // admit reports whether an entry shows that its server runs: nothing is known of its removal, or the
 // entry is of a later process or renewed since. It makes the entry draining if the process was.
 func (r *removedServers) admit(entry *Entry) bool {
--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -376,6 +376,19 @@
 	}
 }
 
+// MarkLeaving records that a process of a server accepts no new work, whatever its entries say. As for
+// Server.MarkDraining, it has no effect on another process, and a born of zero stands for the last known
+// one. It reports whether that was not known before.
+func (f *Fleet) MarkLeaving(id vrid.ServerID, born int64) bool {
+	server := f.servers[id]
+	if server == nil || server.Gone {
+		return f.removed.markDraining(id, born)
+	}
+	wasReady := server.State != StateDraining
+	server.MarkDraining(born)
+	return wasReady && server.State == StateDraining
+}
+
 // AddModel records that the server has a model loaded, ahead of its entry.
 func (s *Server) AddModel(model vrid.ModelID) {
 	delete(s.missingUntil, model)
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -215,7 +215,7 @@
 // newSend returns the effect of a send without what its response may do.
 func (s *State) newSend(c *call, a *attempt) vrevent.SendCall {
 	return vrevent.SendCall{
-		Call: c.ID, Send: a.number, Server: a.server.ID, Address: a.server.Address,
+		Call: c.ID, Send: a.number, Server: a.server.ID, Address: a.server.Address, Born: a.server.Born,
 		Deadline: c.deadline.Add(-deadlineMargin), Priority: c.route.Priority,
 		Stream: c.route.Kind == vrcatalog.RouteStream, AtMostOnce: !c.route.Repeatable(),
 	}
--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -287,6 +287,9 @@
 		s.expeditePlan()
 		s.plan(now, out)
 	}
+	if envelope.Notices != nil {
+		s.handleLeavingReports(now, envelope.Notices, out)
+	}
 	if envelope.FleetChanges != nil {
 		s.handleFeed(now, envelope, out)
 	}
@@ -334,6 +337,9 @@
 // executeDecision emits the orders, log lines, status reads and notices of a plan.
 func (s *State) executeDecision(now time.Time, decision vrresidence.Decision, out *vrevent.Effects) {
 	for _, order := range decision.Orders {
+		if server := s.fleet.Server(order.Server); server != nil {
+			order.Born = server.Born
+		}
 		order.Epoch, order.Holder, order.LeaseExpiresAt = s.lease.Epoch(), s.opts.Daemon, s.lease.ExpiresAt()
 		if vrfault.On(vrfault.OrderPastLease) {
 			const never = time.Hour
@@ -355,7 +361,7 @@
 	}
 	for _, id := range decision.StatusReads {
 		if server := s.fleet.Server(id); server != nil {
-			out.Add(vrevent.ReadStatus{Server: id, Address: server.Address})
+			out.Add(vrevent.ReadStatus{Server: id, Address: server.Address, Born: server.Born})
 		}
 	}
 	s.sendNotices(now, decision.Notices, out)
--- a/verbenacore/vrgateway/stall.go
+++ b/verbenacore/vrgateway/stall.go
@@ -77,7 +77,8 @@
 	expiresAt := now.Add(duration)
 	c.place = &placeRequest{server: server.ID, expiresAt: expiresAt, usableUntil: expiresAt.Add(-min(reservationMargin, duration/4)), silentSince: silentSince}
 	out.Add(vrevent.ReservePlace{
-		Call: c.ID, Send: c.number, Server: server.ID, Address: server.Address, Tokens: c.PromptTokens + c.OutputTokens, Duration: duration,
+		Call: c.ID, Send: c.number, Server: server.ID, Address: server.Address, Born: server.Born, Tokens: c.PromptTokens + c.OutputTokens,
+		Duration: duration,
 	})
 	out.Info("stream stalled, reserving a place", text("request", c.Request), number("send", uint64(c.number)),
 		text("server", c.server.ID), text("next", server.ID), millis("leftMs", c.deadline.Sub(now)))
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -87,6 +87,9 @@
 type Counts struct {
 	Arrived, Sent, Resent, Resumed, Refused, Delivered, Broken, CallerGone uint64
 	Orders, OrdersUnknown                                                  uint64
+	// LeavingByResponse and LeavingByDaemon count the servers of which this daemon first learned that they
+	// leave from a response, or from another daemon.
+	LeavingByResponse, LeavingByDaemon uint64
 }
 
 // New returns the state of a daemon that has just started.
@@ -155,6 +158,8 @@
 		s.handleSendResult(now, e, out)
 	case vrevent.SendStalled:
 		s.handleSendStalled(now, e, out)
+	case vrevent.ServerLeaving:
+		s.handleServerLeaving(now, e, out)
 	case vrevent.PlaceReserved:
 		s.handlePlaceReserved(now, e, out)
 	case vrevent.ClientGone:
--- a/verbenacore/vrgateway/waits.go
+++ b/verbenacore/vrgateway/waits.go
@@ -57,9 +57,11 @@
 	// missing says why no server could be selected at the last attempt.
 	missing vrchoice.Missing
 	// noticeAt is when the placement owner last announced that the target is being loaded, and
-	// readyAt is when it expects the load to end. Both are zero before the first notice.
-	noticeAt time.Time
-	readyAt  time.Time
+	// readyAt is when it expects the load to end. Both are zero before the first notice. loadingServer
+	// is the server that loads it, if the notice names one.
+	noticeAt      time.Time
+	readyAt       time.Time
+	loadingServer vrid.ServerID
 	// demandSentAt is when the placement owner was last told that calls wait for the target.
 	demandSentAt time.Time
 }
@@ -295,13 +297,17 @@
 		if server != nil && notice.Adapter != "" {
 			server.SetAdapterReady(now.Add(delay), notice.Model, notice.Adapter)
 		}
-		if list := s.waitLists[key]; list != nil {
-			list.noticeAt, list.readyAt = now, now.Add(delay)
+		list := s.waitLists[key]
+		switch {
+		case list == nil:
+		case server != nil && !server.AcceptsWork():
+			// The owner does not know yet that the server leaves, and will announce another one.
+			list.noticeAt = now
+		default:
+			list.noticeAt, list.readyAt, list.loadingServer = now, now.Add(delay), notice.Server
 		}
 	case vrwire.NoticeLeaving:
-		if server != nil {
-			server.MarkDraining(notice.Born)
-		}
+		s.markLeaving(notice.Server, notice.Born, leavingByDaemon, out)
 	case vrwire.NoticeLoaded:
 		if server != nil {
 			server.AddModel(notice.Model)
--- a/verbenacore/vrwire/fleet.go
+++ b/verbenacore/vrwire/fleet.go
@@ -109,7 +109,7 @@
 	// QuarantineVersion is the version of the owner's Quarantine in a heartbeat.
 	QuarantineVersion uint64 `protobuf:"varint,5,opt,name=quarantineVersion,proto3"`
 	// PromptReport is a daemon's report to the owner. Epoch is zero then, so that the other fields
-	// have no effect.
+	// have no effect, apart from items of NoticeLeaving: these may come from any daemon.
 	PromptReport *PromptReport `protobuf:"bytes,6,opt,name=promptReport,proto3"`
 	// Quarantine is the owner's view of the suspected and blocked parts of prompts.
 	Quarantine *Quarantine `protobuf:"bytes,7,opt,name=quarantine,proto3"`
