Take a server's leaving from the head of its response

Cause: nothing read the header by which a server says that it leaves. The relay reports it as soon as the head of an answer to this request was read, whatever its status, not at the end of a stream.

--- a/verbenacore/vrdialect/vrdialect.go
+++ b/verbenacore/vrdialect/vrdialect.go
@@ -34,6 +34,8 @@
 	NotRun bool
 	// OtherServer is set if the address now belongs to another server.
 	OtherServer bool
+	// Leaving is set if the server takes no new work from now on.
+	Leaving bool
 	// Load is the server's load report, nil if the response has none.
 	Load *vrevent.ServerLoad
 }
--- a/verbenaroute/internal/vrnode/metrics.go
+++ b/verbenaroute/internal/vrnode/metrics.go
@@ -51,6 +51,8 @@
 	gauge(`verbena_prompt_parts{state="blocked"}`, func() float64 { _, blocked := n.state.PromptParts(); return float64(blocked) })
 	gauge("verbena_orders_total", func() float64 { return float64(n.state.Counts().Orders) })
 	gauge("verbena_orders_unknown_total", func() float64 { return float64(n.state.Counts().OrdersUnknown) })
+	gauge(`verbena_servers_leaving_total{cause="response"}`, func() float64 { return float64(n.state.Counts().LeavingByResponse) })
+	gauge(`verbena_servers_leaving_total{cause="daemon"}`, func() float64 { return float64(n.state.Counts().LeavingByDaemon) })
 	// The store's client holds its lock while it submits an event, so these gauges must not hold the
 	// node's.
 	m.set.NewGauge("verbena_store_restores_total", func() float64 { return float64(n.restores.Load()) })
--- a/verbenaroute/internal/vrrelay/relay_test.go
+++ b/verbenaroute/internal/vrrelay/relay_test.go
@@ -46,6 +46,7 @@
 		Request: vrid.RequestID(header.Get("X-Request")), Signed: header.Get("X-Signed") != "",
 		NotRun:      header.Get("X-Not-Run") != "" || status == http.StatusMisdirectedRequest,
 		OtherServer: other != "" && other != string(server),
+		Leaving:     header.Get("X-Leaving") != "",
 	}
 }
 
@@ -56,13 +57,15 @@
 // testProxy is a Proxy with a script in place of the reducer: each send of a call goes to the
 // next server in the list.
 type testProxy struct {
-	t       *testing.T
-	proxy   *Proxy
-	url     string
-	mu      sync.Mutex
-	ended   []vrevent.SendEnded
-	gone    []vrevent.CallID
-	cuts    []CutRequest
+	t     *testing.T
+	proxy *Proxy
+	url   string
+	mu    sync.Mutex
+	ended []vrevent.SendEnded
+	gone  []vrevent.CallID
+	cuts  []CutRequest
+	// leaving are the reports of servers that leave.
+	leaving []vrevent.ServerLeaving
 	servers []string
 	send    vrevent.SendCall
 	// stalls counts the reports of stalled sends. They end all sends unless keepStalled is set.
@@ -166,6 +169,8 @@
 		p.proxy.HandleEffect(p.nextSend(e.Call.ID, false))
 	case vrevent.ClientGone:
 		p.gone = append(p.gone, e.Call)
+	case vrevent.ServerLeaving:
+		p.leaving = append(p.leaving, e)
 	case vrevent.SendStalled:
 		p.stalls++
 		if p.onStalled != nil {
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -190,6 +190,7 @@
 		a.fail(err)
 		return true
 	}
+	a.reportLeaving(&info)
 	a.timeToFirstByte = time.Since(a.startedAt)
 	a.result.Status, a.result.Load = response.StatusCode, info.Load
 	c.maxIdle = maxIdleFromKeepAlive(response.Header.Get("Keep-Alive"))
@@ -197,6 +198,14 @@
 	return true
 }
 
+// reportLeaving tells the reducer if the server states that it leaves. It is called as soon as the head of
+// the answer was read, because a stream may go on for minutes.
+func (a *sendAttempt) reportLeaving(info *vrdialect.ResponseInfo) {
+	if info.Leaving && !info.OtherServer {
+		a.handler.proxy.opts.Submit(vrevent.ServerLeaving{Server: a.send.Server, Born: a.send.Born})
+	}
+}
+
 // abort makes the reads and writes of the send fail.
 func (a *sendAttempt) abort() {
 	if c := a.conn.Load(); c != nil {
