Take a server's leaving from orders, places and reports

Cause: the placement owner and a daemon that asks for a place get responses of servers by other calls than requests, and dropped what they say of the server's leaving.

--- a/verbenaroute/internal/vrnode/store.go
+++ b/verbenaroute/internal/vrnode/store.go
@@ -82,7 +82,8 @@
 func (n *Node) sendOrder(order vrevent.PlacementOrder) {
 	ctx, cancel := context.WithTimeout(n.baseCtx, orderTimeout)
 	defer cancel()
-	outcome, detail := n.engine.Order(ctx, &order, func() bool { return n.clock.Now().Before(order.LeaseExpiresAt) })
+	outcome, detail, leaving := n.engine.Order(ctx, &order, func() bool { return n.clock.Now().Before(order.LeaseExpiresAt) })
+	n.reportLeaving(leaving, order.Server, order.Born)
 	n.metrics.orderEnded(order.Kind, outcome)
 	n.Submit(vrevent.OrderEnded{Order: order, Outcome: outcome, Detail: detail})
 }
@@ -91,7 +92,8 @@
 	ctx, cancel := context.WithTimeout(n.baseCtx, min(orderTimeout, e.Duration))
 	defer cancel()
 	answer := vrevent.PlaceReserved{Call: e.Call, Send: e.Send, Server: e.Server}
-	reservation, err := n.engine.Reserve(ctx, e.Server, e.Address, e.Tokens, e.Duration)
+	reservation, leaving, err := n.engine.Reserve(ctx, e.Server, e.Address, e.Tokens, e.Duration)
+	n.reportLeaving(leaving, e.Server, e.Born)
 	if err != nil {
 		answer.Detail = err.Error()
 	}
@@ -102,7 +104,11 @@
 func (n *Node) readStatus(e vrevent.ReadStatus) {
 	ctx, cancel := context.WithTimeout(n.baseCtx, orderTimeout)
 	defer cancel()
-	status, err := n.engine.Status(ctx, e.Address)
+	status, leaving, err := n.engine.Status(ctx, e.Address)
+	if status == nil || status.Born == 0 || status.Born == e.Born {
+		// Otherwise another process answered at the address.
+		n.reportLeaving(leaving, e.Server, e.Born)
+	}
 	if err != nil {
 		n.log.Info("cannot read server status", zap.String("server", string(e.Server)), zap.Error(err))
 		status = nil
@@ -110,6 +116,14 @@
 	n.Submit(vrevent.StatusRead{Server: e.Server, Status: status})
 }
 
+// reportLeaving tells the reducer if a process of a server has stated that it leaves. It is called before the
+// rest of the response is reported, so that no decision on that chooses the server.
+func (n *Node) reportLeaving(leaving bool, server vrid.ServerID, born int64) {
+	if leaving {
+		n.Submit(vrevent.ServerLeaving{Server: server, Born: born})
+	}
+}
+
 // watchWait returns how long the store may hold a watch open without changes. It leaves
 // enough of ContactTimeout to detect a silent connection and then to list the objects: the
 // machine counts as in contact again only after the list.
