Restore the store in the gateway fuzz test

What callers would see: after a restore of the platform's store from a copy, requests routed by an older catalog, sent to servers that had begun to drain, or a model loaded by two owners at once. No random test covered that; the units of the change were tested one by one.

Cause: the store of vrgateworld never lost what it had acknowledged, and its versions had no era.

Change: the store keeps the history of its objects, registrations and catalogs. Restore makes it unavailable for a drawn time and brings it back in the next era with the state of a drawn age; revisions go on from the copy's. Servers write again within two seconds, the operator writes the lost catalogs again in order, the registrations of some daemons are lost until they register again, and stale reads return objects from before with the new era. A late write of a former era takes effect if the revision matches. The pollers list again after an era that differs or a revision that the store doesn't have, and report StoreRestored before other events. The oracle also checks that a process that had to know of a draining server never sends to it again. Restores are drawn after everything else, and WithoutRestores gives the plan as it was, which the regression seeds use.

--- a/verbenabench/internal/vrgatefuzz/oracle.go
+++ b/verbenabench/internal/vrgatefuzz/oracle.go
@@ -128,6 +128,9 @@
 		now.Sub(server.LeaveRecordedAt) > vrgateworld.Drain {
 		o.fail("DRAIN", "%s sends %s to %s %s after the server started to drain", d.ID, call.Request, server.ID, now.Sub(server.LeaveRecordedAt))
 	}
+	if server.Draining && server.KnownDraining(call.Process) && a.SentAt.Sub(server.LeaveRecordedAt) > vrgateworld.Drain {
+		o.fail("DRAIN", "%s sends %s to %s although it knew that the server drains", d.ID, call.Request, server.ID)
+	}
 	if !call.DisconnectedAt.IsZero() && a.SentAt.Sub(call.DisconnectedAt) > maxSendAfterClose {
 		o.fail("GONE", "%s sends %s %s after its client closed the connection", d.ID, call.Request, a.SentAt.Sub(call.DisconnectedAt))
 	}
--- a/verbenabench/internal/vrgatefuzz/plan.go
+++ b/verbenabench/internal/vrgatefuzz/plan.go
@@ -51,13 +51,16 @@
 	ActStrandOwner
 	// ActStrandOrders makes a server execute its orders late and restarts it meanwhile.
 	ActStrandOrders
+	// ActRestore makes the store come back from a copy after an outage. Its place in a plan is drawn
+	// last.
+	ActRestore
 	actCount
 )
 
 var _actionNames = [actCount]string{
 	"wait", "request", "burst", "leave", "publish", "kill", "killOwner", "killAll", "pause", "pauseOwner", "stop", "loss",
 	"storeDown", "storeCut", "storeSlow", "lostAnswers", "lateWrites", "lateOrders", "lostOrders", "serverCut", "serverDrain",
-	"serverDie", "serverRestart", "serverReuse", "serverBreaks", "serverErrors", "serverSlow", "strandOwner", "strandOrders",
+	"serverDie", "serverRestart", "serverReuse", "serverBreaks", "serverErrors", "serverSlow", "strandOwner", "strandOrders", "restore",
 }
 
 // String returns the name that traces show.
@@ -76,8 +79,8 @@
 func (p Plan) String() string {
 	var text strings.Builder
 	w := p.World
-	fmt.Fprintf(&text, "world seed %d, %d zones, %d daemons, %d engines, %d servers per app service, %d models, %d models per engine, disk share %g, poison share %g from %s\n",
-		w.Seed, w.Zones, w.Daemons, w.Engines, w.Apps, w.Models, w.ModelsPerEngine, w.DiskShare, w.PoisonShare, w.PoisonFrom)
+	fmt.Fprintf(&text, "world seed %d, %d zones, %d daemons, %d engines, %d servers per app service, %d models, %d models per engine, disk share %g, poison share %g from %s, store era %d\n",
+		w.Seed, w.Zones, w.Daemons, w.Engines, w.Apps, w.Models, w.ModelsPerEngine, w.DiskShare, w.PoisonShare, w.PoisonFrom, w.StoreEra)
 	for i, action := range p.Actions {
 		fmt.Fprintf(&text, "%3d %s\n", i, action)
 	}
@@ -134,6 +137,7 @@
 		plan.World.PoisonShare = rapid.SampledFrom([]float64{0, 0.2, 0.6}).Draw(t, "poisonShare")
 		plan.World.PoisonFrom = warmUp + time.Duration(rapid.IntRange(0, maxPoisonDelay).Draw(t, "poisonFrom"))*time.Second
 		plan.World.PoisonUntil = plan.World.PoisonFrom + poisonTime
+		drawRestores(t, &plan)
 		return plan
 	})
 }
--- a/verbenabench/internal/vrgatefuzz/run.go
+++ b/verbenabench/internal/vrgatefuzz/run.go
@@ -109,6 +109,8 @@
 		r.strandOwner(a)
 	case ActStrandOrders:
 		r.strandOrders(a)
+	case ActRestore:
+		r.restore(a)
 	case ActStoreDown, ActStoreCut, ActStoreSlow, ActLostAnswers, ActLateWrites:
 		r.disturbStore(a)
 	default:
@@ -150,7 +152,7 @@
 	case ActPublish:
 		w := r.world
 		if w.Store.Up() {
-			w.Store.Publish(vrgateworld.NewCatalog(w.Store.Newest().Version+1, w.Options))
+			w.Store.Publish(w.Store.Wanted() + 1)
 		}
 	default:
 		count := 1
--- a/verbenabench/internal/vrgatefuzz/vrgatefuzz_test.go
+++ b/verbenabench/internal/vrgatefuzz/vrgatefuzz_test.go
@@ -33,7 +33,7 @@
 		41002239: "the fakes kept the runs of a suspended daemon that was ended by force; no product fault",
 		51000129: "the oracle took a send that never arrived for the first arrival; no product fault",
 	} {
-		require.Nil(t, Run(PlanOf(seed), false).Violation, cause)
+		require.Nil(t, Run(PlanOf(seed).WithoutRestores(), false).Violation, cause)
 	}
 }
 
--- a/verbenabench/internal/vrgateworld/daemon.go
+++ b/verbenabench/internal/vrgateworld/daemon.go
@@ -58,6 +58,7 @@
 	deferred []func()
 	calls    map[vrevent.CallID]*Call
 	lastCall vrevent.CallID
+	store    storeView
 }
 
 // Disturb records a disruption that lasts for a duration from now.
@@ -92,6 +93,7 @@
 	})
 	d.Process = p
 	d.Disturb(0)
+	p.registerDaemon()
 	p.startPolling()
 	p.tick()
 }
--- a/verbenabench/internal/vrgateworld/follow.go
+++ b/verbenabench/internal/vrgateworld/follow.go
@@ -53,7 +53,7 @@
 		pl.p.after(w.randomDuration(minRetryDelay, maxRetryDelay), pl.failed)
 		return
 	}
-	pl.p.after(storeDelay+w.randomDuration(0, w.Store.MaxExtraDelay), pl.succeeded)
+	pl.p.after(storeDelay+w.randomDuration(0, w.Store.MaxExtraDelay), pl.answered)
 }
 
 func (pl *poller) failed() {
@@ -64,6 +64,23 @@
 	pl.run()
 }
 
+// answered handles the answer of the store. A watch from a former era or from a revision that the store
+// doesn't have ends, and everything is listed again.
+func (pl *poller) answered() {
+	s := pl.p.world.Store
+	if s.restoring > 0 {
+		pl.failed()
+		return
+	}
+	pl.p.recordEra(s.Era)
+	if pl.after != 0 && (pl.after.Era() != s.Era || pl.after > s.revision) {
+		pl.after = 0
+		pl.run()
+		return
+	}
+	pl.succeeded()
+}
+
 func (pl *poller) succeeded() {
 	if pl.failures >= storeLostThreshold {
 		pl.p.reduce(vrevent.StoreRecovered{})
@@ -76,14 +93,14 @@
 }
 
 func (p *Process) pollCatalog(after vrid.ObjectVersion) time.Duration {
-	if catalogs := p.world.Store.Catalogs; after == 0 && len(catalogs) > 1 && p.world.chance(staleListProbability) {
+	if catalogs := p.world.Store.stored; after == 0 && len(catalogs) > 1 && p.world.chance(staleListProbability) {
 		p.reduce(vrevent.CatalogSeen{Catalog: catalogs[len(catalogs)-2].Catalog})
 		return pollInterval
 	}
-	if guided, current := p.State.HeartbeatStatus(p.world.Now()); guided && current {
+	if guided, current := p.State.HeartbeatStatus(p.world.Now()); after != 0 && guided && current {
 		return pollInterval
 	}
-	if newest := p.world.Store.Newest(); p.State.Catalog() == nil || newest.Version > p.State.Catalog().Version {
+	if newest := p.world.Store.newestStored(); after == 0 || p.State.Catalog() == nil || newest.Version > p.State.Catalog().Version {
 		p.reduce(vrevent.CatalogSeen{Catalog: newest})
 	}
 	return pollInterval
@@ -97,7 +114,9 @@
 	if p.State.ServersFed(p.world.Now()) {
 		return pollInterval
 	}
-	after = p.State.ServersVersion()
+	if known := p.State.ServersVersion(); known.Era() == after.Era() {
+		after = known
+	}
 	changed := p.world.Store.since(after)
 	changed.After, changed.Version = after, p.world.Store.revision
 	if len(changed.Entries)+len(changed.Removed) == 0 {
@@ -117,8 +136,13 @@
 }
 
 func (p *Process) pollPeers() {
-	if p.world.Store.reaches(p.Daemon) {
-		p.deliver(vrevent.PeersListed{Peers: p.world.Store.peers})
+	if s := p.world.Store; s.reaches(p.Daemon) {
+		p.run(func() {
+			p.recordEra(s.Era)
+			if !p.world.Now().Before(p.store.peersFrom) {
+				p.reduce(vrevent.PeersListed{Peers: s.listPeers()})
+			}
+		})
 	}
 	p.after(peersInterval, p.pollPeers)
 }
--- a/verbenabench/internal/vrgateworld/server.go
+++ b/verbenabench/internal/vrgateworld/server.go
@@ -59,6 +59,10 @@
 	loading      []vrid.ModelID
 	running      []*Attempt
 	reports      []timedReport
+	// silentUntil is when the server writes its registration again after a restore of the store.
+	silentUntil time.Time
+	// known holds the processes that had to know that the server drains.
+	known map[*Process]bool
 }
 
 type timedReport struct {
@@ -81,6 +85,7 @@
 func (s *Server) start() {
 	w := s.world
 	s.Alive, s.Draining, s.LeaveRecordedAt = true, false, time.Time{}
+	s.known = make(map[*Process]bool)
 	s.Born = w.Now().UnixMilli()
 	s.heartbeats, s.orders, s.busy = 0, 0, false
 	s.loaded, s.inHostMemory, s.loading, s.running, s.reports = nil, nil, nil, nil, nil
@@ -120,12 +125,13 @@
 		entry.State = vrfleet.StateDraining
 	}
 	s.world.After(registerDelay, func() {
-		if s.world.Store.down || s.Born != entry.Born || !s.Alive {
+		if s.world.Store.unavailable() || s.Born != entry.Born || !s.Alive || s.world.Now().Before(s.silentUntil) {
 			return
 		}
 		s.world.Store.put(entry)
 		if entry.State == vrfleet.StateDraining && s.LeaveRecordedAt.IsZero() {
 			s.LeaveRecordedAt = s.world.Now()
+			s.noteKnownDraining()
 		}
 	})
 }
@@ -177,7 +183,7 @@
 func (s *Server) scheduleExpiry() {
 	incarnation := s.Born
 	s.world.After(entryTTL, func() {
-		if _, registered := s.world.Store.entries[s.ID]; registered && !s.Alive && s.Born == incarnation && !s.world.Store.down {
+		if _, registered := s.world.Store.entries[s.ID]; registered && !s.Alive && s.Born == incarnation && !s.world.Store.unavailable() {
 			s.world.Store.remove(s.ID)
 			s.LeaveRecordedAt = s.world.Now()
 		}
--- a/verbenabench/internal/vrgateworld/store.go
+++ b/verbenabench/internal/vrgateworld/store.go
@@ -35,12 +35,25 @@
 	LostAnswerRate, LateWriteRate float64
 	// DisturbedUntil is the end of the last disruption; it is in the future during one.
 	DisturbedUntil time.Time
-	// Catalogs lists all published versions with their times, the newest last.
+	// Catalogs lists all published versions with the times when they were first written, the newest last.
 	Catalogs []Published
+	// Era counts the restores of the store, from the era in which the world started. Restores counts
+	// those of this world.
+	Era      vrid.StoreEra
+	Restores int
 
-	world      *World
-	down       bool
-	downAt     time.Time
+	world  *World
+	down   bool
+	downAt time.Time
+	// restoring counts the restores that are in progress, restoredAt is when the last one ended.
+	restoring  int
+	restoredAt time.Time
+	// stored lists the catalogs in the store's history, wanted is the version that the operator wants to
+	// be in force, rewriting is set while the operator writes those that a restore has undone.
+	stored     []Published
+	wanted     vrid.ConfigVersion
+	rewriting  bool
+	lostPeers  map[vrid.DaemonID]bool
 	cutZones   map[vrid.ZoneID]bool
 	cutDaemons map[vrid.DaemonID]bool
 	revision   vrid.ObjectVersion
@@ -55,6 +68,7 @@
 type Published struct {
 	Catalog *vrcatalog.Catalog
 	At      time.Time
+	version vrid.ObjectVersion
 }
 
 type objectVersion struct {
@@ -66,12 +80,15 @@
 // change records that a registration was written, or removed if entry is nil.
 type change struct {
 	revision vrid.ObjectVersion
+	at       time.Time
 	id       vrid.ServerID
 	entry    *vrfleet.Entry
 }
 
 func newStore(w *World) *Store {
-	return &Store{world: w, cutZones: make(map[vrid.ZoneID]bool), cutDaemons: make(map[vrid.DaemonID]bool), entries: make(map[vrid.ServerID]vrfleet.Entry), objects: make(map[string][]objectVersion)}
+	s := &Store{world: w, Era: w.Options.StoreEra, lostPeers: make(map[vrid.DaemonID]bool), cutZones: make(map[vrid.ZoneID]bool), cutDaemons: make(map[vrid.DaemonID]bool), entries: make(map[vrid.ServerID]vrfleet.Entry), objects: make(map[string][]objectVersion)}
+	s.revision = s.version(0)
+	return s
 }
 
 // Disturb records a disruption that lasts for a duration from now.
@@ -128,31 +145,30 @@
 // CutDaemon disconnects one daemon from the store, or reconnects it.
 func (s *Store) CutDaemon(d *Daemon, cut bool) { s.cutDaemons[d.ID] = cut }
 
-// Up reports whether the store is not in an outage.
-func (s *Store) Up() bool { return !s.down }
+// Up reports whether the store is neither in an outage nor being restored.
+func (s *Store) Up() bool { return !s.unavailable() }
 
 // reaches reports whether a daemon can reach the store.
-func (s *Store) reaches(d *Daemon) bool { return !s.down && !s.cutZones[d.Zone] && !s.cutDaemons[d.ID] }
-
-// Publish writes a new version of the catalog.
-func (s *Store) Publish(catalog *vrcatalog.Catalog) {
-	s.revision++
-	s.Catalogs = append(s.Catalogs, Published{Catalog: catalog, At: s.world.Now()})
+func (s *Store) reaches(d *Daemon) bool {
+	return !s.unavailable() && !s.cutZones[d.Zone] && !s.cutDaemons[d.ID]
 }
 
-// Newest returns the newest catalog.
-func (s *Store) Newest() *vrcatalog.Catalog { return s.Catalogs[len(s.Catalogs)-1].Catalog }
+// Wanted returns the version of the catalog that the operator wants to be in force.
+func (s *Store) Wanted() vrid.ConfigVersion { return s.wanted }
+
+// newestStored returns the newest catalog in the store.
+func (s *Store) newestStored() *vrcatalog.Catalog { return s.stored[len(s.stored)-1].Catalog }
 
 func (s *Store) put(entry vrfleet.Entry) {
 	s.revision++
 	s.entries[entry.ID] = entry
-	s.changes = append(s.changes, change{revision: s.revision, id: entry.ID, entry: &entry})
+	s.changes = append(s.changes, change{revision: s.revision, at: s.world.Now(), id: entry.ID, entry: &entry})
 }
 
 func (s *Store) remove(id vrid.ServerID) {
 	s.revision++
 	delete(s.entries, id)
-	s.changes = append(s.changes, change{revision: s.revision, id: id})
+	s.changes = append(s.changes, change{revision: s.revision, at: s.world.Now(), id: id})
 }
 
 // list returns all registrations, ordered by server id.
@@ -196,7 +212,7 @@
 	w := s.world
 	if !s.reaches(p.Daemon) {
 		answer, after := lost, callTimeout
-		if s.down && w.chance(0.5) {
+		if s.unavailable() && w.chance(0.5) {
 			answer, after = refused, storeDelay
 		}
 		w.After(after, func() { p.deliver(answer) })
@@ -214,17 +230,20 @@
 			w.After(max(0, callTimeout-delay), func() { p.deliver(lost) })
 			return
 		}
-		w.After(storeDelay, func() { p.deliver(answer) })
+		era := s.Era
+		w.After(storeDelay, func() { p.deliverAnswer(era, answer) })
 	})
 }
 
 func (s *Store) read(p *Process, e vrevent.ReadObject) {
 	work := func() vrevent.Event {
 		object := s.objectAt(e.Key, e.Fresh)
-		if object.version == 0 {
-			return vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeNotFound}
+		// A stale read may return an object from before a restore, but it states the current era.
+		version := s.version(object.version.Revision())
+		if version.Revision() == 0 {
+			return vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeNotFound, Version: version}
 		}
-		return vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeOK, Version: object.version, Value: object.value}
+		return vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeOK, Version: version, Value: object.value}
 	}
 	s.call(p, false, work, vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeUnavailable},
 		vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeUnknown})
@@ -250,12 +269,17 @@
 		return vrevent.ObjectWritten{Op: e.Op, Key: e.Key, Outcome: outcome, Version: version}
 	}
 	work := func() vrevent.Event {
-		if object := s.objectAt(e.Key, true); object.version != e.IfVersion {
+		// The store compares revisions only, which it gives out again after a restore.
+		if object := s.objectAt(e.Key, true); object.version.Revision() != e.IfVersion.Revision() {
 			return answer(vrplatform.OutcomeConflict, object.version)
 		}
 		s.revision++
 		s.objects[e.Key] = append(s.objects[e.Key], objectVersion{version: s.revision, value: e.Value, at: s.world.Now()})
-		return answer(vrplatform.OutcomeOK, s.revision)
+		return answer(writeOutcome(e.IfVersion, s.revision), s.revision)
+	}
+	if e.IfVersion.Revision() != 0 && e.IfVersion.Era() != p.store.era {
+		p.deliver(answer(vrplatform.OutcomeConflict, 0))
+		return
 	}
 	s.call(p, true, work, answer(vrplatform.OutcomeUnavailable, 0), answer(vrplatform.OutcomeUnknown, 0))
 }
--- a/verbenabench/internal/vrgateworld/vrgateworld.go
+++ b/verbenabench/internal/vrgateworld/vrgateworld.go
@@ -39,6 +39,8 @@
 type Options struct {
 	// Seed seeds the random source; runs with the same seed are identical.
 	Seed uint64
+	// StoreEra is the era of the store at the start.
+	StoreEra vrid.StoreEra
 	// Zones is the number of zones. They share one region.
 	Zones int
 	// Daemons and Engines count those of the whole fleet, Apps the servers of each of the two
@@ -118,7 +120,7 @@
 	}
 	w.startedAt = w.Now()
 	w.Store = newStore(w)
-	w.Store.Publish(NewCatalog(1, options))
+	w.Store.Publish(1)
 	for i := range options.Engines {
 		w.addServer(ServiceEngine, w.zone(i), "")
 	}
