Replace a lease record that cannot be decoded

What callers would see: once another writer has overwritten the lease of the placement owner with a value that is no record, no daemon becomes the owner again, so models are neither loaded nor unloaded for good. The former owner stays one in its own view until its lease runs out.

Cause: HandleRead ignored a malformed record, so no daemon ever observed the object's version, and a candidate only writes on an observed version.

Change: with ReplaceMalformed, which gateways set, a malformed record counts as that of an unknown daemon. The holder steps down, and a candidate acquires the lease after the record has stayed unchanged for a lease's duration. Its orders wait for the quiet period after that, and its epoch is above the revision, since each former epoch took a write. Ledgers of zones don't set it, because their record holds the number of chunks, which a malformed one has lost.

--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -100,7 +100,7 @@
 		retryBudget: vrretry.New(opts.Bounds.Retries),
 		lease: vrlease.New(vrlease.Options{
 			Key: vrplatform.KeyFleetLease, Daemon: opts.Daemon, Boot: opts.Boot, Peer: opts.Address,
-			Ops: &vrevent.Ops{}, Random: random,
+			Ops: &vrevent.Ops{}, Random: random, ReplaceMalformed: true,
 			Timing: vrlease.Timing{
 				Duration: lease / 2, RenewInterval: lease / 5, ReadInterval: lease / 4, UnreachableDuration: lease / 2, QuietPeriod: lease,
 			},
--- a/verbenacore/vrlease/restore_test.go
+++ b/verbenacore/vrlease/restore_test.go
@@ -100,7 +100,7 @@
 
 func newStoreClient(store *restoredStore, now *time.Time, daemon vrid.DaemonID, boot vrid.BootID) *storeClient {
 	return &storeClient{store: store, now: now, lease: vrlease.New(vrlease.Options{
-		Key: "leases/f", Daemon: daemon, Boot: boot, Ops: &vrevent.Ops{}, Random: rand.New(rand.NewPCG(1, 2)), Timing: restoreTiming,
+		Key: "leases/f", Daemon: daemon, Boot: boot, Ops: &vrevent.Ops{}, Random: rand.New(rand.NewPCG(1, 2)), Timing: restoreTiming, ReplaceMalformed: true,
 	})}
 }
 
--- a/verbenacore/vrlease/vrlease.go
+++ b/verbenacore/vrlease/vrlease.go
@@ -115,6 +115,9 @@
 	Peer   string
 	Ops    *vrevent.Ops
 	Random *rand.Rand
+	// ReplaceMalformed lets a candidate replace a record that can't be decoded once that has stayed
+	// unchanged for the duration of a lease. The number of chunks in it is lost.
+	ReplaceMalformed bool
 	// Timing defaults to the constants of this package if it is zero.
 	Timing Timing
 }
@@ -367,6 +370,11 @@
 // revision.
 func (l *Lease) nextEpoch() vrid.Epoch {
 	epoch := l.highestEpoch + 1
+	if l.opts.ReplaceMalformed && l.latest.Holder == "" {
+		// The record that a malformed one replaced is unknown. Each epoch took at least one write, so
+		// none of them is above the revision.
+		epoch = max(epoch, vrid.Epoch(l.version.Revision())+1)
+	}
 	if era := l.version.Era(); era > 0 {
 		epoch = max(epoch, vrid.Epoch(era)<<eraEpochBits+vrid.Epoch(l.version.Revision())+1)
 	}
@@ -473,7 +481,11 @@
 	record, err := vrwire.Unmarshal[Record](event.Value)
 	if err != nil {
 		out.Warn("lease record is malformed", vrevent.Field("key", l.opts.Key), vrevent.Field("error", err.Error()))
-		return ChangeNone
+		if !l.opts.ReplaceMalformed {
+			return ChangeNone
+		}
+		// It may have replaced the record of any holder, so it counts as one of an unknown daemon.
+		return l.apply(now, Record{Chunks: l.latest.Chunks}, event.Version, source)
 	}
 	return l.apply(now, *record, event.Version, source)
 }
