Make entries of servers invalid in the gateway fuzz test

What callers would see: nothing; a check that was missing. An invalid entry counts as a removed server, after which the placement owner forgets what it ordered there. If a model were then loaded beside one whose order the server executes late, the server would run out of memory (LIMIT).

Cause: vrgateworld removed the registrations of live servers only in outages.

Change: a plan makes the entries of drawn engines invalid until their next heartbeat, while orders are executed late and models are requested. Drawn last, after the restores.

--- a/verbenabench/internal/vrgatefuzz/plan.go
+++ b/verbenabench/internal/vrgatefuzz/plan.go
@@ -54,13 +54,16 @@
 	// ActRestore makes the store come back from a copy after an outage. Its place in a plan is drawn
 	// last.
 	ActRestore
+	// ActOddEntry makes the entry of a server invalid until its next heartbeat, while it may execute orders
+	// late. Its place in a plan is drawn last.
+	ActOddEntry
 	actCount
 )
 
 var _actionNames = [actCount]string{
 	"wait", "request", "burst", "leave", "publish", "kill", "killOwner", "killAll", "pause", "pauseOwner", "stop", "loss",
 	"storeDown", "storeCut", "storeSlow", "lostAnswers", "lateWrites", "lateOrders", "lostOrders", "serverCut", "serverDrain",
-	"serverDie", "serverRestart", "serverReuse", "serverBreaks", "serverErrors", "serverSlow", "strandOwner", "strandOrders", "restore",
+	"serverDie", "serverRestart", "serverReuse", "serverBreaks", "serverErrors", "serverSlow", "strandOwner", "strandOrders", "restore", "oddEntry",
 }
 
 // String returns the name that traces show.
@@ -138,6 +141,7 @@
 		plan.World.PoisonFrom = warmUp + time.Duration(rapid.IntRange(0, maxPoisonDelay).Draw(t, "poisonFrom"))*time.Second
 		plan.World.PoisonUntil = plan.World.PoisonFrom + poisonTime
 		drawRestores(t, &plan)
+		drawOddEntries(t, &plan)
 		return plan
 	})
 }
--- a/verbenabench/internal/vrgatefuzz/restore.go
+++ b/verbenabench/internal/vrgatefuzz/restore.go
@@ -47,10 +47,10 @@
 	return positions
 }()
 
-// WithoutRestores returns the plan as it was before plans had restores of the store.
+// WithoutRestores returns the plan as it was before plans had restores of the store and invalid entries.
 func (p Plan) WithoutRestores() Plan {
 	p.World.StoreEra = 0
-	p.Actions = slices.DeleteFunc(slices.Clone(p.Actions), func(a Action) bool { return a.Kind == ActRestore })
+	p.Actions = slices.DeleteFunc(slices.Clone(p.Actions), func(a Action) bool { return a.Kind == ActRestore || a.Kind == ActOddEntry })
 	return p
 }
 
--- a/verbenabench/internal/vrgatefuzz/run.go
+++ b/verbenabench/internal/vrgatefuzz/run.go
@@ -111,6 +111,8 @@
 		r.strandOrders(a)
 	case ActRestore:
 		r.restore(a)
+	case ActOddEntry:
+		r.oddEntry(a)
 	case ActStoreDown, ActStoreCut, ActStoreSlow, ActLostAnswers, ActLateWrites:
 		r.disturbStore(a)
 	default:
--- a/verbenabench/internal/vrgateworld/restore.go
+++ b/verbenabench/internal/vrgateworld/restore.go
@@ -256,3 +256,12 @@
 
 // KnownDraining reports whether a process had to know that the server drains.
 func (s *Server) KnownDraining(p *Process) bool { return s.known[p] }
+
+// MakeEntryInvalid makes the server's entry invalid until it registers again. Daemons see an invalid
+// entry as one that was removed.
+func (s *Server) MakeEntryInvalid() {
+	store := s.world.Store
+	if _, registered := store.entries[s.ID]; registered && s.Alive && !store.unavailable() {
+		store.remove(s.ID)
+	}
+}
