--- a/verbenacore/vrfault/vrfault.go
+++ b/verbenacore/vrfault/vrfault.go
@@ -90,6 +90,14 @@
 	HoldPastLimit
 	// IgnoreQuarantine sends calls whose prompts crash servers.
 	IgnoreQuarantine
+	// IgnoreEras compares the versions of server lists by revision only.
+	IgnoreEras
+	// ReuseEpochs takes the next epoch from the current lease record, which a restore may have set back.
+	ReuseEpochs
+	// TrustRestoredLease gives orders without waiting for a holder whose lease a restore has undone.
+	TrustRestoredLease
+	// TrustCopies brings back the state of servers from a restored store.
+	TrustCopies
 )
 
 // Names maps the faults that do not belong to gateways to their names.
@@ -136,4 +144,8 @@
 	KeepLeft:             "keepLeft",
 	HoldPastLimit:        "holdPastLimit",
 	IgnoreQuarantine:     "ignoreQuarantine",
+	IgnoreEras:           "ignoreEras",
+	ReuseEpochs:          "reuseEpochs",
+	TrustRestoredLease:   "trustRestoredLease",
+	TrustCopies:          "trustCopies",
 }
--- a/verbenacore/vrfeed/vrfeed.go
+++ b/verbenacore/vrfeed/vrfeed.go
@@ -13,6 +13,7 @@
 	"slices"
 	"time"
 
+	"verbenaroute.example/verbenacore/vrfault"
 	"verbenaroute.example/verbenacore/vrfleet"
 	"verbenaroute.example/verbenacore/vrid"
 )
@@ -114,7 +115,11 @@
 // HandleList applies a full list that the daemon read from the store. It returns false if the
 // list is older than the daemon's view.
 func (f *Feed) HandleList(version vrid.ObjectVersion, entries []vrfleet.Entry) bool {
-	if version != 0 && version < f.version {
+	outdated := version < f.version
+	if vrfault.On(vrfault.IgnoreEras) {
+		outdated = version.Revision() < f.version.Revision()
+	}
+	if version != 0 && outdated {
 		return false
 	}
 	if version.Era() != f.version.Era() {
--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -172,11 +172,11 @@
 		f.reindex()
 		return ChangeRestarted
 	}
-	if entry.Beat < server.Beat {
+	if entry.Beat < server.Beat && !vrfault.On(vrfault.TrustCopies) {
 		// An older copy of the entry, for example from a stale read.
 		return ChangeNone
 	}
-	if server.State == StateDraining {
+	if server.State == StateDraining && !vrfault.On(vrfault.TrustCopies) {
 		// A draining server only ever shuts down. An entry in which it is ready was written before, or
 		// repeats one that was.
 		entry.State = StateDraining
--- a/verbenacore/vrlease/vrlease.go
+++ b/verbenacore/vrlease/vrlease.go
@@ -237,6 +237,9 @@
 // assumeOtherHolder records that another daemon may have acquired or renewed the lease until now. A
 // restored store does not show who did.
 func (l *Lease) assumeOtherHolder(now time.Time) {
+	if vrfault.On(vrfault.TrustRestoredLease) {
+		return
+	}
 	end := now.Add(l.opts.Timing.Duration)
 	if end.After(l.otherRunEnd) {
 		l.otherRunEnd = end
@@ -369,6 +372,9 @@
 // were given out in former eras and on lower revisions of this era. Only one write succeeds on a
 // revision.
 func (l *Lease) nextEpoch() vrid.Epoch {
+	if vrfault.On(vrfault.ReuseEpochs) {
+		return l.latest.Epoch + 1
+	}
 	epoch := l.highestEpoch + 1
 	if l.opts.ReplaceMalformed && l.latest.Holder == "" {
 		// The record that a malformed one replaced is unknown. Each epoch took at least one write, so
