--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -69,8 +69,8 @@
 	// place is the place that was asked for to hedge the present send, or nil if none is or it was
 	// answered.
 	place *placeRequest
-	// placeAsked is set once a place was asked for.
-	// refusedPlaces lists the servers that have refused one since all others had.
+	// placeAsked is set once a place was asked for. refusedPlaces lists the servers that have refused one
+	// since all others had.
 	placeAsked    bool
 	refusedPlaces []vrid.ServerID
 	// held is set while the call waits until a suspected part of its prompt is cleared. heldSince
