--- a/review/standin/config.go
+++ b/review/standin/config.go
@@ -14,7 +14,14 @@
 var limits = map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
 
 // configuration returns a configuration with the routes of Hayabusa's sheet.
-func configuration(version int) map[string]any {
+func configuration(version int, sizes []modelSize) map[string]any {
+	models := []any{}
+	for _, m := range sizes {
+		models = append(models, map[string]any{
+			"name": m.name, "weights_mb": m.weights, "load_time_s": m.loadTime.Seconds(), "disk_s": m.diskTime.Seconds(), "adapters": 28,
+			"adapter_size_mb": m.adapterMB,
+		})
+	}
 	route := func(name, prefix, kind, service string, timeout, target, priority, attempts int) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "path_prefix": prefix, "type": kind, "timeout_ms": timeout, "target_latency_ms": target,
@@ -36,9 +43,7 @@
 				"name": llmService, "health_path": "/healthz", "max_connections": 370, "protocol": "h1", "tls": false,
 				"engine": map[string]any{
 					"slots": 64, "kv_capacity": 154135, "kv_token_bytes": 327680, "hold_ms": 2000.0, "pin_ms": 4000.0, "handle_s": 5.0,
-					"weights_mb": 200000.0, "adapter_slots": 8, "loads_per_s": 3.4, "models": []any{
-						map[string]any{"name": "daka510000", "weights_mb": 65100.0, "load_time_s": 6.0, "adapters": 0, "adapter_size_mb": 12.0},
-					},
+					"weights_mb": weightsMB, "adapter_slots": adapterSlots, "loads_per_s": 3.4, "models": models,
 				},
 			},
 		},
--- a/review/standin/refused.go
+++ b/review/standin/refused.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -14,8 +15,9 @@
 
 // Dose of the disruption: one server of three fails four in ten of its requests.
 const (
-	greyShare = 4
-	greyOf    = 10
+	greyServer = "i-7f3a91c0"
+	greyShare  = 4
+	greyOf     = 10
 )
 
 // refused sends orders that must not be repeated. One server fails part of them after it has run them,
@@ -23,16 +25,16 @@
 // 503, 408 or 421 and a server has run its request.
 func refused(dir string, trouble bool) bool {
 	s := newStore()
-	s.put("config", "main", configuration(7))
+	s.put("config", "main", configuration(7, nil))
 	zones := []string{"fukuoka-a", "kumamoto-a", "kagoshima-a"}
-	var servers []*server
+	var servers []*appServer
 	var countMu sync.Mutex
 	count := 0
-	handle := func(v *server, w http.ResponseWriter, r *http.Request, _ []byte) {
+	handle := func(v *appServer, w http.ResponseWriter, r *http.Request, _ []byte) {
 		id := v.run(r)
 		time.Sleep(60 * time.Millisecond)
 		fails := false
-		if trouble && v == servers[0] {
+		if trouble && v.id == greyServer {
 			countMu.Lock()
 			fails = count%greyOf < greyShare
 			count++
@@ -46,7 +48,7 @@
 		v.answer(w, r, http.StatusOK, []byte("confirmed "+id))
 	}
 	for i, zone := range zones {
-		servers = append(servers, startServer(s, fmt.Sprintf("i-7f3a91c%d", i), appService, zone, 6, nil, handle))
+		servers = append(servers, startApp(s, fmt.Sprintf("i-7f3a91c%d", i), zone, handle))
 	}
 	g := startGateway(dir, "edge-fukuoka-a-1", "fukuoka-a", s)
 	broken, doubled := 0, 0
@@ -94,7 +96,7 @@
 
 // confirm sends one attempt of an order on a connection of its own and returns the status, 0 for none.
 func confirm(g *gateway, id string) (status int, retryAfter time.Duration) {
-	transport := &http.Transport{DialContext: dialer.DialContext}
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
 	defer transport.CloseIdleConnections()
 	client := http.Client{Transport: transport, Timeout: 2 * time.Second}
 	request, err := http.NewRequest(http.MethodPost, "http://"+g.callers+confirmPath+"2f", strings.NewReader("frame 17, left temple"))
--- a/review/standin/servers.go
+++ b/review/standin/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -9,56 +10,59 @@
 	"time"
 )
 
-// handlerFunc answers one request of a client at a server.
-type handlerFunc func(s *server, w http.ResponseWriter, r *http.Request, body []byte)
-
-// server is a stand-in for one server of a service. It rejects requests for another instance and
-// answers its health check.
+// server is the part that the stand-ins for all servers have in common: the entry in the store with its
+// heartbeats, the health check, and the refusal of requests for another instance.
 type server struct {
-	id, service, address string
-	handle               handlerFunc
-	slots                int
-	models               []string
+	id, service, zone, address string
+	slots                      int
+	born                       int64
+	handler                    http.Handler
+	listener                   net.Listener
+	store                      *store
+	// models lists the loaded models of a language server; it is nil for others.
+	models func() []any
+	// available lists its copies of weights.
+	available func() map[string]any
 
-	mu       sync.Mutex
-	sequence int
-	ran      map[string]int
-	state    string
+	mu    sync.Mutex
+	beat  int
+	ran   map[string]int
+	state string
 }
 
-// startServer starts a server and registers it in the store, as a server with heartbeats does.
-func startServer(s *store, id, service, zone string, slots int, models []string, handle handlerFunc) *server {
+func newServer(id, service, zone string, slots int, handler http.Handler) *server {
 	l := listen()
-	v := &server{
-		id: id, service: service, address: l.Addr().String(), handle: handle, slots: slots, models: models,
-		ran: make(map[string]int), state: "ready",
-	}
-	go func() { _ = http.Serve(l, v) }()
-	born := time.Now().UnixMilli()
-	register := func() {
-		v.mu.Lock()
-		v.sequence++
-		loaded := []any{}
-		for _, m := range v.models {
-			loaded = append(loaded, map[string]any{"name": m, "version": 1, "adapters": []string{}})
-		}
-		spec := map[string]any{
-			"service": service, "address": v.address, "zone": zone, "version": "v1", "slots": slots, "state": v.state,
-			"cold_remaining_ms": 0, "sequence": v.sequence, "born": born,
-		}
-		if len(models) > 0 {
-			spec["stage"], spec["models"] = "prefill_decode", loaded
-		}
-		v.mu.Unlock()
-		s.put("servers", id, spec)
+	return &server{
+		id: id, service: service, zone: zone, address: l.Addr().String(), slots: slots, handler: handler, listener: l,
+		ran: make(map[string]int), state: "ready", born: time.Now().UnixMilli(),
 	}
-	register()
+}
+
+// start serves, and registers the server in the store every heartbeat.
+func (v *server) start(s *store) {
+	v.store = s
+	go func() { _ = http.Serve(v.listener, v) }()
+	v.register()
 	go func() {
 		for range time.Tick(1200 * time.Millisecond) {
-			register()
+			v.register()
 		}
 	}()
-	return v
+}
+
+func (v *server) register() {
+	spec := map[string]any{
+		"service": v.service, "address": v.address, "zone": v.zone, "version": "v1", "slots": v.slots, "cold_remaining_ms": 0, "born": v.born,
+	}
+	if v.models != nil {
+		spec["stage"], spec["models"] = "prefill_decode", v.models()
+		spec["available"] = v.available()
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.beat++
+	spec["state"], spec["sequence"] = v.state, v.beat
+	v.store.put("servers", v.id, spec)
 }
 
 func (v *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -67,38 +71,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	switch r.URL.Path {
-	case "/healthz":
+	if r.URL.Path == "/healthz" {
 		w.Header().Set("Instance-Id", v.id)
 		return
-	case "/report":
-		v.report(w)
-		return
-	case "/order", "/hold-take":
-		reply(w, http.StatusServiceUnavailable, map[string]any{})
-		return
-	}
-	body := make([]byte, 0, max(r.ContentLength, 0))
-	buffer := make([]byte, 32<<10)
-	for {
-		n, err := r.Body.Read(buffer)
-		body = append(body, buffer[:n]...)
-		if err != nil {
-			break
-		}
-	}
-	v.handle(v, w, r, body)
-}
-
-func (v *server) report(w http.ResponseWriter) {
-	loaded := []any{}
-	for _, m := range v.models {
-		loaded = append(loaded, map[string]any{"name": m, "version": 1, "adapters": []string{}})
 	}
-	reply(w, http.StatusOK, map[string]any{
-		"stage": "prefill_decode", "models": loaded, "busy": false, "sequence": 0, "waiting": 0, "in_flight": 0,
-		"kv_used": 0, "kv_total": 154135, "handles": 0,
-	})
+	v.handler.ServeHTTP(w, r)
 }
 
 // run records that the server has begun to work on a request.
@@ -129,5 +106,20 @@
 	_, _ = w.Write(body)
 }
 
-// dialer is used by clients.
-var dialer = net.Dialer{Timeout: time.Second}
+// appServer is a stand-in for a server of the ordering application.
+type appServer struct {
+	*server
+	handle func(v *appServer, w http.ResponseWriter, r *http.Request, body []byte)
+}
+
+func startApp(s *store, id, zone string, handle func(*appServer, http.ResponseWriter, *http.Request, []byte)) *appServer {
+	v := &appServer{handle: handle}
+	v.server = newServer(id, appService, zone, 6, v)
+	v.server.start(s)
+	return v
+}
+
+func (v *appServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	v.handle(v, w, r, body)
+}
