--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -8,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -195,9 +197,22 @@
 	_, _ = w.Write(data)
 }
 
+// windowBytes and segmentBytes are the receive buffer and the largest segment of the stand-ins' connections.
+// The users' links have small windows, and no link but the loopback one has segments of 64 KiB.
+const (
+	windowBytes  = 64 << 10
+	segmentBytes = 1400
+)
+
 // listen returns a listener on a free loopback port.
 func listen() net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, windowBytes)
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes)
+		})
+	}}
+	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		unable("cannot listen: %v", err)
 	}
