--- a/review/standin/adapter_size.go
+++ b/review/standin/adapter_size.go
@@ -15,8 +15,11 @@
 	const load, disk = 6 * time.Second, 760 * time.Millisecond
 	const small, large, filler = "daka510000", "rada7437b5", "nyti185f3"
 	sizes := []modelSize{
-		{small, 65100, 12, load, disk}, {large, 72700, 66, load, disk}, {filler, 62150, 40, load, disk},
-		{"xada684e3e", 72700, 66, load, disk}, {"puvo87bda8", 60000, 40, load, disk},
+		{small, 65100, 12, load, disk},
+		{large, 72700, 66, load, disk},
+		{filler, 62150, 40, load, disk},
+		{"xada684e3e", 72700, 66, load, disk},
+		{"puvo87bda8", 60000, 40, load, disk},
 	}
 	s := newStore()
 	s.put("config", "main", configuration(7, sizes))
