Review: new case 5, orders of a former owner arrive after its successor's (ONE)

Cause: an order without an answer stays in the kernel's send buffer, and its connection is closed, not reset.

--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -44,6 +44,8 @@
 	crashed bool
 	// overLimit describes the orders that did not fit.
 	overLimit []string
+	// orders are the orders that arrived.
+	orders []arrivedOrder
 	// pause is the time between two events of a stream.
 	pause time.Duration
 }
@@ -57,6 +59,11 @@
 )
 
 func startEngine(s *store, id, zone string, sizes []modelSize, holds []string, onDisk ...string) *engine {
+	return startLinkedEngine(s, id, zone, sizes, holds, nil, onDisk...)
+}
+
+// startLinkedEngine starts a server whose entry names the address that link returns for its own one.
+func startLinkedEngine(s *store, id, zone string, sizes []modelSize, holds []string, link func(address string) string, onDisk ...string) *engine {
 	e := &engine{
 		sizes: make(map[string]modelSize), holds: make(map[string]bool), adapters: make(map[string]adapterState),
 		running: make(map[string]int), onDisk: make(map[string]bool), pause: 200 * time.Millisecond,
@@ -72,6 +79,9 @@
 	}
 	e.server = newServer(id, llmService, zone, 64, e)
 	e.server.models, e.server.available = e.loadedModels, e.copies
+	if link != nil {
+		e.server.announced = link(e.server.address)
+	}
 	e.server.start(s)
 	return e
 }
@@ -158,6 +168,13 @@
 	return total
 }
 
+// arrivedOrder is an order that arrived at a server.
+type arrivedOrder struct {
+	at     time.Time
+	holder string
+	token  int64
+}
+
 type order struct {
 	Operation string `json:"operation"`
 	Model     string `json:"model"`
@@ -175,6 +192,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.orders = append(e.orders, arrivedOrder{at: time.Now(), holder: o.Holder, token: *o.Token})
 	status := e.carryOut(&o)
 	record("server %s: order of %s (token %d): %s %s %s -> %d, sequence %d, %d adapters, %.0f MB used", e.id, o.Holder, *o.Token,
 		o.Operation, o.Model, o.Adapter, status, e.sequence, len(e.adapters), e.used())
--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -26,6 +26,11 @@
 
 // startGateway renders the settings as the platform does, starts the daemon and waits until it is ready.
 func startGateway(dir, name, zone string, s *store) *gateway {
+	return startLinkedGateway(dir, name, zone, s.address)
+}
+
+// startLinkedGateway starts a daemon that reaches the store at the given address.
+func startLinkedGateway(dir, name, zone, storeAddress string) *gateway {
 	ports := freePorts(4)
 	g := &gateway{
 		name: name, callers: "127.0.0.1:" + ports[0], readiness: "127.0.0.1:" + ports[1],
@@ -38,7 +43,7 @@
 		"listen.readiness":        g.readiness,
 		"internal_port_range.0":   ports[2],
 		"internal_port_range.1":   ports[3],
-		"platform.address":        s.address,
+		"platform.address":        storeAddress,
 		"limits.memory_mb":        284,
 		"bounds.lease_ms":         3000,
 		"bounds.contact_ms":       3000,
--- a/review/standin/servers.go
+++ b/review/standin/servers.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -18,7 +19,9 @@
 	born                       int64
 	handler                    http.Handler
 	listener                   net.Listener
-	store                      *store
+	// announced is the address in the entry, if it is another one than the server's own.
+	announced string
+	store     *store
 	// models lists the loaded models of a language server; it is nil for others.
 	models func() []any
 	// available lists its copies of weights.
@@ -52,7 +55,7 @@
 
 func (v *server) register() {
 	spec := map[string]any{
-		"service": v.service, "address": v.address, "zone": v.zone, "version": "v1", "slots": v.slots, "cold_remaining_ms": 0, "born": v.born,
+		"service": v.service, "address": cmp.Or(v.announced, v.address), "zone": v.zone, "version": "v1", "slots": v.slots, "cold_remaining_ms": 0, "born": v.born,
 	}
 	if v.models != nil {
 		spec["stage"], spec["models"] = "prefill_decode", v.models()
