--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -18,23 +18,30 @@
 // gateway is one daemon, started with the command and the template of the deploy file.
 type gateway struct {
 	name, callers, readiness, settings string
-	cmd                                *exec.Cmd
-	exited                             chan struct{}
+	// peers is where other daemons reach this one.
+	peers  string
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 var placeholder = regexp.MustCompile(`\{\{([a-z_.0-9]+)(\|json)?\}\}`)
 
 // startGateway renders the settings as the platform does, starts the daemon and waits until it is ready.
 func startGateway(dir, name, zone string, s *store) *gateway {
-	return startLinkedGateway(dir, name, zone, s.address)
+	return startLinkedGateway(dir, name, zone, s.address, nil)
 }
 
-// startLinkedGateway starts a daemon that reaches the store at the given address.
-func startLinkedGateway(dir, name, zone, storeAddress string) *gateway {
+// startLinkedGateway starts a daemon that reaches the store at the given address. It calls beforeStart, which
+// may be nil, when the daemon's addresses are known.
+func startLinkedGateway(dir, name, zone, storeAddress string, beforeStart func(*gateway)) *gateway {
 	ports := freePorts(4)
 	g := &gateway{
 		name: name, callers: "127.0.0.1:" + ports[0], readiness: "127.0.0.1:" + ports[1],
 		settings: filepath.Join(dir, name+".conf"), exited: make(chan struct{}),
+		peers: "127.0.0.1:" + ports[2],
+	}
+	if beforeStart != nil {
+		beforeStart(g)
 	}
 	values := map[string]any{
 		"node_name": name, "zone": zone, "ip": "127.0.0.1", "bootstrap": true,
