--- a/review/standin/adapter_inuse.go
+++ b/review/standin/adapter_inuse.go
@@ -41,6 +41,11 @@
 		time.Sleep(60 * time.Millisecond)
 	}
 	time.Sleep(1500 * time.Millisecond)
+	for _, e := range engines {
+		if taken := e.takenPlaces(); taken != adapterSlots {
+			unable("server %s has %d adapters in use, not %d", e.id, taken, adapterSlots)
+		}
+	}
 	if trouble {
 		second.signal(syscall.SIGSTOP)
 	}
--- a/review/standin/adapter_size.go
+++ b/review/standin/adapter_size.go
@@ -31,16 +31,20 @@
 	g := startGateway(dir, "edge-fukuoka-a-1", "fukuoka-a", s)
 	time.Sleep(6 * time.Second)
 	number := 0
-	request := func(model string) {
+	request := func(model string) streamResult {
 		number++
-		ask(context.Background(), g, fmt.Sprintf("%016x", 0x3000+number), model, 25, fmt.Sprintf("5c1e07a2:119,%x:400", 0x9000+number))
+		return ask(context.Background(), g, fmt.Sprintf("%016x", 0x3000+number), model, 25, fmt.Sprintf("5c1e07a2:119,%x:400", 0x9000+number))
+	}
+	if !request(small + "/a1").complete {
+		unable("the first request was not served")
 	}
-	request(small + "/a1")
 	time.Sleep(2 * time.Second)
 	if trouble {
 		record("the demand moves to %s", filler)
 		for range 3 {
-			request(filler)
+			if !request(filler).complete {
+				unable("the model of the moved demand was not served")
+			}
 		}
 		time.Sleep(2 * time.Second)
 	}
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -324,6 +325,26 @@
 	record("LIMIT: server %s is ordered to load more than it holds: %s; it crashes", e.id, what)
 }
 
+// arrivedOrders returns the orders that have arrived.
+func (e *engine) arrivedOrders() []arrivedOrder {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders)
+}
+
+// takenPlaces returns the number of adapters that requests use.
+func (e *engine) takenPlaces() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	taken := 0
+	for name := range e.adapters {
+		if e.running[name] > 0 {
+			taken++
+		}
+	}
+	return taken
+}
+
 // limitBroken returns the orders that did not fit.
 func (e *engine) limitBroken() []string {
 	e.mu.Lock()
--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -65,7 +65,9 @@
 			g.signal(syscall.SIGKILL)
 			<-g.exited
 			time.Sleep(time.Second)
-			g.start(dir)
+			if !g.start(dir) {
+				unable("%s did not start again", g.name)
+			}
 		}
 	}()
 	return ends, peak
