Log how a catalog was read, and the age of the owner's heartbeat

Cause: a version that is in force late at many daemons could come from slow reads of each daemon, or from reads that were skipped on the word of the placement owner. The line `catalog adopted` told neither.

Change: it states the call, the time from the first byte of its response until it was decoded, whether the daemon is the owner, and the age of the owner's last heartbeat; the version in force is a metric.

No logic changes.

--- a/verbenacore/vrevent/gateway.go
+++ b/verbenacore/vrevent/gateway.go
@@ -132,6 +132,14 @@
 	Zone vrid.ZoneID
 }
 
+// CatalogRead describes the call to the store that returned a catalog.
+type CatalogRead struct {
+	// Call is "list" or "watch".
+	Call string
+	// Receiving is the time from the first byte of the last response until it was decoded.
+	Receiving time.Duration
+}
+
 // Events of the gateway.
 type (
 	// CallArrived reports a client attempt whose body has been read.
@@ -213,7 +221,11 @@
 	}
 
 	// CatalogSeen carries a validated catalog.
-	CatalogSeen struct{ Catalog *vrcatalog.Catalog }
+	CatalogSeen struct {
+		Catalog *vrcatalog.Catalog
+		// Read says how the catalog was read, for logs.
+		Read CatalogRead
+	}
 
 	// StoreLost reports that this daemon no longer reaches the platform's store.
 	StoreLost struct{ Detail string }
--- a/verbenacore/vrgateway/heartbeat.go
+++ b/verbenacore/vrgateway/heartbeat.go
@@ -32,6 +32,14 @@
 	catalogVersion vrid.ConfigVersion
 }
 
+// age returns the time since the heartbeat was received, zero if there was none.
+func (h *ownerHeartbeat) age(now time.Time) time.Duration {
+	if h.receivedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(h.receivedAt)
+}
+
 // tickHeartbeat sends heartbeats to all other daemons if this daemon is the placement owner. It sends
 // none for storeRecoveryGrace after a restore of the store: its watch of the catalog may be one from
 // before, which shows no change of the restored store.
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -165,7 +165,7 @@
 	case vrevent.ClientGone:
 		s.handleClientGone(now, e, out)
 	case vrevent.CatalogSeen:
-		s.applyCatalog(e.Catalog, out)
+		s.applyCatalog(now, e, out)
 	case vrevent.FleetListed:
 		s.applyFleetList(now, e, out)
 	case vrevent.FleetChanged:
@@ -219,11 +219,14 @@
 }
 
 // applyCatalog adopts a newer catalog. Older versions are ignored.
-func (s *State) applyCatalog(catalog *vrcatalog.Catalog, out *vrevent.Effects) {
+func (s *State) applyCatalog(now time.Time, e vrevent.CatalogSeen, out *vrevent.Effects) {
+	catalog := e.Catalog
 	if s.catalog != nil && catalog.Version <= s.catalog.Version && !vrfault.On(vrfault.TakeOldCatalog) {
 		return
 	}
 	s.catalog = catalog
 	out.Info("catalog adopted", number("version", uint64(catalog.Version)),
-		number("routes", uint64(len(catalog.Routes))), number("services", uint64(len(catalog.Services))))
+		number("routes", uint64(len(catalog.Routes))), number("services", uint64(len(catalog.Services))),
+		text("call", e.Read.Call), millis("receivingMs", e.Read.Receiving), boolean("owner", s.lease.Holding()),
+		millis("heartbeatMs", s.heartbeat.age(now)))
 }
--- a/verbenaroute/internal/vrnode/metrics.go
+++ b/verbenaroute/internal/vrnode/metrics.go
@@ -49,6 +49,12 @@
 	gauge("verbena_resumes_total", func() float64 { return float64(n.state.Counts().Resumed) })
 	gauge(`verbena_prompt_parts{state="suspected"}`, func() float64 { suspected, _ := n.state.PromptParts(); return float64(suspected) })
 	gauge(`verbena_prompt_parts{state="blocked"}`, func() float64 { _, blocked := n.state.PromptParts(); return float64(blocked) })
+	gauge("verbena_catalog_version", func() float64 {
+		if catalog := n.state.Catalog(); catalog != nil {
+			return float64(catalog.Version)
+		}
+		return 0
+	})
 	gauge("verbena_orders_total", func() float64 { return float64(n.state.Counts().Orders) })
 	gauge("verbena_orders_unknown_total", func() float64 { return float64(n.state.Counts().OrdersUnknown) })
 	gauge(`verbena_servers_leaving_total{cause="response"}`, func() float64 { return float64(n.state.Counts().LeavingByResponse) })
--- a/verbenaroute/internal/vrnode/store.go
+++ b/verbenaroute/internal/vrnode/store.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -299,22 +301,40 @@
 func (n *Node) followCatalog() {
 	f := &follower{node: n, name: "catalog", era: n.store.Era, skipWatch: n.catalogIsCurrent}
 	f.list = func(ctx context.Context) (vrid.ObjectVersion, error) {
+		ctx, receiving := traceFirstByte(ctx)
 		catalog, version, err := n.store.ListCatalog(ctx)
 		if err == nil && catalog != nil {
-			n.Submit(vrevent.CatalogSeen{Catalog: catalog})
+			n.Submit(vrevent.CatalogSeen{Catalog: catalog, Read: vrevent.CatalogRead{Call: "list", Receiving: receiving()}})
 		}
 		return version, err
 	}
 	f.watch = func(ctx context.Context, after vrid.ObjectVersion) (vrid.ObjectVersion, bool, error) {
+		ctx, receiving := traceFirstByte(ctx)
 		catalog, version, err := n.store.WatchCatalog(ctx, after, n.watchWait())
 		if err == nil && catalog != nil {
-			n.Submit(vrevent.CatalogSeen{Catalog: catalog})
+			n.Submit(vrevent.CatalogSeen{Catalog: catalog, Read: vrevent.CatalogRead{Call: "watch", Receiving: receiving()}})
 		}
 		return version, catalog != nil, err
 	}
 	f.run()
 }
 
+// traceFirstByte returns a context for one call at a time, and a function that returns the time since the
+// first byte of the call's last response.
+func traceFirstByte(ctx context.Context) (context.Context, func() time.Duration) {
+	var firstByteAt atomic.Pointer[time.Time]
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
+		now := time.Now()
+		firstByteAt.Store(&now)
+	}})
+	return ctx, func() time.Duration {
+		if at := firstByteAt.Load(); at != nil {
+			return time.Since(*at)
+		}
+		return 0
+	}
+}
+
 func (n *Node) followServers() {
 	f := &follower{
 		node: n, name: "servers", era: n.store.Era, pauseAfterChange: n.serversPause, skipWatch: n.serversFed,
