Do not send a waiting call whose deadline has passed

What happened: a daemon that was suspended for twelve seconds sent a waiting call to a server 6.35 s after its deadline, once a server could be chosen.

Cause: dispatch checks the deadline, but the calls of a wait list are sent without it.

Change: both check it. TestWaitingCallIsNotSentPastItsDeadline failed before and passes.

--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -173,7 +173,7 @@
 		s.endCall(now, c, vrwire.ReasonShuttingDown, shortRetryAfter, out)
 		return
 	}
-	if !now.Before(c.deadline.Add(-deadlineMargin)) {
+	if s.isPastDeadline(now, c) {
 		s.endPastDeadline(now, c, out)
 		return
 	}
@@ -191,6 +191,11 @@
 	}
 }
 
+// isPastDeadline reports whether too little time is left to send a call.
+func (s *State) isPastDeadline(now time.Time, c *call) bool {
+	return !now.Before(c.deadline.Add(-deadlineMargin))
+}
+
 // endPastDeadline ends a call for which too little time is left to send it.
 func (s *State) endPastDeadline(now time.Time, c *call, out *vrevent.Effects) {
 	reason := vrwire.ReasonDeadlineUnreachable
--- a/verbenacore/vrgateway/gateway_test.go
+++ b/verbenacore/vrgateway/gateway_test.go
@@ -464,3 +464,14 @@
 		})
 	}
 }
+
+// Guards against a daemon that resumes after a suspension and sends a server a waiting call whose deadline
+// has passed meanwhile.
+func TestWaitingCallIsNotSentPastItsDeadline(t *testing.T) {
+	d := newReadyDaemon(t)
+	require.Empty(t, sends(d.arrive("once")))
+	d.now = d.now.Add(12 * time.Second)
+	effects := d.reduce(vrevent.FleetChanged{Version: 2, Entries: []vrfleet.Entry{appEntry("a1")}})
+	require.Empty(t, sends(effects))
+	require.True(t, d.requireRefused(effects).NotRun)
+}
--- a/verbenacore/vrgateway/waits.go
+++ b/verbenacore/vrgateway/waits.go
@@ -137,6 +137,10 @@
 		return
 	}
 	for _, c := range slices.Clone(list.calls) {
+		if s.isPastDeadline(now, c) {
+			s.endPastDeadline(now, c, out)
+			continue
+		}
 		if s.refuseBlocked(now, c, out) {
 			continue
 		}
