Prove by the store that the owner's catalog is the newest (CONFIG)

What callers saw: in fleets of more than twelve daemons, requests were handled by an old configuration, or refused with 404, long after the store had acknowledged a newer one.

Cause: daemons skip their watch of the catalog on the word of the placement owner, and the owner vouched for its catalog by the age of its last lease write. While its reads of the catalog hang or take long (a silent connection, a lossy or full link, a slow processor), its lease is renewed on another connection, and all others, which have no trouble themselves, stay on the old catalog. Besides, a heartbeat counted from its receipt, however long it was on its way.

Change: the owner vouches from the time at which it sent the last call by which the store showed that it has no newer catalog (CatalogChecked), and its watch waits for half a second only. Each heartbeat repeats the receiver's last demand report, so that the receiver bounds the age of the proof by its own clock. Heartbeats of former builds prove nothing, their receivers watch for themselves; a former build reads the stricter age of new heartbeats.

TestHeartbeatFromBeforeRestoreProvesNothing, TestOwnerHeartbeatsAfterRestore and TestFedDaemonListsAfterRestore have to give proofs now; they check as much as before. The owner no longer stays silent for 2.2 s after a restore: a proof of the former era is dropped, one of the new era counts.

--- a/verbenabench/internal/vrgatefuzz/plan.go
+++ b/verbenabench/internal/vrgatefuzz/plan.go
@@ -57,13 +57,16 @@
 	// ActOddEntry makes the entry of a server invalid until its next heartbeat, while it may execute orders
 	// late. Its place in a plan is drawn last.
 	ActOddEntry
+	// ActMuteCatalog keeps the placement owner's reads of the catalog from being answered, while the
+	// operator publishes a catalog and clients send requests. Its place in a plan is drawn last.
+	ActMuteCatalog
 	actCount
 )
 
 var _actionNames = [actCount]string{
 	"wait", "request", "burst", "leave", "publish", "kill", "killOwner", "killAll", "pause", "pauseOwner", "stop", "loss",
 	"storeDown", "storeCut", "storeSlow", "lostAnswers", "lateWrites", "lateOrders", "lostOrders", "serverCut", "serverDrain",
-	"serverDie", "serverRestart", "serverReuse", "serverBreaks", "serverErrors", "serverSlow", "strandOwner", "strandOrders", "restore", "oddEntry",
+	"serverDie", "serverRestart", "serverReuse", "serverBreaks", "serverErrors", "serverSlow", "strandOwner", "strandOrders", "restore", "oddEntry", "muteCatalog",
 }
 
 // String returns the name that traces show.
@@ -142,6 +145,7 @@
 		plan.World.PoisonUntil = plan.World.PoisonFrom + poisonTime
 		drawRestores(t, &plan)
 		drawOddEntries(t, &plan)
+		drawMuteCatalogs(t, &plan)
 		return plan
 	})
 }
--- a/verbenabench/internal/vrgatefuzz/restore.go
+++ b/verbenabench/internal/vrgatefuzz/restore.go
@@ -47,10 +47,13 @@
 	return positions
 }()
 
-// WithoutRestores returns the plan as it was before plans had restores of the store and invalid entries.
+// WithoutRestores returns the plan as it was before plans had restores of the store, invalid entries and
+// owners that can't read the catalog.
 func (p Plan) WithoutRestores() Plan {
 	p.World.StoreEra = 0
-	p.Actions = slices.DeleteFunc(slices.Clone(p.Actions), func(a Action) bool { return a.Kind == ActRestore || a.Kind == ActOddEntry })
+	p.Actions = slices.DeleteFunc(slices.Clone(p.Actions), func(a Action) bool {
+		return a.Kind == ActRestore || a.Kind == ActOddEntry || a.Kind == ActMuteCatalog
+	})
 	return p
 }
 
--- a/verbenabench/internal/vrgatefuzz/run.go
+++ b/verbenabench/internal/vrgatefuzz/run.go
@@ -113,6 +113,8 @@
 		r.restore(a)
 	case ActOddEntry:
 		r.oddEntry(a)
+	case ActMuteCatalog:
+		r.muteCatalog(a)
 	case ActStoreDown, ActStoreCut, ActStoreSlow, ActLostAnswers, ActLateWrites:
 		r.disturbStore(a)
 	default:
--- a/verbenabench/internal/vrgateworld/daemon.go
+++ b/verbenabench/internal/vrgateworld/daemon.go
@@ -34,7 +34,10 @@
 	DisturbedUntil time.Time
 	// SlowDial is the maximum additional time to open a connection for an order.
 	SlowDial time.Duration
-	world    *World
+	// CatalogMuteUntil is the end of a time in which the daemon's reads of the catalog bring nothing, while
+	// its other calls to the store are answered.
+	CatalogMuteUntil time.Time
+	world            *World
 }
 
 // Process is one run of a daemon's program.
--- a/verbenabench/internal/vrgateworld/follow.go
+++ b/verbenabench/internal/vrgateworld/follow.go
@@ -100,9 +100,13 @@
 	if guided, current := p.State.HeartbeatStatus(p.world.Now()); after != 0 && guided && current {
 		return pollInterval
 	}
+	if p.world.Now().Before(p.Daemon.CatalogMuteUntil) {
+		return pollInterval
+	}
 	if newest := p.world.Store.newestStored(); after == 0 || p.State.Catalog() == nil || newest.Version > p.State.Catalog().Version {
 		p.reduce(vrevent.CatalogSeen{Catalog: newest})
 	}
+	p.reduce(vrevent.CatalogChecked{At: p.world.Now(), Era: p.world.Store.Era})
 	return pollInterval
 }
 
--- a/verbenacore/vrevent/gateway.go
+++ b/verbenacore/vrevent/gateway.go
@@ -227,6 +227,13 @@
 		Read CatalogRead
 	}
 
+	// CatalogChecked reports that at the time At the store, in the given era, had no valid catalog newer
+	// than the last CatalogSeen. At is when the call that proved it was sent.
+	CatalogChecked struct {
+		At  time.Time
+		Era vrid.StoreEra
+	}
+
 	// StoreLost reports that this daemon no longer reaches the platform's store.
 	StoreLost struct{ Detail string }
 	// StoreRecovered reports that this daemon reaches the store again after StoreLost.
@@ -269,6 +276,7 @@
 func (FleetListed) isEvent()         {}
 func (FleetChanged) isEvent()        {}
 func (CatalogSeen) isEvent()         {}
+func (CatalogChecked) isEvent()      {}
 func (StoreLost) isEvent()           {}
 func (StoreRecovered) isEvent()      {}
 func (StoreRestored) isEvent()       {}
--- a/verbenacore/vrfault/vrfault.go
+++ b/verbenacore/vrfault/vrfault.go
@@ -98,6 +98,8 @@
 	TrustRestoredLease
 	// TrustCopies brings back the state of servers from a restored store.
 	TrustCopies
+	// VouchByLease tells the other daemons that the catalog is the newest while only the lease is renewed.
+	VouchByLease
 )
 
 // Names maps the faults that do not belong to gateways to their names.
@@ -148,4 +150,5 @@
 	ReuseEpochs:          "reuseEpochs",
 	TrustRestoredLease:   "trustRestoredLease",
 	TrustCopies:          "trustCopies",
+	VouchByLease:         "vouchByLease",
 }
--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -252,7 +252,7 @@
 			report.Items = append(report.Items, s.demandOf(now, key, s.waitLists[key]))
 		}
 	}
-	if len(report.Items) > 0 || s.lease.Holding() {
+	if len(report.Items) > 0 || s.lease.Holding() || s.needsReport(now) {
 		s.sendDemand(now, report, out)
 	}
 }
@@ -269,6 +269,7 @@
 	if s.owner.address == "" || s.owner.daemon == s.opts.Daemon {
 		return
 	}
+	report.SentAt, s.reportSentAt = now.Sub(s.startedAt).Milliseconds(), now
 	out.Add(vrevent.SendPeer{Peer: s.owner.daemon, Address: s.owner.address, Envelope: &vrwire.Envelope{PlacementDemand: report}})
 }
 
@@ -277,12 +278,14 @@
 		out.Info("daemon count changed", number("count", uint64(len(e.Peers))))
 	}
 	s.peers = e.Peers
+	s.forgetReports()
 	s.setFeedMembers(now)
 	s.retryBudget.SetDaemons(len(e.Peers))
 }
 
 func (s *State) handlePeerMessage(now time.Time, envelope *vrwire.Envelope, out *vrevent.Effects) {
 	if report := envelope.PlacementDemand; report != nil {
+		s.recordReport(now, envelope)
 		s.planner.HandleDemand(now, envelope.From, report)
 		s.expeditePlan()
 		s.plan(now, out)
--- a/verbenacore/vrgateway/restore_test.go
+++ b/verbenacore/vrgateway/restore_test.go
@@ -1,7 +1,6 @@
 package vrgateway_test
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -103,8 +102,10 @@
 // an owner that does not know of the restore: a newer catalog would come into force too late.
 func TestHeartbeatFromBeforeRestoreProvesNothing(t *testing.T) {
 	d := newReadyDaemon(t, appEntry("a1"))
+	d.now = d.now.Add(time.Second)
 	heartbeat := func(era vrid.StoreEra) {
-		d.reduce(vrevent.PeerMessage{Envelope: &vrwire.Envelope{From: "d2", Notices: &vrwire.Notices{Epoch: 1, CatalogVersion: 1, Era: era}}})
+		notices := vrwire.Notices{Epoch: 1, CatalogVersion: 1, Era: era, ReportBoot: "b1", ReportSentAt: 1000}
+		d.reduce(vrevent.PeerMessage{Envelope: &vrwire.Envelope{From: "d2", Notices: &notices}})
 	}
 	requireCurrent := func(want bool) {
 		t.Helper()
@@ -132,28 +133,18 @@
 	version, ok := vrid.NewObjectVersion(3, 90)
 	require.True(t, ok)
 	d.reduce(vrevent.FleetListed{Version: version, Entries: []vrfleet.Entry{appEntry("a1")}})
-	var peers []vrevent.Peer
-	for i := range 20 {
-		peers = append(peers, vrevent.Peer{Daemon: vrid.DaemonID(fmt.Sprintf("d%d", i+1)), Address: "10.0.0.9:1"})
-	}
-	d.reduce(vrevent.PeersListed{Peers: peers})
-	heartbeats := func(duration time.Duration) []vrwire.Notices {
-		var sent []vrwire.Notices
-		for _, effect := range d.runFor(duration, d.storeUp) {
-			if send, ok := effect.(vrevent.SendPeer); ok && send.Envelope.Notices != nil && send.Envelope.Notices.CatalogVersion > 0 {
-				sent = append(sent, *send.Envelope.Notices)
-			}
-		}
-		return sent
+	d.listTwentyDaemons()
+	heartbeats := func(duration time.Duration, checkedEra vrid.StoreEra) []*vrwire.Notices {
+		return d.heartbeats(duration, func() { d.reduce(vrevent.CatalogChecked{At: d.now, Era: checkedEra}) })
 	}
-	before := heartbeats(6 * time.Second)
+	before := heartbeats(6*time.Second, 3)
 	require.NotEmpty(t, before)
 	require.EqualValues(t, 3, before[0].Era)
 	d.reduce(vrevent.StoreRestored{Era: 4})
 	d.leaseVersion, _ = vrid.NewObjectVersion(4, 50)
-	require.Empty(t, heartbeats(2*time.Second))
+	require.Empty(t, heartbeats(2*time.Second, 3), "what was read before the restore proves nothing")
 	d.reduce(vrevent.CatalogSeen{Catalog: newCatalog(5)})
-	after := heartbeats(6 * time.Second)
+	after := heartbeats(6*time.Second, 4)
 	require.NotEmpty(t, after)
 	require.EqualValues(t, 4, after[0].Era)
 	require.EqualValues(t, 7, after[0].CatalogVersion, "the copy's older catalog is ignored")
--- a/verbenacore/vrgateway/servers.go
+++ b/verbenacore/vrgateway/servers.go
@@ -61,7 +61,7 @@
 		return
 	}
 	s.store.era, s.store.restoredAt, s.store.recoveredAt = e.Era, now, now
-	s.heartbeat = ownerHeartbeat{}
+	s.heartbeat, s.catalogProof = ownerHeartbeat{}, catalogProof{}
 	s.rereadQuarantine()
 	out.Warn("store restored from a copy", number("era", uint64(e.Era)))
 }
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -74,7 +74,12 @@
 	quarantine      quarantineState
 	heartbeat       ownerHeartbeat
 	heartbeatSentAt time.Time
-	startedAt       time.Time
+	catalogProof    catalogProof
+	// reports holds the last demand report that was received from each daemon. reportSentAt is when this
+	// daemon last sent one that the owner repeats.
+	reports      map[vrid.DaemonID]receivedReport
+	reportSentAt time.Time
+	startedAt    time.Time
 	// shuttingDown is set once a shutdown was requested.
 	shuttingDown bool
 	// graceExpired is set when the grace period of the shutdown is about to end. From then on,
@@ -115,6 +120,7 @@
 
 		inFlight: make(map[serverModel]uint32),
 		feed:     vrfeed.New(opts.Daemon),
+		reports:  make(map[vrid.DaemonID]receivedReport),
 
 		quarantine: quarantineState{parts: vrquarantine.New(opts.Daemon)},
 	}
@@ -166,6 +172,8 @@
 		s.handleClientGone(now, e, out)
 	case vrevent.CatalogSeen:
 		s.applyCatalog(now, e, out)
+	case vrevent.CatalogChecked:
+		s.handleCatalogChecked(e)
 	case vrevent.FleetListed:
 		s.applyFleetList(now, e, out)
 	case vrevent.FleetChanged:
--- a/verbenacore/vrwire/fleet.go
+++ b/verbenacore/vrwire/fleet.go
@@ -49,6 +49,9 @@
 	InFlight []ServerInFlight `protobuf:"bytes,4,rep,name=uses,proto3"`
 	// Full is set when Items cover every request that waits or runs at the sender.
 	Full bool `protobuf:"varint,2,opt,name=full,proto3"`
+	// SentAt is the time from the start of the sender's process until the message was sent, in
+	// milliseconds. The owner repeats it in its heartbeats. It is zero in messages of former builds.
+	SentAt int64 `protobuf:"varint,5,opt,name=sentAt,proto3"`
 }
 
 // Validate checks that each item names a model and a service.
@@ -103,8 +106,8 @@
 	// CatalogVersion is the version of the owner's catalog in a heartbeat, and zero in other
 	// messages.
 	CatalogVersion vrid.ConfigVersion `protobuf:"varint,3,opt,name=catalog,proto3"`
-	// StoreAge is how long before sending the owner last received an answer from the
-	// store, in milliseconds.
+	// StoreAge is how long before sending the owner sent the calls by which the store proved that the
+	// owner holds the lease and that its catalog is the newest, the older of the two, in milliseconds.
 	StoreAge int64 `protobuf:"varint,4,opt,name=storeAge,proto3"`
 	// QuarantineVersion is the version of the owner's Quarantine in a heartbeat.
 	QuarantineVersion uint64 `protobuf:"varint,5,opt,name=quarantineVersion,proto3"`
@@ -116,6 +119,13 @@
 	// Era is the era of the store in which the owner knows its catalog to be the newest, in a
 	// heartbeat. Builds that don't know eras leave it zero.
 	Era vrid.StoreEra `protobuf:"varint,8,opt,name=era,proto3"`
+	// ReportBoot and ReportSentAt identify the last PlacementDemand that the owner has received from the
+	// receiver of a heartbeat, by the run that sent it and its SentAt. ReportAge is how long before sending
+	// the owner received it, in milliseconds. The heartbeat was therefore sent no earlier than ReportAge
+	// after SentAt by the receiver's own clock, however long it was on its way.
+	ReportBoot   vrid.BootID `protobuf:"bytes,9,opt,name=reportBoot,proto3"`
+	ReportSentAt int64       `protobuf:"varint,10,opt,name=reportSentAt,proto3"`
+	ReportAge    int64       `protobuf:"varint,11,opt,name=reportAge,proto3"`
 }
 
 // Validate checks that each notice has a known kind and, unless the server is leaving,
--- a/verbenaroute/internal/vrnode/restore_test.go
+++ b/verbenaroute/internal/vrnode/restore_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -54,24 +55,54 @@
 	require.Equal(t, http.StatusOK, response.StatusCode)
 }
 
-// startPeer runs the hub of another daemon.
-func startPeer(t *testing.T) *vrpeer.Hub {
+// ownerPeer is the hub of another daemon, which feeds the zone and is the placement owner.
+type ownerPeer struct {
+	*vrpeer.Hub
+
+	mu sync.Mutex
+	// reportBoot and reportSentAt identify the last demand report, which was received at reportAt.
+	reportBoot   vrid.BootID
+	reportSentAt int64
+	reportAt     time.Time
+}
+
+func startPeer(t *testing.T) *ownerPeer {
+	p := &ownerPeer{}
 	hub, err := vrpeer.Start(context.Background(), vrpeer.Options{
 		Self: "a-0", Boot: "b", Zone: "z", Listen: "127.0.0.1:0", Insecure: true, Log: zap.NewNop(),
-		OnReceive: func(*vrwire.Envelope) {}, OnUnreachable: func(vrid.DaemonID) {},
+		OnReceive: p.receive, OnUnreachable: func(vrid.DaemonID) {},
 	})
 	require.NoError(t, err)
 	t.Cleanup(hub.Close)
-	return hub
+	p.Hub = hub
+	return p
+}
+
+func (p *ownerPeer) receive(e *vrwire.Envelope) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e.PlacementDemand != nil {
+		p.reportBoot, p.reportSentAt, p.reportAt = e.Boot, e.PlacementDemand.SentAt, time.Now()
+	}
+}
+
+// heartbeat returns a heartbeat that proves that version 3 is the newest catalog of an era.
+func (p *ownerPeer) heartbeat(era vrid.StoreEra) *vrwire.Notices {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// The epoch is higher than any that the receiver may acquire itself.
+	const epoch = 1 << 50
+	return &vrwire.Notices{
+		Epoch: epoch, CatalogVersion: 3, Era: era,
+		ReportBoot: p.reportBoot, ReportSentAt: p.reportSentAt, ReportAge: time.Since(p.reportAt).Milliseconds(),
+	}
 }
 
 // feed sends changes of the zone's feeder with versions of the first era, and heartbeats of the
 // placement owner, until the end of the test, as a daemon does that has not noticed a restore.
-func feed(t *testing.T, hub *vrpeer.Hub, receiver string) {
+func feed(t *testing.T, peer *ownerPeer, receiver string) {
 	version, ok := vrid.NewObjectVersion(1, 1)
 	require.True(t, ok)
-	// The epoch is higher than any that the receiver may acquire itself.
-	const epoch = 1 << 50
 	stop, stopped := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -79,8 +110,8 @@
 		defer ticker.Stop()
 		for {
 			// A number of daemons that is not the receiver's lets it list them at intervals.
-			hub.Send("edge-1", receiver, &vrwire.Envelope{FleetChanges: &vrwire.FleetChanges{After: version, Version: version, Daemons: 9}})
-			hub.Send("edge-1", receiver, &vrwire.Envelope{Notices: &vrwire.Notices{Epoch: epoch, CatalogVersion: 3, Era: version.Era()}})
+			peer.Send("edge-1", receiver, &vrwire.Envelope{FleetChanges: &vrwire.FleetChanges{After: version, Version: version, Daemons: 9}})
+			peer.Send("edge-1", receiver, &vrwire.Envelope{Notices: peer.heartbeat(version.Era())})
 			select {
 			case <-ticker.C:
 			case <-stop:
@@ -110,7 +141,8 @@
 func TestFedDaemonListsAfterRestore(t *testing.T) {
 	store, storeURL := startStore(t)
 	feeder := startPeer(t)
-	for i := range 3 {
+	// A fleet of this size relies on heartbeats.
+	for i := range 13 {
 		registerDaemon(t, storeURL, fmt.Sprint("a-", i), feeder.Address())
 	}
 	settings := newSettings(t, storeURL, time.Second)
--- a/verbenaroute/internal/vrnode/store.go
+++ b/verbenaroute/internal/vrnode/store.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"verbenaroute.example/platform/vradapter"
+	"verbenaroute.example/verbenacore/vrcatalog"
 	"verbenaroute.example/verbenacore/vrevent"
 	"verbenaroute.example/verbenacore/vrid"
 )
@@ -25,6 +26,9 @@
 	watchTimeoutMargin = 400 * time.Millisecond
 	relistMargin       = 400 * time.Millisecond
 	minWatchWait       = 500 * time.Millisecond
+	// ownerWatchWait is the wait of the placement owner's watch of the catalog if the other daemons rely on
+	// it. Each response proves that its catalog is the newest, which its heartbeats have to be able to say.
+	ownerWatchWait = 500 * time.Millisecond
 	// ownerPause is the pause of the placement owner between two watches of the servers;
 	// serversPause returns that of the other daemons. Each call to the store has a cost, and the
 	// pause lets several changes arrive in one response. The owner pauses less, because it
@@ -302,23 +306,46 @@
 	f := &follower{node: n, name: "catalog", era: n.store.Era, skipWatch: n.catalogIsCurrent}
 	f.list = func(ctx context.Context) (vrid.ObjectVersion, error) {
 		ctx, receiving := traceFirstByte(ctx)
+		sentAt := n.clock.Now()
 		catalog, version, err := n.store.ListCatalog(ctx)
-		if err == nil && catalog != nil {
-			n.Submit(vrevent.CatalogSeen{Catalog: catalog, Read: vrevent.CatalogRead{Call: "list", Receiving: receiving()}})
+		if err == nil {
+			n.reportCatalog(catalog, vrevent.CatalogRead{Call: "list", Receiving: receiving()}, version, sentAt)
 		}
 		return version, err
 	}
 	f.watch = func(ctx context.Context, after vrid.ObjectVersion) (vrid.ObjectVersion, bool, error) {
 		ctx, receiving := traceFirstByte(ctx)
-		catalog, version, err := n.store.WatchCatalog(ctx, after, n.watchWait())
-		if err == nil && catalog != nil {
-			n.Submit(vrevent.CatalogSeen{Catalog: catalog, Read: vrevent.CatalogRead{Call: "watch", Receiving: receiving()}})
+		sentAt := n.clock.Now()
+		catalog, version, err := n.store.WatchCatalog(ctx, after, n.catalogWatchWait())
+		if err == nil {
+			n.reportCatalog(catalog, vrevent.CatalogRead{Call: "watch", Receiving: receiving()}, version, sentAt)
 		}
 		return version, catalog != nil, err
 	}
 	f.run()
 }
 
+// reportCatalog reports the result of a successful call about the catalog that was sent at sentAt: the new
+// catalog, or nil, and that the store had no newer one when the call was sent.
+func (n *Node) reportCatalog(catalog *vrcatalog.Catalog, read vrevent.CatalogRead, version vrid.ObjectVersion, sentAt time.Time) {
+	if catalog != nil {
+		n.Submit(vrevent.CatalogSeen{Catalog: catalog, Read: read})
+	}
+	if version != 0 {
+		n.Submit(vrevent.CatalogChecked{At: sentAt, Era: version.Era()})
+	}
+}
+
+// catalogWatchWait returns how long the store may hold a watch of the catalog open without changes.
+func (n *Node) catalogWatchWait() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.state.VouchesForCatalog() {
+		return min(ownerWatchWait, n.watchWait())
+	}
+	return n.watchWait()
+}
+
 // traceFirstByte returns a context for one call at a time, and a function that returns the time since the
 // first byte of the call's last response.
 func traceFirstByte(ctx context.Context) (context.Context, func() time.Duration) {
