Ask a restarted server whether it leaves before it gets calls (DRAIN)

What callers saw: a request reached a server seconds after the same gateway had passed on an answer in which that server stated that it leaves; the server ended before the request did.

Cause: a response does not say which process of a server sent it. The gateway took it for one of the process that it knew when it sent the request. If the server had started again under its id and its registration had not reached the gateway yet (the pause between two watches, an outage or a restore of the store), the word was recorded for the former process, and the registration of the present one, which says that it is ready, ended its effect. The class: a statement about an object of unknown incarnation is attributed by the receiver's view at the time of the request.

Change: such a response also puts the other process of the server in doubt, the one that is known now or the next that registers. The registry of removed servers keeps the statement.

Evidence: the fuzz test has servers that state in their answers that they leave, half of them just after a restart (serverLeaves), and checks DRAIN from the first such answer on; none of its servers did before.

--- a/verbenabench/internal/vrgatefuzz/oracle.go
+++ b/verbenabench/internal/vrgatefuzz/oracle.go
@@ -131,6 +131,9 @@
 	if server.Draining && server.KnownDraining(call.Process) && a.SentAt.Sub(server.LeaveRecordedAt) > vrgateworld.Drain {
 		o.fail("DRAIN", "%s sends %s to %s although it knew that the server drains", d.ID, call.Request, server.ID)
 	}
+	if told := server.ToldLeaving(call.Process); !told.IsZero() && call.Sent.Sub(told) > vrgateworld.Drain && call.Process.ResumedAt.Before(told) {
+		o.fail("DRAIN", "%s sends %s to %s %s after an answer stated that it leaves", d.ID, call.Request, server.ID, now.Sub(told))
+	}
 	if !call.DisconnectedAt.IsZero() && a.SentAt.Sub(call.DisconnectedAt) > maxSendAfterClose {
 		o.fail("GONE", "%s sends %s %s after its client closed the connection", d.ID, call.Request, a.SentAt.Sub(call.DisconnectedAt))
 	}
--- a/verbenabench/internal/vrgatefuzz/plan.go
+++ b/verbenabench/internal/vrgatefuzz/plan.go
@@ -60,13 +60,16 @@
 	// ActMuteCatalog keeps the placement owner's reads of the catalog from being answered, while the
 	// operator publishes a catalog and clients send requests. Its place in a plan is drawn last.
 	ActMuteCatalog
+	// ActServerLeaves makes a server state in its answers that it leaves, perhaps just after a restart,
+	// while clients send requests. Its place in a plan is drawn last.
+	ActServerLeaves
 	actCount
 )
 
 var _actionNames = [actCount]string{
 	"wait", "request", "burst", "leave", "publish", "kill", "killOwner", "killAll", "pause", "pauseOwner", "stop", "loss",
 	"storeDown", "storeCut", "storeSlow", "lostAnswers", "lateWrites", "lateOrders", "lostOrders", "serverCut", "serverDrain",
-	"serverDie", "serverRestart", "serverReuse", "serverBreaks", "serverErrors", "serverSlow", "strandOwner", "strandOrders", "restore", "oddEntry", "muteCatalog",
+	"serverDie", "serverRestart", "serverReuse", "serverBreaks", "serverErrors", "serverSlow", "strandOwner", "strandOrders", "restore", "oddEntry", "muteCatalog", "serverLeaves",
 }
 
 // String returns the name that traces show.
@@ -146,6 +149,7 @@
 		drawRestores(t, &plan)
 		drawOddEntries(t, &plan)
 		drawMuteCatalogs(t, &plan)
+		drawLeavingServers(t, &plan)
 		return plan
 	})
 }
--- a/verbenabench/internal/vrgatefuzz/run.go
+++ b/verbenabench/internal/vrgatefuzz/run.go
@@ -115,6 +115,8 @@
 		r.oddEntry(a)
 	case ActMuteCatalog:
 		r.muteCatalog(a)
+	case ActServerLeaves:
+		r.serverLeaves(a)
 	case ActStoreDown, ActStoreCut, ActStoreSlow, ActLostAnswers, ActLateWrites:
 		r.disturbStore(a)
 	default:
--- a/verbenabench/internal/vrgateworld/call.go
+++ b/verbenabench/internal/vrgateworld/call.go
@@ -355,7 +355,7 @@
 		result = vrevent.AttemptNotLoaded
 	}
 	if result != 0 {
-		a.finishAfter(netDelay, result)
+		s.answer(a, result)
 		return
 	}
 	if w.chance(s.BreakRate) {
@@ -397,10 +397,10 @@
 		s.afterIfRunning(a, serviceTime, func() {
 			s.drop(a)
 			if a.Send.HoldErrors {
-				a.finishAfter(netDelay, vrevent.AttemptServerError)
+				s.answer(a, vrevent.AttemptServerError)
 				return
 			}
-			a.finishAfter(netDelay, vrevent.AttemptAnswered)
+			s.answer(a, vrevent.AttemptAnswered)
 		})
 		return
 	}
@@ -418,7 +418,18 @@
 			a.finishAfter(netDelay, vrevent.AttemptBroken)
 			return
 		}
-		a.finishAfter(netDelay, vrevent.AttemptAnswered)
+		s.answer(a, vrevent.AttemptAnswered)
+	})
+}
+
+// answer sends the daemon the whole answer to a request.
+func (s *Server) answer(a *Attempt, result vrevent.AttemptResult) {
+	incarnation := s.Born
+	a.Call.Process.after(netDelay, func() {
+		if s.Born == incarnation {
+			s.tellLeaving(a)
+		}
+		a.finish(result)
 	})
 }
 
@@ -447,6 +458,7 @@
 		a.supersedeOther()
 		if a.firstByteAt.IsZero() {
 			a.firstByteAt = s.world.Now()
+			s.tellLeaving(a)
 			c.Process.reduce(vrevent.FirstByteReceived{Call: c.ID, Send: a.Send.Send, TimeToFirstByte: a.firstByteAt.Sub(a.SentAt), Answer: true})
 		}
 		a.events++
--- a/verbenabench/internal/vrgateworld/daemon.go
+++ b/verbenabench/internal/vrgateworld/daemon.go
@@ -242,6 +242,8 @@
 		p.after(p.world.randomDuration(0, maxOrderWriteDelay+p.Daemon.SlowDial), func() { p.sendOrder(e.Order) })
 	case vrevent.ReadStatus:
 		p.readStatus(e)
+	case vrevent.CheckLeaving:
+		p.checkLeaving(e)
 	case vrevent.SendCall:
 		p.calls[e.Call].send(&e)
 	case vrevent.ReservePlace:
@@ -293,6 +295,28 @@
 	})
 }
 
+// checkLeaving asks the server at an address whether it leaves. It is not asked for by id.
+func (p *Process) checkLeaving(e vrevent.CheckLeaving) {
+	w := p.world
+	server := w.byAddress[e.Address]
+	if server == nil || server.CutFrom[p.Daemon.ID] {
+		return
+	}
+	w.After(peerDelay, func() {
+		if !server.Alive || server.Born != e.Born {
+			return
+		}
+		leaving := server.Leaving
+		w.After(peerDelay, func() {
+			if leaving {
+				p.deliver(vrevent.ServerLeaving{Server: e.Server, Born: e.Born})
+				return
+			}
+			p.deliver(vrevent.LeavingChecked{Server: e.Server, Born: e.Born})
+		})
+	})
+}
+
 func (p *Process) sendPeer(e vrevent.SendPeer) {
 	w := p.world
 	var receiver *Daemon
--- a/verbenabench/internal/vrgateworld/server.go
+++ b/verbenabench/internal/vrgateworld/server.go
@@ -36,6 +36,9 @@
 	// Alive is false while the server is down. Draining is set once the server has started to
 	// drain.
 	Alive, Draining bool
+	// Leaving is set once the server states in all its answers that it leaves, whatever its registration
+	// says.
+	Leaving bool
 	// LeaveRecordedAt is when the store recorded that the server drains or that its registration
 	// expired.
 	LeaveRecordedAt time.Time
@@ -63,6 +66,9 @@
 	silentUntil time.Time
 	// known holds the processes that had to know that the server drains.
 	known map[*Process]bool
+	// toldLeaving holds when a process first received an answer which stated that this process of the
+	// server leaves.
+	toldLeaving map[*Process]time.Time
 }
 
 type timedReport struct {
@@ -84,8 +90,8 @@
 
 func (s *Server) start() {
 	w := s.world
-	s.Alive, s.Draining, s.LeaveRecordedAt = true, false, time.Time{}
-	s.known = make(map[*Process]bool)
+	s.Alive, s.Draining, s.Leaving, s.LeaveRecordedAt = true, false, false, time.Time{}
+	s.known, s.toldLeaving = make(map[*Process]bool), make(map[*Process]time.Time)
 	s.Born = w.Now().UnixMilli()
 	s.heartbeats, s.orders, s.busy = 0, 0, false
 	s.loaded, s.inHostMemory, s.loading, s.running, s.reports = nil, nil, nil, nil, nil
@@ -162,6 +168,28 @@
 	}
 }
 
+// Leave makes the server state in all its answers that it leaves, while it goes on serving.
+func (s *Server) Leave() {
+	s.Leaving = s.Alive
+}
+
+// tellLeaving passes on to the daemon that an answer to the request states that the server leaves. It runs
+// in the daemon's process, before the rest of the answer is handled.
+func (s *Server) tellLeaving(a *Attempt) {
+	p := a.Call.Process
+	if !s.Leaving || a.ended || s.ID != a.Send.Server {
+		return
+	}
+	if _, told := s.toldLeaving[p]; !told {
+		s.toldLeaving[p] = s.world.Now()
+	}
+	p.reduce(vrevent.ServerLeaving{Server: a.Send.Server, Born: a.Send.Born})
+}
+
+// ToldLeaving returns when the process first received an answer which stated that this process of the
+// server leaves, zero if it has not.
+func (s *Server) ToldLeaving(p *Process) time.Time { return s.toldLeaving[p] }
+
 // Crash stops the server at once and breaks its connections. Its registration expires after
 // entryTTL.
 func (s *Server) Crash() {
--- a/verbenacore/vrevent/gateway.go
+++ b/verbenacore/vrevent/gateway.go
@@ -192,6 +192,13 @@
 		Born int64
 	}
 
+	// LeavingChecked is the answer to CheckLeaving of a process that answered without stating that it
+	// leaves.
+	LeavingChecked struct {
+		Server vrid.ServerID
+		Born   int64
+	}
+
 	// PlaceReserved is the answer to ReservePlace. Reservation is empty if the server reserved no
 	// place.
 	PlaceReserved struct {
@@ -271,6 +278,7 @@
 func (SendEnded) isEvent()           {}
 func (SendStalled) isEvent()         {}
 func (ServerLeaving) isEvent()       {}
+func (LeavingChecked) isEvent()      {}
 func (PlaceReserved) isEvent()       {}
 func (ClientGone) isEvent()          {}
 func (FleetListed) isEvent()         {}
@@ -363,6 +371,14 @@
 		Born int64
 	}
 
+	// CheckLeaving asks a server whether it leaves. The answer is ServerLeaving, LeavingChecked, or nothing.
+	CheckLeaving struct {
+		Server  vrid.ServerID
+		Address string
+		// Born is the start of the server's process in Unix milliseconds.
+		Born int64
+	}
+
 	// CallEnded updates the metrics with the end of a call.
 	CallEnded struct {
 		// Rank is the priority of the route, -1 if no route was found.
@@ -397,5 +413,6 @@
 func (AbortCall) isEffect()          {}
 func (SendPlacementOrder) isEffect() {}
 func (ReadStatus) isEffect()         {}
+func (CheckLeaving) isEffect()       {}
 func (CallEnded) isEffect()          {}
 func (LoadEnded) isEffect()          {}
--- a/verbenacore/vrfleet/removed.go
+++ b/verbenacore/vrfleet/removed.go
@@ -11,6 +11,8 @@
 type removedServer struct {
 	renewal
 	draining bool
+	// toldLeaving is set if a response stated that the process, or a later one with its id, leaves.
+	toldLeaving bool
 	// sequence orders the removals.
 	sequence uint64
 }
@@ -33,7 +35,8 @@
 func (r *removedServers) add(server *Server) {
 	r.sequence++
 	r.last[server.ID] = removedServer{
-		renewal: renewal{born: server.Born, beat: server.Beat}, draining: server.State == StateDraining, sequence: r.sequence,
+		renewal: renewal{born: server.Born, beat: server.Beat}, draining: server.State == StateDraining,
+		toldLeaving: server.toldLeaving || server.inDoubt, sequence: r.sequence,
 	}
 	r.order = append(r.order, removal{id: server.ID, sequence: r.sequence})
 	if len(r.order) <= maxRemovedServers {
@@ -58,18 +61,28 @@
 	return true
 }
 
+// recordLeavingResponse records that a response to a request that was sent to a removed server stated that
+// it leaves.
+func (r *removedServers) recordLeavingResponse(id vrid.ServerID) {
+	if last, known := r.last[id]; known {
+		last.toldLeaving = true
+		r.last[id] = last
+	}
+}
+
 // admit reports whether an entry shows that its server runs: nothing is known of its removal, or the
-// entry is of a later process or renewed since. It makes the entry draining if the process was.
-func (r *removedServers) admit(entry *Entry) bool {
+// entry is of a later process or renewed since. It makes the entry draining if the process was, and reports
+// whether a response stated that the server leaves.
+func (r *removedServers) admit(entry *Entry) (admitted, toldLeaving bool) {
 	last, known := r.last[entry.ID]
 	switch {
 	case !known:
-		return true
+		return true, false
 	case entry.Born < last.born, entry.Born == last.born && entry.Beat <= last.beat:
-		return false
+		return false, false
 	case entry.Born == last.born && last.draining:
 		entry.State = StateDraining
 	}
 	delete(r.last, entry.ID)
-	return true
+	return true, last.toldLeaving
 }
--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -73,6 +73,12 @@
 	SeenAt time.Time
 	// Restarted is set if an earlier process with the same id was known.
 	Restarted bool
+	// LeavingChecked is when it was last asked whether a process in doubt leaves.
+	LeavingChecked time.Time
+
+	// toldLeaving is set once a response stated that this process leaves, inDoubt while it is not known
+	// whether a response that stated so was of this process or of an earlier one with the same id.
+	toldLeaving, inDoubt bool
 
 	health health
 	// missingUntil holds the models that are not loaded although the server's entry lists
@@ -153,10 +159,12 @@
 	server := f.servers[entry.ID]
 	switch {
 	case server == nil || server.Gone:
-		if !f.removed.admit(&entry) {
+		admitted, told := f.removed.admit(&entry)
+		if !admitted {
 			return ChangeOutdated
 		}
-		added := &Server{Entry: entry, SeenAt: now}
+		added := &Server{Entry: entry, SeenAt: now, toldLeaving: told && entry.State == StateDraining}
+		added.inDoubt = told && !added.toldLeaving
 		if server != nil {
 			added.InFlight = server.InFlight
 			added.Restarted = server.Born != entry.Born
@@ -168,7 +176,9 @@
 		return ChangeOutdated
 	case server.Born != entry.Born:
 		delete(f.doubted, entry.ID)
-		*server = Server{Entry: entry, SeenAt: now, Restarted: true, InFlight: server.InFlight}
+		*server = Server{
+			Entry: entry, SeenAt: now, Restarted: true, InFlight: server.InFlight, inDoubt: server.toldLeaving || server.inDoubt,
+		}
 		f.reindex()
 		return ChangeRestarted
 	}
@@ -252,7 +262,7 @@
 
 // AcceptsWork reports whether the server may be sent new requests.
 func (s *Server) AcceptsWork() bool {
-	return !s.Gone && (s.State == StateReady || vrfault.On(vrfault.SendToLeaving))
+	return !s.Gone && ((s.State == StateReady && !s.inDoubt) || vrfault.On(vrfault.SendToLeaving))
 }
 
 // HasModel reports whether the server has a model loaded.
@@ -389,6 +399,47 @@
 	return wasReady && server.State == StateDraining
 }
 
+// RecordLeavingResponse records that a response to a request of this daemon stated that its server leaves.
+// born is the process that the daemon knew when it sent the request. A later process with the same id may
+// have answered, so the one that is known now, or the next one, is in doubt until ResolveDoubt. It reports
+// whether it was not known that the process of born leaves.
+func (f *Fleet) RecordLeavingResponse(id vrid.ServerID, born int64) bool {
+	isNew := f.MarkLeaving(id, born)
+	server := f.servers[id]
+	switch {
+	case server == nil || server.Gone:
+		f.removed.recordLeavingResponse(id)
+	case born == 0 || born == server.Born:
+		server.toldLeaving = true
+	case server.State == StateReady:
+		server.inDoubt = true
+	}
+	return isNew
+}
+
+// InDoubt returns the registered servers that may be leaving, ordered by id.
+func (f *Fleet) InDoubt() []*Server {
+	var servers []*Server
+	for _, server := range f.servers {
+		if server.inDoubt && !server.Gone && server.State == StateReady {
+			servers = append(servers, server)
+		}
+	}
+	slices.SortFunc(servers, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
+	return servers
+}
+
+// ResolveDoubt records that a process of a server has answered without stating that it leaves. It reports
+// whether the process was in doubt.
+func (f *Fleet) ResolveDoubt(id vrid.ServerID, born int64) bool {
+	server := f.servers[id]
+	if server == nil || server.Born != born || !server.inDoubt {
+		return false
+	}
+	server.inDoubt = false
+	return true
+}
+
 // AddModel records that the server has a model loaded, ahead of its entry.
 func (s *Server) AddModel(model vrid.ModelID) {
 	delete(s.missingUntil, model)
--- a/verbenacore/vrgateway/leaving.go
+++ b/verbenacore/vrgateway/leaving.go
@@ -20,9 +20,10 @@
 // handleServerLeaving handles a response by which a server states that it leaves. A daemon other than the
 // placement owner tells the owner, which tells all daemons and brings the server's models elsewhere.
 func (s *State) handleServerLeaving(now time.Time, e vrevent.ServerLeaving, out *vrevent.Effects) {
-	if !s.markLeaving(e.Server, e.Born, leavingByResponse, out) {
+	if !s.fleet.RecordLeavingResponse(e.Server, e.Born) {
 		return
 	}
+	s.reportLeavingServer(e.Server, leavingByResponse, out)
 	notice := vrwire.Notice{Kind: vrwire.NoticeLeaving, Server: e.Server, Born: e.Born}
 	switch {
 	case s.lease.Holding():
@@ -43,7 +44,7 @@
 		return
 	}
 	for _, notice := range notices.Items {
-		if notice.Kind != vrwire.NoticeLeaving || !s.markLeaving(notice.Server, notice.Born, leavingByDaemon, out) {
+		if notice.Kind != vrwire.NoticeLeaving || !s.markLeaving(notice.Server, notice.Born, out) {
 			continue
 		}
 		if s.lease.Holding() {
@@ -59,13 +60,19 @@
 	s.expeditePlan()
 }
 
-// markLeaving records that a process of a server takes no new work, and drops the ready times of what it
-// was to load, at which the calls that wait would be told to return. It reports whether that was not known
-// before.
-func (s *State) markLeaving(id vrid.ServerID, born int64, cause leavingCause, out *vrevent.Effects) bool {
+// markLeaving records that a process of a server takes no new work, as another daemon states. It reports
+// whether that was not known before.
+func (s *State) markLeaving(id vrid.ServerID, born int64, out *vrevent.Effects) bool {
 	if !s.fleet.MarkLeaving(id, born) {
 		return false
 	}
+	s.reportLeavingServer(id, leavingByDaemon, out)
+	return true
+}
+
+// reportLeavingServer logs and counts a leaving server, and drops the ready times of what it was to load,
+// at which the calls that wait would be told to return.
+func (s *State) reportLeavingServer(id vrid.ServerID, cause leavingCause, out *vrevent.Effects) {
 	if cause == leavingByResponse {
 		s.counts.LeavingByResponse++
 	} else {
@@ -77,5 +84,29 @@
 			list.readyAt, list.loadingServer = time.Time{}, ""
 		}
 	}
-	return true
+}
+
+// leavingCheckInterval is the interval at which a server that may be leaving is asked. The answer takes
+// a few milliseconds, and calls can't use the server meanwhile.
+const leavingCheckInterval = 500 * time.Millisecond
+
+// tickLeavingChecks asks the servers that may be leaving. A response that stated it was to a request for an
+// earlier process of the server, and may have been of the present one.
+func (s *State) tickLeavingChecks(now time.Time, out *vrevent.Effects) {
+	for _, server := range s.fleet.InDoubt() {
+		if now.Sub(server.LeavingChecked) < leavingCheckInterval {
+			continue
+		}
+		server.LeavingChecked = now
+		out.Add(vrevent.CheckLeaving{Server: server.ID, Address: server.Address, Born: server.Born})
+		out.Info("server may be leaving, asking it", text("server", server.ID), number("born", uint64(server.Born)))
+	}
+}
+
+// handleLeavingChecked uses a server again that has answered without stating that it leaves.
+func (s *State) handleLeavingChecked(now time.Time, e vrevent.LeavingChecked, out *vrevent.Effects) {
+	if s.fleet.ResolveDoubt(e.Server, e.Born) {
+		out.Info("server is not leaving", text("server", e.Server))
+		s.dispatchWaiting(now, out)
+	}
 }
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -166,6 +166,8 @@
 		s.handleSendStalled(now, e, out)
 	case vrevent.ServerLeaving:
 		s.handleServerLeaving(now, e, out)
+	case vrevent.LeavingChecked:
+		s.handleLeavingChecked(now, e, out)
 	case vrevent.PlaceReserved:
 		s.handlePlaceReserved(now, e, out)
 	case vrevent.ClientGone:
@@ -218,6 +220,7 @@
 
 func (s *State) tick(now time.Time, out *vrevent.Effects) {
 	s.tickAbsentServers(now, out)
+	s.tickLeavingChecks(now, out)
 	s.tickWaits(now, out)
 	s.tickLease(now, out)
 	s.tickDemand(now, out)
--- a/verbenacore/vrgateway/waits.go
+++ b/verbenacore/vrgateway/waits.go
@@ -311,7 +311,7 @@
 			list.noticeAt, list.readyAt, list.loadingServer = now, now.Add(delay), notice.Server
 		}
 	case vrwire.NoticeLeaving:
-		s.markLeaving(notice.Server, notice.Born, leavingByDaemon, out)
+		s.markLeaving(notice.Server, notice.Born, out)
 	case vrwire.NoticeLoaded:
 		if server != nil {
 			server.AddModel(notice.Model)
--- a/verbenaroute/internal/vrnode/store.go
+++ b/verbenaroute/internal/vrnode/store.go
@@ -122,6 +122,21 @@
 	n.Submit(vrevent.StatusRead{Server: e.Server, Status: status})
 }
 
+// checkLeaving asks a server whether it leaves.
+func (n *Node) checkLeaving(e vrevent.CheckLeaving) {
+	ctx, cancel := context.WithTimeout(n.baseCtx, orderTimeout)
+	defer cancel()
+	leaving, err := n.engine.IsLeaving(ctx, e.Address, e.Born)
+	switch {
+	case err != nil:
+		n.log.Info("cannot ask server whether it leaves", zap.String("server", string(e.Server)), zap.Error(err))
+	case leaving:
+		n.reportLeaving(leaving, e.Server, e.Born)
+	default:
+		n.Submit(vrevent.LeavingChecked{Server: e.Server, Born: e.Born})
+	}
+}
+
 // reportLeaving tells the reducer if a process of a server has stated that it leaves. It is called before the
 // rest of the response is reported, so that no decision on that chooses the server.
 func (n *Node) reportLeaving(leaving bool, server vrid.ServerID, born int64) {
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -164,6 +164,8 @@
 		n.tasks.Go(func() { n.sendOrder(e.Order) })
 	case vrevent.ReadStatus:
 		n.tasks.Go(func() { n.readStatus(e) })
+	case vrevent.CheckLeaving:
+		n.tasks.Go(func() { n.checkLeaving(e) })
 	case vrevent.ReservePlace:
 		n.tasks.Go(func() { n.reservePlace(e) })
 	case vrevent.CallEnded:
