--- a/verbenabench/internal/vrgateworld/daemon.go
+++ b/verbenabench/internal/vrgateworld/daemon.go
@@ -127,7 +127,7 @@
 		return
 	}
 	p.Stopping = true
-	p.deliver(vrevent.ShutdownRequested{})
+	p.deliver(vrevent.ShutdownRequested{AnswerBy: p.world.Now().Add(Grace - finalAnswerTime)})
 	p.after(Grace-finalAnswerTime, func() {
 		p.reduce(vrevent.GracePeriodEnding{})
 		for _, call := range p.openCalls() {
--- a/verbenacore/vrevent/vrevent.go
+++ b/verbenacore/vrevent/vrevent.go
@@ -238,8 +238,9 @@
 	// configuration that makes this permanent follows.
 	DrainServer struct{ Server vrid.ServerID }
 
-	// ShutdownRequested starts a graceful shutdown.
-	ShutdownRequested struct{}
+	// ShutdownRequested starts a graceful shutdown. AnswerBy is when all calls of a gateway have to be
+	// answered, zero if that is unknown.
+	ShutdownRequested struct{ AnswerBy time.Time }
 
 	// CallersClosed is the answer to CloseCallers: no more requests can arrive.
 	CallersClosed struct{}
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -169,10 +169,14 @@
 
 // dispatch sends a call to a server, puts it in a wait list or ends it.
 func (s *State) dispatch(now time.Time, c *call, out *vrevent.Effects) {
-	if s.graceExpired {
+	if s.shutdown.graceExpired {
 		s.endCall(now, c, vrwire.ReasonShuttingDown, shortRetryAfter, out)
 		return
 	}
+	if s.mustLeaveToOthers(now, c) {
+		s.leaveToOthers(now, c, out)
+		return
+	}
 	if s.isPastDeadline(now, c) {
 		s.endPastDeadline(now, c, out)
 		return
@@ -355,6 +359,9 @@
 	switch {
 	case e.Result == vrevent.AttemptAnswered:
 		c.timeToFirstByte = ended.sentAt.Add(e.TimeToFirstByte).Sub(c.arrivedAt)
+		if e.Status < statusError {
+			s.recordDuration(now, c, ended.sentAt)
+		}
 		s.removeCall(now, c, "answered", "", out, number("status", uint64(e.Status)), text("server", ended.server.ID),
 			millis("toFirstMs", e.TimeToFirstByte), millis("longestPauseMs", e.LongestPause), millis("waitedMs", ended.sentAt.Sub(c.arrivedAt)))
 		s.counts.Delivered++
@@ -439,7 +446,7 @@
 
 // mayRetry reports whether a call may be sent again after a send with the given result.
 func (s *State) mayRetry(now time.Time, c *call, result vrevent.AttemptResult) bool {
-	if s.graceExpired || !now.Before(c.abandonedAt().Add(-deadlineMargin)) {
+	if s.shutdown.graceExpired || !now.Before(c.abandonedAt().Add(-deadlineMargin)) {
 		return false
 	}
 	if c.responseStarted && c.route.Kind != vrcatalog.RouteStream && !vrfault.On(vrfault.JoinBodies) {
@@ -510,7 +517,7 @@
 // cutFields returns the log fields of a call that ends without a complete response: the time that
 // it had left, and whether the daemon was shutting down.
 func (s *State) cutFields(now time.Time, c *call) []vrevent.LogField {
-	return []vrevent.LogField{millis("leftMs", c.deadline.Sub(now)), boolean("stopping", s.shuttingDown)}
+	return []vrevent.LogField{millis("leftMs", c.deadline.Sub(now)), boolean("stopping", s.shutdown.requested)}
 }
 
 // removeCall drops a call that has ended from the state, and emits its metrics and log line.
@@ -551,17 +558,3 @@
 	s.counts.CallerGone++
 	s.removeCall(now, c, "callerGone", "", out, s.cutFields(now, c)...)
 }
-
-// handleGraceExpired ends the waiting calls, so that their clients retry at another daemon,
-// and stops sending. The runtime ends the open sends.
-func (s *State) handleGraceExpired(now time.Time, out *vrevent.Effects) {
-	s.graceExpired = true
-	for _, c := range slices.Clone(s.quarantine.held) {
-		s.endCall(now, c, vrwire.ReasonShuttingDown, shortRetryAfter, out)
-	}
-	for _, key := range s.waitingTargets() {
-		for _, c := range slices.Clone(s.waitLists[key].calls) {
-			s.endCall(now, c, vrwire.ReasonShuttingDown, shortRetryAfter, out)
-		}
-	}
-}
--- a/verbenacore/vrgateway/feed.go
+++ b/verbenacore/vrgateway/feed.go
@@ -50,7 +50,7 @@
 }
 
 // FeedsZone reports whether this daemon watches the servers for its zone.
-func (s *State) FeedsZone(now time.Time) bool { return !s.shuttingDown && s.feed.IsFeeder(now) }
+func (s *State) FeedsZone(now time.Time) bool { return !s.shutdown.requested && s.feed.IsFeeder(now) }
 
 // ServersFed reports whether another daemon keeps this one's view of the servers up to date, so
 // that it need not watch them itself. The placement owner always does, because it plans from
--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -135,7 +135,7 @@
 	inStartupDelay := now.Sub(s.startedAt) < time.Duration(s.random.Int64N(int64(maxCandidateDelay)))
 	s.lease.Tick(now, vrlease.TickParams{
 		Observe:           true,
-		Candidate:         s.catalog != nil && !s.shuttingDown && !inStartupDelay && s.fleet.Len() > 0 && !s.ownerAlive(now),
+		Candidate:         s.catalog != nil && !s.shutdown.requested && !inStartupDelay && s.fleet.Len() > 0 && !s.ownerAlive(now),
 		HolderUnreachable: s.owner.unreachable(now),
 		Chunks:            1,
 		Readers:           len(s.peers),
@@ -328,7 +328,7 @@
 	if s.catalog == nil || !s.lease.Confirmed(now) || now.Before(s.lease.OrdersAllowedAt()) || now.Before(s.owner.nextPlanAt) {
 		return
 	}
-	if s.shuttingDown || s.store.lost {
+	if s.shutdown.requested || s.store.lost {
 		return
 	}
 	s.owner.nextPlanAt = now.Add(planInterval)
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -80,12 +80,10 @@
 	reports      map[vrid.DaemonID]receivedReport
 	reportSentAt time.Time
 	startedAt    time.Time
-	// shuttingDown is set once a shutdown was requested.
-	shuttingDown bool
-	// graceExpired is set when the grace period of the shutdown is about to end. From then on,
-	// calls are neither sent nor queued.
-	graceExpired bool
-	counts       Counts
+	shutdown     shutdownState
+	// durations are those of the calls of each route.
+	durations map[vrcatalog.RouteID]*callDurations
+	counts    Counts
 }
 
 // Counts holds the running totals for the metrics.
@@ -118,9 +116,10 @@
 		waitLists: make(map[target]*waitList),
 		demand:    make(map[target]*targetDemand),
 
-		inFlight: make(map[serverModel]uint32),
-		feed:     vrfeed.New(opts.Daemon),
-		reports:  make(map[vrid.DaemonID]receivedReport),
+		inFlight:  make(map[serverModel]uint32),
+		feed:      vrfeed.New(opts.Daemon),
+		durations: make(map[vrcatalog.RouteID]*callDurations),
+		reports:   make(map[vrid.DaemonID]receivedReport),
 
 		quarantine: quarantineState{parts: vrquarantine.New(opts.Daemon)},
 	}
@@ -213,8 +212,7 @@
 	case vrevent.PeerUnreachable:
 		s.owner.markUnreachable(now, e.Peer)
 	case vrevent.ShutdownRequested:
-		s.shuttingDown = true
-		s.lease.Release(now, out)
+		s.handleShutdown(now, e, out)
 	}
 }
 
@@ -236,6 +234,7 @@
 		return
 	}
 	s.catalog = catalog
+	s.forgetDurations()
 	out.Info("catalog adopted", number("version", uint64(catalog.Version)),
 		number("routes", uint64(len(catalog.Routes))), number("services", uint64(len(catalog.Services))),
 		text("call", e.Read.Call), millis("receivingMs", e.Read.Receiving), boolean("owner", s.lease.Holding()),
--- a/verbenaroute/internal/vrnode/shutdown_test.go
+++ b/verbenaroute/internal/vrnode/shutdown_test.go
@@ -1,14 +1,17 @@
 package vrnode_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -105,3 +108,53 @@
 	require.Empty(t, faults[:min(len(faults), 5)], "%d requests in all", len(faults))
 	require.Greater(t, answered, clients)
 }
+
+// Guards against a request that comes late in the grace of a planned stop and is passed on to a server
+// although it can't be answered in time: it would be cut after the server has begun it.
+func TestLateRequestInGraceIsNotBegun(t *testing.T) {
+	const (
+		grace = 4 * time.Second
+		// The balancer may still send connections then. The request may take three seconds.
+		sentAfter = 2 * time.Second
+	)
+	var begun atomic.Bool
+	backend := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		begun.Store(true)
+		select {
+		case <-r.Context().Done():
+		case <-time.After(grace):
+		}
+	}))
+	t.Cleanup(backend.Close)
+	store := vrstandin.NewStore()
+	storeServer := httptest.NewServer(store)
+	t.Cleanup(storeServer.Close)
+	store.Configure(3, vrstandin.Route{Name: "once", Type: "non_idempotent"})
+	store.Register("i-1", strings.TrimPrefix(backend.URL, "http://"), "ready", 1)
+	settings := newSettings(t, storeServer.URL, grace)
+	node := vrnode.New(settings, zap.NewNop(), func() map[string]uint64 { return nil })
+	ctx, stop := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- node.Run(ctx) }()
+	require.Eventually(t, func() bool {
+		response, err := http.Get("http://" + settings.Readiness + "/readyz")
+		return err == nil && response.Body.Close() == nil && response.StatusCode == http.StatusOK
+	}, restoreTimeout, pollInterval)
+
+	stop()
+	connection, err := net.Dial("tcp", settings.Callers)
+	require.NoError(t, err)
+	defer connection.Close()
+	time.Sleep(sentAfter)
+	request, err := http.NewRequest(http.MethodPost, "http://h.example/once/x", strings.NewReader("body"))
+	require.NoError(t, err)
+	vrstandin.SetClientHeaders(request.Header, "late", 10*time.Second)
+	require.NoError(t, request.Write(connection))
+	response, err := http.ReadResponse(bufio.NewReader(connection), request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	require.False(t, begun.Load(), "the request was passed on")
+	require.NoError(t, <-stopped)
+}
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -309,7 +309,7 @@
 	markNow(&n.planned.stoppedAt)
 	n.proxy.StartDraining()
 	n.log.Info("gateway stopping", zap.Int("openCalls", n.proxy.Active()))
-	n.Submit(vrevent.ShutdownRequested{})
+	n.Submit(vrevent.ShutdownRequested{AnswerBy: n.clock.Now().Add(time.Duration(n.grace.Load()) - finalAnswerMargin)})
 	time.Sleep(balancerRemovalTime)
 	finalTimer := time.AfterFunc(time.Until(startedAt.Add(time.Duration(n.grace.Load())-finalAnswerMargin)), func() {
 		n.Submit(vrevent.GracePeriodEnding{})
