Limit the memory that faulty servers' responses take together

What callers saw: servers that send bytes that are no answer, without end, took a process over its memory, and the requests of its other clients ended with it.

Cause: each response had a bound of its own, and the bounds add up. A stream may hold an event of 1 MiB, a body that is buffered 256 KiB, and calls of the control interface read up to 10 MB of a head and 8 MB of a body; the smallest machine has 184 MB for all of them.

Change: buffers of responses beyond 16 KiB each share an eighth of the memory. A body for which nothing is left is forwarded while it is read, an event is cut.

A whole process beside many such servers was not played.

TestCutHeadOnKeptConnectionIsNoSuccess and TestCutHeadOfResumedStreamIsNoEnd cut heads at each byte on kept connections and in resumed streams: no success reached a client, before the change either.

--- a/verbenaroute/internal/vrnode/shutdown_test.go
+++ b/verbenaroute/internal/vrnode/shutdown_test.go
@@ -144,7 +144,7 @@
 	stop()
 	connection, err := net.Dial("tcp", settings.Callers)
 	require.NoError(t, err)
-	defer connection.Close()
+	defer func() { _ = connection.Close() }()
 	time.Sleep(sentAfter)
 	request, err := http.NewRequest(http.MethodPost, "http://h.example/once/x", strings.NewReader("body"))
 	require.NoError(t, err)
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -37,6 +37,10 @@
 // waiting call is sent after its adapter, which takes about ten milliseconds to load, is ready.
 const tickInterval = 25 * time.Millisecond
 
+// bufferedMemoryDivisor is the divisor of the memory of the process that gives the memory for the buffers of
+// responses. As much again may be garbage, and the rest is needed for connections and state.
+const bufferedMemoryDivisor = 8
+
 // Node is a gateway daemon.
 type Node struct {
 	settings *vrsettings.Gateway
@@ -94,7 +98,7 @@
 	})
 	n.proxy = vrrelay.New(vrrelay.Options{
 		Submit: n.Submit, Dialect: vradapter.Headers{}, Clock: n.clock, Limits: n.limits,
-		MaxResponseHead: settings.Limits.ResponseHead, OnCut: n.requestCut,
+		MaxResponseHead: settings.Limits.ResponseHead, OnCut: n.requestCut, MaxBuffered: settings.Memory / bufferedMemoryDivisor,
 	})
 	return n
 }
--- a/verbenaroute/internal/vrrelay/attempts.go
+++ b/verbenaroute/internal/vrrelay/attempts.go
@@ -111,6 +111,16 @@
 	h.forwardMu.Lock()
 	defer h.forwardMu.Unlock()
 	h.closed = true
+	h.proxy.buffers.release(h.heldReserved)
+	h.heldReserved = 0
+}
+
+// holdFailure keeps a server's failure, and its part of the budget for buffers, in place of an earlier one.
+// The caller holds forwardMu.
+func (h *callHandler) holdFailure(a *sendAttempt, failure *bufferedResponse) {
+	h.proxy.buffers.release(h.heldReserved)
+	h.heldFailure, h.heldReserved = failure, int64(a.reserved)
+	a.reserved = 0
 }
 
 // forwardedPart reports whether part of a server's response was forwarded, and the format of the stream if
--- a/verbenaroute/internal/vrrelay/exchange.go
+++ b/verbenaroute/internal/vrrelay/exchange.go
@@ -43,6 +43,8 @@
 	eventCount  int
 	// heldFailure is a server's failure that is held back.
 	heldFailure *bufferedResponse
+	// heldReserved is what heldFailure has taken from the budget for buffers.
+	heldReserved int64
 }
 
 // hedgeEnd is how a hedge ended its call: with a result, or with a panic of the given value.
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -97,6 +97,8 @@
 	// strays counts the responses to other requests that were skipped. A connection that
 	// delivered one carries no further request.
 	strays int
+	// reserved is what the buffer of the response has taken from the budget.
+	reserved int
 	// bodyWritten receives the result of writing a body concurrently; nil if there is none.
 	bodyWritten chan error
 }
@@ -109,6 +111,7 @@
 	if h.startAttempt(a) {
 		a.roundTrip()
 		h.endAttempt(a)
+		a.releaseBuffer()
 	} else {
 		a.end(vrevent.AttemptSuperseded, nil)
 	}
@@ -527,19 +530,19 @@
 func (a *sendAttempt) forwardBuffered(response *http.Response) {
 	a.watch.stop()
 	a.setDeadline(a.send.Deadline)
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponse))
+	body, whole, err := a.readBuffered(response.Body)
 	if err != nil {
 		a.fail(err)
 		return
 	}
-	if len(body) >= maxBufferedResponse {
+	if !whole {
 		a.forwardLarge(response, body)
 		return
 	}
 	a.reusable = allowsReuse(response)
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	if a.send.HoldErrors && response.StatusCode >= http.StatusInternalServerError {
-		a.handler.forwardFrom(a, false, func() { a.handler.heldFailure = buffered })
+		a.handler.forwardFrom(a, false, func() { a.handler.holdFailure(a, buffered) })
 		a.end(vrevent.AttemptServerError, nil)
 		return
 	}
--- a/verbenaroute/internal/vrrelay/stream.go
+++ b/verbenaroute/internal/vrrelay/stream.go
@@ -83,6 +83,9 @@
 		case len(pending) > maxEventBytes:
 			a.fail(errEventTooLong)
 			return
+		case !a.reserveBuffer(len(pending)):
+			a.fail(errBuffersFull)
+			return
 		}
 	}
 }
--- a/verbenaroute/internal/vrrelay/vrrelay.go
+++ b/verbenaroute/internal/vrrelay/vrrelay.go
@@ -47,6 +47,8 @@
 	Limits func() vrcatalog.Limits
 	// MaxResponseHead limits the head of a server's response. Zero means the default.
 	MaxResponseHead vrid.Bytes
+	// MaxBuffered limits the memory for the buffers of all responses. Zero means the default.
+	MaxBuffered vrid.Bytes
 	// WriteSlack is how long after a call's deadline writes to its client may still go on.
 	// Zero means the default.
 	WriteSlack time.Duration
@@ -67,6 +69,8 @@
 	defaultWriteSlack = 2 * time.Second
 	// defaultMaxResponseHead is the default of Options.MaxResponseHead.
 	defaultMaxResponseHead = 64 * vrid.KiB
+	// defaultMaxBuffered is the default of Options.MaxBuffered.
+	defaultMaxBuffered = 16 * vrid.MiB
 	// effectBuffer is the number of effects of one call that can wait for its handler.
 	effectBuffer = 4
 )
@@ -76,6 +80,7 @@
 	opts       Options
 	server     *http.Server
 	pool       *pool
+	buffers    bufferBudget
 	lastCallID atomic.Uint64
 	// draining is set once responses announce the close of their connection.
 	draining atomic.Bool
@@ -95,7 +100,10 @@
 	if opts.MaxResponseHead <= 0 {
 		opts.MaxResponseHead = defaultMaxResponseHead
 	}
-	p := &Proxy{opts: opts, pool: newPool(), handlers: make(map[vrevent.CallID]*callHandler)}
+	if opts.MaxBuffered <= 0 {
+		opts.MaxBuffered = defaultMaxBuffered
+	}
+	p := &Proxy{opts: opts, pool: newPool(), buffers: bufferBudget{limit: int64(opts.MaxBuffered)}, handlers: make(map[vrevent.CallID]*callHandler)}
 	p.server = &http.Server{
 		Handler: p, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: p.trackConnState, ConnContext: withClientConn,
