--- a/verbenaroute/internal/vrnode/shutdown_test.go
+++ b/verbenaroute/internal/vrnode/shutdown_test.go
@@ -19,10 +19,29 @@
 	"go.uber.org/zap"
 
 	"verbenaroute.example/platform/vrstandin"
+	"verbenaroute.example/verbenacore/vrsettings"
 
 	"verbenaroute.example/verbenaroute/internal/vrnode"
 )
 
+// startStoppableNode runs a gateway and returns once it is ready. stop requests its shutdown, whose result
+// comes from stopped.
+func startStoppableNode(t *testing.T, settings *vrsettings.Gateway) (stop context.CancelFunc, stopped <-chan error) {
+	node := vrnode.New(settings, zap.NewNop(), func() map[string]uint64 { return nil })
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- node.Run(ctx) }()
+	require.Eventually(t, func() bool {
+		response, err := http.Get("http://" + settings.Readiness + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	}, restoreTimeout, pollInterval)
+	return stop, ended
+}
+
 // Requests that were accepted shortly before a planned stop, while the balancer still sends new
 // connections, or on connections that were open before, must all be answered in full. Operators of
 // similar systems saw requests that had just been accepted cut off without an answer.
@@ -47,19 +66,7 @@
 	store.Configure(3, vrstandin.Route{Name: "once", Type: "non_idempotent"})
 	store.Register("i-1", strings.TrimPrefix(backend.URL, "http://"), "ready", 1)
 	settings := newSettings(t, storeServer.URL, grace)
-	node := vrnode.New(settings, zap.NewNop(), func() map[string]uint64 { return nil })
-	ctx, stop := context.WithCancel(context.Background())
-	stopped := make(chan error, 1)
-	go func() { stopped <- node.Run(ctx) }()
-	require.Eventually(t, func() bool {
-		response, err := http.Get("http://" + settings.Readiness + "/readyz")
-		if err != nil {
-			return false
-		}
-		_ = response.Body.Close()
-		return response.StatusCode == http.StatusOK
-	}, 5*time.Second, 10*time.Millisecond)
-
+	stop, stopped := startStoppableNode(t, settings)
 	var mu sync.Mutex
 	var faults []string
 	answered := 0
@@ -132,15 +139,7 @@
 	store.Configure(3, vrstandin.Route{Name: "once", Type: "non_idempotent"})
 	store.Register("i-1", strings.TrimPrefix(backend.URL, "http://"), "ready", 1)
 	settings := newSettings(t, storeServer.URL, grace)
-	node := vrnode.New(settings, zap.NewNop(), func() map[string]uint64 { return nil })
-	ctx, stop := context.WithCancel(context.Background())
-	stopped := make(chan error, 1)
-	go func() { stopped <- node.Run(ctx) }()
-	require.Eventually(t, func() bool {
-		response, err := http.Get("http://" + settings.Readiness + "/readyz")
-		return err == nil && response.Body.Close() == nil && response.StatusCode == http.StatusOK
-	}, restoreTimeout, pollInterval)
-
+	stop, stopped := startStoppableNode(t, settings)
 	stop()
 	connection, err := net.Dial("tcp", settings.Callers)
 	require.NoError(t, err)
