Name the decisions of a stopping gateway after what they decide

outlastsGrace, refuseForShutdown, shutdownRetryAfter and statedLeaving say it in the usual terms. Renames only; the tests of vrgateway and vrfleet pass apart from the known red one.

--- a/verbenacore/vrfleet/removed.go
+++ b/verbenacore/vrfleet/removed.go
@@ -11,8 +11,8 @@
 type removedServer struct {
 	renewal
 	draining bool
-	// toldLeaving is set if a response stated that the process, or a later one with its id, leaves.
-	toldLeaving bool
+	// statedLeaving is set if a response stated that the process, or a later one with its id, leaves.
+	statedLeaving bool
 	// sequence orders the removals.
 	sequence uint64
 }
@@ -36,7 +36,7 @@
 	r.sequence++
 	r.last[server.ID] = removedServer{
 		renewal: renewal{born: server.Born, beat: server.Beat}, draining: server.State == StateDraining,
-		toldLeaving: server.toldLeaving || server.inDoubt, sequence: r.sequence,
+		statedLeaving: server.statedLeaving || server.inDoubt, sequence: r.sequence,
 	}
 	r.order = append(r.order, removal{id: server.ID, sequence: r.sequence})
 	if len(r.order) <= maxRemovedServers {
@@ -65,7 +65,7 @@
 // it leaves.
 func (r *removedServers) recordLeavingResponse(id vrid.ServerID) {
 	if last, known := r.last[id]; known {
-		last.toldLeaving = true
+		last.statedLeaving = true
 		r.last[id] = last
 	}
 }
@@ -73,7 +73,7 @@
 // admit reports whether an entry shows that its server runs: nothing is known of its removal, or the
 // entry is of a later process or renewed since. It makes the entry draining if the process was, and reports
 // whether a response stated that the server leaves.
-func (r *removedServers) admit(entry *Entry) (admitted, toldLeaving bool) {
+func (r *removedServers) admit(entry *Entry) (admitted, statedLeaving bool) {
 	last, known := r.last[entry.ID]
 	switch {
 	case !known:
@@ -84,5 +84,5 @@
 		entry.State = StateDraining
 	}
 	delete(r.last, entry.ID)
-	return true, last.toldLeaving
+	return true, last.statedLeaving
 }
--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -76,9 +76,9 @@
 	// LeavingChecked is when it was last asked whether a process in doubt leaves.
 	LeavingChecked time.Time
 
-	// toldLeaving is set once a response stated that this process leaves, inDoubt while it is not known
+	// statedLeaving is set once a response stated that this process leaves, inDoubt while it is not known
 	// whether a response that stated so was of this process or of an earlier one with the same id.
-	toldLeaving, inDoubt bool
+	statedLeaving, inDoubt bool
 
 	health health
 	// missingUntil holds the models that are not loaded although the server's entry lists
@@ -163,8 +163,8 @@
 		if !admitted {
 			return ChangeOutdated
 		}
-		added := &Server{Entry: entry, SeenAt: now, toldLeaving: told && entry.State == StateDraining}
-		added.inDoubt = told && !added.toldLeaving
+		added := &Server{Entry: entry, SeenAt: now, statedLeaving: told && entry.State == StateDraining}
+		added.inDoubt = told && !added.statedLeaving
 		if server != nil {
 			added.InFlight = server.InFlight
 			added.Restarted = server.Born != entry.Born
@@ -177,7 +177,7 @@
 	case server.Born != entry.Born:
 		delete(f.doubted, entry.ID)
 		*server = Server{
-			Entry: entry, SeenAt: now, Restarted: true, InFlight: server.InFlight, inDoubt: server.toldLeaving || server.inDoubt,
+			Entry: entry, SeenAt: now, Restarted: true, InFlight: server.InFlight, inDoubt: server.statedLeaving || server.inDoubt,
 		}
 		f.reindex()
 		return ChangeRestarted
@@ -410,7 +410,7 @@
 	case server == nil || server.Gone:
 		f.removed.recordLeavingResponse(id)
 	case born == 0 || born == server.Born:
-		server.toldLeaving = true
+		server.statedLeaving = true
 	case server.State == StateReady:
 		server.inDoubt = true
 	}
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -173,8 +173,8 @@
 		s.endCall(now, c, vrwire.ReasonShuttingDown, shortRetryAfter, out)
 		return
 	}
-	if s.mustLeaveToOthers(now, c) {
-		s.leaveToOthers(now, c, out)
+	if s.outlastsGrace(now, c) {
+		s.refuseForShutdown(now, c, out)
 		return
 	}
 	if s.isPastDeadline(now, c) {
--- a/verbenacore/vrgateway/shutdown.go
+++ b/verbenacore/vrgateway/shutdown.go
@@ -34,8 +34,8 @@
 	deviationFactor = 2
 	// minDurations is the number of durations from which on they are relied on.
 	minDurations = 4
-	// leftToOthersRetryAfter is the Retry-After of a call that another daemon can serve at once.
-	leftToOthersRetryAfter = 50 * time.Millisecond
+	// shutdownRetryAfter is the Retry-After of a call that another daemon can serve at once.
+	shutdownRetryAfter = 50 * time.Millisecond
 )
 
 // callDurations are the smoothed durations of the answered calls of a route, in seconds for each unit of
@@ -98,10 +98,10 @@
 	}
 }
 
-// mustLeaveToOthers reports whether a call that has not begun to be answered would probably outlast the
+// outlastsGrace reports whether a call that has not begun to be answered would probably outlast the
 // grace period of a shutdown. A call of a route without known durations counts as taking until its
 // deadline.
-func (s *State) mustLeaveToOthers(now time.Time, c *call) bool {
+func (s *State) outlastsGrace(now time.Time, c *call) bool {
 	if !s.shutdown.requested || s.shutdown.answerBy.IsZero() || c.responseStarted {
 		return false
 	}
@@ -112,9 +112,9 @@
 	return end.After(s.shutdown.answerBy)
 }
 
-// leaveToOthers refuses a call that would outlast the grace period, so that its client asks another daemon.
-func (s *State) leaveToOthers(now time.Time, c *call, out *vrevent.Effects) {
-	s.endCall(now, c, vrwire.ReasonShuttingDown, leftToOthersRetryAfter, out)
+// refuseForShutdown refuses a call that would outlast the grace period, so that its client asks another daemon.
+func (s *State) refuseForShutdown(now time.Time, c *call, out *vrevent.Effects) {
+	s.endCall(now, c, vrwire.ReasonShuttingDown, shutdownRetryAfter, out)
 }
 
 // handleShutdown releases the lease. From now on, calls that would outlast the grace period are refused.
--- a/verbenacore/vrgateway/shutdown_test.go
+++ b/verbenacore/vrgateway/shutdown_test.go
@@ -25,7 +25,7 @@
 
 // Guards against calls that come late in the grace period of a planned stop, are passed on to a server, and
 // are cut at its end, among them calls that may not be repeated.
-func TestCallThatOutlastsGraceIsLeftToOthers(t *testing.T) {
+func TestCallThatOutlastsGraceIsRefused(t *testing.T) {
 	const grace = 5 * time.Second
 	for _, test := range []struct {
 		name, route string
--- a/verbenacore/vrgateway/waits.go
+++ b/verbenacore/vrgateway/waits.go
@@ -141,8 +141,8 @@
 			s.endPastDeadline(now, c, out)
 			continue
 		}
-		if s.mustLeaveToOthers(now, c) {
-			s.leaveToOthers(now, c, out)
+		if s.outlastsGrace(now, c) {
+			s.refuseForShutdown(now, c, out)
 			continue
 		}
 		if s.refuseBlocked(now, c, out) {
