Wait for the restart in the test of lost loads

Traced: an engine's restart ends the process, which refuses the order, and then starts the next one; the test read the memory between the two. It waits for the restart now and checks the same. 300 repetitions pass under the race detector.

--- a/verbenabench/internal/vrstandin/world_test.go
+++ b/verbenabench/internal/vrstandin/world_test.go
@@ -261,11 +261,15 @@
 // TestRestartLosesLoad guards against a load that survives a restart of the engine.
 func TestRestartLosesLoad(t *testing.T) {
 	inWorld(t, vrdeploy.Shuyuan, func(t *testing.T, w *World) {
+		restarted := make(chan struct{})
 		go func() {
+			defer close(restarted)
 			sleep(50 * time.Millisecond)
 			w.engines[_fencedServer].restart()
 		}()
 		require.Equal(t, 503, w.sendOrder(_fencedServer, w.loadOrder(0, 1, 1)).status)
+		// The order is refused once the process has stopped, before the next one starts.
+		<-restarted
 		require.Equal(t, 1, w.countEntries(JournalLoadLost))
 		require.Equal(t, 0, w.countEntries(JournalLoaded))
 		require.Zero(t, w.engines[_fencedServer].memoryUsed)
