--- a/verbenaroute/internal/vrnode/shutdown_test.go
+++ b/verbenaroute/internal/vrnode/shutdown_test.go
@@ -27,6 +27,7 @@
 // startStoppableNode runs a gateway and returns once it is ready. stop requests its shutdown, whose result
 // comes from stopped.
 func startStoppableNode(t *testing.T, settings *vrsettings.Gateway) (stop context.CancelFunc, stopped <-chan error) {
+	const readyTimeout = 5 * time.Second
 	node := vrnode.New(settings, zap.NewNop(), func() map[string]uint64 { return nil })
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -38,7 +39,7 @@
 		}
 		_ = response.Body.Close()
 		return response.StatusCode == http.StatusOK
-	}, restoreTimeout, pollInterval)
+	}, readyTimeout, 10*time.Millisecond)
 	return stop, ended
 }
 
