--- a/verbenacore/vrcatalog/vrcatalog.go
+++ b/verbenacore/vrcatalog/vrcatalog.go
@@ -62,6 +62,8 @@
 	// MaxAttempts is the maximum number of servers that one client attempt may run on, at
 	// least 1.
 	MaxAttempts int
+	// Public routes need no API key in a catalog with tenants.
+	Public bool
 }
 
 // Repeatable reports whether a request may be sent again although it may have run.
@@ -124,10 +126,14 @@
 
 // Catalog is one published version of the configuration.
 type Catalog struct {
-	Version      vrid.ConfigVersion
-	Routes       []Route
-	Services     []Service
-	Limits       Limits
+	Version  vrid.ConfigVersion
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+	// Tenants is empty if requests need no API key.
+	Tenants      []Tenant
+	tenantsByKey map[vrid.KeyDigest]*Tenant
+	tenantsByID  map[vrid.TenantID]*Tenant
 	servicesByID map[vrid.ServiceID]*Service
 	// routesByHost holds the routes of each lower-case host name, the longest prefix first.
 	routesByHost map[string][]*Route
@@ -152,6 +158,7 @@
 			service.Engine.index()
 		}
 	}
+	c.indexTenants()
 	c.routesByHost = make(map[string][]*Route)
 	for i := range c.Routes {
 		route := &c.Routes[i]
--- a/verbenacore/vrdialect/vrdialect.go
+++ b/verbenacore/vrdialect/vrdialect.go
@@ -21,6 +21,9 @@
 	LastEvent string
 	// Reservation is the place that this server reserved for the request, or empty.
 	Reservation vrid.ReservationID
+	// HasTenants is set if the catalog has tenants. Tenant is that of the request, empty for a public route.
+	HasTenants bool
+	Tenant     vrid.TenantID
 }
 
 // ResponseInfo holds the contents of the headers of a server's response.
--- a/verbenacore/vrevent/gateway.go
+++ b/verbenacore/vrevent/gateway.go
@@ -27,12 +27,25 @@
 	Adapter vrid.AdapterID
 	// PromptTokens and OutputTokens are the upper bounds that the client declares.
 	PromptTokens, OutputTokens int
+	// DeclaresTokens is set if the client declares PromptTokens and OutputTokens.
+	DeclaresTokens bool
+	// Key is the digest of the client's API key, if HasKey is set.
+	Key    vrid.KeyDigest
+	HasKey bool
 	// PromptParts are the parts of the prompt that other requests may share.
 	PromptParts []vrid.PromptPartID
 }
 
-// ServerLoad is the load that a server reports: its running and waiting requests.
-type ServerLoad struct{ Running, Waiting int }
+// ServerLoad is the load that a server reports.
+type ServerLoad struct {
+	// Running and Waiting are the numbers of its requests.
+	Running, Waiting int
+	// Slots is the number of requests that it can run at once, zero if it is not stated.
+	Slots int
+	// Pace is how long work takes on the server's machine at this moment, in percent of the usual time. It
+	// is zero if the server does not state it.
+	Pace int
+}
 
 // OrderKind says whether a placement order loads or unloads.
 type OrderKind uint8
@@ -184,6 +197,15 @@
 		Silence time.Duration
 	}
 
+	// LoadReported carries the load that a server states in the head of a response. It is submitted as soon as
+	// the head was read, because a stream may go on for seconds.
+	LoadReported struct {
+		Server vrid.ServerID
+		// Born is the start of the process that the request was meant for, in Unix milliseconds.
+		Born int64
+		Load ServerLoad
+	}
+
 	// ServerLeaving reports that a response to a send, an order, a reservation or a read of the status
 	// states that its server takes no new work.
 	ServerLeaving struct {
@@ -277,6 +299,7 @@
 func (FirstByteReceived) isEvent()   {}
 func (SendEnded) isEvent()           {}
 func (SendStalled) isEvent()         {}
+func (LoadReported) isEvent()        {}
 func (ServerLeaving) isEvent()       {}
 func (LeavingChecked) isEvent()      {}
 func (PlaceReserved) isEvent()       {}
@@ -317,6 +340,14 @@
 		// Reservation is the place that the server reserved for the call, or empty.
 		Reservation vrid.ReservationID
 		Priority    int
+		// HasTenants is set if the catalog has tenants. The client's API key and tenant are then not passed
+		// on. Tenant is that of the call, empty for a public route.
+		HasTenants bool
+		Tenant     vrid.TenantID
+		// AuthorizedUntil is when the proof expires that the call's API key is valid, or zero if none is
+		// needed. It is checked directly before the request is written, since the machine may be suspended
+		// between the decision and the write.
+		AuthorizedUntil time.Time
 		// Resume asks for what follows the last event that the client has received.
 		Resume bool
 		// HoldErrors holds a server's failure back until ForwardFailure or another response.
--- a/verbenacore/vrevent/vrevent.go
+++ b/verbenacore/vrevent/vrevent.go
@@ -53,7 +53,7 @@
 // AttemptResult is the result of one attempt to run a request on a back end.
 type AttemptResult uint8
 
-// Results of an attempt. Only the first four prove that nothing ran.
+// Results of an attempt. Only the first four and AttemptUnauthorized prove that nothing ran.
 const (
 	// AttemptNotSent: no byte of the request was sent (for example, connection refused).
 	AttemptNotSent AttemptResult = iota + 1
@@ -75,13 +75,15 @@
 	AttemptServerError
 	// AttemptSuperseded: another send of the same call has brought an answer, or its next event, first.
 	AttemptSuperseded
+	// AttemptUnauthorized: nothing was sent, because the proof of the call's API key had expired.
+	AttemptUnauthorized
 )
 
 // String returns the name that logs and metrics use.
 func (r AttemptResult) String() string {
 	names := [...]string{
 		"none", "notSent", "busy", "notLoaded", "leaving", "answered", "broken", "timedOut", "callerGone", "serverError",
-		"superseded",
+		"superseded", "unauthorized",
 	}
 	if int(r) >= len(names) {
 		return names[0]
@@ -92,7 +94,7 @@
 // ProvesNotRun reports whether the result proves that the back end ran nothing.
 func (r AttemptResult) ProvesNotRun() bool {
 	switch r {
-	case AttemptNotSent, AttemptBusy, AttemptNotLoaded, AttemptLeaving:
+	case AttemptNotSent, AttemptBusy, AttemptNotLoaded, AttemptLeaving, AttemptUnauthorized:
 		return true
 	default:
 		return false
--- a/verbenacore/vrid/vrid.go
+++ b/verbenacore/vrid/vrid.go
@@ -43,10 +43,16 @@
 	PromptPartID string
 	// ReservationID identifies a place that a server reserved for one request.
 	ReservationID string
+	// TenantID identifies a tenant: a customer of the operator with API keys and a quota.
+	TenantID string
 	// IdempotencyKey is chosen by the caller to make retries of a non-idempotent call safe.
 	IdempotencyKey string
 )
 
+// KeyDigest is the SHA-256 digest of a tenant's API key. Keys themselves are not kept, so that none can
+// reach a log, a metric or another daemon.
+type KeyDigest [32]byte
+
 // Epoch counts the successive holders of a zone lease. It is the high part of an order's
 // fencing token. Zero means that the lease has never been held.
 type Epoch uint64
--- a/verbenacore/vrsettings/gateway.go
+++ b/verbenacore/vrsettings/gateway.go
@@ -58,6 +58,16 @@
 	// CeilingWindow, relative to the rate that a service declares.
 	CeilingFactor float64       `json:"ceilingFactor"`
 	CeilingWindow vrid.Duration `json:"ceilingWindow"`
+	// Revocation is the time after which a request with a withdrawn API key must not run, at any daemon.
+	// Zero means that there is no such limit.
+	Revocation vrid.Duration `json:"revocation"`
+	// CatalogApply is the time within which a new catalog must be in force.
+	CatalogApply vrid.Duration `json:"catalogApply"`
+	// In each QuotaWindow, a tenant may exceed its quota by the fraction QuotaOverrun and by QuotaSlack, in
+	// the unit of the quota.
+	QuotaWindow  vrid.Duration `json:"quotaWindow"`
+	QuotaOverrun float64       `json:"quotaOverrun"`
+	QuotaSlack   float64       `json:"quotaSlack"`
 }
 
 // Defaults of the bounds and the memory that a deployment does not set. The bounds are the
@@ -73,6 +83,8 @@
 	defaultCeilingWindow  = vrid.Duration(5 * time.Second)
 	defaultGatewayMemory  = 256 * vrid.MiB
 	defaultResponseHead   = 64 * vrid.KiB
+	defaultCatalogApply   = vrid.Duration(2500 * time.Millisecond)
+	defaultQuotaWindow    = vrid.Duration(8 * time.Second)
 )
 
 // minResponseHead is the smallest limit for the head of a response. The heads of ordinary
@@ -91,6 +103,8 @@
 	setDefault(&completed.Bounds.RetryWindow, defaultRetryWindow)
 	setDefault(&completed.Bounds.CeilingFactor, defaultCeilingFactor)
 	setDefault(&completed.Bounds.CeilingWindow, defaultCeilingWindow)
+	setDefault(&completed.Bounds.CatalogApply, defaultCatalogApply)
+	setDefault(&completed.Bounds.QuotaWindow, defaultQuotaWindow)
 	setDefault(&completed.Memory, defaultGatewayMemory)
 	setDefault(&completed.Limits.ResponseHead, defaultResponseHead)
 	return &completed
@@ -111,9 +125,13 @@
 	for field, value := range map[string]vrid.Duration{
 		"bounds.lease": b.Lease, "bounds.contact": b.ContactTimeout, "bounds.drain": b.DrainTimeout, "bounds.grace": b.GracePeriod,
 		"bounds.retryWindow": b.RetryWindow, "bounds.ceilingWindow": b.CeilingWindow,
+		"bounds.catalogApply": b.CatalogApply, "bounds.quotaWindow": b.QuotaWindow,
 	} {
 		c.Require(value > 0, field, value, "a positive time")
 	}
+	c.Require(b.Revocation >= 0, "bounds.revocation", b.Revocation, "a time, or 0 for no limit")
+	c.Require(b.QuotaOverrun >= 0, "bounds.quotaOverrun", b.QuotaOverrun, "0 or more")
+	c.Require(b.QuotaSlack >= 0, "bounds.quotaSlack", b.QuotaSlack, "0 or more")
 	c.Require(b.RetryRatio > 0, "bounds.retryRatio", b.RetryRatio, "a positive number")
 	c.Require(b.RetrySlack >= 0, "bounds.retrySlack", b.RetrySlack, "0 or more")
 	c.Require(g.Limits.ResponseHead >= minResponseHead, "limits.responseHead", g.Limits.ResponseHead, "1024 bytes or more")
--- a/verbenacore/vrwire/problem.go
+++ b/verbenacore/vrwire/problem.go
@@ -32,6 +32,10 @@
 	ReasonShuttingDown             Reason = "shuttingDown"
 	ReasonCallerGone               Reason = "callerGone"
 	ReasonPromptQuarantined        Reason = "promptQuarantined"
+	ReasonTenantUnknown            Reason = "tenantUnknown"
+	ReasonKeyUnverified            Reason = "keyUnverified"
+	ReasonQuotaExceeded            Reason = "quotaExceeded"
+	ReasonServersFull              Reason = "serversFull"
 )
 
 type reasonInfo struct {
@@ -73,6 +77,10 @@
 	ReasonShuttingDown:             {statusUnavailable, "The daemon is shutting down"},
 	ReasonCallerGone:               {statusClientClosed, "The caller closed the connection"},
 	ReasonPromptQuarantined:        {statusUnavailable, "A part of the prompt crashes servers"},
+	ReasonTenantUnknown:            {statusUnauthorized, "The API key is missing or belongs to no tenant"},
+	ReasonKeyUnverified:            {statusUnavailable, "The API key can't be verified now"},
+	ReasonQuotaExceeded:            {statusTooMany, "The tenant's quota is used up"},
+	ReasonServersFull:              {statusUnavailable, "All servers that could run the request are full"},
 }
 
 // Reasons lists every reason in alphabetical order.
