End sessions between daemons that go silent without a reset

Cause: a connection between two daemons may go silent for good, and only the keep-alive of the session, each 15 s, noticed it. Until then the reports and notices of the placement were lost. The side that had not noticed it also went on using the silent session after the other one had opened a new one.

Change: TCP_USER_TIMEOUT and the kernel's keep-alive end such a connection after half of the contact timeout, and a further session of the same daemon replaces the former one. This is in force everywhere.

--- /dev/null
+++ b/verbenacore/vrpeer/export_test.go
@@ -0,0 +1,4 @@
+package vrpeer
+
+// LimitSilence is limitSilence for the tests.
+var LimitSilence = limitSilence
--- a/verbenacore/vrpeer/link.go
+++ b/verbenacore/vrpeer/link.go
@@ -84,6 +84,7 @@
 
 // serveConn serves an accepted connection until it ends.
 func (h *Hub) serveConn(conn net.Conn) {
+	limitSilence(conn, h.options.SilenceTimeout)
 	var peer vrid.DaemonID
 	if h.credentials != nil {
 		tlsConn, id, err := h.handshakeServer(conn)
@@ -154,8 +155,12 @@
 	ctx, cancel := context.WithTimeout(h.ctx, _dialTimeout)
 	defer cancel()
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-	if err != nil || h.credentials == nil {
-		return conn, err
+	if err != nil {
+		return nil, err
+	}
+	limitSilence(conn, h.options.SilenceTimeout)
+	if h.credentials == nil {
+		return conn, nil
 	}
 	tlsConn := tls.Client(conn, h.credentials.config(func(found vrid.DaemonID) error {
 		if found != id {
@@ -185,13 +190,15 @@
 
 // preferLocked chooses the session that messages to a peer are sent on. When both daemons
 // open one at the same time, both choose the one opened by the daemon with the smaller
-// id; the other session becomes idle and is closed. The hub's mutex must be held.
+// id; the other session becomes idle and is closed. A daemon opens a further session only if its former one
+// failed, so the newer one is chosen: this side may not have noticed yet that the former one is silent. The
+// hub's mutex must be held.
 func (h *Hub) preferLocked(l *link) {
 	if l.peer == "" {
 		return
 	}
 	preferred := h.preferred[l.peer]
-	if preferred == nil || preferred.session.IsClosed() || l.dialer < preferred.dialer {
+	if preferred == nil || preferred.session.IsClosed() || l.dialer <= preferred.dialer {
 		h.preferred[l.peer] = l
 	}
 }
--- a/verbenacore/vrpeer/vrpeer.go
+++ b/verbenacore/vrpeer/vrpeer.go
@@ -49,6 +49,8 @@
 	// Insecure uses plain TCP; a session's peer is then the sender that its first frame
 	// names.
 	Insecure bool
+	// SilenceTimeout is how long data on a session may stay without an acknowledgement. Zero means the default.
+	SilenceTimeout time.Duration
 	// OnReceive is called with each valid envelope, in order within a session.
 	OnReceive func(*vrwire.Envelope)
 	// OnUnreachable is called with a peer for which a message was dropped, once for all
@@ -106,6 +108,9 @@
 	if log == nil {
 		log = zap.NewNop()
 	}
+	if options.SilenceTimeout <= 0 {
+		options.SilenceTimeout = defaultSilenceTimeout
+	}
 	h := &Hub{
 		options: options, log: log,
 		unreachable: make(chan vrid.DaemonID, _maxUnreachableReports), acceptedSlots: make(chan struct{}, _maxSessions),
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -41,6 +41,10 @@
 // responses. As much again may be garbage, and the rest is needed for connections and state.
 const bufferedMemoryDivisor = 8
 
+// silenceDivisor is the divisor of ContactTimeout that gives the time after which a silent session with another
+// daemon ends, so that another one is open within ContactTimeout.
+const silenceDivisor = 2
+
 // Node is a gateway daemon.
 type Node struct {
 	settings *vrsettings.Gateway
@@ -256,9 +260,10 @@
 	}
 	n.peers, err = vrpeer.Start(n.baseCtx, vrpeer.Options{
 		Self: n.settings.Daemon, Boot: n.boot, Zone: n.settings.Zone, Listen: n.settings.Peers, Insecure: true,
-		OnReceive:     func(e *vrwire.Envelope) { n.Submit(vrevent.PeerMessage{Envelope: e}) },
-		OnUnreachable: func(peer vrid.DaemonID) { n.Submit(vrevent.PeerUnreachable{Peer: peer}) },
-		Log:           n.log,
+		SilenceTimeout: n.settings.Bounds.ContactTimeout.Std() / silenceDivisor,
+		OnReceive:      func(e *vrwire.Envelope) { n.Submit(vrevent.PeerMessage{Envelope: e}) },
+		OnUnreachable:  func(peer vrid.DaemonID) { n.Submit(vrevent.PeerUnreachable{Peer: peer}) },
+		Log:            n.log,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
