--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -38,8 +38,11 @@
 // call is the state of one client attempt from its arrival to its end.
 type call struct {
 	vrevent.Call
-	route     *vrcatalog.Route
-	service   vrid.ServiceID
+	route   *vrcatalog.Route
+	service vrid.ServiceID
+	// tenant is the tenant of the call by the newest catalog that judged it, nil if the route is public or the
+	// catalog lists no tenants.
+	tenant    *vrcatalog.Tenant
 	arrivedAt time.Time
 	// deadline is when the response has to be complete.
 	deadline time.Time
@@ -133,6 +136,7 @@
 	if timeout := c.route.Timeout; timeout > 0 && (arrived.Timeout <= 0 || timeout < arrived.Timeout) {
 		c.deadline = now.Add(timeout)
 	}
+	c.tenant = s.findTenant(c)
 	c.service = c.route.Pick(s.random.Float64())
 	s.calls[c.ID] = c
 	s.countDemandArrival(c)
