Messages by which daemons prove the catalog to each other

A daemon that the store rejects gets no proof that its catalog is the newest, although other daemons have one. CatalogQuery asks for a proof and CatalogReply carries it, with the catalog if the asker lacks it. Both are fields of Notices with epoch zero, which older builds ignore.

--- a/verbenacore/vrid/vrid.go
+++ b/verbenacore/vrid/vrid.go
@@ -3,6 +3,8 @@
 package vrid
 
 import (
+	"encoding/base64"
+	"errors"
 	"fmt"
 	"strings"
 )
@@ -53,6 +55,24 @@
 // reach a log, a metric or another daemon.
 type KeyDigest [32]byte
 
+// MarshalText encodes the digest for messages between daemons.
+func (d KeyDigest) MarshalText() ([]byte, error) {
+	return base64.RawStdEncoding.AppendEncode(nil, d[:]), nil
+}
+
+// UnmarshalText decodes a digest that MarshalText has encoded.
+func (d *KeyDigest) UnmarshalText(text []byte) error {
+	decoded, err := base64.RawStdEncoding.DecodeString(string(text))
+	if err != nil || len(decoded) != len(d) {
+		return errInvalidDigest
+	}
+	copy(d[:], decoded)
+	return nil
+}
+
+// errInvalidDigest reports a malformed digest, without its text.
+var errInvalidDigest = errors.New("the digest of a key is malformed")
+
 // Epoch counts the successive holders of a zone lease. It is the high part of an order's
 // fencing token. Zero means that the lease has never been held.
 type Epoch uint64
--- a/verbenacore/vrwire/fleet.go
+++ b/verbenacore/vrwire/fleet.go
@@ -126,16 +126,29 @@
 	ReportBoot   vrid.BootID `protobuf:"bytes,9,opt,name=reportBoot,proto3"`
 	ReportSentAt int64       `protobuf:"varint,10,opt,name=reportSentAt,proto3"`
 	ReportAge    int64       `protobuf:"varint,11,opt,name=reportAge,proto3"`
+	// CatalogQuery and CatalogReply may come from any daemon. Epoch is zero then.
+	CatalogQuery *CatalogQuery `protobuf:"bytes,20,opt,name=catalogQuery,proto3"`
+	CatalogReply *CatalogReply `protobuf:"bytes,21,opt,name=catalogReply,proto3"`
 }
 
 // Validate checks that each notice has a known kind and, unless the server is leaving,
-// names a model, and the messages about parts of prompts.
+// names a model, and the messages about catalogs and parts of prompts.
 func (n *Notices) Validate() error {
 	for _, item := range n.Items {
 		if item.Kind < NoticeLoading || item.Kind > NoticeLeaving || (item.Model == "" && item.Kind != NoticeLeaving) {
 			return &DecodeError{Message: "Notices", Field: "items", Problem: "a notice has an unknown kind or no model"}
 		}
 	}
+	if n.CatalogQuery != nil {
+		if err := n.CatalogQuery.Validate(); err != nil {
+			return err
+		}
+	}
+	if n.CatalogReply != nil {
+		if err := n.CatalogReply.Validate(); err != nil {
+			return err
+		}
+	}
 	if n.PromptReport != nil {
 		if err := n.PromptReport.Validate(); err != nil {
 			return err
--- a/verbenacore/vrwire/vrwire_test.go
+++ b/verbenacore/vrwire/vrwire_test.go
@@ -44,6 +44,10 @@
 		"prompt report": {Notices: &vrwire.Notices{PromptReport: &vrwire.PromptReport{
 			Number: 2, Run: 7, Items: []vrwire.PromptReportItem{{Part: "p", Event: vrwire.PromptCrashed, Request: "r", Probe: 3}},
 		}}},
+		"catalog query": {Notices: &vrwire.Notices{CatalogQuery: &vrwire.CatalogQuery{Version: 3, Era: 1, SentAt: 9}}},
+		"catalog reply": {Notices: &vrwire.Notices{CatalogReply: &vrwire.CatalogReply{
+			Boot: "b", SentAt: 9, Version: 4, Era: 1, ProofAge: 7, Catalog: []byte{1},
+		}}},
 		"quarantine": {Notices: &vrwire.Notices{Epoch: 2, Quarantine: &vrwire.Quarantine{
 			Epoch: 2, Version: 4, Parts: []vrwire.QuarantinedPart{{Part: "p", Prober: "d1", Probe: 1}},
 		}}},
