Judge calls by their API key and by the age of the catalog's proof

Daemons didn't look at API keys. A call on a route that isn't public is now judged at its arrival and before each send: its key is accepted while the catalog is proved to have been the newest within the limit of the revocation, a key that a recent catalog lacks is refused with tenantUnknown, and any other waits for a proof for up to 250 ms and is refused with keyUnverified. A daemon without a recent proof asks two others and the owner every 400 ms. Without tenants in the catalog nothing changes: the tests of the package pass as before.

--- a/verbenacore/vrevent/gateway.go
+++ b/verbenacore/vrevent/gateway.go
@@ -147,7 +147,7 @@
 
 // CatalogRead describes the call to the store that returned a catalog.
 type CatalogRead struct {
-	// Call is "list" or "watch".
+	// Call is "list" or "watch", or "peer" if another daemon sent the catalog.
 	Call string
 	// Receiving is the time from the first byte of the last response until it was decoded.
 	Receiving time.Duration
@@ -415,6 +415,8 @@
 		// Rank is the priority of the route, -1 if no route was found.
 		Rank    int
 		Service vrid.ServiceID
+		// Tenant is the tenant of the call, empty if it has none.
+		Tenant vrid.TenantID
 		// Outcome is the outcome that the log line names. Reason is empty unless the daemon
 		// itself ended the call.
 		Outcome string
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -42,8 +42,13 @@
 	service vrid.ServiceID
 	// tenant is the tenant of the call by the newest catalog that judged it, nil if the route is public or the
 	// catalog lists no tenants.
-	tenant    *vrcatalog.Tenant
-	arrivedAt time.Time
+	tenant *vrcatalog.Tenant
+	// unverified is set while the call waits for a proof of its API key, since unverifiedSince.
+	unverified      bool
+	unverifiedSince time.Time
+	// resendsFree is set if the last send ended as AttemptUnauthorized, so that the next one takes its place.
+	resendsFree bool
+	arrivedAt   time.Time
 	// deadline is when the response has to be complete.
 	deadline time.Time
 	// sends counts the sends of the call, notRunSends the ended sends that provably did not run
@@ -165,7 +170,7 @@
 		need.Exclude = slices.Concat(c.tried, exclude)
 		server, missing = s.chooser.Best(now, need)
 	}
-	if server != nil && c.responseStarted && !s.retryBudget.HasRetry(now, c.service) && !vrfault.On(vrfault.IgnoreBudget) {
+	if server != nil && c.responseStarted && !c.resendsFree && !s.retryBudget.HasRetry(now, c.service) && !vrfault.On(vrfault.IgnoreBudget) {
 		return nil, vrchoice.MissingHealthyServer
 	}
 	return server, missing
@@ -185,7 +190,7 @@
 		s.endPastDeadline(now, c, out)
 		return
 	}
-	if s.refuseBlocked(now, c, out) {
+	if !s.authorize(now, c, out) || s.refuseBlocked(now, c, out) {
 		return
 	}
 	server, missing := s.chooseServer(now, c)
@@ -213,8 +218,12 @@
 	s.endCall(now, c, reason, 0, out)
 }
 
-// send sends a call to a server, unless it is a retry beyond the retry budget.
+// send sends a call to a server, unless its API key isn't accepted any more or it is a retry beyond the retry
+// budget.
 func (s *State) send(now time.Time, c *call, server *vrfleet.Server, out *vrevent.Effects) {
+	if !s.authorize(now, c, out) {
+		return
+	}
 	if !s.takeRetryBudget(now, c) {
 		s.endCall(now, c, vrwire.ReasonNoReplica, shortRetryAfter, out)
 		return
@@ -252,6 +261,7 @@
 		Deadline: c.deadline.Add(-deadlineMargin), Priority: c.route.Priority,
 		Stream: c.route.Kind == vrcatalog.RouteStream, AtMostOnce: !c.route.Repeatable(),
 	}
+	s.setTenant(c, &effect)
 	if effect.Stream && !c.responseStarted {
 		effect.BeginDeadline = c.abandonedAt().Add(-deadlineMargin)
 	}
@@ -274,6 +284,10 @@
 // takeRetryBudget counts a send in the retry budget, which all daemons share, and reports
 // whether it is allowed. Only retries can be denied.
 func (s *State) takeRetryBudget(now time.Time, c *call) bool {
+	if c.resendsFree {
+		c.resendsFree = false
+		return true
+	}
 	if c.sends == 0 {
 		s.retryBudget.CountRequest(now, c.service)
 		return true
@@ -355,9 +369,11 @@
 	s.recordPromptOutcome(now, c, &ended, &e, out)
 	c.responseStarted = c.responseStarted || e.PartForwarded
 	s.recordOutcome(now, c, &ended, isHedge, e, out)
-	if e.Result.ProvesNotRun() {
+	switch {
+	case e.Result == vrevent.AttemptUnauthorized:
+	case e.Result.ProvesNotRun():
 		c.notRunSends++
-	} else {
+	default:
 		c.possibleRuns++
 	}
 	switch {
@@ -374,9 +390,11 @@
 		s.removeCall(now, c, "callerGone", "", out, append(s.cutFields(now, c), text("server", ended.server.ID), text("detail", e.Detail))...)
 	case c.server != nil || c.hedge != nil:
 		s.logFailedSend(now, c, &ended, &e, out)
-		if e.Result == vrevent.AttemptSuperseded {
+		switch e.Result {
+		case vrevent.AttemptUnauthorized:
+		case vrevent.AttemptSuperseded:
 			c.superseded = append(c.superseded, ended.server.ID)
-		} else {
+		default:
 			c.tried = append(c.tried, ended.server.ID)
 		}
 		if !isHedge {
@@ -432,9 +450,12 @@
 		s.endFailedCall(now, c, out)
 		return
 	}
-	c.tried = append(c.tried, a.server.ID)
-	if c.responseStarted {
-		s.counts.Resumed++
+	c.resendsFree = e.Result == vrevent.AttemptUnauthorized
+	if !c.resendsFree {
+		c.tried = append(c.tried, a.server.ID)
+		if c.responseStarted {
+			s.counts.Resumed++
+		}
 	}
 	s.dispatch(now, c, out)
 }
@@ -528,6 +549,7 @@
 func (s *State) removeCall(now time.Time, c *call, outcome string, reason vrwire.Reason, out *vrevent.Effects, fields ...vrevent.LogField) {
 	s.dequeue(c)
 	s.release(c)
+	s.stopVerifying(c)
 	s.cancelAttempts(c)
 	delete(s.calls, c.ID)
 	s.countDemandEnd(c)
@@ -546,6 +568,10 @@
 	if reason != "" {
 		common = append(common, text("reason", reason))
 	}
+	if c.tenant != nil {
+		common = append(common, text("tenant", c.tenant.ID))
+		ended.Tenant = c.tenant.ID
+	}
 	out.Add(ended)
 	if c.Model != "" {
 		common = append(common, text("model", c.Model), text("adapter", c.Adapter))
--- a/verbenacore/vrgateway/heartbeat.go
+++ b/verbenacore/vrgateway/heartbeat.go
@@ -48,6 +48,7 @@
 	// is unknown.
 	provedAt       time.Time
 	catalogVersion vrid.ConfigVersion
+	era            vrid.StoreEra
 }
 
 // age returns the time since the heartbeat was received, zero if there was none.
@@ -76,6 +77,7 @@
 func (s *State) handleCatalogChecked(e vrevent.CatalogChecked) {
 	if e.Era >= s.store.era && e.At.After(s.catalogProof.at) {
 		s.catalogProof = catalogProof{at: e.At, era: e.Era}
+		s.proof.recordOwn(s.catalogProof)
 	}
 }
 
@@ -129,12 +131,13 @@
 	if notices.Era < s.store.era || notices.CatalogVersion == 0 {
 		return
 	}
-	s.heartbeat = ownerHeartbeat{receivedAt: now, catalogVersion: notices.CatalogVersion}
+	s.heartbeat = ownerHeartbeat{receivedAt: now, catalogVersion: notices.CatalogVersion, era: notices.Era}
 	if notices.ReportBoot != s.opts.Boot || notices.ReportSentAt <= 0 {
 		return
 	}
 	sentAfter := s.startedAt.Add(time.Duration(notices.ReportSentAt+notices.ReportAge) * time.Millisecond)
 	s.heartbeat.provedAt = earlier(sentAfter, now).Add(-time.Duration(notices.StoreAge) * time.Millisecond)
+	s.noteHeartbeatProof()
 }
 
 // needsReport reports whether the owner needs a report of this daemon to repeat, because its heartbeats
--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -298,6 +298,7 @@
 	}
 	if envelope.Notices != nil {
 		s.handlePromptMessages(now, envelope, out)
+		s.handleCatalogMessages(now, envelope, out)
 	}
 	if notices := envelope.Notices; notices != nil && notices.Epoch > s.owner.epoch {
 		s.setAnnouncedOwner(envelope.From, notices.Epoch, out)
@@ -312,6 +313,7 @@
 			s.applyNotice(now, &notices.Items[i], out)
 		}
 		s.dispatchWaiting(now, out)
+		s.dispatchUnverified(now, out)
 	}
 }
 
--- a/verbenacore/vrgateway/servers.go
+++ b/verbenacore/vrgateway/servers.go
@@ -62,6 +62,7 @@
 	}
 	s.store.era, s.store.restoredAt, s.store.recoveredAt = e.Era, now, now
 	s.heartbeat, s.catalogProof = ownerHeartbeat{}, catalogProof{}
+	s.proof.forget()
 	s.rereadQuarantine()
 	out.Warn("store restored from a copy", number("era", uint64(e.Era)))
 }
--- a/verbenacore/vrgateway/stall.go
+++ b/verbenacore/vrgateway/stall.go
@@ -148,5 +148,6 @@
 // mayHedge reports whether the send of a call may be hedged.
 func (s *State) mayHedge(now time.Time, c *call) bool {
 	return c.hedge == nil && c.notRunSends < maxNotRunRetries && !s.shutdown.graceExpired && now.Before(c.deadline.Add(-minServeTime)) &&
-		c.route.Repeatable() && (c.possibleRuns+1 < c.route.MaxAttempts || vrfault.On(vrfault.IgnoreAttempts))
+		c.route.Repeatable() && (c.possibleRuns+1 < c.route.MaxAttempts || vrfault.On(vrfault.IgnoreAttempts)) &&
+		s.judgeKey(now, c) == keyAccepted
 }
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -32,6 +32,9 @@
 	Retries vrretry.Options
 	// Ceiling limits the rate of model loads from the weight store.
 	Ceiling vrresidence.Ceiling
+	// Revocation is the time after which a request with a withdrawn API key must not run, zero if there is no
+	// such limit. CatalogApply is the time within which a new key has to be accepted.
+	Revocation, CatalogApply time.Duration
 }
 
 // Options configures a State.
@@ -75,6 +78,11 @@
 	heartbeat       ownerHeartbeat
 	heartbeatSentAt time.Time
 	catalogProof    catalogProof
+	proof           proofState
+	// unverified are the calls that wait for a proof of their API key, in the order of their arrival.
+	// judgedVersion is the version of the catalog by which all waiting calls were judged.
+	unverified    []*call
+	judgedVersion vrid.ConfigVersion
 	// reports holds the last demand report that was received from each daemon. reportSentAt is when this
 	// daemon last sent one that the owner repeats.
 	reports      map[vrid.DaemonID]receivedReport
@@ -131,10 +139,10 @@
 // Counts returns the running totals.
 func (s *State) Counts() Counts { return s.counts }
 
-// WaitingCalls returns the number of calls that wait for a server or for the clearance of their
-// prompt.
+// WaitingCalls returns the number of calls that wait for a server, for the clearance of their
+// prompt or for a proof of their API key.
 func (s *State) WaitingCalls() int {
-	count := len(s.quarantine.held)
+	count := len(s.quarantine.held) + len(s.unverified)
 	for _, list := range s.waitLists {
 		count += len(list.calls)
 	}
@@ -175,6 +183,7 @@
 		s.applyCatalog(now, e, out)
 	case vrevent.CatalogChecked:
 		s.handleCatalogChecked(e)
+		s.dispatchUnverified(now, out)
 	case vrevent.FleetListed:
 		s.applyFleetList(now, e, out)
 	case vrevent.FleetChanged:
@@ -211,12 +220,15 @@
 		s.handlePeerMessage(now, e.Envelope, out)
 	case vrevent.PeerUnreachable:
 		s.owner.markUnreachable(now, e.Peer)
+		s.proof.markUnreachable(now, e.Peer)
 	case vrevent.ShutdownRequested:
 		s.handleShutdown(now, e, out)
 	}
 }
 
 func (s *State) tick(now time.Time, out *vrevent.Effects) {
+	s.tickCatalogProof(now, out)
+	s.tickKeys(now, out)
 	s.tickAbsentServers(now, out)
 	s.tickLeavingChecks(now, out)
 	s.tickWaits(now, out)
@@ -234,6 +246,8 @@
 		return
 	}
 	s.catalog = catalog
+	s.proof.encoded = nil
+	s.noteHeartbeatProof()
 	s.forgetDurations()
 	out.Info("catalog adopted", number("version", uint64(catalog.Version)),
 		number("routes", uint64(len(catalog.Routes))), number("services", uint64(len(catalog.Services))),
