--- a/verbenaroute/internal/vrnode/follower_test.go
+++ b/verbenaroute/internal/vrnode/follower_test.go
@@ -37,7 +37,7 @@
 			return 90, nil
 		}
 		f.knownVersion = func() vrid.ObjectVersion { return 141 }
-		f.watch = func(_ context.Context, after vrid.ObjectVersion) (vrid.ObjectVersion, bool, error) {
+		f.watch = func(_ context.Context, after vrid.ObjectVersion, _ time.Duration) (vrid.ObjectVersion, bool, error) {
 			if watches++; watches > maxWatches {
 				stop()
 			}
@@ -64,7 +64,7 @@
 			return 90, nil
 		}
 		expired := false
-		f.watch = func(_ context.Context, after vrid.ObjectVersion) (vrid.ObjectVersion, bool, error) {
+		f.watch = func(_ context.Context, after vrid.ObjectVersion, _ time.Duration) (vrid.ObjectVersion, bool, error) {
 			if expired = !expired; expired {
 				return 0, false, &vradapter.HistoryGoneError{After: after}
 			}
--- a/verbenaroute/internal/vrnode/metrics.go
+++ b/verbenaroute/internal/vrnode/metrics.go
@@ -9,6 +9,7 @@
 	vmetrics "github.com/VictoriaMetrics/metrics"
 
 	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrid"
 
 	"verbenaroute.example/verbenaroute/internal/vrrelay"
 )
@@ -20,10 +21,19 @@
 	node *Node
 	// droppedLines returns the number of dropped log lines by kind, which is a label value.
 	droppedLines func() map[string]uint64
+	// tenants are those with metrics of their own. Calls end under the node's lock.
+	tenants map[vrid.TenantID]bool
 }
 
+// maxTenantMetrics is the maximum number of tenants with metrics of their own. The others are counted under
+// otherTenants, because each one costs memory and a line for every outcome.
+const (
+	maxTenantMetrics = 32
+	otherTenants     = "other"
+)
+
 func newMetrics(n *Node, droppedLines func() map[string]uint64) *metrics {
-	m := &metrics{set: vmetrics.NewSet(), node: n, droppedLines: droppedLines}
+	m := &metrics{set: vmetrics.NewSet(), node: n, droppedLines: droppedLines, tenants: make(map[vrid.TenantID]bool)}
 	gauge := func(name string, read func() float64) {
 		m.set.NewGauge(name, func() float64 {
 			n.mu.Lock()
@@ -75,6 +85,7 @@
 // callEnded records the duration of a call, its time to first byte and its time in the queue,
 // labeled by rank and service; the duration also by the outcome and its reason.
 func (m *metrics) callEnded(e *vrevent.CallEnded) {
+	m.tenantCallEnded(e)
 	labels := fmt.Sprintf(`rank="%d",service=%q`, e.Rank, e.Service)
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`verbena_call_seconds{%s,outcome=%q,reason=%q}`, labels, e.Outcome, e.Reason)).
 		Update(e.Took.Seconds())
@@ -86,6 +97,22 @@
 	}
 }
 
+// tenantCallEnded counts a call of a tenant by its outcome and reason.
+func (m *metrics) tenantCallEnded(e *vrevent.CallEnded) {
+	if e.Tenant == "" {
+		return
+	}
+	label := string(e.Tenant)
+	if !m.tenants[e.Tenant] {
+		if len(m.tenants) < maxTenantMetrics {
+			m.tenants[e.Tenant] = true
+		} else {
+			label = otherTenants
+		}
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`verbena_tenant_calls_total{tenant=%q,outcome=%q,reason=%q}`, label, e.Outcome, e.Reason)).Inc()
+}
+
 // loadEnded records a load that this daemon ordered as the placement owner.
 func (m *metrics) loadEnded(e *vrevent.LoadEnded) {
 	labels := fmt.Sprintf(`from=%q,held="%t"`, e.Source, e.Succeeded)
--- a/verbenaroute/internal/vrnode/store.go
+++ b/verbenaroute/internal/vrnode/store.go
@@ -44,6 +44,15 @@
 	// receives the placement owner's heartbeats, because the owner also notifies it of leaving
 	// servers.
 	freshHeartbeatFraction = 0.75
+	// proofWatchWait is the wait of a watch of the catalog if its responses are the proofs that API keys are
+	// valid. A watch proves what the newest catalog was when it was sent, so a proof is up to two waits old
+	// when the next one arrives. Other daemons are asked for a proof when it is two seconds old.
+	proofWatchWait = 800 * time.Millisecond
+	// proofReserve is the part of bounds.revocation that two waits and the time-out of a failed watch leave:
+	// keys are accepted until 500 ms before its end, and the rest is for the list after the failure.
+	proofReserve = time.Second
+	// minProofWatchWait is the lower limit of the wait, which a short bounds.revocation reaches.
+	minProofWatchWait = 100 * time.Millisecond
 	// drainDivisor is the divisor of DrainTimeout that gives the pause of a daemon without
 	// heartbeats.
 	drainDivisor = 2
@@ -179,10 +188,10 @@
 	after vrid.ObjectVersion
 	// pauseAfterChange returns the pause after a watch that returned a change; it may be nil.
 	pauseAfterChange func() time.Duration
-	// list reads all objects and returns their version. watch waits for changes after a version
-	// and returns the new version and whether anything changed.
+	// list reads all objects and returns their version. watch waits at most for the given time for changes
+	// after a version and returns the new version and whether anything changed.
 	list  func(ctx context.Context) (vrid.ObjectVersion, error)
-	watch func(ctx context.Context, after vrid.ObjectVersion) (vrid.ObjectVersion, bool, error)
+	watch func(ctx context.Context, after vrid.ObjectVersion, wait time.Duration) (vrid.ObjectVersion, bool, error)
 	// failures is the number of consecutive failed calls.
 	failures int
 	// expired is the number of watches since the last successful one that found the store's history
@@ -197,6 +206,16 @@
 	// knownVersion returns the version up to which changes are known from another daemon; it may
 	// be nil.
 	knownVersion func() vrid.ObjectVersion
+	// watchWait returns how long the store may hold a watch open; it may be nil.
+	watchWait func() time.Duration
+}
+
+// wait returns how long the store may hold the next watch open.
+func (f *follower) wait() time.Duration {
+	if f.watchWait != nil {
+		return f.watchWait()
+	}
+	return f.node.watchWait()
 }
 
 // run lists and watches until the node stops.
@@ -216,8 +235,9 @@
 				f.after = max(f.after, known)
 			}
 		}
-		ctx, cancel := context.WithTimeout(n.baseCtx, n.watchWait()+watchTimeoutMargin)
-		after, changed, err := f.watch(ctx, f.after)
+		wait := f.wait()
+		ctx, cancel := context.WithTimeout(n.baseCtx, wait+watchTimeoutMargin)
+		after, changed, err := f.watch(ctx, f.after, wait)
 		cancel()
 		var gone *vradapter.HistoryGoneError
 		switch {
@@ -318,7 +338,7 @@
 }
 
 func (n *Node) followCatalog() {
-	f := &follower{node: n, name: "catalog", era: n.store.Era, skipWatch: n.catalogIsCurrent}
+	f := &follower{node: n, name: "catalog", era: n.store.Era, skipWatch: n.catalogIsCurrent, watchWait: n.catalogWatchWait}
 	f.list = func(ctx context.Context) (vrid.ObjectVersion, error) {
 		ctx, receiving := traceFirstByte(ctx)
 		sentAt := n.clock.Now()
@@ -328,10 +348,10 @@
 		}
 		return version, err
 	}
-	f.watch = func(ctx context.Context, after vrid.ObjectVersion) (vrid.ObjectVersion, bool, error) {
+	f.watch = func(ctx context.Context, after vrid.ObjectVersion, wait time.Duration) (vrid.ObjectVersion, bool, error) {
 		ctx, receiving := traceFirstByte(ctx)
 		sentAt := n.clock.Now()
-		catalog, version, err := n.store.WatchCatalog(ctx, after, n.catalogWatchWait())
+		catalog, version, err := n.store.WatchCatalog(ctx, after, wait)
 		if err == nil {
 			n.reportCatalog(catalog, vrevent.CatalogRead{Call: "watch", Receiving: receiving()}, version, sentAt)
 		}
@@ -355,10 +375,20 @@
 func (n *Node) catalogWatchWait() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.state.VouchesForCatalog() {
+	switch {
+	case n.state.VouchesForCatalog():
 		return min(ownerWatchWait, n.watchWait())
+	case n.state.RequiresProof():
+		return min(proofWait(n.settings.Bounds.Revocation.Std()), n.watchWait())
+	default:
+		return n.watchWait()
 	}
-	return n.watchWait()
+}
+
+// proofWait returns the wait of a watch of the catalog with which a proof of the API keys arrives in time for
+// a limit of their revocation, also after one failed call.
+func proofWait(revocation time.Duration) time.Duration {
+	return max(min(proofWatchWait, (revocation-proofReserve-watchTimeoutMargin)/2), minProofWatchWait)
 }
 
 // traceFirstByte returns a context for one call at a time, and a function that returns the time since the
@@ -391,8 +421,8 @@
 		}
 		return version, err
 	}
-	f.watch = func(ctx context.Context, after vrid.ObjectVersion) (vrid.ObjectVersion, bool, error) {
-		changes, version, err := n.store.WatchServers(ctx, after, n.watchWait())
+	f.watch = func(ctx context.Context, after vrid.ObjectVersion, wait time.Duration) (vrid.ObjectVersion, bool, error) {
+		changes, version, err := n.store.WatchServers(ctx, after, wait)
 		if err == nil && n.catalog.Load() != nil {
 			n.ready.Store(true)
 		}
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -94,6 +94,8 @@
 			Lease:   bounds.Lease.Std(),
 			Retries: retryOptions(bounds),
 			Ceiling: vrresidence.Ceiling{Window: bounds.CeilingWindow.Std(), Factor: bounds.CeilingFactor},
+
+			Revocation: bounds.Revocation.Std(), CatalogApply: bounds.CatalogApply.Std(),
 		},
 	})
 	n.proxy = vrrelay.New(vrrelay.Options{
--- a/verbenaroute/internal/vrrelay/exchange.go
+++ b/verbenaroute/internal/vrrelay/exchange.go
@@ -126,7 +126,7 @@
 	status := refusalStatus(e)
 	header := h.writer.Header()
 	header.Set("Content-Type", vrwire.ContentTypeProblem)
-	if e.NotRun && e.RetryAfter > 0 && status == http.StatusServiceUnavailable {
+	if e.NotRun && e.RetryAfter > 0 && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
 		header.Set("Retry-After", formatRetryAfter(e.RetryAfter))
 	}
 	ran := vrrecord.RanUnknown
@@ -147,12 +147,14 @@
 	_, _ = h.writer.Write(data)
 }
 
-// refusalStatus returns the HTTP status of a refusal. It is 503 only if the request has not run
+// refusalStatus returns the HTTP status of a refusal. It is 401, 429 or 503 only if the request has not run
 // and will not run, because after a 503 clients repeat even a request that may run at most once.
 func refusalStatus(e *vrevent.RefuseCall) int {
 	switch {
 	case e.Reason == vrwire.ReasonUnknownService:
 		return http.StatusNotFound
+	case e.NotRun && (e.Reason == vrwire.ReasonTenantUnknown || e.Reason == vrwire.ReasonQuotaExceeded):
+		return e.Reason.Status()
 	case e.NotRun:
 		return http.StatusServiceUnavailable
 	case e.Reason == vrwire.ReasonDeadlineExceeded:
