--- a/verbenacore/vrgateway/gateway_test.go
+++ b/verbenacore/vrgateway/gateway_test.go
@@ -20,6 +20,7 @@
 // daemon drives the State of one gateway in virtual time.
 type daemon struct {
 	t          *testing.T
+	id         vrid.DaemonID
 	state      *vrgateway.State
 	now        time.Time
 	out        vrevent.Effects
@@ -29,7 +30,7 @@
 }
 
 func newDaemon(t *testing.T) *daemon {
-	d := &daemon{t: t, now: time.Unix(1_790_000_000, 0)}
+	d := &daemon{t: t, id: "d1", now: time.Unix(1_790_000_000, 0)}
 	d.state = vrgateway.New(vrgateway.Options{
 		Daemon: "d1", Boot: "b1", Address: "10.0.0.1:1", Zone: "z", Regions: map[vrid.ZoneID]vrid.RegionID{"z": "r"},
 		Bounds: vrgateway.Bounds{
