--- a/verbenacore/vrgateway/proof.go
+++ b/verbenacore/vrgateway/proof.go
@@ -38,6 +38,8 @@
 	queriedAt, askingSince time.Time
 	// unreachableAt is when messages to other daemons last could not be delivered.
 	unreachableAt map[vrid.DaemonID]time.Time
+	// expired is set while no key is accepted for lack of a proof.
+	expired bool
 	// encoded is the catalog in force as it is sent to other daemons, nil if it was not encoded yet, and empty
 	// if it is too large.
 	encoded []byte
@@ -89,6 +91,32 @@
 	return s.opts.Bounds.Revocation > 0 && s.catalog != nil && s.catalog.HasTenants()
 }
 
+// CatalogProofAge returns the age of the newest proof that the catalog in force is the newest, at most an
+// hour, and zero if none is required.
+func (s *State) CatalogProofAge(now time.Time) time.Duration {
+	if !s.RequiresProof() {
+		return 0
+	}
+	return min(s.proof.age(now), maxReportedAge)
+}
+
+// maxReportedAge limits the age in logs and metrics, because there may be no proof.
+const maxReportedAge = time.Hour
+
+// logProof logs when keys are no longer accepted for lack of a proof, and when they are again.
+func (s *State) logProof(now time.Time, out *vrevent.Effects) {
+	expired := s.RequiresProof() && !s.provesKnown(now)
+	if expired == s.proof.expired {
+		return
+	}
+	s.proof.expired = expired
+	if expired {
+		out.Warn("catalog proof expired", millis("ageMs", s.CatalogProofAge(now)), boolean("storeLost", s.store.lost))
+		return
+	}
+	out.Info("catalog proved again", millis("ageMs", s.proof.age(now)), number("version", uint64(s.catalog.Version)))
+}
+
 // lacksProof reports whether this daemon has to ask other daemons for a proof, or for a catalog if it has none
 // or can't read the one that the placement owner names.
 func (s *State) lacksProof(now time.Time) bool {
@@ -111,6 +139,7 @@
 
 // tickCatalogProof asks other daemons for a proof, or for the catalog, if this daemon lacks one.
 func (s *State) tickCatalogProof(now time.Time, out *vrevent.Effects) {
+	s.logProof(now, out)
 	sentAt := now.Sub(s.startedAt).Milliseconds()
 	if sentAt <= 0 || now.Sub(s.proof.queriedAt) < catalogQueryInterval || !s.lacksProof(now) {
 		return
--- a/verbenacore/vrgateway/proof_test.go
+++ b/verbenacore/vrgateway/proof_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -221,3 +222,25 @@
 		require.Contains(t, []vrid.DaemonID{"d61", "d62", "d63", "d64", "d65"}, peer)
 	}
 }
+
+// Guards against a daemon that refuses all keys without a line that says why.
+func TestEndOfProofIsLoggedOnce(t *testing.T) {
+	d := newTenantDaemon(t)
+	var messages []string
+	tick := func(rounds int) {
+		for range rounds {
+			d.now = d.now.Add(100 * time.Millisecond)
+			d.reduce(vrevent.Tick{})
+			for _, effect := range d.out.List {
+				if line, ok := effect.(vrevent.Log); ok && strings.HasPrefix(line.Message, "catalog proof") || ok && line.Message == "catalog proved again" {
+					messages = append(messages, line.Message)
+				}
+			}
+		}
+	}
+	tick(80)
+	require.Equal(t, 8*time.Second, d.state.CatalogProofAge(d.now))
+	d.prove()
+	tick(20)
+	require.Equal(t, []string{"catalog proof expired", "catalog proved again"}, messages)
+}
