Refuse keys at once if no proof can come

A daemon without the store and without a reachable daemon let each keyed call wait for 250 ms before it refused it. Entries of unreachable daemons are dropped once they have expired.

--- a/verbenacore/vrgateway/proof.go
+++ b/verbenacore/vrgateway/proof.go
@@ -73,7 +73,11 @@
 // unreachable reports whether a message to a daemon recently could not be delivered.
 func (p *proofState) unreachable(now time.Time, peer vrid.DaemonID) bool {
 	at, failed := p.unreachableAt[peer]
-	return failed && now.Sub(at) < unreachableTTL
+	if failed && now.Sub(at) >= unreachableTTL {
+		delete(p.unreachableAt, peer)
+		return false
+	}
+	return failed
 }
 
 // noteHeartbeatProof records the proof in the last heartbeat of the placement owner if the catalog in force is
@@ -127,14 +131,16 @@
 	return s.RequiresProof() && (behind || s.proof.age(now) > maxProofAge)
 }
 
-// expectsProof reports whether a proof may arrive soon: the store is available, or other daemons were not
-// asked yet or only just.
+// expectsProof reports whether a proof may arrive soon: other daemons were asked only just, or were not asked yet
+// and the store or one of them can be reached.
 func (s *State) expectsProof(now time.Time) bool {
 	if s.opts.Bounds.Revocation <= 0 {
 		return false
 	}
-	asking := now.Sub(s.proof.queriedAt) < queryPatience
-	return !asking || now.Sub(s.proof.askingSince) < queryPatience
+	if now.Sub(s.proof.queriedAt) < queryPatience {
+		return now.Sub(s.proof.askingSince) < queryPatience
+	}
+	return !s.store.lost || len(s.queryTargets(now)) > 0
 }
 
 // tickCatalogProof asks other daemons for a proof, or for the catalog, if this daemon lacks one.
--- a/verbenacore/vrgateway/proof_test.go
+++ b/verbenacore/vrgateway/proof_test.go
@@ -244,3 +244,40 @@
 	tick(20)
 	require.Equal(t, []string{"catalog proof expired", "catalog proved again"}, messages)
 }
+
+// Guards against a daemon that reads no catalog because the placement owner tells it the newest version, and then
+// refuses keys for lack of a proof of its own.
+func TestHeartbeatsProveKeys(t *testing.T) {
+	for _, catalogFirst := range []bool{true, false} {
+		d := newTenantDaemon(t, appEntry("a1"))
+		d.now = d.now.Add(10 * time.Second)
+		catalog := vrevent.CatalogSeen{Catalog: tenantCatalog(2, "k")}
+		if catalogFirst {
+			d.reduce(catalog)
+		}
+		d.reduce(vrevent.PeerMessage{Envelope: &vrwire.Envelope{From: "d2", Notices: &vrwire.Notices{
+			Epoch: 1, CatalogVersion: 2, StoreAge: 1000, ReportBoot: "boot of d1", ReportSentAt: 9000, ReportAge: 500,
+		}}})
+		if !catalogFirst {
+			requireNoSend(t, d.arriveWithKey("read", "k"))
+			d.reduce(catalog)
+		}
+		provedAt := time.Unix(1_790_000_000, 0).Add(8500 * time.Millisecond)
+		require.Equal(t, provedAt.Add(revocation-100*time.Millisecond), d.requireSent(d.arriveWithKey("read", "k")).AuthorizedUntil)
+	}
+}
+
+// Guards against calls that wait for a proof which can't come: this daemon has lost the store, and no other one can
+// be reached.
+func TestIsolatedDaemonRefusesKeysAtOnce(t *testing.T) {
+	d := newTenantDaemon(t, appEntry("a1"))
+	d.reduce(vrevent.StoreLost{})
+	d.now = d.now.Add(acceptedFor + 1)
+	for _, peer := range []vrid.DaemonID{"d2", "d3", "d4"} {
+		d.reduce(vrevent.PeerUnreachable{Peer: peer})
+	}
+	require.Equal(t, vrwire.ReasonKeyUnverified, d.requireRefused(d.arriveWithKey("read", "k")).Reason)
+	d.requireSent(d.arriveWithKey("public", "k"))
+	require.Empty(t, catalogQueries(d.tickFor(time.Second)))
+	require.NotEmpty(t, catalogQueries(d.tickFor(time.Second)), "they are asked again after a while")
+}
