--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -207,16 +207,6 @@
 	return true
 }
 
-// errProofExpired reports a request that was not sent, because its API key is not known to be valid any more.
-var errProofExpired = errors.New("the proof of the API key expired before the request was sent")
-
-// isAuthorized reports whether the call's API key is still known to be valid. It is called directly before the
-// request is written: since the decision, a connection may have been opened or the machine suspended.
-func (a *sendAttempt) isAuthorized() bool {
-	until := a.send.AuthorizedUntil
-	return until.IsZero() || a.handler.proxy.opts.Clock.Now().Before(until)
-}
-
 // reportLeaving tells the reducer if the server states that it leaves. It is called as soon as the head of
 // the answer was read, because a stream may go on for minutes.
 func (a *sendAttempt) reportLeaving(info *vrdialect.ResponseInfo) {
