Count a call in the demand only once its key is accepted

Requests with unknown or missing keys were refused with 401 but stayed in the arrivals of the next demand report, so a client without a key could make the placement owner load models. Calls count when their key is accepted; without tenants that is at their arrival as before.

--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -48,7 +48,9 @@
 	unverifiedSince time.Time
 	// resendsFree is set if the last send ended as AttemptUnauthorized, so that the next one takes its place.
 	resendsFree bool
-	arrivedAt   time.Time
+	// demandCounted is set once the call counts in the demand for its target.
+	demandCounted bool
+	arrivedAt     time.Time
 	// deadline is when the response has to be complete.
 	deadline time.Time
 	// sends counts the sends of the call, notRunSends the ended sends that provably did not run
@@ -144,7 +146,9 @@
 	c.tenant = s.findTenant(c)
 	c.service = c.route.Pick(s.random.Float64())
 	s.calls[c.ID] = c
-	s.countDemandArrival(c)
+	if s.judgeKey(now, c) == keyAccepted {
+		s.countDemandArrival(c)
+	}
 	s.dispatch(now, c, out)
 }
 
--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -103,11 +103,13 @@
 	return counts
 }
 
-// countDemandArrival counts a new call in the demand for its target.
+// countDemandArrival counts a new call in the demand for its target. A call counts only once its API key is
+// accepted, so that clients without a valid key cause no loads of models.
 func (s *State) countDemandArrival(c *call) {
-	if c.Model == "" {
+	if c.Model == "" || c.demandCounted {
 		return
 	}
+	c.demandCounted = true
 	key := c.target()
 	d := s.demand[key]
 	if d == nil {
@@ -121,7 +123,7 @@
 
 // countDemandEnd counts the end of a call in the demand for its target.
 func (s *State) countDemandEnd(c *call) {
-	if d := s.demand[c.target()]; d != nil && d.running > 0 {
+	if d := s.demand[c.target()]; c.demandCounted && d != nil && d.running > 0 {
 		d.running--
 	}
 }
--- a/verbenacore/vrgateway/tenant.go
+++ b/verbenacore/vrgateway/tenant.go
@@ -107,6 +107,7 @@
 	case keyAccepted:
 		s.stopVerifying(c)
 		c.unverifiedSince = time.Time{}
+		s.countDemandArrival(c)
 		return true
 	case keyUnknown:
 		s.endUnknownKey(now, c, out)
--- a/verbenacore/vrgateway/tenant_test.go
+++ b/verbenacore/vrgateway/tenant_test.go
@@ -309,3 +309,37 @@
 	}
 	require.Equal(t, []string{"of k", "of k"}, tenants)
 }
+
+// Guards against models that are loaded for clients without a valid key, and against demand that is not reported
+// for a call whose key is proved later.
+func TestOnlyCallsWithAcceptedKeysCountAsDemand(t *testing.T) {
+	d := newTenantDaemon(t, engineEntry("e1"))
+	d.reduce(vrevent.PeersListed{Peers: []vrevent.Peer{{Daemon: "d1", Address: "a1"}, {Daemon: "d2", Address: "a2"}}})
+	d.reduce(vrevent.PeerMessage{Envelope: &vrwire.Envelope{From: "d2", Notices: &vrwire.Notices{Epoch: 1}}})
+	arrived := func(effects []vrevent.Effect) (count, running uint32) {
+		for _, effect := range effects {
+			if send, ok := effect.(vrevent.SendPeer); ok && send.Envelope.PlacementDemand != nil {
+				for _, item := range send.Envelope.PlacementDemand.Items {
+					count, running = count+item.Arrived, max(running, item.Running+item.Waiting)
+				}
+			}
+		}
+		return count, running
+	}
+	for range 5 {
+		d.requireRefused(d.arriveWithKey("stream", "unknown"))
+	}
+	count, _ := arrived(d.tickFor(1500 * time.Millisecond))
+	require.Zero(t, count)
+
+	d.now = d.now.Add(6 * time.Second)
+	effects := d.arriveWithKey("stream", "k")
+	require.Equal(t, 1, d.state.WaitingCalls())
+	effects = append(effects, d.prove()...)
+	for range 5 {
+		d.requireRefused(d.arriveWithKey("stream", "unknown"))
+	}
+	count, running := arrived(append(effects, d.tickFor(1500*time.Millisecond)...))
+	require.EqualValues(t, 1, count)
+	require.EqualValues(t, 1, running, "the end of a refused call ends no other one's demand")
+}
