Let begun streams wait for a proof of their key

A daemon that had asked others for a proof for a second ended each call without one at once, also a stream that has begun, whose client can't be refused: it was cut when its server failed, although a proof might have come before the client gives up. TestBegunStreamWaitsForProof fails before the change and passes after it.

--- a/verbenacore/vrgateway/tenant.go
+++ b/verbenacore/vrgateway/tenant.go
@@ -127,12 +127,12 @@
 }
 
 // awaitProof makes a call wait for a proof of its API key, or ends it if it has waited for long enough or no
-// proof can be expected.
+// proof can be expected. A stream that has begun waits in any case, because its client can't be refused.
 func (s *State) awaitProof(now time.Time, c *call, out *vrevent.Effects) {
 	if c.unverifiedSince.IsZero() {
 		c.unverifiedSince = now
 	}
-	if now.Sub(c.unverifiedSince) >= c.proofWait() || !s.expectsProof(now) {
+	if now.Sub(c.unverifiedSince) >= c.proofWait() || (!c.responseStarted && !s.expectsProof(now)) {
 		s.endUnverified(now, c, out)
 		return
 	}
--- a/verbenacore/vrgateway/tenant_test.go
+++ b/verbenacore/vrgateway/tenant_test.go
@@ -343,3 +343,24 @@
 	require.EqualValues(t, 1, count)
 	require.EqualValues(t, 1, running, "the end of a refused call ends no other one's demand")
 }
+
+// Guards against a stream that is cut at once when its server fails, because other daemons have given no proof for a
+// second: one may come before the client gives up.
+func TestBegunStreamWaitsForProof(t *testing.T) {
+	for _, proved := range []bool{true, false} {
+		d := newTenantDaemon(t, engineEntry("e1", "m"), engineEntry("e2", "m"))
+		begun := d.requireSent(d.arriveWithKey("stream", "k"))
+		d.reduce(vrevent.StoreLost{})
+		d.tickFor(acceptedFor + time.Second)
+		effects := d.reduce(vrevent.SendEnded{Call: begun.Call, Send: 1, Result: vrevent.AttemptBroken, PartForwarded: true, Events: 3})
+		requireNoSend(t, effects)
+		require.NotContains(t, effects, vrevent.AbortCall{Call: begun.Call})
+		requireNoSend(t, d.tickFor(500*time.Millisecond))
+		if proved {
+			require.True(t, d.requireSent(d.prove()).Resume)
+			continue
+		}
+		require.Contains(t, d.tickFor(3*time.Second), vrevent.AbortCall{Call: begun.Call})
+		require.Zero(t, d.state.OpenCalls())
+	}
+}
