Send no catalog without tenants to daemons without any

A daemon that starts asks others for the catalog where bounds.revocation is set, and got it also where the catalog lists no tenants, although proofs are to be active only with tenants. Such a query has no answer now; a daemon whose catalog lists tenants still gets the newer one without them.

--- a/verbenacore/vrgateway/proof.go
+++ b/verbenacore/vrgateway/proof.go
@@ -208,13 +208,17 @@
 }
 
 // answerCatalogQuery answers another daemon's query if this daemon has a recent proof of its own, and the
-// newest catalog if the other one lacks it.
+// newest catalog if the other one lacks it. Where no catalog lists tenants, daemons take catalogs from the store
+// only, so a daemon without any gets no answer then.
 func (s *State) answerCatalogQuery(now time.Time, from vrid.DaemonID, boot vrid.BootID, query *vrwire.CatalogQuery, out *vrevent.Effects) {
 	own := s.proof.own
 	age := now.Sub(own.at)
 	if s.catalog == nil || s.opts.Bounds.Revocation <= 0 || age > maxProofAge || own.era < query.Era {
 		return
 	}
+	if query.Version == 0 && !s.catalog.HasTenants() {
+		return
+	}
 	reply := &vrwire.CatalogReply{
 		Boot: boot, SentAt: query.SentAt, Version: s.catalog.Version, Era: own.era,
 		ProofAge: (age + time.Millisecond - 1).Milliseconds(),
--- a/verbenacore/vrgateway/proof_test.go
+++ b/verbenacore/vrgateway/proof_test.go
@@ -281,3 +281,16 @@
 	require.Empty(t, catalogQueries(d.tickFor(time.Second)))
 	require.NotEmpty(t, catalogQueries(d.tickFor(time.Second)), "they are asked again after a while")
 }
+
+// Guards against a daemon that takes its catalog from another one although no catalog lists tenants, and against one
+// that keeps the keys of a catalog which was replaced by one without tenants.
+func TestCatalogsWithoutTenantsReplaceOnlyThoseWithTenants(t *testing.T) {
+	d := newTenantDaemon(t)
+	d.reduce(vrevent.CatalogSeen{Catalog: tenantCatalog(2)})
+	d.prove()
+	for version, answers := range map[vrid.ConfigVersion]int{0: 0, 1: 1} {
+		query := &vrwire.Notices{CatalogQuery: &vrwire.CatalogQuery{Version: version, SentAt: 7}}
+		effects := d.reduce(vrevent.PeerMessage{Envelope: &vrwire.Envelope{From: "d3", Boot: "b", Notices: query}})
+		require.Len(t, effects, answers, "version %d", version)
+	}
+}
