--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -185,6 +185,10 @@
 	if c.hasUnread() {
 		return false
 	}
+	if !a.isAuthorized() {
+		a.end(vrevent.AttemptUnauthorized, errProofExpired)
+		return true
+	}
 	if err := a.writeRequest(message); err != nil {
 		a.fail(err)
 		return true
@@ -338,7 +342,7 @@
 	delete(header, "Expect")
 	info := vrdialect.RequestInfo{
 		Server: a.send.Server, Remaining: a.send.Deadline.Sub(a.handler.proxy.opts.Clock.Now()), Priority: a.send.Priority,
-		Reservation: a.send.Reservation,
+		Reservation: a.send.Reservation, HasTenants: a.send.HasTenants, Tenant: a.send.Tenant,
 	}
 	if a.send.Resume {
 		info.LastEvent = a.lastEventID
