Record which services share their machines, and stated slots

Ordered admission is active for a service whose servers state their pace, and the capacity of a server is the number of slots that it states.

--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -60,6 +60,8 @@
 	// was received at LoadReportedAt.
 	Running, Waiting int
 	LoadReportedAt   time.Time
+	// StatedSlots is the number of slots of the newest load report that states one, or zero.
+	StatedSlots int
 	// InFlight counts this daemon's own unfinished requests at the server,
 	// SentSinceReport those of them sent after LoadReportedAt.
 	InFlight, SentSinceReport int
@@ -107,6 +109,8 @@
 	// promptRate is the smoothed number of prompt tokens that one server processes per
 	// second, zero before the first measurement.
 	promptRate float64
+	// sharedServices are the services of which a server has stated its pace.
+	sharedServices map[vrid.ServiceID]bool
 }
 
 // renewal identifies a registration among those of a server's processes.
@@ -119,7 +123,7 @@
 func New() *Fleet {
 	return &Fleet{
 		servers: make(map[vrid.ServerID]*Server), byService: make(map[vrid.ServiceID][]*Server), doubted: make(map[vrid.ServerID]renewal),
-		removed: removedServers{last: make(map[vrid.ServerID]removedServer)},
+		removed: removedServers{last: make(map[vrid.ServerID]removedServer)}, sharedServices: make(map[vrid.ServiceID]bool),
 	}
 }
 
