Count the room at servers in slots and tokens

A daemon sends calls to servers that are already full, which turn them away or preempt what they run. The room of a server is now its slots and cache tokens less what its load report and this daemon's own calls take; a request may ask the choice of a server for it, and MissingRoom says that all servers that hold the model are full. A choice allocates nothing. No decision asks for room yet; the order and the draws of existing choices are unchanged.

--- a/verbenacore/vrchoice/vrchoice.go
+++ b/verbenacore/vrchoice/vrchoice.go
@@ -39,6 +39,8 @@
 	Adapter vrid.AdapterID
 	// Exclude lists the servers that the request was already sent to.
 	Exclude []vrid.ServerID
+	// Room is what the request needs of a server's capacity.
+	Room vrfleet.RoomNeed
 }
 
 // Missing says why no server could be selected.
@@ -57,6 +59,8 @@
 	// MissingHealthyServer: all servers that have the model and adapter are ejected or
 	// excluded.
 	MissingHealthyServer
+	// MissingRoom: all healthy servers that have the model and adapter are full.
+	MissingRoom
 )
 
 // Chooser selects servers from one daemon's view of the fleet.
@@ -66,12 +70,14 @@
 	Zone   vrid.ZoneID
 	// Regions maps each availability zone to its region.
 	Regions map[vrid.ZoneID]vrid.RegionID
+	// usable is reused by Best, so that a choice allocates nothing.
+	usable []*vrfleet.Server
 }
 
 // Best returns the server with the lowest cost, or nil and the reason why there is none.
 func (c *Chooser) Best(now time.Time, need Requirements) (*vrfleet.Server, Missing) {
 	missing := MissingServer
-	var usable []*vrfleet.Server
+	usable := c.usable[:0]
 	for _, server := range c.Fleet.ServersOf(need.Service) {
 		serverMissing := c.missingFrom(now, server, &need)
 		if serverMissing == MissingNone {
@@ -80,17 +86,31 @@
 		}
 		missing = max(missing, serverMissing)
 	}
+	c.usable = usable
 	if len(usable) == 0 {
 		return nil, missing
 	}
 	return c.cheapest(now, usable), MissingNone
 }
 
-// CanServe reports whether the server accepts work and has what the request needs. An ejected or
-// excluded server may still serve a request for which it has reserved a place.
+// FreeTokens returns the largest number of tokens that a server has free for a request, -1 if no server has a
+// slot. need.Room.Tokens does not count.
+func (c *Chooser) FreeTokens(now time.Time, need *Requirements) int {
+	need.Room.Tokens = 0
+	free := -1
+	for _, server := range c.Fleet.ServersOf(need.Service) {
+		if c.missingFrom(now, server, need) == MissingNone {
+			free = max(free, server.FreeTokens(now, &need.Room))
+		}
+	}
+	return free
+}
+
+// CanServe reports whether the server accepts work and has what the request needs. An ejected, excluded or
+// full server may still serve a request for which it has reserved a place.
 func (c *Chooser) CanServe(now time.Time, server *vrfleet.Server, need Requirements) bool {
 	missing := c.missingFrom(now, server, &need)
-	return missing == MissingNone || missing == MissingHealthyServer
+	return missing == MissingNone || missing == MissingHealthyServer || missing == MissingRoom
 }
 
 // missingFrom returns the first requirement that the server does not meet.
@@ -104,6 +124,8 @@
 		return MissingAdapter
 	case server.Ejected(now), slices.Contains(need.Exclude, server.ID):
 		return MissingHealthyServer
+	case !server.HasRoom(now, &need.Room):
+		return MissingRoom
 	}
 	return MissingNone
 }
--- /dev/null
+++ b/verbenacore/vrfleet/room.go
@@ -0,0 +1,132 @@
+package vrfleet
+
+import (
+	"math"
+	"time"
+)
+
+// urgentSlotsDivisor limits the urgent requests beyond a server's slots to a quarter of them. The server
+// orders its own queue by priority, so they begin before what already waits there.
+const urgentSlotsDivisor = 4
+
+// room counts this daemon's own requests at one process of a server.
+type room struct {
+	// inFlight and tokens count the requests that have not ended and the tokens that they may use.
+	inFlight, tokens int
+	// sentSinceReport counts those that were sent after the newest load report, endedSinceReport the ended ones
+	// that the report counts.
+	sentSinceReport, endedSinceReport int
+	// awaitsReport is set while a request is under way that was sent to obtain a load report.
+	awaitsReport bool
+	// statesNoLoad is set if the server has answered without a load report.
+	statesNoLoad bool
+}
+
+// Placement is a request's share of a server's capacity, from its send to its end.
+type Placement struct {
+	born   int64
+	sentAt time.Time
+	tokens int
+	// obtainsReport is set if the request was sent to obtain a load report.
+	obtainsReport bool
+}
+
+// RoomNeed is what a request needs of a server's capacity.
+type RoomNeed struct {
+	// Checked is set if the capacity of servers counts.
+	Checked bool
+	// Urgent requests may exceed the slots by a quarter.
+	Urgent bool
+	// Tokens is the size of the prompt and of what may be generated.
+	Tokens int
+	// CacheTokens is the capacity of a server's KV cache, zero if it has none. MeanTokens is assumed for each
+	// request of other daemons.
+	CacheTokens, MeanTokens int
+}
+
+// TotalSlots returns the number of requests that the server can run at once.
+func (s *Server) TotalSlots() int {
+	if s.StatedSlots > 0 {
+		return s.StatedSlots
+	}
+	return max(s.Slots, 1)
+}
+
+// lacksReport reports whether the server's load report is missing or too old, so that a request has to be sent
+// to obtain one.
+func (s *Server) lacksReport(now time.Time) bool {
+	return !s.room.statesNoLoad && now.Sub(s.LoadReportedAt) > loadReportTTL
+}
+
+// Occupied estimates the number of requests at the server from its load report and from what this daemon has
+// sent and ended since. Without a recent report it counts this daemon's own.
+func (s *Server) Occupied(now time.Time) int {
+	if s.LoadReportedAt.IsZero() || now.Sub(s.LoadReportedAt) > loadReportTTL {
+		return s.room.inFlight
+	}
+	return max(s.Running+s.Waiting+s.room.sentSinceReport-s.room.endedSinceReport, s.room.inFlight)
+}
+
+// OwnRequests returns the number of this daemon's requests at the server.
+func (s *Server) OwnRequests() int { return s.room.inFlight }
+
+// FreeTokens returns how many tokens a request may use at the server, or -1 if there is no slot for it. Without
+// a recent load report, there is a slot for one request at a time, which obtains a report.
+func (s *Server) FreeTokens(now time.Time, need *RoomNeed) int {
+	slots := s.TotalSlots()
+	if need.Urgent {
+		slots += slots / urgentSlotsDivisor
+	}
+	occupied := s.Occupied(now)
+	if occupied >= slots || (s.room.awaitsReport && s.lacksReport(now)) {
+		return -1
+	}
+	if need.CacheTokens <= 0 {
+		return math.MaxInt
+	}
+	others := max(0, occupied-s.room.inFlight)
+	return max(-1, need.CacheTokens-s.room.tokens-others*need.MeanTokens)
+}
+
+// HasRoom reports whether the server has a slot and enough tokens for a request.
+func (s *Server) HasRoom(now time.Time, need *RoomNeed) bool {
+	if !need.Checked {
+		return true
+	}
+	free := s.FreeTokens(now, need)
+	return free >= 0 && need.Tokens <= free
+}
+
+// Place counts a request of this daemon that is sent to the server.
+func (s *Server) Place(now time.Time, tokens int) Placement {
+	p := Placement{born: s.Born, sentAt: now, tokens: tokens, obtainsReport: s.lacksReport(now)}
+	s.room.inFlight++
+	s.room.tokens += tokens
+	s.room.sentSinceReport++
+	s.room.awaitsReport = s.room.awaitsReport || p.obtainsReport
+	return p
+}
+
+// EndPlacement ends the count of a request. Requests to an earlier process of the server no longer count.
+func (s *Server) EndPlacement(p *Placement) {
+	if p.born != s.Born {
+		return
+	}
+	r := &s.room
+	r.inFlight = max(0, r.inFlight-1)
+	r.tokens = max(0, r.tokens-p.tokens)
+	if p.obtainsReport {
+		r.awaitsReport = false
+	}
+	if p.sentAt.Before(s.LoadReportedAt) {
+		r.endedSinceReport++
+		return
+	}
+	r.sentSinceReport = max(0, r.sentSinceReport-1)
+}
+
+// RecordUnreportedAnswer records that the server has answered a request without a load report, if it has sent
+// none since.
+func (s *Server) RecordUnreportedAnswer(sentAt time.Time) {
+	s.room.statesNoLoad = s.room.statesNoLoad || s.LoadReportedAt.Before(sentAt)
+}
--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -62,6 +62,7 @@
 	LoadReportedAt   time.Time
 	// StatedSlots is the number of slots of the newest load report that states one, or zero.
 	StatedSlots int
+	room        room
 	// InFlight counts this daemon's own unfinished requests at the server,
 	// SentSinceReport those of them sent after LoadReportedAt.
 	InFlight, SentSinceReport int
@@ -367,6 +368,7 @@
 // SetLoad applies a load report of the server.
 func (s *Server) SetLoad(now time.Time, running, waiting int) {
 	s.Running, s.Waiting, s.LoadReportedAt, s.SentSinceReport = running, waiting, now, 0
+	s.room.sentSinceReport, s.room.endedSinceReport, s.room.awaitsReport, s.room.statesNoLoad = 0, 0, false, false
 }
 
 // loadReportTTL is how long a server's load report is used.
--- a/verbenacore/vrgateway/waits.go
+++ b/verbenacore/vrgateway/waits.go
@@ -92,7 +92,7 @@
 
 // missingName returns the name of a missing requirement in logs.
 func missingName(missing vrchoice.Missing) string {
-	names := [...]string{"nothing", "server", "model", "adapter", "healthyServer"}
+	names := [...]string{"nothing", "server", "model", "adapter", "healthyServer", "room"}
 	return names[missing]
 }
 
