Send waiting calls of ordered services in one order, and only to servers with room

A gateway sent each call at once, also to full servers, and sent waiting calls in the order of their arrival for each target. Where the catalog lists tenants or servers state their pace, the gateway now uses the queue of the product's path: by level, calls that can be in time first, tenants by weight. A call waits only while no server has room, and is refused at once if it won't be served in time.

--- a/verbenacore/vradmit/heap.go
+++ b/verbenacore/vradmit/heap.go
@@ -8,13 +8,22 @@
 
 // itemLess reports whether a is served before b; both have the same rank.
 func itemLess(a, b *Item) bool {
+	if a.late != b.late {
+		return b.late
+	}
 	if a.deadlineBucket != b.deadlineBucket {
 		return a.deadlineBucket < b.deadlineBucket
 	}
 	if a.virtualStart != b.virtualStart {
 		return a.virtualStart < b.virtualStart
 	}
-	return a.Request < b.Request
+	if a.tieNanos != b.tieNanos {
+		return a.tieNanos < b.tieNanos
+	}
+	if a.Request != b.Request {
+		return a.Request < b.Request
+	}
+	return a.sequence < b.sequence
 }
 
 // itemHeap orders the items of one target by itemLess. It implements heap.Interface.
@@ -52,6 +61,31 @@
 	return item
 }
 
+// lateHeap orders the items of a weighted queue that are not late by when they will be. It implements
+// heap.Interface.
+type lateHeap []*Item
+
+// Len returns the number of items.
+func (h *lateHeap) Len() int { return len(*h) }
+
+// Less orders by LateAt, then by arrival.
+func (h *lateHeap) Less(i, j int) bool {
+	a, b := (*h)[i], (*h)[j]
+	if !a.LateAt.Equal(b.LateAt) {
+		return a.LateAt.Before(b.LateAt)
+	}
+	return a.sequence < b.sequence
+}
+
+// Swap exchanges two items.
+func (h *lateHeap) Swap(i, j int) { (*deadlineHeap)(h).Swap(i, j) }
+
+// Push appends an item.
+func (h *lateHeap) Push(x any) { (*deadlineHeap)(h).Push(x) }
+
+// Pop removes the last item.
+func (h *lateHeap) Pop() any { return (*deadlineHeap)(h).Pop() }
+
 // deadlineHeap orders all items by their deadlines. It implements heap.Interface.
 type deadlineHeap []*Item
 
--- a/verbenacore/vradmit/pool.go
+++ b/verbenacore/vradmit/pool.go
@@ -19,14 +19,17 @@
 // compete with each other, so floors are enforced within a pool.
 type poolQueue struct {
 	pool  vrid.PoolID
-	ranks [vrid.RankCount]rankQueue
+	ranks []rankQueue
 	// served counts the dispatched requests of each rank, decaying with servedHalfLife.
-	served    [vrid.RankCount]float64
+	served    [MaxLevels]float64
 	decayedAt time.Time
+	// passed counts, in a weighted queue, the requests of better ranks that were served while requests of a rank
+	// could have been, less passesPerTurn for each time it went before them.
+	passed [MaxLevels]int
 }
 
-func newPoolQueue(pool vrid.PoolID) *poolQueue {
-	p := &poolQueue{pool: pool}
+func newPoolQueue(pool vrid.PoolID, levels int) *poolQueue {
+	p := &poolQueue{pool: pool, ranks: make([]rankQueue, levels)}
 	for i := range p.ranks {
 		p.ranks[i] = newRankQueue()
 	}
@@ -52,7 +55,7 @@
 	floorDeficit float64
 }
 
-func (r rankPriority) before(other rankPriority, policies *[vrid.RankCount]vrconfig.RankPolicy) bool {
+func (r rankPriority) before(other rankPriority, policies *[MaxLevels]vrconfig.RankPolicy) bool {
 	if r.floorDeficit != other.floorDeficit {
 		return r.floorDeficit > other.floorDeficit
 	}
@@ -61,14 +64,15 @@
 
 // serviceOrder returns the ranks in the order in which they are served: first those below
 // their floor, by descending deficit, then the others by descending weight.
-func (p *poolQueue) serviceOrder(now time.Time, policies *[vrid.RankCount]vrconfig.RankPolicy) [vrid.RankCount]rankPriority {
+func (p *poolQueue) serviceOrder(now time.Time, policies *[MaxLevels]vrconfig.RankPolicy) [MaxLevels]rankPriority {
 	p.decay(now)
 	total := 0.0
 	for _, served := range p.served {
 		total += served
 	}
-	var order [vrid.RankCount]rankPriority
-	for i, rank := range vrid.Ranks() {
+	var order [MaxLevels]rankPriority
+	for i := range p.ranks {
+		rank := vrid.Rank(i)
 		order[i] = rankPriority{rank: rank, floorDeficit: p.floorDeficit(rank, total, policies)}
 		for j := i; j > 0 && order[j].before(order[j-1], policies); j-- {
 			order[j], order[j-1] = order[j-1], order[j]
@@ -80,7 +84,7 @@
 // floorDeficit returns the fraction of its floor, between 0 and 1, that a waiting rank did
 // not get recently. As a fraction, the deficit of a small floor weighs as much as that of a
 // large one. A rank whose targets are all parked has no deficit.
-func (p *poolQueue) floorDeficit(rank vrid.Rank, total float64, policies *[vrid.RankCount]vrconfig.RankPolicy) float64 {
+func (p *poolQueue) floorDeficit(rank vrid.Rank, total float64, policies *[MaxLevels]vrconfig.RankPolicy) float64 {
 	if len(p.ranks[rank].ready) == 0 || policies[rank].Floor == 0 {
 		return 0
 	}
--- a/verbenacore/vradmit/target.go
+++ b/verbenacore/vradmit/target.go
@@ -15,6 +15,9 @@
 	// not in the ready heap.
 	parked     bool
 	readyIndex int
+	// parkedTokens is the number of tokens that a server with a slot had free when the target was parked in a
+	// weighted queue, -1 if there was no slot.
+	parkedTokens int
 	// departures counts the requests dispatched since the queue was last empty, meanInterval
 	// is the moving average of the time between two of them, and lastDeparture is when the
 	// latest was dispatched.
@@ -173,7 +176,7 @@
 func (r *rankQueue) parkFirst() {
 	tq := r.ready[0]
 	heap.Remove(&r.ready, 0)
-	tq.parked = true
+	tq.parked, tq.parkedTokens = true, -1
 	r.parkedTargets++
 }
 
--- a/verbenacore/vradmit/vradmit.go
+++ b/verbenacore/vradmit/vradmit.go
@@ -22,8 +22,16 @@
 	// FIFO selects the baseline policy: requests of all ranks and callers are served in
 	// the order of arrival, and none is refused because of its estimated wait.
 	FIFO bool
+	// Levels is the number of ranks, at most MaxLevels; zero stands for vrid.RankCount.
+	Levels int
+	// Weighted selects the order of Enqueue and NextFitting: requests that can still be in time come first, then
+	// callers share by weight, then deadlines count.
+	Weighted bool
 }
 
+// MaxLevels is the maximum number of ranks of a queue.
+const MaxLevels = 16
+
 // Item is one waiting request.
 type Item struct {
 	Request  vrid.RequestID
@@ -35,6 +43,17 @@
 	Pool vrid.PoolID
 	// Target groups the requests that the same back ends can serve.
 	Target Target
+	// LateAt is when the request can no longer be served in time, Tokens what it needs of a server's cache. In
+	// a weighted queue, it costs its caller Cost, relative to the caller's Weight. Owner is the caller's record
+	// of the request.
+	LateAt       time.Time
+	Tokens       int
+	Cost, Weight float64
+	Owner        any
+	// late is set once LateAt has passed. tieNanos and sequence order requests that are otherwise equal.
+	late     bool
+	tieNanos int64
+	sequence uint64
 	// deadlineBucket is the deadline in units of deadlineBucketNanos.
 	deadlineBucket int64
 	// virtualStart is the request's start in virtual time: within a deadline bucket, the
@@ -52,6 +71,8 @@
 	Model   vrid.ModelID
 	Adapter vrid.AdapterID
 	Service vrid.ServiceID
+	// Only is the only request of the target, if it can't use all servers that others can. Otherwise it is zero.
+	Only uint64
 }
 
 // Candidate is a target that could be served next if one of its servers has a free slot.
@@ -65,18 +86,27 @@
 // Queue holds the waiting requests of one daemon.
 type Queue struct {
 	opts       Options
-	policies   [vrid.RankCount]vrconfig.RankPolicy
+	policies   [MaxLevels]vrconfig.RankPolicy
 	pools      []*poolQueue
 	items      map[vrid.RequestID]*Item
 	byDeadline deadlineHeap
+	byLate     lateHeap
 	memory     vrid.Bytes
-	waiting    [vrid.RankCount]int
+	waiting    [MaxLevels]int
 	arrivals   float64
 	freeItems  []*Item
+	// sequence numbers the requests of a weighted queue, queued is their number, and scratch is reused by
+	// EachWaiting.
+	sequence uint64
+	queued   int
+	scratch  scratch
 }
 
 // New returns an empty queue.
 func New(opts Options) *Queue {
+	if opts.Levels == 0 {
+		opts.Levels = vrid.RankCount
+	}
 	return &Queue{opts: opts, items: make(map[vrid.RequestID]*Item)}
 }
 
@@ -88,7 +118,7 @@
 }
 
 // Len returns the number of waiting requests.
-func (q *Queue) Len() int { return len(q.items) }
+func (q *Queue) Len() int { return len(q.items) + q.queued }
 
 // Waiting returns the number of waiting requests of a rank.
 func (q *Queue) Waiting(rank vrid.Rank) int { return q.waiting[rank] }
@@ -99,7 +129,7 @@
 			return pq
 		}
 	}
-	pq := newPoolQueue(pool)
+	pq := newPoolQueue(pool, q.opts.Levels)
 	q.pools = append(q.pools, pq)
 	slices.SortFunc(q.pools, func(a, b *poolQueue) int { return cmp.Compare(a.pool, b.pool) })
 	return pq
@@ -239,7 +269,8 @@
 }
 
 func (q *Queue) nextInPool(now time.Time, pq *poolQueue, available func(Candidate) bool) *Item {
-	for _, next := range pq.serviceOrder(now, &q.policies) {
+	order := pq.serviceOrder(now, &q.policies)
+	for _, next := range order[:len(pq.ranks)] {
 		rq := &pq.ranks[next.rank]
 		for len(rq.ready) > 0 {
 			tq := rq.ready[0]
--- a/verbenacore/vrchoice/vrchoice.go
+++ b/verbenacore/vrchoice/vrchoice.go
@@ -93,17 +93,22 @@
 	return c.cheapest(now, usable), MissingNone
 }
 
-// FreeTokens returns the largest number of tokens that a server has free for a request, -1 if no server has a
-// slot. need.Room.Tokens does not count.
-func (c *Chooser) FreeTokens(now time.Time, need *Requirements) int {
+// FreeTokens returns the largest number of tokens that a server with a slot has free for a request, or -1 and why
+// there is none. need.Room.Tokens does not count.
+func (c *Chooser) FreeTokens(now time.Time, need *Requirements) (int, Missing) {
 	need.Room.Tokens = 0
-	free := -1
+	free, missing := -1, MissingServer
 	for _, server := range c.Fleet.ServersOf(need.Service) {
-		if c.missingFrom(now, server, need) == MissingNone {
+		serverMissing := c.missingFrom(now, server, need)
+		if serverMissing == MissingNone {
 			free = max(free, server.FreeTokens(now, &need.Room))
 		}
+		missing = max(missing, serverMissing)
+	}
+	if free >= 0 {
+		return free, MissingNone
 	}
-	return free
+	return free, missing
 }
 
 // CanServe reports whether the server accepts work and has what the request needs. An ejected, excluded or
--- a/verbenacore/vrfleet/room.go
+++ b/verbenacore/vrfleet/room.go
@@ -20,8 +20,17 @@
 	awaitsReport bool
 	// statesNoLoad is set if the server has answered without a load report.
 	statesNoLoad bool
+	// fullUntil is until when the server counts as full because it has turned a request away.
+	fullUntil time.Time
 }
 
+// turnedAwayTime is how long a server that has turned a request away counts as full, whatever its load report
+// says: it may lack memory while it has slots.
+const turnedAwayTime = 250 * time.Millisecond
+
+// RecordTurnedAway records that the server has turned a request away because it is full.
+func (s *Server) RecordTurnedAway(now time.Time) { s.room.fullUntil = now.Add(turnedAwayTime) }
+
 // Placement is a request's share of a server's capacity, from its send to its end.
 type Placement struct {
 	born   int64
@@ -78,7 +87,7 @@
 		slots += slots / urgentSlotsDivisor
 	}
 	occupied := s.Occupied(now)
-	if occupied >= slots || (s.room.awaitsReport && s.lacksReport(now)) {
+	if occupied >= slots || now.Before(s.room.fullUntil) || (s.room.awaitsReport && s.lacksReport(now)) {
 		return -1
 	}
 	if need.CacheTokens <= 0 {
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -40,8 +40,9 @@
 	vrevent.Call
 	route *vrcatalog.Route
 	// tenant is nil for public routes and in a catalog without tenants.
-	tenant    *vrcatalog.Tenant
-	service   vrid.ServiceID
+	tenant  *vrcatalog.Tenant
+	service vrid.ServiceID
+	admitted
 	arrivedAt time.Time
 	// deadline is when the response has to be complete.
 	deadline time.Time
@@ -100,6 +101,7 @@
 	// brought an event or a whole response.
 	probe       vrquarantine.Probe
 	answerBegan bool
+	placement   vrfleet.Placement
 }
 
 // attemptOf returns the send in progress with the number, or nil.
@@ -141,6 +143,7 @@
 	c.service = c.route.Pick(s.random.Float64())
 	s.calls[c.ID] = c
 	s.countDemandArrival(c)
+	s.recordAdmissionArrival(c)
 	s.dispatch(now, c, out)
 }
 
@@ -151,6 +154,9 @@
 	if service := s.catalog.Service(c.service); service != nil && service.Engine != nil {
 		need.Model, need.Adapter = c.Model, c.Adapter
 	}
+	if s.ordered(c.service) {
+		need.Room = s.roomNeed(c)
+	}
 	return need
 }
 
@@ -189,6 +195,10 @@
 	if s.refuseBlocked(now, c, out) {
 		return
 	}
+	if s.ordered(c.service) {
+		s.dispatchOrdered(now, c, out)
+		return
+	}
 	server, missing := s.chooseServer(now, c)
 	switch {
 	case server == nil:
@@ -243,14 +253,17 @@
 	server.PendingPromptTokens += c.PromptTokens
 	s.addInFlight(c, server.ID, 1)
 	s.counts.Sent++
-	return attempt{number: c.sends, server: server, sentAt: now, promptPending: true, probe: s.quarantine.parts.TakeProbe(now, c.PromptParts)}
+	return attempt{
+		number: c.sends, server: server, sentAt: now, promptPending: true, probe: s.quarantine.parts.TakeProbe(now, c.PromptParts),
+		placement: server.Place(now, s.tokens(c)),
+	}
 }
 
 // newSend returns the effect of a send without what its response may do.
 func (s *State) newSend(c *call, a *attempt) vrevent.SendCall {
 	effect := vrevent.SendCall{
 		Call: c.ID, Send: a.number, Server: a.server.ID, Address: a.server.Address, Born: a.server.Born,
-		Deadline: c.deadline.Add(-deadlineMargin), Priority: c.route.Priority,
+		Deadline: c.deadline.Add(-deadlineMargin), Priority: s.sendPriority(c),
 		Stream: c.route.Kind == vrcatalog.RouteStream, AtMostOnce: !c.route.Repeatable(),
 	}
 	if effect.Stream && !c.responseStarted {
@@ -263,7 +276,7 @@
 	out.Info("call dispatched", text("request", c.Request), number("send", uint64(a.number)), text("server", a.server.ID),
 		number("busy", uint64(a.server.EstimatedRequests(now))), number("slots", uint64(a.server.Slots)),
 		millis("loadAgeMs", min(now.Sub(a.server.LoadReportedAt), time.Hour)), millis("waitedMs", now.Sub(c.arrivedAt)),
-		millis("leftMs", c.deadline.Sub(now)), boolean("hedge", a == c.hedge))
+		millis("leftMs", c.deadline.Sub(now)), boolean("hedge", a == c.hedge), number("level", uint64(c.level)))
 }
 
 // firstByteTimeout returns the wait for the first byte of a response on a route with the given
@@ -317,6 +330,8 @@
 func (s *State) releaseServer(c *call, a *attempt) attempt {
 	ended := *a
 	s.fleet.RecordEnd(a.server)
+	a.server.EndPlacement(&a.placement)
+	s.recordRoom(a.server)
 	s.addInFlight(c, a.server.ID, -1)
 	a.clearPendingPrompt(c)
 	a.server = nil
@@ -366,6 +381,7 @@
 		c.timeToFirstByte = ended.sentAt.Add(e.TimeToFirstByte).Sub(c.arrivedAt)
 		if e.Status < statusError {
 			s.recordDuration(now, c, ended.sentAt)
+			s.recordServiceTime(now, c, ended.sentAt)
 		}
 		s.removeCall(now, c, "answered", "", out, number("status", uint64(e.Status)), text("server", ended.server.ID),
 			millis("toFirstMs", e.TimeToFirstByte), millis("longestPauseMs", e.LongestPause), millis("waitedMs", ended.sentAt.Sub(c.arrivedAt)))
@@ -405,12 +421,14 @@
 	switch e.Result {
 	case vrevent.AttemptAnswered:
 		server.RecordSuccess(now, e.TimeToFirstByte)
+		server.RecordUnreportedAnswer(a.sentAt)
 	case vrevent.AttemptNotLoaded:
 		server.MarkMissing(now, c.Model, c.Adapter)
 	case vrevent.AttemptBusy:
 		if e.Load == nil {
 			server.SetLoad(now, server.Slots, 0)
 		}
+		server.RecordTurnedAway(now)
 	case vrevent.AttemptNotSent, vrevent.AttemptBroken, vrevent.AttemptLeaving, vrevent.AttemptServerError:
 		failed = true
 	case vrevent.AttemptTimedOut:
@@ -434,7 +452,12 @@
 		s.endFailedCall(now, c, out)
 		return
 	}
-	c.tried = append(c.tried, a.server.ID)
+	if e.Result == vrevent.AttemptBusy && s.ordered(c.service) {
+		// The server may be the only one that can serve the call, and has room again soon.
+		c.superseded = append(c.superseded, a.server.ID)
+	} else {
+		c.tried = append(c.tried, a.server.ID)
+	}
 	if c.responseStarted {
 		s.counts.Resumed++
 	}
@@ -548,6 +571,9 @@
 	if reason != "" {
 		common = append(common, text("reason", reason))
 	}
+	if c.route != nil && s.ordered(c.service) {
+		common = append(common, number("level", uint64(c.level)), number("ahead", uint64(c.ahead)))
+	}
 	out.Add(ended)
 	if c.Model != "" {
 		common = append(common, text("model", c.Model), text("adapter", c.Adapter))
--- /dev/null
+++ b/verbenacore/vrgateway/room_wait.go
@@ -0,0 +1,252 @@
+package vrgateway
+
+import (
+	"math"
+	"time"
+
+	"verbenaroute.example/verbenacore/vradmit"
+	"verbenaroute.example/verbenacore/vrchoice"
+	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+const (
+	// serviceTimeGain is the weight of a new call in the mean service time of its model.
+	serviceTimeGain = 1.0 / 8
+	// minPriorServiceTime and maxPriorServiceTime bound the latency target of a route, which stands for the
+	// service time before any was measured.
+	minPriorServiceTime = 100 * time.Millisecond
+	maxPriorServiceTime = 2 * time.Second
+	// reviewInterval is the interval at which the expected waits of all waiting calls are computed again.
+	reviewInterval = 100 * time.Millisecond
+	// reviewMargin is how much longer than its time a waiting call's expected wait must be for its refusal.
+	// Otherwise the noise of the estimate would refuse calls that have already waited.
+	reviewMargin = 1.2
+	// Retry-After of calls that find all servers full: the expected wait, longer by levelDelay for each level,
+	// times a random factor from minSpread to maxSpread, so that callers don't return at once and urgent ones
+	// return first.
+	levelDelay         = 0.5
+	minSpread          = 0.8
+	maxSpread          = 1.3
+	minFullRetryAfter  = 100 * time.Millisecond
+	maxFullRetryAfter  = 10 * time.Second
+	maxServeTimeFactor = 0.5
+)
+
+// serviceTime is how long servers take for the calls of a model.
+type serviceTime struct {
+	// seconds is the smoothed time from the send to the end of the response, zero before the first.
+	seconds float64
+	// lastSentAt is when a call was last sent from the queue.
+	lastSentAt time.Time
+}
+
+func (t *serviceTime) record(duration time.Duration) {
+	if t.seconds == 0 {
+		t.seconds = duration.Seconds()
+		return
+	}
+	t.seconds += (duration.Seconds() - t.seconds) * serviceTimeGain
+}
+
+// review holds what reviewWaiting reuses.
+type review struct {
+	doomed    []doomedCall
+	refused   map[serviceModelKey]int
+	intervals map[target]time.Duration
+}
+
+// doomedCall is a waiting call that won't be served in time.
+type doomedCall struct {
+	call *call
+	wait time.Duration
+}
+
+func (s *State) serviceTimeOf(c *call) *serviceTime {
+	return s.serviceTimeFor(serviceModelKey{service: c.service, model: s.modelOf(c)})
+}
+
+func (s *State) serviceTimeFor(key serviceModelKey) *serviceTime {
+	t := s.admission.times[key]
+	if t == nil {
+		t = &serviceTime{}
+		s.admission.times[key] = t
+	}
+	return t
+}
+
+// recordServiceTime records how long a server took for a call, for its model and for its service.
+func (s *State) recordServiceTime(now time.Time, c *call, sentAt time.Time) {
+	if !s.ordered(c.service) {
+		return
+	}
+	s.serviceTimeOf(c).record(now.Sub(sentAt))
+	if s.engine(c.service) != nil {
+		s.serviceTimeFor(serviceModelKey{service: c.service}).record(now.Sub(sentAt))
+	}
+}
+
+// meanServiceTime returns the mean service time of the call's model, else that of its service, else a guess.
+func (s *State) meanServiceTime(c *call) time.Duration {
+	for _, model := range [...]vrid.ModelID{s.modelOf(c), ""} {
+		if t := s.admission.times[serviceModelKey{service: c.service, model: model}]; t != nil && t.seconds > 0 {
+			return time.Duration(t.seconds * float64(time.Second))
+		}
+	}
+	return min(max(c.route.Target, minPriorServiceTime), maxPriorServiceTime)
+}
+
+// freeInterval returns the expected interval at which this daemon gets a slot at the servers that hold the
+// model and the adapter, zero if there are none. Other daemons, and calls for other models, take the slots too.
+// Whether they have calls that wait is not known: the daemon's part is taken as the geometric mean of all slots
+// and its present part of the calls at the servers.
+func (s *State) freeInterval(now time.Time, c *call, adapter vrid.AdapterID) time.Duration {
+	slots, occupied, own := 0, 0, 0
+	model := s.modelOf(c)
+	for _, server := range s.fleet.ServersOf(c.service) {
+		if !server.AcceptsWork() || (model != "" && !server.HasModel(now, model)) || (adapter != "" && !server.HasAdapter(now, model, adapter)) {
+			continue
+		}
+		slots += server.TotalSlots()
+		occupied += server.Occupied(now)
+		if model == "" {
+			own += server.OwnRequests()
+		} else {
+			own += int(s.inFlight[serverModel{server: server.ID, model: model}])
+		}
+	}
+	if slots == 0 {
+		return 0
+	}
+	part := math.Sqrt(min(1, float64(own+1)/float64(occupied+1)))
+	return time.Duration(float64(s.meanServiceTime(c)) / (float64(slots) * part))
+}
+
+// cachedInterval returns freeInterval, computed once in each review for a target.
+func (s *State) cachedInterval(now time.Time, c *call, adapter vrid.AdapterID) time.Duration {
+	key := target{service: c.service, model: c.Model, adapter: adapter}
+	interval, known := s.admission.review.intervals[key]
+	if !known {
+		interval = s.freeInterval(now, c, adapter)
+		s.admission.review.intervals[key] = interval
+	}
+	return interval
+}
+
+// aheadOf returns how many calls are served before a call that waits or is about to.
+func (s *State) aheadOf(now time.Time, c *call) int {
+	return s.admission.queue.AheadOf(now, s.queueItem(c))
+}
+
+// expectedWait returns the expected time until a call with a number of others ahead of it gets a slot.
+func (s *State) expectedWait(now time.Time, c *call, ahead int) time.Duration {
+	ownInterval := s.freeInterval(now, c, c.Adapter)
+	modelInterval := ownInterval
+	if c.Adapter != "" {
+		modelInterval = s.freeInterval(now, c, "")
+	}
+	return s.waitFor(now, c, ahead, modelInterval, ownInterval)
+}
+
+// waitFor returns the expected wait if the servers of the model are free for this daemon at modelInterval, and
+// those that also have the adapter at ownInterval. If none was free for longer while the call waited, the next
+// one is expected after the same time again.
+func (s *State) waitFor(now time.Time, c *call, ahead int, modelInterval, ownInterval time.Duration) time.Duration {
+	if c.waiting {
+		idleSince := c.waitingSince
+		if t := s.admission.times[serviceModelKey{service: c.service, model: s.modelOf(c)}]; t != nil {
+			idleSince = later(idleSince, t.lastSentAt)
+		}
+		ownInterval = max(ownInterval, now.Sub(idleSince))
+	}
+	wait := time.Duration(ahead)*modelInterval + ownInterval
+	if list := s.waitLists[c.target()]; list != nil && list.readyAt.After(now) {
+		// Another server is loading the model.
+		wait = min(wait, list.readyAt.Sub(now)+modelInterval)
+	}
+	return wait
+}
+
+// latestStart returns until when a call has to be sent: before its client gives up and so that the response is
+// complete by its deadline, as far as a service time of at most half of its time allows.
+func (s *State) latestStart(c *call) time.Time {
+	longest := time.Duration(maxServeTimeFactor * float64(c.deadline.Sub(c.arrivedAt)))
+	serve := min(max(s.meanServiceTime(c), minServeTime), longest)
+	return earlier(c.abandonedAt().Add(-minServeTime), c.deadline.Add(-serve))
+}
+
+// refuseIfTooLate refuses a call that finds all servers full and is not expected to be served in time. It
+// reports whether it did.
+func (s *State) refuseIfTooLate(now time.Time, c *call, out *vrevent.Effects) bool {
+	c.ahead = s.aheadOf(now, c)
+	wait := s.expectedWait(now, c, c.ahead)
+	if c.responseStarted || !now.Add(wait).After(s.latestStart(c)) {
+		return false
+	}
+	s.refuseFull(now, c, wait, out)
+	return true
+}
+
+// refuseFull ends a call because all servers that could run it are full.
+func (s *State) refuseFull(now time.Time, c *call, wait time.Duration, out *vrevent.Effects) {
+	reason := vrwire.ReasonServersFull
+	if c.possibleRuns > 0 {
+		reason = vrwire.ReasonBackendFailed
+	}
+	s.endCall(now, c, reason, s.retryAfterFull(c, wait), out)
+}
+
+// retryAfterFull returns when the client of a call that finds all servers full should return.
+func (s *State) retryAfterFull(c *call, wait time.Duration) time.Duration {
+	spread := minSpread + (maxSpread-minSpread)*s.random.Float64()
+	retryAfter := float64(wait) * (1 + levelDelay*float64(c.level)) * spread
+	return min(max(time.Duration(retryAfter), minFullRetryAfter), maxFullRetryAfter)
+}
+
+// reviewWaiting refuses the waiting calls that are no longer expected to be served in time, for example because
+// more urgent ones have arrived.
+func (s *State) reviewWaiting(now time.Time, out *vrevent.Effects) {
+	r := &s.admission.review
+	r.doomed = r.doomed[:0]
+	clear(r.refused)
+	clear(r.intervals)
+	for i := range s.catalog.Services {
+		id := s.catalog.Services[i].ID
+		s.admission.queue.EachWaiting(now, vrid.PoolID(id), func(item *vradmit.Item, ahead int) {
+			s.reviewCall(now, item, ahead)
+		})
+	}
+	for i := range r.doomed {
+		c := r.doomed[i].call
+		r.doomed[i].call = nil
+		if server, _ := s.chooseServer(now, c); server != nil {
+			// A server has room since the call was last tried.
+			s.admission.queue.Wake(s.modelOf(c))
+			s.drainQueue(now, out)
+		}
+		if c.waiting {
+			s.refuseFull(now, c, r.doomed[i].wait, out)
+		}
+	}
+}
+
+// reviewCall notes a call for refusal if it is not expected to be served in time.
+func (s *State) reviewCall(now time.Time, item *vradmit.Item, ahead int) {
+	c, isCall := item.Owner.(*call)
+	if !isCall || c.responseStarted {
+		return
+	}
+	list := s.waitLists[c.target()]
+	if list == nil || s.missingOf(c, list) != vrchoice.MissingRoom {
+		return
+	}
+	r := &s.admission.review
+	key := serviceModelKey{service: c.service, model: c.Model}
+	ahead = max(0, ahead-r.refused[key])
+	wait := s.waitFor(now, c, ahead, s.cachedInterval(now, c, ""), s.cachedInterval(now, c, c.Adapter))
+	if now.Add(time.Duration(float64(wait) / reviewMargin)).After(s.latestStart(c)) {
+		r.refused[key]++
+		r.doomed = append(r.doomed, doomedCall{call: c, wait: wait})
+	}
+}
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -83,6 +83,7 @@
 	shutdown     shutdownState
 	// durations are those of the calls of each route.
 	durations map[vrcatalog.RouteID]*callDurations
+	admission admission
 	counts    Counts
 }
 
@@ -100,7 +101,7 @@
 	random := rand.New(rand.NewPCG(opts.Seed, uint64(len(opts.Daemon))))
 	fleet := vrfleet.New()
 	lease := opts.Bounds.Lease
-	return &State{
+	s := &State{
 		opts: opts, random: random, fleet: fleet,
 		chooser:     &vrchoice.Chooser{Fleet: fleet, Random: random, Zone: opts.Zone, Regions: opts.Regions},
 		retryBudget: vrretry.New(opts.Bounds.Retries),
@@ -123,6 +124,8 @@
 
 		quarantine: quarantineState{parts: vrquarantine.New(opts.Daemon)},
 	}
+	s.initAdmission()
+	return s
 }
 
 // Catalog returns the catalog in force, or nil.
@@ -214,6 +217,7 @@
 	case vrevent.ShutdownRequested:
 		s.handleShutdown(now, e, out)
 	}
+	s.dispatchFreed(now, out)
 }
 
 func (s *State) tick(now time.Time, out *vrevent.Effects) {
@@ -235,6 +239,7 @@
 	}
 	s.catalog = catalog
 	s.forgetDurations()
+	s.resetQueue(now)
 	out.Info("catalog adopted", number("version", uint64(catalog.Version)),
 		number("routes", uint64(len(catalog.Routes))), number("services", uint64(len(catalog.Services))),
 		text("call", e.Read.Call), millis("receivingMs", e.Read.Receiving), boolean("owner", s.lease.Holding()),
--- a/verbenacore/vrgateway/waits.go
+++ b/verbenacore/vrgateway/waits.go
@@ -78,12 +78,15 @@
 		s.endCall(now, c, vrwire.ReasonQueueFull, time.Second, out)
 		return
 	}
-	list.missing = missing
+	if len(list.calls) == 0 || !s.ordered(c.service) || !c.isRestricted() {
+		list.missing = missing
+	}
 	if !c.waiting {
 		c.waiting, c.waitingSince = true, now
+		ahead := s.joinQueue(now, c, len(list.calls))
 		list.calls = append(list.calls, c)
 		out.Info("call queued", text("request", c.Request), text("for", missingName(missing)), text("model", c.Model),
-			text("adapter", c.Adapter), number("ahead", uint64(len(list.calls)-1)), millis("leftMs", c.deadline.Sub(now)))
+			text("adapter", c.Adapter), number("level", uint64(c.level)), number("ahead", uint64(ahead)), millis("leftMs", c.deadline.Sub(now)))
 	}
 	if missing == vrchoice.MissingModel || missing == vrchoice.MissingAdapter {
 		s.sendTargetDemand(now, key, list, out)
@@ -98,6 +101,7 @@
 
 // dequeue removes a call from the wait list of its target.
 func (s *State) dequeue(c *call) {
+	s.leaveQueue(c)
 	if !c.waiting {
 		return
 	}
@@ -116,8 +120,11 @@
 // dispatchWaiting sends the waiting calls for which a server is available.
 func (s *State) dispatchWaiting(now time.Time, out *vrevent.Effects) {
 	for _, key := range s.waitingTargets() {
-		s.dispatchTarget(now, key, out)
+		if !s.ordered(key.service) {
+			s.dispatchTarget(now, key, out)
+		}
 	}
+	s.wakeAll(now, out)
 }
 
 // waitingTargets returns the targets that calls wait for, in a fixed order.
@@ -169,7 +176,12 @@
 func (s *State) tickWaits(now time.Time, out *vrevent.Effects) {
 	for _, key := range s.waitingTargets() {
 		list := s.waitLists[key]
-		if list.missing == vrchoice.MissingHealthyServer || list.missing == vrchoice.MissingServer || !list.readyAt.IsZero() {
+		if list == nil {
+			continue
+		}
+		if s.ordered(key.service) {
+			s.tickOrdered(now, list, out)
+		} else if list.missing == vrchoice.MissingHealthyServer || list.missing == vrchoice.MissingServer || !list.readyAt.IsZero() {
 			s.dispatchTarget(now, key, out)
 		}
 		if s.waitLists[key] == nil {
@@ -180,10 +192,11 @@
 		}
 		for _, c := range slices.Clone(list.calls) {
 			if s.mustRefuse(now, c, list) && !vrfault.On(vrfault.HoldPastLimit) {
-				s.endCall(now, c, refusalReason(c), s.retryAfter(now, c, list), out)
+				s.endCall(now, c, s.refusalReason(c, list), s.retryAfter(now, c, list), out)
 			}
 		}
 	}
+	s.tickAdmission(now, out)
 }
 
 // mustRefuse reports whether a waiting call has to be refused now because it is unlikely to
@@ -193,8 +206,11 @@
 	if !now.Before(serveBy) {
 		return true
 	}
-	waited := now.Sub(c.waitingSince)
-	if list.missing == vrchoice.MissingHealthyServer || list.missing == vrchoice.MissingServer {
+	waited, missing := now.Sub(c.waitingSince), s.missingOf(c, list)
+	if missing == vrchoice.MissingRoom {
+		return false
+	}
+	if missing == vrchoice.MissingHealthyServer || missing == vrchoice.MissingServer {
 		return waited >= min(max(time.Duration(serverWaitFraction*float64(c.route.Target)), minServerWait), maxServerWait)
 	}
 	if silence := now.Sub(later(c.waitingSince, list.noticeAt)); list.noticeAt.IsZero() || silence > ownerNoticeTTL {
@@ -264,16 +280,22 @@
 }
 
 // refusalReason returns the reason for refusing a waiting call.
-func refusalReason(c *call) vrwire.Reason {
+func (s *State) refusalReason(c *call, list *waitList) vrwire.Reason {
 	if c.possibleRuns > 0 {
 		return vrwire.ReasonBackendFailed
 	}
+	if s.missingOf(c, list) == vrchoice.MissingRoom {
+		return vrwire.ReasonServersFull
+	}
 	return vrwire.ReasonNoReplica
 }
 
 // retryAfter returns how long a client should wait before it retries: until the announced
 // ready time of the target, or for a short time.
 func (s *State) retryAfter(now time.Time, c *call, list *waitList) time.Duration {
+	if s.missingOf(c, list) == vrchoice.MissingRoom {
+		return s.retryAfterFull(c, s.expectedWait(now, c, s.aheadOf(now, c)))
+	}
 	if list.readyAt.After(now) {
 		return list.readyAt.Sub(now)
 	}
@@ -326,7 +348,9 @@
 			return
 		}
 		for _, c := range slices.Clone(list.calls) {
-			s.endCall(now, c, vrwire.ReasonNoReplica, delay, out)
+			if s.missingOf(c, list) != vrchoice.MissingRoom {
+				s.endCall(now, c, vrwire.ReasonNoReplica, delay, out)
+			}
 		}
 	}
 }
--- a/verbenaroute/internal/vrnode/metrics.go
+++ b/verbenaroute/internal/vrnode/metrics.go
@@ -8,6 +8,7 @@
 
 	vmetrics "github.com/VictoriaMetrics/metrics"
 
+	"verbenaroute.example/verbenacore/vradmit"
 	"verbenaroute.example/verbenacore/vrevent"
 
 	"verbenaroute.example/verbenaroute/internal/vrrelay"
@@ -33,6 +34,11 @@
 	}
 	gauge("verbena_calls_open", func() float64 { return float64(n.state.OpenCalls()) })
 	gauge("verbena_calls_waiting", func() float64 { return float64(n.state.WaitingCalls()) })
+	for level := range vradmit.MaxLevels {
+		gauge(fmt.Sprintf(`verbena_calls_waiting_by_level{level="%d"}`, level), func() float64 {
+			return float64(n.state.WaitingByLevel()[level])
+		})
+	}
 	gauge("verbena_placement_owner", func() float64 {
 		if n.state.IsPlacementOwner(n.clock.Now()) {
 			return 1
