--- a/verbenacore/vrchoice/vrchoice.go
+++ b/verbenacore/vrchoice/vrchoice.go
@@ -111,6 +111,16 @@
 	return free, missing
 }
 
+// FreeTokensAt returns how many tokens a server has free for a request, or -1 if it can't serve it.
+// need.Room.Tokens does not count.
+func (c *Chooser) FreeTokensAt(now time.Time, server *vrfleet.Server, need *Requirements) int {
+	need.Room.Tokens = 0
+	if server.Service != need.Service || c.missingFrom(now, server, need) != MissingNone {
+		return -1
+	}
+	return server.FreeTokens(now, &need.Room)
+}
+
 // CanServe reports whether the server accepts work and has what the request needs. An ejected, excluded or
 // full server may still serve a request for which it has reserved a place.
 func (c *Chooser) CanServe(now time.Time, server *vrfleet.Server, need Requirements) bool {
--- a/verbenacore/vrfleet/room.go
+++ b/verbenacore/vrfleet/room.go
@@ -13,8 +13,10 @@
 type room struct {
 	// inFlight and tokens count the requests that have not ended and the tokens that they may use.
 	inFlight, tokens int
-	// sentSinceReport counts those that were sent after the newest load report, endedSinceReport the ended ones
-	// that the report counts.
+	// sends counts the requests that were sent, sendsAtReport those before the newest load report.
+	sends, sendsAtReport uint64
+	// sentSinceReport counts those in flight that were sent after the report, endedSinceReport the ended ones that
+	// the report counts.
 	sentSinceReport, endedSinceReport int
 	// awaitsReport is set while a request is under way that was sent to obtain a load report.
 	awaitsReport bool
@@ -34,7 +36,7 @@
 // Placement is a request's share of a server's capacity, from its send to its end.
 type Placement struct {
 	born   int64
-	sentAt time.Time
+	number uint64
 	tokens int
 	// obtainsReport is set if the request was sent to obtain a load report.
 	obtainsReport bool
@@ -108,7 +110,8 @@
 
 // Place counts a request of this daemon that is sent to the server.
 func (s *Server) Place(now time.Time, tokens int) Placement {
-	p := Placement{born: s.Born, sentAt: now, tokens: tokens, obtainsReport: s.lacksReport(now)}
+	s.room.sends++
+	p := Placement{born: s.Born, number: s.room.sends, tokens: tokens, obtainsReport: s.lacksReport(now)}
 	s.room.inFlight++
 	s.room.tokens += tokens
 	s.room.sentSinceReport++
@@ -127,13 +130,19 @@
 	if p.obtainsReport {
 		r.awaitsReport = false
 	}
-	if p.sentAt.Before(s.LoadReportedAt) {
+	if p.number <= r.sendsAtReport {
 		r.endedSinceReport++
 		return
 	}
 	r.sentSinceReport = max(0, r.sentSinceReport-1)
 }
 
+// recordReport starts the counts since a load report.
+func (r *room) recordReport() {
+	r.sendsAtReport, r.sentSinceReport, r.endedSinceReport = r.sends, 0, 0
+	r.awaitsReport, r.statesNoLoad = false, false
+}
+
 // RecordUnreportedAnswer records that the server has answered a request without a load report, if it has sent
 // none since.
 func (s *Server) RecordUnreportedAnswer(sentAt time.Time) {
--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -368,7 +368,7 @@
 // SetLoad applies a load report of the server.
 func (s *Server) SetLoad(now time.Time, running, waiting int) {
 	s.Running, s.Waiting, s.LoadReportedAt, s.SentSinceReport = running, waiting, now, 0
-	s.room.sentSinceReport, s.room.endedSinceReport, s.room.awaitsReport, s.room.statesNoLoad = 0, 0, false, false
+	s.room.recordReport()
 }
 
 // loadReportTTL is how long a server's load report is used.
--- a/verbenacore/vrgateway/admission.go
+++ b/verbenacore/vrgateway/admission.go
@@ -73,8 +73,10 @@
 	// deferred are the calls that were taken from the queue but can't be sent yet.
 	deferred []*call
 	// freeTokens and now are what the queue asks for servers, kept so that a trial allocates nothing.
-	freeTokens   func(vradmit.Candidate) int
-	now          time.Time
+	freeTokens func(vradmit.Candidate) int
+	now        time.Time
+	// freedServer is the only server that may have got room since the queue was last tried, nil if any may.
+	freedServer  *vrfleet.Server
 	lastWakeAt   time.Time
 	lastReviewAt time.Time
 	wakePending  bool
@@ -259,7 +261,7 @@
 // queueItem returns the item of a call.
 func (s *State) queueItem(c *call) vradmit.Item {
 	item := vradmit.Item{
-		Rank: c.queueRank(), Deadline: c.deadline, LateAt: c.arrivedAt.Add(c.route.Target), Pool: vrid.PoolID(c.service),
+		Rank: c.queueRank(), Deadline: c.deadline, LateAt: s.lateAt(c), Pool: vrid.PoolID(c.service),
 		Target: vradmit.Target{Service: c.service, Model: s.modelOf(c)}, Tokens: s.tokens(c), Owner: c,
 	}
 	if item.Target.Model != "" {
@@ -367,22 +369,24 @@
 	}
 }
 
-// dispatchFreed sends waiting calls to the servers at which others have ended.
+// dispatchFreed sends waiting calls to the servers at which others have ended. Only these servers are asked,
+// because a choice among all takes microseconds for each target.
 func (s *State) dispatchFreed(now time.Time, out *vrevent.Effects) {
 	a := &s.admission
 	for len(a.freed) > 0 {
-		for _, server := range a.freed {
-			if s.engine(server.Service) == nil {
-				a.queue.Wake("")
-				continue
-			}
-			for i := range server.Holds {
-				a.queue.Wake(server.Holds[i].Model)
-			}
+		last := len(a.freed) - 1
+		server := a.freed[last]
+		a.freed[last] = nil
+		a.freed = a.freed[:last]
+		if s.engine(server.Service) == nil {
+			a.queue.Wake("")
 		}
-		clear(a.freed)
-		a.freed = a.freed[:0]
+		for i := range server.Holds {
+			a.queue.Wake(server.Holds[i].Model)
+		}
+		a.freedServer = server
 		s.drainQueue(now, out)
+		a.freedServer = nil
 	}
 }
 
@@ -441,6 +445,9 @@
 		return s.tokens(c)
 	}
 	need := vrchoice.Requirements{Service: t.Service, Model: t.Model, Adapter: t.Adapter, Room: s.roomFor(t.Service, candidate.Rank)}
+	if server := s.admission.freedServer; server != nil {
+		return s.chooser.FreeTokensAt(now, server, &need)
+	}
 	free, missing := s.chooser.FreeTokens(now, &need)
 	if list := s.waitLists[target{service: t.Service, model: t.Model, adapter: t.Adapter}]; list != nil {
 		list.missing = missing
@@ -469,7 +476,6 @@
 		s.hold(now, c, out)
 		return
 	}
-	s.serviceTimeOf(c).lastSentAt = now
 	s.send(now, c, server, out)
 	if waited {
 		c.waitedForServer = true
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -381,7 +381,7 @@
 		c.timeToFirstByte = ended.sentAt.Add(e.TimeToFirstByte).Sub(c.arrivedAt)
 		if e.Status < statusError {
 			s.recordDuration(now, c, ended.sentAt)
-			s.recordServiceTime(now, c, ended.sentAt)
+			s.recordServiceTime(c, now.Sub(ended.sentAt), e.TimeToFirstByte)
 		}
 		s.removeCall(now, c, "answered", "", out, number("status", uint64(e.Status)), text("server", ended.server.ID),
 			millis("toFirstMs", e.TimeToFirstByte), millis("longestPauseMs", e.LongestPause), millis("waitedMs", ended.sentAt.Sub(c.arrivedAt)))
--- a/verbenacore/vrgateway/room_wait.go
+++ b/verbenacore/vrgateway/room_wait.go
@@ -18,6 +18,10 @@
 	// service time before any was measured.
 	minPriorServiceTime = 100 * time.Millisecond
 	maxPriorServiceTime = 2 * time.Second
+	// firstByteMargin covers that a response takes longer than the mean.
+	firstByteMargin = 1.25
+	// minProgressTime is how long a call waits before the progress in the queue is measured.
+	minProgressTime = 100 * time.Millisecond
 	// reviewInterval is the interval at which the expected waits of all waiting calls are computed again.
 	reviewInterval = 100 * time.Millisecond
 	// reviewMargin is how much longer than its time a waiting call's expected wait must be for its refusal.
@@ -38,16 +42,17 @@
 type serviceTime struct {
 	// seconds is the smoothed time from the send to the end of the response, zero before the first.
 	seconds float64
-	// lastSentAt is when a call was last sent from the queue.
-	lastSentAt time.Time
+	// firstByteSeconds is the smoothed time to the first byte of the response.
+	firstByteSeconds float64
 }
 
-func (t *serviceTime) record(duration time.Duration) {
+func (t *serviceTime) record(duration, firstByte time.Duration) {
 	if t.seconds == 0 {
-		t.seconds = duration.Seconds()
+		t.seconds, t.firstByteSeconds = duration.Seconds(), firstByte.Seconds()
 		return
 	}
 	t.seconds += (duration.Seconds() - t.seconds) * serviceTimeGain
+	t.firstByteSeconds += (firstByte.Seconds() - t.firstByteSeconds) * serviceTimeGain
 }
 
 // review holds what reviewWaiting reuses.
@@ -77,16 +82,25 @@
 }
 
 // recordServiceTime records how long a server took for a call, for its model and for its service.
-func (s *State) recordServiceTime(now time.Time, c *call, sentAt time.Time) {
+func (s *State) recordServiceTime(c *call, duration, firstByte time.Duration) {
 	if !s.ordered(c.service) {
 		return
 	}
-	s.serviceTimeOf(c).record(now.Sub(sentAt))
+	s.serviceTimeOf(c).record(duration, firstByte)
 	if s.engine(c.service) != nil {
-		s.serviceTimeFor(serviceModelKey{service: c.service}).record(now.Sub(sentAt))
+		s.serviceTimeFor(serviceModelKey{service: c.service}).record(duration, firstByte)
 	}
 }
 
+// lateAt returns from when on a call that is sent is not expected to meet its latency target.
+func (s *State) lateAt(c *call) time.Time {
+	expected := time.Duration(0)
+	if t := s.admission.times[serviceModelKey{service: c.service, model: s.modelOf(c)}]; t != nil {
+		expected = time.Duration(firstByteMargin * t.firstByteSeconds * float64(time.Second))
+	}
+	return c.arrivedAt.Add(c.route.Target - expected)
+}
+
 // meanServiceTime returns the mean service time of the call's model, else that of its service, else a guess.
 func (s *State) meanServiceTime(c *call) time.Duration {
 	for _, model := range [...]vrid.ModelID{s.modelOf(c), ""} {
@@ -150,16 +164,8 @@
 }
 
 // waitFor returns the expected wait if the servers of the model are free for this daemon at modelInterval, and
-// those that also have the adapter at ownInterval. If none was free for longer while the call waited, the next
-// one is expected after the same time again.
+// those that also have the adapter at ownInterval.
 func (s *State) waitFor(now time.Time, c *call, ahead int, modelInterval, ownInterval time.Duration) time.Duration {
-	if c.waiting {
-		idleSince := c.waitingSince
-		if t := s.admission.times[serviceModelKey{service: c.service, model: s.modelOf(c)}]; t != nil {
-			idleSince = later(idleSince, t.lastSentAt)
-		}
-		ownInterval = max(ownInterval, now.Sub(idleSince))
-	}
 	wait := time.Duration(ahead)*modelInterval + ownInterval
 	if list := s.waitLists[c.target()]; list != nil && list.readyAt.After(now) {
 		// Another server is loading the model.
@@ -168,6 +174,17 @@
 	return wait
 }
 
+// waitByProgress returns the expected wait of a waiting call if it goes on to come forward as fast as until now:
+// other daemons may take the slots, and calls that can still be in time go before late ones. It is zero for a
+// call that has not waited for long.
+func (c *call) waitByProgress(now time.Time, ahead int) time.Duration {
+	waited := now.Sub(c.waitingSince)
+	if waited < minProgressTime {
+		return 0
+	}
+	return waited * time.Duration(ahead+1) / time.Duration(max(0, c.ahead-ahead)+1)
+}
+
 // latestStart returns until when a call has to be sent: before its client gives up and so that the response is
 // complete by its deadline, as far as a service time of at most half of its time allows.
 func (s *State) latestStart(c *call) time.Time {
@@ -245,7 +262,8 @@
 	key := serviceModelKey{service: c.service, model: c.Model}
 	ahead = max(0, ahead-r.refused[key])
 	wait := s.waitFor(now, c, ahead, s.cachedInterval(now, c, ""), s.cachedInterval(now, c, c.Adapter))
-	if now.Add(time.Duration(float64(wait) / reviewMargin)).After(s.latestStart(c)) {
+	longest := max(wait, c.waitByProgress(now, ahead))
+	if now.Add(time.Duration(float64(longest) / reviewMargin)).After(s.latestStart(c)) {
 		r.refused[key]++
 		r.doomed = append(r.doomed, doomedCall{call: c, wait: wait})
 	}
