Keep places of full wait lists for calls that are served earlier; tests of the queue

A tenant at many times its load could fill the wait list of a target, and calls of all others were refused. The last call in the order now makes place.

--- a/verbenacore/vradmit/weighted.go
+++ b/verbenacore/vradmit/weighted.go
@@ -233,6 +233,15 @@
 	clear(s.items)
 }
 
+// Before reports whether one waiting request of a pool is served before another one, as far as their ranks have no
+// turn out of order.
+func (i *Item) Before(other *Item) bool {
+	if i.Rank != other.Rank {
+		return i.Rank < other.Rank
+	}
+	return itemLess(i, other)
+}
+
 func compareItems(a, b *Item) int {
 	switch {
 	case itemLess(a, b):
--- a/verbenacore/vrgateway/admission.go
+++ b/verbenacore/vrgateway/admission.go
@@ -26,13 +26,12 @@
 	plainTokens = 200
 	// costUnitTokens is the number of tokens that cost one unit of virtual time.
 	costUnitTokens = 1000
-	// wakeInterval is the interval at which all waiting calls are tried again, since reports age and ejections
-	// end without an event. minWakeInterval is the minimum interval if the servers change, for a trial of a
-	// thousand targets takes milliseconds.
+	// wakeInterval is the minimum interval between two trials of all waiting calls, since a trial of a thousand
+	// takes milliseconds. Reports age and ejections end without an event. For up to fewWaiting calls, it is
+	// minWakeInterval.
 	wakeInterval    = 100 * time.Millisecond
-	minWakeInterval = 25 * time.Millisecond
-	// fewWaiting is the number of waiting calls up to which all are tried on each tick.
-	fewWaiting = 32
+	minWakeInterval = 20 * time.Millisecond
+	fewWaiting      = 32
 	// meanTokensGain is the weight of a new call in the mean number of tokens of a service's calls.
 	meanTokensGain = 1.0 / 32
 )
@@ -79,7 +78,6 @@
 	freedServer  *vrfleet.Server
 	lastWakeAt   time.Time
 	lastReviewAt time.Time
-	wakePending  bool
 	review       review
 }
 
@@ -348,16 +346,22 @@
 	s.enqueue(now, c, missing, out)
 }
 
-// makePlace refuses the last call of a full wait list if a more urgent one would otherwise find no place in it.
+// makePlace refuses the last call of a full wait list if one that is served before it would otherwise find no
+// place: the calls of one tenant or of a low level must not keep out all others.
 func (s *State) makePlace(now time.Time, c *call, out *vrevent.Effects) {
 	list := s.waitLists[c.target()]
 	if list == nil || len(list.calls) < maxWaitingPerTarget {
 		return
 	}
-	last := slices.MaxFunc(list.calls, func(a, b *call) int {
-		return cmp.Or(cmp.Compare(a.queueRank(), b.queueRank()), a.arrivedAt.Compare(b.arrivedAt))
-	})
-	if last.queueRank() > c.queueRank() {
+	s.joinQueue(now, c, 0)
+	last := c
+	for _, other := range list.calls {
+		if other.queued != nil && last.queued.Before(other.queued) {
+			last = other
+		}
+	}
+	s.leaveQueue(c)
+	if last != c {
 		s.refuseFull(now, last, s.expectedWait(now, last, len(list.calls)), out)
 	}
 }
@@ -390,17 +394,20 @@
 	}
 }
 
-// wakeAll tries all waiting calls of ordered services, at once or on the next tick.
+// wakeAll tries all waiting calls of ordered services, at once or on one of the next ticks.
 func (s *State) wakeAll(now time.Time, out *vrevent.Effects) {
 	a := &s.admission
 	if a.queue.Len() == 0 {
 		return
 	}
-	if now.Sub(a.lastWakeAt) < minWakeInterval {
-		a.wakePending = true
+	interval := wakeInterval
+	if a.queue.Len() <= fewWaiting {
+		interval = minWakeInterval
+	}
+	if now.Sub(a.lastWakeAt) < interval {
 		return
 	}
-	a.lastWakeAt, a.wakePending = now, false
+	a.lastWakeAt = now
 	a.queue.WakeAll()
 	s.drainQueue(now, out)
 }
@@ -512,9 +519,7 @@
 	if a.queue.Len() == 0 {
 		return
 	}
-	if a.wakePending || a.queue.Len() <= fewWaiting || now.Sub(a.lastWakeAt) >= wakeInterval {
-		s.wakeAll(now, out)
-	}
+	s.wakeAll(now, out)
 	if now.Sub(a.lastReviewAt) >= reviewInterval {
 		a.lastReviewAt = now
 		s.reviewWaiting(now, out)
--- a/verbenacore/vrgateway/admission_test.go
+++ b/verbenacore/vrgateway/admission_test.go
@@ -123,6 +123,23 @@
 	require.Greater(t, refusals["deferred"], refusals["urgent"])
 }
 
+// Guards against a tenant whose calls fill the wait list of a target and keep out those of all others.
+func TestFullWaitListTakesCallsOfOtherTenants(t *testing.T) {
+	d := newOrderedDaemon(t, appEntry("a1"))
+	first := d.requireSent(d.call("deferred", 0, 0))
+	d.now = d.now.Add(10 * time.Millisecond)
+	d.reduce(vrevent.SendEnded{Call: first.Call, Send: first.Send, Result: vrevent.AttemptAnswered, Status: 200})
+	for range 260 {
+		d.call("deferred", 0, 0)
+	}
+	require.Equal(t, 256, d.state.WaitingCalls())
+	require.Equal(t, d.lastCallID, d.requireRefused(d.call("deferred", 0, 0)).Call)
+	require.NotEqual(t, d.lastCallID, d.requireRefused(d.call("deferred", 1, 0)).Call)
+	d.requireSent(d.call("urgent", 0, 0))
+	require.NotEqual(t, d.lastCallID, d.requireRefused(d.call("urgent", 0, 0)).Call)
+	require.Equal(t, 256, d.state.WaitingCalls())
+}
+
 // Guards against a refusal by the placement owner, which can't load one more copy of a model, of calls that only
 // wait until the server that holds the model has room.
 func TestRefusedLoadLeavesCallsThatWaitForRoom(t *testing.T) {
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -276,7 +276,7 @@
 	out.Info("call dispatched", text("request", c.Request), number("send", uint64(a.number)), text("server", a.server.ID),
 		number("busy", uint64(a.server.EstimatedRequests(now))), number("slots", uint64(a.server.Slots)),
 		millis("loadAgeMs", min(now.Sub(a.server.LoadReportedAt), time.Hour)), millis("waitedMs", now.Sub(c.arrivedAt)),
-		millis("leftMs", c.deadline.Sub(now)), boolean("hedge", a == c.hedge), number("level", uint64(c.level)))
+		millis("leftMs", c.deadline.Sub(now)), boolean("hedge", a == c.hedge), number("level", uint64(c.level)), number("ahead", uint64(c.ahead)))
 }
 
 // firstByteTimeout returns the wait for the first byte of a response on a route with the given
@@ -533,7 +533,8 @@
 		retryAfter = 0
 	}
 	out.Add(vrevent.RefuseCall{Call: c.ID, Reason: reason, NotRun: notRun, RetryAfter: retryAfter})
-	s.removeCall(now, c, "refused", reason, out, millis("retryAfterMs", retryAfter), boolean("notRun", notRun))
+	s.removeCall(now, c, "refused", reason, out, millis("retryAfterMs", retryAfter), boolean("notRun", notRun),
+		millis("waitedMs", now.Sub(c.arrivedAt)))
 }
 
 func boolean(name string, value bool) vrevent.LogField {
