Let urgent calls exceed only the slots that other daemons use

Urgent calls that one daemon sent beyond a server's slots waited for a slot of that server, while those that waited at the daemon got the first slot of any. They also did not count as going before the calls that wait at the server.

--- a/verbenacore/vrfleet/room.go
+++ b/verbenacore/vrfleet/room.go
@@ -71,11 +71,27 @@
 
 // Occupied estimates the number of requests at the server from its load report and from what this daemon has
 // sent and ended since. Without a recent report it counts this daemon's own.
-func (s *Server) Occupied(now time.Time) int {
+func (s *Server) Occupied(now time.Time) int { return s.occupied(now, s.Waiting) }
+
+// occupied returns the estimate with a number of requests that wait at the server.
+func (s *Server) occupied(now time.Time, waiting int) int {
 	if s.LoadReportedAt.IsZero() || now.Sub(s.LoadReportedAt) > loadReportTTL {
 		return s.room.inFlight
 	}
-	return max(s.Running+s.Waiting+s.room.sentSinceReport-s.room.endedSinceReport, s.room.inFlight)
+	return max(s.Running+waiting+s.room.sentSinceReport-s.room.endedSinceReport, s.room.inFlight)
+}
+
+// hasSlot reports whether a request with the need may be sent to the server. An urgent one goes before those that
+// wait there, and may exceed the slots by a quarter as far as they are used by other daemons: for a slot that
+// this daemon's own requests free, it rather waits at the daemon, where the first slot of any server is its own.
+func (s *Server) hasSlot(now time.Time, urgent bool) bool {
+	slots := s.TotalSlots()
+	if !urgent {
+		return s.Occupied(now) < slots
+	}
+	occupied := s.occupied(now, 0)
+	others := max(0, occupied-s.room.inFlight)
+	return occupied < slots+slots*others/(urgentSlotsDivisor*max(occupied, 1))
 }
 
 // OwnRequests returns the number of this daemon's requests at the server.
@@ -84,18 +100,13 @@
 // FreeTokens returns how many tokens a request may use at the server, or -1 if there is no slot for it. Without
 // a recent load report, there is a slot for one request at a time, which obtains a report.
 func (s *Server) FreeTokens(now time.Time, need *RoomNeed) int {
-	slots := s.TotalSlots()
-	if need.Urgent {
-		slots += slots / urgentSlotsDivisor
-	}
-	occupied := s.Occupied(now)
-	if occupied >= slots || now.Before(s.room.fullUntil) || (s.room.awaitsReport && s.lacksReport(now)) {
+	if now.Before(s.room.fullUntil) || !s.hasSlot(now, need.Urgent) || (s.room.awaitsReport && s.lacksReport(now)) {
 		return -1
 	}
 	if need.CacheTokens <= 0 {
 		return math.MaxInt
 	}
-	others := max(0, occupied-s.room.inFlight)
+	others := max(0, s.Occupied(now)-s.room.inFlight)
 	return max(-1, need.CacheTokens-s.room.tokens-others*need.MeanTokens)
 }
 
