Expect the wait of a new call also from the departures of its level

The expected wait of a call of a low level left out the more urgent calls that arrive after it, so that calls waited for seconds before they were refused. The interval at which calls of the level and target were sent lately, which the product's path already uses, counts now too.

--- a/verbenacore/vradmit/target.go
+++ b/verbenacore/vradmit/target.go
@@ -40,10 +40,12 @@
 	t.lastDeparture = now
 }
 
+// minDepartures is the number of departures from which on their interval is relied on.
+const minDepartures = 4
+
 // estimateWait returns the expected wait of one more request, or false before enough
 // departures were seen.
 func (t *targetQueue) estimateWait(now time.Time) (time.Duration, bool) {
-	const minDepartures = 4
 	if t.departures < minDepartures {
 		return 0, false
 	}
--- a/verbenacore/vradmit/weighted.go
+++ b/verbenacore/vradmit/weighted.go
@@ -205,6 +205,24 @@
 	return limitPasses(better+inRank, inRank)
 }
 
+// WaitByDepartures returns the expected wait of a new request from the interval at which requests of its rank and
+// target were served lately, which includes that better ranks go before them. It is zero before enough were.
+func (q *Queue) WaitByDepartures(now time.Time, item Item) time.Duration {
+	rq := &q.poolQueue(item.Pool).ranks[item.Rank]
+	tq := rq.byTarget[item.Target]
+	if tq == nil || tq.departures < minDepartures {
+		return 0
+	}
+	q.prepare(now, rq, &item)
+	ahead := 0
+	for _, other := range tq.items {
+		if itemLess(other, &item) {
+			ahead++
+		}
+	}
+	return time.Duration(ahead)*tq.meanInterval + max(tq.meanInterval, now.Sub(tq.lastDeparture))
+}
+
 // EachWaiting calls visit for each waiting request of a pool, in the order in which they are served, with the
 // number of those for the same model that are served before. visit must not change the queue.
 func (q *Queue) EachWaiting(now time.Time, pool vrid.PoolID, visit func(item *Item, ahead int)) {
--- a/verbenacore/vrgateway/room_wait.go
+++ b/verbenacore/vrgateway/room_wait.go
@@ -197,7 +197,7 @@
 // reports whether it did.
 func (s *State) refuseIfTooLate(now time.Time, c *call, out *vrevent.Effects) bool {
 	c.ahead = s.aheadOf(now, c)
-	wait := s.expectedWait(now, c, c.ahead)
+	wait := max(s.expectedWait(now, c, c.ahead), s.admission.queue.WaitByDepartures(now, s.queueItem(c)))
 	if c.responseStarted || !now.Add(wait).After(s.latestStart(c)) {
 		return false
 	}
