Refuse no call while a load report is awaited; page of ordered admission

A daemon that had just started refused calls for idle servers, because only one call at a time is sent to a server without a load report. While that report is awaited, no call is refused by its expected wait.

--- a/verbenacore/vrfleet/room.go
+++ b/verbenacore/vrfleet/room.go
@@ -18,8 +18,9 @@
 	// sentSinceReport counts those in flight that were sent after the report, endedSinceReport the ended ones that
 	// the report counts.
 	sentSinceReport, endedSinceReport int
-	// awaitsReport is set while a request is under way that was sent to obtain a load report.
+	// awaitsReport is set while a request is under way that was sent to obtain a load report, since awaitedSince.
 	awaitsReport bool
+	awaitedSince time.Time
 	// statesNoLoad is set if the server has answered without a load report.
 	statesNoLoad bool
 	// fullUntil is until when the server counts as full because it has turned a request away.
@@ -69,6 +70,15 @@
 	return !s.room.statesNoLoad && now.Sub(s.LoadReportedAt) > loadReportTTL
 }
 
+// maxReportWait is how long a server is expected to have room while its load report is awaited. The report comes
+// with the head of a response, which a long prompt delays.
+const maxReportWait = time.Second
+
+// MayHaveRoom reports whether the server may turn out to have room once its load report comes, which is awaited.
+func (s *Server) MayHaveRoom(now time.Time) bool {
+	return s.room.awaitsReport && s.lacksReport(now) && now.Sub(s.room.awaitedSince) < maxReportWait && s.room.inFlight < s.TotalSlots()
+}
+
 // Occupied estimates the number of requests at the server from its load report and from what this daemon has
 // sent and ended since. Without a recent report it counts this daemon's own.
 func (s *Server) Occupied(now time.Time) int { return s.occupied(now, s.Waiting) }
@@ -126,7 +136,9 @@
 	s.room.inFlight++
 	s.room.tokens += tokens
 	s.room.sentSinceReport++
-	s.room.awaitsReport = s.room.awaitsReport || p.obtainsReport
+	if p.obtainsReport && !s.room.awaitsReport {
+		s.room.awaitsReport, s.room.awaitedSince = true, now
+	}
 	return p
 }
 
--- a/verbenacore/vrgateway/admission_test.go
+++ b/verbenacore/vrgateway/admission_test.go
@@ -54,6 +54,20 @@
 	require.Len(t, sends(d.reportLoad(first, vrevent.ServerLoad{Running: 1, Slots: 6})), 2)
 }
 
+// Guards against refusals of calls for servers that are idle, while the first load reports are awaited.
+func TestNoRefusalWhileLoadReportsAreAwaited(t *testing.T) {
+	d := newOrderedDaemon(t, appEntry("a1"))
+	first := d.requireSent(d.call("urgent", 0, 0))
+	for range 200 {
+		require.Empty(t, d.call("urgent", 0, 0))
+	}
+	for _, effect := range d.runFor(300*time.Millisecond, storeDown) {
+		_, refused := effect.(vrevent.RefuseCall)
+		require.False(t, refused)
+	}
+	require.Len(t, sends(d.reportLoad(first, vrevent.ServerLoad{Slots: 100})), 100)
+}
+
 // Guards against calls beyond a server's slots, and against an order of the waiting calls other than by the
 // priorities of the tenant and the route.
 func TestCallsWaitForSlots(t *testing.T) {
--- a/verbenacore/vrgateway/room_wait.go
+++ b/verbenacore/vrgateway/room_wait.go
@@ -7,6 +7,7 @@
 	"verbenaroute.example/verbenacore/vradmit"
 	"verbenaroute.example/verbenacore/vrchoice"
 	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrfleet"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrwire"
 )
@@ -119,7 +120,7 @@
 	slots, occupied, own := 0, 0, 0
 	model := s.modelOf(c)
 	for _, server := range s.fleet.ServersOf(c.service) {
-		if !server.AcceptsWork() || (model != "" && !server.HasModel(now, model)) || (adapter != "" && !server.HasAdapter(now, model, adapter)) {
+		if !holds(now, server, model, adapter) {
 			continue
 		}
 		slots += server.TotalSlots()
@@ -137,6 +138,25 @@
 	return time.Duration(float64(s.meanServiceTime(c)) / (float64(slots) * part))
 }
 
+// holds reports whether a server accepts work and has a model and an adapter, each empty if none is needed.
+func holds(now time.Time, server *vrfleet.Server, model vrid.ModelID, adapter vrid.AdapterID) bool {
+	return server.AcceptsWork() && (model == "" || server.HasModel(now, model)) && (adapter == "" || server.HasAdapter(now, model, adapter))
+}
+
+// mayFindRoom reports whether a server that could run the call may have room, but its load report is awaited.
+func (s *State) mayFindRoom(now time.Time, c *call) bool {
+	model, adapter := s.modelOf(c), c.Adapter
+	if model == "" {
+		adapter = ""
+	}
+	for _, server := range s.fleet.ServersOf(c.service) {
+		if server.MayHaveRoom(now) && holds(now, server, model, adapter) {
+			return true
+		}
+	}
+	return false
+}
+
 // cachedInterval returns freeInterval, computed once in each review for a target.
 func (s *State) cachedInterval(now time.Time, c *call, adapter vrid.AdapterID) time.Duration {
 	key := target{service: c.service, model: c.Model, adapter: adapter}
@@ -198,7 +218,7 @@
 func (s *State) refuseIfTooLate(now time.Time, c *call, out *vrevent.Effects) bool {
 	c.ahead = s.aheadOf(now, c)
 	wait := max(s.expectedWait(now, c, c.ahead), s.admission.queue.WaitByDepartures(now, s.queueItem(c)))
-	if c.responseStarted || !now.Add(wait).After(s.latestStart(c)) {
+	if c.responseStarted || !now.Add(wait).After(s.latestStart(c)) || s.mayFindRoom(now, c) {
 		return false
 	}
 	s.refuseFull(now, c, wait, out)
@@ -242,7 +262,7 @@
 			s.admission.queue.Wake(s.modelOf(c))
 			s.drainQueue(now, out)
 		}
-		if c.waiting {
+		if c.waiting && !s.mayFindRoom(now, c) {
 			s.refuseFull(now, c, r.doomed[i].wait, out)
 		}
 	}
