--- a/verbenacore/vrgateway/room_wait.go
+++ b/verbenacore/vrgateway/room_wait.go
@@ -58,9 +58,11 @@
 
 // review holds what reviewWaiting reuses.
 type review struct {
-	doomed    []doomedCall
-	refused   map[serviceModelKey]int
-	intervals map[target]time.Duration
+	doomed  []doomedCall
+	refused map[serviceModelKey]int
+	// intervals holds what freeInterval returned for a target since intervalsAt.
+	intervals   map[target]time.Duration
+	intervalsAt time.Time
 }
 
 // doomedCall is a waiting call that won't be served in time.
@@ -157,8 +159,13 @@
 	return false
 }
 
-// cachedInterval returns freeInterval, computed once in each review for a target.
+// cachedInterval returns freeInterval, computed once in a reviewInterval for a target: it takes longer than the
+// rest of a decision.
 func (s *State) cachedInterval(now time.Time, c *call, adapter vrid.AdapterID) time.Duration {
+	if r := &s.admission.review; now.Sub(r.intervalsAt) >= reviewInterval {
+		clear(r.intervals)
+		r.intervalsAt = now
+	}
 	key := target{service: c.service, model: c.Model, adapter: adapter}
 	interval, known := s.admission.review.intervals[key]
 	if !known {
@@ -175,12 +182,7 @@
 
 // expectedWait returns the expected time until a call with a number of others ahead of it gets a slot.
 func (s *State) expectedWait(now time.Time, c *call, ahead int) time.Duration {
-	ownInterval := s.freeInterval(now, c, c.Adapter)
-	modelInterval := ownInterval
-	if c.Adapter != "" {
-		modelInterval = s.freeInterval(now, c, "")
-	}
-	return s.waitFor(now, c, ahead, modelInterval, ownInterval)
+	return s.waitFor(now, c, ahead, s.cachedInterval(now, c, ""), s.cachedInterval(now, c, c.Adapter))
 }
 
 // waitFor returns the expected wait if the servers of the model are free for this daemon at modelInterval, and
@@ -247,7 +249,6 @@
 	r := &s.admission.review
 	r.doomed = r.doomed[:0]
 	clear(r.refused)
-	clear(r.intervals)
 	for i := range s.catalog.Services {
 		id := s.catalog.Services[i].ID
 		s.admission.queue.EachWaiting(now, vrid.PoolID(id), func(item *vradmit.Item, ahead int) {
