--- a/verbenacore/vrgateway/replay_test.go
+++ b/verbenacore/vrgateway/replay_test.go
@@ -1,7 +1,7 @@
 package vrgateway_test
 
 import (
-	"container/heap"
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -49,25 +49,9 @@
 
 type replayEvent struct {
 	at  time.Time
-	seq int
 	run func()
 }
 
-type replayEvents []replayEvent
-
-func (h *replayEvents) Len() int { return len(*h) }
-func (h *replayEvents) Less(i, j int) bool {
-	a, b := (*h)[i], (*h)[j]
-	return a.at.Before(b.at) || (a.at.Equal(b.at) && a.seq < b.seq)
-}
-func (h *replayEvents) Swap(i, j int) { (*h)[i], (*h)[j] = (*h)[j], (*h)[i] }
-func (h *replayEvents) Push(x any)    { *h = append(*h, x.(replayEvent)) }
-func (h *replayEvents) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
 // modelServer runs slots calls at once, queues half as many by their priority, and turns others away.
 type modelServer struct {
 	entry  vrfleet.Entry
@@ -103,8 +87,7 @@
 	random      *rand.Rand
 	now         time.Time
 	start       time.Time
-	seq         int
-	events      replayEvents
+	events      []replayEvent
 	daemons     []*daemon
 	servers     map[vrid.ServerID]*modelServer
 	calls       map[*daemon]map[vrevent.CallID]*clientCall
@@ -183,8 +166,12 @@
 func replayModel(i int) vrid.ModelID { return vrid.ModelID(fmt.Sprintf("m%02d", i)) }
 
 func (r *replay) at(delay time.Duration, run func()) {
-	r.seq++
-	heap.Push(&r.events, replayEvent{at: r.now.Add(delay), seq: r.seq, run: run})
+	event := replayEvent{at: r.now.Add(delay), run: run}
+	index, _ := slices.BinarySearchFunc(r.events, event, func(e, target replayEvent) int {
+		// The new event comes after those at the same time.
+		return cmp.Or(e.at.Compare(target.at), -1)
+	})
+	r.events = slices.Insert(r.events, index, event)
 }
 
 func (r *replay) tick(d *daemon) {
@@ -215,7 +202,8 @@
 	}
 	const drainTime = 40 * time.Second
 	for until := r.now.Add(duration + drainTime); r.events[0].at.Before(until); {
-		event := heap.Pop(&r.events).(replayEvent)
+		event := r.events[0]
+		r.events = r.events[1:]
 		r.now = event.at
 		event.run()
 	}
