Send waiting calls when a catalog ends ordered admission

Cause: calls that waited for room stayed in their wait lists without the queue, and ticks tried only the lists that lack a server. Change: ticks of services without ordered admission try lists that lack room too. Result: the new test found no send within 50 ms before, one after.

--- a/verbenacore/vrgateway/admission_test.go
+++ b/verbenacore/vrgateway/admission_test.go
@@ -328,3 +328,18 @@
 	}
 	b.ReportMetric(float64(state.WaitingCalls()), "waiting")
 }
+
+// Guards against calls that wait for room until they are refused, although a server has room, because a catalog
+// without tenants has ended ordered admission meanwhile.
+func TestEndOfOrderedAdmissionSendsWaitingCalls(t *testing.T) {
+	d := newOrderedDaemon(t, appEntry("a1"))
+	d.reportLoad(d.requireSent(d.call("deferred", 0, 0)), vrevent.ServerLoad{})
+	for range 4 {
+		d.requireSent(d.call("deferred", 0, 0))
+	}
+	require.Empty(t, d.call("deferred", 0, 0))
+	catalog := replayCatalog(false, 1000)
+	catalog.Version = 2
+	d.reduce(vrevent.CatalogSeen{Catalog: catalog})
+	require.Len(t, sends(d.runFor(50*time.Millisecond, storeDown)), 1)
+}
--- a/verbenacore/vrgateway/waits.go
+++ b/verbenacore/vrgateway/waits.go
@@ -181,7 +181,9 @@
 		}
 		if s.ordered(key.service) {
 			s.tickOrdered(now, list, out)
-		} else if list.missing == vrchoice.MissingHealthyServer || list.missing == vrchoice.MissingServer || !list.readyAt.IsZero() {
+		} else if list.missing == vrchoice.MissingHealthyServer || list.missing == vrchoice.MissingServer ||
+			list.missing == vrchoice.MissingRoom || !list.readyAt.IsZero() {
+			// Room is missing if a new catalog has ended ordered admission while calls waited for it.
 			s.dispatchTarget(now, key, out)
 		}
 		if s.waitLists[key] == nil {
