Keep the room of a process that is registered again

Cause: a registration that was removed and came back for the same process began with no requests and tokens, while those in flight ended at the former record. Change: both records share the counts and the stated slots. Result: with 900 of 1000 tokens in flight, the new test found 1000 free before, 100 after.

--- a/verbenacore/vrfleet/room.go
+++ b/verbenacore/vrfleet/room.go
@@ -147,7 +147,7 @@
 	if p.born != s.Born {
 		return
 	}
-	r := &s.room
+	r := s.room
 	r.inFlight = max(0, r.inFlight-1)
 	r.tokens = max(0, r.tokens-p.tokens)
 	if p.obtainsReport {
--- a/verbenacore/vrfleet/room_test.go
+++ b/verbenacore/vrfleet/room_test.go
@@ -56,3 +56,26 @@
 	require.True(t, fleet.SharesMachines("lm"))
 	require.False(t, fleet.SharesMachines("app"))
 }
+
+// Guards against a server that gets more tokens than its cache holds, because its registration was lost for a
+// moment and the requests in flight at the same process were forgotten.
+func TestRoomOfProcessThatIsRegisteredAgain(t *testing.T) {
+	now := time.Unix(1_790_000_000, 0)
+	fleet := vrfleet.New()
+	entry := vrfleet.Entry{ID: "s", Service: "lm", Slots: 8, State: vrfleet.StateReady, Born: 1}
+	fleet.Put(now, entry)
+	former := fleet.Server("s")
+	former.SetLoad(now, 0, 0)
+	former.RecordSend()
+	placement := former.Place(now, 900)
+	fleet.Remove("s")
+	entry.Beat++
+	require.Equal(t, vrfleet.ChangeAdded, fleet.Put(now, entry))
+	server := fleet.Server("s")
+	need := vrfleet.RoomNeed{Checked: true, CacheTokens: 1000, MeanTokens: 50}
+	require.Equal(t, 100, server.FreeTokens(now, &need))
+	server.SetLoad(now, 1, 0)
+	require.Equal(t, 100, server.FreeTokens(now, &need))
+	former.EndPlacement(&placement)
+	require.Equal(t, 1000, server.FreeTokens(now, &need))
+}
--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -62,7 +62,9 @@
 	LoadReportedAt   time.Time
 	// StatedSlots is the number of slots of the newest load report that states one, or zero.
 	StatedSlots int
-	room        room
+	// room is shared with the former record of the same process, if it was registered again while requests to it
+	// were in flight.
+	room *room
 	// InFlight counts this daemon's own unfinished requests at the server,
 	// SentSinceReport those of them sent after LoadReportedAt.
 	InFlight, SentSinceReport int
@@ -168,11 +170,14 @@
 		if !admitted {
 			return ChangeOutdated
 		}
-		added := &Server{Entry: entry, SeenAt: now, statedLeaving: told && entry.State == StateDraining}
+		added := &Server{Entry: entry, SeenAt: now, room: &room{}, statedLeaving: told && entry.State == StateDraining}
 		added.inDoubt = told && !added.statedLeaving
 		if server != nil {
 			added.InFlight = server.InFlight
 			added.Restarted = server.Born != entry.Born
+			if !added.Restarted {
+				added.room, added.StatedSlots = server.room, server.StatedSlots
+			}
 		}
 		f.servers[entry.ID] = added
 		f.reindex()
@@ -182,7 +187,7 @@
 	case server.Born != entry.Born:
 		delete(f.doubted, entry.ID)
 		*server = Server{
-			Entry: entry, SeenAt: now, Restarted: true, InFlight: server.InFlight, inDoubt: server.statedLeaving || server.inDoubt,
+			Entry: entry, SeenAt: now, room: &room{}, Restarted: true, InFlight: server.InFlight, inDoubt: server.statedLeaving || server.inDoubt,
 		}
 		f.reindex()
 		return ChangeRestarted
