Send streams that have begun before other calls

Cause: a stream that has begun is past its target, so that the queue took it for late and put it behind all calls that could still be in time, until its client gave it up. Change: begun requests come first in their rank. Result: the new test saw another call sent first before.

--- a/verbenacore/vradmit/heap.go
+++ b/verbenacore/vradmit/heap.go
@@ -8,6 +8,9 @@
 
 // itemLess reports whether a is served before b; both have the same rank.
 func itemLess(a, b *Item) bool {
+	if a.Begun != b.Begun {
+		return a.Begun
+	}
 	if a.late != b.late {
 		return b.late
 	}
--- a/verbenacore/vradmit/vradmit.go
+++ b/verbenacore/vradmit/vradmit.go
@@ -50,6 +50,8 @@
 	Tokens       int
 	Cost, Weight float64
 	Owner        any
+	// Begun requests, whose responses go on at another server, come before all others of their rank.
+	Begun bool
 	// late is set once LateAt has passed. tieNanos and sequence order requests that are otherwise equal.
 	late     bool
 	tieNanos int64
--- a/verbenacore/vrgateway/admission.go
+++ b/verbenacore/vrgateway/admission.go
@@ -260,7 +260,7 @@
 func (s *State) queueItem(c *call) vradmit.Item {
 	item := vradmit.Item{
 		Rank: c.queueRank(), Deadline: c.deadline, LateAt: s.lateAt(c), Pool: vrid.PoolID(c.service),
-		Target: vradmit.Target{Service: c.service, Model: s.modelOf(c)}, Tokens: s.tokens(c), Owner: c,
+		Target: vradmit.Target{Service: c.service, Model: s.modelOf(c)}, Tokens: s.tokens(c), Owner: c, Begun: c.responseStarted,
 	}
 	if item.Target.Model != "" {
 		item.Target.Adapter = c.Adapter
--- a/verbenacore/vrgateway/admission_test.go
+++ b/verbenacore/vrgateway/admission_test.go
@@ -343,3 +343,33 @@
 	d.reduce(vrevent.CatalogSeen{Catalog: catalog})
 	require.Len(t, sends(d.runFor(50*time.Millisecond, storeDown)), 1)
 }
+
+// Guards against a stream that has begun and waits behind calls that have not, because its first event was due
+// long ago: its client gives it up.
+func TestBegunStreamGoesOnFirst(t *testing.T) {
+	d := newOrderedDaemon(t, engineEntry("e1", replayModel(0)), engineEntry("e2", replayModel(0)))
+	catalog := replayCatalog(true, 1000)
+	catalog.Version = 2
+	for i := range catalog.Routes {
+		catalog.Routes[i].MaxAttempts, catalog.Routes[i].Resumable = 3, true
+	}
+	d.reduce(vrevent.CatalogSeen{Catalog: catalog})
+	var running []vrevent.SendCall
+	for range 2 {
+		running = append(running, d.requireSent(d.call("stream", 0, 100)))
+	}
+	d.now = d.now.Add(100 * time.Millisecond)
+	for _, send := range running {
+		d.reportLoad(send, vrevent.ServerLoad{Slots: 1})
+	}
+	begun, other := d.requireSent(d.call("stream", 0, 100)), d.requireSent(d.call("stream", 1, 100))
+	d.now = d.now.Add(600 * time.Millisecond)
+	for range 3 {
+		require.Empty(t, d.call("stream", 0, 100))
+		require.Empty(t, d.call("stream", 2, 100))
+	}
+	d.reduce(vrevent.SendEnded{Call: begun.Call, Send: begun.Send, Result: vrevent.AttemptBroken, PartForwarded: true, Events: 3})
+	next := sends(d.reportLoad(other, vrevent.ServerLoad{Slots: 1}))
+	require.Len(t, next, 1)
+	require.Equal(t, begun.Call, next[0].Call)
+}
