Do not refuse the first call in line by its progress

Cause: its expected wait was taken as the time that it has waited, so that it was refused after half of its time, for example while all slots were taken by calls that began together. Change: the progress counts only for calls with others ahead. Result: in the new test, the call was refused before and is sent after 2.5 s of 6 s.

--- a/verbenacore/vrgateway/admission_test.go
+++ b/verbenacore/vrgateway/admission_test.go
@@ -373,3 +373,21 @@
 	require.Len(t, next, 1)
 	require.Equal(t, begun.Call, next[0].Call)
 }
+
+// Guards against the refusal of the first call in line, after half of its time, while all slots are taken by calls
+// that began at the same time: it is served in time.
+func TestFirstCallInLineIsNotRefused(t *testing.T) {
+	d := newOrderedDaemon(t, appEntry("a1"))
+	for range 20 {
+		send := d.requireSent(d.call("deferred", 0, 0))
+		d.now = d.now.Add(2500 * time.Millisecond)
+		d.reportLoad(send, vrevent.ServerLoad{Slots: 4})
+	}
+	var last vrevent.SendCall
+	for range 4 {
+		last = d.requireSent(d.call("deferred", 0, 0))
+	}
+	require.Empty(t, d.call("deferred", 0, 0))
+	d.runFor(2500*time.Millisecond, storeDown)
+	require.Len(t, sends(d.reportLoad(last, vrevent.ServerLoad{Slots: 4})), 1)
+}
--- a/verbenacore/vrgateway/room_wait.go
+++ b/verbenacore/vrgateway/room_wait.go
@@ -198,10 +198,11 @@
 
 // waitByProgress returns the expected wait of a waiting call if it goes on to come forward as fast as until now:
 // other daemons may take the slots, and calls that can still be in time go before late ones. It is zero for a
-// call that has not waited for long.
+// call that has not waited for long, and for the first one: the next free slot is its own, and the time that it has
+// waited does not say when that comes.
 func (c *call) waitByProgress(now time.Time, ahead int) time.Duration {
 	waited := now.Sub(c.waitingSince)
-	if waited < minProgressTime {
+	if waited < minProgressTime || ahead == 0 {
 		return 0
 	}
 	return waited * time.Duration(ahead+1) / time.Duration(max(0, c.ahead-ahead)+1)
