Note what calls lack that name a model of a service without one

Cause: such calls wait in a list for each model, but in one target of the queue, so that what they lack was noted only when they arrived. Change: a trial of the target notes it for all lists of the service; the review counts by the model of the queue.

--- a/verbenacore/vrgateway/admission.go
+++ b/verbenacore/vrgateway/admission.go
@@ -456,14 +456,28 @@
 		return s.chooser.FreeTokensAt(now, server, &need)
 	}
 	free, missing := s.chooser.FreeTokens(now, &need)
+	if free >= 0 {
+		// The calls that still wait after this trial lack the tokens.
+		missing = vrchoice.MissingRoom
+	}
+	s.setMissing(t, missing)
+	return free
+}
+
+// setMissing records what the calls of a target of the queue lack. Calls of a service without an engine have one
+// target whatever model they name, but a wait list for each model.
+func (s *State) setMissing(t vradmit.Target, missing vrchoice.Missing) {
 	if list := s.waitLists[target{service: t.Service, model: t.Model, adapter: t.Adapter}]; list != nil {
 		list.missing = missing
-		if free >= 0 {
-			// The calls that still wait after this trial lack the tokens.
-			list.missing = vrchoice.MissingRoom
+	}
+	if s.engine(t.Service) != nil {
+		return
+	}
+	for key, list := range s.waitLists {
+		if key.service == t.Service {
+			list.missing = missing
 		}
 	}
-	return free
 }
 
 // sendQueued sends a call that was taken from the queue, or ends it.
--- a/verbenacore/vrgateway/admission_test.go
+++ b/verbenacore/vrgateway/admission_test.go
@@ -391,3 +391,16 @@
 	d.runFor(2500*time.Millisecond, storeDown)
 	require.Len(t, sends(d.reportLoad(last, vrevent.ServerLoad{Slots: 4})), 1)
 }
+
+// Guards against a call of a service without models that names one: what it lacks was not noted any more once it
+// waited, and it waited for room at servers that were gone.
+func TestCallThatNamesAModelOfNoEngine(t *testing.T) {
+	d := newOrderedDaemon(t, appEntry("a1"))
+	d.reportLoad(d.requireSent(d.call("deferred", 0, 0)), vrevent.ServerLoad{Running: 4})
+	require.Empty(t, d.reduce(vrevent.CallArrived{Call: vrevent.Call{
+		ID: 2, Host: "h", Path: "/deferred/x", Timeout: 10 * time.Second, Key: tenantKey(0), HasKey: true, Model: "any",
+	}}))
+	d.reduce(vrevent.FleetChanged{Version: 2, Removed: []vrid.ServerID{"a1"}})
+	d.runFor(1200*time.Millisecond, storeDown)
+	require.Zero(t, d.state.WaitingCalls())
+}
--- a/verbenacore/vrgateway/room_wait.go
+++ b/verbenacore/vrgateway/room_wait.go
@@ -281,7 +281,7 @@
 		return
 	}
 	r := &s.admission.review
-	key := serviceModelKey{service: c.service, model: c.Model}
+	key := serviceModelKey{service: c.service, model: s.modelOf(c)}
 	ahead = max(0, ahead-r.refused[key])
 	wait := s.waitFor(now, c, ahead, s.cachedInterval(now, c, ""), s.cachedInterval(now, c, c.Adapter))
 	longest := max(wait, c.waitByProgress(now, ahead))
