Try only the freed server for calls that cannot use every server

Cause: the end of a call tried all servers for each waiting call that was sent before. Change: the freed server is asked first.

--- a/verbenacore/vrgateway/admission.go
+++ b/verbenacore/vrgateway/admission.go
@@ -444,6 +444,12 @@
 		if c == nil {
 			return -1
 		}
+		if freed := s.admission.freedServer; freed != nil {
+			need := s.requirements(c)
+			if s.chooser.FreeTokensAt(now, freed, &need) < s.tokens(c) {
+				return -1
+			}
+		}
 		server, missing := s.chooseServer(now, c)
 		c.missing = missing
 		if server == nil {
--- a/verbenacore/vrgateway/admission_test.go
+++ b/verbenacore/vrgateway/admission_test.go
@@ -404,3 +404,28 @@
 	d.runFor(1200*time.Millisecond, storeDown)
 	require.Zero(t, d.state.WaitingCalls())
 }
+
+// Guards against an end of a call that tries all servers for each waiting call that can't use every server: only
+// the server that it frees may serve one of them. A choice among the servers allocates a list.
+func TestFreedServerOnlyIsTriedForRestrictedCalls(t *testing.T) {
+	d := newOrderedDaemon(t, engineEntry("e1", replayModel(0)), engineEntry("e2", replayModel(0)))
+	first := d.requireSent(d.call("long", 0, 1))
+	second := d.requireSent(d.call("long", 0, 1))
+	d.reportLoad(first, vrevent.ServerLoad{Slots: 100})
+	d.reportLoad(second, vrevent.ServerLoad{Slots: 100})
+	var running []vrevent.SendCall
+	for range 200 {
+		running = append(running, d.requireSent(d.call("long", 0, 1)))
+	}
+	for _, send := range running[:100] {
+		d.reduce(vrevent.SendEnded{Call: send.Call, Send: send.Send, Result: vrevent.AttemptBusy, Load: &vrevent.ServerLoad{Running: 100}})
+	}
+	require.Greater(t, d.state.WaitingCalls(), 90)
+	i := 100
+	allocations := testing.AllocsPerRun(50, func() {
+		send := running[i]
+		d.reduce(vrevent.SendEnded{Call: send.Call, Send: send.Send, Result: vrevent.AttemptAnswered, Status: 200, Load: &vrevent.ServerLoad{Running: 100}})
+		i++
+	})
+	require.Less(t, allocations, 60.0)
+}
