Start callers not later than the waiting requests of their rank

Cause: the virtual time of a rank was the highest start of the requests taken. A caller that floods one model moved it past its whole backlog when one of its requests for another model was served, and new requests of other callers started behind that backlog. Change: a caller starts no later than the lowest start that waits.

--- a/verbenacore/vradmit/heap.go
+++ b/verbenacore/vradmit/heap.go
@@ -89,6 +89,35 @@
 // Pop removes the last item.
 func (h *lateHeap) Pop() any { return (*deadlineHeap)(h).Pop() }
 
+// startHeap orders the items of one rank of a weighted queue by their virtual start. It implements heap.Interface.
+type startHeap []*Item
+
+// Len returns the number of items.
+func (h *startHeap) Len() int { return len(*h) }
+
+// Less orders by virtual start.
+func (h *startHeap) Less(i, j int) bool { return (*h)[i].virtualStart < (*h)[j].virtualStart }
+
+// Swap exchanges two items.
+func (h *startHeap) Swap(i, j int) {
+	(*h)[i], (*h)[j] = (*h)[j], (*h)[i]
+	(*h)[i].startIndex = i
+	(*h)[j].startIndex = j
+}
+
+// Push appends an item.
+func (h *startHeap) Push(x any) {
+	item, ok := x.(*Item)
+	if !ok {
+		return
+	}
+	item.startIndex = len(*h)
+	*h = append(*h, item)
+}
+
+// Pop removes the last item.
+func (h *startHeap) Pop() any { return (*deadlineHeap)(h).Pop() }
+
 // deadlineHeap orders all items by their deadlines. It implements heap.Interface.
 type deadlineHeap []*Item
 
--- a/verbenacore/vradmit/target.go
+++ b/verbenacore/vradmit/target.go
@@ -65,6 +65,8 @@
 	// virtualTime the highest virtual start of the requests taken so far.
 	virtualFinish map[vrid.CallerID]float64
 	virtualTime   float64
+	// byStart holds the items of a weighted queue by their virtual start.
+	byStart       startHeap
 	waiting       int
 	parkedTargets int
 	freeQueues    []*targetQueue
@@ -132,7 +134,7 @@
 		return
 	}
 	delete(r.waitingByCaller, item.Caller)
-	if r.virtualFinish[item.Caller] <= r.virtualTime {
+	if r.virtualFinish[item.Caller] <= r.startTime() {
 		delete(r.virtualFinish, item.Caller)
 	}
 }
--- a/verbenacore/vradmit/vradmit.go
+++ b/verbenacore/vradmit/vradmit.go
@@ -63,9 +63,10 @@
 	// number of the arrival here.
 	virtualStart float64
 	// targetIndex and deadlineIndex are the positions in the heap of the target and in
-	// the queue's heap of deadlines.
+	// the queue's heap of deadlines, startIndex that in the heap of virtual starts of a weighted queue.
 	targetIndex   int
 	deadlineIndex int
+	startIndex    int
 }
 
 // Target is what a request waits for: a model, a model with an adapter, or a service.
--- a/verbenacore/vradmit/weighted.go
+++ b/verbenacore/vradmit/weighted.go
@@ -36,6 +36,7 @@
 		rq.wake(tq)
 	}
 	rq.add(queued)
+	heap.Push(&rq.byStart, queued)
 	if !queued.late {
 		heap.Push(&q.byLate, queued)
 	}
@@ -50,7 +51,17 @@
 	item.sequence = q.sequence
 	item.late = !now.Before(item.LateAt)
 	item.tieNanos = item.Deadline.UnixNano()
-	item.virtualStart = max(rq.virtualTime, rq.virtualFinish[item.Caller])
+	item.virtualStart = max(rq.startTime(), rq.virtualFinish[item.Caller])
+}
+
+// startTime returns the virtual time at which a caller without waiting requests starts. It is not later than the
+// virtual start of any waiting request, because requests are taken out of order while those before them wait for
+// servers of other models.
+func (r *rankQueue) startTime() float64 {
+	if len(r.byStart) == 0 {
+		return r.virtualTime
+	}
+	return min(r.virtualTime, r.byStart[0].virtualStart)
 }
 
 // virtualCost returns what a request takes of its caller's virtual time.
@@ -75,6 +86,7 @@
 	if !queued.late {
 		heap.Remove(&q.byLate, queued.deadlineIndex)
 	}
+	heap.Remove(&rq.byStart, queued.startIndex)
 	rq.remove(queued)
 	q.queued--
 	q.waiting[queued.Rank]--
--- a/verbenacore/vradmit/weighted_test.go
+++ b/verbenacore/vradmit/weighted_test.go
@@ -174,3 +174,31 @@
 		i++
 	}))
 }
+
+// Guards against a caller that floods one model and passes others there because one of its requests for another
+// model is served meanwhile: a new request of another caller must not start behind all that it has enqueued.
+func TestFloodOfOneModelLeavesShares(t *testing.T) {
+	q := newWeightedQueue()
+	for i := range 100 {
+		q.Enqueue(start, newCall(fmt.Sprintf("flood%03d", i), 0, "flood"))
+	}
+	elsewhere := newCall("elsewhere", 0, "flood")
+	elsewhere.Target.Model = "n"
+	q.Enqueue(start, elsewhere)
+	onlyN := func(c vradmit.Candidate) int {
+		if c.Target.Model == "n" {
+			return math.MaxInt
+		}
+		return -1
+	}
+	require.Equal(t, []string{"elsewhere"}, take(q, start, 9, onlyN))
+	q.WakeAll()
+	for i := range 3 {
+		q.Enqueue(start, newCall(fmt.Sprintf("other%d", i), 0, "other"))
+	}
+	require.Less(t, q.AheadOf(start, newCall("x", 0, "third")), 9)
+	taken := take(q, start, 8, anyTokens)
+	for i := range 3 {
+		require.Contains(t, taken, fmt.Sprintf("other%d", i))
+	}
+}
