--- a/verbenacore/vradmit/heap.go
+++ b/verbenacore/vradmit/heap.go
@@ -8,13 +8,25 @@
 
 // itemLess reports whether a is served before b; both have the same rank.
 func itemLess(a, b *Item) bool {
+	if a.Begun != b.Begun {
+		return a.Begun
+	}
+	if a.late != b.late {
+		return b.late
+	}
 	if a.deadlineBucket != b.deadlineBucket {
 		return a.deadlineBucket < b.deadlineBucket
 	}
 	if a.virtualStart != b.virtualStart {
 		return a.virtualStart < b.virtualStart
 	}
-	return a.Request < b.Request
+	if a.tieNanos != b.tieNanos {
+		return a.tieNanos < b.tieNanos
+	}
+	if a.Request != b.Request {
+		return a.Request < b.Request
+	}
+	return a.sequence < b.sequence
 }
 
 // itemHeap orders the items of one target by itemLess. It implements heap.Interface.
@@ -52,6 +64,60 @@
 	return item
 }
 
+// lateHeap orders the items of a weighted queue that are not late by when they will be. It implements
+// heap.Interface.
+type lateHeap []*Item
+
+// Len returns the number of items.
+func (h *lateHeap) Len() int { return len(*h) }
+
+// Less orders by LateAt, then by arrival.
+func (h *lateHeap) Less(i, j int) bool {
+	a, b := (*h)[i], (*h)[j]
+	if !a.LateAt.Equal(b.LateAt) {
+		return a.LateAt.Before(b.LateAt)
+	}
+	return a.sequence < b.sequence
+}
+
+// Swap exchanges two items.
+func (h *lateHeap) Swap(i, j int) { (*deadlineHeap)(h).Swap(i, j) }
+
+// Push appends an item.
+func (h *lateHeap) Push(x any) { (*deadlineHeap)(h).Push(x) }
+
+// Pop removes the last item.
+func (h *lateHeap) Pop() any { return (*deadlineHeap)(h).Pop() }
+
+// startHeap orders the items of one rank of a weighted queue by their virtual start. It implements heap.Interface.
+type startHeap []*Item
+
+// Len returns the number of items.
+func (h *startHeap) Len() int { return len(*h) }
+
+// Less orders by virtual start.
+func (h *startHeap) Less(i, j int) bool { return (*h)[i].virtualStart < (*h)[j].virtualStart }
+
+// Swap exchanges two items.
+func (h *startHeap) Swap(i, j int) {
+	(*h)[i], (*h)[j] = (*h)[j], (*h)[i]
+	(*h)[i].startIndex = i
+	(*h)[j].startIndex = j
+}
+
+// Push appends an item.
+func (h *startHeap) Push(x any) {
+	item, ok := x.(*Item)
+	if !ok {
+		return
+	}
+	item.startIndex = len(*h)
+	*h = append(*h, item)
+}
+
+// Pop removes the last item.
+func (h *startHeap) Pop() any { return (*deadlineHeap)(h).Pop() }
+
 // deadlineHeap orders all items by their deadlines. It implements heap.Interface.
 type deadlineHeap []*Item
 
--- a/verbenacore/vradmit/target.go
+++ b/verbenacore/vradmit/target.go
@@ -15,6 +15,9 @@
 	// not in the ready heap.
 	parked     bool
 	readyIndex int
+	// parkedTokens is the number of tokens that a server with a slot had free when the target was parked in a
+	// weighted queue, -1 if there was no slot.
+	parkedTokens int
 	// departures counts the requests dispatched since the queue was last empty, meanInterval
 	// is the moving average of the time between two of them, and lastDeparture is when the
 	// latest was dispatched.
@@ -37,10 +40,12 @@
 	t.lastDeparture = now
 }
 
+// minDepartures is the number of departures from which on their interval is relied on.
+const minDepartures = 4
+
 // estimateWait returns the expected wait of one more request, or false before enough
 // departures were seen.
 func (t *targetQueue) estimateWait(now time.Time) (time.Duration, bool) {
-	const minDepartures = 4
 	if t.departures < minDepartures {
 		return 0, false
 	}
@@ -60,6 +65,8 @@
 	// virtualTime the highest virtual start of the requests taken so far.
 	virtualFinish map[vrid.CallerID]float64
 	virtualTime   float64
+	// byStart holds the items of a weighted queue by their virtual start.
+	byStart       startHeap
 	waiting       int
 	parkedTargets int
 	freeQueues    []*targetQueue
@@ -127,7 +134,7 @@
 		return
 	}
 	delete(r.waitingByCaller, item.Caller)
-	if r.virtualFinish[item.Caller] <= r.virtualTime {
+	if r.virtualFinish[item.Caller] <= r.startTime() {
 		delete(r.virtualFinish, item.Caller)
 	}
 }
@@ -173,7 +180,7 @@
 func (r *rankQueue) parkFirst() {
 	tq := r.ready[0]
 	heap.Remove(&r.ready, 0)
-	tq.parked = true
+	tq.parked, tq.parkedTokens = true, -1
 	r.parkedTargets++
 }
 
--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -60,6 +60,11 @@
 	// was received at LoadReportedAt.
 	Running, Waiting int
 	LoadReportedAt   time.Time
+	// StatedSlots is the number of slots of the newest load report that states one, or zero.
+	StatedSlots int
+	// room is shared with the former record of the same process, if it was registered again while requests to it
+	// were in flight.
+	room *room
 	// InFlight counts this daemon's own unfinished requests at the server,
 	// SentSinceReport those of them sent after LoadReportedAt.
 	InFlight, SentSinceReport int
@@ -107,6 +112,8 @@
 	// promptRate is the smoothed number of prompt tokens that one server processes per
 	// second, zero before the first measurement.
 	promptRate float64
+	// sharedServices are the services of which a server has stated its pace.
+	sharedServices map[vrid.ServiceID]bool
 }
 
 // renewal identifies a registration among those of a server's processes.
@@ -119,7 +126,7 @@
 func New() *Fleet {
 	return &Fleet{
 		servers: make(map[vrid.ServerID]*Server), byService: make(map[vrid.ServiceID][]*Server), doubted: make(map[vrid.ServerID]renewal),
-		removed: removedServers{last: make(map[vrid.ServerID]removedServer)},
+		removed: removedServers{last: make(map[vrid.ServerID]removedServer)}, sharedServices: make(map[vrid.ServiceID]bool),
 	}
 }
 
@@ -163,11 +170,14 @@
 		if !admitted {
 			return ChangeOutdated
 		}
-		added := &Server{Entry: entry, SeenAt: now, statedLeaving: told && entry.State == StateDraining}
+		added := &Server{Entry: entry, SeenAt: now, room: &room{}, statedLeaving: told && entry.State == StateDraining}
 		added.inDoubt = told && !added.statedLeaving
 		if server != nil {
 			added.InFlight = server.InFlight
 			added.Restarted = server.Born != entry.Born
+			if !added.Restarted {
+				added.room, added.StatedSlots = server.room, server.StatedSlots
+			}
 		}
 		f.servers[entry.ID] = added
 		f.reindex()
@@ -177,7 +187,7 @@
 	case server.Born != entry.Born:
 		delete(f.doubted, entry.ID)
 		*server = Server{
-			Entry: entry, SeenAt: now, Restarted: true, InFlight: server.InFlight, inDoubt: server.statedLeaving || server.inDoubt,
+			Entry: entry, SeenAt: now, room: &room{}, Restarted: true, InFlight: server.InFlight, inDoubt: server.statedLeaving || server.inDoubt,
 		}
 		f.reindex()
 		return ChangeRestarted
@@ -363,6 +373,7 @@
 // SetLoad applies a load report of the server.
 func (s *Server) SetLoad(now time.Time, running, waiting int) {
 	s.Running, s.Waiting, s.LoadReportedAt, s.SentSinceReport = running, waiting, now, 0
+	s.room.recordReport()
 }
 
 // loadReportTTL is how long a server's load report is used.
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -50,7 +50,8 @@
 	resendsFree bool
 	// demandCounted is set once the call counts in the demand for its target.
 	demandCounted bool
-	arrivedAt     time.Time
+	admitted
+	arrivedAt time.Time
 	// deadline is when the response has to be complete.
 	deadline time.Time
 	// sends counts the sends of the call, notRunSends the ended sends that provably did not run
@@ -108,6 +109,7 @@
 	// brought an event or a whole response.
 	probe       vrquarantine.Probe
 	answerBegan bool
+	placement   vrfleet.Placement
 }
 
 // attemptOf returns the send in progress with the number, or nil.
@@ -149,6 +151,7 @@
 	if s.judgeKey(now, c) == keyAccepted {
 		s.countDemandArrival(c)
 	}
+	s.recordAdmissionArrival(c)
 	s.dispatch(now, c, out)
 }
 
@@ -159,6 +162,9 @@
 	if service := s.catalog.Service(c.service); service != nil && service.Engine != nil {
 		need.Model, need.Adapter = c.Model, c.Adapter
 	}
+	if s.ordered(c.service) {
+		need.Room = s.roomNeed(c)
+	}
 	return need
 }
 
@@ -197,6 +203,10 @@
 	if !s.authorize(now, c, out) || s.refuseBlocked(now, c, out) {
 		return
 	}
+	if s.ordered(c.service) {
+		s.dispatchOrdered(now, c, out)
+		return
+	}
 	server, missing := s.chooseServer(now, c)
 	switch {
 	case server == nil:
@@ -255,14 +265,17 @@
 	server.PendingPromptTokens += c.PromptTokens
 	s.addInFlight(c, server.ID, 1)
 	s.counts.Sent++
-	return attempt{number: c.sends, server: server, sentAt: now, promptPending: true, probe: s.quarantine.parts.TakeProbe(now, c.PromptParts)}
+	return attempt{
+		number: c.sends, server: server, sentAt: now, promptPending: true, probe: s.quarantine.parts.TakeProbe(now, c.PromptParts),
+		placement: server.Place(now, s.tokens(c)),
+	}
 }
 
 // newSend returns the effect of a send without what its response may do.
 func (s *State) newSend(c *call, a *attempt) vrevent.SendCall {
 	effect := vrevent.SendCall{
 		Call: c.ID, Send: a.number, Server: a.server.ID, Address: a.server.Address, Born: a.server.Born,
-		Deadline: c.deadline.Add(-deadlineMargin), Priority: c.route.Priority,
+		Deadline: c.deadline.Add(-deadlineMargin), Priority: s.sendPriority(c),
 		Stream: c.route.Kind == vrcatalog.RouteStream, AtMostOnce: !c.route.Repeatable(),
 	}
 	s.setTenant(c, &effect)
@@ -276,7 +289,7 @@
 	out.Info("call dispatched", text("request", c.Request), number("send", uint64(a.number)), text("server", a.server.ID),
 		number("busy", uint64(a.server.EstimatedRequests(now))), number("slots", uint64(a.server.Slots)),
 		millis("loadAgeMs", min(now.Sub(a.server.LoadReportedAt), time.Hour)), millis("waitedMs", now.Sub(c.arrivedAt)),
-		millis("leftMs", c.deadline.Sub(now)), boolean("hedge", a == c.hedge))
+		millis("leftMs", c.deadline.Sub(now)), boolean("hedge", a == c.hedge), number("level", uint64(c.level)), number("ahead", uint64(c.ahead)))
 }
 
 // firstByteTimeout returns the wait for the first byte of a response on a route with the given
@@ -334,6 +347,8 @@
 func (s *State) releaseServer(c *call, a *attempt) attempt {
 	ended := *a
 	s.fleet.RecordEnd(a.server)
+	a.server.EndPlacement(&a.placement)
+	s.recordRoom(a.server)
 	s.addInFlight(c, a.server.ID, -1)
 	a.clearPendingPrompt(c)
 	a.server = nil
@@ -385,6 +400,7 @@
 		c.timeToFirstByte = ended.sentAt.Add(e.TimeToFirstByte).Sub(c.arrivedAt)
 		if e.Status < statusError {
 			s.recordDuration(now, c, ended.sentAt)
+			s.recordServiceTime(c, now.Sub(ended.sentAt), e.TimeToFirstByte)
 		}
 		s.removeCall(now, c, "answered", "", out, number("status", uint64(e.Status)), text("server", ended.server.ID),
 			millis("toFirstMs", e.TimeToFirstByte), millis("longestPauseMs", e.LongestPause), millis("waitedMs", ended.sentAt.Sub(c.arrivedAt)))
@@ -420,17 +436,20 @@
 	server := a.server
 	if e.Load != nil {
 		server.SetLoad(now, e.Load.Running, e.Load.Waiting)
+		s.fleet.RecordStated(server, e.Load.Slots, e.Load.Pace)
 	}
 	failed := false
 	switch e.Result {
 	case vrevent.AttemptAnswered:
 		server.RecordSuccess(now, e.TimeToFirstByte)
+		server.RecordUnreportedAnswer(a.sentAt)
 	case vrevent.AttemptNotLoaded:
 		server.MarkMissing(now, c.Model, c.Adapter)
 	case vrevent.AttemptBusy:
 		if e.Load == nil {
 			server.SetLoad(now, server.Slots, 0)
 		}
+		server.RecordTurnedAway(now)
 	case vrevent.AttemptNotSent, vrevent.AttemptBroken, vrevent.AttemptLeaving, vrevent.AttemptServerError:
 		failed = true
 	case vrevent.AttemptTimedOut:
@@ -455,11 +474,16 @@
 		return
 	}
 	c.resendsFree = e.Result == vrevent.AttemptUnauthorized
-	if !c.resendsFree {
+	switch {
+	case c.resendsFree:
+	case e.Result == vrevent.AttemptBusy && s.ordered(c.service):
+		// The server may be the only one that can serve the call, and has room again soon.
+		c.superseded = append(c.superseded, a.server.ID)
+	default:
 		c.tried = append(c.tried, a.server.ID)
-		if c.responseStarted {
-			s.counts.Resumed++
-		}
+	}
+	if c.responseStarted && !c.resendsFree {
+		s.counts.Resumed++
 	}
 	s.dispatch(now, c, out)
 }
@@ -533,7 +557,8 @@
 		retryAfter = 0
 	}
 	out.Add(vrevent.RefuseCall{Call: c.ID, Reason: reason, NotRun: notRun, RetryAfter: retryAfter})
-	s.removeCall(now, c, "refused", reason, out, millis("retryAfterMs", retryAfter), boolean("notRun", notRun))
+	s.removeCall(now, c, "refused", reason, out, millis("retryAfterMs", retryAfter), boolean("notRun", notRun),
+		millis("waitedMs", now.Sub(c.arrivedAt)))
 }
 
 func boolean(name string, value bool) vrevent.LogField {
@@ -576,6 +601,9 @@
 		common = append(common, text("tenant", c.tenant.ID))
 		ended.Tenant = c.tenant.ID
 	}
+	if c.route != nil && s.ordered(c.service) {
+		common = append(common, number("level", uint64(c.level)), number("ahead", uint64(c.ahead)))
+	}
 	out.Add(ended)
 	if c.Model != "" {
 		common = append(common, text("model", c.Model), text("adapter", c.Adapter))
