Apply a server's load from the head of a response

The load that a server states came with the end of the send, seconds after a stream's head, and counted as new, so that all sends since the head were forgotten. The relay now submits LoadReported once the head is read, also of a refusal. Where admission is ordered, the report counts from then on beside the own sends after it, an ended request lowers it, and the end of the send does not apply it again. A request that was in flight while its server was registered again is counted as ended at the new registration. Services without ordered admission keep the load of the end.

The pace is remembered with a slow average per server.

--- a/verbenacore/vrfleet/load.go
+++ b/verbenacore/vrfleet/load.go
@@ -1,6 +1,53 @@
 package vrfleet
 
-import "verbenaroute.example/verbenacore/vrid"
+import (
+	"math"
+	"time"
+
+	"verbenaroute.example/verbenacore/vrid"
+)
+
+const (
+	// reportTransit is the longest way of a response head between regions. A request that was sent within
+	// this time before a report arrived may be missing from the report.
+	reportTransit = 10 * time.Millisecond
+	// recentSends is the number of own sends whose times are kept for each server. More within
+	// reportTransit count as included in the report.
+	recentSends = 8
+	// usualPace is the pace of a server whose machine does no other work.
+	usualPace = 100.0
+	// paceMemory is the time constant with which a stated pace turns into the average one. Paces change
+	// several times per second.
+	paceMemory = 300 * time.Millisecond
+	// paceWeight is the weight of one stated pace in the average.
+	paceWeight = 1.0 / 16
+	// maxPace bounds a stated pace, so that a wrong one does not keep a server from work for long.
+	maxPace = 2000.0
+)
+
+// LoadReport is the load that a server states in the head of a response.
+type LoadReport struct {
+	// Running and Waiting are the numbers of its requests.
+	Running, Waiting int
+	// Slots is the number of requests that it runs at once, zero if it is not stated.
+	Slots int
+	// Pace is the time that work takes, in percent of the usual time, zero if it is not stated.
+	Pace int
+}
+
+// loadState is what the estimates of a server's load need beside its newest report.
+type loadState struct {
+	// includedUntil is the time up to which the newest report includes this daemon's own sends.
+	includedUntil time.Time
+	// sentAt holds the times of the last own sends, as a ring that next points into.
+	sentAt [recentSends]time.Time
+	next   int
+	// slots is the last stated number of slots, zero before.
+	slots int
+	// pace is the last stated pace, at paceAt, and averagePace the smoothed one; zero before.
+	pace, averagePace float64
+	paceAt            time.Time
+}
 
 // SharesMachines reports whether a server of the service has stated its pace, which only servers do that share
 // their machines with other work.
@@ -9,3 +56,84 @@
 // MarkSharesMachines records that a server of the service has stated its pace. It holds for good: a service
 // whose servers restart must not be handled as another kind until they answer again.
 func (f *Fleet) MarkSharesMachines(service vrid.ServiceID) { f.sharedServices[service] = true }
+
+// SlotCount returns the number of requests that the server runs at once: the number that it last stated with
+// its load, or the registered one.
+func (s *Server) SlotCount() int {
+	if s.load.slots > 0 {
+		return s.load.slots
+	}
+	return max(s.Slots, 1)
+}
+
+// Pace returns how long work is expected to take on the server, as a multiple of the usual time. The last
+// stated pace loses weight to the server's average with its age.
+func (s *Server) Pace(now time.Time) float64 {
+	if s.load.pace == 0 {
+		return 1
+	}
+	age := max(0, now.Sub(s.load.paceAt).Seconds())
+	pace := s.load.averagePace + (s.load.pace-s.load.averagePace)*math.Exp(-age/paceMemory.Seconds())
+	return pace / usualPace
+}
+
+// RecordSendTime records the time of a send that RecordSend counts.
+func (s *Server) RecordSendTime(now time.Time) {
+	s.load.sentAt[s.load.next] = now
+	s.load.next = (s.load.next + 1) % recentSends
+}
+
+// ApplyLoadReport applies a report that has just arrived with the head of a response. Own requests that were
+// sent too late to be in it are counted beside it.
+func (s *Server) ApplyLoadReport(now time.Time, report LoadReport) {
+	s.SetLoad(now, report.Running, report.Waiting)
+	s.load.includedUntil = now.Add(-reportTransit)
+	for _, sentAt := range s.load.sentAt {
+		if sentAt.After(s.load.includedUntil) {
+			s.SentSinceReport++
+		}
+	}
+	s.SentSinceReport = min(s.SentSinceReport, s.InFlight)
+	if report.Slots > 0 {
+		s.load.slots = report.Slots
+	}
+	if report.Pace <= 0 {
+		return
+	}
+	s.load.pace, s.load.paceAt = min(float64(report.Pace), maxPace), now
+	if s.load.averagePace == 0 {
+		s.load.averagePace = usualPace
+	}
+	s.load.averagePace += (s.load.pace - s.load.averagePace) * paceWeight
+}
+
+// HasRecentReport reports whether the head of a response has brought a report that still counts.
+func (s *Server) HasRecentReport(now time.Time) bool {
+	return s.load.includedUntil.Before(s.LoadReportedAt) && now.Sub(s.LoadReportedAt) <= loadReportTTL
+}
+
+// RecordRequestEnd records, for a server whose reports ApplyLoadReport applies, that a request of this daemon
+// has ended that was sent at sentAt. ran is false if the server has certainly not run it, so that no report
+// includes it.
+func (f *Fleet) RecordRequestEnd(server *Server, sentAt time.Time, ran bool) {
+	switch {
+	case sentAt.After(server.load.includedUntil):
+		server.SentSinceReport = max(0, server.SentSinceReport-1)
+	case !ran || sentAt.Before(server.SeenAt):
+	case server.Waiting > 0:
+		// A waiting request takes the slot.
+		server.Waiting--
+	default:
+		server.Running = max(0, server.Running-1)
+	}
+	server.InFlight = max(0, server.InFlight-1)
+	current := f.servers[server.ID]
+	switch {
+	case current == nil:
+	case current != server:
+		// The server was registered again since, with this request among those in flight.
+		current.InFlight = max(0, current.InFlight-1)
+	case server.Gone && server.InFlight == 0:
+		delete(f.servers, server.ID)
+	}
+}
--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -81,6 +81,7 @@
 	statedLeaving, inDoubt bool
 
 	health health
+	load   loadState
 	// missingUntil holds the models that are not loaded although the server's entry lists
 	// them, and until when to assume so.
 	missingUntil map[vrid.ModelID]time.Time
@@ -365,6 +366,7 @@
 // SetLoad applies a load report of the server.
 func (s *Server) SetLoad(now time.Time, running, waiting int) {
 	s.Running, s.Waiting, s.LoadReportedAt, s.SentSinceReport = running, waiting, now, 0
+	s.load.includedUntil = now
 }
 
 // loadReportTTL is how long a server's load report is used.
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -235,6 +235,7 @@
 func (s *State) beginAttempt(now time.Time, c *call, server *vrfleet.Server) attempt {
 	c.sends++
 	server.RecordSend()
+	server.RecordSendTime(now)
 	server.PendingPromptTokens += c.PromptTokens
 	s.addInFlight(c, server.ID, 1)
 	s.counts.Sent++
@@ -308,10 +309,11 @@
 	}
 }
 
-// releaseServer ends the count of a send at its server and returns the send as it was.
-func (s *State) releaseServer(c *call, a *attempt) attempt {
+// releaseServer ends the count of a send at its server and returns the send as it was. ran is false if the
+// server has certainly not run the call.
+func (s *State) releaseServer(c *call, a *attempt, ran bool) attempt {
 	ended := *a
-	s.fleet.RecordEnd(a.server)
+	s.recordRequestEnd(a, ran)
 	s.addInFlight(c, a.server.ID, -1)
 	a.clearPendingPrompt(c)
 	a.server = nil
@@ -326,7 +328,7 @@
 	for _, a := range []*attempt{&c.attempt, c.hedge} {
 		if a != nil && a.server != nil {
 			s.quarantine.parts.RecordProbeEnd(a.probe)
-			s.releaseServer(c, a)
+			s.releaseServer(c, a, true)
 		}
 	}
 }
@@ -343,7 +345,7 @@
 		return
 	}
 	isHedge := a == c.hedge
-	ended := s.releaseServer(c, a)
+	ended := s.releaseServer(c, a, !e.Result.ProvesNotRun())
 	if c.waitedForServer {
 		s.expediteDemand(now)
 	}
@@ -392,7 +394,7 @@
 // send.
 func (s *State) recordOutcome(now time.Time, c *call, a *attempt, isHedge bool, e vrevent.SendEnded, out *vrevent.Effects) {
 	server := a.server
-	if e.Load != nil {
+	if e.Load != nil && !s.ordersAdmission(server.Service) {
 		server.SetLoad(now, e.Load.Running, e.Load.Waiting)
 	}
 	failed := false
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -163,6 +163,8 @@
 		s.handleSendResult(now, e, out)
 	case vrevent.SendStalled:
 		s.handleSendStalled(now, e, out)
+	case vrevent.LoadReported:
+		s.handleLoadReported(now, e)
 	case vrevent.ServerLeaving:
 		s.handleServerLeaving(now, e, out)
 	case vrevent.LeavingChecked:
--- a/verbenacore/vrresidence/ledger.go
+++ b/verbenacore/vrresidence/ledger.go
@@ -109,7 +109,10 @@
 		p.cooldownUntil[e.Server] = now.Add(conflictRetryDelay)
 		return
 	}
-	server.SetLoad(now, e.Status.Running, e.Status.Waiting)
+	if !server.HasRecentReport(now) {
+		// Status reports are some hundred milliseconds old.
+		server.SetLoad(now, e.Status.Running, e.Status.Waiting)
+	}
 	if (e.Status.Busy || e.Status.PendingAdapters > 0) && !vrfault.On(vrfault.TrustBusyReports) {
 		// An order in progress is already counted, but what it loads is not listed yet: a
 		// plan based on this report could use the same memory twice.
--- a/verbenaroute/internal/vrrelay/relay_test.go
+++ b/verbenaroute/internal/vrrelay/relay_test.go
@@ -47,6 +47,7 @@
 		NotRun:      header.Get("X-Not-Run") != "" || status == http.StatusMisdirectedRequest,
 		OtherServer: other != "" && other != string(server),
 		Leaving:     header.Get("X-Leaving") != "",
+		Load:        parseTestLoad(header.Get("X-Load")),
 	}
 }
 
@@ -66,6 +67,8 @@
 	cuts  []CutRequest
 	// leaving are the reports of servers that leave.
 	leaving []vrevent.ServerLeaving
+	// loads are the reports of the servers' loads.
+	loads   []vrevent.LoadReported
 	servers []string
 	send    vrevent.SendCall
 	// stalls counts the reports of stalled sends. They end all sends unless keepStalled is set.
@@ -171,6 +174,8 @@
 		p.gone = append(p.gone, e.Call)
 	case vrevent.ServerLeaving:
 		p.leaving = append(p.leaving, e)
+	case vrevent.LoadReported:
+		p.loads = append(p.loads, e)
 	case vrevent.SendStalled:
 		p.stalls++
 		if p.onStalled != nil {
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -196,6 +196,7 @@
 		return true
 	}
 	a.reportLeaving(&info)
+	a.reportLoad(&info)
 	a.timeToFirstByte = time.Since(a.startedAt)
 	a.result.Status, a.result.Load = response.StatusCode, info.Load
 	c.maxIdle = maxIdleFromKeepAlive(response.Header.Get("Keep-Alive"))
@@ -211,6 +212,14 @@
 	}
 }
 
+// reportLoad passes the load that the server states to the reducer, also with a refusal. The end of a stream
+// would be seconds too late.
+func (a *sendAttempt) reportLoad(info *vrdialect.ResponseInfo) {
+	if info.Load != nil && !info.OtherServer {
+		a.handler.proxy.opts.Submit(vrevent.LoadReported{Server: a.send.Server, Born: a.send.Born, Load: *info.Load})
+	}
+}
+
 // abort makes the reads and writes of the send fail.
 func (a *sendAttempt) abort() {
 	if c := a.conn.Load(); c != nil {
