Add up requests in flight in the owner's heartbeats

A daemon knows its own calls and the last report of a server, so that servers which answer it rarely look empty. For services with ordered admission, the placement owner adds up the daemons' reports of calls in flight and sends each daemon those of all others, for at most 64 servers that have half of their slots in use. They count as a lower bound for 2 s from the mean age of the reports, beside the daemon's own calls, until a later report of the server.

--- a/verbenacore/vrfleet/load.go
+++ b/verbenacore/vrfleet/load.go
@@ -47,6 +47,9 @@
 	// pace is the last stated pace, at paceAt, and averagePace the smoothed one; zero before.
 	pace, averagePace float64
 	paceAt            time.Time
+	// others are the requests in flight of all other daemons at othersAt.
+	others   int
+	othersAt time.Time
 }
 
 // SharesMachines reports whether a server of the service has stated its pace, which only servers do that share
@@ -107,6 +110,21 @@
 	s.load.averagePace += (s.load.pace - s.load.averagePace) * paceWeight
 }
 
+// SetOthersRequests applies the sum of the requests in flight of all other daemons at a time.
+func (s *Server) SetOthersRequests(at time.Time, requests int) {
+	if at.After(s.load.othersAt) {
+		s.load.others, s.load.othersAt = requests, at
+	}
+}
+
+// othersRequests returns the known requests of all other daemons, zero if a report of the server is newer.
+func (s *Server) othersRequests(now time.Time) int {
+	if now.Sub(s.load.othersAt) > loadReportTTL || !s.load.othersAt.After(s.LoadReportedAt) {
+		return 0
+	}
+	return s.load.others
+}
+
 // HasRecentReport reports whether the head of a response has brought a report that still counts.
 func (s *Server) HasRecentReport(now time.Time) bool {
 	return s.load.includedUntil.Before(s.LoadReportedAt) && now.Sub(s.LoadReportedAt) <= loadReportTTL
--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -373,12 +373,13 @@
 const loadReportTTL = 2 * time.Second
 
 // EstimatedRequests estimates the number of requests at the server, running and waiting,
-// from all daemons. Without a recent load report it only counts this daemon's own.
+// from all daemons. Without a recent load report it counts this daemon's own and those known of other daemons.
 func (s *Server) EstimatedRequests(now time.Time) int {
+	known := s.InFlight + s.othersRequests(now)
 	if now.Sub(s.LoadReportedAt) > loadReportTTL {
-		return s.InFlight
+		return known
 	}
-	return max(s.Running+s.Waiting+s.SentSinceReport, s.InFlight)
+	return max(s.Running+s.Waiting+s.SentSinceReport, known)
 }
 
 // MarkDraining records that a process of the server accepts no new work, ahead of its entry. It has
--- a/verbenacore/vrgateway/heartbeat.go
+++ b/verbenacore/vrgateway/heartbeat.go
@@ -93,6 +93,7 @@
 		return
 	}
 	s.heartbeatSentAt = now
+	sums := s.sumRequests(now)
 	for _, peer := range s.peers {
 		if peer.Daemon == s.opts.Daemon {
 			continue
@@ -104,6 +105,7 @@
 		if report, ok := s.reports[peer.Daemon]; ok {
 			notices.ReportBoot, notices.ReportSentAt, notices.ReportAge = report.boot, report.sentAt, now.Sub(report.receivedAt).Milliseconds()
 		}
+		s.addLoads(notices, peer.Daemon, sums)
 		out.Add(vrevent.SendPeer{Peer: peer.Daemon, Address: peer.Address, Envelope: &vrwire.Envelope{Notices: notices}})
 	}
 }
@@ -135,6 +137,9 @@
 	}
 	sentAfter := s.startedAt.Add(time.Duration(notices.ReportSentAt+notices.ReportAge) * time.Millisecond)
 	s.heartbeat.provedAt = earlier(sentAfter, now).Add(-time.Duration(notices.StoreAge) * time.Millisecond)
+	if s.catalog != nil {
+		s.applyLoads(earlier(sentAfter, now), notices)
+	}
 }
 
 // needsReport reports whether the owner needs a report of this daemon to repeat, because its heartbeats
--- a/verbenacore/vrgateway/loads.go
+++ b/verbenacore/vrgateway/loads.go
@@ -1,11 +1,24 @@
 package vrgateway
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"verbenaroute.example/verbenacore/vrevent"
 	"verbenaroute.example/verbenacore/vrfleet"
 	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrresidence"
+	"verbenaroute.example/verbenacore/vrwire"
+)
+
+const (
+	// maxLoads bounds the servers in a heartbeat: heartbeats go to every daemon, and the smallest owner has
+	// 10 Mbit/s.
+	maxLoads = 64
+	// minLoadShare is the share of its slots that a server's requests have to take to be in a heartbeat. An
+	// emptier one is no worse a choice for what other daemons have sent.
+	minLoadShare = 0.5
 )
 
 // ordersAdmission reports whether calls to a service are admitted in order and sent to the server with the
@@ -38,3 +51,55 @@
 	}
 	s.fleet.RecordEnd(a.server)
 }
+
+// sumRequests adds up the requests in flight of all daemons at the servers of services with ordered admission,
+// as the placement owner. It returns nil if there are none.
+func (s *State) sumRequests(now time.Time) *vrresidence.RequestSums {
+	for i := range s.catalog.Services {
+		if service := &s.catalog.Services[i]; service.Engine != nil && s.ordersAdmission(service.ID) {
+			sums := s.planner.SumRequests(now)
+			return &sums
+		}
+	}
+	return nil
+}
+
+// addLoads adds the requests of all daemons but the receiver to a heartbeat, for the servers that have most of
+// them.
+func (s *State) addLoads(notices *vrwire.Notices, receiver vrid.DaemonID, sums *vrresidence.RequestSums) {
+	if sums == nil {
+		return
+	}
+	own := sums.ByDaemon[receiver]
+	for id, total := range sums.Total {
+		server, others := s.fleet.Server(id), total-own[id]
+		if server != nil && s.ordersAdmission(server.Service) && float64(others) >= minLoadShare*float64(server.SlotCount()) {
+			notices.Loads = append(notices.Loads, vrwire.ServerRequests{Server: id, Requests: uint32(others)})
+		}
+	}
+	slices.SortFunc(notices.Loads, func(a, b vrwire.ServerRequests) int {
+		return cmp.Or(cmp.Compare(b.Requests, a.Requests), cmp.Compare(a.Server, b.Server))
+	})
+	notices.Loads = notices.Loads[:min(len(notices.Loads), maxLoads)]
+	notices.LoadsAge = sums.Age.Milliseconds()
+}
+
+// applyLoads applies the sums of a heartbeat that was sent no earlier than sentAt. A server that it does not list
+// has few requests.
+func (s *State) applyLoads(sentAt time.Time, notices *vrwire.Notices) {
+	at := sentAt.Add(-time.Duration(max(0, notices.LoadsAge)) * time.Millisecond)
+	for i := range s.catalog.Services {
+		service := s.catalog.Services[i].ID
+		if !s.ordersAdmission(service) {
+			continue
+		}
+		for _, server := range s.fleet.ServersOf(service) {
+			index := slices.IndexFunc(notices.Loads, func(load vrwire.ServerRequests) bool { return load.Server == server.ID })
+			requests := 0
+			if index >= 0 {
+				requests = int(notices.Loads[index].Requests)
+			}
+			server.SetOthersRequests(at, requests)
+		}
+	}
+}
--- a/verbenacore/vrgateway/loads_test.go
+++ b/verbenacore/vrgateway/loads_test.go
@@ -8,6 +8,8 @@
 
 	"verbenaroute.example/verbenacore/vrcatalog"
 	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrwire"
 )
 
 // busyAtDispatch returns the requests that the daemon estimated at the server of its last dispatch.
@@ -78,3 +80,63 @@
 	d.requireSentOn("stream")
 	require.Equal(t, "1", d.busyAtDispatch())
 }
+
+// Guards against a server that all daemons take for empty because each knows its own calls only: the owner adds
+// up what the daemons report and leaves out the receiver's own share.
+func TestOwnerSumsRequestsOfDaemons(t *testing.T) {
+	owner := newReadyDaemon(t, engineEntry("e1", "m"), engineEntry("e2", "m"), engineEntry("e3", "m"))
+	owner.listTwentyDaemons()
+	check := func() {
+		owner.reduce(vrevent.CatalogChecked{At: owner.now})
+		for daemon, requests := range map[vrid.DaemonID]uint32{"d2": 4, "d3": 3} {
+			owner.reduce(vrevent.PeerMessage{Envelope: &vrwire.Envelope{From: daemon, PlacementDemand: &vrwire.PlacementDemand{
+				Full: true, InFlight: []vrwire.ServerInFlight{{Server: "e1", Model: "m", Running: requests}, {Server: "e2", Model: "m", Running: 1}},
+			}}})
+		}
+	}
+	for _, heartbeat := range owner.heartbeats(6*time.Second, check) {
+		require.Empty(t, heartbeat.Loads, "no server has stated its pace")
+	}
+	owner.reduce(vrevent.LoadReported{Server: "e3", Born: 1, Load: vrevent.ServerLoad{Pace: 100}})
+	heartbeats := owner.heartbeats(2*time.Second, check)
+	require.NotEmpty(t, heartbeats)
+	last := heartbeats[len(heartbeats)-1]
+	require.Equal(t, []vrwire.ServerRequests{{Server: "e1", Requests: 3}}, last.Loads, "e2 is nearly empty")
+	require.Less(t, last.LoadsAge, int64(1000))
+}
+
+// Guards against sums that outlive what they were added up from: a later report of the server, a later sum
+// without it, and their age end them.
+func TestSumsOfRequestsAreALowerBoundWhileFresh(t *testing.T) {
+	heartbeat := func(d *daemon, loads ...vrwire.ServerRequests) {
+		d.reduce(vrevent.PeerMessage{Envelope: &vrwire.Envelope{From: "d2", Notices: &vrwire.Notices{
+			Epoch: 1, CatalogVersion: 1, ReportBoot: "b1", ReportSentAt: 4000, ReportAge: d.now.Sub(time.Unix(1_790_000_004, 0)).Milliseconds(),
+			Loads: loads, LoadsAge: 500,
+		}}})
+	}
+	for name, test := range map[string]struct {
+		then func(*daemon)
+		busy string
+	}{
+		"at once": {func(*daemon) {}, "9"},
+		"later report": {func(d *daemon) {
+			d.reduce(vrevent.LoadReported{Server: "e1", Born: 1, Load: vrevent.ServerLoad{Running: 4}})
+		}, "5"},
+		"later sums without it": {func(d *daemon) { d.now = d.now.Add(800 * time.Millisecond); heartbeat(d) }, "3"},
+		"old":                   {func(d *daemon) { d.now = d.now.Add(1600 * time.Millisecond) }, "3"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newReadyDaemon(t, engineEntry("e1", "m"))
+			d.listTwentyDaemons()
+			d.reduce(vrevent.LoadReported{Server: "e1", Born: 1, Load: vrevent.ServerLoad{Pace: 100}})
+			d.now = d.now.Add(5 * time.Second)
+			d.requireSentOn("stream")
+			d.requireSentOn("stream")
+			d.now = d.now.Add(100 * time.Millisecond)
+			heartbeat(d, vrwire.ServerRequests{Server: "e1", Requests: 6})
+			test.then(d)
+			d.requireSentOn("stream")
+			require.Equal(t, test.busy, d.busyAtDispatch())
+		})
+	}
+}
--- a/verbenacore/vrresidence/demand.go
+++ b/verbenacore/vrresidence/demand.go
@@ -140,6 +140,34 @@
 	return counts
 }
 
+// RequestSums holds the requests in flight of all daemons by server.
+type RequestSums struct {
+	Total    map[vrid.ServerID]int
+	ByDaemon map[vrid.DaemonID]map[vrid.ServerID]int
+	// Age is the mean age of the reports that the sums were added up from.
+	Age time.Duration
+}
+
+// SumRequests adds up the requests in flight by server from the fresh reports of the daemons.
+func (p *Planner) SumRequests(now time.Time) RequestSums {
+	sums := RequestSums{Total: make(map[vrid.ServerID]int), ByDaemon: make(map[vrid.DaemonID]map[vrid.ServerID]int)}
+	for daemon, report := range p.inFlight {
+		age := now.Sub(report.reportedAt)
+		if age > freshReport || len(report.servers) == 0 {
+			continue
+		}
+		own := make(map[vrid.ServerID]int, len(report.servers))
+		for _, s := range report.servers {
+			sums.Total[s.Server] += int(s.Running)
+			own[s.Server] += int(s.Running)
+		}
+		sums.ByDaemon[daemon] = own
+		sums.Age += age
+	}
+	sums.Age /= time.Duration(max(len(sums.ByDaemon), 1))
+	return sums
+}
+
 // demandTotal is the demand for one model or adapter, summed over the daemons.
 type demandTotal struct {
 	rate         float64
--- a/verbenacore/vrwire/fleet.go
+++ b/verbenacore/vrwire/fleet.go
@@ -126,6 +126,17 @@
 	ReportBoot   vrid.BootID `protobuf:"bytes,9,opt,name=reportBoot,proto3"`
 	ReportSentAt int64       `protobuf:"varint,10,opt,name=reportSentAt,proto3"`
 	ReportAge    int64       `protobuf:"varint,11,opt,name=reportAge,proto3"`
+	// Loads are the requests in flight of all daemons but the receiver at the servers that have most of them, in
+	// a heartbeat, for services with ordered admission. LoadsAge is the mean age of the reports that they were
+	// added up from, in milliseconds.
+	Loads    []ServerRequests `protobuf:"bytes,12,rep,name=loads,proto3"`
+	LoadsAge int64            `protobuf:"varint,13,opt,name=loadsAge,proto3"`
+}
+
+// ServerRequests is the number of requests in flight at a server, of some daemons.
+type ServerRequests struct {
+	Server   vrid.ServerID `protobuf:"bytes,1,opt,name=server,proto3"`
+	Requests uint32        `protobuf:"varint,2,opt,name=requests,proto3"`
 }
 
 // Validate checks that each notice has a known kind and, unless the server is leaving,
