Choose servers by expected completion where admission is ordered

The cost of a server is the wait for a slot, the prompts ahead, the service time at its pace, its way and what it has failed or been slower of late. The pace is that of the last report, falling back to the server's average with a time constant of 300 ms. The number of requests expected at a server falls back to the mean of its service as the report or sum ages. An error answer counts against the server without ejecting it, a silence is judged by the server's slowest recent pace, and a hedge goes only to a server that is expected to answer sooner.

--- a/verbenacore/vrchoice/vrchoice.go
+++ b/verbenacore/vrchoice/vrchoice.go
@@ -39,6 +39,10 @@
 	Adapter vrid.AdapterID
 	// Exclude lists the servers that the request was already sent to.
 	Exclude []vrid.ServerID
+	// ByCompletion selects the server with the least expected completion, see completion.go. PromptTokens is
+	// the length of the request's prompt.
+	ByCompletion bool
+	PromptTokens int
 }
 
 // Missing says why no server could be selected.
@@ -66,10 +70,16 @@
 	Zone   vrid.ZoneID
 	// Regions maps each availability zone to its region.
 	Regions map[vrid.ZoneID]vrid.RegionID
+
+	// candidates is reused by leastCompletion.
+	candidates []candidate
 }
 
 // Best returns the server with the lowest cost, or nil and the reason why there is none.
 func (c *Chooser) Best(now time.Time, need Requirements) (*vrfleet.Server, Missing) {
+	if need.ByCompletion {
+		return c.leastCompletion(now, &need)
+	}
 	missing := MissingServer
 	var usable []*vrfleet.Server
 	for _, server := range c.Fleet.ServersOf(need.Service) {
--- a/verbenacore/vrfleet/health.go
+++ b/verbenacore/vrfleet/health.go
@@ -139,9 +139,5 @@
 // Backlog estimates the time that the server needs to process the prompts that this daemon
 // sent it and that have not yet produced an event.
 func (f *Fleet) Backlog(server *Server) time.Duration {
-	rate := f.promptRate
-	if rate <= 0 {
-		rate = defaultPromptRate
-	}
-	return time.Duration(float64(server.PendingPromptTokens) / rate * float64(time.Second))
+	return f.PromptTime(server.PendingPromptTokens)
 }
--- a/verbenacore/vrfleet/load.go
+++ b/verbenacore/vrfleet/load.go
@@ -1,7 +1,6 @@
 package vrfleet
 
 import (
-	"math"
 	"time"
 
 	"verbenaroute.example/verbenacore/vrid"
@@ -21,6 +20,14 @@
 	paceMemory = 300 * time.Millisecond
 	// paceWeight is the weight of one stated pace in the average.
 	paceWeight = 1.0 / 16
+	// slowReportTTL is how long a stated pace may still be that of a server that has not answered since.
+	slowReportTTL = 2 * time.Second
+	// serviceTimeWeight is the weight of one request in the smoothed service time, and defaultServiceTime that
+	// time before the first one.
+	serviceTimeWeight  = 0.02
+	defaultServiceTime = time.Second
+	// meanWeight is the weight of one report in the mean number of requests of a service's servers.
+	meanWeight = 1.0 / 32
 	// maxPace bounds a stated pace, so that a wrong one does not keep a server from work for long.
 	maxPace = 2000.0
 )
@@ -75,11 +82,70 @@
 	if s.load.pace == 0 {
 		return 1
 	}
-	age := max(0, now.Sub(s.load.paceAt).Seconds())
-	pace := s.load.averagePace + (s.load.pace-s.load.averagePace)*math.Exp(-age/paceMemory.Seconds())
+	average := s.load.averagePace
+	return (average + (s.load.pace-average)*decay(now.Sub(s.load.paceAt), paceMemory)) / usualPace
+}
+
+// decay approximates e^(-age/constant) to 0.03, in a tenth of the time, which counts for 160 servers per call.
+func decay(age, constant time.Duration) float64 {
+	x := max(0, float64(age)/float64(constant))
+	return 1 / (1 + x*(1+x*(0.5+x/6)))
+}
+
+// AveragePace returns the pace that is expected later, see Pace.
+func (s *Server) AveragePace() float64 {
+	if s.load.pace == 0 {
+		return 1
+	}
+	return s.load.averagePace / usualPace
+}
+
+// Stretch returns how long work is expected to take that usually takes the given time, at a server with the present
+// and the average pace. Only the first part of the work takes as long as the present pace says.
+func Stretch(usual time.Duration, pace, average float64) time.Duration {
+	return time.Duration(average*float64(usual) + (pace-average)*float64(min(usual, paceMemory)))
+}
+
+// SlowestPace returns the slowest pace, at least the usual one, that may explain why the server has not answered
+// yet.
+func (s *Server) SlowestPace(now time.Time) float64 {
+	pace := max(usualPace, s.load.averagePace)
+	if now.Sub(s.load.paceAt) <= slowReportTTL {
+		pace = max(pace, s.load.pace)
+	}
 	return pace / usualPace
 }
 
+// RecordError records an error that the server has answered, which may follow from the request. It makes the server
+// less attractive, however quick it answers, but does not eject it.
+func (s *Server) RecordError(now time.Time) {
+	h := &s.health
+	h.lastOutcomeAt = now
+	h.samples++
+	h.failureRate += (1 - h.failureRate) * failureRateWeight
+}
+
+// RecordServiceTime records how long a server took for a request, without its time in the queue.
+func (f *Fleet) RecordServiceTime(server *Server, elapsed time.Duration) {
+	if server.load.averagePace > 0 {
+		elapsed = time.Duration(float64(elapsed) * usualPace / server.load.averagePace)
+	}
+	known := f.serviceTimes[server.Service]
+	if known == 0 {
+		known = elapsed
+	}
+	f.serviceTimes[server.Service] = known + time.Duration(float64(elapsed-known)*serviceTimeWeight)
+}
+
+// PromptTime returns the time that a server takes for a prompt at the usual pace.
+func (f *Fleet) PromptTime(tokens int) time.Duration {
+	rate := f.promptRate
+	if rate <= 0 {
+		rate = defaultPromptRate
+	}
+	return time.Duration(float64(tokens) / rate * float64(time.Second))
+}
+
 // RecordSendTime records the time of a send that RecordSend counts.
 func (s *Server) RecordSendTime(now time.Time) {
 	s.load.sentAt[s.load.next] = now
@@ -88,7 +154,9 @@
 
 // ApplyLoadReport applies a report that has just arrived with the head of a response. Own requests that were
 // sent too late to be in it are counted beside it.
-func (s *Server) ApplyLoadReport(now time.Time, report LoadReport) {
+func (f *Fleet) ApplyLoadReport(now time.Time, s *Server, report LoadReport) {
+	requests := float64(report.Running + report.Waiting)
+	f.meanRequests[s.Service] += (requests - f.meanRequests[s.Service]) * meanWeight
 	s.SetLoad(now, report.Running, report.Waiting)
 	s.load.includedUntil = now.Add(-reportTransit)
 	for _, sentAt := range s.load.sentAt {
@@ -125,6 +193,37 @@
 	return s.load.others
 }
 
+// ServiceLoad is what is known of the servers of a service together.
+type ServiceLoad struct {
+	// ServiceTime is the mean time that a server takes for a request at the usual pace.
+	ServiceTime time.Duration
+	// MeanRequests is the smoothed number of requests at a server.
+	MeanRequests float64
+}
+
+// LoadOf returns the load of a service.
+func (f *Fleet) LoadOf(service vrid.ServiceID) ServiceLoad {
+	load := ServiceLoad{ServiceTime: f.serviceTimes[service], MeanRequests: f.meanRequests[service]}
+	if load.ServiceTime <= 0 {
+		load.ServiceTime = defaultServiceTime
+	}
+	return load
+}
+
+// ExpectedRequests returns the number of requests that are expected at the server, for the choice among servers.
+// The newest figure loses weight to the mean of the service with its age, as the requests that it counts end: a
+// server must not look idle because nothing is known of it, nor all daemons send to the one that had fewest
+// requests a second ago.
+func (s *Server) ExpectedRequests(now time.Time, load ServiceLoad) float64 {
+	figure, at, since := float64(s.Running+s.Waiting), s.LoadReportedAt, s.SentSinceReport
+	if s.load.othersAt.After(at) {
+		figure, at, since = float64(s.load.others), s.load.othersAt, s.InFlight
+	}
+	expected := load.MeanRequests
+	expected += (figure - expected) * decay(now.Sub(at), load.ServiceTime)
+	return max(expected+float64(since), float64(s.InFlight))
+}
+
 // HasRecentReport reports whether the head of a response has brought a report that still counts.
 func (s *Server) HasRecentReport(now time.Time) bool {
 	return s.load.includedUntil.Before(s.LoadReportedAt) && now.Sub(s.LoadReportedAt) <= loadReportTTL
--- a/verbenacore/vrfleet/load_test.go
+++ b/verbenacore/vrfleet/load_test.go
@@ -26,7 +26,7 @@
 	send(server, start, 2)
 	reportedAt := start.Add(time.Second)
 	send(server, reportedAt.Add(-time.Millisecond), 1)
-	server.ApplyLoadReport(reportedAt, vrfleet.LoadReport{Running: 6, Waiting: 1})
+	fleet.ApplyLoadReport(reportedAt, server, vrfleet.LoadReport{Running: 6, Waiting: 1})
 	require.Equal(t, 8, server.EstimatedRequests(reportedAt), "the report lacks the last send")
 
 	later := reportedAt.Add(100 * time.Millisecond)
@@ -64,15 +64,15 @@
 	fleet.Put(start, readyEntry(1, 1))
 	server := fleet.Server("a")
 	require.EqualValues(t, 1, server.Pace(start))
-	server.ApplyLoadReport(start, vrfleet.LoadReport{Pace: 300})
+	fleet.ApplyLoadReport(start, server, vrfleet.LoadReport{Pace: 300})
 	require.InDelta(t, 3, server.Pace(start), 0.01)
 	require.InDelta(t, 1, server.Pace(start.Add(3*time.Second)), 0.2)
 	now := start
 	for range 60 {
 		now = now.Add(time.Second)
-		server.ApplyLoadReport(now, vrfleet.LoadReport{Pace: 300})
+		fleet.ApplyLoadReport(now, server, vrfleet.LoadReport{Pace: 300})
 	}
-	server.ApplyLoadReport(now, vrfleet.LoadReport{Pace: 100})
+	fleet.ApplyLoadReport(now, server, vrfleet.LoadReport{Pace: 100})
 	require.InDelta(t, 1, server.Pace(now), 0.01)
 	require.InDelta(t, 3, server.Pace(now.Add(3*time.Second)), 0.3)
 }
@@ -83,7 +83,7 @@
 	fleet.Put(start, readyEntry(1, 1))
 	server := fleet.Server("a")
 	require.Equal(t, 1, server.SlotCount())
-	server.ApplyLoadReport(start, vrfleet.LoadReport{Slots: 12})
-	server.ApplyLoadReport(start, vrfleet.LoadReport{})
+	fleet.ApplyLoadReport(start, server, vrfleet.LoadReport{Slots: 12})
+	fleet.ApplyLoadReport(start, server, vrfleet.LoadReport{})
 	require.Equal(t, 12, server.SlotCount())
 }
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -142,7 +142,7 @@
 // requirements returns what the call requires of a server. The model and adapter only matter
 // for language services.
 func (s *State) requirements(c *call) vrchoice.Requirements {
-	need := vrchoice.Requirements{Service: c.service, Exclude: c.tried}
+	need := vrchoice.Requirements{Service: c.service, Exclude: c.tried, ByCompletion: s.ordersAdmission(c.service), PromptTokens: c.PromptTokens}
 	if service := s.catalog.Service(c.service); service != nil && service.Engine != nil {
 		need.Model, need.Adapter = c.Model, c.Adapter
 	}
@@ -400,7 +400,7 @@
 	failed := false
 	switch e.Result {
 	case vrevent.AttemptAnswered:
-		server.RecordSuccess(now, e.TimeToFirstByte)
+		s.recordAnswer(now, c, a, &e)
 	case vrevent.AttemptNotLoaded:
 		server.MarkMissing(now, c.Model, c.Adapter)
 	case vrevent.AttemptBusy:
@@ -412,10 +412,10 @@
 	case vrevent.AttemptTimedOut:
 		// If little time was left when the call was sent, or its stream paused only briefly, a late
 		// response says nothing about the server.
-		failed = now.Sub(later(a.sentAt, a.silentSince)) >= minFirstByteTimeout
+		failed = now.Sub(later(a.sentAt, a.silentSince)) >= s.failureTimeout(now, server)
 	case vrevent.AttemptSuperseded:
 		// A hedge that is superseded had less time than the send beside it.
-		failed = !isHedge && now.Sub(later(a.sentAt, a.silentSince)) >= minFirstByteTimeout
+		failed = !isHedge && now.Sub(later(a.sentAt, a.silentSince)) >= s.failureTimeout(now, server)
 	default:
 	}
 	if failed && server.RecordFailure(now, s.fleet.PeerFailureRate(server)) {
--- a/verbenacore/vrgateway/loads.go
+++ b/verbenacore/vrgateway/loads.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"verbenaroute.example/verbenacore/vrcatalog"
 	"verbenaroute.example/verbenacore/vrevent"
 	"verbenaroute.example/verbenacore/vrfleet"
 	"verbenaroute.example/verbenacore/vrid"
@@ -19,6 +20,8 @@
 	// minLoadShare is the share of its slots that a server's requests have to take to be in a heartbeat. An
 	// emptier one is no worse a choice for what other daemons have sent.
 	minLoadShare = 0.5
+	// statusServerError is the lowest HTTP status of an error of the server.
+	statusServerError = 500
 )
 
 // ordersAdmission reports whether calls to a service are admitted in order and sent to the server with the
@@ -38,7 +41,7 @@
 		s.fleet.MarkSharesMachines(server.Service)
 	}
 	if s.ordersAdmission(server.Service) {
-		server.ApplyLoadReport(now, vrfleet.LoadReport(e.Load))
+		s.fleet.ApplyLoadReport(now, server, vrfleet.LoadReport(e.Load))
 	}
 }
 
@@ -103,3 +106,46 @@
 		}
 	}
 }
+
+// failureTimeout returns the silence from which a server that has not answered counts as failed. That of a
+// server on a slow machine is longer.
+func (s *State) failureTimeout(now time.Time, server *vrfleet.Server) time.Duration {
+	if !s.ordersAdmission(server.Service) {
+		return minFirstByteTimeout
+	}
+	return time.Duration(float64(minFirstByteTimeout) * server.SlowestPace(now))
+}
+
+// recordAnswer records the answer of a server. Where admission is ordered, an error is no success of the server, and
+// the time of an answer counts as its service time. Of a stream, the time to the first event counts as that of its
+// prompt, because it includes the wait for a slot.
+func (s *State) recordAnswer(now time.Time, c *call, a *attempt, e *vrevent.SendEnded) {
+	if s.ordersAdmission(c.service) {
+		if e.Status >= statusServerError {
+			a.server.RecordError(now)
+			return
+		}
+		elapsed := now.Sub(a.sentAt)
+		if c.route.Kind == vrcatalog.RouteStream {
+			elapsed -= max(0, e.TimeToFirstByte-s.fleet.PromptTime(c.PromptTokens))
+		}
+		s.fleet.RecordServiceTime(a.server, elapsed)
+	}
+	a.server.RecordSuccess(now, e.TimeToFirstByte)
+}
+
+// soonerServer returns the server for a hedge of a send that has been silent, or nil. Where admission is ordered,
+// it has to be expected to answer sooner than the present one, which is expected to stay silent for as long as it
+// has been, or as its load tells.
+func (s *State) soonerServer(now time.Time, c *call, silence time.Duration, exclude ...vrid.ServerID) *vrfleet.Server {
+	server := s.otherServer(now, c, exclude...)
+	if server == nil || !s.ordersAdmission(c.service) {
+		return server
+	}
+	need := s.requirements(c)
+	present := max(silence, s.chooser.ExpectedAnswer(now, c.server, &need)-silence)
+	if s.chooser.ExpectedAnswer(now, server, &need) >= present {
+		return nil
+	}
+	return server
+}
--- a/verbenacore/vrgateway/loads_test.go
+++ b/verbenacore/vrgateway/loads_test.go
@@ -8,6 +8,7 @@
 
 	"verbenaroute.example/verbenacore/vrcatalog"
 	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrfleet"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrwire"
 )
@@ -140,3 +141,44 @@
 		})
 	}
 }
+
+// Guards against a hedge to a server that is expected to answer even later, and against none beside a server that
+// has gone silent although its last report was good.
+func TestHedgeGoesOnlyToASoonerServer(t *testing.T) {
+	for name, test := range map[string]struct {
+		other, present int
+		hedges         int
+	}{
+		"other is full":        {60, 0, 0},
+		"other is idle":        {0, 0, 1},
+		"present is fuller":    {30, 200, 1},
+		"both are overcrowded": {60, 60, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newReadyDaemon(t, engineEntry("e1", "m"))
+			d.reduce(vrevent.LoadReported{Server: "e1", Born: 1, Load: vrevent.ServerLoad{Pace: 100}})
+			send := d.requireSentOn("stream")
+			d.reduce(vrevent.FleetListed{Entries: []vrfleet.Entry{engineEntry("e1", "m"), engineEntry("e2", "m")}})
+			d.now = send.FirstByteDeadline
+			d.reduce(vrevent.LoadReported{Server: "e1", Born: 1, Load: vrevent.ServerLoad{Running: test.present, Pace: 100}})
+			d.reduce(vrevent.LoadReported{Server: "e2", Born: 1, Load: vrevent.ServerLoad{Running: test.other, Pace: 100}})
+			effects := d.reduce(vrevent.SendStalled{Call: send.Call, Send: send.Send, Silence: 500 * time.Millisecond})
+			require.Len(t, sends(effects), test.hedges)
+		})
+	}
+}
+
+// A server on a machine that is slow at the moment must not be ejected for it, but one that is silent must.
+func TestSlowPaceIsNoFailure(t *testing.T) {
+	for pace, sent := range map[int]int{250: 1, 100: 0} {
+		d := newReadyDaemon(t, engineEntry("e1", "m"))
+		for range 3 {
+			d.reduce(vrevent.LoadReported{Server: "e1", Born: 1, Load: vrevent.ServerLoad{Pace: pace}})
+			if effects := sends(d.arrive("stream")); len(effects) == 1 {
+				d.now = d.now.Add(500 * time.Millisecond)
+				d.endSend(effects[0], vrevent.AttemptTimedOut)
+			}
+		}
+		require.Len(t, sends(d.arrive("stream")), sent, "pace %d", pace)
+	}
+}
--- a/verbenacore/vrgateway/stall.go
+++ b/verbenacore/vrgateway/stall.go
@@ -50,24 +50,24 @@
 	}
 	silentSince := now.Add(-e.Silence)
 	if c.promptPending && !c.responseStarted {
-		s.hedgeSend(now, c, s.otherServer(now, c), "", silentSince, out)
+		s.hedgeSend(now, c, s.soonerServer(now, c, e.Silence), "", silentSince, out)
 		return
 	}
 	service := s.catalog.Service(c.service)
 	canReserve := service != nil && service.Engine != nil && service.Engine.MaxReservation > 0
 	if !canReserve || (c.placeAsked && e.Silence >= c.patience()-unreservedHedgeLead) {
 		c.place = nil
-		s.hedgeSend(now, c, s.otherServer(now, c), "", silentSince, out)
+		s.hedgeSend(now, c, s.soonerServer(now, c, e.Silence), "", silentSince, out)
 		return
 	}
 	if c.place != nil && now.Before(c.place.expiresAt) {
 		return
 	}
 	c.place = nil
-	server := s.otherServer(now, c, c.refusedPlaces...)
+	server := s.soonerServer(now, c, e.Silence, c.refusedPlaces...)
 	if server == nil && len(c.refusedPlaces) > 0 {
 		c.refusedPlaces = nil
-		server = s.otherServer(now, c)
+		server = s.soonerServer(now, c, e.Silence)
 	}
 	if server == nil || !s.retryBudget.HasRetry(now, c.service) {
 		return
