Keep the last sound server in use when it answers errors

Nine requests at a time that each server fails ejected all servers, and a sound request waited for one (TestFailuresOfRequestsDoNotEjectAllServers). An error answer may follow from the request, so a server is not ejected for one if all others that could take the call are ejected; its failure rate rises as before. Broken connections and silences still eject the last server.

--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -418,6 +418,11 @@
 		failed = !isHedge && now.Sub(later(a.sentAt, a.silentSince)) >= s.failureTimeout(now, server)
 	default:
 	}
+	if failed && e.Result == vrevent.AttemptServerError && s.isLastSound(now, c, server) {
+		// An error answer may follow from the request.
+		server.RecordError(now)
+		return
+	}
 	if failed && server.RecordFailure(now, s.fleet.PeerFailureRate(server)) {
 		out.Warn("server ejected", text("server", server.ID), text("result", e.Result.String()), text("detail", e.Detail))
 	}
--- a/verbenacore/vrgateway/loads_test.go
+++ b/verbenacore/vrgateway/loads_test.go
@@ -182,3 +182,15 @@
 		require.Len(t, sends(d.arrive("stream")), sent, "pace %d", pace)
 	}
 }
+
+// The last sound server stays in use when it answers errors, but not when it breaks connections: those do not follow
+// from the request.
+func TestLastServerIsEjectedForBrokenConnections(t *testing.T) {
+	for result, sent := range map[vrevent.AttemptResult]int{vrevent.AttemptServerError: 1, vrevent.AttemptBroken: 0} {
+		d := newReadyDaemon(t, engineEntry("e1", "m"))
+		for range 2 {
+			d.endSend(d.requireSentOn("stream"), result)
+		}
+		require.Len(t, sends(d.arrive("stream")), sent, result.String())
+	}
+}
--- a/verbenacore/vrgateway/servers.go
+++ b/verbenacore/vrgateway/servers.go
@@ -194,3 +194,14 @@
 		s.removeServer(id, out)
 	}
 }
+
+// isLastSound reports whether no other server that a call can be sent to is sound: all of them are ejected.
+func (s *State) isLastSound(now time.Time, c *call, server *vrfleet.Server) bool {
+	need := s.requirements(c)
+	for _, other := range s.fleet.ServersOf(server.Service) {
+		if other != server && !other.Ejected(now) && s.chooser.CanServe(now, other, need) {
+			return false
+		}
+	}
+	return true
+}
