Keep idle connections that are too old for an at-most-once call alone

A call that may run at most once takes no connection that was idle for a second or longer, and closed all such connections of its server, which repeatable calls may use for up to the server's own timeout. They now stay in the pool. A full pool drops expired connections, or the one that was idle longest, instead of the newest.

--- a/verbenaroute/internal/vrrelay/conn.go
+++ b/verbenaroute/internal/vrrelay/conn.go
@@ -89,20 +89,8 @@
 // error proves that nothing was sent. The caller checks the connection for unread bytes right before
 // it writes to it.
 func (p *pool) get(key backend, request vrid.RequestID, atMostOnce bool) (*conn, error) {
-	now := time.Now()
-	for {
-		c := p.pop(key, request)
-		if c == nil {
-			break
-		}
-		limit := c.maxIdle
-		if atMostOnce {
-			limit = min(limit, atMostOnceMaxIdle)
-		}
-		if now.Sub(c.idleSince) < limit {
-			return c, nil
-		}
-		_ = c.Close()
+	if c := p.pop(time.Now(), key, request, atMostOnce); c != nil {
+		return c, nil
 	}
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
 	netConn, err := dialer.Dial("tcp", key.address)
@@ -155,12 +143,13 @@
 }
 
 // pop removes and returns the connection that became idle last among those that may carry a request
-// with this id, or nil. A response without an id can't be told from another one, so a request without
-// an id gets a new connection.
-func (p *pool) pop(key backend, request vrid.RequestID) *conn {
+// with this id and have not been idle for too long, or nil. A response without an id can't be told from
+// another one, so a request without an id gets a new connection. A connection that has been idle for too
+// long only for a request that may run at most once is kept for others.
+func (p *pool) pop(now time.Time, key backend, request vrid.RequestID, atMostOnce bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	idle := p.idle[key]
+	idle := p.expire(now, key)
 	if len(idle) == 0 {
 		delete(p.idle, key)
 		return nil
@@ -170,6 +159,9 @@
 	}
 	hash := hashRequestID(request)
 	for i, c := range slices.Backward(idle) {
+		if atMostOnce && now.Sub(c.idleSince) >= atMostOnceMaxIdle {
+			return nil
+		}
 		if !slices.Contains(c.requests, hash) {
 			p.idle[key] = slices.Delete(idle, i, i+1)
 			return c
@@ -178,6 +170,20 @@
 	return nil
 }
 
+// expire closes the connections to a server that have been idle for too long, and returns the others, in the
+// order in which they became idle.
+func (p *pool) expire(now time.Time, key backend) []*conn {
+	idle := slices.DeleteFunc(p.idle[key], func(c *conn) bool {
+		expired := now.Sub(c.idleSince) >= c.maxIdle
+		if expired {
+			_ = c.Close()
+		}
+		return expired
+	})
+	p.idle[key] = idle
+	return idle
+}
+
 func hashRequestID(request vrid.RequestID) uint64 {
 	return maphash.String(_requestHashSeed, string(request))
 }
@@ -193,11 +199,13 @@
 	c.used, c.idleSince = true, time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[c.backend]) >= maxIdleConns {
-		_ = c.Close()
-		return
+	idle := p.expire(c.idleSince, c.backend)
+	if len(idle) >= maxIdleConns {
+		// The one that has been idle longest is the least likely to be used again.
+		_ = idle[0].Close()
+		idle = slices.Delete(idle, 0, 1)
 	}
-	p.idle[c.backend] = append(p.idle[c.backend], c)
+	p.idle[c.backend] = append(idle, c)
 }
 
 // closeIdle closes the idle connections of a server. When one connection went silent or was
--- a/verbenaroute/internal/vrrelay/copy_test.go
+++ b/verbenaroute/internal/vrrelay/copy_test.go
@@ -142,7 +142,7 @@
 		c.requests = append(c.requests, hashRequestID(request))
 		p.put(c)
 	}
-	require.Nil(t, p.pop(key, "next"))
+	require.Nil(t, p.pop(time.Now(), key, "next", false))
 }
 
 // hookDialect calls a function before the headers of each request to a server are written.
