Scale the margin of the choice with the service time

The margin of 100 ms and the delay of full slots were those of calls of a second. They now scale with the mean time of a request below that, and that mean starts from a default that counts as four requests, because the first one alone was far off.

--- a/verbenacore/vrchoice/completion.go
+++ b/verbenacore/vrchoice/completion.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"verbenaroute.example/verbenacore/vrfleet"
+	"verbenaroute.example/verbenacore/vrid"
 )
 
 // Servers that share their machines with other work, or that are full at times, are selected by the expected
@@ -15,10 +16,12 @@
 	// zoneRoundTrip and regionRoundTrip are the costs of a server outside the zone and outside the region.
 	zoneRoundTrip   = 0.003
 	regionRoundTrip = 0.03
-	// completionMargin is how much later than at the best server a request may complete at a candidate. In a
-	// replay of 65 daemons at 83 % of the slots of 20 servers, a margin of 25 ms gave a mean completion of
-	// 1.155 s, 100 ms 1.070 s and no limit 1.107 s, where 0.99 s is the time of service.
-	completionMargin = 0.1
+	// completionMargin is how much later than at the best server a request may complete at a candidate, as a
+	// fraction of the mean time of a request, up to maxCompletionMargin. In a replay of 65 daemons at 83 % of the
+	// slots of 20 servers, a margin of 0.025 gave a mean completion of 1.155 s, 0.1 1.070 s and no limit
+	// 1.107 s, where 0.99 s is the time of service.
+	completionMargin    = 0.1
+	maxCompletionMargin = 0.1
 )
 
 // candidate is a server that a request can be sent to, and its cost.
@@ -48,20 +51,22 @@
 			fastest = latency
 		}
 	}
-	load := c.Fleet.LoadOf(need.Service)
+	v := c.view(now, need)
+	v.fastest = fastest
 	least := 0.0
 	for i := range c.candidates {
 		server := c.candidates[i].server
 		pace := server.Pace(now)
-		cost := c.answerCost(now, server, need, load, pace, fastest) + vrfleet.Stretch(load.ServiceTime, pace, server.AveragePace()).Seconds()
+		cost := c.answerCost(server, pace, &v) + seconds(vrfleet.Stretch(v.load.ServiceTime, pace, server.AveragePace()))
 		c.candidates[i].cost = cost
 		if i == 0 || cost < least {
 			least = cost
 		}
 	}
+	margin := min(completionMargin*v.service, maxCompletionMargin)
 	near := 0
 	for _, found := range c.candidates {
-		if found.cost <= least+completionMargin {
+		if found.cost <= least+margin {
 			c.candidates[near] = found
 			near++
 		}
@@ -73,39 +78,62 @@
 	return first.server, MissingNone
 }
 
+// view holds what the cost of all servers for a request depends on.
+type view struct {
+	now    time.Time
+	region vrid.RegionID
+	load   vrfleet.ServiceLoad
+	// service is load.ServiceTime in seconds, prompt the time of the request's own prompt, perToken that of one
+	// token.
+	service          float64
+	prompt, perToken time.Duration
+	// fastest is the lowest time to the first byte of the usable servers, zero if it does not count.
+	fastest time.Duration
+}
+
+func (c *Chooser) view(now time.Time, need *Requirements) view {
+	load := c.Fleet.LoadOf(need.Service)
+	return view{
+		now: now, region: c.Regions[c.Zone], load: load, service: seconds(load.ServiceTime),
+		prompt: c.Fleet.PromptTime(need.PromptTokens), perToken: c.Fleet.PromptTime(1),
+	}
+}
+
+// seconds is Duration.Seconds without its divisions, which are a tenth of the time of a choice.
+func seconds(d time.Duration) float64 { return float64(d) * 1e-9 }
+
 // ExpectedAnswer returns when the server is expected to bring the first part of an answer.
 func (c *Chooser) ExpectedAnswer(now time.Time, server *vrfleet.Server, need *Requirements) time.Duration {
-	cost := c.answerCost(now, server, need, c.Fleet.LoadOf(need.Service), server.Pace(now), 0)
-	return time.Duration(cost * float64(time.Second))
+	v := c.view(now, need)
+	return time.Duration(c.answerCost(server, server.Pace(now), &v) * float64(time.Second))
 }
 
 // answerCost returns the expected time until the answer to a request begins, in seconds: the wait for a slot,
 // the prompts ahead and its own, the way, and what the server has been slower than the fastest one, or has
 // failed, of late. pace is the server's.
-func (c *Chooser) answerCost(
-	now time.Time, server *vrfleet.Server, need *Requirements, load vrfleet.ServiceLoad, pace float64, fastest time.Duration,
-) float64 {
-	requests, slots := server.ExpectedRequests(now, load), float64(server.SlotCount())
-	cost := fullSlotsDelay * min(requests/slots, 1)
-	ahead := c.Fleet.PromptTime(server.PendingPromptTokens + need.PromptTokens)
-	if beyond := requests + 1 - slots; beyond > 0 {
-		ahead += time.Duration(beyond / slots * float64(load.ServiceTime))
+func (c *Chooser) answerCost(server *vrfleet.Server, pace float64, v *view) float64 {
+	slots := server.SlotCount()
+	requests := server.ExpectedRequests(v.now, v.load)
+	used := requests / float64(slots)
+	ahead := v.prompt + time.Duration(server.PendingPromptTokens)*v.perToken
+	if beyond := requests + 1 - float64(slots); beyond > 0 {
+		ahead += time.Duration(beyond / float64(slots) * float64(v.load.ServiceTime))
 	}
-	cost += vrfleet.Stretch(ahead, pace, server.AveragePace()).Seconds()
+	cost := fullSlotsDelay*min(used, 1)*min(v.service, 1) + seconds(vrfleet.Stretch(ahead, pace, server.AveragePace()))
 	switch {
 	case server.Zone == c.Zone:
-	case c.Regions[server.Zone] == c.Regions[c.Zone]:
+	case c.Regions[server.Zone] == v.region:
 		cost += zoneRoundTrip
 	default:
 		cost += regionRoundTrip
 	}
 	// A request that fails takes the time until then, and that of another one.
-	penalty := (failurePenalty + load.ServiceTime.Seconds()) * server.FailureRate()
-	if latency := server.FirstByteLatency(); fastest > 0 && latency > fastest {
-		penalty += min((latency - fastest).Seconds(), maxLatencyPenalty)
+	penalty := (failurePenalty + v.service) * server.FailureRate()
+	if latency := server.FirstByteLatency(); v.fastest > 0 && latency > v.fastest {
+		penalty += min(seconds(latency-v.fastest), maxLatencyPenalty)
 	}
 	if penalty == 0 {
 		return cost
 	}
-	return cost + penalty*server.OutcomeWeight(now)
+	return cost + penalty*server.OutcomeWeight(v.now)
 }
--- a/verbenacore/vrfleet/load.go
+++ b/verbenacore/vrfleet/load.go
@@ -22,10 +22,11 @@
 	paceWeight = 1.0 / 16
 	// slowReportTTL is how long a stated pace may still be that of a server that has not answered since.
 	slowReportTTL = 2 * time.Second
-	// serviceTimeWeight is the weight of one request in the smoothed service time, and defaultServiceTime that
-	// time before the first one.
-	serviceTimeWeight  = 0.02
-	defaultServiceTime = time.Second
+	// serviceTimeWeight is the weight of one request in the smoothed service time. Before the first request it is
+	// defaultServiceTime, which counts as much as defaultServiceSamples requests.
+	serviceTimeWeight     = 0.02
+	defaultServiceTime    = time.Second
+	defaultServiceSamples = 4
 	// meanWeight is the weight of one report in the mean number of requests of a service's servers.
 	meanWeight = 1.0 / 32
 	// maxPace bounds a stated pace, so that a wrong one does not keep a server from work for long.
@@ -88,8 +89,9 @@
 
 // decay approximates e^(-age/constant) to 0.03, in a tenth of the time, which counts for 160 servers per call.
 func decay(age, constant time.Duration) float64 {
+	const sixth = 1.0 / 6
 	x := max(0, float64(age)/float64(constant))
-	return 1 / (1 + x*(1+x*(0.5+x/6)))
+	return 1 / (1 + x*(1+x*(0.5+x*sixth)))
 }
 
 // AveragePace returns the pace that is expected later, see Pace.
@@ -131,10 +133,19 @@
 		elapsed = time.Duration(float64(elapsed) * usualPace / server.load.averagePace)
 	}
 	known := f.serviceTimes[server.Service]
-	if known == 0 {
-		known = elapsed
+	if known.samples == 0 {
+		known = serviceTime{mean: defaultServiceTime, samples: defaultServiceSamples}
 	}
-	f.serviceTimes[server.Service] = known + time.Duration(float64(elapsed-known)*serviceTimeWeight)
+	known.samples++
+	weight := max(serviceTimeWeight, 1/float64(known.samples))
+	known.mean += time.Duration(float64(elapsed-known.mean) * weight)
+	f.serviceTimes[server.Service] = known
+}
+
+// serviceTime is the smoothed time of a number of requests.
+type serviceTime struct {
+	mean    time.Duration
+	samples int
 }
 
 // PromptTime returns the time that a server takes for a prompt at the usual pace.
@@ -203,9 +214,9 @@
 
 // LoadOf returns the load of a service.
 func (f *Fleet) LoadOf(service vrid.ServiceID) ServiceLoad {
-	load := ServiceLoad{ServiceTime: f.serviceTimes[service], MeanRequests: f.meanRequests[service]}
-	if load.ServiceTime <= 0 {
-		load.ServiceTime = defaultServiceTime
+	load := ServiceLoad{ServiceTime: defaultServiceTime, MeanRequests: f.meanRequests[service]}
+	if known := f.serviceTimes[service]; known.mean > 0 {
+		load.ServiceTime = known.mean
 	}
 	return load
 }
--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -108,7 +108,7 @@
 	// sharedServices holds the services for which SharesMachines holds.
 	sharedServices map[vrid.ServiceID]bool
 	// serviceTimes are the smoothed times of requests by service, see RecordServiceTime.
-	serviceTimes map[vrid.ServiceID]time.Duration
+	serviceTimes map[vrid.ServiceID]serviceTime
 	// meanRequests are the smoothed numbers of requests at a server by service.
 	meanRequests map[vrid.ServiceID]float64
 	// promptRate is the smoothed number of prompt tokens that one server processes per
@@ -127,7 +127,7 @@
 	return &Fleet{
 		servers: make(map[vrid.ServerID]*Server), byService: make(map[vrid.ServiceID][]*Server), doubted: make(map[vrid.ServerID]renewal),
 		removed: removedServers{last: make(map[vrid.ServerID]removedServer)}, sharedServices: make(map[vrid.ServiceID]bool),
-		serviceTimes: make(map[vrid.ServiceID]time.Duration), meanRequests: make(map[vrid.ServiceID]float64),
+		serviceTimes: make(map[vrid.ServiceID]serviceTime), meanRequests: make(map[vrid.ServiceID]float64),
 	}
 }
 
