Begin a load elsewhere if its server waits for requests

A load that waits for the requests of a victim is planned again, if calls wait for its model, for a server that can begin at once: one with a copy whose victims have no requests in flight. Before, that took 960 ms.

Retries without a report back off to 240 ms instead of 480 ms, so that daemons of a former build, which report once a second, delay a load less.

--- a/verbenacore/vrresidence/drain.go
+++ b/verbenacore/vrresidence/drain.go
@@ -1,6 +1,7 @@
 package vrresidence
 
 import (
+	"slices"
 	"time"
 
 	"verbenaroute.example/verbenacore/vrfleet"
@@ -25,7 +26,7 @@
 	drainRetryDelay = 2 * time.Second
 	// maxRetryDelay limits the delay between the retries of a step, which doubles with each conflict. It
 	// bounds how much later a load begins if no report tells that it can.
-	maxRetryDelay = 480 * time.Millisecond
+	maxRetryDelay = 240 * time.Millisecond
 	// stuckAfter is how long a step has to be blocked until another server may load the model.
 	stuckAfter = 960 * time.Millisecond
 	// maxBlocked is how long a step may be blocked until its job is dropped.
@@ -116,6 +117,19 @@
 	return j.phase == phasePending && (j.conflicts >= stuckConflicts || j.blockedTime(now) >= stuckAfter)
 }
 
+// waitsForRequests reports whether the load waits for reported requests of a model that its server unloads.
+func (j *job) waitsForRequests() bool {
+	return j.phase == phasePending && len(j.steps) == 1 && j.drain.reported
+}
+
+// mayBeInUse reports whether requests are known or may be in flight for one of the victims at a server.
+func (s *servicePlan) mayBeInUse(server *vrfleet.Server, victims []vrid.ModelID) bool {
+	return slices.ContainsFunc(victims, func(model vrid.ModelID) bool {
+		key := serverModel{server.ID, model}
+		return s.inFlight[key]+s.unknownInFlight[key] > 0
+	})
+}
+
 // reportedInFlight returns the number of requests for a model at a server that daemons report to be in flight.
 func (p *Planner) reportedInFlight(now time.Time, key serverModel) int {
 	count := 0
--- a/verbenacore/vrresidence/plan.go
+++ b/verbenacore/vrresidence/plan.go
@@ -69,6 +69,9 @@
 	// nearestTier is the tier of the nearest copy of a model on each server. A missing entry
 	// means the weight store.
 	nearestTier map[serverModel]tier
+	// blockedLoads holds the models whose load waits for the requests of a victim, see drain. Another server may
+	// load them only if it can begin at once.
+	blockedLoads map[vrid.ModelID]bool
 	// copyElsewhere caches the results of hasCopyElsewhere.
 	copyElsewhere map[vrid.ModelID]bool
 	// wanted are the models to load, the one with the highest value first.
@@ -106,7 +109,7 @@
 		store: p.store(service.ID), decision: decision, copies: make(map[vrid.ModelID]int),
 		replicas: make(map[vrid.ModelID]int), totals: make(map[vrid.ModelID]demandTotal),
 		inFlight: p.inFlightByServer(now), unknownInFlight: p.unknownInFlight(now), nearestTier: make(map[serverModel]tier), copyElsewhere: make(map[vrid.ModelID]bool),
-		needs: make(map[vrid.ModelID]int),
+		blockedLoads: make(map[vrid.ModelID]bool), needs: make(map[vrid.ModelID]int),
 	}
 	s.store.rate = service.Engine.LoadRate
 	s.store.running = 0
@@ -120,13 +123,22 @@
 			}
 		}
 		s.countCopies(server)
-		if j := p.jobs[server.ID]; j != nil && j.loadStep().adapter == "" && !j.stuck(now) {
-			s.replicas[j.loadStep().model]++
-			s.copies[j.loadStep().model]++
-			if j.source == tierStore {
-				s.store.running++
-			}
+		j := p.jobs[server.ID]
+		if j == nil || j.loadStep().adapter != "" {
+			continue
+		}
+		if j.stuck(now) {
+			continue
 		}
+		s.copies[j.loadStep().model]++
+		if j.source == tierStore {
+			s.store.running++
+		}
+		if j.waitsForRequests() {
+			s.blockedLoads[j.loadStep().model] = true
+			continue
+		}
+		s.replicas[j.loadStep().model]++
 	}
 	s.store.blocked = s.resolveTakeover()
 	if s.store.blocked {
@@ -254,7 +266,7 @@
 		if s.placeModel(w) {
 			continue
 		}
-		if w.firstReplica && !w.speculative {
+		if w.firstReplica && !w.speculative && !s.blockedLoads[w.model.ID] {
 			s.notifyUnavailable(w)
 		}
 	}
@@ -378,7 +390,7 @@
 		return nil
 	}
 	victims, evictionCost, ok := s.victims(server, l, w)
-	if !ok {
+	if !ok || (s.blockedLoads[w.model.ID] && (w.speculative || source == tierStore || s.mayBeInUse(server, victims))) {
 		return nil
 	}
 	cost := loadTime(w.model, source).Seconds() + evictionWeight*evictionCost + s.placementCost(server, w.model.ID)
