--- a/verbenacore/vrchoice/vrchoice.go
+++ b/verbenacore/vrchoice/vrchoice.go
@@ -41,6 +41,10 @@
 	Exclude []vrid.ServerID
 	// Room is what the request needs of a server's capacity.
 	Room vrfleet.RoomNeed
+	// ByCompletion selects the server with the least expected completion, see completion.go. PromptTokens is
+	// the length of the request's prompt.
+	ByCompletion bool
+	PromptTokens int
 }
 
 // Missing says why no server could be selected.
@@ -72,10 +76,16 @@
 	Regions map[vrid.ZoneID]vrid.RegionID
 	// usable is reused by Best, so that a choice allocates nothing.
 	usable []*vrfleet.Server
+
+	// candidates is reused by leastCompletion.
+	candidates []candidate
 }
 
 // Best returns the server with the lowest cost, or nil and the reason why there is none.
 func (c *Chooser) Best(now time.Time, need Requirements) (*vrfleet.Server, Missing) {
+	if need.ByCompletion {
+		return c.leastCompletion(now, &need)
+	}
 	missing := MissingServer
 	usable := c.usable[:0]
 	for _, server := range c.Fleet.ServersOf(need.Service) {
--- a/verbenacore/vrfleet/room.go
+++ b/verbenacore/vrfleet/room.go
@@ -15,9 +15,8 @@
 	inFlight, tokens int
 	// sends counts the requests that were sent, sendsAtReport those before the newest load report.
 	sends, sendsAtReport uint64
-	// sentSinceReport counts those in flight that were sent after the report, endedSinceReport the ended ones that
-	// the report counts.
-	sentSinceReport, endedSinceReport int
+	// sentSinceReport counts those in flight that were sent after the report.
+	sentSinceReport int
 	// awaitsReport is set while a request is under way that was sent to obtain a load report, since awaitedSince.
 	awaitsReport bool
 	awaitedSince time.Time
@@ -56,18 +55,10 @@
 	CacheTokens, MeanTokens int
 }
 
-// TotalSlots returns the number of requests that the server can run at once.
-func (s *Server) TotalSlots() int {
-	if s.StatedSlots > 0 {
-		return s.StatedSlots
-	}
-	return max(s.Slots, 1)
-}
-
 // lacksReport reports whether the server's load report is missing or too old, so that a request has to be sent
 // to obtain one.
 func (s *Server) lacksReport(now time.Time) bool {
-	return !s.room.statesNoLoad && now.Sub(s.LoadReportedAt) > loadReportTTL
+	return !s.room.statesNoLoad && now.Sub(s.LoadReportedAt) > loadReportTTL && now.Sub(s.load.othersAt) > loadReportTTL
 }
 
 // maxReportWait is how long a server is expected to have room while its load report is awaited. The report comes
@@ -76,26 +67,28 @@
 
 // MayHaveRoom reports whether the server may turn out to have room once its load report comes, which is awaited.
 func (s *Server) MayHaveRoom(now time.Time) bool {
-	return s.room.awaitsReport && s.lacksReport(now) && now.Sub(s.room.awaitedSince) < maxReportWait && s.room.inFlight < s.TotalSlots()
+	return s.room.awaitsReport && s.lacksReport(now) && now.Sub(s.room.awaitedSince) < maxReportWait && s.room.inFlight < s.SlotCount()
 }
 
 // Occupied estimates the number of requests at the server from its load report and from what this daemon has
-// sent and ended since. Without a recent report it counts this daemon's own.
+// sent and ended since. Without a recent report it counts this daemon's own and those of the other daemons, as far
+// as the placement owner has told them.
 func (s *Server) Occupied(now time.Time) int { return s.occupied(now, s.Waiting) }
 
 // occupied returns the estimate with a number of requests that wait at the server.
 func (s *Server) occupied(now time.Time, waiting int) int {
+	counted := s.room.inFlight + s.othersRequests(now)
 	if s.LoadReportedAt.IsZero() || now.Sub(s.LoadReportedAt) > loadReportTTL {
-		return s.room.inFlight
+		return counted
 	}
-	return max(s.Running+waiting+s.room.sentSinceReport-s.room.endedSinceReport, s.room.inFlight)
+	return max(s.Running+waiting+max(s.SentSinceReport, s.room.sentSinceReport), counted)
 }
 
 // hasSlot reports whether a request with the need may be sent to the server. An urgent one goes before those that
 // wait there, and may exceed the slots by a quarter as far as they are used by other daemons: for a slot that
 // this daemon's own requests free, it rather waits at the daemon, where the first slot of any server is its own.
 func (s *Server) hasSlot(now time.Time, urgent bool) bool {
-	slots := s.TotalSlots()
+	slots := s.SlotCount()
 	if !urgent {
 		return s.Occupied(now) < slots
 	}
@@ -153,16 +146,14 @@
 	if p.obtainsReport {
 		r.awaitsReport = false
 	}
-	if p.number <= r.sendsAtReport {
-		r.endedSinceReport++
-		return
+	if p.number > r.sendsAtReport {
+		r.sentSinceReport = max(0, r.sentSinceReport-1)
 	}
-	r.sentSinceReport = max(0, r.sentSinceReport-1)
 }
 
 // recordReport starts the counts since a load report.
 func (r *room) recordReport() {
-	r.sendsAtReport, r.sentSinceReport, r.endedSinceReport = r.sends, 0, 0
+	r.sendsAtReport, r.sentSinceReport = r.sends, 0
 	r.awaitsReport, r.statesNoLoad = false, false
 }
 
--- a/verbenacore/vrfleet/room_test.go
+++ b/verbenacore/vrfleet/room_test.go
@@ -26,6 +26,7 @@
 	urgent := need
 	urgent.Urgent = true
 	require.Equal(t, 200, server.FreeTokens(now, &urgent), "the ninth request")
+	fleet.RecordRequestEnd(server, now, true)
 	server.EndPlacement(&first)
 	require.Equal(t, 500, server.FreeTokens(now, &need), "the report counts the ended request")
 	server.EndPlacement(&second)
@@ -76,6 +77,7 @@
 	require.Equal(t, 100, server.FreeTokens(now, &need))
 	server.SetLoad(now, 1, 0)
 	require.Equal(t, 100, server.FreeTokens(now, &need))
+	fleet.RecordRequestEnd(former, now, true)
 	former.EndPlacement(&placement)
 	require.Equal(t, 1000, server.FreeTokens(now, &need))
 }
--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -86,6 +86,7 @@
 	statedLeaving, inDoubt bool
 
 	health health
+	load   loadState
 	// missingUntil holds the models that are not loaded although the server's entry lists
 	// them, and until when to assume so.
 	missingUntil map[vrid.ModelID]time.Time
@@ -109,11 +110,15 @@
 	doubted map[vrid.ServerID]renewal
 	// removed remembers the servers whose registrations were removed.
 	removed removedServers
+	// sharedServices holds the services for which SharesMachines holds.
+	sharedServices map[vrid.ServiceID]bool
+	// serviceTimes are the smoothed times of requests by service, see RecordServiceTime.
+	serviceTimes map[vrid.ServiceID]serviceTime
+	// meanRequests are the smoothed numbers of requests at a server by service.
+	meanRequests map[vrid.ServiceID]float64
 	// promptRate is the smoothed number of prompt tokens that one server processes per
 	// second, zero before the first measurement.
 	promptRate float64
-	// sharedServices are the services of which a server has stated its pace.
-	sharedServices map[vrid.ServiceID]bool
 }
 
 // renewal identifies a registration among those of a server's processes.
@@ -127,6 +132,7 @@
 	return &Fleet{
 		servers: make(map[vrid.ServerID]*Server), byService: make(map[vrid.ServiceID][]*Server), doubted: make(map[vrid.ServerID]renewal),
 		removed: removedServers{last: make(map[vrid.ServerID]removedServer)}, sharedServices: make(map[vrid.ServiceID]bool),
+		serviceTimes: make(map[vrid.ServiceID]serviceTime), meanRequests: make(map[vrid.ServiceID]float64),
 	}
 }
 
@@ -374,18 +380,20 @@
 func (s *Server) SetLoad(now time.Time, running, waiting int) {
 	s.Running, s.Waiting, s.LoadReportedAt, s.SentSinceReport = running, waiting, now, 0
 	s.room.recordReport()
+	s.load.includedUntil = now
 }
 
 // loadReportTTL is how long a server's load report is used.
 const loadReportTTL = 2 * time.Second
 
 // EstimatedRequests estimates the number of requests at the server, running and waiting,
-// from all daemons. Without a recent load report it only counts this daemon's own.
+// from all daemons. Without a recent load report it counts this daemon's own and those known of other daemons.
 func (s *Server) EstimatedRequests(now time.Time) int {
+	known := s.InFlight + s.othersRequests(now)
 	if now.Sub(s.LoadReportedAt) > loadReportTTL {
-		return s.InFlight
+		return known
 	}
-	return max(s.Running+s.Waiting+s.SentSinceReport, s.InFlight)
+	return max(s.Running+s.Waiting+s.SentSinceReport, known)
 }
 
 // MarkDraining records that a process of the server accepts no new work, ahead of its entry. It has
--- a/verbenacore/vrgateway/admission.go
+++ b/verbenacore/vrgateway/admission.go
@@ -96,11 +96,6 @@
 	s.admission.freeTokens = s.freeTokens
 }
 
-// ordered reports whether ordered admission is active for a service.
-func (s *State) ordered(service vrid.ServiceID) bool {
-	return s.catalog != nil && (s.catalog.HasTenants() || s.fleet.SharesMachines(service))
-}
-
 // resetQueue builds the queue for a new catalog, whose levels and tenants may differ, from the calls that wait.
 func (s *State) resetQueue(now time.Time) {
 	a := &s.admission
@@ -142,7 +137,7 @@
 // queueWaiting puts the calls of ordered services that wait in their lists into the queue, in a fixed order.
 func (s *State) queueWaiting(now time.Time) {
 	for _, key := range s.waitingTargets() {
-		if !s.ordered(key.service) {
+		if !s.ordersAdmission(key.service) {
 			continue
 		}
 		for i, c := range s.waitLists[key].calls {
@@ -294,7 +289,7 @@
 // joinQueue puts a waiting call into the queue of an ordered service, and returns how many calls are ahead of
 // it. inList is their number for other services.
 func (s *State) joinQueue(now time.Time, c *call, inList int) int {
-	if !s.ordered(c.service) {
+	if !s.ordersAdmission(c.service) {
 		return inList
 	}
 	item := s.queueItem(c)
--- a/verbenacore/vrgateway/admission_test.go
+++ b/verbenacore/vrgateway/admission_test.go
@@ -38,9 +38,10 @@
 	return d.reduce(vrevent.CallArrived{Call: call})
 }
 
-// reportLoad makes a server state its load in the response to a call.
+// reportLoad ends a call, and makes its server state the load that it has then.
 func (d *daemon) reportLoad(send vrevent.SendCall, load vrevent.ServerLoad) []vrevent.Effect {
-	return d.reduce(vrevent.SendEnded{Call: send.Call, Send: send.Send, Result: vrevent.AttemptAnswered, Status: 200, Load: &load})
+	effects := d.reduce(vrevent.SendEnded{Call: send.Call, Send: send.Send, Result: vrevent.AttemptAnswered, Status: 200, Load: &load})
+	return append(effects, d.reduce(vrevent.LoadReported{Server: send.Server, Born: send.Born, Load: load})...)
 }
 
 // Guards against a daemon that sends several calls to a server of which it does not know the load, and against
@@ -176,7 +177,9 @@
 	for range 9 {
 		d.requireSent(d.arrive("once"))
 	}
-	d.reportLoad(d.requireSent(d.arrive("once")), vrevent.ServerLoad{Running: 9, Slots: 4, Pace: 100})
+	last := d.requireSent(d.arrive("once"))
+	d.now = d.now.Add(100 * time.Millisecond)
+	d.reportLoad(last, vrevent.ServerLoad{Running: 9, Slots: 4, Pace: 100})
 	require.Empty(t, d.arrive("read"))
 	d.reduce(vrevent.CatalogSeen{Catalog: replayCatalog(true, 1000)})
 	require.Equal(t, 1, d.state.WaitingCalls())
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -158,11 +158,11 @@
 // requirements returns what the call requires of a server. The model and adapter only matter
 // for language services.
 func (s *State) requirements(c *call) vrchoice.Requirements {
-	need := vrchoice.Requirements{Service: c.service, Exclude: c.tried}
+	need := vrchoice.Requirements{Service: c.service, Exclude: c.tried, ByCompletion: s.ordersAdmission(c.service), PromptTokens: c.PromptTokens}
 	if service := s.catalog.Service(c.service); service != nil && service.Engine != nil {
 		need.Model, need.Adapter = c.Model, c.Adapter
 	}
-	if s.ordered(c.service) {
+	if s.ordersAdmission(c.service) {
 		need.Room = s.roomNeed(c)
 	}
 	return need
@@ -203,7 +203,7 @@
 	if !s.authorize(now, c, out) || s.refuseBlocked(now, c, out) {
 		return
 	}
-	if s.ordered(c.service) {
+	if s.ordersAdmission(c.service) {
 		s.dispatchOrdered(now, c, out)
 		return
 	}
@@ -262,6 +262,7 @@
 func (s *State) beginAttempt(now time.Time, c *call, server *vrfleet.Server) attempt {
 	c.sends++
 	server.RecordSend()
+	server.RecordSendTime(now)
 	server.PendingPromptTokens += c.PromptTokens
 	s.addInFlight(c, server.ID, 1)
 	s.counts.Sent++
@@ -343,10 +344,11 @@
 	}
 }
 
-// releaseServer ends the count of a send at its server and returns the send as it was.
-func (s *State) releaseServer(c *call, a *attempt) attempt {
+// releaseServer ends the count of a send at its server and returns the send as it was. ran is false if the
+// server has certainly not run the call.
+func (s *State) releaseServer(c *call, a *attempt, ran bool) attempt {
 	ended := *a
-	s.fleet.RecordEnd(a.server)
+	s.recordRequestEnd(a, ran)
 	a.server.EndPlacement(&a.placement)
 	s.recordRoom(a.server)
 	s.addInFlight(c, a.server.ID, -1)
@@ -363,7 +365,7 @@
 	for _, a := range []*attempt{&c.attempt, c.hedge} {
 		if a != nil && a.server != nil {
 			s.quarantine.parts.RecordProbeEnd(a.probe)
-			s.releaseServer(c, a)
+			s.releaseServer(c, a, true)
 		}
 	}
 }
@@ -380,7 +382,7 @@
 		return
 	}
 	isHedge := a == c.hedge
-	ended := s.releaseServer(c, a)
+	ended := s.releaseServer(c, a, !e.Result.ProvesNotRun())
 	if c.waitedForServer {
 		s.expediteDemand(now)
 	}
@@ -434,14 +436,14 @@
 // send.
 func (s *State) recordOutcome(now time.Time, c *call, a *attempt, isHedge bool, e vrevent.SendEnded, out *vrevent.Effects) {
 	server := a.server
-	if e.Load != nil {
+	if e.Load != nil && !s.ordersAdmission(server.Service) {
 		server.SetLoad(now, e.Load.Running, e.Load.Waiting)
 		s.fleet.RecordStated(server, e.Load.Slots, e.Load.Pace)
 	}
 	failed := false
 	switch e.Result {
 	case vrevent.AttemptAnswered:
-		server.RecordSuccess(now, e.TimeToFirstByte)
+		s.recordAnswer(now, c, a, &e)
 		server.RecordUnreportedAnswer(a.sentAt)
 	case vrevent.AttemptNotLoaded:
 		server.MarkMissing(now, c.Model, c.Adapter)
@@ -455,12 +457,17 @@
 	case vrevent.AttemptTimedOut:
 		// If little time was left when the call was sent, or its stream paused only briefly, a late
 		// response says nothing about the server.
-		failed = now.Sub(later(a.sentAt, a.silentSince)) >= minFirstByteTimeout
+		failed = now.Sub(later(a.sentAt, a.silentSince)) >= s.failureTimeout(now, server)
 	case vrevent.AttemptSuperseded:
 		// A hedge that is superseded had less time than the send beside it.
-		failed = !isHedge && now.Sub(later(a.sentAt, a.silentSince)) >= minFirstByteTimeout
+		failed = !isHedge && now.Sub(later(a.sentAt, a.silentSince)) >= s.failureTimeout(now, server)
 	default:
 	}
+	if failed && e.Result == vrevent.AttemptServerError && s.isLastSound(now, c, server) {
+		// An error answer may follow from the request.
+		server.RecordError(now)
+		return
+	}
 	if failed && server.RecordFailure(now, s.fleet.PeerFailureRate(server)) {
 		out.Warn("server ejected", text("server", server.ID), text("result", e.Result.String()), text("detail", e.Detail))
 	}
@@ -476,7 +483,7 @@
 	c.resendsFree = e.Result == vrevent.AttemptUnauthorized
 	switch {
 	case c.resendsFree:
-	case e.Result == vrevent.AttemptBusy && s.ordered(c.service):
+	case e.Result == vrevent.AttemptBusy && s.ordersAdmission(c.service):
 		// The server may be the only one that can serve the call, and has room again soon.
 		c.superseded = append(c.superseded, a.server.ID)
 	default:
@@ -601,7 +608,7 @@
 		common = append(common, text("tenant", c.tenant.ID))
 		ended.Tenant = c.tenant.ID
 	}
-	if c.route != nil && s.ordered(c.service) {
+	if c.route != nil && s.ordersAdmission(c.service) {
 		common = append(common, number("level", uint64(c.level)), number("ahead", uint64(c.ahead)))
 	}
 	out.Add(ended)
--- a/verbenacore/vrgateway/room_wait.go
+++ b/verbenacore/vrgateway/room_wait.go
@@ -86,7 +86,7 @@
 
 // recordServiceTime records how long a server took for a call, for its model and for its service.
 func (s *State) recordServiceTime(c *call, duration, firstByte time.Duration) {
-	if !s.ordered(c.service) {
+	if !s.ordersAdmission(c.service) {
 		return
 	}
 	s.serviceTimeOf(c).record(duration, firstByte)
@@ -125,7 +125,7 @@
 		if !holds(now, server, model, adapter) {
 			continue
 		}
-		slots += server.TotalSlots()
+		slots += server.SlotCount()
 		occupied += server.Occupied(now)
 		if model == "" {
 			own += server.OwnRequests()
--- a/verbenacore/vrgateway/waits.go
+++ b/verbenacore/vrgateway/waits.go
@@ -78,7 +78,7 @@
 		s.endCall(now, c, vrwire.ReasonQueueFull, time.Second, out)
 		return
 	}
-	if len(list.calls) == 0 || !s.ordered(c.service) || !c.isRestricted() {
+	if len(list.calls) == 0 || !s.ordersAdmission(c.service) || !c.isRestricted() {
 		list.missing = missing
 	}
 	if !c.waiting {
@@ -120,7 +120,7 @@
 // dispatchWaiting sends the waiting calls for which a server is available.
 func (s *State) dispatchWaiting(now time.Time, out *vrevent.Effects) {
 	for _, key := range s.waitingTargets() {
-		if !s.ordered(key.service) {
+		if !s.ordersAdmission(key.service) {
 			s.dispatchTarget(now, key, out)
 		}
 	}
@@ -179,7 +179,7 @@
 		if list == nil {
 			continue
 		}
-		if s.ordered(key.service) {
+		if s.ordersAdmission(key.service) {
 			s.tickOrdered(now, list, out)
 		} else if list.missing == vrchoice.MissingHealthyServer || list.missing == vrchoice.MissingServer ||
 			list.missing == vrchoice.MissingRoom || !list.readyAt.IsZero() {
@@ -324,6 +324,7 @@
 			server.RemoveAdapter(notice.Model, notice.Adapter)
 		} else {
 			server.MarkMissing(now, notice.Model, "")
+			s.reportUnloadingUse(serverModel{server: notice.Server, model: notice.Model})
 		}
 	case vrwire.NoticeLoading:
 		if server != nil && notice.Adapter != "" {
