Keep the place of calls that were sent before

Cause: a call that a server had turned away was put behind all waiting calls of its tenant, although it had paid, and was refused for the wait. Change: a request that costs nothing starts at the virtual time of its rank.

--- a/verbenacore/vradmit/weighted.go
+++ b/verbenacore/vradmit/weighted.go
@@ -29,7 +29,7 @@
 func (q *Queue) Enqueue(now time.Time, item Item) *Item {
 	rq := &q.poolQueue(item.Pool).ranks[item.Rank]
 	q.prepare(now, rq, &item)
-	rq.virtualFinish[item.Caller] = item.virtualStart + item.virtualCost()
+	rq.virtualFinish[item.Caller] = max(rq.virtualFinish[item.Caller], item.virtualStart+item.virtualCost())
 	queued := q.allocItem()
 	*queued = item
 	if tq := rq.byTarget[item.Target]; tq != nil && item.Tokens <= tq.parkedTokens {
@@ -45,13 +45,17 @@
 	return queued
 }
 
-// prepare sets a new item's place in the order.
+// prepare sets a new item's place in the order. One that costs nothing, for example because it was sent before, does
+// not wait for the other requests of its caller.
 func (q *Queue) prepare(now time.Time, rq *rankQueue, item *Item) {
 	q.sequence++
 	item.sequence = q.sequence
 	item.late = !now.Before(item.LateAt)
 	item.tieNanos = item.Deadline.UnixNano()
-	item.virtualStart = max(rq.startTime(), rq.virtualFinish[item.Caller])
+	item.virtualStart = rq.startTime()
+	if item.Cost > 0 {
+		item.virtualStart = max(item.virtualStart, rq.virtualFinish[item.Caller])
+	}
 }
 
 // startTime returns the virtual time at which a caller without waiting requests starts. It is not later than the
--- a/verbenacore/vrgateway/admission_test.go
+++ b/verbenacore/vrgateway/admission_test.go
@@ -429,3 +429,31 @@
 	})
 	require.Less(t, allocations, 60.0)
 }
+
+// Guards against the refusal of a call that a server has turned away, because it was put behind all calls that
+// arrived after it.
+func TestCallThatWasTurnedAwayKeepsItsPlace(t *testing.T) {
+	d := newOrderedDaemon(t, appEntry("a1"), appEntry("a2"))
+	for range 2 {
+		d.reportLoad(d.requireSent(d.call("deferred", 0, 0)), vrevent.ServerLoad{Slots: 4})
+	}
+	var running []vrevent.SendCall
+	for range 8 {
+		running = append(running, d.requireSent(d.call("deferred", 0, 0)))
+	}
+	d.now = d.now.Add(time.Millisecond)
+	for range 12 {
+		require.Empty(t, d.call("deferred", 0, 0))
+	}
+	first := running[0]
+	require.Empty(t, d.reduce(vrevent.SendEnded{Call: first.Call, Send: first.Send, Result: vrevent.AttemptBusy, Load: &vrevent.ServerLoad{Running: 4}}))
+	for _, send := range running[1:] {
+		if send.Server != first.Server {
+			next := sends(d.endSend(send, vrevent.AttemptAnswered))
+			require.Len(t, next, 1)
+			require.Equal(t, first.Call, next[0].Call)
+			return
+		}
+	}
+	require.Fail(t, "all calls were sent to one server")
+}
