--- a/verbenacore/vrfleet/room.go
+++ b/verbenacore/vrfleet/room.go
@@ -5,9 +5,10 @@
 	"time"
 )
 
-// urgentSlotsDivisor limits the urgent requests beyond a server's slots to a quarter of them. The server
-// orders its own queue by priority, so they begin before what already waits there.
-const urgentSlotsDivisor = 4
+// sharedSlotsDivisor limits the requests beyond the slots of a server that only other daemons use to half of the
+// slots. In plays of 65 daemons, none beyond the slots left urgent calls waiting at daemons while servers had begun less
+// urgent ones, and twice as many were turned away by full servers.
+const sharedSlotsDivisor = 2
 
 // room counts this daemon's own requests at one process of a server.
 type room struct {
@@ -46,7 +47,7 @@
 type RoomNeed struct {
 	// Checked is set if the capacity of servers counts.
 	Checked bool
-	// Urgent requests may exceed the slots by a quarter.
+	// Urgent requests may exceed the slots of servers that other daemons use by as many again.
 	Urgent bool
 	// Tokens is the size of the prompt and of what may be generated.
 	Tokens int
@@ -84,17 +85,20 @@
 	return max(s.Running+waiting+max(s.SentSinceReport, s.room.sentSinceReport), counted)
 }
 
-// hasSlot reports whether a request with the need may be sent to the server. An urgent one goes before those that
-// wait there, and may exceed the slots by a quarter as far as they are used by other daemons: for a slot that
-// this daemon's own requests free, it rather waits at the daemon, where the first slot of any server is its own.
+// hasSlot reports whether a request with the need may be sent to the server. Where other daemons use the server too,
+// a request may be sent beyond its slots, as far as they use it: the server knows the requests of all daemons and
+// begins the most urgent one first, while each daemon knows its own only. For a slot that this daemon's own requests
+// free, a request rather waits at the daemon, where the first slot of any server is its own. An urgent one goes before
+// those that wait at the server.
 func (s *Server) hasSlot(now time.Time, urgent bool) bool {
 	slots := s.SlotCount()
-	if !urgent {
-		return s.Occupied(now) < slots
+	waiting, divisor := s.Waiting, sharedSlotsDivisor
+	if urgent {
+		waiting, divisor = 0, 1
 	}
-	occupied := s.occupied(now, 0)
+	occupied := s.occupied(now, waiting)
 	others := max(0, occupied-s.room.inFlight)
-	return occupied < slots+slots*others/(urgentSlotsDivisor*max(occupied, 1))
+	return occupied < slots+slots*others/(divisor*max(occupied, 1))
 }
 
 // OwnRequests returns the number of this daemon's requests at the server.
--- a/verbenacore/vrgateway/admission_test.go
+++ b/verbenacore/vrgateway/admission_test.go
@@ -437,8 +437,8 @@
 // arrived after it.
 func TestCallThatWasTurnedAwayKeepsItsPlace(t *testing.T) {
 	d := newOrderedDaemon(t, appEntry("a1"), appEntry("a2"))
-	for range 2 {
-		d.reportLoad(d.requireSent(d.call("deferred", 0, 0)), vrevent.ServerLoad{Slots: 4})
+	for _, id := range []vrid.ServerID{"a1", "a2"} {
+		d.reduce(vrevent.LoadReported{Server: id, Born: 1, Load: vrevent.ServerLoad{Slots: 4}})
 	}
 	var running []vrevent.SendCall
 	for range 8 {
