Report ended calls of an unloaded model at once

A daemon whose calls for a model had ended since its last report, before it learned of the unload, reported nothing until its next report, and the owner held the load back meanwhile. The daemon now reports at once if its last report listed such calls.

--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -253,8 +253,8 @@
 			report.Items = append(report.Items, s.demandOf(now, key, s.waitLists[key]))
 		}
 	}
-	if len(report.Items) > 0 || s.lease.Holding() || s.reportedInFlight || s.needsReport(now) {
-		s.reportedInFlight = len(report.InFlight) > 0
+	if len(report.Items) > 0 || s.lease.Holding() || len(s.reportedInFlight) > 0 || s.needsReport(now) {
+		s.reportedInFlight = report.InFlight
 		s.sendDemand(now, report, out)
 	}
 }
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -21,6 +21,7 @@
 	"verbenaroute.example/verbenacore/vrquarantine"
 	"verbenaroute.example/verbenacore/vrresidence"
 	"verbenaroute.example/verbenacore/vrretry"
+	"verbenaroute.example/verbenacore/vrwire"
 )
 
 // Bounds are the limits that a deployment configures.
@@ -68,9 +69,9 @@
 	// inFlight counts the calls that were sent and have not ended, by server and model.
 	inFlight map[serverModel]uint32
 	// unloading holds the models that servers are about to unload while calls of this daemon are in flight for
-	// them. reportedInFlight is set if the last full demand report listed calls in flight.
+	// them. reportedInFlight lists the calls in flight of the last full demand report.
 	unloading        map[serverModel]bool
-	reportedInFlight bool
+	reportedInFlight []vrwire.ServerInFlight
 	peers            []vrevent.Peer
 	feed             *vrfeed.Feed
 	// feedDaemons is the number of daemons that the feeder of the zone knows.
