Do not take servers left out of a full list for empty

A heartbeat lists the 64 servers with most requests, and a server that it did not list counted as empty. With 112 servers that all have more than half of their slots in use, 48 looked empty to every daemon. If the list is full, servers left out keep what else is known of them.

--- a/verbenacore/vrgateway/loads.go
+++ b/verbenacore/vrgateway/loads.go
@@ -88,7 +88,8 @@
 }
 
 // applyLoads applies the sums of a heartbeat that was sent no earlier than sentAt. A server that it does not list
-// has few requests.
+// has few requests, unless the list is full. Then nothing is known of it: if those left out counted as empty, they
+// would draw nearly all calls.
 func (s *State) applyLoads(sentAt time.Time, notices *vrwire.Notices) {
 	at := sentAt.Add(-time.Duration(max(0, notices.LoadsAge)) * time.Millisecond)
 	for i := range s.catalog.Services {
@@ -98,11 +99,12 @@
 		}
 		for _, server := range s.fleet.ServersOf(service) {
 			index := slices.IndexFunc(notices.Loads, func(load vrwire.ServerRequests) bool { return load.Server == server.ID })
-			requests := 0
-			if index >= 0 {
-				requests = int(notices.Loads[index].Requests)
+			switch {
+			case index >= 0:
+				server.SetOthersRequests(at, int(notices.Loads[index].Requests))
+			case len(notices.Loads) < maxLoads:
+				server.SetOthersRequests(at, 0)
 			}
-			server.SetOthersRequests(at, requests)
 		}
 	}
 }
--- a/verbenacore/vrgateway/loads_test.go
+++ b/verbenacore/vrgateway/loads_test.go
@@ -1,6 +1,7 @@
 package vrgateway_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -212,3 +213,32 @@
 	}
 	require.Less(t, counts["a1"], 10, "%v", counts)
 }
+
+// Guards against servers that look empty because a full list of sums leaves them out.
+func TestServersLeftOutOfAFullListAreNotEmpty(t *testing.T) {
+	const servers, listed = 100, 64
+	var entries []vrfleet.Entry
+	for i := range servers {
+		entries = append(entries, engineEntry(vrid.ServerID(fmt.Sprintf("e%02d", i)), "m"))
+	}
+	d := newReadyDaemon(t, entries...)
+	d.listTwentyDaemons()
+	var loads []vrwire.ServerRequests
+	for i, entry := range entries {
+		d.reduce(vrevent.LoadReported{Server: entry.ID, Born: 1, Load: vrevent.ServerLoad{Running: 8, Pace: 100, Slots: 12}})
+		if i < listed {
+			loads = append(loads, vrwire.ServerRequests{Server: entry.ID, Requests: 8})
+		}
+	}
+	d.now = d.now.Add(5 * time.Second)
+	d.reduce(vrevent.PeerMessage{Envelope: &vrwire.Envelope{From: "d2", Notices: &vrwire.Notices{
+		Epoch: 1, CatalogVersion: 1, ReportBoot: "b1", ReportSentAt: 5000, Loads: loads,
+	}}})
+	leftOut := 0
+	for range 60 {
+		if d.requireSentOn("stream").Server >= entries[listed].ID {
+			leftOut++
+		}
+	}
+	require.Less(t, leftOut, 40)
+}
