Eject a server that stays silent whatever its pace was

A silence of up to 300 ms times the server's average pace counted neither as a failure nor against the server. The average stays as it is while a server hangs, so with reads that are hedged after 300 ms and answered elsewhere soon after, a hanging server was never ejected. A silence that begins after an excused one, without a report in between, now counts as a failure.

--- a/verbenacore/vrfleet/load.go
+++ b/verbenacore/vrfleet/load.go
@@ -55,6 +55,8 @@
 	// pace is the last stated pace, at paceAt, and averagePace the smoothed one; zero before.
 	pace, averagePace float64
 	paceAt            time.Time
+	// excusedAt is when a silence was first put down to a slow machine since the last report, zero if none was.
+	excusedAt time.Time
 	// others are the requests in flight of all other daemons at othersAt.
 	others   int
 	othersAt time.Time
@@ -118,6 +120,16 @@
 	return pace / usualPace
 }
 
+// ExcuseSilence reports whether a silence that began at since and is no longer than a slow machine explains is no
+// failure. A silence that begins after an excused one, without a report of the server in between, is a failure: the
+// pace of a server that hangs stays as it was.
+func (s *Server) ExcuseSilence(now, since time.Time) bool {
+	if s.load.excusedAt.IsZero() {
+		s.load.excusedAt = now
+	}
+	return since.Before(s.load.excusedAt)
+}
+
 // RecordError records an error that the server has answered, which may follow from the request. It makes the server
 // less attractive, however quick it answers, but does not eject it.
 func (s *Server) RecordError(now time.Time) {
@@ -169,6 +181,7 @@
 	requests := float64(report.Running + report.Waiting)
 	f.meanRequests[s.Service] += (requests - f.meanRequests[s.Service]) * meanWeight
 	s.SetLoad(now, report.Running, report.Waiting)
+	s.load.excusedAt = time.Time{}
 	s.load.includedUntil = now.Add(-reportTransit)
 	for _, sentAt := range s.load.sentAt {
 		if sentAt.After(s.load.includedUntil) {
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -412,10 +412,10 @@
 	case vrevent.AttemptTimedOut:
 		// If little time was left when the call was sent, or its stream paused only briefly, a late
 		// response says nothing about the server.
-		failed = now.Sub(later(a.sentAt, a.silentSince)) >= s.failureTimeout(now, server)
+		failed = s.silenceFails(now, server, later(a.sentAt, a.silentSince))
 	case vrevent.AttemptSuperseded:
 		// A hedge that is superseded had less time than the send beside it.
-		failed = !isHedge && now.Sub(later(a.sentAt, a.silentSince)) >= s.failureTimeout(now, server)
+		failed = !isHedge && s.silenceFails(now, server, later(a.sentAt, a.silentSince))
 	default:
 	}
 	if failed && e.Result == vrevent.AttemptServerError && s.isLastSound(now, c, server) {
--- a/verbenacore/vrgateway/loads.go
+++ b/verbenacore/vrgateway/loads.go
@@ -109,13 +109,17 @@
 	}
 }
 
-// failureTimeout returns the silence from which a server that has not answered counts as failed. That of a
-// server on a slow machine is longer.
-func (s *State) failureTimeout(now time.Time, server *vrfleet.Server) time.Duration {
-	if !s.ordersAdmission(server.Service) {
-		return minFirstByteTimeout
+// silenceFails reports whether the silence of a send since a time counts as a failure of its server. A server on a
+// slow machine has longer, but not time after time.
+func (s *State) silenceFails(now time.Time, server *vrfleet.Server, since time.Time) bool {
+	silence := now.Sub(since)
+	if !s.ordersAdmission(server.Service) || silence < minFirstByteTimeout {
+		return silence >= minFirstByteTimeout
 	}
-	return time.Duration(float64(minFirstByteTimeout) * server.SlowestPace(now))
+	if silence >= time.Duration(float64(minFirstByteTimeout)*server.SlowestPace(now)) {
+		return true
+	}
+	return !server.ExcuseSilence(now, since)
 }
 
 // recordAnswer records the answer of a server. Where admission is ordered, an error is no success of the server, and
--- a/verbenacore/vrgateway/loads_test.go
+++ b/verbenacore/vrgateway/loads_test.go
@@ -184,6 +184,27 @@
 	}
 }
 
+// Guards against a server that hangs and is never ejected because its average pace excuses each silence. Silences at
+// the same time are excused together.
+func TestPaceExcusesNoRepeatedSilence(t *testing.T) {
+	d := newReadyDaemon(t, engineEntry("e1", "m"))
+	d.reduce(vrevent.LoadReported{Server: "e1", Born: 1, Load: vrevent.ServerLoad{Pace: 250}})
+	silence := func(calls int) {
+		var silent []vrevent.SendCall
+		for range calls {
+			silent = append(silent, d.requireSentOn("stream"))
+		}
+		d.now = d.now.Add(320 * time.Millisecond)
+		for _, send := range silent {
+			d.reduce(vrevent.SendEnded{Call: send.Call, Send: send.Send, Result: vrevent.AttemptTimedOut})
+		}
+	}
+	silence(4)
+	silence(1)
+	silence(1)
+	require.Empty(t, sends(d.arrive("stream")))
+}
+
 // The last sound server stays in use when it answers errors, but not when it breaks connections: those do not follow
 // from the request.
 func TestLastServerIsEjectedForBrokenConnections(t *testing.T) {
