--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -38,7 +38,9 @@
 // call is the state of one client attempt from its arrival to its end.
 type call struct {
 	vrevent.Call
-	route     *vrcatalog.Route
+	route *vrcatalog.Route
+	// tenant is that of the call's API key, nil if its route is public or the catalog has no tenants.
+	tenant    *vrcatalog.Tenant
 	service   vrid.ServiceID
 	arrivedAt time.Time
 	// deadline is when the response has to be complete.
@@ -133,6 +135,9 @@
 	if timeout := c.route.Timeout; timeout > 0 && (arrived.Timeout <= 0 || timeout < arrived.Timeout) {
 		c.deadline = now.Add(timeout)
 	}
+	if arrived.HasKey && !c.route.Public {
+		c.tenant = s.catalog.TenantByKey(arrived.Key)
+	}
 	c.service = c.route.Pick(s.random.Float64())
 	s.calls[c.ID] = c
 	s.countDemandArrival(c)
