Limit the requests of tenants over all daemons

A tenant's quota counts over all daemons, and nothing applied it. Each daemon now owns a part of each quota and delegates it to one allocator, usually the placement owner, which grants credit from token buckets. Without a limited tenant nothing is sent. No figure measured.

--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -79,6 +79,7 @@
 	// is when it first had to wait for that.
 	held      bool
 	heldSince time.Time
+	quota     callQuota
 	// timeToFirstByte is the time from the arrival to the first byte of the response. It is
 	// set once the response is complete.
 	timeToFirstByte time.Duration
@@ -138,6 +139,9 @@
 	if arrived.HasKey && !c.route.Public {
 		c.tenant = s.catalog.TenantByKey(arrived.Key)
 	}
+	if s.refuseOverQuota(now, c, out) {
+		return
+	}
 	c.service = c.route.Pick(s.random.Float64())
 	s.calls[c.ID] = c
 	s.countDemandArrival(c)
@@ -216,6 +220,9 @@
 
 // send sends a call to a server, unless it is a retry beyond the retry budget.
 func (s *State) send(now time.Time, c *call, server *vrfleet.Server, out *vrevent.Effects) {
+	if !s.takeQuota(now, c, out) {
+		return
+	}
 	if !s.takeRetryBudget(now, c) {
 		s.endCall(now, c, vrwire.ReasonNoReplica, shortRetryAfter, out)
 		return
@@ -529,6 +536,7 @@
 func (s *State) removeCall(now time.Time, c *call, outcome string, reason vrwire.Reason, out *vrevent.Effects, fields ...vrevent.LogField) {
 	s.dequeue(c)
 	s.release(c)
+	s.endQuota(now, c)
 	s.cancelAttempts(c)
 	delete(s.calls, c.ID)
 	s.countDemandEnd(c)
@@ -546,6 +554,7 @@
 	}
 	if reason != "" {
 		common = append(common, text("reason", reason))
+		common = append(common, s.quotaFields(c)...)
 	}
 	out.Add(ended)
 	if c.Model != "" {
--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -281,6 +281,7 @@
 	s.forgetReports()
 	s.setFeedMembers(now)
 	s.retryBudget.SetDaemons(len(e.Peers))
+	s.setQuotaDaemons(now)
 }
 
 func (s *State) handlePeerMessage(now time.Time, envelope *vrwire.Envelope, out *vrevent.Effects) {
@@ -305,6 +306,9 @@
 	if envelope.From == s.owner.daemon {
 		s.owner.unreachableAt = time.Time{}
 	}
+	if s.handleQuotaMessage(now, envelope, out) {
+		return
+	}
 	if notices := envelope.Notices; notices != nil && notices.Epoch >= s.owner.epoch {
 		s.recordHeartbeat(now, notices)
 		s.quarantine.parts.HandleVersion(notices.Epoch, notices.QuarantineVersion)
--- a/verbenacore/vrgateway/quarantine.go
+++ b/verbenacore/vrgateway/quarantine.go
@@ -84,6 +84,7 @@
 		out.Info("call held for its prompt parts", text("request", c.Request), number("sends", uint64(c.sends)),
 			text("parts", joinParts(c.PromptParts)), millis("leftMs", c.deadline.Sub(now)))
 	}
+	s.leaveQuota(c)
 	if !c.held {
 		c.held = true
 		s.quarantine.held = append(s.quarantine.held, c)
--- a/verbenacore/vrgateway/shutdown.go
+++ b/verbenacore/vrgateway/shutdown.go
@@ -127,6 +127,7 @@
 // and stops sending. The runtime ends the open sends.
 func (s *State) handleGraceExpired(now time.Time, out *vrevent.Effects) {
 	s.shutdown.graceExpired = true
+	s.endQuotaWaits(now, out)
 	for _, c := range slices.Clone(s.quarantine.held) {
 		s.endCall(now, c, vrwire.ReasonShuttingDown, shortRetryAfter, out)
 	}
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -32,6 +32,10 @@
 	Retries vrretry.Options
 	// Ceiling limits the rate of model loads from the weight store.
 	Ceiling vrresidence.Ceiling
+	// In each QuotaWindow, a tenant may exceed its quota by the fraction QuotaOverrun and by QuotaSlack, in
+	// the unit of the quota.
+	QuotaWindow              time.Duration
+	QuotaOverrun, QuotaSlack float64
 }
 
 // Options configures a State.
@@ -81,6 +85,7 @@
 	reportSentAt time.Time
 	startedAt    time.Time
 	shutdown     shutdownState
+	quota        quotaState
 	// durations are those of the calls of each route.
 	durations map[vrcatalog.RouteID]*callDurations
 	counts    Counts
@@ -211,6 +216,7 @@
 		s.handlePeerMessage(now, e.Envelope, out)
 	case vrevent.PeerUnreachable:
 		s.owner.markUnreachable(now, e.Peer)
+		s.markQuotaUnreachable(now, e.Peer, out)
 	case vrevent.ShutdownRequested:
 		s.handleShutdown(now, e, out)
 	}
@@ -220,6 +226,7 @@
 	s.tickAbsentServers(now, out)
 	s.tickLeavingChecks(now, out)
 	s.tickWaits(now, out)
+	s.tickQuota(now, out)
 	s.tickLease(now, out)
 	s.tickDemand(now, out)
 	s.tickHeartbeat(now, out)
@@ -235,6 +242,7 @@
 	}
 	s.catalog = catalog
 	s.forgetDurations()
+	s.setQuotaCatalog(now)
 	out.Info("catalog adopted", number("version", uint64(catalog.Version)),
 		number("routes", uint64(len(catalog.Routes))), number("services", uint64(len(catalog.Services))),
 		text("call", e.Read.Call), millis("receivingMs", e.Read.Receiving), boolean("owner", s.lease.Holding()),
--- a/verbenacore/vrgateway/waits.go
+++ b/verbenacore/vrgateway/waits.go
@@ -79,6 +79,7 @@
 		return
 	}
 	list.missing = missing
+	s.leaveQuota(c)
 	if !c.waiting {
 		c.waiting, c.waitingSince = true, now
 		list.calls = append(list.calls, c)
--- a/verbenacore/vrwire/fleet.go
+++ b/verbenacore/vrwire/fleet.go
@@ -126,10 +126,14 @@
 	ReportBoot   vrid.BootID `protobuf:"bytes,9,opt,name=reportBoot,proto3"`
 	ReportSentAt int64       `protobuf:"varint,10,opt,name=reportSentAt,proto3"`
 	ReportAge    int64       `protobuf:"varint,11,opt,name=reportAge,proto3"`
+	// QuotaRequest and QuotaReply are messages between a daemon and its allocator of quotas. Epoch is zero
+	// then.
+	QuotaRequest *QuotaRequest `protobuf:"bytes,20,opt,name=quotaRequest,proto3"`
+	QuotaReply   *QuotaReply   `protobuf:"bytes,21,opt,name=quotaReply,proto3"`
 }
 
 // Validate checks that each notice has a known kind and, unless the server is leaving,
-// names a model, and the messages about parts of prompts.
+// names a model, and the messages about parts of prompts and about quotas.
 func (n *Notices) Validate() error {
 	for _, item := range n.Items {
 		if item.Kind < NoticeLoading || item.Kind > NoticeLeaving || (item.Model == "" && item.Kind != NoticeLeaving) {
@@ -142,7 +146,17 @@
 		}
 	}
 	if n.Quarantine != nil {
-		return n.Quarantine.Validate()
+		if err := n.Quarantine.Validate(); err != nil {
+			return err
+		}
+	}
+	if n.QuotaRequest != nil {
+		if err := n.QuotaRequest.Validate(); err != nil {
+			return err
+		}
+	}
+	if n.QuotaReply != nil {
+		return n.QuotaReply.Validate()
 	}
 	return nil
 }
--- a/verbenaroute/internal/vrnode/metrics.go
+++ b/verbenaroute/internal/vrnode/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -59,6 +60,10 @@
 	gauge("verbena_orders_unknown_total", func() float64 { return float64(n.state.Counts().OrdersUnknown) })
 	gauge(`verbena_servers_leaving_total{cause="response"}`, func() float64 { return float64(n.state.Counts().LeavingByResponse) })
 	gauge(`verbena_servers_leaving_total{cause="daemon"}`, func() float64 { return float64(n.state.Counts().LeavingByDaemon) })
+	gauge("verbena_quota_grants_total", func() float64 { return float64(n.state.QuotaCounts().Grants) })
+	gauge("verbena_quota_denials_total", func() float64 { return float64(n.state.QuotaCounts().Denials) })
+	gauge("verbena_quota_grants_expired_total", func() float64 { return float64(n.state.QuotaCounts().Expired) })
+	gauge("verbena_quota_refused_total", func() float64 { return float64(n.state.QuotaCounts().Refused) })
 	// The store's client holds its lock while it submits an event, so these gauges must not hold the
 	// node's.
 	m.set.NewGauge("verbena_store_restores_total", func() float64 { return float64(n.restores.Load()) })
@@ -108,10 +113,22 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`verbena_requests_cut_total{cause=%q}`, cause)).Inc()
 }
 
+// writeQuotaCredits writes the credit of tenants at this daemon. Only allocators have any, and the tenants
+// change with the catalog, so the gauges are not registered.
+func (m *metrics) writeQuotaCredits(w io.Writer) {
+	m.node.mu.Lock()
+	credits := m.node.state.QuotaCredits(m.node.clock.Now())
+	m.node.mu.Unlock()
+	for _, c := range credits {
+		fmt.Fprintf(w, "verbena_quota_credit{tenant=%q} %g\n", c.Tenant, c.Credit)
+	}
+}
+
 func (m *metrics) serve(w http.ResponseWriter, _ *http.Request) {
 	for kind, count := range m.droppedLines() {
 		m.set.GetOrCreateCounter(fmt.Sprintf(`verbena_log_lines_dropped_total{kind=%q}`, kind)).Set(count)
 	}
 	m.set.WritePrometheus(w)
+	m.writeQuotaCredits(w)
 	vmetrics.WriteProcessMetrics(w)
 }
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -94,6 +94,8 @@
 			Lease:   bounds.Lease.Std(),
 			Retries: retryOptions(bounds),
 			Ceiling: vrresidence.Ceiling{Window: bounds.CeilingWindow.Std(), Factor: bounds.CeilingFactor},
+
+			QuotaWindow: bounds.QuotaWindow.Std(), QuotaOverrun: bounds.QuotaOverrun, QuotaSlack: bounds.QuotaSlack,
 		},
 	})
 	n.proxy = vrrelay.New(vrrelay.Options{
