--- a/verbenacore/vrquota/property_test.go
+++ b/verbenacore/vrquota/property_test.go
@@ -14,11 +14,12 @@
 // siteBounds are those of the deployment with tenants.
 var siteBounds = vrquota.Bounds{Window: 8 * time.Second, Overrun: 0.1, Slack: 17_000}
 
-// trouble does what may happen to daemons and to the network at a step.
-func (m *model) trouble(mayAdd bool) {
+// trouble does what may happen to daemons and to the network at a step, one thing in rarity/12 steps on
+// average.
+func (m *model) trouble(rarity int, mayAdd bool) {
 	h := m.hosts[m.random.IntN(len(m.hosts))]
 	pause := func(limit time.Duration) time.Duration { return time.Duration(m.random.Int64N(int64(limit))) }
-	switch m.random.IntN(600) {
+	switch m.random.IntN(rarity) {
 	case 0, 1:
 		m.freeze(h, pause(6*time.Second))
 	case 2, 3:
@@ -65,9 +66,12 @@
 		}
 		m := newModel(seed, daemons, quota, bounds)
 		m.lateRuns, m.lostRuns = true, rapid.Bool().Draw(t, "lostRuns")
+		// Much trouble leaves little credit, and little shows what a single event does.
+		rarity := rapid.SampledFrom([]int{600, 3000, 9000}).Draw(t, "rarity")
+		lossiness := rapid.SampledFrom([]int{30, 300, 30_000}).Draw(t, "lossiness")
 		usual := m.delay
 		m.delay = func() time.Duration {
-			switch m.random.IntN(30) {
+			switch m.random.IntN(lossiness) {
 			case 0:
 				return -1
 			case 1:
@@ -76,11 +80,13 @@
 			return usual()
 		}
 		perStep := max(1, int(quota.Rate*modelStep.Seconds()*4/1100))
-		for range 2500 {
+		// Floods follow upon times of rest, in which the buckets fill.
+		rest := 1 + rapid.IntRange(0, 800).Draw(t, "rest")
+		for step := range 2500 {
 			m.step()
 			// With bounds without room, the number of daemons must not change, see the package's comment.
-			m.trouble(!tight && daemons >= 10)
-			for range perStep {
+			m.trouble(rarity, !tight && daemons >= 10)
+			for range perStep * (step / rest % 2) {
 				m.arrive(m.hosts[m.random.IntN(len(m.hosts))], 100+m.random.Int64N(2000))
 			}
 		}
