Tests of quotas at a daemon, and bounds of their messages

The daemon's part is kept from the start, so that quotas that a later catalog brings have credit soon.

--- a/verbenacore/vrgateway/quota.go
+++ b/verbenacore/vrgateway/quota.go
@@ -23,7 +23,7 @@
 
 // quotaState holds this daemon's part of the quotas, and the calls that wait for credit.
 type quotaState struct {
-	// active is set while the catalog limits a tenant. daemon and allocator are nil until it first is.
+	// active is set while the catalog limits a tenant. daemon and allocator are nil before the first catalog.
 	active    bool
 	daemon    *vrquota.Daemon
 	allocator *vrquota.Allocator
@@ -96,17 +96,15 @@
 	for i := range s.catalog.Tenants {
 		q.active = q.active || s.catalog.Tenants[i].Quota.Rate > 0
 	}
-	if q.active && q.daemon == nil {
+	if q.daemon == nil {
 		bounds := vrquota.Bounds{Window: s.opts.Bounds.QuotaWindow, Overrun: s.opts.Bounds.QuotaOverrun, Slack: s.opts.Bounds.QuotaSlack}
 		q.daemon = vrquota.NewDaemon(s.startedAt, s.opts.Daemon, s.opts.Boot, bounds)
 		q.allocator = vrquota.NewAllocator(now, s.opts.Boot, bounds)
 		q.needs = s.waitingNeeds()
 		s.setQuotaDaemons(now)
 	}
-	if q.daemon != nil {
-		q.daemon.SetCatalog(s.catalog)
-		q.allocator.SetCatalog(now, s.catalog)
-	}
+	q.daemon.SetCatalog(s.catalog)
+	q.allocator.SetCatalog(now, s.catalog)
 }
 
 // setQuotaDaemons records the registered daemons.
@@ -122,8 +120,10 @@
 	s.quota.allocator.SetDaemons(now, len(ids))
 }
 
-// cost returns what the call counts towards its tenant's quota.
-func (c *call) cost() int64 { return c.tenant.Cost(c.PromptTokens, c.OutputTokens, c.DeclaresTokens) }
+// cost returns what the call counts towards its tenant's quota. Clients may declare any number of tokens.
+func (c *call) cost() int64 {
+	return min(c.tenant.Cost(c.PromptTokens, c.OutputTokens, c.DeclaresTokens), vrwire.MaxQuotaAmount)
+}
 
 // refuseOverQuota refuses a call on its arrival if its tenant is known to have reached its limit.
 func (s *State) refuseOverQuota(now time.Time, c *call, out *vrevent.Effects) bool {
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -136,10 +136,10 @@
 // Counts returns the running totals.
 func (s *State) Counts() Counts { return s.counts }
 
-// WaitingCalls returns the number of calls that wait for a server or for the clearance of their
-// prompt.
+// WaitingCalls returns the number of calls that wait for a server, for the clearance of their
+// prompt or for credit.
 func (s *State) WaitingCalls() int {
-	count := len(s.quarantine.held)
+	count := len(s.quarantine.held) + len(s.quota.waiting)
 	for _, list := range s.waitLists {
 		count += len(list.calls)
 	}
--- a/verbenacore/vrquota/charge.go
+++ b/verbenacore/vrquota/charge.go
@@ -113,9 +113,10 @@
 // AsksAhead reports whether the next request asks for credit in advance.
 func (d *Daemon) AsksAhead() bool { return len(d.listed) > 0 }
 
-// listAhead makes the next request ask for the credit that the tenant's regular demand needs.
+// listAhead makes the next request ask for the credit that the tenant's regular demand needs. A daemon that is
+// its own allocator has the answer at once.
 func (d *Daemon) listAhead(now time.Time, p *pot) {
-	if !p.listed && !now.Before(p.denied.until) && p.ahead(now) > 0 {
+	if d.part.at != d.id && !p.listed && !now.Before(p.denied.until) && p.ahead(now) > 0 {
 		p.listed = true
 		d.listed = append(d.listed, p)
 	}
--- a/verbenacore/vrquota/limit.go
+++ b/verbenacore/vrquota/limit.go
@@ -48,9 +48,12 @@
 	if !(quota.Rate > 0) || math.IsInf(quota.Rate, 0) {
 		return Limit{}
 	}
+	if bounds.Window <= 0 {
+		return Limit{Rate: quota.Rate, Depth: smallestDepth(quota), Life: maxLife}
+	}
 	window := bounds.Window.Seconds()
 	allowed := (quota.Rate*window+quota.Burst)*(1+bounds.Overrun) + bounds.Slack
-	depth := max(quota.Burst, quota.Rate*minDepth.Seconds(), minRequests*float64(max(defaultCost(quota), 1)))
+	depth := smallestDepth(quota)
 	// A shorter life leaves more of a tight bound for the tenant.
 	lifeSeconds := (allowed - quota.Rate*window - depth) / (2 * quota.Rate)
 	life := min(max(seconds(lifeSeconds), minLife), maxLife)
@@ -58,6 +61,11 @@
 	return Limit{Rate: quota.Rate * factor, Depth: depth * factor, Life: life}
 }
 
+// smallestDepth returns the depth of a bucket for the quota alone.
+func smallestDepth(quota vrcatalog.Quota) float64 {
+	return max(quota.Burst, quota.Rate*minDepth.Seconds(), minRequests*float64(max(defaultCost(quota), 1)))
+}
+
 // defaultCost returns the cost of a request that declares no tokens.
 func defaultCost(quota vrcatalog.Quota) int64 {
 	if quota.Unit == vrcatalog.UnitTokens {
--- a/verbenacore/vrquota/model_test.go
+++ b/verbenacore/vrquota/model_test.go
@@ -85,7 +85,9 @@
 
 func newModel(seed uint64, daemons int, quota vrcatalog.Quota, bounds vrquota.Bounds) *model {
 	m := &model{random: rand.New(rand.NewPCG(seed, 1)), now: modelEpoch, bounds: bounds}
-	m.delay = func() time.Duration { return 100*time.Microsecond + time.Duration(m.random.Int64N(int64(16*time.Millisecond))) }
+	m.delay = func() time.Duration {
+		return 100*time.Microsecond + time.Duration(m.random.Int64N(int64(16*time.Millisecond)))
+	}
 	m.setQuota(quota)
 	for range daemons {
 		m.addHost()
--- a/verbenacore/vrwire/quota.go
+++ b/verbenacore/vrwire/quota.go
@@ -11,9 +11,12 @@
 	// MaxQuotaTerm is the maximum duration of a delegation in milliseconds. A daemon that restarts waits
 	// longer than this before it delegates its part again.
 	MaxQuotaTerm = 2400
-	// maxQuotaDaemons and maxQuotaRetryAfter (in milliseconds) only exclude malformed messages.
+	// maxQuotaDaemons and maxQuotaRetryAfter, the latter in milliseconds, only exclude malformed messages.
 	maxQuotaDaemons    = 1 << 16
 	maxQuotaRetryAfter = 60_000
+	// maxQuotaTime is the largest time of an allocator's clock in milliseconds. A larger one would overflow a
+	// time.Duration.
+	maxQuotaTime = 1 << 40
 )
 
 // QuotaNeed is what a daemon needs of the quota of a tenant.
@@ -51,7 +54,7 @@
 	switch {
 	case q.Number == 0:
 		return &DecodeError{Message: "QuotaRequest", Field: "number", Problem: "is zero"}
-	case q.Echo < 0 || q.Term < 0 || q.Term > MaxQuotaTerm:
+	case q.Echo < 0 || q.Echo > maxQuotaTime || q.Term < 0 || q.Term > MaxQuotaTerm:
 		return &DecodeError{Message: "QuotaRequest", Field: "term", Problem: "the time of a delegation is out of bounds"}
 	case q.Daemons > maxQuotaDaemons || q.Registered > maxQuotaDaemons:
 		return &DecodeError{Message: "QuotaRequest", Field: "daemons", Problem: "a number of daemons is out of bounds"}
@@ -98,8 +101,8 @@
 	switch {
 	case q.To == "" || q.Number == 0:
 		return &DecodeError{Message: "QuotaReply", Field: "to", Problem: "it names no request"}
-	case q.Time < 0:
-		return &DecodeError{Message: "QuotaReply", Field: "time", Problem: "is negative"}
+	case q.Time < 0 || q.Time > maxQuotaTime:
+		return &DecodeError{Message: "QuotaReply", Field: "time", Problem: "is out of bounds"}
 	case q.Daemons > maxQuotaDaemons:
 		return &DecodeError{Message: "QuotaReply", Field: "daemons", Problem: "the number of daemons is out of bounds"}
 	case len(q.Grants) > MaxQuotaItems:
--- a/verbenacore/vrwire/vrwire_test.go
+++ b/verbenacore/vrwire/vrwire_test.go
@@ -126,4 +126,49 @@
 	requireRandomRoundTrips[vrwire.SlotRequest](t, random)
 	requireRandomRoundTrips[vrwire.SlotGrant](t, random)
 	requireRandomRoundTrips[vrwire.QueryReply](t, random)
+	requireRandomRoundTrips[vrwire.QuotaRequest](t, random)
+	requireRandomRoundTrips[vrwire.QuotaReply](t, random)
+}
+
+// Guards against amounts and times out of bounds, which would overflow sums, and against a delegation that
+// outlives the wait of a restarted daemon.
+func TestQuotaMessagesAreBounded(t *testing.T) {
+	need := vrwire.QuotaNeed{Tenant: "t", Amount: 20, Urgent: 10, Least: 5}
+	request := vrwire.QuotaRequest{Number: 1, EchoBoot: "b", Echo: 7, Term: vrwire.MaxQuotaTerm, Daemons: 65, Registered: 64, Needs: []vrwire.QuotaNeed{need}}
+	reply := vrwire.QuotaReply{To: "b", Number: 1, Time: 9, Daemons: 65, Grants: []vrwire.QuotaGrant{{Tenant: "t", Granted: 10, RetryAfter: 5}}}
+	requireRoundTrip(t, vrwire.Envelope{Notices: &vrwire.Notices{QuotaRequest: &request}})
+	requireRoundTrip(t, vrwire.Envelope{Notices: &vrwire.Notices{QuotaReply: &reply}})
+	for name, change := range map[string]func(*vrwire.QuotaRequest){
+		"number": func(q *vrwire.QuotaRequest) { q.Number = 0 },
+		"echo":   func(q *vrwire.QuotaRequest) { q.Echo = -1 },
+		"term":   func(q *vrwire.QuotaRequest) { q.Term++ },
+		"boot":   func(q *vrwire.QuotaRequest) { q.EchoBoot = "" },
+		"parts":  func(q *vrwire.QuotaRequest) { q.Daemons = 1 << 20 },
+		"needs":  func(q *vrwire.QuotaRequest) { q.Needs = make([]vrwire.QuotaNeed, vrwire.MaxQuotaItems+1) },
+		"tenant": func(q *vrwire.QuotaRequest) { q.Needs[0].Tenant = "" },
+		"amount": func(q *vrwire.QuotaRequest) { q.Needs[0].Amount = vrwire.MaxQuotaAmount + 1 },
+		"urgent": func(q *vrwire.QuotaRequest) { q.Needs[0].Urgent = 21 },
+		"least":  func(q *vrwire.QuotaRequest) { q.Needs[0].Least = 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			changed := request
+			changed.Needs = []vrwire.QuotaNeed{need}
+			change(&changed)
+			require.Error(t, (&vrwire.Notices{QuotaRequest: &changed}).Validate())
+		})
+	}
+	for name, change := range map[string]func(*vrwire.QuotaReply){
+		"to":      func(q *vrwire.QuotaReply) { q.To = "" },
+		"time":    func(q *vrwire.QuotaReply) { q.Time = -1 },
+		"daemons": func(q *vrwire.QuotaReply) { q.Daemons = 1 << 20 },
+		"granted": func(q *vrwire.QuotaReply) { q.Grants[0].Granted = -1 },
+		"retry":   func(q *vrwire.QuotaReply) { q.Grants[0].RetryAfter = 1 << 40 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			changed := reply
+			changed.Grants = []vrwire.QuotaGrant{reply.Grants[0]}
+			change(&changed)
+			require.Error(t, (&vrwire.Notices{QuotaReply: &changed}).Validate())
+		})
+	}
 }
