--- a/verbenacore/vrgateway/quota.go
+++ b/verbenacore/vrgateway/quota.go
@@ -88,6 +88,14 @@
 	return credits
 }
 
+// QuotaShare returns the share of all quotas that is delegated to this daemon.
+func (s *State) QuotaShare(now time.Time) float64 {
+	if s.quota.allocator == nil {
+		return 0
+	}
+	return s.quota.allocator.Share(now)
+}
+
 // setQuotaCatalog applies the quotas of the catalog in force. Calls that wait for credit go on waiting or, if
 // their tenant has no limit any more, are dispatched by the next tick.
 func (s *State) setQuotaCatalog(now time.Time) {
@@ -148,7 +156,10 @@
 // Otherwise the call waits for credit and is then dispatched anew, or was refused. What may have run already
 // is sent again without credit, as is what was charged so recently that the bound holds if it runs now.
 func (s *State) takeQuota(now time.Time, c *call, out *vrevent.Effects) bool {
-	if !s.quota.active || c.tenant == nil || c.possibleRuns > 0 || (c.quota.charged && now.Before(c.quota.charge.SendUntil)) {
+	if !s.quota.active || c.tenant == nil || c.possibleRuns > 0 || c.responseStarted {
+		return true
+	}
+	if c.quota.charged && now.Before(c.quota.charge.SendUntil) {
 		return true
 	}
 	verdict, charge, wait := s.quota.daemon.Take(now, c.tenant.ID, c.cost(), !c.quota.tried)
--- a/verbenacore/vrgateway/quota_test.go
+++ b/verbenacore/vrgateway/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"fmt"
 	"testing"
 	"time"
 
@@ -107,6 +108,24 @@
 	require.Equal(t, 0, d.state.WaitingCalls())
 }
 
+// Guards against an allocator whose credit an operator can't see, and against a metric for each of thousands of
+// tenants.
+func TestCreditOfFewTenantsIsReported(t *testing.T) {
+	quotas := map[vrid.TenantID]vrcatalog.Quota{"unlimited": {}}
+	for i := range 100 {
+		quotas[vrid.TenantID(fmt.Sprint("t", i))] = limited
+	}
+	d := startQuotaDaemon(t, []vrid.DaemonID{"d1"}, quotas)
+	require.Empty(t, d.state.QuotaCredits(d.now), "no part is delegated yet")
+	d.runFor(8*time.Second, storeDown)
+	credits := d.state.QuotaCredits(d.now)
+	require.Len(t, credits, 32)
+	for _, c := range credits {
+		require.GreaterOrEqual(t, c.Credit, limited.Burst*0.99)
+	}
+	require.InDelta(t, 1, d.state.QuotaShare(d.now), 1e-6)
+}
+
 // Guards against refused calls of which an operator can't tell whose limit was reached.
 func TestRefusalNamesTenantAndLimit(t *testing.T) {
 	d := newQuotaDaemon(t, []vrid.DaemonID{"d1"}, onlyLimited(), storeDown)
--- a/verbenacore/vrquota/allocator.go
+++ b/verbenacore/vrquota/allocator.go
@@ -12,8 +12,9 @@
 	// wholeUnits is the sum of all parts. Parts are whole numbers of units, so that sums are exact.
 	wholeUnits = 1 << 40
 	// verdictShare is the share of the parts that an allocator needs to tell that a tenant has reached its
-	// limit, and verdictDelay how long it needs them before: its buckets are empty at first.
-	verdictShare = wholeUnits / 10 * 8
+	// limit, and verdictDelay how long it needs them before: its buckets are empty at first. In a partition,
+	// only one side can have more than half of the parts.
+	verdictShare = wholeUnits/2 + 1
 	verdictDelay = time.Second
 	// halfFull is the fraction of its depth that a bucket keeps for waiting calls.
 	halfFull = 0.5
--- a/verbenacore/vrquota/daemon.go
+++ b/verbenacore/vrquota/daemon.go
@@ -36,8 +36,10 @@
 	// settleDelay is how long a daemon that starts has to know the same number of daemons before it delegates
 	// its part: at the first start of a fleet the daemons register one after another.
 	settleDelay = 3 * time.Second
-	// probeInterval is how often an allocator that did not answer is asked whether it answers again.
-	probeInterval = 2 * time.Second
+	// probeInterval is how often an allocator that did not answer is asked whether it answers again. It is
+	// shorter than a delegation, because credit is lost if the part moves to another allocator after a
+	// connection has broken for a moment.
+	probeInterval = 400 * time.Millisecond
 	// askAgainDelay is the pause after an answer without credit and without a verdict.
 	askAgainDelay = 50 * time.Millisecond
 )
--- a/verbenaroute/internal/vrnode/metrics.go
+++ b/verbenaroute/internal/vrnode/metrics.go
@@ -10,6 +10,7 @@
 	vmetrics "github.com/VictoriaMetrics/metrics"
 
 	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrgateway"
 
 	"verbenaroute.example/verbenaroute/internal/vrrelay"
 )
@@ -60,6 +61,7 @@
 	gauge("verbena_orders_unknown_total", func() float64 { return float64(n.state.Counts().OrdersUnknown) })
 	gauge(`verbena_servers_leaving_total{cause="response"}`, func() float64 { return float64(n.state.Counts().LeavingByResponse) })
 	gauge(`verbena_servers_leaving_total{cause="daemon"}`, func() float64 { return float64(n.state.Counts().LeavingByDaemon) })
+	gauge("verbena_quota_share", func() float64 { return n.state.QuotaShare(n.clock.Now()) })
 	gauge("verbena_quota_grants_total", func() float64 { return float64(n.state.QuotaCounts().Grants) })
 	gauge("verbena_quota_denials_total", func() float64 { return float64(n.state.QuotaCounts().Denials) })
 	gauge("verbena_quota_grants_expired_total", func() float64 { return float64(n.state.QuotaCounts().Expired) })
@@ -113,12 +115,16 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`verbena_requests_cut_total{cause=%q}`, cause)).Inc()
 }
 
-// writeQuotaCredits writes the credit of tenants at this daemon. Only allocators have any, and the tenants
-// change with the catalog, so the gauges are not registered.
-func (m *metrics) writeQuotaCredits(w io.Writer) {
+// quotaCredits returns the credit of tenants at this daemon.
+func (m *metrics) quotaCredits() []vrgateway.QuotaCredit {
 	m.node.mu.Lock()
-	credits := m.node.state.QuotaCredits(m.node.clock.Now())
-	m.node.mu.Unlock()
+	defer m.node.mu.Unlock()
+	return m.node.state.QuotaCredits(m.node.clock.Now())
+}
+
+// writeQuotaCredits writes the credit of tenants at an allocator. The tenants change with the catalog and with
+// the allocator, so the gauges are not registered.
+func writeQuotaCredits(w io.Writer, credits []vrgateway.QuotaCredit) {
 	for _, c := range credits {
 		fmt.Fprintf(w, "verbena_quota_credit{tenant=%q} %g\n", c.Tenant, c.Credit)
 	}
@@ -129,6 +135,6 @@
 		m.set.GetOrCreateCounter(fmt.Sprintf(`verbena_log_lines_dropped_total{kind=%q}`, kind)).Set(count)
 	}
 	m.set.WritePrometheus(w)
-	m.writeQuotaCredits(w)
+	writeQuotaCredits(w, m.quotaCredits())
 	vmetrics.WriteProcessMetrics(w)
 }
