Keep what an allocator knows of a daemon's runs apart

A delayed request of a daemon's former run replaced the record of the present one, so that the allocator confirmed a release without ending the delegation, and the part counted at two allocators: the parts of 3 daemons summed up to 1.33.

--- a/verbenacore/vrquota/allocator.go
+++ b/verbenacore/vrquota/allocator.go
@@ -22,8 +22,8 @@
 	minRetryAfter = 20 * time.Millisecond
 	// maxRetryAfter is the answer to a need that no bucket can ever cover.
 	maxRetryAfter = 8 * time.Second
-	// maxRecords limits the daemons that an allocator remembers, recordTTL is how long it does so without a
-	// message. It is longer than a delegation, so that no earlier one can count again.
+	// maxRecords limits the runs of daemons that an allocator remembers, recordTTL is how long it does so
+	// without a message. It is longer than a delegation, so that no earlier one can count again.
 	maxRecords = 4096
 	recordTTL  = time.Minute
 )
@@ -35,7 +35,7 @@
 	bounds    Bounds
 	catalog   *vrcatalog.Catalog
 	size      fleetSize
-	daemons   map[vrid.DaemonID]*delegation
+	daemons   map[daemonRun]*delegation
 	// buckets holds one bucket for each tenant with a limit while parts are delegated. They are made
 	// together, because a bucket that is made later would begin empty.
 	buckets map[vrid.TenantID]*bucket
@@ -58,9 +58,15 @@
 	Grants, Denials uint64
 }
 
-// delegation is what an allocator knows of a daemon.
-type delegation struct {
+// daemonRun is one run of a daemon. Each has a record of its own: with one for all runs, a delayed request of a
+// former run made the allocator confirm a release by the present run without ending its delegation.
+type daemonRun struct {
+	daemon vrid.DaemonID
 	boot   vrid.BootID
+}
+
+// delegation is what an allocator knows of a run of a daemon.
+type delegation struct {
 	number uint64
 	// units is the part, zero if it is not delegated. It counts until the time until.
 	units  uint64
@@ -78,7 +84,7 @@
 
 // NewAllocator returns an allocator without parts. Its times begin at now.
 func NewAllocator(now time.Time, boot vrid.BootID, bounds Bounds) *Allocator {
-	return &Allocator{boot: boot, startedAt: now, advancedAt: now, bounds: bounds, daemons: make(map[vrid.DaemonID]*delegation)}
+	return &Allocator{boot: boot, startedAt: now, advancedAt: now, bounds: bounds, daemons: make(map[daemonRun]*delegation)}
 }
 
 // SetCatalog applies the quotas of a catalog. Credit above a lower limit is dropped. A tenant that is new or
@@ -240,13 +246,13 @@
 // Handle applies a request and returns the answer, or nil if it is a former one.
 func (a *Allocator) Handle(now time.Time, from vrid.DaemonID, boot vrid.BootID, request *vrwire.QuotaRequest) *vrwire.QuotaReply {
 	a.advance(now)
-	d := a.daemon(now, from)
-	if d == nil || (d.boot == boot && request.Number <= d.number) {
+	d := a.daemon(now, daemonRun{daemon: from, boot: boot})
+	if d == nil || request.Number <= d.number {
 		return nil
 	}
 	a.size.observe(now, request.Registered)
-	a.delegate(now, d, boot, request)
-	d.boot, d.number, d.seenAt = boot, request.Number, now
+	a.delegate(now, d, request)
+	d.number, d.seenAt = request.Number, now
 	reply := &vrwire.QuotaReply{To: boot, Number: request.Number, Time: now.Sub(a.startedAt).Milliseconds(), Daemons: a.size.parts(now)}
 	if len(request.Needs) > 0 {
 		reply.Grants = make([]vrwire.QuotaGrant, len(request.Needs))
@@ -257,8 +263,8 @@
 	return reply
 }
 
-// daemon returns the record of a daemon, or nil if there are too many.
-func (a *Allocator) daemon(now time.Time, id vrid.DaemonID) *delegation {
+// daemon returns the record of a run of a daemon, or nil if there are too many.
+func (a *Allocator) daemon(now time.Time, id daemonRun) *delegation {
 	if d := a.daemons[id]; d != nil {
 		return d
 	}
@@ -279,19 +285,19 @@
 
 // delegate applies the delegation of a request. A new run of the daemon does not end the delegation of the
 // former run: it delegates only after that has ended by itself.
-func (a *Allocator) delegate(now time.Time, d *delegation, boot vrid.BootID, request *vrwire.QuotaRequest) {
+func (a *Allocator) delegate(now time.Time, d *delegation, request *vrwire.QuotaRequest) {
 	until := a.startedAt.Add(time.Duration(request.Echo+request.Term) * time.Millisecond)
 	counts := request.Daemons > 0 && request.EchoBoot == a.boot && until.After(now) &&
 		!a.startedAt.Add(time.Duration(request.Echo)*time.Millisecond).After(now)
 	units := d.units
 	switch {
-	case counts && d.boot == boot && d.units > 0:
+	case counts && d.units > 0:
 		units = wholeUnits / uint64(request.Daemons)
 		d.until = later(d.until, until)
 	case counts:
 		units = wholeUnits / uint64(request.Daemons)
 		d.until = until
-	case request.Daemons == 0 && d.boot == boot:
+	case request.Daemons == 0:
 		units = 0
 	}
 	if units != d.units {
--- a/verbenacore/vrquota/allocator_test.go
+++ b/verbenacore/vrquota/allocator_test.go
@@ -60,6 +60,20 @@
 	require.InDelta(t, 0.5, a.Share(at), 1e-6, "the echo of the former run does not count")
 }
 
+// Guards against a release that is confirmed but has no effect, because a delayed request of the daemon's former
+// run came between (found by TestNoWindowExceedsTheBound with seed 0x905), and against one that is undone by an
+// earlier request.
+func TestReleaseOutlivesDelayedRequests(t *testing.T) {
+	a := newAllocator()
+	at := modelEpoch.Add(time.Second)
+	require.NotNil(t, a.Handle(at, "d1", "former", &vrwire.QuotaRequest{Number: 73}))
+	require.NotNil(t, a.Handle(at, "d1", "b", &vrwire.QuotaRequest{Number: 5}))
+	require.InDelta(t, 0.5, a.Share(at), 1e-6)
+	require.NotNil(t, a.Handle(at, "d1", "former", &vrwire.QuotaRequest{Number: 74}))
+	require.Nil(t, a.Handle(at, "d1", "b", half(4)))
+	require.InDelta(t, 0.5, a.Share(at), 1e-6)
+}
+
 // Guards against credit that stays when the part is gone in which it accrued, and against credit that accrues
 // from a part after its end.
 func TestCreditEndsWithItsPart(t *testing.T) {
--- a/verbenacore/vrquota/vrquota.go
+++ b/verbenacore/vrquota/vrquota.go
@@ -11,7 +11,8 @@
 //     no later than a term after the receipt by the daemon's clock, however late the request itself arrives.
 //     Only then, or after the allocator's answer to a release, does the daemon delegate it elsewhere.
 //   - Requests are numbered in each run of a daemon, and an allocator ignores one that is not newer than the
-//     last. A duplicated or delayed request therefore grants nothing twice and undoes no release.
+//     last of the same run. A duplicated or delayed request therefore grants nothing twice and undoes no
+//     release.
 //   - The echo names the run of the allocator. A restarted allocator knows no delegations, ignores the echoes
 //     of its former run, and is another place for the daemons.
 //   - A daemon that starts delegates nothing until every delegation of its former run has ended.
