Keep the silence of an allocator when an earlier answer comes late

The late answer of one request reset the start of the silence while the next request was under way. When that one had no answer after 150 ms either, the silence counted from the zero time, and the daemon asked another allocator, which has no parts, after 310 ms instead of 450 ms.

TestLateAnswersDoNotChangeTheAllocator fails before this change.

--- a/verbenacore/vrquota/daemon.go
+++ b/verbenacore/vrquota/daemon.go
@@ -386,6 +386,10 @@
 	if p := &d.part; p.release == reply.Number && p.at == from && p.boot == boot {
 		d.part = part{}
 	}
+	if d.pending.to == from && d.pending.number > reply.Number {
+		// The answer of an earlier request leaves the pending one unanswered since its sending.
+		v.silentSince = d.pending.sentAt
+	}
 	var sentAt time.Time
 	switch {
 	case d.pending.to == from && d.pending.number == reply.Number:
