Apply a late denial only to calls that its request asked for

A denial took the cost of the cheapest call from the newest request. If it answered the request before, calls that are cheaper than the denied one were refused with 429 although the answer about them was still under way.

TestLateDenialCountsForItsRequest fails before this change.

--- a/verbenacore/vrquota/daemon.go
+++ b/verbenacore/vrquota/daemon.go
@@ -316,6 +316,7 @@
 	for _, p := range d.listed[:count] {
 		p.listed = false
 		if need, ok := p.need(now); ok {
+			p.recordAsk(request.Number)
 			request.Needs = append(request.Needs, need)
 		}
 	}
@@ -400,14 +401,14 @@
 		return false
 	}
 	for i := range reply.Grants {
-		d.applyGrant(now, sentAt, &reply.Grants[i])
+		d.applyGrant(now, sentAt, reply.Number, &reply.Grants[i])
 	}
 	return len(reply.Grants) > 0
 }
 
 // applyGrant adds granted credit, which counts from the sending of the request: however late the answer is,
 // the credit is not spent later than its life after the allocator has granted it.
-func (d *Daemon) applyGrant(now, sentAt time.Time, grant *vrwire.QuotaGrant) {
+func (d *Daemon) applyGrant(now, sentAt time.Time, number uint64, grant *vrwire.QuotaGrant) {
 	p := d.pots[grant.Tenant]
 	if p == nil {
 		return
@@ -417,9 +418,10 @@
 	} else if grant.Granted > 0 {
 		d.counts.Expired++
 	}
+	least := p.leastAsked(number)
 	switch {
-	case grant.RetryAfter > 0:
-		p.denied = denial{until: now.Add(time.Duration(grant.RetryAfter) * time.Millisecond), need: max(p.least, 1)}
+	case grant.RetryAfter > 0 && least > 0:
+		p.denied = denial{until: now.Add(time.Duration(grant.RetryAfter) * time.Millisecond), need: least}
 	case grant.Granted > 0:
 		p.denied = denial{}
 	default:
--- a/verbenacore/vrquota/late_test.go
+++ b/verbenacore/vrquota/late_test.go
@@ -60,3 +60,13 @@
 	a.reply(200, first, vrwire.QuotaGrant{})
 	a.ask(310, 1000)
 }
+
+// Guards against a call that is refused because the late answer of an earlier request denied a dearer one.
+func TestLateDenialCountsForItsRequest(t *testing.T) {
+	a := newAsker(t)
+	first := a.ask(0, 2000)
+	a.ask(150, 100)
+	a.reply(160, first, vrwire.QuotaGrant{RetryAfter: 500})
+	require.Zero(t, a.daemon.Check(after(161), tenant, 100))
+	require.Equal(t, 499*time.Millisecond, a.daemon.Check(after(161), tenant, 2000))
+}
--- a/verbenacore/vrquota/pot.go
+++ b/verbenacore/vrquota/pot.go
@@ -31,6 +31,13 @@
 	need  int64
 }
 
+// ask is a request for credit.
+type ask struct {
+	number uint64
+	// least is the cost of the cheapest waiting call, zero if there was none.
+	least int64
+}
+
 // pot is a daemon's credit of one tenant, and what it needs.
 type pot struct {
 	tenant vrid.TenantID
@@ -39,6 +46,8 @@
 	denied denial
 	// urgent is what the waiting calls cost, least the cost of the cheapest of them.
 	urgent, least int64
+	// asked holds the last two requests for credit, whose answers may be awaited, the later one first.
+	asked [2]ask
 	// demand is the decaying sum of the costs of the calls up to demandAt, and calls that of their number.
 	demand, calls float64
 	demandAt      time.Time
@@ -124,6 +133,22 @@
 	return until
 }
 
+// recordAsk records that a request asks for what the pot needs.
+func (p *pot) recordAsk(number uint64) {
+	p.asked = [2]ask{{number: number, least: p.least}, p.asked[0]}
+}
+
+// leastAsked returns the cost of the cheapest call that a request asked for, or zero. The answer of an earlier
+// request says nothing about cheaper calls that have come since.
+func (p *pot) leastAsked(number uint64) int64 {
+	for _, a := range p.asked {
+		if a.number == number {
+			return a.least
+		}
+	}
+	return 0
+}
+
 // recordDemand counts the first attempt of a call to take credit.
 func (p *pot) recordDemand(now time.Time, cost int64) {
 	p.decay(now)
