Don't delay waiting calls after a denial in advance

An answer without credit to a request in advance, which is usual while a bucket is less than half full, stopped the requests for the waiting calls of all tenants for 50 ms.

TestDenialInAdvanceDelaysNoCall fails before this change.

--- a/verbenacore/vrquota/daemon.go
+++ b/verbenacore/vrquota/daemon.go
@@ -424,7 +424,8 @@
 		p.denied = denial{until: now.Add(time.Duration(grant.RetryAfter) * time.Millisecond), need: least}
 	case grant.Granted > 0:
 		p.denied = denial{}
-	default:
+	case least > 0:
+		// What is denied in advance says nothing about the waiting calls.
 		d.askAt = now.Add(askAgainDelay)
 	}
 }
--- a/verbenacore/vrquota/late_test.go
+++ b/verbenacore/vrquota/late_test.go
@@ -70,3 +70,17 @@
 	require.Zero(t, a.daemon.Check(after(161), tenant, 100))
 	require.Equal(t, 499*time.Millisecond, a.daemon.Check(after(161), tenant, 2000))
 }
+
+// Guards against waiting calls that ask late because the tenant had too little credit for a request in advance.
+func TestDenialInAdvanceDelaysNoCall(t *testing.T) {
+	a := newAsker(t)
+	for i := range 20 {
+		a.daemon.Take(after(i), tenant, 1000, true)
+	}
+	a.reply(25, a.ask(20, 1000), vrwire.QuotaGrant{Granted: 1000})
+	verdict, _, _ := a.daemon.Take(after(25), tenant, 1000, true)
+	require.Equal(t, vrquota.Charged, verdict)
+	require.True(t, a.daemon.AsksAhead())
+	a.reply(30, a.ask(25), vrwire.QuotaGrant{})
+	a.ask(31, 1000)
+}
