Keep delegations through a short stall of the allocator

The question whether an allocator answers again carried no delegation and so ended the one that it still had. The question now repeats the delegation without prolonging it. A delegation whose renewal was answered late is renewed again before it ends.

TestCreditOutlivesAShortStall fails before this change (share 0.2 instead of 1).

--- a/verbenacore/vrquota/daemon.go
+++ b/verbenacore/vrquota/daemon.go
@@ -26,6 +26,9 @@
 	activeInterval = 400 * time.Millisecond
 	idleTerm       = vrwire.MaxQuotaTerm * time.Millisecond
 	idleInterval   = time.Second
+	// renewalMargin is how long before its end a delegation is renewed ahead of the interval. It ends early if
+	// the answer of the last renewal was late, because the next one named an old echo.
+	renewalMargin = 250 * time.Millisecond
 	// activeSpan is how long a daemon counts as having demand after a call.
 	activeSpan = 2 * time.Second
 	// termMargin covers the difference of the speed of two clocks during a delegation.
@@ -253,7 +256,21 @@
 	}
 	v.askedAt = now
 	d.number++
-	return []Message{{To: better, Request: &vrwire.QuotaRequest{Number: d.number, Registered: d.size.listed}}}
+	request := &vrwire.QuotaRequest{Number: d.number, Registered: d.size.listed}
+	d.keepDelegation(now, better, request)
+	return []Message{{To: better, Request: request}}
+}
+
+// keepDelegation repeats the delegation to an allocator in a request without prolonging it. A request without a
+// delegation would end it, and with it the credit of an allocator that was only late.
+func (d *Daemon) keepDelegation(now time.Time, to vrid.DaemonID, request *vrwire.QuotaRequest) {
+	p, v := &d.part, d.allocator(to)
+	term := p.freeAt.Add(-termMargin).Sub(v.receivedAt)
+	if p.at != to || p.boot != v.boot || p.release != 0 || !now.Before(p.freeAt) || term <= 0 || !d.maySettle(now) {
+		return
+	}
+	request.EchoBoot, request.Echo, request.Term = v.boot, v.time, term.Milliseconds()
+	request.Daemons = d.size.parts(now)
 }
 
 // release ends the delegation to a former allocator that still answers, so that the part need not stay idle
@@ -274,8 +291,11 @@
 	if now.Sub(d.usedAt) < activeSpan && !d.usedAt.IsZero() {
 		interval = activeInterval
 	}
-	if d.part.at != to && d.maySettle(now) && d.mayMove(now, to) && d.hasRecentEcho(now, to) {
-		return true
+	if d.maySettle(now) && d.mayMove(now, to) && d.hasRecentEcho(now, to) {
+		endsSoon := d.part.freeAt.Sub(now) < renewalMargin && !d.allocator(to).receivedAt.Before(d.renewedAt)
+		if d.part.at != to || endsSoon {
+			return true
+		}
 	}
 	return d.renewedAt.IsZero() || now.Sub(d.renewedAt) >= interval
 }
--- a/verbenacore/vrquota/late_test.go
+++ b/verbenacore/vrquota/late_test.go
@@ -84,3 +84,18 @@
 	a.reply(30, a.ask(25), vrwire.QuotaGrant{})
 	a.ask(31, 1000)
 }
+
+// Guards against credit that is lost with the parts when an allocator stalls for a moment: the question whether it
+// answers again must not end the delegations.
+func TestCreditOutlivesAShortStall(t *testing.T) {
+	m := newFilledModel(t)
+	owner := m.hosts[0]
+	m.freeze(owner, 700*time.Millisecond)
+	for range 150 {
+		m.step()
+		m.arrive(m.hosts[1+m.random.IntN(4)], 100)
+		if owner.runsAt(m.now) {
+			require.InDelta(t, 1, owner.allocator.Share(m.clock(owner)), 1e-6)
+		}
+	}
+}
