Ask all earlier allocators of the order whether they answer again

A daemon only asked the preferred allocator again. After it was cut off while that one was down, it stayed its own allocator for good (share 0.2 of five daemons 10 s later), and if it was the first of the order, the others stayed with the second.

TestIsolatedDaemonReturns fails before this change.

--- a/verbenacore/vrquota/daemon.go
+++ b/verbenacore/vrquota/daemon.go
@@ -59,6 +59,8 @@
 	// when their number last changed.
 	order    []vrid.DaemonID
 	listedAt time.Time
+	// orderProbedAt is when a daemon of the order was last asked whether it answers again.
+	orderProbedAt time.Time
 	// settled is set once the daemon may delegate its part.
 	settled    bool
 	allocators map[vrid.DaemonID]*allocatorView
@@ -241,24 +243,49 @@
 	return true
 }
 
-// probe asks whether an allocator that is preferred to the chosen one answers again.
+// probe asks whether allocators that are preferred to the chosen one answer again: the one that all daemons
+// prefer, and in turn those before the chosen one in the order. Without the latter, a daemon that was cut off
+// while the preferred allocator was down stayed with an allocator that no other daemon chose.
 func (d *Daemon) probe(now time.Time, preferred, chosen vrid.DaemonID) []Message {
-	better := preferred
-	if better == "" || better == chosen {
-		if chosen == preferred || len(d.order) == 0 || d.order[0] == chosen {
-			return nil
+	if chosen == preferred {
+		return nil
+	}
+	var messages []Message
+	if d.isDown(preferred) && now.Sub(d.allocator(preferred).askedAt) >= probeInterval {
+		messages = append(messages, d.newProbe(now, preferred))
+	}
+	if now.Sub(d.orderProbedAt) < probeInterval {
+		return messages
+	}
+	var next vrid.DaemonID
+	for _, id := range d.order {
+		if id == chosen {
+			break
+		}
+		if id != preferred && d.isDown(id) && (next == "" || d.allocator(id).askedAt.Before(d.allocator(next).askedAt)) {
+			next = id
 		}
-		better = d.order[0]
 	}
-	v := d.allocator(better)
-	if better == d.id || !v.down || now.Sub(v.askedAt) < probeInterval {
-		return nil
+	if next != "" {
+		d.orderProbedAt = now
+		messages = append(messages, d.newProbe(now, next))
 	}
-	v.askedAt = now
+	return messages
+}
+
+// isDown reports whether another daemon does not answer.
+func (d *Daemon) isDown(id vrid.DaemonID) bool {
+	v := d.allocators[id]
+	return id != d.id && v != nil && v.down
+}
+
+// newProbe returns a request that asks whether an allocator answers again.
+func (d *Daemon) newProbe(now time.Time, to vrid.DaemonID) Message {
+	d.allocator(to).askedAt = now
 	d.number++
 	request := &vrwire.QuotaRequest{Number: d.number, Registered: d.size.listed}
-	d.keepDelegation(now, better, request)
-	return []Message{{To: better, Request: request}}
+	d.keepDelegation(now, to, request)
+	return Message{To: to, Request: request}
 }
 
 // keepDelegation repeats the delegation to an allocator in a request without prolonging it. A request without a
--- a/verbenacore/vrquota/vrquota_test.go
+++ b/verbenacore/vrquota/vrquota_test.go
@@ -166,6 +166,26 @@
 	require.InDelta(t, 1, m.hosts[2].allocator.Share(m.clock(m.hosts[2])), 1e-6)
 }
 
+// Guards against a daemon that stays apart from the others after it was cut off while the owner was down: its part
+// was lost to the others, and its calls had only its own.
+func TestIsolatedDaemonReturns(t *testing.T) {
+	for i := 1; i < 5; i++ {
+		m := newFilledModel(t)
+		m.kill(m.hosts[0], time.Hour)
+		m.steps(5 * time.Second)
+		isolated := m.hosts[i]
+		isolated.group = 1
+		m.flood(5*time.Second, isolated)
+		isolated.group = 0
+		m.steps(10 * time.Second)
+		most := 0.0
+		for _, h := range m.hosts[1:] {
+			most = max(most, h.allocator.Share(m.clock(h)))
+		}
+		require.InDelta(t, 0.8, most, 1e-6)
+	}
+}
+
 // Guards against credit that is returned after its life, when it may have been accrued anew.
 func TestReturnedCreditKeepsItsEnd(t *testing.T) {
 	m := newFilledModel(t)
