--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -88,6 +88,7 @@
 	// is when it first had to wait for that.
 	held      bool
 	heldSince time.Time
+	quota     callQuota
 	// timeToFirstByte is the time from the arrival to the first byte of the response. It is
 	// set once the response is complete.
 	timeToFirstByte time.Duration
@@ -149,6 +150,9 @@
 	c.service = c.route.Pick(s.random.Float64())
 	s.calls[c.ID] = c
 	if s.judgeKey(now, c) == keyAccepted {
+		if s.refuseOverQuota(now, c, out) {
+			return
+		}
 		s.countDemandArrival(c)
 	}
 	s.recordAdmissionArrival(c)
@@ -235,7 +239,7 @@
 // send sends a call to a server, unless its API key isn't accepted any more or it is a retry beyond the retry
 // budget.
 func (s *State) send(now time.Time, c *call, server *vrfleet.Server, out *vrevent.Effects) {
-	if !s.authorize(now, c, out) {
+	if !s.authorize(now, c, out) || !s.takeQuota(now, c, out) {
 		return
 	}
 	if !s.takeRetryBudget(now, c) {
@@ -586,6 +590,7 @@
 	s.dequeue(c)
 	s.release(c)
 	s.stopVerifying(c)
+	s.endQuota(now, c)
 	s.cancelAttempts(c)
 	delete(s.calls, c.ID)
 	s.countDemandEnd(c)
@@ -603,6 +608,7 @@
 	}
 	if reason != "" {
 		common = append(common, text("reason", reason))
+		common = append(common, s.quotaFields(c)...)
 	}
 	if c.tenant != nil {
 		common = append(common, text("tenant", c.tenant.ID))
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -36,6 +36,10 @@
 	// Revocation is the time after which a request with a withdrawn API key must not run, zero if there is no
 	// such limit. CatalogApply is the time within which a new key has to be accepted.
 	Revocation, CatalogApply time.Duration
+	// In each QuotaWindow, a tenant may exceed its quota by the fraction QuotaOverrun and by QuotaSlack, in
+	// the unit of the quota.
+	QuotaWindow              time.Duration
+	QuotaOverrun, QuotaSlack float64
 }
 
 // Options configures a State.
@@ -94,6 +98,7 @@
 	reportSentAt time.Time
 	startedAt    time.Time
 	shutdown     shutdownState
+	quota        quotaState
 	// durations are those of the calls of each route.
 	durations map[vrcatalog.RouteID]*callDurations
 	admission admission
@@ -149,9 +154,9 @@
 func (s *State) Counts() Counts { return s.counts }
 
 // WaitingCalls returns the number of calls that wait for a server, for the clearance of their
-// prompt or for a proof of their API key.
+// prompt, for a proof of their API key or for credit.
 func (s *State) WaitingCalls() int {
-	count := len(s.quarantine.held) + len(s.unverified)
+	count := len(s.quarantine.held) + len(s.unverified) + len(s.quota.waiting)
 	for _, list := range s.waitLists {
 		count += len(list.calls)
 	}
@@ -232,6 +237,7 @@
 	case vrevent.PeerUnreachable:
 		s.owner.markUnreachable(now, e.Peer)
 		s.proof.markUnreachable(now, e.Peer)
+		s.markQuotaUnreachable(now, e.Peer, out)
 	case vrevent.ShutdownRequested:
 		s.handleShutdown(now, e, out)
 	}
@@ -244,6 +250,7 @@
 	s.tickAbsentServers(now, out)
 	s.tickLeavingChecks(now, out)
 	s.tickWaits(now, out)
+	s.tickQuota(now, out)
 	s.tickLease(now, out)
 	s.tickDemand(now, out)
 	s.tickHeartbeat(now, out)
@@ -262,6 +269,7 @@
 	s.noteHeartbeatProof()
 	s.forgetDurations()
 	s.resetQueue(now)
+	s.setQuotaCatalog(now)
 	out.Info("catalog adopted", number("version", uint64(catalog.Version)),
 		number("routes", uint64(len(catalog.Routes))), number("services", uint64(len(catalog.Services))),
 		text("call", e.Read.Call), millis("receivingMs", e.Read.Receiving), boolean("owner", s.lease.Holding()),
--- a/verbenacore/vrgateway/waits.go
+++ b/verbenacore/vrgateway/waits.go
@@ -81,6 +81,7 @@
 	if len(list.calls) == 0 || !s.ordersAdmission(c.service) || !c.isRestricted() {
 		list.missing = missing
 	}
+	s.leaveQuota(c)
 	if !c.waiting {
 		c.waiting, c.waitingSince = true, now
 		ahead := s.joinQueue(now, c, len(list.calls))
--- a/verbenacore/vrwire/fleet.go
+++ b/verbenacore/vrwire/fleet.go
@@ -134,6 +134,10 @@
 	// added up from, in milliseconds.
 	Loads    []ServerRequests `protobuf:"bytes,12,rep,name=loads,proto3"`
 	LoadsAge int64            `protobuf:"varint,13,opt,name=loadsAge,proto3"`
+	// QuotaRequest and QuotaReply are messages between a daemon and its allocator of quotas. Epoch is zero
+	// then.
+	QuotaRequest *QuotaRequest `protobuf:"bytes,22,opt,name=quotaRequest,proto3"`
+	QuotaReply   *QuotaReply   `protobuf:"bytes,23,opt,name=quotaReply,proto3"`
 }
 
 // ServerRequests is the number of requests in flight at a server, of some daemons.
@@ -143,7 +147,7 @@
 }
 
 // Validate checks that each notice has a known kind and, unless the server is leaving,
-// names a model, and the messages about catalogs and parts of prompts.
+// names a model, and the messages about catalogs, parts of prompts and quotas.
 func (n *Notices) Validate() error {
 	for _, item := range n.Items {
 		if item.Kind < NoticeLoading || item.Kind > NoticeLeaving || (item.Model == "" && item.Kind != NoticeLeaving) {
@@ -166,7 +170,17 @@
 		}
 	}
 	if n.Quarantine != nil {
-		return n.Quarantine.Validate()
+		if err := n.Quarantine.Validate(); err != nil {
+			return err
+		}
+	}
+	if n.QuotaRequest != nil {
+		if err := n.QuotaRequest.Validate(); err != nil {
+			return err
+		}
+	}
+	if n.QuotaReply != nil {
+		return n.QuotaReply.Validate()
 	}
 	return nil
 }
--- a/verbenaroute/internal/vrnode/metrics.go
+++ b/verbenaroute/internal/vrnode/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -10,6 +11,7 @@
 
 	"verbenaroute.example/verbenacore/vradmit"
 	"verbenaroute.example/verbenacore/vrevent"
+	"verbenaroute.example/verbenacore/vrgateway"
 	"verbenaroute.example/verbenacore/vrid"
 
 	"verbenaroute.example/verbenaroute/internal/vrrelay"
@@ -76,6 +78,11 @@
 	gauge("verbena_orders_unknown_total", func() float64 { return float64(n.state.Counts().OrdersUnknown) })
 	gauge(`verbena_servers_leaving_total{cause="response"}`, func() float64 { return float64(n.state.Counts().LeavingByResponse) })
 	gauge(`verbena_servers_leaving_total{cause="daemon"}`, func() float64 { return float64(n.state.Counts().LeavingByDaemon) })
+	gauge("verbena_quota_share", func() float64 { return n.state.QuotaShare(n.clock.Now()) })
+	gauge("verbena_quota_grants_total", func() float64 { return float64(n.state.QuotaCounts().Grants) })
+	gauge("verbena_quota_denials_total", func() float64 { return float64(n.state.QuotaCounts().Denials) })
+	gauge("verbena_quota_grants_expired_total", func() float64 { return float64(n.state.QuotaCounts().Expired) })
+	gauge("verbena_quota_refused_total", func() float64 { return float64(n.state.QuotaCounts().Refused) })
 	// The store's client holds its lock while it submits an event, so these gauges must not hold the
 	// node's.
 	m.set.NewGauge("verbena_store_restores_total", func() float64 { return float64(n.restores.Load()) })
@@ -142,10 +149,26 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`verbena_requests_cut_total{cause=%q}`, cause)).Inc()
 }
 
+// quotaCredits returns the credit of tenants at this daemon.
+func (m *metrics) quotaCredits() []vrgateway.QuotaCredit {
+	m.node.mu.Lock()
+	defer m.node.mu.Unlock()
+	return m.node.state.QuotaCredits(m.node.clock.Now())
+}
+
+// writeQuotaCredits writes the credit of tenants at an allocator. The tenants change with the catalog and with
+// the allocator, so the gauges are not registered.
+func writeQuotaCredits(w io.Writer, credits []vrgateway.QuotaCredit) {
+	for _, c := range credits {
+		fmt.Fprintf(w, "verbena_quota_credit{tenant=%q} %g\n", c.Tenant, c.Credit)
+	}
+}
+
 func (m *metrics) serve(w http.ResponseWriter, _ *http.Request) {
 	for kind, count := range m.droppedLines() {
 		m.set.GetOrCreateCounter(fmt.Sprintf(`verbena_log_lines_dropped_total{kind=%q}`, kind)).Set(count)
 	}
 	m.set.WritePrometheus(w)
+	writeQuotaCredits(w, m.quotaCredits())
 	vmetrics.WriteProcessMetrics(w)
 }
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -100,6 +100,7 @@
 			Ceiling: vrresidence.Ceiling{Window: bounds.CeilingWindow.Std(), Factor: bounds.CeilingFactor},
 
 			Revocation: bounds.Revocation.Std(), CatalogApply: bounds.CatalogApply.Std(),
+			QuotaWindow: bounds.QuotaWindow.Std(), QuotaOverrun: bounds.QuotaOverrun, QuotaSlack: bounds.QuotaSlack,
 		},
 	})
 	n.proxy = vrrelay.New(vrrelay.Options{
