--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -60,6 +60,11 @@
 	// was received at LoadReportedAt.
 	Running, Waiting int
 	LoadReportedAt   time.Time
+	// StatedSlots is the number of slots of the newest load report that states one, or zero.
+	StatedSlots int
+	// room is shared with the former record of the same process, if it was registered again while requests to it
+	// were in flight.
+	room *room
 	// InFlight counts this daemon's own unfinished requests at the server,
 	// SentSinceReport those of them sent after LoadReportedAt.
 	InFlight, SentSinceReport int
@@ -81,6 +86,7 @@
 	statedLeaving, inDoubt bool
 
 	health health
+	load   loadState
 	// missingUntil holds the models that are not loaded although the server's entry lists
 	// them, and until when to assume so.
 	missingUntil map[vrid.ModelID]time.Time
@@ -104,6 +110,12 @@
 	doubted map[vrid.ServerID]renewal
 	// removed remembers the servers whose registrations were removed.
 	removed removedServers
+	// sharedServices holds the services for which SharesMachines holds.
+	sharedServices map[vrid.ServiceID]bool
+	// serviceTimes are the smoothed times of requests by service, see RecordServiceTime.
+	serviceTimes map[vrid.ServiceID]serviceTime
+	// meanRequests are the smoothed numbers of requests at a server by service.
+	meanRequests map[vrid.ServiceID]float64
 	// promptRate is the smoothed number of prompt tokens that one server processes per
 	// second, zero before the first measurement.
 	promptRate float64
@@ -119,7 +131,8 @@
 func New() *Fleet {
 	return &Fleet{
 		servers: make(map[vrid.ServerID]*Server), byService: make(map[vrid.ServiceID][]*Server), doubted: make(map[vrid.ServerID]renewal),
-		removed: removedServers{last: make(map[vrid.ServerID]removedServer)},
+		removed: removedServers{last: make(map[vrid.ServerID]removedServer)}, sharedServices: make(map[vrid.ServiceID]bool),
+		serviceTimes: make(map[vrid.ServiceID]serviceTime), meanRequests: make(map[vrid.ServiceID]float64),
 	}
 }
 
@@ -163,11 +176,14 @@
 		if !admitted {
 			return ChangeOutdated
 		}
-		added := &Server{Entry: entry, SeenAt: now, statedLeaving: told && entry.State == StateDraining}
+		added := &Server{Entry: entry, SeenAt: now, room: &room{}, statedLeaving: told && entry.State == StateDraining}
 		added.inDoubt = told && !added.statedLeaving
 		if server != nil {
 			added.InFlight = server.InFlight
 			added.Restarted = server.Born != entry.Born
+			if !added.Restarted {
+				added.room, added.StatedSlots = server.room, server.StatedSlots
+			}
 		}
 		f.servers[entry.ID] = added
 		f.reindex()
@@ -177,7 +193,7 @@
 	case server.Born != entry.Born:
 		delete(f.doubted, entry.ID)
 		*server = Server{
-			Entry: entry, SeenAt: now, Restarted: true, InFlight: server.InFlight, inDoubt: server.statedLeaving || server.inDoubt,
+			Entry: entry, SeenAt: now, room: &room{}, Restarted: true, InFlight: server.InFlight, inDoubt: server.statedLeaving || server.inDoubt,
 		}
 		f.reindex()
 		return ChangeRestarted
@@ -363,18 +379,21 @@
 // SetLoad applies a load report of the server.
 func (s *Server) SetLoad(now time.Time, running, waiting int) {
 	s.Running, s.Waiting, s.LoadReportedAt, s.SentSinceReport = running, waiting, now, 0
+	s.room.recordReport()
+	s.load.includedUntil = now
 }
 
 // loadReportTTL is how long a server's load report is used.
 const loadReportTTL = 2 * time.Second
 
 // EstimatedRequests estimates the number of requests at the server, running and waiting,
-// from all daemons. Without a recent load report it only counts this daemon's own.
+// from all daemons. Without a recent load report it counts this daemon's own and those known of other daemons.
 func (s *Server) EstimatedRequests(now time.Time) int {
+	known := s.InFlight + s.othersRequests(now)
 	if now.Sub(s.LoadReportedAt) > loadReportTTL {
-		return s.InFlight
+		return known
 	}
-	return max(s.Running+s.Waiting+s.SentSinceReport, s.InFlight)
+	return max(s.Running+s.Waiting+s.SentSinceReport, known)
 }
 
 // MarkDraining records that a process of the server accepts no new work, ahead of its entry. It has
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -50,7 +50,8 @@
 	resendsFree bool
 	// demandCounted is set once the call counts in the demand for its target.
 	demandCounted bool
-	arrivedAt     time.Time
+	admitted
+	arrivedAt time.Time
 	// deadline is when the response has to be complete.
 	deadline time.Time
 	// sends counts the sends of the call, notRunSends the ended sends that provably did not run
@@ -87,6 +88,7 @@
 	// is when it first had to wait for that.
 	held      bool
 	heldSince time.Time
+	quota     callQuota
 	// timeToFirstByte is the time from the arrival to the first byte of the response. It is
 	// set once the response is complete.
 	timeToFirstByte time.Duration
@@ -108,6 +110,7 @@
 	// brought an event or a whole response.
 	probe       vrquarantine.Probe
 	answerBegan bool
+	placement   vrfleet.Placement
 }
 
 // attemptOf returns the send in progress with the number, or nil.
@@ -147,18 +150,25 @@
 	c.service = c.route.Pick(s.random.Float64())
 	s.calls[c.ID] = c
 	if s.judgeKey(now, c) == keyAccepted {
+		if s.refuseOverQuota(now, c, out) {
+			return
+		}
 		s.countDemandArrival(c)
 	}
+	s.recordAdmissionArrival(c)
 	s.dispatch(now, c, out)
 }
 
 // requirements returns what the call requires of a server. The model and adapter only matter
 // for language services.
 func (s *State) requirements(c *call) vrchoice.Requirements {
-	need := vrchoice.Requirements{Service: c.service, Exclude: c.tried}
+	need := vrchoice.Requirements{Service: c.service, Exclude: c.tried, ByCompletion: s.ordersAdmission(c.service), PromptTokens: c.PromptTokens}
 	if service := s.catalog.Service(c.service); service != nil && service.Engine != nil {
 		need.Model, need.Adapter = c.Model, c.Adapter
 	}
+	if s.ordersAdmission(c.service) {
+		need.Room = s.roomNeed(c)
+	}
 	return need
 }
 
@@ -197,6 +207,10 @@
 	if !s.authorize(now, c, out) || s.refuseBlocked(now, c, out) {
 		return
 	}
+	if s.ordersAdmission(c.service) {
+		s.dispatchOrdered(now, c, out)
+		return
+	}
 	server, missing := s.chooseServer(now, c)
 	switch {
 	case server == nil:
@@ -225,7 +239,7 @@
 // send sends a call to a server, unless its API key isn't accepted any more or it is a retry beyond the retry
 // budget.
 func (s *State) send(now time.Time, c *call, server *vrfleet.Server, out *vrevent.Effects) {
-	if !s.authorize(now, c, out) {
+	if !s.authorize(now, c, out) || !s.takeQuota(now, c, out) {
 		return
 	}
 	if !s.takeRetryBudget(now, c) {
@@ -252,17 +266,21 @@
 func (s *State) beginAttempt(now time.Time, c *call, server *vrfleet.Server) attempt {
 	c.sends++
 	server.RecordSend()
+	server.RecordSendTime(now)
 	server.PendingPromptTokens += c.PromptTokens
 	s.addInFlight(c, server.ID, 1)
 	s.counts.Sent++
-	return attempt{number: c.sends, server: server, sentAt: now, promptPending: true, probe: s.quarantine.parts.TakeProbe(now, c.PromptParts)}
+	return attempt{
+		number: c.sends, server: server, sentAt: now, promptPending: true, probe: s.quarantine.parts.TakeProbe(now, c.PromptParts),
+		placement: server.Place(now, s.tokens(c)),
+	}
 }
 
 // newSend returns the effect of a send without what its response may do.
 func (s *State) newSend(c *call, a *attempt) vrevent.SendCall {
 	effect := vrevent.SendCall{
 		Call: c.ID, Send: a.number, Server: a.server.ID, Address: a.server.Address, Born: a.server.Born,
-		Deadline: c.deadline.Add(-deadlineMargin), Priority: c.route.Priority,
+		Deadline: c.deadline.Add(-deadlineMargin), Priority: s.sendPriority(c),
 		Stream: c.route.Kind == vrcatalog.RouteStream, AtMostOnce: !c.route.Repeatable(),
 	}
 	s.setTenant(c, &effect)
@@ -276,7 +294,7 @@
 	out.Info("call dispatched", text("request", c.Request), number("send", uint64(a.number)), text("server", a.server.ID),
 		number("busy", uint64(a.server.EstimatedRequests(now))), number("slots", uint64(a.server.Slots)),
 		millis("loadAgeMs", min(now.Sub(a.server.LoadReportedAt), time.Hour)), millis("waitedMs", now.Sub(c.arrivedAt)),
-		millis("leftMs", c.deadline.Sub(now)), boolean("hedge", a == c.hedge))
+		millis("leftMs", c.deadline.Sub(now)), boolean("hedge", a == c.hedge), number("level", uint64(c.level)), number("ahead", uint64(c.ahead)))
 }
 
 // firstByteTimeout returns the wait for the first byte of a response on a route with the given
@@ -330,10 +348,13 @@
 	}
 }
 
-// releaseServer ends the count of a send at its server and returns the send as it was.
-func (s *State) releaseServer(c *call, a *attempt) attempt {
+// releaseServer ends the count of a send at its server and returns the send as it was. ran is false if the
+// server has certainly not run the call.
+func (s *State) releaseServer(c *call, a *attempt, ran bool) attempt {
 	ended := *a
-	s.fleet.RecordEnd(a.server)
+	s.recordRequestEnd(a, ran)
+	a.server.EndPlacement(&a.placement)
+	s.recordRoom(a.server)
 	s.addInFlight(c, a.server.ID, -1)
 	a.clearPendingPrompt(c)
 	a.server = nil
@@ -348,7 +369,7 @@
 	for _, a := range []*attempt{&c.attempt, c.hedge} {
 		if a != nil && a.server != nil {
 			s.quarantine.parts.RecordProbeEnd(a.probe)
-			s.releaseServer(c, a)
+			s.releaseServer(c, a, true)
 		}
 	}
 }
@@ -365,7 +386,7 @@
 		return
 	}
 	isHedge := a == c.hedge
-	ended := s.releaseServer(c, a)
+	ended := s.releaseServer(c, a, !e.Result.ProvesNotRun())
 	if c.waitedForServer {
 		s.expediteDemand(now)
 	}
@@ -385,6 +406,7 @@
 		c.timeToFirstByte = ended.sentAt.Add(e.TimeToFirstByte).Sub(c.arrivedAt)
 		if e.Status < statusError {
 			s.recordDuration(now, c, ended.sentAt)
+			s.recordServiceTime(c, now.Sub(ended.sentAt), e.TimeToFirstByte)
 		}
 		s.removeCall(now, c, "answered", "", out, number("status", uint64(e.Status)), text("server", ended.server.ID),
 			millis("toFirstMs", e.TimeToFirstByte), millis("longestPauseMs", e.LongestPause), millis("waitedMs", ended.sentAt.Sub(c.arrivedAt)))
@@ -418,30 +440,38 @@
 // send.
 func (s *State) recordOutcome(now time.Time, c *call, a *attempt, isHedge bool, e vrevent.SendEnded, out *vrevent.Effects) {
 	server := a.server
-	if e.Load != nil {
+	if e.Load != nil && !s.ordersAdmission(server.Service) {
 		server.SetLoad(now, e.Load.Running, e.Load.Waiting)
+		s.fleet.RecordStated(server, e.Load.Slots, e.Load.Pace)
 	}
 	failed := false
 	switch e.Result {
 	case vrevent.AttemptAnswered:
-		server.RecordSuccess(now, e.TimeToFirstByte)
+		s.recordAnswer(now, c, a, &e)
+		server.RecordUnreportedAnswer(a.sentAt)
 	case vrevent.AttemptNotLoaded:
 		server.MarkMissing(now, c.Model, c.Adapter)
 	case vrevent.AttemptBusy:
 		if e.Load == nil {
 			server.SetLoad(now, server.Slots, 0)
 		}
+		server.RecordTurnedAway(now)
 	case vrevent.AttemptNotSent, vrevent.AttemptBroken, vrevent.AttemptLeaving, vrevent.AttemptServerError:
 		failed = true
 	case vrevent.AttemptTimedOut:
 		// If little time was left when the call was sent, or its stream paused only briefly, a late
 		// response says nothing about the server.
-		failed = now.Sub(later(a.sentAt, a.silentSince)) >= minFirstByteTimeout
+		failed = s.silenceFails(now, server, later(a.sentAt, a.silentSince))
 	case vrevent.AttemptSuperseded:
 		// A hedge that is superseded had less time than the send beside it.
-		failed = !isHedge && now.Sub(later(a.sentAt, a.silentSince)) >= minFirstByteTimeout
+		failed = !isHedge && s.silenceFails(now, server, later(a.sentAt, a.silentSince))
 	default:
 	}
+	if failed && e.Result == vrevent.AttemptServerError && s.isLastSound(now, c, server) {
+		// An error answer may follow from the request.
+		server.RecordError(now)
+		return
+	}
 	if failed && server.RecordFailure(now, s.fleet.PeerFailureRate(server)) {
 		out.Warn("server ejected", text("server", server.ID), text("result", e.Result.String()), text("detail", e.Detail))
 	}
@@ -455,11 +485,16 @@
 		return
 	}
 	c.resendsFree = e.Result == vrevent.AttemptUnauthorized
-	if !c.resendsFree {
+	switch {
+	case c.resendsFree:
+	case e.Result == vrevent.AttemptBusy && s.ordersAdmission(c.service):
+		// The server may be the only one that can serve the call, and has room again soon.
+		c.superseded = append(c.superseded, a.server.ID)
+	default:
 		c.tried = append(c.tried, a.server.ID)
-		if c.responseStarted {
-			s.counts.Resumed++
-		}
+	}
+	if c.responseStarted && !c.resendsFree {
+		s.counts.Resumed++
 	}
 	s.dispatch(now, c, out)
 }
@@ -533,7 +568,8 @@
 		retryAfter = 0
 	}
 	out.Add(vrevent.RefuseCall{Call: c.ID, Reason: reason, NotRun: notRun, RetryAfter: retryAfter})
-	s.removeCall(now, c, "refused", reason, out, millis("retryAfterMs", retryAfter), boolean("notRun", notRun))
+	s.removeCall(now, c, "refused", reason, out, millis("retryAfterMs", retryAfter), boolean("notRun", notRun),
+		millis("waitedMs", now.Sub(c.arrivedAt)))
 }
 
 func boolean(name string, value bool) vrevent.LogField {
@@ -554,6 +590,7 @@
 	s.dequeue(c)
 	s.release(c)
 	s.stopVerifying(c)
+	s.endQuota(now, c)
 	s.cancelAttempts(c)
 	delete(s.calls, c.ID)
 	s.countDemandEnd(c)
@@ -571,11 +608,15 @@
 	}
 	if reason != "" {
 		common = append(common, text("reason", reason))
+		common = append(common, s.quotaFields(c)...)
 	}
 	if c.tenant != nil {
 		common = append(common, text("tenant", c.tenant.ID))
 		ended.Tenant = c.tenant.ID
 	}
+	if c.route != nil && s.ordersAdmission(c.service) {
+		common = append(common, number("level", uint64(c.level)), number("ahead", uint64(c.ahead)))
+	}
 	out.Add(ended)
 	if c.Model != "" {
 		common = append(common, text("model", c.Model), text("adapter", c.Adapter))
--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -86,6 +86,7 @@
 	count := int(s.inFlight[key]) + delta
 	if count <= 0 {
 		delete(s.inFlight, key)
+		s.reportUnloadedEnd(key)
 		return
 	}
 	s.inFlight[key] = uint32(count)
@@ -254,7 +255,8 @@
 			report.Items = append(report.Items, s.demandOf(now, key, s.waitLists[key]))
 		}
 	}
-	if len(report.Items) > 0 || s.lease.Holding() || s.needsReport(now) {
+	if len(report.Items) > 0 || s.lease.Holding() || len(s.reportedInFlight) > 0 || s.needsReport(now) {
+		s.reportedInFlight = report.InFlight
 		s.sendDemand(now, report, out)
 	}
 }
@@ -283,6 +285,7 @@
 	s.forgetReports()
 	s.setFeedMembers(now)
 	s.retryBudget.SetDaemons(len(e.Peers))
+	s.setQuotaDaemons(now)
 }
 
 func (s *State) handlePeerMessage(now time.Time, envelope *vrwire.Envelope, out *vrevent.Effects) {
@@ -308,6 +311,9 @@
 	if envelope.From == s.owner.daemon {
 		s.owner.unreachableAt = time.Time{}
 	}
+	if s.handleQuotaMessage(now, envelope, out) {
+		return
+	}
 	if notices := envelope.Notices; notices != nil && notices.Epoch >= s.owner.epoch {
 		s.recordHeartbeat(now, notices)
 		s.quarantine.parts.HandleVersion(notices.Epoch, notices.QuarantineVersion)
--- a/verbenacore/vrgateway/tenant.go
+++ b/verbenacore/vrgateway/tenant.go
@@ -64,7 +64,7 @@
 	tenant := s.findTenant(c)
 	switch {
 	case !s.needsKey(c) || (tenant != nil && s.provesKnown(now)):
-		c.tenant = tenant
+		s.changeTenant(c, tenant)
 		return keyAccepted
 	case tenant == nil && s.provesUnknown(now):
 		return keyUnknown
@@ -73,6 +73,15 @@
 	}
 }
 
+// changeTenant sets the tenant of a call by the catalog in force. Credit of another tenant does not count for it.
+func (s *State) changeTenant(c *call, tenant *vrcatalog.Tenant) {
+	if c.tenant != nil && (tenant == nil || tenant.ID != c.tenant.ID) {
+		s.leaveQuota(c)
+		c.quota.charged = false
+	}
+	c.tenant = tenant
+}
+
 // provesKnown reports whether the catalog in force proves that its keys are valid.
 func (s *State) provesKnown(now time.Time) bool {
 	revocation := s.opts.Bounds.Revocation
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -21,6 +21,7 @@
 	"verbenaroute.example/verbenacore/vrquarantine"
 	"verbenaroute.example/verbenacore/vrresidence"
 	"verbenaroute.example/verbenacore/vrretry"
+	"verbenaroute.example/verbenacore/vrwire"
 )
 
 // Bounds are the limits that a deployment configures.
@@ -35,6 +36,10 @@
 	// Revocation is the time after which a request with a withdrawn API key must not run, zero if there is no
 	// such limit. CatalogApply is the time within which a new key has to be accepted.
 	Revocation, CatalogApply time.Duration
+	// In each QuotaWindow, a tenant may exceed its quota by the fraction QuotaOverrun and by QuotaSlack, in
+	// the unit of the quota.
+	QuotaWindow              time.Duration
+	QuotaOverrun, QuotaSlack float64
 }
 
 // Options configures a State.
@@ -47,6 +52,8 @@
 	// Regions maps each availability zone to its region.
 	Regions map[vrid.ZoneID]vrid.RegionID
 	Bounds  Bounds
+	// FirstStart is set when the whole fleet starts for the first time, so that daemons are still registering.
+	FirstStart bool
 	// Seed seeds the random number generator.
 	Seed uint64
 }
@@ -70,8 +77,12 @@
 	demand map[target]*targetDemand
 	// inFlight counts the calls that were sent and have not ended, by server and model.
 	inFlight map[serverModel]uint32
-	peers    []vrevent.Peer
-	feed     *vrfeed.Feed
+	// unloading holds the models that servers are about to unload while calls of this daemon are in flight for
+	// them. reportedInFlight lists the calls in flight of the last full demand report.
+	unloading        map[serverModel]bool
+	reportedInFlight []vrwire.ServerInFlight
+	peers            []vrevent.Peer
+	feed             *vrfeed.Feed
 	// feedDaemons is the number of daemons that the feeder of the zone knows.
 	feedDaemons     int
 	quarantine      quarantineState
@@ -89,8 +100,10 @@
 	reportSentAt time.Time
 	startedAt    time.Time
 	shutdown     shutdownState
+	quota        quotaState
 	// durations are those of the calls of each route.
 	durations map[vrcatalog.RouteID]*callDurations
+	admission admission
 	counts    Counts
 }
 
@@ -108,7 +121,7 @@
 	random := rand.New(rand.NewPCG(opts.Seed, uint64(len(opts.Daemon))))
 	fleet := vrfleet.New()
 	lease := opts.Bounds.Lease
-	return &State{
+	s := &State{
 		opts: opts, random: random, fleet: fleet,
 		chooser:     &vrchoice.Chooser{Fleet: fleet, Random: random, Zone: opts.Zone, Regions: opts.Regions},
 		retryBudget: vrretry.New(opts.Bounds.Retries),
@@ -125,12 +138,15 @@
 		demand:    make(map[target]*targetDemand),
 
 		inFlight:  make(map[serverModel]uint32),
+		unloading: make(map[serverModel]bool),
 		feed:      vrfeed.New(opts.Daemon),
 		durations: make(map[vrcatalog.RouteID]*callDurations),
 		reports:   make(map[vrid.DaemonID]receivedReport),
 
 		quarantine: quarantineState{parts: vrquarantine.New(opts.Daemon)},
 	}
+	s.initAdmission()
+	return s
 }
 
 // Catalog returns the catalog in force, or nil.
@@ -140,9 +156,9 @@
 func (s *State) Counts() Counts { return s.counts }
 
 // WaitingCalls returns the number of calls that wait for a server, for the clearance of their
-// prompt or for a proof of their API key.
+// prompt, for a proof of their API key or for credit.
 func (s *State) WaitingCalls() int {
-	count := len(s.quarantine.held) + len(s.unverified)
+	count := len(s.quarantine.held) + len(s.unverified) + len(s.quota.waiting)
 	for _, list := range s.waitLists {
 		count += len(list.calls)
 	}
@@ -171,6 +187,8 @@
 		s.handleSendResult(now, e, out)
 	case vrevent.SendStalled:
 		s.handleSendStalled(now, e, out)
+	case vrevent.LoadReported:
+		s.handleLoadReported(now, e)
 	case vrevent.ServerLeaving:
 		s.handleServerLeaving(now, e, out)
 	case vrevent.LeavingChecked:
@@ -221,9 +239,11 @@
 	case vrevent.PeerUnreachable:
 		s.owner.markUnreachable(now, e.Peer)
 		s.proof.markUnreachable(now, e.Peer)
+		s.markQuotaUnreachable(now, e.Peer, out)
 	case vrevent.ShutdownRequested:
 		s.handleShutdown(now, e, out)
 	}
+	s.dispatchFreed(now, out)
 }
 
 func (s *State) tick(now time.Time, out *vrevent.Effects) {
@@ -232,6 +252,7 @@
 	s.tickAbsentServers(now, out)
 	s.tickLeavingChecks(now, out)
 	s.tickWaits(now, out)
+	s.tickQuota(now, out)
 	s.tickLease(now, out)
 	s.tickDemand(now, out)
 	s.tickHeartbeat(now, out)
@@ -249,6 +270,8 @@
 	s.proof.encoded = nil
 	s.noteHeartbeatProof()
 	s.forgetDurations()
+	s.resetQueue(now)
+	s.setQuotaCatalog(now)
 	out.Info("catalog adopted", number("version", uint64(catalog.Version)),
 		number("routes", uint64(len(catalog.Routes))), number("services", uint64(len(catalog.Services))),
 		text("call", e.Read.Call), millis("receivingMs", e.Read.Receiving), boolean("owner", s.lease.Holding()),
--- a/verbenacore/vrwire/fleet.go
+++ b/verbenacore/vrwire/fleet.go
@@ -129,10 +129,25 @@
 	// CatalogQuery and CatalogReply may come from any daemon. Epoch is zero then.
 	CatalogQuery *CatalogQuery `protobuf:"bytes,20,opt,name=catalogQuery,proto3"`
 	CatalogReply *CatalogReply `protobuf:"bytes,21,opt,name=catalogReply,proto3"`
+	// Loads are the requests in flight of all daemons but the receiver at the servers that have most of them, in
+	// a heartbeat, for services with ordered admission. LoadsAge is the mean age of the reports that they were
+	// added up from, in milliseconds.
+	Loads    []ServerRequests `protobuf:"bytes,12,rep,name=loads,proto3"`
+	LoadsAge int64            `protobuf:"varint,13,opt,name=loadsAge,proto3"`
+	// QuotaRequest and QuotaReply are messages between a daemon and its allocator of quotas. Epoch is zero
+	// then.
+	QuotaRequest *QuotaRequest `protobuf:"bytes,22,opt,name=quotaRequest,proto3"`
+	QuotaReply   *QuotaReply   `protobuf:"bytes,23,opt,name=quotaReply,proto3"`
+}
+
+// ServerRequests is the number of requests in flight at a server, of some daemons.
+type ServerRequests struct {
+	Server   vrid.ServerID `protobuf:"bytes,1,opt,name=server,proto3"`
+	Requests uint32        `protobuf:"varint,2,opt,name=requests,proto3"`
 }
 
 // Validate checks that each notice has a known kind and, unless the server is leaving,
-// names a model, and the messages about catalogs and parts of prompts.
+// names a model, and the messages about catalogs, parts of prompts and quotas.
 func (n *Notices) Validate() error {
 	for _, item := range n.Items {
 		if item.Kind < NoticeLoading || item.Kind > NoticeLeaving || (item.Model == "" && item.Kind != NoticeLeaving) {
@@ -155,7 +170,17 @@
 		}
 	}
 	if n.Quarantine != nil {
-		return n.Quarantine.Validate()
+		if err := n.Quarantine.Validate(); err != nil {
+			return err
+		}
+	}
+	if n.QuotaRequest != nil {
+		if err := n.QuotaRequest.Validate(); err != nil {
+			return err
+		}
+	}
+	if n.QuotaReply != nil {
+		return n.QuotaReply.Validate()
 	}
 	return nil
 }
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -93,13 +93,14 @@
 	bounds := settings.Bounds
 	n.state = vrgateway.New(vrgateway.Options{
 		Daemon: settings.Daemon, Boot: n.boot, Address: settings.Peers, Zone: settings.Zone, Regions: settings.Regions,
-		Seed: rand.Uint64(),
+		Seed: rand.Uint64(), FirstStart: settings.FirstStart,
 		Bounds: vrgateway.Bounds{
 			Lease:   bounds.Lease.Std(),
 			Retries: retryOptions(bounds),
 			Ceiling: vrresidence.Ceiling{Window: bounds.CeilingWindow.Std(), Factor: bounds.CeilingFactor},
 
 			Revocation: bounds.Revocation.Std(), CatalogApply: bounds.CatalogApply.Std(),
+			QuotaWindow: bounds.QuotaWindow.Std(), QuotaOverrun: bounds.QuotaOverrun, QuotaSlack: bounds.QuotaSlack,
 		},
 	})
 	n.proxy = vrrelay.New(vrrelay.Options{
