Tell refused calls of a tenant to return one after the other

Change: a daemon counts the refused calls for which there has been no credit since; a refused call returns after these, at the rate at which credit was granted of late, up to 4 s later. TestRefusedCallsReturnOneAfterTheOther fails without it. TestTenantBeyondItsLimitIsRefused checks the first refusal as before and that later calls return later.

The credit of a tenant at a daemon is an account with granted credits now, not a pot with lots.

--- a/verbenacore/vrgateway/quota.go
+++ b/verbenacore/vrgateway/quota.go
@@ -151,7 +151,9 @@
 	return true
 }
 
-func (s *State) endOverQuota(now time.Time, c *call, retryAfter time.Duration, out *vrevent.Effects) {
+// endOverQuota refuses a call whose tenant has reached its limit. wait is when the first of its calls can have credit.
+func (s *State) endOverQuota(now time.Time, c *call, wait time.Duration, out *vrevent.Effects) {
+	retryAfter := s.quota.daemon.Refuse(now, c.tenant.ID, c.cost(), wait)
 	s.quota.refused++
 	c.quota.refused = true
 	s.endCall(now, c, vrwire.ReasonQuotaExceeded, retryAfter, out)
--- a/verbenacore/vrquota/charge.go
+++ b/verbenacore/vrquota/charge.go
@@ -28,11 +28,11 @@
 }
 
 // IsLimited reports whether the tenant has a limit.
-func (d *Daemon) IsLimited(id vrid.TenantID) bool { return d.pot(id) != nil }
+func (d *Daemon) IsLimited(id vrid.TenantID) bool { return d.account(id) != nil }
 
-// pot returns the pot of a tenant, or nil if it has no limit.
-func (d *Daemon) pot(id vrid.TenantID) *pot {
-	if p := d.pots[id]; p != nil {
+// account returns the account of a tenant, or nil if it has no limit.
+func (d *Daemon) account(id vrid.TenantID) *account {
+	if p := d.accounts[id]; p != nil {
 		return p
 	}
 	if d.catalog == nil {
@@ -42,14 +42,14 @@
 	if tenant == nil || tenant.Quota.Rate <= 0 {
 		return nil
 	}
-	p := &pot{tenant: id, limit: NewLimit(tenant.Quota, d.bounds)}
-	d.pots[id] = p
+	p := &account{tenant: id, limit: NewLimit(tenant.Quota, d.bounds)}
+	d.accounts[id] = p
 	return p
 }
 
 // Limit returns the limit of a tenant.
 func (d *Daemon) Limit(id vrid.TenantID) Limit {
-	if p := d.pot(id); p != nil {
+	if p := d.account(id); p != nil {
 		return p.limit
 	}
 	return Limit{}
@@ -57,7 +57,7 @@
 
 // Check reports how long a call has to wait that would be denied now, or zero.
 func (d *Daemon) Check(now time.Time, id vrid.TenantID, cost int64) time.Duration {
-	p := d.pot(id)
+	p := d.account(id)
 	if p == nil || !now.Before(p.denied.until) || cost < p.denied.need {
 		return 0
 	}
@@ -69,7 +69,7 @@
 }
 
 // retryAfter returns when a call can have credit after a denial of one that costs no more.
-func (p *pot) retryAfter(now time.Time, cost int64) time.Duration {
+func (p *account) retryAfter(now time.Time, cost int64) time.Duration {
 	if float64(cost) > p.limit.Depth {
 		return maxRetryAfter
 	}
@@ -80,7 +80,7 @@
 // Take takes the credit for a call. first is set at the call's first attempt. If the verdict is Denied, it
 // returns the time until the call can have credit.
 func (d *Daemon) Take(now time.Time, id vrid.TenantID, cost int64, first bool) (Verdict, Charge, time.Duration) {
-	p := d.pot(id)
+	p := d.account(id)
 	if p == nil || cost <= 0 {
 		return Charged, Charge{}, 0
 	}
@@ -100,9 +100,20 @@
 	return Unknown, Charge{}, 0
 }
 
+// Refuse records that a call was refused that can have credit after the wait, and returns when its client should
+// return: after those that were refused before it. If all returned when the first credit is there, most of them
+// would be refused again.
+func (d *Daemon) Refuse(now time.Time, id vrid.TenantID, cost int64, wait time.Duration) time.Duration {
+	p := d.account(id)
+	if p == nil {
+		return wait
+	}
+	return min(wait+p.recordRefusal(now, cost), maxRetryAfter)
+}
+
 // Decides reports whether Take would charge or deny a call.
 func (d *Daemon) Decides(now time.Time, id vrid.TenantID, cost int64) bool {
-	p := d.pot(id)
+	p := d.account(id)
 	if p == nil || (now.Before(p.denied.until) && cost >= p.denied.need) {
 		return true
 	}
@@ -115,7 +126,7 @@
 
 // listAhead makes the next request ask for the credit that the tenant's regular demand needs. A daemon that is
 // its own allocator has the answer at once.
-func (d *Daemon) listAhead(now time.Time, p *pot) {
+func (d *Daemon) listAhead(now time.Time, p *account) {
 	if d.part.at != d.id && !p.listed && !now.Before(p.denied.until) && p.ahead(now) > 0 {
 		p.listed = true
 		d.listed = append(d.listed, p)
@@ -124,7 +135,7 @@
 
 // Return takes back the credit of a call that certainly did not run.
 func (d *Daemon) Return(now time.Time, id vrid.TenantID, charge Charge) {
-	if p := d.pots[id]; p != nil && now.Before(charge.Until) {
+	if p := d.accounts[id]; p != nil && now.Before(charge.Until) {
 		p.expire(now)
 		p.add(charge.Amount, charge.Until)
 	}
--- a/verbenacore/vrquota/daemon.go
+++ b/verbenacore/vrquota/daemon.go
@@ -77,9 +77,9 @@
 	askAt time.Time
 	// usedAt is when a call last asked for credit, renewedAt when the last request was sent.
 	usedAt, renewedAt time.Time
-	pots              map[vrid.TenantID]*pot
-	// listed holds the pots of the next request.
-	listed []*pot
+	accounts          map[vrid.TenantID]*account
+	// listed holds the accounts of the next request.
+	listed []*account
 	counts DaemonCounts
 }
 
@@ -130,18 +130,18 @@
 func NewDaemon(startedAt time.Time, id vrid.DaemonID, boot vrid.BootID, bounds Bounds) *Daemon {
 	return &Daemon{
 		id: id, boot: boot, startedAt: startedAt, bounds: bounds,
-		allocators: make(map[vrid.DaemonID]*allocatorView), pots: make(map[vrid.TenantID]*pot),
+		allocators: make(map[vrid.DaemonID]*allocatorView), accounts: make(map[vrid.TenantID]*account),
 	}
 }
 
 // SetCatalog applies the quotas of a catalog.
 func (d *Daemon) SetCatalog(catalog *vrcatalog.Catalog) {
 	d.catalog = catalog
-	for id, p := range d.pots {
+	for id, p := range d.accounts {
 		tenant := catalog.Tenant(id)
 		if tenant == nil || tenant.Quota.Rate <= 0 {
-			d.listed = slices.DeleteFunc(d.listed, func(other *pot) bool { return other == p })
-			delete(d.pots, id)
+			d.listed = slices.DeleteFunc(d.listed, func(other *account) bool { return other == p })
+			delete(d.accounts, id)
 			continue
 		}
 		p.limit = NewLimit(tenant.Quota, d.bounds)
@@ -361,7 +361,7 @@
 	return request
 }
 
-// addNeeds asks for what the waiting calls cost, and for what the listed pots need in advance. What does not
+// addNeeds asks for what the waiting calls cost, and for what the listed accounts need in advance. What does not
 // fit into the request is asked for by the next one.
 func (d *Daemon) addNeeds(now time.Time, request *vrwire.QuotaRequest, waiting iter.Seq2[vrid.TenantID, int64]) {
 	for _, p := range d.listed {
@@ -383,7 +383,7 @@
 
 // addWaiting adds a waiting call to the needs of its tenant.
 func (d *Daemon) addWaiting(id vrid.TenantID, cost int64) {
-	p := d.pot(id)
+	p := d.account(id)
 	if p == nil {
 		return
 	}
@@ -397,8 +397,8 @@
 	}
 }
 
-// need returns what a pot needs beyond its credit.
-func (p *pot) need(now time.Time) (vrwire.QuotaNeed, bool) {
+// need returns what a account needs beyond its credit.
+func (p *account) need(now time.Time) (vrwire.QuotaNeed, bool) {
 	ahead := p.ahead(now)
 	need := vrwire.QuotaNeed{Tenant: p.tenant}
 	if p.urgent > 0 {
@@ -467,11 +467,13 @@
 // applyGrant adds granted credit, which counts from the sending of the request: however late the answer is,
 // the credit is not spent later than its life after the allocator has granted it.
 func (d *Daemon) applyGrant(now, sentAt time.Time, number uint64, grant *vrwire.QuotaGrant) {
-	p := d.pots[grant.Tenant]
+	p := d.accounts[grant.Tenant]
 	if p == nil {
 		return
 	}
 	if until := sentAt.Add(p.limit.Life); now.Before(until) {
+		p.decay(now)
+		p.granted += float64(grant.Granted)
 		p.add(grant.Granted, until)
 	} else if grant.Granted > 0 {
 		d.counts.Expired++
