vrfleet: record which services share their machines

Ordered admission applies to services whose servers state their pace, and nothing recorded whether one has. Tested with go test ./verbenacore/vrfleet.

--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -104,6 +104,8 @@
 	doubted map[vrid.ServerID]renewal
 	// removed remembers the servers whose registrations were removed.
 	removed removedServers
+	// sharing holds the services of which a server has stated its pace.
+	sharing map[vrid.ServiceID]bool
 	// promptRate is the smoothed number of prompt tokens that one server processes per
 	// second, zero before the first measurement.
 	promptRate float64
@@ -119,7 +121,7 @@
 func New() *Fleet {
 	return &Fleet{
 		servers: make(map[vrid.ServerID]*Server), byService: make(map[vrid.ServiceID][]*Server), doubted: make(map[vrid.ServerID]renewal),
-		removed: removedServers{last: make(map[vrid.ServerID]removedServer)},
+		removed: removedServers{last: make(map[vrid.ServerID]removedServer)}, sharing: make(map[vrid.ServiceID]bool),
 	}
 }
 
--- a/verbenacore/vrgateway/calls.go
+++ b/verbenacore/vrgateway/calls.go
@@ -394,6 +394,7 @@
 	server := a.server
 	if e.Load != nil {
 		server.SetLoad(now, e.Load.Running, e.Load.Waiting)
+		s.fleet.RecordPace(server, e.Load.Pace)
 	}
 	failed := false
 	switch e.Result {
