vrlease: hold in the record, proof of the holder's end, end of the orders

A holder could act only for Timing.Duration after a write, so it stopped with every outage of the store, and a successor of a dead or stopping holder waited for the whole lease as well.

Record.Hold states how long the holder may act after the write; observers wait as long. A holder that may not give orders yet keeps the default hold, and its record passes on how long the former one may act (FormerHold). HolderEnded takes a proof that the holder's run has ended. A release states when the last order ended (OrdersEnded). Without TickParams.LongHolds nothing changes.

--- a/verbenacore/vrlease/restore_model_test.go
+++ b/verbenacore/vrlease/restore_model_test.go
@@ -26,6 +26,9 @@
 	modelFreezeDraws  = 100
 	modelReleaseDraws = 500
 	modelLostDraws    = 5
+	modelProofDraws   = 4
+	modelRestDraws    = 60
+	modelHoldDraws    = 40
 	// modelCopies is the number of former states that restores and stale reads choose from.
 	modelCopies = 12
 )
@@ -52,8 +55,16 @@
 	calls     []*modelCall
 	frozenEnd time.Time
 	released  bool
+	// downEnd is the end of the time in which the daemon does not run.
+	downEnd time.Time
+	// restEnd is the end of a time in which the holder has no orders to give, lastOrder is this run's last one.
+	restEnd, lastOrder time.Time
+	// holdsLong is whether the daemon may use the long hold, where others may.
+	holdsLong bool
 }
 
+func (d *modelDaemon) bootID() vrid.BootID { return vrid.BootID(fmt.Sprint("b", d.boot)) }
+
 // model runs daemons against one store in virtual time.
 type model struct {
 	t       *rapid.T
@@ -70,18 +81,23 @@
 	highestEpoch vrid.Epoch
 	acquisitions int
 	orders       int
+	proofs       int
+	// longHolds is set if holders may use the long hold.
+	longHolds bool
+	// calm divides the probability of disturbances.
+	calm int
 }
 
 func (m *model) oneIn(n int) bool { return m.random.IntN(n) == 0 }
 
 func (m *model) start(d *modelDaemon) {
 	d.boot++
-	d.released = false
+	d.released, d.lastOrder, d.holdsLong = false, time.Time{}, true
 	d.knownEra = 0
 	m.orphans = append(m.orphans, d.calls...)
 	d.calls = nil
 	d.lease = vrlease.New(vrlease.Options{
-		Key: "leases/f", Daemon: d.id, Boot: vrid.BootID(fmt.Sprint("b", d.boot)), Ops: &vrevent.Ops{}, Random: m.random, Timing: restoreTiming,
+		Key: "leases/f", Daemon: d.id, Boot: d.bootID(), Ops: &vrevent.Ops{}, Random: m.random, Timing: restoreTiming,
 	})
 }
 
@@ -174,7 +190,7 @@
 func (m *model) checkOrders() {
 	for _, d := range m.daemons {
 		// The reducers give no orders once they have released the lease, whatever came of it.
-		if d.released || !d.lease.Confirmed(m.now) || m.now.Before(d.lease.OrdersAllowedAt()) {
+		if d.released || !d.lease.Confirmed(m.now) || m.now.Before(d.lease.OrdersAllowedAt()) || m.now.Before(later(d.downEnd, later(d.restEnd, d.frozenEnd))) {
 			continue
 		}
 		m.orders++
@@ -187,6 +203,7 @@
 			m.t.Fatalf("%s may give orders with epoch %d after %d at %s", d.id, epoch, m.highestEpoch, m.now.Sub(modelStart))
 		}
 		m.lastOrder[d.id], m.highestEpoch = m.now, d.lease.Epoch()
+		d.lastOrder = m.now
 	}
 }
 
@@ -194,25 +211,54 @@
 
 // disturb restores the store and restarts, freezes or stops daemons at random.
 func (m *model) disturb() {
-	const maxFreeze = 5000
-	if history := m.store.history; len(history) > 0 && m.oneIn(modelRestoreDraws) {
+	const maxFreeze, maxDown, maxRest = 9000, 4000, 6000
+	if history := m.store.history; len(history) > 0 && m.oneIn(m.calm*m.calm*modelRestoreDraws) {
 		m.store.restore(history[len(history)-1-m.random.IntN(min(len(history), modelCopies))])
 	}
 	for _, d := range m.daemons {
 		switch {
-		case m.oneIn(modelRestartDraws):
+		case m.oneIn(m.calm * modelRestartDraws):
 			m.start(d)
-		case m.oneIn(modelFreezeDraws):
+			if m.longHolds {
+				d.downEnd = m.now.Add(time.Duration(m.random.IntN(maxDown)) * time.Millisecond)
+			}
+		case m.longHolds && m.oneIn(modelRestDraws):
+			d.restEnd = m.now.Add(time.Duration(m.random.IntN(maxRest)) * time.Millisecond)
+		case m.longHolds && m.oneIn(modelHoldDraws):
+			d.holdsLong = !d.holdsLong
+		case m.oneIn(m.calm * modelFreezeDraws):
 			d.frozenEnd = m.now.Add(time.Duration(m.random.IntN(maxFreeze)) * time.Millisecond)
-		case m.oneIn(modelReleaseDraws):
+		case m.oneIn(m.calm * modelReleaseDraws):
 			d.released = true
 			out := &vrevent.Effects{}
+			d.lease.SetOrdersEnded(d.lastOrder)
 			d.lease.Release(m.now, out)
 			m.call(d, out)
 		}
 	}
 }
 
+// dialHolder lets a daemon dial the holder that it knows of. Only a daemon that is down refuses: its next run
+// and a frozen one don't.
+func (m *model) dialHolder(d *modelDaemon) {
+	record, known := d.lease.Latest()
+	if !m.longHolds || !known || !m.oneIn(modelProofDraws) {
+		return
+	}
+	for _, other := range m.daemons {
+		if other.id == record.Holder && other.id != d.id && m.now.Before(other.downEnd) && d.lease.HolderEnded(m.now, record.Holder, record.Boot) {
+			m.proofs++
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (m *model) run() {
 	for range modelSteps {
 		m.now = m.now.Add(modelStep)
@@ -225,29 +271,34 @@
 			for _, c := range d.calls {
 				m.execute(c)
 			}
-			if m.now.Before(d.frozenEnd) {
+			if m.now.Before(later(d.frozenEnd, d.downEnd)) {
 				continue
 			}
 			m.answer(d)
+			m.dialHolder(d)
 			out := &vrevent.Effects{}
-			d.lease.Tick(m.now, vrlease.TickParams{Observe: true, Candidate: !d.released}, out)
+			d.lease.Tick(m.now, vrlease.TickParams{
+				Observe: true, Candidate: !d.released, LongHolds: m.longHolds, HoldLong: d.holdsLong,
+			}, out)
 			m.call(d, out)
 		}
 		m.checkOrders()
 	}
 }
 
-// TestRestoresKeepRuleOne guards against two daemons that give orders within the quiet period of each
-// other, and against epochs that are given out twice or fall, across restores of the store, lost
-// answers, late writes, stale reads, restarts and freezes.
-func TestRestoresKeepRuleOne(t *testing.T) {
-	acquisitions, orders := 0, 0
+// checkModel runs the model for drawn seeds.
+func checkModel(t *testing.T, longHolds bool) {
+	acquisitions, orders, proofs := 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		daemons := rapid.IntRange(2, 4).Draw(t, "daemons")
+		calm := 1
+		if longHolds {
+			calm = rapid.IntRange(1, 6).Draw(t, "calm")
+		}
 		for stream := range uint64(modelRuns) {
 			m := &model{
-				t: t, random: rand.New(rand.NewPCG(seed, stream)), now: modelStart, store: newRestoredStore(),
+				t: t, random: rand.New(rand.NewPCG(seed, stream)), now: modelStart, store: newRestoredStore(), longHolds: longHolds, calm: calm,
 				acquired: make(map[vrid.Epoch]string), lastOrder: make(map[vrid.DaemonID]time.Time),
 			}
 			for i := range daemons {
@@ -258,7 +309,18 @@
 			m.run()
 			acquisitions += m.acquisitions
 			orders += m.orders
+			proofs += m.proofs
 		}
 	})
-	t.Logf("%d acquisitions, %d steps with orders", acquisitions, orders)
+	t.Logf("%d acquisitions, %d steps with orders, %d proofs of an end", acquisitions, orders, proofs)
 }
+
+// TestRestoresKeepRuleOne guards against two daemons that give orders within the quiet period of each
+// other, and against epochs that are given out twice or fall, across restores of the store, lost
+// answers, late writes, stale reads, restarts and freezes.
+func TestRestoresKeepRuleOne(t *testing.T) { checkModel(t, false) }
+
+// TestLongHoldsKeepRuleOne guards against the same where holders use a long hold, which they lengthen and
+// shorten, where a daemon that is down for a while proves by that that its run has ended, and where a release
+// states when the last order ended.
+func TestLongHoldsKeepRuleOne(t *testing.T) { checkModel(t, true) }
--- a/verbenacore/vrlease/restore_test.go
+++ b/verbenacore/vrlease/restore_test.go
@@ -18,7 +18,7 @@
 // restoreTiming has the proportions that the gateway uses.
 var restoreTiming = vrlease.Timing{
 	Duration: 1500 * time.Millisecond, RenewInterval: 600 * time.Millisecond, ReadInterval: 750 * time.Millisecond,
-	UnreachableDuration: 1500 * time.Millisecond, QuietPeriod: 3 * time.Second,
+	UnreachableDuration: 1500 * time.Millisecond, QuietPeriod: 3 * time.Second, LongHold: 9 * time.Second,
 }
 
 // storeState is the state of the lease's object at one revision of the store. The object does not
@@ -96,6 +96,8 @@
 	stale *storeState
 	// writtenOn holds the versions on which writes were sent.
 	writtenOn []vrid.ObjectVersion
+	// params are those of the ticks, apart from the part as an observer or a candidate.
+	params vrlease.TickParams
 }
 
 func newStoreClient(store *restoredStore, now *time.Time, daemon vrid.DaemonID, boot vrid.BootID) *storeClient {
@@ -106,9 +108,24 @@
 
 // step ticks the lease and answers its calls. It returns the resulting change.
 func (c *storeClient) step(candidate bool) vrlease.Change {
-	change := vrlease.ChangeNone
 	out := &vrevent.Effects{}
-	c.lease.Tick(*c.now, vrlease.TickParams{Observe: true, Candidate: candidate}, out)
+	params := c.params
+	params.Observe, params.Candidate = true, candidate
+	c.lease.Tick(*c.now, params, out)
+	return c.answer(out)
+}
+
+// release releases the lease.
+func (c *storeClient) release(t *testing.T) {
+	t.Helper()
+	out := &vrevent.Effects{}
+	c.lease.Release(*c.now, out)
+	require.Equal(t, vrlease.ChangeLost, c.answer(out))
+}
+
+// answer answers the lease's calls. It returns the resulting change.
+func (c *storeClient) answer(out *vrevent.Effects) vrlease.Change {
+	change := vrlease.ChangeNone
 	for len(out.List) > 0 {
 		effects := out.List
 		out.List = nil
--- a/verbenacore/vrlease/vrlease.go
+++ b/verbenacore/vrlease/vrlease.go
@@ -32,6 +32,9 @@
 	// maxJitter is the upper bound of the random delay before a candidate acquires an
 	// expired lease, so that usually only one candidate tries.
 	maxJitter = 300 * time.Millisecond
+	// maxHold is the longest hold that a record may state. A holder whose hold had no end could not be
+	// replaced.
+	maxHold = time.Minute
 	// eraEpochBits is the number of bits of an epoch below the store's era: the largest era that an
 	// ObjectVersion holds and 2^37 revisions fit into 2^53, up to which JSON numbers are exact.
 	eraEpochBits = 37
@@ -57,9 +60,18 @@
 	// Era is the era of the store in which the record was written. If the store is in a later one,
 	// the record shows what was before a restore. Former builds write 0.
 	Era vrid.StoreEra `protobuf:"varint,9,opt,name=era,proto3"`
+	// Hold is how long after this write its holder may act without another one, in milliseconds. It is zero
+	// for Timing.Duration, and in records of former builds.
+	Hold uint64 `protobuf:"varint,10,opt,name=hold,proto3"`
+	// FormerHold is how long after this write another daemon may still act as the holder, in milliseconds.
+	// It is zero if that is no longer than Timing.Duration, and once OrdersAllowed is set.
+	FormerHold uint64 `protobuf:"varint,11,opt,name=formerHold,proto3"`
+	// OrdersEnded is set in a released record whose holder gives no orders once it has sent the write. It is
+	// one more than the time from its last order until then, in milliseconds.
+	OrdersEnded uint64 `protobuf:"varint,12,opt,name=ordersEnded,proto3"`
 }
 
-// Validate checks that the record names its holder and that the epoch is not zero.
+// Validate checks that the record names its holder, that the epoch is not zero and that the hold has an end.
 func (r *Record) Validate() error {
 	if r.Holder == "" || r.Boot == "" {
 		return &vrwire.DecodeError{Message: "Lease", Field: "holder", Problem: "holder or boot id is empty"}
@@ -67,6 +79,9 @@
 	if r.Epoch == 0 {
 		return &vrwire.DecodeError{Message: "Lease", Field: "epoch", Problem: "is zero"}
 	}
+	if limit := uint64(maxHold.Milliseconds()); r.Hold > limit || r.FormerHold > limit {
+		return &vrwire.DecodeError{Message: "Lease", Field: "hold", Problem: "is too long"}
+	}
 	return nil
 }
 
@@ -105,6 +120,8 @@
 	// before it gives orders. It is needed where servers must not get orders from two
 	// holders alternately.
 	QuietPeriod time.Duration
+	// LongHold replaces Duration where TickParams.HoldLong is set. It is at most a minute.
+	LongHold time.Duration
 }
 
 // Options configures a Lease.
@@ -144,6 +161,13 @@
 	holding bool
 	// confirmedAt is when the last acknowledged write was sent.
 	confirmedAt time.Time
+	// expiresAt is the end of the hold that the acknowledged writes give. It is never later than the end of
+	// the hold of a later write, whose outcome may be unknown.
+	expiresAt time.Time
+	// longHolds and holdLong are those of the last tick's TickParams.
+	longHolds, holdLong bool
+	// longestHold is the longest hold of any record seen or written, at least Timing.Duration.
+	longestHold time.Duration
 	// confirmedEra and heldEpoch are the era and the epoch of that write.
 	confirmedEra vrid.StoreEra
 	heldEpoch    vrid.Epoch
@@ -169,6 +193,13 @@
 	otherDaemonEnd time.Time
 	// otherRunEnd is the same for every other run, including earlier runs of this daemon.
 	otherRunEnd time.Time
+	// holder is the last known run of another daemon that held the lease. otherDaemonEnd and otherRunEnd
+	// don't cover it.
+	holder holderRun
+	// ordersEndedAt is when the last order of this run was carried out, see SetOrdersEnded.
+	ordersEndedAt time.Time
+	// freshReadDue is set by ReadFreshSoon.
+	freshReadDue bool
 }
 
 // New returns a lease whose object has not been read yet.
@@ -179,7 +210,7 @@
 	if opts.Timing.ReadInterval == 0 {
 		opts.Timing.ReadInterval = opts.Timing.RenewInterval
 	}
-	return &Lease{opts: opts}
+	return &Lease{opts: opts, longestHold: opts.Timing.Duration}
 }
 
 // ConfirmedAt returns when this daemon sent its newest acknowledged write as the holder.
@@ -188,75 +219,14 @@
 // ChangedAt returns when this daemon first saw the newest version of the record.
 func (l *Lease) ChangedAt() time.Time { return l.changedAt }
 
-// ExpiresAt returns when this daemon's lease expires unless it is renewed.
-func (l *Lease) ExpiresAt() time.Time { return l.confirmedAt.Add(l.opts.Timing.Duration) }
-
-// OrdersAllowedAt returns when the holder may begin to give orders: Timing.QuietPeriod after
-// the lease of another daemon, and with it that daemon's last orders, ended. It is zero if
-// no other holder is known.
-func (l *Lease) OrdersAllowedAt() time.Time {
-	if l.otherDaemonEnd.IsZero() || vrfault.On(vrfault.OrderAtOnce) {
-		return time.Time{}
-	}
-	return l.otherDaemonEnd.Add(l.opts.Timing.QuietPeriod)
-}
-
-// OtherRunEnd returns the latest time at which another run may have given an order, zero if
-// no other run is known to have held the lease.
-func (l *Lease) OtherRunEnd() time.Time { return l.otherRunEnd }
-
-// trackOtherHolders updates the latest time at which other runs may have given orders from
-// a record that this daemon has just seen for the first time.
-func (l *Lease) trackOtherHolders(now time.Time, record *Record) {
-	if record.Era < l.version.Era() {
-		l.assumeOtherHolder(now)
-		return
-	}
-	mine := record.Holder == l.opts.Daemon
-	if mine && record.Boot == l.opts.Boot {
-		return
-	}
-	// A holder gives no orders after it released the lease, and neither does a run that has
-	// ended. Any other holder may give orders until its lease expires. One that was not allowed to
-	// give orders yet may have acquired the lease just after a restore of the store, and then the
-	// holder of the former era may still give orders.
-	end := now
-	if (!mine && !record.Released) || (!record.OrdersAllowed && l.version.Era() > 0) {
-		end = now.Add(l.opts.Timing.Duration)
-	}
-	if end.After(l.otherRunEnd) {
-		l.otherRunEnd = end
-	}
-	// An earlier run of this daemon that was not allowed to give orders yet may have taken the
-	// lease over from another daemon only a moment ago.
-	if (!mine || !record.OrdersAllowed) && end.After(l.otherDaemonEnd) {
-		l.otherDaemonEnd = end
-	}
-}
-
-// assumeOtherHolder records that another daemon may have acquired or renewed the lease until now. A
-// restored store does not show who did.
-func (l *Lease) assumeOtherHolder(now time.Time) {
-	if vrfault.On(vrfault.TrustRestoredLease) {
-		return
-	}
-	end := now.Add(l.opts.Timing.Duration)
-	if end.After(l.otherRunEnd) {
-		l.otherRunEnd = end
-	}
-	if end.After(l.otherDaemonEnd) {
-		l.otherDaemonEnd = end
-	}
-}
-
 // Latest returns the newest record seen and whether there is one.
 func (l *Lease) Latest() (Record, bool) { return l.latest, l.observed && l.latest.Holder != "" }
 
 // Holding reports whether this daemon holds the lease as far as it knows.
 func (l *Lease) Holding() bool { return l.holding }
 
-// Confirmed reports whether this daemon holds the lease and sent its newest acknowledged write
-// less than Timing.Duration ago.
+// Confirmed reports whether this daemon holds the lease and the hold of its newest acknowledged write
+// has not ended.
 func (l *Lease) Confirmed(now time.Time) bool {
 	return l.holding && now.Before(l.ExpiresAt())
 }
@@ -277,11 +247,18 @@
 	// Readers is the number of daemons that observe the lease. If they are many, each reads
 	// it less often, since every read has a cost.
 	Readers int
+	// LongHolds is set where holders may act for Timing.LongHold after a write.
+	LongHolds bool
+	// HoldLong lets this daemon do so as the holder. It must be set only if every daemon that may acquire the
+	// lease knows Record.Hold: a former build acquires it after Timing.Duration.
+	HoldLong bool
 }
 
 // Tick renews the lease if it is held, acquires it if it is free or expired, and otherwise
 // reads it at intervals.
 func (l *Lease) Tick(now time.Time, params TickParams, out *vrevent.Effects) {
+	l.longHolds = params.LongHolds && l.opts.Timing.LongHold > 0
+	l.holdLong = params.HoldLong && l.longHolds
 	if l.pendingOp != 0 {
 		return
 	}
@@ -303,6 +280,11 @@
 		l.acquire(now, params.Chunks, out)
 		return
 	}
+	if l.freshReadDue && params.Observe {
+		l.freshReadDue = false
+		l.readFresh(now, out)
+		return
+	}
 	if params.Observe && !now.Before(l.nextReadAt) {
 		l.read(now, out)
 		if factor := params.Readers / fullRateReaders; factor > 1 {
@@ -323,7 +305,7 @@
 		// An earlier run of this daemon held it and has ended.
 		return true
 	}
-	return now.Sub(l.changedAt) >= l.expiryDelay(holderUnreachable)+l.jitter
+	return !now.Before(l.acquirableAt(holderUnreachable))
 }
 
 // readSinceExpiry reports whether the object was read after the lease could have expired.
@@ -332,19 +314,12 @@
 	if l.version.Revision() == 0 || l.latest.Released || l.latest.Holder == l.opts.Daemon {
 		return true
 	}
-	return l.readAt.Sub(l.changedAt) >= l.expiryDelay(holderUnreachable)+l.jitter
-}
-
-// expiryDelay returns how long a record may stay unchanged before its lease has expired.
-func (l *Lease) expiryDelay(holderUnreachable bool) time.Duration {
-	if holderUnreachable {
-		return l.opts.Timing.UnreachableDuration
-	}
-	return l.opts.Timing.Duration
+	return !l.readAt.Before(l.acquirableAt(holderUnreachable))
 }
 
 func (l *Lease) renew(now time.Time, out *vrevent.Effects) {
-	if now.Sub(l.confirmedAt) < l.opts.Timing.RenewInterval || now.Before(l.nextReadAt) {
+	releaseAtOnce := l.releasing && l.longHolds
+	if (now.Sub(l.confirmedAt) < l.opts.Timing.RenewInterval && !releaseAtOnce) || now.Before(l.nextReadAt) {
 		return
 	}
 	record := l.latest
@@ -403,6 +378,10 @@
 // announced that it released the lease.
 func (l *Lease) ReadSoon(now time.Time) { l.nextReadAt = now }
 
+// ReadFreshSoon makes the next tick of an observer read the object's current value, because the holder has
+// told this daemon alone that it released the lease.
+func (l *Lease) ReadFreshSoon() { l.freshReadDue, l.nextFreshReadAt = true, time.Time{} }
+
 // Released reports whether a shutdown may continue: the lease is not held and no read or
 // write of it is unanswered.
 func (l *Lease) Released() bool { return !l.holding && l.pendingOp == 0 }
@@ -416,6 +395,7 @@
 	}
 	record.Era = l.version.Era()
 	record.OrdersAllowed = !now.Before(l.OrdersAllowedAt())
+	l.setHold(now, &record)
 	value, err := vrwire.Marshal(&record)
 	if err != nil {
 		out.Warn("cannot encode lease record", vrevent.Field("error", err.Error()))
@@ -424,6 +404,10 @@
 	l.pendingOp = l.opts.Ops.Next()
 	l.pendingSentAt = now
 	l.proposed = record
+	if l.holding {
+		// Should the answer be lost, the others may count from this write.
+		l.expiresAt = earlier(l.expiresAt, now.Add(l.holdOf(&record)))
+	}
 	out.Add(vrevent.WriteObject{Op: l.pendingOp, Key: l.opts.Key, IfVersion: l.version, Value: value})
 }
 
@@ -565,6 +549,7 @@
 	l.unconfirmed = mine && !l.holding && record.Era == version.Era() && !again
 	if written && mine {
 		l.confirmedAt = l.pendingSentAt
+		l.expiresAt = l.confirmedAt.Add(l.holdOf(&record))
 		l.confirmedEra = version.Era()
 		l.heldEpoch = record.Epoch
 	}
