Gateway: long hold of the placement owner where ordered admission is active

Where ordered admission is active and all registered daemons know the hold, the owner holds the lease for 9 s after a renewal. It goes on planning while the store is lost, from status reports where entries are older than 2 s. A refused connection to the owner proves that its process has ended. A stopping owner writes no further order, states when its last one ended and tells one daemon that the lease is free.

--- a/verbenacore/vrevent/gateway.go
+++ b/verbenacore/vrevent/gateway.go
@@ -143,6 +143,8 @@
 	Address string
 	// Zone is empty if the daemon's version does not register it.
 	Zone vrid.ZoneID
+	// KnowsHold is set if the daemon's version states in its registration that it knows vrlease.Record.Hold.
+	KnowsHold bool
 }
 
 // CatalogRead describes the call to the store that returned a catalog.
@@ -206,6 +208,15 @@
 		Load ServerLoad
 	}
 
+	// PeerDialed is the answer to DialPeer.
+	PeerDialed struct {
+		Peer vrid.DaemonID
+		Boot vrid.BootID
+		// Refused is set if the peer's machine refused the connection. This proves that the process of Boot
+		// has ended: it listens from before it first writes the lease until after its last order.
+		Refused bool
+	}
+
 	// ServerLeaving reports that a response to a send, an order, a reservation or a read of the status
 	// states that its server takes no new work.
 	ServerLeaving struct {
@@ -300,6 +311,7 @@
 func (SendEnded) isEvent()           {}
 func (SendStalled) isEvent()         {}
 func (LoadReported) isEvent()        {}
+func (PeerDialed) isEvent()          {}
 func (ServerLeaving) isEvent()       {}
 func (LeavingChecked) isEvent()      {}
 func (PlaceReserved) isEvent()       {}
@@ -394,6 +406,18 @@
 	// SendPlacementOrder sends a placement order to a server.
 	SendPlacementOrder struct{ Order PlacementOrder }
 
+	// StopOrders keeps orders that are not written to a connection yet from being written, for good. It
+	// stands before the write that releases the lease.
+	StopOrders struct{}
+
+	// DialPeer opens a connection to a peer and closes it, to find out whether the process of Boot runs. Its
+	// answer is PeerDialed.
+	DialPeer struct {
+		Peer    vrid.DaemonID
+		Address string
+		Boot    vrid.BootID
+	}
+
 	// ReadStatus asks a server for its status report.
 	ReadStatus struct {
 		Server  vrid.ServerID
@@ -443,6 +467,8 @@
 func (ReservePlace) isEffect()       {}
 func (AbortCall) isEffect()          {}
 func (SendPlacementOrder) isEffect() {}
+func (StopOrders) isEffect()         {}
+func (DialPeer) isEffect()           {}
 func (ReadStatus) isEffect()         {}
 func (CheckLeaving) isEffect()       {}
 func (CallEnded) isEffect()          {}
--- a/verbenacore/vrevent/vrevent.go
+++ b/verbenacore/vrevent/vrevent.go
@@ -223,7 +223,11 @@
 	PeerMessage struct{ Envelope *vrwire.Envelope }
 
 	// PeerUnreachable reports that a message to a peer could not be delivered.
-	PeerUnreachable struct{ Peer vrid.DaemonID }
+	PeerUnreachable struct {
+		Peer vrid.DaemonID
+		// Refused is set if its machine refused the connection, because no process listens there.
+		Refused bool
+	}
 
 	// ConfigProposed carries an operator's validated change of the configuration.
 	ConfigProposed struct {
--- a/verbenacore/vrfleet/vrfleet.go
+++ b/verbenacore/vrfleet/vrfleet.go
@@ -69,6 +69,8 @@
 	// Gone is set once the registration was removed. Requests that are still running at the
 	// server may finish.
 	Gone bool
+	// EntryAt is when the entry was last received.
+	EntryAt time.Time
 	// SeenAt is when this daemon first saw this process of the server (see Born).
 	SeenAt time.Time
 	// Restarted is set if an earlier process with the same id was known.
@@ -165,7 +167,7 @@
 		if !admitted {
 			return ChangeOutdated
 		}
-		added := &Server{Entry: entry, SeenAt: now, statedLeaving: told && entry.State == StateDraining}
+		added := &Server{Entry: entry, EntryAt: now, SeenAt: now, statedLeaving: told && entry.State == StateDraining}
 		added.inDoubt = told && !added.statedLeaving
 		if server != nil {
 			added.InFlight = server.InFlight
@@ -179,7 +181,7 @@
 	case server.Born != entry.Born:
 		delete(f.doubted, entry.ID)
 		*server = Server{
-			Entry: entry, SeenAt: now, Restarted: true, InFlight: server.InFlight, inDoubt: server.statedLeaving || server.inDoubt,
+			Entry: entry, EntryAt: now, SeenAt: now, Restarted: true, InFlight: server.InFlight, inDoubt: server.statedLeaving || server.inDoubt,
 		}
 		f.reindex()
 		return ChangeRestarted
@@ -198,7 +200,7 @@
 		change = ChangeState
 	}
 	serviceChanged := server.Service != entry.Service
-	server.Entry = entry
+	server.Entry, server.EntryAt = entry, now
 	clear(server.missingUntil)
 	server.expireAdapterReadiness(now)
 	if serviceChanged {
--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -133,13 +133,15 @@
 // tickLease observes the placement owner's lease and, as a candidate, tries to acquire it.
 func (s *State) tickLease(now time.Time, out *vrevent.Effects) {
 	inStartupDelay := now.Sub(s.startedAt) < time.Duration(s.random.Int64N(int64(maxCandidateDelay)))
-	s.lease.Tick(now, vrlease.TickParams{
-		Observe:           true,
-		Candidate:         s.catalog != nil && !s.shutdown.requested && !inStartupDelay && s.fleet.Len() > 0 && !s.ownerAlive(now),
-		HolderUnreachable: s.owner.unreachable(now),
-		Chunks:            1,
-		Readers:           len(s.peers),
-	}, out)
+	params := s.leaseTick()
+	params.Observe = true
+	params.Candidate = s.catalog != nil && !s.shutdown.requested && !inStartupDelay && s.fleet.Len() > 0 &&
+		(!s.ownerAlive(now) || s.ownerIsGone())
+	params.HolderUnreachable = s.owner.unreachable(now)
+	params.Chunks = 1
+	params.Readers = len(s.peers)
+	s.tickOwnerDial(now, out)
+	s.lease.Tick(now, params, out)
 }
 
 // handleLeaseChange updates the known placement owner from the lease, and starts planning if
@@ -157,6 +159,7 @@
 		out.Info("lease acquired", number("epoch", uint64(s.lease.Epoch())),
 			millis("ordersInMs", max(0, s.lease.OrdersAllowedAt().Sub(now))))
 	case vrlease.ChangeLost:
+		s.offerLease(out)
 		out.Warn("lease lost", number("epoch", uint64(s.lease.Epoch())))
 	case vrlease.ChangeNone:
 	}
@@ -291,6 +294,7 @@
 		s.plan(now, out)
 	}
 	if envelope.Notices != nil {
+		s.handleLeaseOffer(envelope.Notices)
 		s.handleLeavingReports(now, envelope.Notices, out)
 	}
 	if envelope.FleetChanges != nil {
@@ -328,12 +332,12 @@
 	if s.catalog == nil || !s.lease.Confirmed(now) || now.Before(s.lease.OrdersAllowedAt()) || now.Before(s.owner.nextPlanAt) {
 		return
 	}
-	if s.shutdown.requested || s.store.lost {
+	if !s.mayPlan() {
 		return
 	}
 	s.owner.nextPlanAt = now.Add(planInterval)
 	s.owner.lastPlanAt = now
-	decision := s.planner.Plan(now, vrresidence.PlanInput{Fleet: s.fleet, Catalog: s.catalog})
+	decision := s.planner.Plan(now, vrresidence.PlanInput{Fleet: s.fleet, Catalog: s.catalog, FreshFrom: s.ordersFreshFrom(now)})
 	s.executeDecision(now, decision, out)
 }
 
@@ -349,6 +353,7 @@
 			order.LeaseExpiresAt = now.Add(never)
 		}
 		s.counts.Orders++
+		s.orders.open++
 		out.Add(vrevent.SendPlacementOrder{Order: order})
 		out.Info("order issued", text("server", order.Server), text("kind", order.Kind.String()), text("model", order.Model),
 			text("adapter", order.Adapter), number("expected", order.ExpectedOrders), number("epoch", uint64(order.Epoch)))
@@ -406,6 +411,7 @@
 }
 
 func (s *State) handleOrderResult(now time.Time, e vrevent.OrderEnded, out *vrevent.Effects) {
+	s.orders.record(now, e.Outcome)
 	if e.Outcome == vrevent.OrderUnknown {
 		s.counts.OrdersUnknown++
 	}
--- a/verbenacore/vrgateway/shutdown.go
+++ b/verbenacore/vrgateway/shutdown.go
@@ -120,6 +120,7 @@
 // handleShutdown releases the lease. From now on, calls that would outlast the grace period are refused.
 func (s *State) handleShutdown(now time.Time, e vrevent.ShutdownRequested, out *vrevent.Effects) {
 	s.shutdown.requested, s.shutdown.answerBy = true, e.AnswerBy
+	s.stopOrders(now, out)
 	s.lease.Release(now, out)
 }
 
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -62,6 +62,9 @@
 	waitLists   map[target]*waitList
 	store       storeHealth
 	owner       ownerState
+	orders      orderLog
+	// ownerDialedAt is when this daemon last dialled the owner, see dialOwner.
+	ownerDialedAt time.Time
 	// demand counts the calls for each target: those that arrived since the last demand
 	// report, and those open.
 	demand map[target]*targetDemand
@@ -109,6 +112,7 @@
 			Ops: &vrevent.Ops{}, Random: random, ReplaceMalformed: true,
 			Timing: vrlease.Timing{
 				Duration: lease / 2, RenewInterval: lease / 5, ReadInterval: lease / 4, UnreachableDuration: lease / 2, QuietPeriod: lease,
+				LongHold: longHold,
 			},
 		}),
 		planner:   vrresidence.New(vrresidence.Options{Ceiling: opts.Bounds.Ceiling}),
@@ -210,7 +214,9 @@
 	case vrevent.PeerMessage:
 		s.handlePeerMessage(now, e.Envelope, out)
 	case vrevent.PeerUnreachable:
-		s.owner.markUnreachable(now, e.Peer)
+		s.handlePeerUnreachable(now, e, out)
+	case vrevent.PeerDialed:
+		s.handlePeerDialed(now, e, out)
 	case vrevent.ShutdownRequested:
 		s.handleShutdown(now, e, out)
 	}
--- a/verbenacore/vrgateway/waits.go
+++ b/verbenacore/vrgateway/waits.go
@@ -260,6 +260,9 @@
 // the owner fail.
 func (s *State) isolatedFromOwner(now time.Time) bool {
 	renewed := now.Sub(s.lease.ChangedAt()) < s.opts.Bounds.Lease/2
+	if s.store.lost && s.ownerOutlastsOutage(now) {
+		return s.owner.unreachable(now) && !s.lease.Holding()
+	}
 	return s.store.lost || (s.owner.unreachable(now) && renewed && !s.lease.Holding())
 }
 
--- a/verbenacore/vrlease/hold.go
+++ b/verbenacore/vrlease/hold.go
@@ -47,6 +47,17 @@
 // HoldsLong reports whether the holder of the newest record may act for longer than Timing.Duration.
 func (l *Lease) HoldsLong() bool { return l.latest.Hold > 0 }
 
+// HolderGone reports whether the holder of the newest record has released the lease or its run has ended.
+func (l *Lease) HolderGone() bool {
+	return l.observed && (l.latest.Released || (!l.holder.endedAt.IsZero() && l.holder.is(&l.latest)))
+}
+
+// Unrenewed reports whether reads have shown the newest record of another daemon for longer than
+// Timing.Duration, so that its holder is late to renew it.
+func (l *Lease) Unrenewed() bool {
+	return l.observed && !l.holding && l.readAt.Sub(l.changedAt) >= l.opts.Timing.Duration
+}
+
 // holdOf returns how long after a write of the record its holder may act.
 func (l *Lease) holdOf(record *Record) time.Duration {
 	return max(l.opts.Timing.Duration, milliseconds(record.Hold))
--- a/verbenacore/vrpeer/peer.go
+++ b/verbenacore/vrpeer/peer.go
@@ -1,7 +1,9 @@
 package vrpeer
 
 import (
+	"errors"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -101,7 +103,7 @@
 		l.close()
 	}
 	p.hub.log.Info("sending to peer failed, queued messages dropped", zap.String("peer", string(p.id)), zap.Error(err))
-	p.hub.recordDropped(p.id, 1+p.dropQueued())
+	p.hub.recordDropped(p.id, 1+p.dropQueued(), errors.Is(err, syscall.ECONNREFUSED))
 	p.hub.sleep(p.retryBackoff.NextBackOff())
 }
 
--- a/verbenacore/vrpeer/vrpeer.go
+++ b/verbenacore/vrpeer/vrpeer.go
@@ -54,7 +54,9 @@
 	// OnUnreachable is called with a peer for which a message was dropped, once for all
 	// messages that are dropped together. It runs on a goroutine of its own, and reports
 	// are discarded when too many are pending.
-	OnUnreachable func(vrid.DaemonID)
+	//
+	// refused is set if the peer's machine refused the connection, because no process listens there.
+	OnUnreachable func(peer vrid.DaemonID, refused bool)
 	Log           *zap.Logger
 }
 
@@ -88,7 +90,7 @@
 	stopAfterFunc func() bool
 	goroutines    conc.WaitGroup
 	counters      counters
-	unreachable   chan vrid.DaemonID
+	unreachable   chan unreachablePeer
 	// acceptedSlots limits the accepted connections to _maxSessions.
 	acceptedSlots chan struct{}
 
@@ -108,7 +110,7 @@
 	}
 	h := &Hub{
 		options: options, log: log,
-		unreachable: make(chan vrid.DaemonID, _maxUnreachableReports), acceptedSlots: make(chan struct{}, _maxSessions),
+		unreachable: make(chan unreachablePeer, _maxUnreachableReports), acceptedSlots: make(chan struct{}, _maxSessions),
 		peers: make(map[vrid.DaemonID]*peer), links: make(map[*link]bool), preferred: make(map[vrid.DaemonID]*link),
 	}
 	if !options.Insecure {
@@ -189,11 +191,11 @@
 	frame, err := encodeFrame(&outgoing)
 	if err != nil {
 		h.log.Error("cannot encode peer message", zap.String("peer", string(id)), zap.Error(err))
-		h.recordDropped(id, 1)
+		h.recordDropped(id, 1, false)
 		return
 	}
 	if !h.enqueue(id, address, frame) {
-		h.recordDropped(id, 1)
+		h.recordDropped(id, 1, false)
 	}
 }
 
@@ -213,15 +215,21 @@
 	return p.tryEnqueue(frame)
 }
 
+// unreachablePeer is a report for Options.OnUnreachable.
+type unreachablePeer struct {
+	id      vrid.DaemonID
+	refused bool
+}
+
 // recordDropped counts dropped messages and reports the peer as unreachable, unless too
 // many reports are pending.
-func (h *Hub) recordDropped(id vrid.DaemonID, count int) {
+func (h *Hub) recordDropped(id vrid.DaemonID, count int, refused bool) {
 	if count == 0 {
 		return
 	}
 	h.counters.dropped.Add(uint64(count))
 	select {
-	case h.unreachable <- id:
+	case h.unreachable <- unreachablePeer{id: id, refused: refused}:
 	default:
 	}
 }
@@ -233,9 +241,9 @@
 		select {
 		case <-h.ctx.Done():
 			return
-		case id := <-h.unreachable:
+		case peer := <-h.unreachable:
 			if h.options.OnUnreachable != nil {
-				h.options.OnUnreachable(id)
+				h.options.OnUnreachable(peer.id, peer.refused)
 			}
 		}
 	}
--- a/verbenacore/vrpeer/vrpeer_test.go
+++ b/verbenacore/vrpeer/vrpeer_test.go
@@ -44,7 +44,7 @@
 	options := vrpeer.Options{
 		Self: id, Boot: "boot", Zone: "zone", Listen: "127.0.0.1:0", Insecure: files == nil,
 		OnReceive:     func(e *vrwire.Envelope) { n.received <- e },
-		OnUnreachable: func(peer vrid.DaemonID) { n.unreachable <- peer },
+		OnUnreachable: func(peer vrid.DaemonID, _ bool) { n.unreachable <- peer },
 	}
 	if files != nil {
 		options.TLS = *files
--- a/verbenacore/vrresidence/job.go
+++ b/verbenacore/vrresidence/job.go
@@ -142,6 +142,10 @@
 			continue
 		}
 		p.checkCompletion(now, server, j, decision)
+		if stale := p.isStale(now, server, decision); stale && p.jobs[id] != nil && j.phase == phasePending {
+			// The report shows whether the job still fits.
+			j.awaitingStatus = true
+		}
 		if p.jobs[id] == nil || j.phase != phasePending || now.Before(j.retryAt) || j.awaitingStatus {
 			continue
 		}
--- a/verbenacore/vrresidence/ledger.go
+++ b/verbenacore/vrresidence/ledger.go
@@ -27,9 +27,12 @@
 const statusReadInterval = 300 * time.Millisecond
 
 // ledgerOf returns a server's ledger. If there is none for the server's current run, it
-// returns nil and requests the server's status report.
+// returns nil and requests the server's status report, and likewise if the server is stale.
 func (p *Planner) ledgerOf(now time.Time, server *vrfleet.Server, decision *Decision) *ledger {
 	l := p.ledgers[server.ID]
+	if p.isStale(now, server, decision) {
+		return nil
+	}
 	if l != nil && l.startedAt == server.Born {
 		return l
 	}
@@ -96,8 +99,9 @@
 // HandleStatusRead handles the status report of a server, or the failure to read it.
 func (p *Planner) HandleStatusRead(now time.Time, e vrevent.StatusRead, fleet *vrfleet.Fleet) {
 	p.recordTakeoverStatus(e)
-	j := p.jobs[e.Server]
 	server := fleet.Server(e.Server)
+	p.recordOutageStatus(now, &e, server)
+	j := p.jobs[e.Server]
 	if j != nil && (j.phase != phasePending || !j.awaitingStatus) {
 		return
 	}
--- a/verbenacore/vrresidence/plan.go
+++ b/verbenacore/vrresidence/plan.go
@@ -79,6 +79,7 @@
 // read.
 func (p *Planner) Plan(now time.Time, input PlanInput) Decision {
 	var decision Decision
+	p.freshFrom = input.FreshFrom
 	for i := range input.Catalog.Services {
 		service := &input.Catalog.Services[i]
 		if service.Engine != nil {
--- a/verbenacore/vrresidence/vrresidence.go
+++ b/verbenacore/vrresidence/vrresidence.go
@@ -34,6 +34,9 @@
 type PlanInput struct {
 	Fleet   *vrfleet.Fleet
 	Catalog *vrcatalog.Catalog
+	// FreshFrom is the time since which a server's entry or status report must have been received for the
+	// plan to use that server, zero for any.
+	FreshFrom time.Time
 }
 
 // Notice is a message to daemons. To lists the daemons whose requests wait for the model or
@@ -97,6 +100,10 @@
 	ledgers     map[vrid.ServerID]*ledger
 	// statusRequestedAt is when each server's status report was last requested.
 	statusRequestedAt map[vrid.ServerID]time.Time
+	// freshFrom is PlanInput.FreshFrom of the last plan, answeredAt when each server's last status report was
+	// received while it was set.
+	freshFrom  time.Time
+	answeredAt map[vrid.ServerID]time.Time
 	// cooldownUntil is the time before which a server gets no load of a model.
 	cooldownUntil map[vrid.ServerID]time.Time
 	stores        map[vrid.ServiceID]*storeLimiter
@@ -119,7 +126,7 @@
 func New(opts Options) *Planner {
 	return &Planner{
 		opts: opts, demand: make(map[target]*demand), jobs: make(map[vrid.ServerID]*job),
-		ledgers: make(map[vrid.ServerID]*ledger), statusRequestedAt: make(map[vrid.ServerID]time.Time), cooldownUntil: make(map[vrid.ServerID]time.Time),
+		ledgers: make(map[vrid.ServerID]*ledger), statusRequestedAt: make(map[vrid.ServerID]time.Time), answeredAt: make(map[vrid.ServerID]time.Time), cooldownUntil: make(map[vrid.ServerID]time.Time),
 		stores: make(map[vrid.ServiceID]*storeLimiter), loadedAt: make(map[serverModel]time.Time), reportedNeeds: make(map[target]int), inFlight: make(map[vrid.DaemonID]inFlightReport),
 	}
 }
@@ -137,4 +144,5 @@
 	delete(p.jobs, id)
 	delete(p.ledgers, id)
 	delete(p.cooldownUntil, id)
+	delete(p.answeredAt, id)
 }
--- a/verbenacore/vrwire/fleet.go
+++ b/verbenacore/vrwire/fleet.go
@@ -126,6 +126,9 @@
 	ReportBoot   vrid.BootID `protobuf:"bytes,9,opt,name=reportBoot,proto3"`
 	ReportSentAt int64       `protobuf:"varint,10,opt,name=reportSentAt,proto3"`
 	ReportAge    int64       `protobuf:"varint,11,opt,name=reportAge,proto3"`
+	// ReleasedEpoch is the epoch of the lease that the sender has just released, in a message to one daemon
+	// that may acquire it at once. Epoch is zero then.
+	ReleasedEpoch vrid.Epoch `protobuf:"varint,12,opt,name=releasedEpoch,proto3"`
 }
 
 // Validate checks that each notice has a known kind and, unless the server is leaving,
--- a/verbenaroute/internal/vrnode/restore_test.go
+++ b/verbenaroute/internal/vrnode/restore_test.go
@@ -70,7 +70,7 @@
 	p := &ownerPeer{}
 	hub, err := vrpeer.Start(context.Background(), vrpeer.Options{
 		Self: "a-0", Boot: "b", Zone: "z", Listen: "127.0.0.1:0", Insecure: true, Log: zap.NewNop(),
-		OnReceive: p.receive, OnUnreachable: func(vrid.DaemonID) {},
+		OnReceive: p.receive, OnUnreachable: func(vrid.DaemonID, bool) {},
 	})
 	require.NoError(t, err)
 	t.Cleanup(hub.Close)
--- a/verbenaroute/internal/vrnode/store.go
+++ b/verbenaroute/internal/vrnode/store.go
@@ -88,7 +88,9 @@
 func (n *Node) sendOrder(order vrevent.PlacementOrder) {
 	ctx, cancel := context.WithTimeout(n.baseCtx, orderTimeout)
 	defer cancel()
-	outcome, detail, leaving := n.engine.Order(ctx, &order, func() bool { return n.clock.Now().Before(order.LeaseExpiresAt) })
+	outcome, detail, leaving := n.engine.Order(ctx, &order, func() bool {
+		return n.clock.Now().Before(order.LeaseExpiresAt) && !n.ordersStopped.Load()
+	})
 	n.reportLeaving(leaving, order.Server, order.Born)
 	n.metrics.orderEnded(order.Kind, outcome)
 	n.Submit(vrevent.OrderEnded{Order: order, Outcome: outcome, Detail: detail})
@@ -465,7 +467,7 @@
 	ctx, cancel := context.WithTimeout(n.baseCtx, storeTimeout)
 	defer cancel()
 	if !f.registered {
-		err := n.store.Register(ctx, vrevent.Peer{Daemon: n.settings.Daemon, Address: n.settings.Peers, Zone: n.settings.Zone}, n.boot)
+		err := n.store.Register(ctx, vrevent.Peer{Daemon: n.settings.Daemon, Address: n.settings.Peers, Zone: n.settings.Zone, KnowsHold: true}, n.boot)
 		f.registered = err == nil
 	}
 	if f.isUnsettled() {
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -60,7 +60,9 @@
 
 	ready        atomic.Bool
 	shuttingDown atomic.Bool
-	catalog      atomic.Pointer[vrcatalog.Catalog]
+	// ordersStopped is set once no order may be written any more.
+	ordersStopped atomic.Bool
+	catalog       atomic.Pointer[vrcatalog.Catalog]
 	planned      plannedWork
 	// restores is the number of restores of the store that this daemon has noticed. restored wakes
 	// followPeers after one.
@@ -166,6 +168,10 @@
 		n.tasks.Go(func() { n.writeObject(e) })
 	case vrevent.SendPlacementOrder:
 		n.tasks.Go(func() { n.sendOrder(e.Order) })
+	case vrevent.StopOrders:
+		n.ordersStopped.Store(true)
+	case vrevent.DialPeer:
+		n.tasks.Go(func() { n.dialPeer(e) })
 	case vrevent.ReadStatus:
 		n.tasks.Go(func() { n.readStatus(e) })
 	case vrevent.CheckLeaving:
@@ -257,7 +263,9 @@
 	n.peers, err = vrpeer.Start(n.baseCtx, vrpeer.Options{
 		Self: n.settings.Daemon, Boot: n.boot, Zone: n.settings.Zone, Listen: n.settings.Peers, Insecure: true,
 		OnReceive:     func(e *vrwire.Envelope) { n.Submit(vrevent.PeerMessage{Envelope: e}) },
-		OnUnreachable: func(peer vrid.DaemonID) { n.Submit(vrevent.PeerUnreachable{Peer: peer}) },
+		OnUnreachable: func(peer vrid.DaemonID, refused bool) {
+			n.Submit(vrevent.PeerUnreachable{Peer: peer, Refused: refused})
+		},
 		Log:           n.log,
 	})
 	if err != nil {
--- a/verbenaroute/internal/vrserve/daemon.go
+++ b/verbenaroute/internal/vrserve/daemon.go
@@ -185,7 +185,7 @@
 		TLS:           d.settings.PeerTLS,
 		Insecure:      d.settings.InsecurePeers,
 		OnReceive:     d.Runtime.HandlePeerMessage,
-		OnUnreachable: d.Runtime.PeerUnreachable,
+		OnUnreachable: func(peer vrid.DaemonID, _ bool) { d.Runtime.PeerUnreachable(peer) },
 		Log:           d.log,
 	})
 	if err != nil {
