Gateway: tests and fuzz of the long hold of the placement owner

In half of the fuzz plans the servers state their pace, some daemons are of a former version, and the owner is cut off, killed, stopped or suspended. Two injected faults, ignoreHold and trustOldRefusal, cover the hold and the proof.

--- a/verbenabench/internal/vrgatefuzz/plan.go
+++ b/verbenabench/internal/vrgatefuzz/plan.go
@@ -63,13 +63,16 @@
 	// ActServerLeaves makes a server state in its answers that it leaves, perhaps just after a restart,
 	// while clients send requests. Its place in a plan is drawn last.
 	ActServerLeaves
+	// ActLoseHolder takes the placement owner from the store, ends, stops or suspends it while models are
+	// requested. Its place in a plan is drawn last.
+	ActLoseHolder
 	actCount
 )
 
 var _actionNames = [actCount]string{
 	"wait", "request", "burst", "leave", "publish", "kill", "killOwner", "killAll", "pause", "pauseOwner", "stop", "loss",
 	"storeDown", "storeCut", "storeSlow", "lostAnswers", "lateWrites", "lateOrders", "lostOrders", "serverCut", "serverDrain",
-	"serverDie", "serverRestart", "serverReuse", "serverBreaks", "serverErrors", "serverSlow", "strandOwner", "strandOrders", "restore", "oddEntry", "muteCatalog", "serverLeaves",
+	"serverDie", "serverRestart", "serverReuse", "serverBreaks", "serverErrors", "serverSlow", "strandOwner", "strandOrders", "restore", "oddEntry", "muteCatalog", "serverLeaves", "loseHolder",
 }
 
 // String returns the name that traces show.
@@ -88,8 +91,8 @@
 func (p Plan) String() string {
 	var text strings.Builder
 	w := p.World
-	fmt.Fprintf(&text, "world seed %d, %d zones, %d daemons, %d engines, %d servers per app service, %d models, %d models per engine, disk share %g, poison share %g from %s, store era %d\n",
-		w.Seed, w.Zones, w.Daemons, w.Engines, w.Apps, w.Models, w.ModelsPerEngine, w.DiskShare, w.PoisonShare, w.PoisonFrom, w.StoreEra)
+	fmt.Fprintf(&text, "world seed %d, %d zones, %d daemons, %d engines, %d servers per app service, %d models, %d models per engine, disk share %g, poison share %g from %s, store era %d, shared machines %t, former daemons %d\n",
+		w.Seed, w.Zones, w.Daemons, w.Engines, w.Apps, w.Models, w.ModelsPerEngine, w.DiskShare, w.PoisonShare, w.PoisonFrom, w.StoreEra, w.SharesMachines, w.FormerDaemons)
 	for i, action := range p.Actions {
 		fmt.Fprintf(&text, "%3d %s\n", i, action)
 	}
@@ -150,6 +153,7 @@
 		drawOddEntries(t, &plan)
 		drawMuteCatalogs(t, &plan)
 		drawLeavingServers(t, &plan)
+		drawSharedMachines(t, &plan)
 		return plan
 	})
 }
--- a/verbenabench/internal/vrgatefuzz/restore.go
+++ b/verbenabench/internal/vrgatefuzz/restore.go
@@ -48,11 +48,13 @@
 }()
 
 // WithoutRestores returns the plan as it was before plans had restores of the store, invalid entries,
-// owners that can't read the catalog and servers that leave by their answers.
+// owners that can't read the catalog, servers that leave by their answers and servers that state their pace.
 func (p Plan) WithoutRestores() Plan {
 	p.World.StoreEra = 0
+	p.World.SharesMachines, p.World.FormerDaemons = false, 0
 	p.Actions = slices.DeleteFunc(slices.Clone(p.Actions), func(a Action) bool {
-		return a.Kind == ActRestore || a.Kind == ActOddEntry || a.Kind == ActMuteCatalog || a.Kind == ActServerLeaves
+		return a.Kind == ActRestore || a.Kind == ActOddEntry || a.Kind == ActMuteCatalog || a.Kind == ActServerLeaves ||
+			a.Kind == ActLoseHolder
 	})
 	return p
 }
--- a/verbenabench/internal/vrgatefuzz/run.go
+++ b/verbenabench/internal/vrgatefuzz/run.go
@@ -117,6 +117,8 @@
 		r.muteCatalog(a)
 	case ActServerLeaves:
 		r.serverLeaves(a)
+	case ActLoseHolder:
+		r.loseHolder(a)
 	case ActStoreDown, ActStoreCut, ActStoreSlow, ActLostAnswers, ActLateWrites:
 		r.disturbStore(a)
 	default:
--- a/verbenabench/internal/vrgateworld/call.go
+++ b/verbenabench/internal/vrgateworld/call.go
@@ -307,6 +307,9 @@
 	if !a.firstByteAt.IsZero() {
 		event.TimeToFirstByte = a.firstByteAt.Sub(a.SentAt)
 	}
+	if a.server != nil {
+		event.Load = a.server.load(c.Process)
+	}
 	if result == vrevent.AttemptAnswered {
 		event.Status = 200
 		c.end(EndAnswered)
--- a/verbenabench/internal/vrgateworld/daemon.go
+++ b/verbenabench/internal/vrgateworld/daemon.go
@@ -38,6 +38,8 @@
 	// its other calls to the store are answered.
 	CatalogMuteUntil time.Time
 	world            *World
+	// former is set while the daemon's version does not know the hold of the lease.
+	former bool
 }
 
 // Process is one run of a daemon's program.
@@ -62,6 +64,8 @@
 	calls    map[vrevent.CallID]*Call
 	lastCall vrevent.CallID
 	store    storeView
+	// ordersStopped is set once no order may be written any more.
+	ordersStopped bool
 }
 
 // Disturb records a disruption that lasts for a duration from now.
@@ -95,6 +99,7 @@
 		Bounds: vrgateway.Bounds{Lease: Lease, Retries: retries(), Ceiling: ceiling()}, Seed: w.rng.Uint64(),
 	})
 	d.Process = p
+	w.Store.registerVersion(d)
 	d.Disturb(0)
 	p.registerDaemon()
 	p.startPolling()
@@ -108,6 +113,7 @@
 		return
 	}
 	d.Process = nil
+	d.former = false
 	p.dead = true
 	d.Disturb(0)
 	p.closeCalls()
@@ -140,6 +146,7 @@
 		}
 		p.dead = true
 		d.Process = nil
+		d.former = false
 		if p.paused {
 			// A suspended process is killed, so its connections break. A process that runs has to
 			// end its calls itself; the oracle reports those that it leaves open.
@@ -240,6 +247,10 @@
 		p.world.Store.write(p, e)
 	case vrevent.SendPlacementOrder:
 		p.after(p.world.randomDuration(0, maxOrderWriteDelay+p.Daemon.SlowDial), func() { p.sendOrder(e.Order) })
+	case vrevent.StopOrders:
+		p.ordersStopped = true
+	case vrevent.DialPeer:
+		p.dialPeer(e)
 	case vrevent.ReadStatus:
 		p.readStatus(e)
 	case vrevent.CheckLeaving:
@@ -263,7 +274,7 @@
 	reply := func(outcome vrevent.OrderOutcome) {
 		p.deliver(vrevent.OrderEnded{Order: order, Outcome: outcome})
 	}
-	if !w.Now().Before(order.LeaseExpiresAt) {
+	if !w.Now().Before(order.LeaseExpiresAt) || p.ordersStopped {
 		reply(vrevent.OrderNotSent)
 		return
 	}
@@ -319,14 +330,10 @@
 
 func (p *Process) sendPeer(e vrevent.SendPeer) {
 	w := p.world
-	var receiver *Daemon
-	for _, d := range w.Daemons {
-		if d.ID == e.Peer {
-			receiver = d
-		}
-	}
+	receiver := w.daemon(e.Peer)
 	if receiver == nil || receiver.Process == nil || w.chance(w.PeerLossRate) {
-		w.After(unreachableAfter, func() { p.deliver(vrevent.PeerUnreachable{Peer: e.Peer}) })
+		refused := receiver != nil && receiver.Process == nil
+		w.After(unreachableAfter, func() { p.deliver(vrevent.PeerUnreachable{Peer: e.Peer, Refused: refused}) })
 		return
 	}
 	envelope := *e.Envelope
--- a/verbenabench/internal/vrgateworld/store.go
+++ b/verbenabench/internal/vrgateworld/store.go
@@ -243,7 +243,7 @@
 		if version.Revision() == 0 {
 			return vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeNotFound, Version: version}
 		}
-		return vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeOK, Version: version, Value: object.value}
+		return vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeOK, Version: version, Value: asSeenBy(p.Daemon, e.Key, object.value)}
 	}
 	s.call(p, false, work, vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeUnavailable},
 		vrevent.ObjectRead{Op: e.Op, Key: e.Key, Outcome: vrplatform.OutcomeUnknown})
--- a/verbenabench/internal/vrgateworld/vrgateworld.go
+++ b/verbenabench/internal/vrgateworld/vrgateworld.go
@@ -55,6 +55,10 @@
 	// each engine that begins to answer it, between PoisonFrom and PoisonUntil after the start.
 	PoisonShare             float64
 	PoisonFrom, PoisonUntil time.Duration
+	// SharesMachines makes the servers state their pace, which activates ordered admission and the owner's
+	// long hold. FormerDaemons is the number of daemons whose first run is of a version that knows neither.
+	SharesMachines bool
+	FormerDaemons  int
 	// Trace records a line for each event that a daemon reduces, except ticks without effects.
 	Trace bool
 	// Observer is notified during the run.
@@ -129,7 +133,7 @@
 		w.addServer(ServiceOther, w.zone(i+1), "")
 	}
 	for i := range options.Daemons {
-		d := &Daemon{ID: vrid.DaemonID(fmt.Sprintf("d%02d", i)), Zone: w.zone(i), world: w}
+		d := &Daemon{ID: vrid.DaemonID(fmt.Sprintf("d%02d", i)), Zone: w.zone(i), world: w, former: i < options.FormerDaemons}
 		w.Daemons = append(w.Daemons, d)
 		w.Store.peers = append(w.Store.peers, vrevent.Peer{Daemon: d.ID, Address: "peer:" + string(d.ID), Zone: d.Zone})
 	}
--- a/verbenacore/vrfault/vrfault.go
+++ b/verbenacore/vrfault/vrfault.go
@@ -100,6 +100,10 @@
 	TrustCopies
 	// VouchByLease tells the other daemons that the catalog is the newest while only the lease is renewed.
 	VouchByLease
+	// IgnoreHold acquires the lease after its default duration, whatever hold its record states.
+	IgnoreHold
+	// TrustOldRefusal takes a refused connection to a daemon as the end of whichever run of it holds the lease.
+	TrustOldRefusal
 )
 
 // Names maps the faults that do not belong to gateways to their names.
@@ -151,4 +155,6 @@
 	TrustRestoredLease:   "trustRestoredLease",
 	TrustCopies:          "trustCopies",
 	VouchByLease:         "vouchByLease",
+	IgnoreHold:           "ignoreHold",
+	TrustOldRefusal:      "trustOldRefusal",
 }
--- a/verbenacore/vrlease/hold.go
+++ b/verbenacore/vrlease/hold.go
@@ -94,7 +94,8 @@
 // lease may be acquired. The proof must have been begun after this daemon had seen a record of that run. It
 // reports whether the run is the holder and that was not known.
 func (l *Lease) HolderEnded(now time.Time, daemon vrid.DaemonID, boot vrid.BootID) bool {
-	if !l.holder.is(&l.latest) || l.holder.daemon != daemon || l.holder.boot != boot || !l.holder.endedAt.IsZero() {
+	sameRun := l.holder.boot == boot || vrfault.On(vrfault.TrustOldRefusal)
+	if !l.holder.is(&l.latest) || l.holder.daemon != daemon || !sameRun || !l.holder.endedAt.IsZero() {
 		return false
 	}
 	l.holder.endedAt = now
@@ -125,7 +126,11 @@
 		l.otherRunEnd = later(l.otherRunEnd, now)
 	case !record.Released:
 		if l.holder.endedAt.IsZero() {
-			l.holder.ordersEnd = later(l.holder.ordersEnd, now.Add(l.holdOf(record)))
+			hold := l.holdOf(record)
+			if vrfault.On(vrfault.IgnoreHold) {
+				hold = l.opts.Timing.Duration
+			}
+			l.holder.ordersEnd = later(l.holder.ordersEnd, now.Add(hold))
 		}
 	case record.OrdersEnded > 0:
 		l.holder.ordersEnd = now.Add(-milliseconds(record.OrdersEnded - 1))
@@ -185,7 +190,7 @@
 // expiryDelay returns how long a record may stay unchanged before its lease has expired.
 func (l *Lease) expiryDelay(holderUnreachable bool) time.Duration {
 	switch {
-	case l.latest.Hold > 0:
+	case l.latest.Hold > 0 && !vrfault.On(vrfault.IgnoreHold):
 		return l.holdOf(&l.latest)
 	case holderUnreachable:
 		return l.opts.Timing.UnreachableDuration
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -63,7 +63,7 @@
 	// ordersStopped is set once no order may be written any more.
 	ordersStopped atomic.Bool
 	catalog       atomic.Pointer[vrcatalog.Catalog]
-	planned      plannedWork
+	planned       plannedWork
 	// restores is the number of restores of the store that this daemon has noticed. restored wakes
 	// followPeers after one.
 	restores atomic.Uint64
@@ -262,11 +262,11 @@
 	}
 	n.peers, err = vrpeer.Start(n.baseCtx, vrpeer.Options{
 		Self: n.settings.Daemon, Boot: n.boot, Zone: n.settings.Zone, Listen: n.settings.Peers, Insecure: true,
-		OnReceive:     func(e *vrwire.Envelope) { n.Submit(vrevent.PeerMessage{Envelope: e}) },
+		OnReceive: func(e *vrwire.Envelope) { n.Submit(vrevent.PeerMessage{Envelope: e}) },
 		OnUnreachable: func(peer vrid.DaemonID, refused bool) {
 			n.Submit(vrevent.PeerUnreachable{Peer: peer, Refused: refused})
 		},
-		Log:           n.log,
+		Log: n.log,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
