--- a/verbenacore/vrlease/hold.go
+++ b/verbenacore/vrlease/hold.go
@@ -7,9 +7,9 @@
 	"verbenaroute.example/verbenacore/vrid"
 )
 
-// orderDelivery is how long after the end of a process its last order may reach a server. The kernel still
-// sends what the process has written, and repeats a lost segment after 200 ms at the earliest.
-const orderDelivery = 250 * time.Millisecond
+// orderDelivery is how long after the end of a process its last order may reach a server. The kernel goes on
+// sending for 800 ms what the process has written, see vradapter.NewEngine.
+const orderDelivery = 800 * time.Millisecond
 
 // holderRun is one run of another daemon that holds or held the lease.
 type holderRun struct {
--- a/verbenaroute/internal/vrnode/dial.go
+++ b/verbenaroute/internal/vrnode/dial.go
@@ -18,9 +18,15 @@
 func (n *Node) dialPeer(e vrevent.DialPeer) {
 	ctx, cancel := context.WithTimeout(n.baseCtx, dialTimeout)
 	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", e.Address)
+	n.Submit(vrevent.PeerDialed{Peer: e.Peer, Boot: e.Boot, Refused: isRefused(ctx, e.Address)})
+}
+
+// isRefused opens a connection to an address and reports whether it was refused. A connection that is not
+// answered, or closed once it was accepted, is not refused.
+func isRefused(ctx context.Context, address string) bool {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err == nil {
 		_ = conn.Close()
 	}
-	n.Submit(vrevent.PeerDialed{Peer: e.Peer, Boot: e.Boot, Refused: errors.Is(err, syscall.ECONNREFUSED)})
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
