Orders on their way are bound by a shorter hold written since

An order carries the expiry of the lease at its decision. The owner may shorten its hold while the order waits for a connection, and a suspension of the machine stops the order's timeout, so the order could be written by the former hold. The check before each write now also asks the reducer for the current expiry.

--- a/verbenabench/internal/vrgateworld/daemon.go
+++ b/verbenabench/internal/vrgateworld/daemon.go
@@ -274,7 +274,7 @@
 	reply := func(outcome vrevent.OrderOutcome) {
 		p.deliver(vrevent.OrderEnded{Order: order, Outcome: outcome})
 	}
-	if !w.Now().Before(order.LeaseExpiresAt) || p.ordersStopped {
+	if !w.Now().Before(order.LeaseExpiresAt) || p.ordersStopped || !p.State.PermitsOrders(w.Now()) {
 		reply(vrevent.OrderNotSent)
 		return
 	}
--- a/verbenacore/vrgateway/hold.go
+++ b/verbenacore/vrgateway/hold.go
@@ -117,6 +117,12 @@
 	}
 }
 
+// PermitsOrders reports whether an order that was decided before may still be written, apart from the expiry that
+// it carries: the owner may have written a shorter hold since.
+func (s *State) PermitsOrders(now time.Time) bool {
+	return now.Before(s.lease.ExpiresAt()) || vrfault.On(vrfault.OrderPastLease)
+}
+
 // stopOrders keeps orders that are on their way from being written after the release of the lease, and states
 // when the last one ended.
 func (s *State) stopOrders(now time.Time, out *vrevent.Effects) {
--- a/verbenacore/vrgateway/hold_test.go
+++ b/verbenacore/vrgateway/hold_test.go
@@ -360,3 +360,18 @@
 		require.Equal(t, test.want, f.record().Hold, "%+v", test)
 	}
 }
+
+// Guards against an order on its way that is written by the long hold after the owner has written a shorter one:
+// the others count from that, even if its answer was lost.
+func TestShorterHoldBindsOrdersOnTheirWay(t *testing.T) {
+	f := newHoldFleet(t, 100, true)
+	f.run(5 * time.Second)
+	owner := f.owner()
+	require.True(t, owner.state.PermitsOrders(f.now.Add(8*time.Second)))
+	former := []vrevent.Peer{{Daemon: owner.id, KnowsHold: true}, {Daemon: "d9", Address: "peer:d9"}}
+	f.submit(owner, vrevent.PeersListed{Peers: former})
+	f.lose(true)
+	f.now = f.now.Add(time.Second)
+	f.submit(owner, vrevent.Tick{})
+	require.False(t, owner.state.PermitsOrders(f.now.Add(leaseBound/2)))
+}
--- a/verbenaroute/internal/vrnode/store.go
+++ b/verbenaroute/internal/vrnode/store.go
@@ -89,13 +89,20 @@
 	ctx, cancel := context.WithTimeout(n.baseCtx, orderTimeout)
 	defer cancel()
 	outcome, detail, leaving := n.engine.Order(ctx, &order, func() bool {
-		return n.clock.Now().Before(order.LeaseExpiresAt) && !n.ordersStopped.Load()
+		return n.permitsOrders() && n.clock.Now().Before(order.LeaseExpiresAt)
 	})
 	n.reportLeaving(leaving, order.Server, order.Born)
 	n.metrics.orderEnded(order.Kind, outcome)
 	n.Submit(vrevent.OrderEnded{Order: order, Outcome: outcome, Detail: detail})
 }
 
+// permitsOrders reports whether orders may still be written, apart from the expiry that each carries.
+func (n *Node) permitsOrders() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.ordersStopped && n.state.PermitsOrders(n.clock.Now())
+}
+
 func (n *Node) reservePlace(e vrevent.ReservePlace) {
 	ctx, cancel := context.WithTimeout(n.baseCtx, min(orderTimeout, e.Duration))
 	defer cancel()
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -57,13 +57,13 @@
 	mu      sync.Mutex
 	state   *vrgateway.State
 	effects vrevent.Effects
+	// ordersStopped is set once no order may be written any more.
+	ordersStopped bool
 
 	ready        atomic.Bool
 	shuttingDown atomic.Bool
-	// ordersStopped is set once no order may be written any more.
-	ordersStopped atomic.Bool
-	catalog       atomic.Pointer[vrcatalog.Catalog]
-	planned       plannedWork
+	catalog      atomic.Pointer[vrcatalog.Catalog]
+	planned      plannedWork
 	// restores is the number of restores of the store that this daemon has noticed. restored wakes
 	// followPeers after one.
 	restores atomic.Uint64
@@ -169,7 +169,7 @@
 	case vrevent.SendPlacementOrder:
 		n.tasks.Go(func() { n.sendOrder(e.Order) })
 	case vrevent.StopOrders:
-		n.ordersStopped.Store(true)
+		n.ordersStopped = true
 	case vrevent.DialPeer:
 		n.tasks.Go(func() { n.dialPeer(e) })
 	case vrevent.ReadStatus:
