vrlease: count an unknown holder by the hold learned later

A fresh daemon may read a restored lease before it has the catalog. It then counted the unknown holder by the default hold for good, and its orders could begin while a holder that had lost the store still gave its own. The end is now computed again with each tick.

The test, with a hold of 9 s: the orders of the fresh daemon were allowed 4.5 s before the end of the other hold, now at least 3 s after it.

--- a/verbenacore/vrlease/hold.go
+++ b/verbenacore/vrlease/hold.go
@@ -169,11 +169,21 @@
 	if vrfault.On(vrfault.TrustRestoredLease) {
 		return
 	}
+	l.unknownHolderAt = now
+	l.trackUnknownHolder()
+}
+
+// trackUnknownHolder counts the last possible order of an unknown holder by the longest hold known. A daemon
+// that has just started may read the lease before it learns that holders use the long hold.
+func (l *Lease) trackUnknownHolder() {
+	if l.unknownHolderAt.IsZero() {
+		return
+	}
 	hold := l.longestHold
 	if l.longHolds {
 		hold = max(hold, l.opts.Timing.LongHold)
 	}
-	end := now.Add(hold)
+	end := l.unknownHolderAt.Add(hold)
 	l.otherRunEnd, l.otherDaemonEnd = later(l.otherRunEnd, end), later(l.otherDaemonEnd, end)
 }
 
--- a/verbenacore/vrlease/hold_test.go
+++ b/verbenacore/vrlease/hold_test.go
@@ -130,3 +130,25 @@
 	require.ErrorAs(t, record.Validate(), &problem)
 	require.Equal(t, "hold", problem.Field)
 }
+
+// Guards against a fresh daemon that reads a restored lease before it has the catalog, counts the unknown holder by
+// the default hold, and gives orders beside that holder, which has lost the store.
+func TestUnknownHolderCountsByHoldLearnedLater(t *testing.T) {
+	for _, record := range []bool{false, true} {
+		now := time.Unix(1_790_000_000, 0)
+		store := newRestoredStore()
+		if record {
+			newStoreClient(store, &now, "d0", "b1").acquire(t)
+		}
+		copied := store.state
+		holder := longClient(store, &now, "d1")
+		holder.acquireOrders(t)
+		store.restore(copied)
+		fresh := newStoreClient(store, &now, "d2", "b1")
+		fresh.step(false)
+		fresh.params = vrlease.TickParams{LongHolds: true, HoldLong: true}
+		fresh.acquire(t)
+		quiet := fresh.lease.OrdersAllowedAt().Sub(holder.lease.ExpiresAt())
+		require.GreaterOrEqual(t, quiet, restoreTiming.QuietPeriod, "copy with a record: %t", record)
+	}
+}
--- a/verbenacore/vrlease/vrlease.go
+++ b/verbenacore/vrlease/vrlease.go
@@ -196,6 +196,9 @@
 	// holder is the last known run of another daemon that held the lease. otherDaemonEnd and otherRunEnd
 	// don't cover it.
 	holder holderRun
+	// unknownHolderAt is when this daemon last learned that an unknown daemon may hold the lease, zero if
+	// never.
+	unknownHolderAt time.Time
 	// ordersEndedAt is when the last order of this run was carried out, see SetOrdersEnded.
 	ordersEndedAt time.Time
 	// freshReadDue is set by ReadFreshSoon.
@@ -259,6 +262,7 @@
 func (l *Lease) Tick(now time.Time, params TickParams, out *vrevent.Effects) {
 	l.longHolds = params.LongHolds && l.opts.Timing.LongHold > 0
 	l.holdLong = params.HoldLong && l.longHolds
+	l.trackUnknownHolder()
 	if l.pendingOp != 0 {
 		return
 	}
