vrlease: a shorter hold also binds a run that has lost the lease

Only a holder cut its expiry to the hold of a write without an answer. A run that writes while it does not hold the lease kept the expiry of its former long hold, by which PermitsOrders lets orders on their way be written. No schedule of the gateway that needs this is known.

The test failed before (expiry after the hold of the write) and passes now.

--- a/verbenacore/vrlease/hold_test.go
+++ b/verbenacore/vrlease/hold_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"verbenaroute.example/verbenacore/vrevent"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrlease"
 	"verbenaroute.example/verbenacore/vrwire"
@@ -152,3 +153,21 @@
 		require.GreaterOrEqual(t, quiet, restoreTiming.QuietPeriod, "copy with a record: %t", record)
 	}
 }
+
+// Guards against an order on its way that is written by the former hold of a run that has lost the lease and written
+// a shorter hold since, whose answer was lost.
+func TestShorterHoldWrittenWithoutLeaseCounts(t *testing.T) {
+	now := time.Unix(1_790_000_000, 0)
+	store := newRestoredStore()
+	store.era, store.state.era = 0, 0
+	holder := longClient(store, &now, "d1")
+	holder.acquireOrders(t)
+	require.Equal(t, vrlease.ChangeLost, holder.lease.HandleNewerEpoch(now, holder.lease.Epoch()+1))
+	holder.params.HoldLong = false
+	holder.step(false)
+	out := &vrevent.Effects{}
+	holder.lease.Tick(now, holder.params, out)
+	require.Len(t, out.List, 1)
+	require.IsType(t, vrevent.WriteObject{}, out.List[0])
+	require.False(t, holder.lease.ExpiresAt().After(now.Add(restoreTiming.Duration)))
+}
--- a/verbenacore/vrlease/vrlease.go
+++ b/verbenacore/vrlease/vrlease.go
@@ -408,10 +408,9 @@
 	l.pendingOp = l.opts.Ops.Next()
 	l.pendingSentAt = now
 	l.proposed = record
-	if l.holding {
-		// Should the answer be lost, the others may count from this write.
-		l.expiresAt = earlier(l.expiresAt, now.Add(l.holdOf(&record)))
-	}
+	// Should the answer be lost, the others may count from this write. This also binds a run that has lost the
+	// lease, whose orders may still be on their way.
+	l.expiresAt = earlier(l.expiresAt, now.Add(l.holdOf(&record)))
 	out.Add(vrevent.WriteObject{Op: l.pendingOp, Key: l.opts.Key, IfVersion: l.version, Value: value})
 }
 
