vrlease: limit the time that a release states since its last order

The time was not checked when a record was decoded. One beyond the range of a duration put the former holder's last order into the far future, and the next holder would not have given orders. At most maxHold is written.

The test failed before for such a record and passes now.

--- a/verbenacore/vrlease/hold.go
+++ b/verbenacore/vrlease/hold.go
@@ -74,7 +74,7 @@
 	case record.Released && statesEnd:
 		ended := time.Duration(0)
 		if !l.ordersEndedAt.IsZero() {
-			ended = max(0, now.Sub(l.ordersEndedAt))
+			ended = min(max(0, now.Sub(l.ordersEndedAt)), maxHold)
 		}
 		record.OrdersEnded = uint64(ended.Milliseconds()) + 1
 	case record.Released:
--- a/verbenacore/vrlease/hold_test.go
+++ b/verbenacore/vrlease/hold_test.go
@@ -124,12 +124,19 @@
 	require.GreaterOrEqual(t, third.lease.OrdersAllowedAt().Sub(restored), restoreTiming.LongHold+restoreTiming.QuietPeriod)
 }
 
-// Guards against a lease that nobody can acquire because its record states a hold without an end.
+// Guards against a lease that nobody can acquire, or whose next holder never gives orders, because its record states
+// a hold without an end or an order that ended at a time beyond the range of a duration.
 func TestEndlessHoldIsMalformed(t *testing.T) {
-	record := vrlease.Record{Holder: "d1", Boot: "b1", Epoch: 1, Hold: uint64(time.Hour.Milliseconds())}
-	var problem *vrwire.DecodeError
-	require.ErrorAs(t, record.Validate(), &problem)
-	require.Equal(t, "hold", problem.Field)
+	for _, record := range []vrlease.Record{
+		{Hold: uint64(time.Hour.Milliseconds())},
+		{FormerHold: uint64(time.Hour.Milliseconds())},
+		{Released: true, OrdersEnded: 1 << 43},
+	} {
+		record.Holder, record.Boot, record.Epoch = "d1", "b1", 1
+		var problem *vrwire.DecodeError
+		require.ErrorAs(t, record.Validate(), &problem)
+		require.Equal(t, "hold", problem.Field)
+	}
 }
 
 // Guards against a fresh daemon that reads a restored lease before it has the catalog, counts the unknown holder by
--- a/verbenacore/vrlease/vrlease.go
+++ b/verbenacore/vrlease/vrlease.go
@@ -67,7 +67,7 @@
 	// It is zero if that is no longer than Timing.Duration, and once OrdersAllowed is set.
 	FormerHold uint64 `protobuf:"varint,11,opt,name=formerHold,proto3"`
 	// OrdersEnded is set in a released record whose holder gives no orders once it has sent the write. It is
-	// one more than the time from its last order until then, in milliseconds.
+	// one more than the time from its last order until then, in milliseconds, of which maxHold at most counts.
 	OrdersEnded uint64 `protobuf:"varint,12,opt,name=ordersEnded,proto3"`
 }
 
@@ -79,7 +79,7 @@
 	if r.Epoch == 0 {
 		return &vrwire.DecodeError{Message: "Lease", Field: "epoch", Problem: "is zero"}
 	}
-	if limit := uint64(maxHold.Milliseconds()); r.Hold > limit || r.FormerHold > limit {
+	if limit := uint64(maxHold.Milliseconds()); r.Hold > limit || r.FormerHold > limit || r.OrdersEnded > limit+1 {
 		return &vrwire.DecodeError{Message: "Lease", Field: "hold", Problem: "is too long"}
 	}
 	return nil
