--- a/verbenacore/vrresidence/drain.go
+++ b/verbenacore/vrresidence/drain.go
@@ -23,7 +23,7 @@
 	unknownReport = 10 * time.Second
 	// drainRetryDelay is the delay before an order is retried while daemons report requests that keep the
 	// server from accepting it.
-	drainRetryDelay = 2 * time.Second
+	drainRetryDelay = 1500 * time.Millisecond
 	// maxRetryDelay limits the delay between the retries of a step, which doubles with each conflict. It
 	// bounds how much later a load begins if no report tells that it can.
 	maxRetryDelay = 240 * time.Millisecond
--- a/verbenaroute/internal/vrnode/store.go
+++ b/verbenaroute/internal/vrnode/store.go
@@ -97,12 +97,21 @@
 func (n *Node) sendOrder(order vrevent.PlacementOrder) {
 	ctx, cancel := context.WithTimeout(n.baseCtx, orderTimeout)
 	defer cancel()
-	outcome, detail, leaving := n.engine.Order(ctx, &order, func() bool { return n.clock.Now().Before(order.LeaseExpiresAt) })
+	outcome, detail, leaving := n.engine.Order(ctx, &order, func() bool {
+		return n.permitsOrders() && n.clock.Now().Before(order.LeaseExpiresAt)
+	})
 	n.reportLeaving(leaving, order.Server, order.Born)
 	n.metrics.orderEnded(order.Kind, outcome)
 	n.Submit(vrevent.OrderEnded{Order: order, Outcome: outcome, Detail: detail})
 }
 
+// permitsOrders reports whether orders may still be written, apart from the expiry that each carries.
+func (n *Node) permitsOrders() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.ordersStopped && n.state.PermitsOrders(n.clock.Now())
+}
+
 func (n *Node) reservePlace(e vrevent.ReservePlace) {
 	ctx, cancel := context.WithTimeout(n.baseCtx, min(orderTimeout, e.Duration))
 	defer cancel()
@@ -495,7 +504,7 @@
 	ctx, cancel := context.WithTimeout(n.baseCtx, storeTimeout)
 	defer cancel()
 	if !f.registered {
-		err := n.store.Register(ctx, vrevent.Peer{Daemon: n.settings.Daemon, Address: n.settings.Peers, Zone: n.settings.Zone}, n.boot)
+		err := n.store.Register(ctx, vrevent.Peer{Daemon: n.settings.Daemon, Address: n.settings.Peers, Zone: n.settings.Zone, KnowsHold: true}, n.boot)
 		f.registered = err == nil
 	}
 	if f.isUnsettled() {
