--- a/verbenacore/vrfleet/room_test.go
+++ b/verbenacore/vrfleet/room_test.go
@@ -54,7 +54,8 @@
 	fleet.RecordStated(server, 12, 0)
 	require.False(t, fleet.SharesMachines("lm"))
 	fleet.RecordStated(server, 12, 100)
-	require.True(t, fleet.SharesMachines("lm"))
+	fleet.Put(time.Time{}, vrfleet.Entry{ID: "s", Service: "lm", State: vrfleet.StateReady, Born: 2})
+	require.True(t, fleet.SharesMachines("lm"), "a restart changes nothing")
 	require.False(t, fleet.SharesMachines("app"))
 }
 
--- a/verbenacore/vrgateway/loads.go
+++ b/verbenacore/vrgateway/loads.go
@@ -30,6 +30,13 @@
 	return (s.catalog != nil && s.catalog.HasTenants()) || s.fleet.SharesMachines(service)
 }
 
+// sharesLoad reports whether ordered admission is active for any service.
+func (s *State) sharesLoad() bool {
+	return s.catalog != nil && slices.ContainsFunc(s.catalog.Services, func(service vrcatalog.Service) bool {
+		return s.ordersAdmission(service.ID)
+	})
+}
+
 // handleLoadReported applies the load in the head of a response. A service without ordered admission takes it
 // from the end of the send.
 func (s *State) handleLoadReported(now time.Time, e vrevent.LoadReported) {
--- a/verbenacore/vrresidence/job.go
+++ b/verbenacore/vrresidence/job.go
@@ -138,7 +138,12 @@
 			delete(p.jobs, id)
 			continue
 		}
+		p.requestCompletion(now, id, j, decision)
 		p.checkCompletion(now, server, j, decision)
+		if stale := p.isStale(now, server, decision); stale && p.jobs[id] != nil && j.phase == phasePending {
+			// The report shows whether the job still fits.
+			j.awaitingStatus = true
+		}
 		if p.jobs[id] == nil || !p.isDue(now, id, j) {
 			continue
 		}
--- a/verbenacore/vrwire/fleet.go
+++ b/verbenacore/vrwire/fleet.go
@@ -138,6 +138,9 @@
 	// then.
 	QuotaRequest *QuotaRequest `protobuf:"bytes,22,opt,name=quotaRequest,proto3"`
 	QuotaReply   *QuotaReply   `protobuf:"bytes,23,opt,name=quotaReply,proto3"`
+	// ReleasedEpoch is the epoch of the lease that the sender has just released, in a message to one daemon
+	// that may acquire it at once. Epoch is zero then.
+	ReleasedEpoch vrid.Epoch `protobuf:"varint,24,opt,name=releasedEpoch,proto3"`
 }
 
 // ServerRequests is the number of requests in flight at a server, of some daemons.
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -61,6 +61,8 @@
 	mu      sync.Mutex
 	state   *vrgateway.State
 	effects vrevent.Effects
+	// ordersStopped is set once no order may be written any more.
+	ordersStopped bool
 
 	ready        atomic.Bool
 	shuttingDown atomic.Bool
@@ -173,6 +175,10 @@
 		n.tasks.Go(func() { n.writeObject(e) })
 	case vrevent.SendPlacementOrder:
 		n.tasks.Go(func() { n.sendOrder(e.Order) })
+	case vrevent.StopOrders:
+		n.ordersStopped = true
+	case vrevent.DialPeer:
+		n.tasks.Go(func() { n.dialPeer(e) })
 	case vrevent.ReadStatus:
 		n.tasks.Go(func() { n.readStatus(e) })
 	case vrevent.CheckLeaving:
@@ -265,8 +271,10 @@
 		Self: n.settings.Daemon, Boot: n.boot, Zone: n.settings.Zone, Listen: n.settings.Peers, Insecure: true,
 		SilenceTimeout: n.settings.Bounds.ContactTimeout.Std() / silenceDivisor,
 		OnReceive:      func(e *vrwire.Envelope) { n.Submit(vrevent.PeerMessage{Envelope: e}) },
-		OnUnreachable:  func(peer vrid.DaemonID) { n.Submit(vrevent.PeerUnreachable{Peer: peer}) },
-		Log:            n.log,
+		OnUnreachable: func(peer vrid.DaemonID, refused bool) {
+			n.Submit(vrevent.PeerUnreachable{Peer: peer, Refused: refused})
+		},
+		Log: n.log,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
