--- a/verbenabench/internal/vrgateworld/call.go
+++ b/verbenabench/internal/vrgateworld/call.go
@@ -431,6 +431,7 @@
 	a.Call.Process.after(netDelay, func() {
 		if s.Born == incarnation {
 			s.tellLeaving(a)
+			s.reportLoad(a)
 		}
 		a.finish(result)
 	})
@@ -462,6 +463,7 @@
 		if a.firstByteAt.IsZero() {
 			a.firstByteAt = s.world.Now()
 			s.tellLeaving(a)
+			s.reportLoad(a)
 			c.Process.reduce(vrevent.FirstByteReceived{Call: c.ID, Send: a.Send.Send, TimeToFirstByte: a.firstByteAt.Sub(a.SentAt), Answer: true})
 		}
 		a.events++
--- a/verbenabench/internal/vrgateworld/hold.go
+++ b/verbenabench/internal/vrgateworld/hold.go
@@ -64,6 +64,14 @@
 	return load
 }
 
+// reportLoad tells the daemon of a send the load that the server states in the head of its response. A former
+// daemon takes it from the end of the send only.
+func (s *Server) reportLoad(a *Attempt) {
+	if load := s.load(a.Call.Process); load != nil && !a.Call.Process.Daemon.former {
+		a.Call.Process.reduce(vrevent.LoadReported{Server: s.ID, Born: s.Born, Load: *load})
+	}
+}
+
 // asSeenBy returns a stored value as the daemon's version decodes it: a former one ignores the hold.
 func asSeenBy(d *Daemon, key string, value []byte) []byte {
 	if !d.former || key != vrplatform.KeyFleetLease {
