Take no response without a valid status for an answer

The relay passed responses with status 600 and 999 on as answers, skipped 000, 007 and 099 as interim ones, and believed a refusal or a leaving header of such a response.

Only 200 to 599 are final and 100 to 199 without 101 interim; any other response is a broken answer that states nothing, and its connection is closed. Behind a refusal it makes the outcome unknown. Messages between daemons carry no HTTP status.

--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -384,7 +384,11 @@
 		if err != nil {
 			return nil, vrdialect.ResponseInfo{}, unexpectedEOF(err)
 		}
-		if response.StatusCode < http.StatusOK {
+		final, err := checkStatus(response.StatusCode)
+		if err != nil {
+			return nil, vrdialect.ResponseInfo{}, err
+		}
+		if !final {
 			continue
 		}
 		info := a.handler.proxy.opts.Dialect.ParseResponse(response.StatusCode, response.Header, a.send.Server)
@@ -466,8 +470,12 @@
 func (a *sendAttempt) handleRefusal(response *http.Response, info vrdialect.ResponseInfo) {
 	if a.drain(response) {
 		a.reusable = allowsReuse(response)
-		if status := a.nextAnswer(); status != 0 {
-			a.end(vrevent.AttemptBroken, &ContradictedRefusalError{Refusal: response.StatusCode, Answer: status})
+		status, err := a.nextAnswer()
+		if err == nil && status != 0 {
+			err = &ContradictedRefusalError{Refusal: response.StatusCode, Answer: status}
+		}
+		if err != nil {
+			a.end(vrevent.AttemptBroken, err)
 			return
 		}
 	}
@@ -475,28 +483,32 @@
 }
 
 // nextAnswer returns the status of a response to this request that is no refusal and whose head has
-// arrived behind a refusal, or zero. The deadline of drain still applies.
-func (a *sendAttempt) nextAnswer() int {
+// arrived behind a refusal, or zero. It returns an error for a response with an invalid status, which may be
+// a broken answer to this request. The deadline of drain still applies.
+func (a *sendAttempt) nextAnswer() (int, error) {
 	c := a.conn.Load()
 	source := c.source
 	defer source.endHead()
 	for c.reader.Buffered() > 0 || c.hasUnread() {
 		a.reusable = false
 		source.beginHead(a.handler.proxy.opts.MaxResponseHead)
+		if hasInvalidStatus(c.reader) {
+			return 0, errInvalidStatusBehindRefusal
+		}
 		response, err := http.ReadResponse(c.reader, a.handler.request) //nolint:bodyclose // the connection is closed
 		if err != nil {
-			return 0
+			return 0, nil
 		}
 		source.endHead()
 		info := a.handler.proxy.opts.Dialect.ParseResponse(response.StatusCode, response.Header, a.send.Server)
 		if response.StatusCode >= http.StatusOK && !info.NotRun && info.Request == a.handler.call.Request {
-			return response.StatusCode
+			return response.StatusCode, nil
 		}
 		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainedBody)); err != nil || n >= maxDrainedBody {
-			return 0
+			return 0, nil
 		}
 	}
-	return 0
+	return 0, nil
 }
 
 // notRunResult returns the result of a send whose server guarantees that it did not run
