Limit the memory of request bodies by one budget

All bodies now share a quarter of the setting memory. A body is read in steps of at most a quarter of what has arrived, once bytes have arrived for it; it begins in the order of arrival if all of it will fit, and goes on only if all that have begun can be completed. One that finds no memory within a quarter of its time gets 503 with Retry-After (queueFull, not run), the rest of it is read and discarded for up to two seconds, and the connection is half-closed. Bodies of up to 16 KiB reserve nothing. The memory is returned once no further send is possible. New metrics show what is held, waits and was refused.

--- a/verbenaroute/internal/vrnode/cut.go
+++ b/verbenaroute/internal/vrnode/cut.go
@@ -7,6 +7,9 @@
 
 	"go.uber.org/zap"
 
+	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrwire"
+
 	"verbenaroute.example/verbenaroute/internal/vrrelay"
 )
 
@@ -61,3 +64,9 @@
 	}
 	n.log.Warn("request cut", fields...)
 }
+
+// requestWithoutMemory logs a request that was refused because there was no memory for its body.
+func (n *Node) requestWithoutMemory(request vrid.RequestID, waited time.Duration) {
+	n.log.Info("request refused, no memory for its body", zap.String("request", string(request)),
+		zap.String("waitedMs", strconv.FormatInt(waited.Milliseconds(), 10)), zap.String("reason", string(vrwire.ReasonQueueFull)))
+}
--- a/verbenaroute/internal/vrnode/metrics.go
+++ b/verbenaroute/internal/vrnode/metrics.go
@@ -59,6 +59,7 @@
 	gauge("verbena_orders_unknown_total", func() float64 { return float64(n.state.Counts().OrdersUnknown) })
 	gauge(`verbena_servers_leaving_total{cause="response"}`, func() float64 { return float64(n.state.Counts().LeavingByResponse) })
 	gauge(`verbena_servers_leaving_total{cause="daemon"}`, func() float64 { return float64(n.state.Counts().LeavingByDaemon) })
+	m.registerMemory()
 	// The store's client holds its lock while it submits an event, so these gauges must not hold the
 	// node's.
 	m.set.NewGauge("verbena_store_restores_total", func() float64 { return float64(n.restores.Load()) })
@@ -66,6 +67,23 @@
 	return m
 }
 
+// registerMemory registers the gauges of the memory that grows with the load. They don't need the node's
+// lock.
+func (m *metrics) registerMemory() {
+	gauge := func(name string, read func(vrrelay.MemoryUse) float64) {
+		m.set.NewGauge(name, func() float64 { return read(m.node.proxy.MemoryUse()) })
+	}
+	gauge("verbena_body_bytes", func(use vrrelay.MemoryUse) float64 { return float64(use.Bodies) })
+	gauge("verbena_body_bytes_limit", func(use vrrelay.MemoryUse) float64 { return float64(use.BodiesLimit) })
+	gauge("verbena_response_buffer_bytes", func(use vrrelay.MemoryUse) float64 { return float64(use.Buffers) })
+	gauge("verbena_response_buffer_bytes_limit", func(use vrrelay.MemoryUse) float64 { return float64(use.BuffersLimit) })
+	gauge("verbena_requests_waiting_for_memory", func(use vrrelay.MemoryUse) float64 { return float64(use.Waiting) })
+	gauge("verbena_memory_waits_total", func(use vrrelay.MemoryUse) float64 { return float64(use.Waits) })
+	gauge("verbena_requests_refused_for_memory_total", func(use vrrelay.MemoryUse) float64 { return float64(use.Refused) })
+	gauge("verbena_responses_unbuffered_total", func(use vrrelay.MemoryUse) float64 { return float64(use.Unbuffered) })
+	gauge("verbena_streams_cut_for_memory_total", func(use vrrelay.MemoryUse) float64 { return float64(use.EventsCut) })
+}
+
 // storeCall records a call to the platform's store and its duration.
 func (m *metrics) storeCall(kind string, status int, took time.Duration) {
 	m.set.GetOrCreateCounter(`verbena_store_calls_total{kind="` + kind + `",status="` + strconv.Itoa(status) + `"}`).Inc()
--- a/verbenaroute/internal/vrnode/node_test.go
+++ b/verbenaroute/internal/vrnode/node_test.go
@@ -153,6 +153,9 @@
 		`verbena_sends_ended_total{result="answered"}`,
 		`verbena_log_lines_dropped_total{kind="send"} 3`,
 		`verbena_store_call_seconds_count{kind="`,
+		"verbena_body_bytes 0", "verbena_body_bytes_limit 67108864", "verbena_response_buffer_bytes 0",
+		"verbena_response_buffer_bytes_limit 33554432", "verbena_requests_waiting_for_memory 0", "verbena_memory_waits_total 0",
+		"verbena_requests_refused_for_memory_total 0", "verbena_responses_unbuffered_total 0", "verbena_streams_cut_for_memory_total 0",
 	} {
 		require.Contains(t, metrics, line)
 	}
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -41,6 +41,10 @@
 // responses. As much again may be garbage, and the rest is needed for connections and state.
 const bufferedMemoryDivisor = 8
 
+// bodyMemoryDivisor is the divisor of the memory of the process that gives the memory for the bodies of
+// requests. Bodies that were released may take as much again until they are collected.
+const bodyMemoryDivisor = 4
+
 // Node is a gateway daemon.
 type Node struct {
 	settings *vrsettings.Gateway
@@ -99,6 +103,7 @@
 	n.proxy = vrrelay.New(vrrelay.Options{
 		Submit: n.Submit, Dialect: vradapter.Headers{}, Clock: n.clock, Limits: n.limits,
 		MaxResponseHead: settings.Limits.ResponseHead, OnCut: n.requestCut, MaxBuffered: settings.Memory / bufferedMemoryDivisor,
+		MaxBodies: settings.Memory / bodyMemoryDivisor, OnNoMemory: n.requestWithoutMemory,
 	})
 	return n
 }
--- a/verbenaroute/internal/vrrelay/buffer.go
+++ b/verbenaroute/internal/vrrelay/buffer.go
@@ -22,6 +22,9 @@
 type bufferBudget struct {
 	limit int64
 	used  atomic.Int64
+	// unbuffered counts the responses that were not read whole, eventsCut the streams that ended, for want
+	// of memory.
+	unbuffered, eventsCut atomic.Uint64
 }
 
 // reserve takes n bytes from the budget unless fewer are left.
@@ -57,6 +60,7 @@
 func (a *sendAttempt) readBuffered(body io.Reader) (data []byte, whole bool, err error) {
 	for len(data) < maxBufferedResponse {
 		if !a.reserveBuffer(len(data) + readBufferSize) {
+			a.handler.proxy.buffers.unbuffered.Add(1)
 			return data, false, nil
 		}
 		start := len(data)
--- a/verbenaroute/internal/vrrelay/exchange.go
+++ b/verbenaroute/internal/vrrelay/exchange.go
@@ -16,7 +16,7 @@
 	proxy   *Proxy
 	call    vrevent.Call
 	request *http.Request
-	body    []byte
+	body    *requestBody
 	writer  http.ResponseWriter
 	control *http.ResponseController
 	effects chan vrevent.Effect
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -99,7 +99,8 @@
 	strays int
 	// reserved is what the buffer of the response has taken from the budget.
 	reserved int
-	// bodyWritten receives the result of writing a body concurrently; nil if there is none.
+	// bodyWritten receives the result of writing a body concurrently; nil if there is none or the whole body
+	// was written.
 	bodyWritten chan error
 }
 
@@ -177,6 +178,11 @@
 	a.watchStalls()
 	defer a.watch.stop()
 	a.setDeadline(a.readDeadline())
+	body, ok := a.handler.body.content()
+	if !ok {
+		a.end(vrevent.AttemptNotSent, errBodyReleased)
+		return true
+	}
 	message, err := a.requestHead()
 	if err != nil {
 		a.fail(err)
@@ -185,7 +191,7 @@
 	if c.hasUnread() {
 		return false
 	}
-	if err := a.writeRequest(message); err != nil {
+	if err := a.writeRequest(message, body); err != nil {
 		a.fail(err)
 		return true
 	}
@@ -281,8 +287,8 @@
 	r := a.handler.request
 	fmt.Fprintf(message, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.RequestURI, r.Host)
 	header := a.requestHeader()
-	if len(a.handler.body) > 0 || r.ContentLength > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
-		header["Content-Length"] = []string{itoa(len(a.handler.body))}
+	if size := a.handler.body.size; size > 0 || r.ContentLength > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
+		header["Content-Length"] = []string{itoa(size)}
 	}
 	if err := header.Write(message); err != nil {
 		return nil, err
@@ -291,39 +297,6 @@
 	return message, nil
 }
 
-// writeRequest writes the request's head and body.
-func (a *sendAttempt) writeRequest(message *bytes.Buffer) error {
-	c := a.conn.Load()
-	if len(a.handler.body) < minConcurrentBody {
-		message.Write(a.handler.body)
-		_, err := c.Write(message.Bytes())
-		return err
-	}
-	if _, err := c.Write(message.Bytes()); err != nil {
-		return err
-	}
-	a.bodyWritten = make(chan error, 1)
-	go func() {
-		_, err := c.Write(a.handler.body)
-		a.bodyWritten <- err
-	}()
-	return nil
-}
-
-// isBodyWritten reports whether the whole body was written. A connection on which part of it is
-// still to be written can't carry another request.
-func (a *sendAttempt) isBodyWritten() bool {
-	if a.bodyWritten == nil {
-		return true
-	}
-	select {
-	case err := <-a.bodyWritten:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // requestHeader returns the headers for the server: the client's without hop-by-hop and reserved
 // headers, and the gateway's own.
 func (a *sendAttempt) requestHeader() http.Header {
@@ -559,6 +532,7 @@
 		return
 	}
 	forwarded := a.handler.forwardFrom(a, true, func() {
+		a.releaseBody()
 		a.handler.setWriteDeadline(a.send.Deadline)
 		a.handler.forward(buffered)
 	})
@@ -572,6 +546,7 @@
 // forwardLarge forwards a response that is too large to be buffered.
 func (a *sendAttempt) forwardLarge(response *http.Response, prefix []byte) {
 	forwarded := a.handler.forwardFrom(a, true, func() {
+		a.releaseBody()
 		a.handler.setWriteDeadline(a.send.Deadline)
 		a.handler.writeHeader(response.StatusCode, response.Header, int(response.ContentLength))
 		if _, err := a.handler.writer.Write(prefix); err != nil {
--- a/verbenaroute/internal/vrrelay/stream.go
+++ b/verbenaroute/internal/vrrelay/stream.go
@@ -84,6 +84,7 @@
 			a.fail(errEventTooLong)
 			return
 		case !a.reserveBuffer(len(pending)):
+			a.handler.proxy.buffers.eventsCut.Add(1)
 			a.fail(errBuffersFull)
 			return
 		}
@@ -111,6 +112,10 @@
 			h.setWriteDeadline(a.send.Deadline)
 		}
 		if begins {
+			if a.send.AtMostOnce {
+				// No other server may go on with the stream.
+				a.releaseBody()
+			}
 			h.writeHeader(response.StatusCode, response.Header, unknownLength)
 			h.stream = a.format
 		}
--- a/verbenaroute/internal/vrrelay/vrrelay.go
+++ b/verbenaroute/internal/vrrelay/vrrelay.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -49,9 +48,14 @@
 	MaxResponseHead vrid.Bytes
 	// MaxBuffered limits the memory for the buffers of all responses. Zero means the default.
 	MaxBuffered vrid.Bytes
+	// MaxBodies limits the memory for the bodies of all requests. Zero means the default.
+	MaxBodies vrid.Bytes
 	// WriteSlack is how long after a call's deadline writes to its client may still go on.
 	// Zero means the default.
 	WriteSlack time.Duration
+	// OnNoMemory is called for each request that is refused because there is no memory for its body, with
+	// how long it has waited for some. It may be nil.
+	OnNoMemory func(request vrid.RequestID, waited time.Duration)
 	// OnCut is called once for each request that ended without a complete response, on any
 	// goroutine. It must not block. It may be nil.
 	OnCut func(CutRequest)
@@ -71,6 +75,8 @@
 	defaultMaxResponseHead = 64 * vrid.KiB
 	// defaultMaxBuffered is the default of Options.MaxBuffered.
 	defaultMaxBuffered = 16 * vrid.MiB
+	// defaultMaxBodies is the default of Options.MaxBodies.
+	defaultMaxBodies = 64 * vrid.MiB
 	// effectBuffer is the number of effects of one call that can wait for its handler.
 	effectBuffer = 4
 )
@@ -81,6 +87,7 @@
 	server     *http.Server
 	pool       *pool
 	buffers    bufferBudget
+	bodies     *bodyBudget
 	lastCallID atomic.Uint64
 	// draining is set once responses announce the close of their connection.
 	draining atomic.Bool
@@ -103,7 +110,13 @@
 	if opts.MaxBuffered <= 0 {
 		opts.MaxBuffered = defaultMaxBuffered
 	}
-	p := &Proxy{opts: opts, pool: newPool(), buffers: bufferBudget{limit: int64(opts.MaxBuffered)}, handlers: make(map[vrevent.CallID]*callHandler)}
+	if opts.MaxBodies <= 0 {
+		opts.MaxBodies = defaultMaxBodies
+	}
+	p := &Proxy{
+		opts: opts, pool: newPool(), buffers: bufferBudget{limit: int64(opts.MaxBuffered)}, bodies: newBodyBudget(int64(opts.MaxBodies)),
+		handlers: make(map[vrevent.CallID]*callHandler),
+	}
 	p.server = &http.Server{
 		Handler: p, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: p.trackConnState, ConnContext: withClientConn,
@@ -136,6 +149,7 @@
 // limit of the shutdown.
 func (p *Proxy) AbortSends() {
 	p.sendsAborted.Store(true)
+	p.bodies.abortWaits()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, handler := range p.handlers {
@@ -217,10 +231,11 @@
 		}
 	}()
 	control := http.NewResponseController(w)
-	body, ok := p.readBody(w, r, control, call.Timeout, record)
+	body, ok := p.readBody(w, r, control, &call, record)
 	if !ok {
 		return
 	}
+	defer body.release()
 	record.bodyRead()
 	call.ID = vrevent.CallID(p.lastCallID.Add(1))
 	call.Host, call.Path = r.Host, r.URL.EscapedPath()
@@ -237,51 +252,16 @@
 	handler.run()
 }
 
-func (p *Proxy) newHandler(call vrevent.Call, r *http.Request, body []byte, w http.ResponseWriter, record *requestRecord) *callHandler {
+func (p *Proxy) newHandler(call vrevent.Call, r *http.Request, body *requestBody, w http.ResponseWriter, record *requestRecord) *callHandler {
+	if body == nil {
+		body = &requestBody{}
+	}
 	return &callHandler{
 		proxy: p, call: call, request: r, body: body, writer: w, control: http.NewResponseController(w), record: record,
 		effects: make(chan vrevent.Effect, effectBuffer), hedgeEnded: make(chan hedgeEnd, 1),
 	}
 }
 
-// readBody reads the whole body, so that it can be sent to a second server. If the body is too
-// long, it responds with status 413 and returns false.
-func (p *Proxy) readBody(w http.ResponseWriter, r *http.Request, control *http.ResponseController, timeout time.Duration, record *requestRecord) ([]byte, bool) {
-	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
-		return nil, true
-	}
-	maxBody := p.opts.Limits().Body
-	if maxBody <= 0 {
-		maxBody = defaultMaxBody
-	}
-	if r.ContentLength > maxBody {
-		rejectBody(w)
-		return nil, false
-	}
-	if timeout <= 0 {
-		timeout = bodyTimeout
-	}
-	_ = control.SetReadDeadline(time.Now().Add(timeout))
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
-	if err != nil {
-		// The client disconnected or stopped sending; it reads no response.
-		record.abort(CutBodyUnread, err.Error())
-		panic(http.ErrAbortHandler)
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	if int64(len(body)) > maxBody {
-		rejectBody(w)
-		return nil, false
-	}
-	return body, true
-}
-
-// rejectBody responds with status 413 and closes the connection.
-func rejectBody(w http.ResponseWriter) {
-	w.Header().Set("Connection", "close")
-	http.Error(w, "the body is too large", http.StatusRequestEntityTooLarge)
-}
-
 // formatRetryAfter formats the value of a Retry-After header, in seconds.
 func formatRetryAfter(after time.Duration) string {
 	return strconv.FormatFloat(after.Seconds(), 'f', 2, 64)
