--- a/verbenaroute/internal/vrnode/cut.go
+++ b/verbenaroute/internal/vrnode/cut.go
@@ -70,3 +70,11 @@
 	n.log.Info("request refused, no memory for its body", zap.String("request", string(request)),
 		zap.String("waitedMs", strconv.FormatInt(waited.Milliseconds(), 10)), zap.String("reason", string(vrwire.ReasonQueueFull)))
 }
+
+// statusReplaced counts and logs a server's response whose status would have promised the client, without
+// proof, that its request has not run.
+func (n *Node) statusReplaced(e vrrelay.ReplacedStatus) {
+	n.metrics.statusReplaced(e.Status)
+	n.log.Warn("status of server replaced", zap.String("request", string(e.Request)), zap.String("server", string(e.Server)),
+		zap.String("status", strconv.Itoa(e.Status)), zap.String("sent", strconv.Itoa(e.Sent)))
+}
--- a/verbenaroute/internal/vrnode/metrics.go
+++ b/verbenaroute/internal/vrnode/metrics.go
@@ -126,6 +126,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`verbena_requests_cut_total{cause=%q}`, cause)).Inc()
 }
 
+// statusReplaced counts a server's status that was not passed on.
+func (m *metrics) statusReplaced(status int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`verbena_statuses_replaced_total{status="%d"}`, status)).Inc()
+}
+
 func (m *metrics) serve(w http.ResponseWriter, _ *http.Request) {
 	for kind, count := range m.droppedLines() {
 		m.set.GetOrCreateCounter(fmt.Sprintf(`verbena_log_lines_dropped_total{kind=%q}`, kind)).Set(count)
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -104,6 +104,7 @@
 		Submit: n.Submit, Dialect: vradapter.Headers{}, Clock: n.clock, Limits: n.limits,
 		MaxResponseHead: settings.Limits.ResponseHead, OnCut: n.requestCut, MaxBuffered: settings.Memory / bufferedMemoryDivisor,
 		MaxBodies: settings.Memory / bodyMemoryDivisor, OnNoMemory: n.requestWithoutMemory,
+		OnStatusReplaced: n.statusReplaced,
 	})
 	return n
 }
--- a/verbenaroute/internal/vrrelay/body.go
+++ b/verbenaroute/internal/vrrelay/body.go
@@ -27,7 +27,7 @@
 	// drainBodyTimeout limits how long the rest of a refused body is read and discarded. A connection that
 	// is closed with unread bytes is reset, and a client that first writes its whole request would lose the
 	// response.
-	drainBodyTimeout = 2 * time.Second
+	drainBodyTimeout = 5 * time.Second
 	// A request that is refused for memory may come back after a time between minMemoryRetry and twice that.
 	// Memory becomes free as calls end, within their few seconds.
 	minMemoryRetry = time.Second
--- a/verbenaroute/internal/vrrelay/exchange.go
+++ b/verbenaroute/internal/vrrelay/exchange.go
@@ -1,13 +1,11 @@
 package vrrelay
 
 import (
-	"encoding/json"
 	"net/http"
 	"sync"
 	"time"
 
 	"verbenaroute.example/verbenacore/vrevent"
-	"verbenaroute.example/verbenacore/vrrecord"
 	"verbenaroute.example/verbenacore/vrwire"
 )
 
@@ -129,17 +127,7 @@
 	if e.NotRun && e.RetryAfter > 0 && status == http.StatusServiceUnavailable {
 		header.Set("Retry-After", formatRetryAfter(e.RetryAfter))
 	}
-	ran := vrrecord.RanUnknown
-	if e.NotRun {
-		ran = vrrecord.RanNo
-	}
-	data, err := json.Marshal(vrwire.Problem{
-		Type: "about:blank", Title: e.Reason.Title(), Status: status, Reason: e.Reason, Ran: ran.String(), NotRun: e.NotRun,
-		RequestID: h.call.Request, Error: vrwire.NewProblemError(e.Reason),
-	})
-	if err != nil {
-		data = nil
-	}
+	data := marshalProblem(e.Reason, status, e.NotRun, h.call.Request, "")
 	header.Set("Content-Length", itoa(len(data)))
 	h.proxy.announceClose(header)
 	h.setWriteDeadline(time.Time{})
--- a/verbenaroute/internal/vrrelay/relay_test.go
+++ b/verbenaroute/internal/vrrelay/relay_test.go
@@ -64,6 +64,8 @@
 	ended []vrevent.SendEnded
 	gone  []vrevent.CallID
 	cuts  []CutRequest
+	// replaced are the reports of replaced statuses.
+	replaced []ReplacedStatus
 	// leaving are the reports of servers that leave.
 	leaving []vrevent.ServerLeaving
 	servers []string
@@ -138,6 +140,11 @@
 		Submit: p.submit, Dialect: testDialect{}, Clock: wallClock{},
 		Limits:     func() vrcatalog.Limits { return vrcatalog.Limits{Body: 1 << 20} },
 		WriteSlack: 20 * time.Millisecond,
+		OnStatusReplaced: func(e ReplacedStatus) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.replaced = append(p.replaced, e)
+		},
 		OnCut: func(cut CutRequest) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -510,9 +510,12 @@
 	return !response.Close && isFramed(response)
 }
 
-// forwardBuffered reads a response to the end and forwards it, unless it is a failure that is
-// held back.
+// forwardBuffered reads a response to the end and delivers it, or one of the gateway in its place.
 func (a *sendAttempt) forwardBuffered(response *http.Response) {
+	if status := clientStatus(a.send, response.StatusCode); status != response.StatusCode {
+		a.replaceResponse(response, status)
+		return
+	}
 	a.watch.stop()
 	a.setDeadline(a.send.Deadline)
 	body, whole, err := a.readBuffered(response.Body)
@@ -525,8 +528,12 @@
 		return
 	}
 	a.reusable = allowsReuse(response)
-	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
-	if a.send.HoldErrors && response.StatusCode >= http.StatusInternalServerError {
+	a.deliver(&bufferedResponse{status: response.StatusCode, header: response.Header, body: body})
+}
+
+// deliver forwards a response that was read to the end, unless it is a failure that is held back.
+func (a *sendAttempt) deliver(buffered *bufferedResponse) {
+	if a.send.HoldErrors && buffered.status >= http.StatusInternalServerError {
 		a.handler.forwardFrom(a, false, func() { a.handler.holdFailure(a, buffered) })
 		a.end(vrevent.AttemptServerError, nil)
 		return
--- a/verbenaroute/internal/vrrelay/vrrelay.go
+++ b/verbenaroute/internal/vrrelay/vrrelay.go
@@ -56,6 +56,9 @@
 	// OnNoMemory is called for each request that is refused because there is no memory for its body, with
 	// how long it has waited for some. It may be nil.
 	OnNoMemory func(request vrid.RequestID, waited time.Duration)
+	// OnStatusReplaced is called for each response of a server in place of which the client got one of the
+	// gateway. It may be nil.
+	OnStatusReplaced func(ReplacedStatus)
 	// OnCut is called once for each request that ended without a complete response, on any
 	// goroutine. It must not block. It may be nil.
 	OnCut func(CutRequest)
