Let a large body wait before any of it is read

A client that asked with Expect: 100-continue was told to send its body, which was then refused for want of memory; it now gets the refusal without sending. The new test fails on the commit before. The tests of bodies pass.

--- a/verbenaroute/internal/vrrelay/body.go
+++ b/verbenaroute/internal/vrrelay/body.go
@@ -82,8 +82,13 @@
 	if length >= 0 {
 		end = length
 	}
-	// A body that is known to be large begins before its first piece, so that it waits unread.
-	isLarge := length > maxUnreservedBody
+	if length > maxUnreservedBody {
+		// A body that is known to be large waits unread for its place in the order. A client that asked whether
+		// it may send its body isn't told to.
+		if err := b.reserve(0, end-maxUnreservedBody, maxWait); err != nil {
+			return err
+		}
+	}
 	for {
 		var first [1]byte
 		n, err := readFull(source, first[:])
@@ -98,7 +103,7 @@
 			return errBodyTooLarge
 		}
 		size := b.nextStep(end)
-		if b.size > 0 || isLarge {
+		if b.size > 0 {
 			if err := b.reserve(size, end-maxUnreservedBody, maxWait); err != nil {
 				return err
 			}
@@ -130,15 +135,11 @@
 	return int(min(int64(step), max(end-int64(b.size), 1)))
 }
 
-// reserve takes the memory for the next piece from the budget, for the first one nothing but its place in the
-// order. The body may take up to need bytes.
+// reserve takes memory for the next piece from the budget. The body may take up to need bytes.
 func (b *requestBody) reserve(size int, need int64, maxWait time.Duration) error {
 	if b.claim == nil {
 		b.claim = b.budget.newClaim(need)
 	}
-	if b.size == 0 {
-		size = 0
-	}
 	waited, ok := b.budget.take(b.claim, int64(size), maxWait-b.waited)
 	b.waited += waited
 	if !ok {
--- a/verbenaroute/internal/vrrelay/body_test.go
+++ b/verbenaroute/internal/vrrelay/body_test.go
@@ -215,6 +215,23 @@
 	}
 }
 
+// Guards against a client that is told to send its body although there is no memory for it.
+func TestRefusedClientIsNotToldToSendItsBody(t *testing.T) {
+	p := newBodyProxy(t, 4<<20, func(int64) { t.Error("a refused request reached the server") })
+	other := p.proxy.bodies.newClaim(4 << 20)
+	_, ok := p.proxy.bodies.take(other, 4<<20, 0)
+	require.True(t, ok)
+	c, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = fmt.Fprintf(c, "POST /a HTTP/1.1\r\nHost: x\r\nX-Request: r1\r\nX-Wait: 400\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", 1<<20)
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.NoError(t, response.Body.Close())
+}
+
 // Guards against a body that waits for memory to the end of its time, or beyond the shutdown of the daemon,
 // and against one that loses its place although memory becomes free.
 func TestBodyThatWaitsIsServedOrRefused(t *testing.T) {
