Set the receive buffer of server connections before connecting

Cause: the size was set after the connection was made. Linux derives the limit of the window when a connection is made and does not adjust a buffer whose size was set, so the limit stayed at 64 KiB until full-sized segments of a new size arrived. Over a round trip of 16 ms, 64 KiB is about 4 MB/s. Change: the size is set by Dialer.Control.

--- a/verbenaroute/internal/vrrelay/conn.go
+++ b/verbenaroute/internal/vrrelay/conn.go
@@ -107,20 +107,26 @@
 		}
 		_ = c.Close()
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod, Control: limitReceiveBuffer}
 	netConn, err := dialer.Dial("tcp", key.address)
 	if err != nil {
 		return nil, err
 	}
-	if tcp, ok := netConn.(*net.TCPConn); ok {
-		_ = tcp.SetReadBuffer(serverReceiveBuffer)
-	}
 	source := &headLimiter{reader: netConn}
 	return &conn{
 		Conn: netConn, backend: key, source: source, reader: bufio.NewReaderSize(source, readBufferSize), maxIdle: defaultMaxIdle,
 	}, nil
 }
 
+// limitReceiveBuffer sets the size of the receive buffer before the connection is made. If it is set later, the
+// window may stay limited to what the initial buffer gives, 64 KiB, because Linux no longer adjusts a buffer whose
+// size was set.
+func limitReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, serverReceiveBuffer)
+	})
+}
+
 // HeadTooLargeError reports a response whose head, with the interim responses before it, exceeds
 // the limit.
 type HeadTooLargeError struct{ Limit vrid.Bytes }
