Let small bodies pass large ones that wait for memory

Cause: bodies begin in the order of their arrival, also while hardly any memory is held. Behind 200 bodies of 4 MB that were announced and not sent, with a budget of 46 MiB, requests of 20 KB with a time of 2 s were refused with 503 (3 of 6) while no byte of the budget was held. Change: a body of at most 1/64 of the budget begins before larger ones while half of the budget stays free. It can be completed first, so that bodies still never wait for each other. The new test fails without the change.

--- a/verbenaroute/internal/vrrelay/budget.go
+++ b/verbenaroute/internal/vrrelay/budget.go
@@ -17,11 +17,16 @@
 	claimsInterval = 50 * time.Millisecond
 	// departureInterval is the interval at which a waiting body checks whether its client has left.
 	departureInterval = 200 * time.Millisecond
+	// A body of at most the limit divided by smallBodyDivisor needn't wait behind larger ones while the limit
+	// divided by smallBodyFreeDivisor stays free. Otherwise many large bodies that have yet to arrive would have
+	// small ones refused while hardly any memory is held.
+	smallBodyDivisor     = 64
+	smallBodyFreeDivisor = 2
 )
 
 // bodyBudget limits the memory that the bodies of all requests take together. Memory is taken in steps as
 // bytes arrive. A body begins if the memory that is left suffices for all of it besides what is expected to
-// arrive of the others; bodies begin in the order of their arrival. A body that has begun gets its next step
+// arrive of the others; bodies begin in the order of their arrival, but small ones may pass. A body that has begun gets its next step
 // if all bodies that have begun can then be completed, one after the other, so that they never wait for each
 // other.
 type bodyBudget struct {
@@ -89,7 +94,7 @@
 	if claim.begun {
 		queue = &b.continuing
 	}
-	if (claim.begun || len(b.entering)+len(b.continuing) == 0) && b.grant(start, claim) {
+	if (claim.begun || len(b.entering)+len(b.continuing) == 0 || b.mayPass(claim)) && b.grant(start, claim) {
 		b.mu.Unlock()
 		return 0, true
 	}
@@ -179,12 +184,21 @@
 	if claim.begun {
 		return b.canComplete(claim, free-claim.step)
 	}
+	if b.mayPass(claim) {
+		return true
+	}
 	for other := range b.claims {
 		free -= other.expected(now)
 	}
 	return free >= claim.need
 }
 
+// mayPass reports whether a body that has not begun is small enough to begin before others. It can then be
+// completed first, so that the others can be completed as before.
+func (b *bodyBudget) mayPass(claim *bodyClaim) bool {
+	return !claim.begun && claim.need <= b.limit/smallBodyDivisor && b.limit-b.held-claim.need >= b.limit/smallBodyFreeDivisor
+}
+
 // canComplete reports whether all bodies that have begun can be completed one after the other if a claim has
 // taken its step and free bytes are left.
 func (b *bodyBudget) canComplete(claim *bodyClaim, free int64) bool {
@@ -267,6 +281,13 @@
 		b.entering[0].granted <- true
 		b.entering = slices.Delete(b.entering, 0, 1)
 	}
+	b.entering = slices.DeleteFunc(b.entering, func(claim *bodyClaim) bool {
+		passes := b.mayPass(claim) && b.grant(now, claim)
+		if passes {
+			claim.granted <- true
+		}
+		return passes
+	})
 }
 
 // planTick plans the next call of tick if bodies wait. The caller holds the mutex.
--- a/verbenaroute/internal/vrrelay/budget_test.go
+++ b/verbenaroute/internal/vrrelay/budget_test.go
@@ -80,3 +80,22 @@
 	require.True(t, <-third.granted)
 	require.Empty(t, b.entering)
 }
+
+// Guards against a small body that is refused while no memory is held, because large ones that have not arrived wait
+// before it, and against small ones that take the memory for which a large one waits.
+func TestSmallBodiesPassLargeOnesThatWait(t *testing.T) {
+	const limit, smallNeed = 6400, 100
+	b := newBodyBudget(limit)
+	large := b.newClaim(limit)
+	_, ok := b.take(large, 0, 0)
+	require.True(t, ok)
+	waiting := b.newClaim(limit)
+	b.entering = append(b.entering, waiting)
+	for range limit / smallBodyFreeDivisor / smallNeed {
+		_, ok = b.take(b.newClaim(smallNeed), smallNeed, 0)
+		require.True(t, ok)
+	}
+	_, ok = b.take(b.newClaim(smallNeed), smallNeed, 0)
+	require.False(t, ok)
+	require.Equal(t, []*bodyClaim{waiting}, b.entering)
+}
