--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -45,6 +45,10 @@
 // daemon ends, so that another one is open within ContactTimeout.
 const silenceDivisor = 2
 
+// bodyMemoryDivisor is the divisor of the memory of the process that gives the memory for the bodies of
+// requests. Bodies that were released may take as much again until they are collected.
+const bodyMemoryDivisor = 4
+
 // Node is a gateway daemon.
 type Node struct {
 	settings *vrsettings.Gateway
@@ -108,6 +112,8 @@
 	n.proxy = vrrelay.New(vrrelay.Options{
 		Submit: n.Submit, Dialect: vradapter.Headers{}, Clock: n.clock, Limits: n.limits,
 		MaxResponseHead: settings.Limits.ResponseHead, OnCut: n.requestCut, MaxBuffered: settings.Memory / bufferedMemoryDivisor,
+		MaxBodies: settings.Memory / bodyMemoryDivisor, OnNoMemory: n.requestWithoutMemory,
+		OnStatusReplaced: n.statusReplaced,
 	})
 	return n
 }
--- a/verbenaroute/internal/vrrelay/buffer.go
+++ b/verbenaroute/internal/vrrelay/buffer.go
@@ -12,6 +12,9 @@
 	maxUnreservedBuffer = 16 << 10
 	// reservationStep is the size in which buffers grow.
 	reservationStep = 16 << 10
+	// streamPartDivisor is the divisor of the budget that gives the part that only streams may take. Without
+	// it, a response is forwarded as it arrives, but a stream ends.
+	streamPartDivisor = 4
 )
 
 // errBuffersFull ends a stream whose event does not fit into the memory for the buffers of all responses.
@@ -22,11 +25,19 @@
 type bufferBudget struct {
 	limit int64
 	used  atomic.Int64
+	// unbuffered counts the responses that were not read whole, eventsCut the streams that ended, for want
+	// of memory.
+	unbuffered, eventsCut atomic.Uint64
 }
 
-// reserve takes n bytes from the budget unless fewer are left.
-func (b *bufferBudget) reserve(n int64) bool {
-	if b.used.Add(n) <= b.limit {
+// reserve takes n bytes from the budget unless fewer are left, for other responses than streams besides the part
+// of the streams.
+func (b *bufferBudget) reserve(n int64, isStream bool) bool {
+	limit := b.limit
+	if !isStream {
+		limit -= limit / streamPartDivisor
+	}
+	if b.used.Add(n) <= limit {
 		return true
 	}
 	b.used.Add(-n)
@@ -39,7 +50,7 @@
 // returns false if the budget does not allow it.
 func (a *sendAttempt) reserveBuffer(size int) bool {
 	for size > maxUnreservedBuffer+a.reserved {
-		if !a.handler.proxy.buffers.reserve(reservationStep) {
+		if !a.handler.proxy.buffers.reserve(reservationStep, a.format != nil) {
 			return false
 		}
 		a.reserved += reservationStep
@@ -57,6 +68,7 @@
 func (a *sendAttempt) readBuffered(body io.Reader) (data []byte, whole bool, err error) {
 	for len(data) < maxBufferedResponse {
 		if !a.reserveBuffer(len(data) + readBufferSize) {
+			a.handler.proxy.buffers.unbuffered.Add(1)
 			return data, false, nil
 		}
 		start := len(data)
--- a/verbenaroute/internal/vrrelay/client.go
+++ b/verbenaroute/internal/vrrelay/client.go
@@ -9,9 +9,16 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"verbenaroute.example/verbenacore/vrid"
 )
 
+// clientSendBuffer is the size of the kernel's send buffer of a client's connection. The kernel would let it grow
+// to several megabytes, all of which a client that does not read may fill. An answer that was read whole fits, so
+// that it takes none of the daemon's buffers while its client reads, and is delivered however late that is.
+const clientSendBuffer = maxBufferedResponse
+
 // clientListener accepts connections whose errors are recorded.
 type clientListener struct{ net.Listener }
 
@@ -22,6 +29,7 @@
 		return nil, err
 	}
 	if tcp, ok := accepted.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(clientSendBuffer)
 		return &clientConn{TCPConn: tcp}, nil
 	}
 	return accepted, nil
@@ -114,6 +122,25 @@
 	return c.TCPConn.Close()
 }
 
+// hasLeft reports whether the client has closed the connection or its sending side. net/http takes both for a
+// client that has left, but notices them only once the body of the request was read. The state of the connection
+// shows them behind unread bytes.
+func (c *clientConn) hasLeft() bool {
+	if c.TCPConn == nil {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	left := false
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		left = infoErr == nil && info.State != unix.BPF_TCP_ESTABLISHED
+	})
+	return err == nil && left
+}
+
 func (c *clientConn) recordWriteError(err error) {
 	c.mu.Lock()
 	if c.writeErr == nil {
--- a/verbenaroute/internal/vrrelay/stream.go
+++ b/verbenaroute/internal/vrrelay/stream.go
@@ -67,6 +67,11 @@
 			return
 		}
 		pending = append(pending[:0], pending[complete:]...)
+		if len(pending) == 0 && a.reserved > 0 {
+			// A large event has been forwarded.
+			pending = nil
+			a.releaseBuffer()
+		}
 		switch {
 		case errors.Is(err, io.EOF) && len(pending) > 0:
 			a.fail(errEndsInsideEvent)
@@ -84,6 +89,7 @@
 			a.fail(errEventTooLong)
 			return
 		case !a.reserveBuffer(len(pending)):
+			a.handler.proxy.buffers.eventsCut.Add(1)
 			a.fail(errBuffersFull)
 			return
 		}
@@ -111,6 +117,10 @@
 			h.setWriteDeadline(a.send.Deadline)
 		}
 		if begins {
+			if a.send.AtMostOnce {
+				// No other server may go on with the stream.
+				a.releaseBody()
+			}
 			h.writeHeader(response.StatusCode, response.Header, unknownLength)
 			h.stream = a.format
 		}
