--- a/verbenaroute/internal/vrrelay/conn.go
+++ b/verbenaroute/internal/vrrelay/conn.go
@@ -30,6 +30,9 @@
 	maxIdleConns      = 16
 	readBufferSize    = 4 << 10
 	keepAlivePeriod   = 15 * time.Second
+	// serverReceiveBuffer is the size of the kernel's receive buffer of a connection to a server. The kernel
+	// would let it grow to several megabytes, which stay filled while a client does not read.
+	serverReceiveBuffer = 256 << 10
 	// maxRequestsPerConn bounds the memory for the ids of the requests that a connection has carried.
 	maxRequestsPerConn = 1024
 )
@@ -92,7 +95,7 @@
 	if c := p.pop(time.Now(), key, request, atMostOnce); c != nil {
 		return c, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod, Control: limitReceiveBuffer}
 	netConn, err := dialer.Dial("tcp", key.address)
 	if err != nil {
 		return nil, err
@@ -103,6 +106,15 @@
 	}, nil
 }
 
+// limitReceiveBuffer sets the size of the receive buffer before the connection is made. If it is set later, the
+// window may stay limited to what the initial buffer gives, 64 KiB, because Linux no longer adjusts a buffer whose
+// size was set.
+func limitReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, serverReceiveBuffer)
+	})
+}
+
 // HeadTooLargeError reports a response whose head, with the interim responses before it, exceeds
 // the limit.
 type HeadTooLargeError struct{ Limit vrid.Bytes }
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -99,7 +99,8 @@
 	strays int
 	// reserved is what the buffer of the response has taken from the budget.
 	reserved int
-	// bodyWritten receives the result of writing a body concurrently; nil if there is none.
+	// bodyWritten receives the result of writing a body concurrently; nil if there is none or the whole body
+	// was written.
 	bodyWritten chan error
 }
 
@@ -177,6 +178,11 @@
 	a.watchStalls()
 	defer a.watch.stop()
 	a.setDeadline(a.readDeadline())
+	body, ok := a.handler.body.content()
+	if !ok {
+		a.end(vrevent.AttemptNotSent, errBodyReleased)
+		return true
+	}
 	message, err := a.requestHead()
 	if err != nil {
 		a.fail(err)
@@ -189,7 +195,7 @@
 		a.end(vrevent.AttemptUnauthorized, errProofExpired)
 		return true
 	}
-	if err := a.writeRequest(message); err != nil {
+	if err := a.writeRequest(message, body); err != nil {
 		a.fail(err)
 		return true
 	}
@@ -294,8 +300,8 @@
 	r := a.handler.request
 	fmt.Fprintf(message, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.RequestURI, r.Host)
 	header := a.requestHeader()
-	if len(a.handler.body) > 0 || r.ContentLength > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
-		header["Content-Length"] = []string{itoa(len(a.handler.body))}
+	if size := a.handler.body.size; size > 0 || r.ContentLength > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
+		header["Content-Length"] = []string{itoa(size)}
 	}
 	if err := header.Write(message); err != nil {
 		return nil, err
@@ -304,39 +310,6 @@
 	return message, nil
 }
 
-// writeRequest writes the request's head and body.
-func (a *sendAttempt) writeRequest(message *bytes.Buffer) error {
-	c := a.conn.Load()
-	if len(a.handler.body) < minConcurrentBody {
-		message.Write(a.handler.body)
-		_, err := c.Write(message.Bytes())
-		return err
-	}
-	if _, err := c.Write(message.Bytes()); err != nil {
-		return err
-	}
-	a.bodyWritten = make(chan error, 1)
-	go func() {
-		_, err := c.Write(a.handler.body)
-		a.bodyWritten <- err
-	}()
-	return nil
-}
-
-// isBodyWritten reports whether the whole body was written. A connection on which part of it is
-// still to be written can't carry another request.
-func (a *sendAttempt) isBodyWritten() bool {
-	if a.bodyWritten == nil {
-		return true
-	}
-	select {
-	case err := <-a.bodyWritten:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // requestHeader returns the headers for the server: the client's without hop-by-hop and reserved
 // headers, and the gateway's own.
 func (a *sendAttempt) requestHeader() http.Header {
@@ -397,7 +370,11 @@
 		if err != nil {
 			return nil, vrdialect.ResponseInfo{}, unexpectedEOF(err)
 		}
-		if response.StatusCode < http.StatusOK {
+		final, err := checkStatus(response.StatusCode)
+		if err != nil {
+			return nil, vrdialect.ResponseInfo{}, err
+		}
+		if !final {
 			continue
 		}
 		info := a.handler.proxy.opts.Dialect.ParseResponse(response.StatusCode, response.Header, a.send.Server)
@@ -479,8 +456,12 @@
 func (a *sendAttempt) handleRefusal(response *http.Response, info vrdialect.ResponseInfo) {
 	if a.drain(response) {
 		a.reusable = allowsReuse(response)
-		if status := a.nextAnswer(); status != 0 {
-			a.end(vrevent.AttemptBroken, &ContradictedRefusalError{Refusal: response.StatusCode, Answer: status})
+		status, err := a.nextAnswer()
+		if err == nil && status != 0 {
+			err = &ContradictedRefusalError{Refusal: response.StatusCode, Answer: status}
+		}
+		if err != nil {
+			a.end(vrevent.AttemptBroken, err)
 			return
 		}
 	}
@@ -488,28 +469,32 @@
 }
 
 // nextAnswer returns the status of a response to this request that is no refusal and whose head has
-// arrived behind a refusal, or zero. The deadline of drain still applies.
-func (a *sendAttempt) nextAnswer() int {
+// arrived behind a refusal, or zero. It returns an error for a response with an invalid status, which may be
+// a broken answer to this request. The deadline of drain still applies.
+func (a *sendAttempt) nextAnswer() (int, error) {
 	c := a.conn.Load()
 	source := c.source
 	defer source.endHead()
 	for c.reader.Buffered() > 0 || c.hasUnread() {
 		a.reusable = false
 		source.beginHead(a.handler.proxy.opts.MaxResponseHead)
+		if hasInvalidStatus(c.reader) {
+			return 0, errInvalidStatusBehindRefusal
+		}
 		response, err := http.ReadResponse(c.reader, a.handler.request) //nolint:bodyclose // the connection is closed
 		if err != nil {
-			return 0
+			return 0, nil
 		}
 		source.endHead()
 		info := a.handler.proxy.opts.Dialect.ParseResponse(response.StatusCode, response.Header, a.send.Server)
 		if response.StatusCode >= http.StatusOK && !info.NotRun && info.Request == a.handler.call.Request {
-			return response.StatusCode
+			return response.StatusCode, nil
 		}
 		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainedBody)); err != nil || n >= maxDrainedBody {
-			return 0
+			return 0, nil
 		}
 	}
-	return 0
+	return 0, nil
 }
 
 // notRunResult returns the result of a send whose server guarantees that it did not run
@@ -538,9 +523,12 @@
 	return !response.Close && isFramed(response)
 }
 
-// forwardBuffered reads a response to the end and forwards it, unless it is a failure that is
-// held back.
+// forwardBuffered reads a response to the end and delivers it, or one of the gateway in its place.
 func (a *sendAttempt) forwardBuffered(response *http.Response) {
+	if status := clientStatus(a.send, response.StatusCode); status != response.StatusCode {
+		a.replaceResponse(response, status)
+		return
+	}
 	a.watch.stop()
 	a.setDeadline(a.send.Deadline)
 	body, whole, err := a.readBuffered(response.Body)
@@ -553,13 +541,18 @@
 		return
 	}
 	a.reusable = allowsReuse(response)
-	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
-	if a.send.HoldErrors && response.StatusCode >= http.StatusInternalServerError {
+	a.deliver(&bufferedResponse{status: response.StatusCode, header: response.Header, body: body})
+}
+
+// deliver forwards a response that was read to the end, unless it is a failure that is held back.
+func (a *sendAttempt) deliver(buffered *bufferedResponse) {
+	if a.send.HoldErrors && buffered.status >= http.StatusInternalServerError {
 		a.handler.forwardFrom(a, false, func() { a.handler.holdFailure(a, buffered) })
 		a.end(vrevent.AttemptServerError, nil)
 		return
 	}
 	forwarded := a.handler.forwardFrom(a, true, func() {
+		a.releaseBody()
 		a.handler.setWriteDeadline(a.send.Deadline)
 		a.handler.forward(buffered)
 	})
@@ -573,6 +566,7 @@
 // forwardLarge forwards a response that is too large to be buffered.
 func (a *sendAttempt) forwardLarge(response *http.Response, prefix []byte) {
 	forwarded := a.handler.forwardFrom(a, true, func() {
+		a.releaseBody()
 		a.handler.setWriteDeadline(a.send.Deadline)
 		a.handler.writeHeader(response.StatusCode, response.Header, int(response.ContentLength))
 		if _, err := a.handler.writer.Write(prefix); err != nil {
