--- a/verbenacore/vrgateway/admission.go
+++ b/verbenacore/vrgateway/admission.go
@@ -15,7 +15,7 @@
 )
 
 // Ordered admission: the calls of a service that wait for a server are sent in the order of one queue, and a
-// server gets a call only while it has room. It is active for the services of ordered. The wait lists by target
+// server gets a call only while it has room. It is active for the services of ordersAdmission. The wait lists by target
 // remain for the notices of the placement owner: each call of such a service that waits is in its list and in
 // the queue.
 
