--- a/verbenacore/vrgateway/room_wait.go
+++ b/verbenacore/vrgateway/room_wait.go
@@ -58,15 +58,15 @@
 
 // review holds what reviewWaiting reuses.
 type review struct {
-	doomed  []doomedCall
-	refused map[serviceModelKey]int
+	unservable []unservableCall
+	refused    map[serviceModelKey]int
 	// intervals holds what freeInterval returned for a target since intervalsAt.
 	intervals   map[target]time.Duration
 	intervalsAt time.Time
 }
 
-// doomedCall is a waiting call that won't be served in time.
-type doomedCall struct {
+// unservableCall is a waiting call that won't be served in time.
+type unservableCall struct {
 	call *call
 	wait time.Duration
 }
@@ -248,7 +248,7 @@
 // more urgent ones have arrived.
 func (s *State) reviewWaiting(now time.Time, out *vrevent.Effects) {
 	r := &s.admission.review
-	r.doomed = r.doomed[:0]
+	r.unservable = r.unservable[:0]
 	clear(r.refused)
 	for i := range s.catalog.Services {
 		id := s.catalog.Services[i].ID
@@ -256,16 +256,16 @@
 			s.reviewCall(now, item, ahead)
 		})
 	}
-	for i := range r.doomed {
-		c := r.doomed[i].call
-		r.doomed[i].call = nil
+	for i := range r.unservable {
+		c := r.unservable[i].call
+		r.unservable[i].call = nil
 		if server, _ := s.chooseServer(now, c); server != nil {
 			// A server has room since the call was last tried.
 			s.admission.queue.Wake(s.modelOf(c))
 			s.drainQueue(now, out)
 		}
 		if c.waiting && !s.mayFindRoom(now, c) {
-			s.refuseFull(now, c, r.doomed[i].wait, out)
+			s.refuseFull(now, c, r.unservable[i].wait, out)
 		}
 	}
 }
@@ -287,6 +287,6 @@
 	longest := max(wait, c.waitByProgress(now, ahead))
 	if now.Add(time.Duration(float64(longest) / reviewMargin)).After(s.latestStart(c)) {
 		r.refused[key]++
-		r.doomed = append(r.doomed, doomedCall{call: c, wait: wait})
+		r.unservable = append(r.unservable, unservableCall{call: c, wait: wait})
 	}
 }
--- a/verbenacore/vrquota/property_test.go
+++ b/verbenacore/vrquota/property_test.go
@@ -14,9 +14,9 @@
 // siteBounds are those of the deployment with tenants.
 var siteBounds = vrquota.Bounds{Window: 8 * time.Second, Overrun: 0.1, Slack: 17_000}
 
-// trouble does what may happen to daemons and to the network at a step, one thing in rarity/12 steps on
+// injectFault does what may happen to daemons and to the network at a step, one thing in rarity/12 steps on
 // average.
-func (m *model) trouble(rarity int, mayAdd bool) {
+func (m *model) injectFault(rarity int, mayAdd bool) {
 	h := m.hosts[m.random.IntN(len(m.hosts))]
 	pause := func(limit time.Duration) time.Duration { return time.Duration(m.random.Int64N(int64(limit))) }
 	switch m.random.IntN(rarity) {
@@ -67,7 +67,7 @@
 		}
 		m := newModel(seed, daemons, quota, bounds)
 		m.lateRuns, m.lostRuns = true, rapid.Bool().Draw(t, "lostRuns")
-		// Much trouble leaves little credit, and little shows what a single event does.
+		// Many faults leave little credit, and few show what a single event does.
 		rarity := rapid.SampledFrom([]int{600, 3000, 9000}).Draw(t, "rarity")
 		lossiness := rapid.SampledFrom([]int{30, 300, 30_000}).Draw(t, "lossiness")
 		usual := m.delay
@@ -87,7 +87,7 @@
 			m.step()
 			// With bounds without room, the number of daemons must not change, see the package's comment.
 			require.LessOrEqual(t, m.shares(), m.allowedShares())
-			m.trouble(rarity, !tight && daemons >= 10)
+			m.injectFault(rarity, !tight && daemons >= 10)
 			for range perStep * (step / rest % 2) {
 				m.arrive(m.hosts[m.random.IntN(len(m.hosts))], 100+m.random.Int64N(2000))
 			}
