Take the ports of gateway tests from outside the ephemeral range

The test went on, because that process answered the readiness check, and its call hung for 150 s on the listener of the stopped gateway.

Addresses are now below the ephemeral range and differ with each call, and a gateway that stops while it starts fails its test at once.

--- a/verbenaroute/internal/vrnode/node_test.go
+++ b/verbenaroute/internal/vrnode/node_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,12 +24,25 @@
 	"verbenaroute.example/verbenaroute/internal/vrnode"
 )
 
-// freeAddress returns a loopback address that no process listens on at this moment.
+// lastPort is the port that freeAddress tried last. It begins at random, so that test processes rarely meet.
+var lastPort atomic.Uint32
+
+func init() { lastPort.Store(rand.Uint32N(16384)) }
+
+// freeAddress returns a loopback address that no process listens on at this moment, another one with each call.
+// Its port is below the range that Linux gives to outgoing connections and to listeners on port 0 (32768 and up):
+// an address from that range was taken by another process before the gateway listened on it.
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { require.NoError(t, listener.Close()) }()
-	return listener.Addr().String()
+	for range 100 {
+		listener, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", 16384+lastPort.Add(1)%16384))
+		if err != nil {
+			continue
+		}
+		require.NoError(t, listener.Close())
+		return listener.Addr().String()
+	}
+	require.Fail(t, "no free port")
+	return ""
 }
 
 // newSettings returns the settings of a gateway that listens on free addresses.
@@ -50,6 +65,9 @@
 		require.NoError(t, <-stopped)
 	})
 	require.Eventually(t, func() bool {
+		if len(stopped) > 0 {
+			return true
+		}
 		response, err := http.Get("http://" + settings.Readiness + "/readyz")
 		if err != nil {
 			return false
@@ -57,6 +75,7 @@
 		_ = response.Body.Close()
 		return response.StatusCode == http.StatusOK
 	}, 30*time.Second, 10*time.Millisecond)
+	require.Empty(t, stopped, "the gateway stopped while it started")
 }
 
 // startNodeWithTwoServers runs a gateway with one route to two servers at one address, and returns the
