Rename the limit of waits for a proof, use the stand-in's response headers

queryPatience is proofWaitLimit, and a test of the gateway process set the platform's header names itself.

--- a/verbenacore/vrgateway/proof.go
+++ b/verbenacore/vrgateway/proof.go
@@ -20,9 +20,9 @@
 	// messages per second.
 	catalogQueryInterval = 400 * time.Millisecond
 	catalogQueryPeers    = 2
-	// queryPatience is how long a daemon that asks for a proof lets calls wait for it. Afterwards they are
+	// proofWaitLimit is how long a daemon that asks for a proof lets calls wait for it. Afterwards they are
 	// refused at once.
-	queryPatience = time.Second
+	proofWaitLimit = time.Second
 	// maxReplyCatalog is the maximum size of the catalog in a reply, in bytes. It leaves room for the rest of
 	// the envelope.
 	maxReplyCatalog = vrwire.MaxFrameBytes - 4<<10
@@ -137,8 +137,8 @@
 	if s.opts.Bounds.Revocation <= 0 {
 		return false
 	}
-	if now.Sub(s.proof.queriedAt) < queryPatience {
-		return now.Sub(s.proof.askingSince) < queryPatience
+	if now.Sub(s.proof.queriedAt) < proofWaitLimit {
+		return now.Sub(s.proof.askingSince) < proofWaitLimit
 	}
 	return !s.store.lost || len(s.queryTargets(now)) > 0
 }
@@ -154,7 +154,7 @@
 	if len(targets) == 0 {
 		return
 	}
-	if now.Sub(s.proof.queriedAt) >= queryPatience {
+	if now.Sub(s.proof.queriedAt) >= proofWaitLimit {
 		s.proof.askingSince = now
 	}
 	s.proof.queriedAt = now
--- a/verbenaroute/gateway_test.go
+++ b/verbenaroute/gateway_test.go
@@ -168,8 +168,7 @@
 	allBegun := make(chan struct{})
 	var count atomic.Int64
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-		w.Header().Set("Response-Signature", "signed")
+		vrstandin.SetAnswerHeaders(w.Header(), r)
 		last := 0
 		if id := r.Header.Get("Last-Event-Id"); id != "" {
 			_, _ = fmt.Sscan(id, &last)
