--- /dev/null
+++ b/review/standin-2/main.go
@@ -0,0 +1,76 @@
+// Command standin2 holds the stand-ins of the second review: the platform's store, servers, clients, and the cases
+// that play them against gateways.
+package main
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// record is what a case writes to record.txt.
+type record struct {
+	mu    sync.Mutex
+	file  *os.File
+	start time.Time
+}
+
+func newRecord(path string) *record {
+	file, err := os.Create(path)
+	check(err)
+	return &record{file: file, start: time.Now()}
+}
+
+func (r *record) say(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(r.file, "%8.3f "+format+"\n", append([]any{time.Since(r.start).Seconds()}, args...)...)
+}
+
+// caseFailed ends a case that can't run.
+type caseFailed struct{ err error }
+
+func check(err error) {
+	if err != nil {
+		panic(caseFailed{err})
+	}
+}
+
+// Exit codes of a case.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+var cases = map[string]func(folder string, r *record, trouble bool) int{
+	"early": earlyCase,
+	"reset": resetCase,
+}
+
+func main() {
+	os.Exit(run())
+}
+
+func run() (code int) {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin2 CASE RECORD")
+		return exitNotRun
+	}
+	r := newRecord(os.Args[2])
+	defer func() {
+		if failed, ok := recover().(caseFailed); ok {
+			r.say("the case could not run: %v", failed.err)
+			code = exitNotRun
+		}
+	}()
+	folder, err := os.MkdirTemp("", "review")
+	check(err)
+	if os.Getenv("KEEP") == "" {
+		defer func() { _ = os.RemoveAll(folder) }()
+	} else {
+		fmt.Println(folder)
+	}
+	return cases[os.Args[1]](folder, r, os.Getenv("TROUBLE") != "0")
+}
