--- a/review/standin-2/gateway.go
+++ b/review/standin-2/gateway.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -20,13 +21,14 @@
 }
 
 // machines counts the machines of the deployment.
-var machines int
+var machines atomic.Int64
 
 // newMachine returns the address of a new machine. Outgoing connections have the address 127.0.0.1, so that they
 // don't take the ports of others.
 func newMachine() string {
-	machines++
-	return fmt.Sprintf("127.1.0.%d", machines)
+	const perBlock = 250
+	n := int(machines.Add(1)) - 1
+	return fmt.Sprintf("127.1.%d.%d", n/perBlock, n%perBlock+1)
 }
 
 // freeAddress returns an address of a machine with a port that is free.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -46,6 +46,7 @@
 
 var cases = map[string]func(folder string, r *record, trouble bool) int{
 	"early": earlyCase,
+	"leak":  leakCase,
 	"reset": resetCase,
 }
 
