--- a/review/standin-2/gateway.go
+++ b/review/standin-2/gateway.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -65,6 +66,18 @@
 	g.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "VERBENAROUTE_NODE_FILE=" + g.settings}
 	g.process.Stdout, g.process.Stderr = log, log
 	check(g.process.Start())
+	started.Store(g, true)
+}
+
+// started holds the gateways that were started and have not ended.
+var started sync.Map
+
+// killStarted kills all gateways that were started.
+func killStarted() {
+	started.Range(func(key, _ any) bool {
+		_ = key.(*gateway).process.Process.Kill()
+		return true
+	})
 }
 
 // waitReady waits until a gateway says that it is ready.
@@ -96,6 +109,7 @@
 	}
 	_ = g.process.Process.Kill()
 	_ = g.process.Wait()
+	started.Delete(g)
 }
 
 // zones are the availability zones of the deployment.
--- a/review/standin-2/leak.go
+++ b/review/standin-2/leak.go
@@ -18,14 +18,16 @@
 	leakServices = 4
 	// leakServers is the number of servers of a service, leakClients that of its clients, each with one kept
 	// connection.
-	leakServers = 3
-	leakClients = 66
-	leakWork    = 100 * time.Millisecond
+	leakServers = 12
+	leakClients = 216
+	leakWork    = 400 * time.Millisecond
 	// descriptors is what limits.file_descriptors of the settings allows a process.
 	descriptors = 4100
-	// releaseGap is the pause between two replacements of a service. releaseTime is how long they go on.
-	releaseGap  = 1000 * time.Millisecond
-	releaseTime = 75 * time.Second
+	// Each service has a number of releases, one after the other. A release replaces half of its servers, one at a
+	// time, releaseGap apart.
+	releases        = 8
+	releasedServers = leakServers / 2
+	releaseGap      = time.Second
 	// drainTime is how long a server serves after it has reported that it leaves.
 	drainTime = 3 * time.Second
 	// contactTime is bounds.contact_ms, newClients the number of clients that then try to connect.
@@ -73,7 +75,7 @@
 	return newServer(s, fmt.Sprintf("i-%s-%d", service, n), service, zones[n%len(zones)], nil, func(c net.Conn, q *http.Request) bool {
 		time.Sleep(leakWork)
 		id := q.Header.Get("Request-Id")
-		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: sig.%s\r\nServer-Load: 16,0,64\r\nContent-Length: %d\r\n\r\n%s", id, id, len(id), id)
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: sig.%s\r\nServer-Load: 18,0,64\r\nContent-Length: %d\r\n\r\n%s", id, id, len(id), id)
 		return err == nil
 	})
 }
@@ -130,23 +132,24 @@
 		}()
 	}
 	r.say("%d clients ask %s; its process has %d descriptors of %d", leakServices*leakClients, g.name, countDescriptors(g.process.Process.Pid), descriptors)
-	var releases sync.WaitGroup
-	for start, replaced := time.Now(), 0; time.Since(start) < releaseTime; {
-		if trouble {
+	var leaving sync.WaitGroup
+	replaced := 0
+	for release := range releases {
+		for range releasedServers {
 			for i := range servers {
-				old := servers[i][0]
-				servers[i] = append(servers[i][1:], newPlainServer(s, old.service))
-				releases.Go(old.leave)
-				replaced++
+				if trouble {
+					old := servers[i][0]
+					servers[i] = append(servers[i][1:], newPlainServer(s, old.service))
+					leaving.Go(old.leave)
+					replaced++
+				}
 			}
+			time.Sleep(releaseGap)
 		}
-		time.Sleep(releaseGap)
-		if seconds := int(time.Since(start).Seconds()); seconds%5 == 0 {
-			r.say("%d servers were replaced; %s has %d descriptors, ready=%v; %d requests served, %d not", replaced, g.name,
-				countDescriptors(g.process.Process.Pid), isReady(), served.Load(), failed.Load())
-		}
+		r.say("%d releases of each service have ended, %d servers were replaced; %s has %d descriptors, ready=%v; %d requests served, %d not", release+1,
+			replaced, g.name, countDescriptors(g.process.Process.Pid), isReady(), served.Load(), failed.Load())
 	}
-	releases.Wait()
+	leaving.Wait()
 	time.Sleep(contactTime)
 	r.say("the releases have ended %v ago", contactTime)
 	answered := 0
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -68,10 +70,25 @@
 	}()
 	folder, err := os.MkdirTemp("", "review")
 	check(err)
-	if os.Getenv("KEEP") == "" {
-		defer func() { _ = os.RemoveAll(folder) }()
-	} else {
-		fmt.Println(folder)
-	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	go endEarly(folder, r)
 	return cases[os.Args[1]](folder, r, os.Getenv("TROUBLE") != "0")
 }
+
+// caseLimit is how long a case may run.
+const caseLimit = 118 * time.Second
+
+// endEarly ends the case, and all processes that it started, on a signal or at its time limit.
+func endEarly(folder string, r *record) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case s := <-signals:
+		r.say("the case was ended by the signal %v", s)
+	case <-time.After(caseLimit):
+		r.say("the case has reached its time limit")
+	}
+	killStarted()
+	_ = os.RemoveAll(folder)
+	os.Exit(exitNotRun)
+}
