--- a/review/standin-2/gateway.go
+++ b/review/standin-2/gateway.go
@@ -25,11 +25,12 @@
 var machines atomic.Int64
 
 // newMachine returns the address of a new machine. Outgoing connections have the address 127.0.0.1, so that they
-// don't take the ports of others.
+// don't take the ports of others, and each process of the stand-ins has addresses of its own, so that several cases can
+// run at once.
 func newMachine() string {
-	const perBlock = 250
+	const blocks, perBlock = 250, 250
 	n := int(machines.Add(1)) - 1
-	return fmt.Sprintf("127.1.%d.%d", n/perBlock, n%perBlock+1)
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%blocks, n/perBlock, n%perBlock+1)
 }
 
 // freeAddress returns an address of a machine with a port that is free.
