vrconn: a reset that a peek met is no end of a response

Cause: the kernel reports a reset once, to the first call on the socket. After the freeze the overdue stall watch peeked at the connection, met the reset and dropped it. The read that followed returned the end of the connection, which ends a response without a length.

Change: vrconn.Conn keeps the first failure that a call on the connection met. A read returns it in place of an end that follows it, and a connection with a failure is not pooled. The gateway fuzz models the socket of each send, in which another call can meet a reset; planted fault dropSocketError.

--- a/verbenabench/internal/vrgatefuzz/oracle.go
+++ b/verbenabench/internal/vrgatefuzz/oracle.go
@@ -250,6 +250,8 @@
 // Ended checks REFUSED and MIXED against the answer that a client received.
 func (o *oracle) Ended(call *vrgateworld.Call) {
 	switch {
+	case call.Truncated:
+		o.fail("MIXED", "%s was answered as complete although the connection of its answer was reset", call.Request)
 	case call.End == vrgateworld.EndRefused && call.Refusal.NotRun && len(call.Runs) > 0:
 		o.fail("REFUSED", "%s was refused as not run after it was started on %s", call.Request, call.Runs[0].ID)
 	case call.End == vrgateworld.EndRefused && call.Events > 0:
--- a/verbenabench/internal/vrgateworld/call.go
+++ b/verbenabench/internal/vrgateworld/call.go
@@ -74,6 +74,8 @@
 	Events int
 	// PartForwarded is set once part of a body that is no stream reached the client.
 	PartForwarded bool
+	// Truncated is set if the client got an answer as complete whose connection was reset on the way.
+	Truncated bool
 	// DisconnectedAt is when the daemon could first notice that the client closed the connection.
 	DisconnectedAt time.Time
 
@@ -94,6 +96,7 @@
 	EventsBefore int
 
 	server      *Server
+	socket      socket
 	events      int
 	firstByteAt time.Time
 	ended       bool
@@ -255,6 +258,8 @@
 			return
 		}
 		a.checkAfter(max(a.limit/4, minStallRepeat))
+		// The check peeks at the connection.
+		a.socket.call()
 		if w.Now().Equal(due) {
 			a.Call.Process.reduce(vrevent.SendStalled{Call: a.Call.ID, Send: a.Send.Send, Silence: w.Now().Sub(a.silentSince)})
 		}
@@ -312,6 +317,7 @@
 	}
 	if result == vrevent.AttemptAnswered {
 		event.Status = 200
+		c.Truncated = a.socket.wasReset
 		c.end(EndAnswered)
 	}
 	c.Process.reduce(event)
@@ -326,12 +332,15 @@
 	}
 }
 
-// breakConnection stops a request at its server and reports a broken connection to the
-// daemon netDelay later.
+// breakConnection stops a request at its server and resets its connection.
 func (a *Attempt) breakConnection() {
 	a.serverDown = !a.server.Alive && a.firstByteAt.IsZero()
 	a.server.drop(a)
-	a.finishAfter(netDelay, vrevent.AttemptBroken)
+	if a.firstByteAt.IsZero() {
+		a.finishAfter(netDelay, vrevent.AttemptBroken)
+		return
+	}
+	a.resetConnection()
 }
 
 func (s *Server) drop(a *Attempt) {
@@ -418,7 +427,7 @@
 		if breaksInBody {
 			a.supersedeOther()
 			a.Call.PartForwarded = true
-			a.finishAfter(netDelay, vrevent.AttemptBroken)
+			a.resetConnection()
 			return
 		}
 		s.answer(a, vrevent.AttemptAnswered)
--- a/verbenacore/vrfault/vrfault.go
+++ b/verbenacore/vrfault/vrfault.go
@@ -104,6 +104,8 @@
 	IgnoreHold
 	// TrustAnyDial takes any result of a dial of the lease's holder as a proof that its process has ended.
 	TrustAnyDial
+	// DropSocketError forgets the failure of a connection that another call than a read has met.
+	DropSocketError
 )
 
 // Names maps the faults that do not belong to gateways to their names.
@@ -157,4 +159,5 @@
 	VouchByLease:         "vouchByLease",
 	IgnoreHold:           "ignoreHold",
 	TrustAnyDial:         "trustAnyDial",
+	DropSocketError:      "dropSocketError",
 }
--- a/verbenaroute/internal/vrrelay/conn.go
+++ b/verbenaroute/internal/vrrelay/conn.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"verbenaroute.example/verbenacore/vrconn"
 	"verbenaroute.example/verbenacore/vrid"
 )
 
@@ -64,7 +65,7 @@
 
 // conn is a connection to a server.
 type conn struct {
-	net.Conn
+	*vrconn.Conn
 	backend backend
 	reader  *bufio.Reader
 	// source is what reader reads from. It limits the heads of responses.
@@ -100,9 +101,10 @@
 	if err != nil {
 		return nil, err
 	}
-	source := &headLimiter{reader: netConn}
+	tracked := vrconn.New(netConn)
+	source := &headLimiter{reader: tracked}
 	return &conn{
-		Conn: netConn, backend: key, source: source, reader: bufio.NewReaderSize(source, readBufferSize), maxIdle: defaultMaxIdle,
+		Conn: tracked, backend: key, source: source, reader: bufio.NewReaderSize(source, readBufferSize), maxIdle: defaultMaxIdle,
 	}, nil
 }
 
@@ -202,8 +204,9 @@
 
 // put returns a connection to the pool after its response was read to the end.
 func (p *pool) put(c *conn) {
-	if c.reader.Buffered() > 0 || len(c.requests) >= maxRequestsPerConn {
-		// Bytes after a complete response belong to no request.
+	if c.reader.Buffered() > 0 || len(c.requests) >= maxRequestsPerConn || c.Failure() != nil {
+		// Bytes after a complete response belong to no request. A connection may have failed after the
+		// response was read.
 		_ = c.Close()
 		return
 	}
--- a/verbenaroute/internal/vrrelay/conn_linux_test.go
+++ b/verbenaroute/internal/vrrelay/conn_linux_test.go
@@ -17,7 +17,7 @@
 	c, err := newPool().get(backend{server: "i-1", address: address}, "r1", false)
 	require.NoError(t, err)
 	defer func() { _ = c.Close() }()
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	raw, err := c.Conn.Conn.(*net.TCPConn).SyscallConn()
 	require.NoError(t, err)
 	var window int
 	var windowErr error
--- a/verbenaroute/internal/vrrelay/copy_test.go
+++ b/verbenaroute/internal/vrrelay/copy_test.go
@@ -165,7 +165,7 @@
 	handler.attemptsMu.Lock()
 	c := handler.attempts[0].conn.Load()
 	handler.attemptsMu.Unlock()
-	assert.Eventually(p.t, c.hasUnread, 10*time.Second, time.Millisecond)
+	assert.Eventually(p.t, c.HasUnread, 10*time.Second, time.Millisecond)
 }
 
 // Guards against a refusal passing for the answer to a request that was written after it: the client
--- a/verbenaroute/internal/vrrelay/hedge_test.go
+++ b/verbenaroute/internal/vrrelay/hedge_test.go
@@ -264,7 +264,7 @@
 	defer p.proxy.pool.mu.Unlock()
 	require.Len(t, p.proxy.pool.idle, 1)
 	for _, idle := range p.proxy.pool.idle {
-		require.False(t, idle[0].hasUnread())
+		require.False(t, idle[0].HasUnread())
 		_, err := idle[0].Write([]byte("GET / HTTP/1.1\r\nX-Request: req2\r\n\r\n"))
 		require.NoError(t, err)
 	}
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -188,7 +188,7 @@
 		a.fail(err)
 		return true
 	}
-	if c.hasUnread() {
+	if c.HasUnread() {
 		return false
 	}
 	if !a.isAuthorized() {
@@ -475,7 +475,7 @@
 	c := a.conn.Load()
 	source := c.source
 	defer source.endHead()
-	for c.reader.Buffered() > 0 || c.hasUnread() {
+	for c.reader.Buffered() > 0 || c.HasUnread() {
 		a.reusable = false
 		source.beginHead(a.handler.proxy.opts.MaxResponseHead)
 		if hasInvalidStatus(c.reader) {
--- a/verbenaroute/internal/vrrelay/stall.go
+++ b/verbenaroute/internal/vrrelay/stall.go
@@ -1,9 +1,7 @@
 package vrrelay
 
 import (
-	"errors"
 	"sync"
-	"syscall"
 	"time"
 
 	"verbenaroute.example/verbenacore/vrevent"
@@ -125,7 +123,7 @@
 		w.mu.Unlock()
 		return
 	}
-	w.stalled = !w.conn.hasUnread()
+	w.stalled = !w.conn.HasUnread()
 	stalled, silence := w.stalled, time.Since(w.silentSince)
 	w.timer.Reset(min(max(time.Duration(stallRepeatFraction*float64(w.limit)), minStallRepeat), maxStallRepeat))
 	w.mu.Unlock()
@@ -143,23 +141,3 @@
 		w.timer.Stop()
 	}
 }
-
-// hasUnread reports whether bytes, the end of the connection or an error have arrived that were not read,
-// so that a read would not wait. It may be called while another goroutine reads.
-func (c *conn) hasUnread() bool {
-	syscallConn, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	rawConn, err := syscallConn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	unread := false
-	err = rawConn.Control(func(fd uintptr) {
-		var probe [1]byte
-		_, _, recvErr := syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		unread = !errors.Is(recvErr, syscall.EAGAIN) && !errors.Is(recvErr, syscall.EWOULDBLOCK)
-	})
-	return err == nil && unread
-}
--- a/verbenaroute/internal/vrrelay/stall_test.go
+++ b/verbenaroute/internal/vrrelay/stall_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"verbenaroute.example/verbenacore/vrconn"
 	"verbenaroute.example/verbenacore/vrevent"
 )
 
@@ -165,7 +166,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = server.Close() })
 	reports = new(int)
-	w = &stallWatch{conn: &conn{Conn: client}, maxPause: time.Hour, report: func(time.Duration) { *reports++ }}
+	w = &stallWatch{conn: &conn{Conn: vrconn.New(client)}, maxPause: time.Hour, report: func(time.Duration) { *reports++ }}
 	t.Cleanup(w.stop)
 	w.progress()
 	w.check()
