--- a/verbenaroute/internal/vrrelay/promise.go
+++ b/verbenaroute/internal/vrrelay/promise.go
@@ -37,7 +37,7 @@
 // replaceResponse gives the client a response of the gateway in place of one whose status may not leave the
 // proxy. The rest of that response is read only to keep the connection.
 func (a *sendAttempt) replaceResponse(response *http.Response, status int) {
-	a.reusable = a.drain(response) && allowsReuse(response)
+	a.reusable = a.drain(response) == nil && allowsReuse(response)
 	detail := fmt.Sprintf("the server answered with status %d, which doesn't prove that the request has not run", response.StatusCode)
 	data := marshalProblem(vrwire.ReasonOutcomeUnknown, status, false, a.handler.call.Request, detail)
 	a.deliver(&bufferedResponse{status: status, header: http.Header{"Content-Type": {vrwire.ContentTypeProblem}}, body: data})
--- a/verbenaroute/internal/vrrelay/relay_test.go
+++ b/verbenaroute/internal/vrrelay/relay_test.go
@@ -286,6 +286,7 @@
 		{"no response", "", http.StatusBadGateway, "broken"},
 		{"no HTTP", "garbage\r\n\r\n", http.StatusBadGateway, "broken"},
 		{"refused, not run", "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", http.StatusServiceUnavailable, "busy"},
+		{"refused, cut", "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 9\r\n\r\nful", http.StatusBadGateway, "broken"},
 		{"another server", "HTTP/1.1 421 Misdirected\r\nX-Server: i-9\r\nContent-Length: 0\r\n\r\n", http.StatusServiceUnavailable, "leaving"},
 		{"model not loaded", "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n", http.StatusServiceUnavailable, "notLoaded"},
 	} {
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -436,7 +436,7 @@
 	}
 	if partForwarded && !success {
 		// The client has already received the header of a successful stream.
-		a.reusable = a.drain(response) && allowsReuse(response)
+		a.reusable = a.drain(response) == nil && allowsReuse(response)
 		a.end(vrevent.AttemptBroken, &ResumeError{Status: response.StatusCode})
 		return
 	}
@@ -452,9 +452,15 @@
 	a.forwardBuffered(response)
 }
 
-// handleRefusal ends a send whose server states that it did not run the request.
+// handleRefusal ends a send whose server states that it did not run the request. A refusal that was cut proves
+// nothing about a request that may run at most once.
 func (a *sendAttempt) handleRefusal(response *http.Response, info vrdialect.ResponseInfo) {
-	if a.drain(response) {
+	err := a.drain(response)
+	if a.send.AtMostOnce && err != nil && !errors.Is(err, errDrainLimit) && !errors.Is(err, os.ErrDeadlineExceeded) {
+		a.fail(err)
+		return
+	}
+	if err == nil {
 		a.reusable = allowsReuse(response)
 		status, err := a.nextAnswer()
 		if err == nil && status != 0 {
@@ -510,12 +516,19 @@
 	}
 }
 
-// drain reads a response that is not forwarded. It reports whether it was read to its end.
-func (a *sendAttempt) drain(response *http.Response) bool {
+// errDrainLimit ends the read of a response that is not forwarded and has more than maxDrainedBody bytes.
+var errDrainLimit = errors.New("the rest of the response was not read")
+
+// drain reads a response that is not forwarded to its end. It returns an error if the response breaks off, is too
+// long, or takes longer than drainTimeout.
+func (a *sendAttempt) drain(response *http.Response) error {
 	a.watch.stop()
 	a.setDeadline(earlier(a.send.Deadline, a.handler.proxy.opts.Clock.Now().Add(drainTimeout)))
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainedBody))
-	return err == nil && n < maxDrainedBody
+	if err == nil && n >= maxDrainedBody {
+		return errDrainLimit
+	}
+	return err
 }
 
 // allowsReuse reports whether the connection can carry another request after the response.
