vrrelay: TestSlowReadersDoNotHarmFastOnes waits for the slow calls

Cause: for buffered answers the test waited until the number of open calls was not 21, which holds before the slow calls have begun, and read its first count of unbuffered responses too early.

Change: it waits until the 21 slow calls have been answered and none is open, and checks all that it checked before.

--- a/verbenaroute/internal/vrrelay/slow_test.go
+++ b/verbenaroute/internal/vrrelay/slow_test.go
@@ -80,7 +80,12 @@
 				}
 			}()
 			isBlocked := test.name != "buffered"
-			require.Eventually(t, func() bool { return (p.proxy.Active() == stuck+1) == isBlocked }, 30*time.Second, time.Millisecond)
+			require.Eventually(t, func() bool {
+				if isBlocked {
+					return p.proxy.Active() == stuck+1
+				}
+				return len(p.results()) == stuck+1 && p.proxy.Active() == 0
+			}, 30*time.Second, time.Millisecond)
 			// The slow clients' responses may not all be buffered while they arrive at the same time.
 			unbuffered := p.proxy.MemoryUse().Unbuffered
 			for i := range fast {
