vrjournal: a shutdown does not wait for a long retry of the record

Cause, as far as it is known: a write of the record that failed in an outage waits up to 15 s for its next try. A stop did not shorten that and leaves 10 s for the record.

Change: during a shutdown the wait until the next try is at most a second.

--- a/verbenacore/vrjournal/recovery_test.go
+++ b/verbenacore/vrjournal/recovery_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"verbenaroute.example/verbenacore/vrevent"
 	"verbenaroute.example/verbenacore/vrid"
 	"verbenaroute.example/verbenacore/vrrecord"
 )
@@ -125,3 +126,26 @@
 	require.Empty(t, report.Findings)
 	require.GreaterOrEqual(t, report.Lost, uint64(3))
 }
+
+// Guards against a shutdown that gives up entries of the record although the platform is back: the write that failed
+// in an outage waited up to 15 s for its next try, and the shutdown leaves 10 s (scenario zone-cut).
+func TestShutdownAfterOutageDoesNotWaitForLongRetry(t *testing.T) {
+	const outage, flushTimeout, interval = 20 * time.Second, 10 * time.Second, 100 * time.Millisecond
+	for seed := range uint64(200) {
+		z := newZone(t, seed, "d1")
+		z.setWriter("d1")
+		n := z.nodes["d1"]
+		n.appendAnswered(z)
+		run := func(duration time.Duration, tick func(time.Time, *vrevent.Effects)) {
+			for end := z.now.Add(duration); z.now.Before(end); z.now = z.now.Add(interval) {
+				tick(z.now, &n.effects)
+				z.runEffects(n)
+			}
+		}
+		z.platformDown = true
+		run(outage, n.Tick)
+		z.platformDown = false
+		run(flushTimeout, n.Flush)
+		require.Zero(t, n.Pending(), "seed %d", seed)
+	}
+}
--- a/verbenacore/vrjournal/vrjournal.go
+++ b/verbenacore/vrjournal/vrjournal.go
@@ -41,6 +41,9 @@
 
 	minRetryDelay = 250 * time.Millisecond
 	maxRetryDelay = 10 * time.Second
+	// maxFlushRetryDelay is the longest wait between two tries of a write during a shutdown, which leaves 10 s
+	// for the record.
+	maxFlushRetryDelay = time.Second
 	// endingWriterTimeout is how long an ending run waits for its writer before it writes
 	// its record itself. It covers the age of a block plus a write, and is far below the
 	// time that a shutdown leaves for the record.
--- a/verbenacore/vrjournal/writer.go
+++ b/verbenacore/vrjournal/writer.go
@@ -270,6 +270,9 @@
 // block is due as soon as there is something to write.
 func (w *writer) tick(now time.Time, force bool, effects *vrevent.Effects) {
 	if w.inFlight != nil {
+		if force {
+			w.inFlight.limitRetry(now)
+		}
 		w.retryWrite(now, effects)
 		return
 	}
@@ -379,6 +382,14 @@
 	effects.Add(vrevent.WriteObject{Op: write.op, Key: write.key, IfVersion: 0, Value: write.value})
 }
 
+// limitRetry bounds the wait until the next retry by maxFlushRetryDelay. After an outage the wait may be longer than
+// the time that a shutdown leaves for the record.
+func (b *blockWrite) limitRetry(now time.Time) {
+	if latest := now.Add(maxFlushRetryDelay); b.retryAt.After(latest) {
+		b.retryAt = latest
+	}
+}
+
 func (w *writer) retryWrite(now time.Time, effects *vrevent.Effects) {
 	if w.inFlight.awaitingResult || now.Before(w.inFlight.retryAt) {
 		return
