vrresidence: an accepted unload of an adapter frees nothing until it is done

Cause: the owner took 202 to an unload for "done". A server drops an adapter in use once its requests have ended and takes other orders meanwhile. And the adapters of a daemon that does not report looked idle after 1.5 s, to a new owner at once.

Change: the ledger keeps the slot and memory of such an adapter until a report shows it gone. After a change of owner or a lost answer, 200 needs that proof too. The waiting load leaves its server to other orders and is planned anew; for one wanted adapter no second one is unloaded within a second. Adapters of daemons that have not reported of late are no victims for 10 s. A last check before each load refuses what does not fit, with a log line and verbena_loads_unfit_total.

--- a/verbenabench/internal/vrgatefuzz/oracle.go
+++ b/verbenabench/internal/vrgatefuzz/oracle.go
@@ -259,8 +259,12 @@
 	}
 }
 
-// Reduced checks that a process never returns to an older catalog.
+// Reduced checks that a process never returns to an older catalog, and never plans a load for which there is no
+// room.
 func (o *oracle) Reduced(p *vrgateworld.Process) {
+	if unfit := p.State.Counts().UnfitLoads; unfit > 0 {
+		o.fail("LIMIT", "%s planned %d loads that do not fit", p.Daemon.ID, unfit)
+	}
 	catalog := p.State.Catalog()
 	if catalog == nil {
 		return
--- a/verbenabench/internal/vrgateworld/call.go
+++ b/verbenabench/internal/vrgateworld/call.go
@@ -345,6 +345,9 @@
 
 func (s *Server) drop(a *Attempt) {
 	s.running = slices.DeleteFunc(s.running, func(other *Attempt) bool { return a == other })
+	if s.Alive {
+		s.finishUnloads()
+	}
 }
 
 // receive handles a request that arrived at the server: it refuses it, breaks its connection
@@ -361,7 +364,7 @@
 	switch {
 	case s.ID != a.Send.Server:
 		result = vrevent.AttemptLeaving
-	case s.Draining, len(s.running) >= maxRunningPerSlot*slotsPerServer:
+	case s.Draining, len(s.running) >= maxRunningPerSlot*slotsPerServer, s.isUnloading(a.Call):
 		result = vrevent.AttemptBusy
 	case s.Service == ServiceEngine && !s.serves(a.Call):
 		result = vrevent.AttemptNotLoaded
--- a/verbenabench/internal/vrgateworld/server.go
+++ b/verbenabench/internal/vrgateworld/server.go
@@ -60,6 +60,7 @@
 	inHostMemory []vrid.ModelID
 	onDisk       []vrid.ModelID
 	loading      []vrid.ModelID
+	adapters     adapterOrders
 	running      []*Attempt
 	reports      []timedReport
 	// silentUntil is when the server writes its registration again after a restore of the store.
@@ -95,6 +96,7 @@
 	s.Born = w.Now().UnixMilli()
 	s.heartbeats, s.orders, s.busy = 0, 0, false
 	s.loaded, s.inHostMemory, s.loading, s.running, s.reports = nil, nil, nil, nil, nil
+	s.adapters = adapterOrders{}
 	w.byAddress[s.Address] = s
 	if s.Service == ServiceEngine && s.onDisk == nil {
 		for i := range w.Options.Models {
@@ -155,6 +157,7 @@
 	status := vrevent.ServerStatus{
 		Orders: s.orders, Born: s.Born, Busy: s.busy, Running: len(s.running),
 		Holds: cloneLoaded(s.loaded), InHost: slices.Clone(s.inHostMemory), OnDisk: slices.Clone(s.onDisk),
+		PendingAdapters: len(s.adapters.pending),
 	}
 	s.reports = append(s.reports, timedReport{at: s.world.Now(), status: status})
 	s.register()
@@ -245,9 +248,9 @@
 // Models returns the number of models that the server has loaded or is loading.
 func (s *Server) Models() int { return len(s.loaded) + len(s.loading) }
 
-// Adapters returns the number of adapters that the server has loaded.
+// Adapters returns the number of adapters that the server has loaded, is loading, or has to unload.
 func (s *Server) Adapters() int {
-	count := 0
+	count := len(s.adapters.pending)
 	for _, loaded := range s.loaded {
 		count += len(loaded.Adapters)
 	}
@@ -346,28 +349,6 @@
 	return vrevent.OrderAccepted
 }
 
-func (s *Server) applyAdapterOrder(order vrevent.PlacementOrder, loaded *vrfleet.LoadedModel) vrevent.OrderOutcome {
-	if loaded == nil {
-		return vrevent.OrderRejected
-	}
-	if (order.Kind == vrevent.OrderLoad) == slices.Contains(loaded.Adapters, order.Adapter) {
-		return vrevent.OrderAlreadyApplied
-	}
-	if order.Kind == vrevent.OrderUnload {
-		loaded.Adapters = slices.DeleteFunc(loaded.Adapters, func(a vrid.AdapterID) bool { return a == order.Adapter })
-	} else {
-		loaded.Adapters = append(loaded.Adapters, order.Adapter)
-	}
-	s.acceptOrder(order, false)
-	incarnation := s.Born
-	s.world.After(adapterChangeTime, func() {
-		if s.Born == incarnation && s.Alive {
-			s.finishOrder()
-		}
-	})
-	return vrevent.OrderAccepted
-}
-
 func (s *Server) acceptOrder(order vrevent.PlacementOrder, fromStore bool) {
 	s.orders++
 	s.busy = true
@@ -392,6 +373,7 @@
 			return
 		}
 		s.loaded = slices.DeleteFunc(s.loaded, func(loaded vrfleet.LoadedModel) bool { return loaded.Model == model })
+		s.adapters.forgetModel(model)
 		s.inHostMemory = []vrid.ModelID{model}
 		s.finishOrder()
 	})
--- a/verbenacore/vrfault/vrfault.go
+++ b/verbenacore/vrfault/vrfault.go
@@ -106,6 +106,10 @@
 	TrustAnyDial
 	// DropSocketError forgets the failure of a connection that another call than a read has met.
 	DropSocketError
+	// TrustAcceptedUnloads takes an accepted unload of an adapter for a done one.
+	TrustAcceptedUnloads
+	// IgnoreRoom plans the load of an adapter at a server that has no room for it.
+	IgnoreRoom
 )
 
 // Names maps the faults that do not belong to gateways to their names.
@@ -160,4 +164,6 @@
 	IgnoreHold:           "ignoreHold",
 	TrustAnyDial:         "trustAnyDial",
 	DropSocketError:      "dropSocketError",
+	TrustAcceptedUnloads: "trustAcceptedUnloads",
+	IgnoreRoom:           "ignoreRoom",
 }
--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -385,6 +385,11 @@
 		out.Info("order issued", text("server", order.Server), text("kind", order.Kind.String()), text("model", order.Model),
 			text("adapter", order.Adapter), number("expected", order.ExpectedOrders), number("epoch", uint64(order.Epoch)))
 	}
+	for _, unfit := range decision.Unfit {
+		s.counts.UnfitLoads++
+		out.Warn("load does not fit, not ordered", text("server", unfit.Server), text("model", unfit.Model), text("adapter", unfit.Adapter),
+			number("freeBytes", uint64(max(unfit.FreeMemory, 0))), number("freeAdapterSlots", uint64(max(unfit.FreeAdapterSlots, 0))))
+	}
 	for _, end := range decision.EndedLoads {
 		out.Add(vrevent.LoadEnded{Source: end.Source, Waited: end.Waited, Took: end.Took, Succeeded: end.Succeeded})
 		out.Info("load ended", text("server", end.Server), text("model", end.Model), text("from", end.Source),
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -116,6 +116,9 @@
 type Counts struct {
 	Arrived, Sent, Resent, Resumed, Refused, Delivered, Broken, CallerGone uint64
 	Orders, OrdersUnknown                                                  uint64
+	// UnfitLoads counts the loads that the placement owner planned and did not order, because the server had no
+	// room for them.
+	UnfitLoads uint64
 	// LeavingByResponse and LeavingByDaemon count the servers of which this daemon first learned that they
 	// leave from a response, or from another daemon.
 	LeavingByResponse, LeavingByDaemon uint64
--- a/verbenacore/vrresidence/demand.go
+++ b/verbenacore/vrresidence/demand.go
@@ -120,6 +120,17 @@
 	d.decayedAt = now
 }
 
+// mayBeRunning reports whether requests may be in flight: by the last report of a daemon, which counts for
+// unknownReport if the daemon has not reported since. A daemon that is frozen or cut off is not idle.
+func (d *demand) mayBeRunning(now time.Time) bool {
+	for _, s := range d.daemons {
+		if s.running > 0 && now.Sub(s.reportedAt) <= unknownReport {
+			return true
+		}
+	}
+	return false
+}
+
 // inFlightReport holds the requests in flight that one daemon last reported.
 type inFlightReport struct {
 	reportedAt time.Time
@@ -191,8 +202,11 @@
 	d.decay(now)
 	t := demandTotal{rate: d.rate, tokenRate: d.tokenRate, lastUsed: d.lastUsed}
 	for daemon, s := range d.daemons {
-		if now.Sub(s.reportedAt) > demandTimeout {
+		age := now.Sub(s.reportedAt)
+		if age > unknownReport {
 			delete(d.daemons, daemon)
+		}
+		if age > demandTimeout {
 			continue
 		}
 		t.running += s.running
@@ -223,7 +237,7 @@
 	}
 	var daemons []vrid.DaemonID
 	for daemon, s := range d.daemons {
-		if s.waiting > 0 && now.Sub(s.notifiedAt) >= interval {
+		if s.waiting > 0 && now.Sub(s.reportedAt) <= demandTimeout && now.Sub(s.notifiedAt) >= interval {
 			s.notifiedAt = now
 			daemons = append(daemons, daemon)
 		}
--- a/verbenacore/vrresidence/job.go
+++ b/verbenacore/vrresidence/job.go
@@ -147,7 +147,12 @@
 		if p.jobs[id] == nil || !p.isDue(now, id, j) {
 			continue
 		}
-		p.issueOrder(now, server, j, decision)
+		service := input.Catalog.Service(j.service)
+		if service == nil || service.Engine == nil {
+			delete(p.jobs, id)
+			continue
+		}
+		p.issueOrder(capacity{now: now, engine: service.Engine}, server, j, decision)
 	}
 }
 
@@ -161,21 +166,32 @@
 	return ids
 }
 
-// issueOrder adds the order of a job's current step to the decision, unless the step is a load
-// from the weight store that would exceed the ceiling.
-func (p *Planner) issueOrder(now time.Time, server *vrfleet.Server, j *job, decision *Decision) {
-	current := j.steps[0]
+// issueOrder adds the order of a job's current step to the decision, unless the step is a load that does not fit,
+// or one from the weight store that would exceed the ceiling.
+func (p *Planner) issueOrder(c capacity, server *vrfleet.Server, j *job, decision *Decision) {
+	now, current := c.now, j.steps[0]
+	l := p.ledgers[server.ID]
+	if l == nil || l.startedAt != server.Born {
+		delete(p.jobs, server.ID)
+		return
+	}
+	if !c.fits(server, l, current) {
+		// The plan has made room for the load, so this is the last defence against a fault in it, or the
+		// catalog has changed since.
+		decision.Unfit = append(decision.Unfit, UnfitLoad{
+			Server: server.ID, Model: current.model, Adapter: current.adapter,
+			FreeMemory: c.freeMemory(server, l), FreeAdapterSlots: c.freeAdapterSlots(server, l),
+		})
+		delete(p.jobs, server.ID)
+		p.cooldownUntil[server.ID] = now.Add(unreachableCooldown)
+		return
+	}
 	if current.kind == vrevent.OrderLoad && current.adapter == "" && j.source == tierStore && !p.store(j.service).tryStart(now) {
 		j.retryAt = now.Add(conflictRetryDelay)
 		return
 	}
 	j.phase = phaseSent
 	j.sentAt = now
-	l := p.ledgers[server.ID]
-	if l == nil || l.startedAt != server.Born {
-		delete(p.jobs, server.ID)
-		return
-	}
 	j.expectedOrders = l.orders
 	decision.Orders = append(decision.Orders, vrevent.PlacementOrder{
 		Server: server.ID, Address: server.Address, Kind: current.kind,
@@ -247,7 +263,7 @@
 			delete(p.jobs, server.ID)
 			return nil
 		}
-		l.apply(current)
+		l.apply(now, current, e.Outcome == vrevent.OrderAlreadyApplied)
 		if e.Outcome == vrevent.OrderAlreadyApplied && current.kind == vrevent.OrderLoad {
 			// It is unknown whether the server counts an order that changes nothing.
 			delete(p.ledgers, server.ID)
@@ -259,6 +275,9 @@
 		// It is safe to send the same order with the same count again: the server accepts
 		// whichever arrives first and refuses the other, whose count is then wrong.
 		j.phase, j.retryAt = phasePending, now.Add(statusDelay)
+		if current.kind == vrevent.OrderUnload {
+			p.doubtfulRuns[server.ID] = server.Born
+		}
 		j.conflicts++
 		j.awaitingStatus = j.conflicts > 1
 	case vrevent.OrderNotSent:
@@ -308,6 +327,11 @@
 	case current.kind == vrevent.OrderUnload:
 		if current.adapter != "" {
 			server.RemoveAdapter(current.model, current.adapter)
+			if p.ledgers[server.ID].awaitUnload(modelAdapter{current.model, current.adapter}, j.loadStep()) {
+				// The load is planned anew once there is room for it, here or at another server.
+				delete(p.jobs, server.ID)
+				return nil
+			}
 		} else {
 			server.MarkMissing(now, current.model, "")
 			delete(p.loadedAt, serverModel{server.ID, current.model})
--- a/verbenacore/vrresidence/ledger.go
+++ b/verbenacore/vrresidence/ledger.go
@@ -21,6 +21,11 @@
 	// orders is the number of orders that the server has accepted.
 	orders uint64
 	holds  []vrfleet.LoadedModel
+	// unloading are the adapters whose unload the server has accepted and that no report has shown gone. They are
+	// not in holds.
+	unloading []acceptedUnload
+	// mayBeUnloading holds the adapters of holds whose unload may have been accepted, see doubtUnloads.
+	mayBeUnloading map[modelAdapter]bool
 }
 
 // statusReadInterval is the minimum time between two reads of a server's status report.
@@ -53,9 +58,9 @@
 	return nil
 }
 
-// countAdapters returns the number of loaded adapters over all models.
+// countAdapters returns the number of adapters over all models that take a slot.
 func (l *ledger) countAdapters() int {
-	count := 0
+	count := len(l.unloading)
 	for i := range l.holds {
 		count += len(l.holds[i].Adapters)
 	}
@@ -63,9 +68,9 @@
 }
 
 // apply records an accepted order. A model or adapter counts as loaded once its load is
-// accepted. Memory that an unload frees may be planned for the next order, because the server
-// refuses that order until the unload is done.
-func (l *ledger) apply(s step) {
+// accepted. Memory that the unload of a model frees may be planned for the next order, because the server
+// refuses that order until the unload is done. done is set if the server states that the order is done.
+func (l *ledger) apply(now time.Time, s step, done bool) {
 	l.orders++
 	held := l.find(s.model)
 	switch {
@@ -75,13 +80,12 @@
 		}
 	case s.kind == vrevent.OrderUnload && s.adapter == "":
 		l.holds = slices.DeleteFunc(l.holds, func(h vrfleet.LoadedModel) bool { return h.Model == s.model })
-	case held == nil:
-	case s.kind == vrevent.OrderLoad:
-		if !slices.Contains(held.Adapters, s.adapter) {
-			held.Adapters = append(held.Adapters, s.adapter)
-		}
-	default:
-		held.Adapters = slices.DeleteFunc(held.Adapters, func(a vrid.AdapterID) bool { return a == s.adapter })
+		l.unloading = slices.DeleteFunc(l.unloading, func(u acceptedUnload) bool { return u.model == s.model })
+	case s.kind == vrevent.OrderUnload:
+		l.unloadAdapter(now, modelAdapter{s.model, s.adapter}, done || vrfault.On(vrfault.TrustAcceptedUnloads))
+	case held != nil && !slices.Contains(held.Adapters, s.adapter):
+		l.dropUnload(modelAdapter{s.model, s.adapter})
+		held.Adapters = append(held.Adapters, s.adapter)
 	}
 }
 
@@ -99,6 +103,9 @@
 // HandleStatusRead handles the status report of a server, or the failure to read it.
 func (p *Planner) HandleStatusRead(now time.Time, e vrevent.StatusRead, fleet *vrfleet.Fleet) {
 	p.recordTakeoverStatus(e)
+	if l := p.ledgers[e.Server]; l != nil && e.Status != nil {
+		l.settleUnloads(e.Status)
+	}
 	server := fleet.Server(e.Server)
 	p.recordOutageStatus(now, &e, server)
 	j := p.jobs[e.Server]
@@ -126,8 +133,13 @@
 	if l != nil && l.startedAt == e.Status.Born && l.orders == e.Status.Orders {
 		return
 	}
-	p.ledgers[e.Server] = newLedger(e.Status)
-	server.ReplaceModels(e.Status.Holds, e.Status.InHost, e.Status.OnDisk)
+	started := newLedger(e.Status)
+	if p.doubtsUnloads(e.Server, e.Status) {
+		started.doubtUnloads()
+	}
+	started.inheritUnloads(l)
+	p.ledgers[e.Server] = started
+	server.ReplaceModels(p.withoutUnloading(e.Server, e.Status.Holds), e.Status.InHost, e.Status.OnDisk)
 	// The job's evictions were planned for a different state.
 	delete(p.jobs, e.Server)
 }
--- a/verbenacore/vrresidence/outage.go
+++ b/verbenacore/vrresidence/outage.go
@@ -54,7 +54,7 @@
 		l := p.ledgers[e.Server]
 		outdated := l != nil && l.startedAt == e.Status.Born && e.Status.Orders < l.orders
 		if !e.Status.Busy && e.Status.PendingAdapters == 0 && !outdated {
-			server.ReplaceModels(e.Status.Holds, e.Status.InHost, e.Status.OnDisk)
+			server.ReplaceModels(p.withoutUnloading(e.Server, e.Status.Holds), e.Status.InHost, e.Status.OnDisk)
 		}
 	}
 }
--- a/verbenacore/vrresidence/plan.go
+++ b/verbenacore/vrresidence/plan.go
@@ -50,10 +50,9 @@
 
 // servicePlan is the state of a plan for one language service.
 type servicePlan struct {
-	now      time.Time
+	capacity
 	planner  *Planner
 	service  *vrcatalog.Service
-	engine   *vrcatalog.Engine
 	servers  []*vrfleet.Server
 	store    *storeLimiter
 	decision *Decision
@@ -85,6 +84,9 @@
 func (p *Planner) Plan(now time.Time, input PlanInput) Decision {
 	var decision Decision
 	p.freshFrom = input.FreshFrom
+	if p.ownerSince.IsZero() {
+		p.ownerSince = now
+	}
 	for i := range input.Catalog.Services {
 		service := &input.Catalog.Services[i]
 		if service.Engine != nil {
@@ -94,6 +96,7 @@
 		}
 	}
 	p.issueOrders(now, input, &decision)
+	p.checkUnloads(now, &decision)
 	for id, j := range p.jobs {
 		if j.awaitingStatus && now.Sub(j.sentAt) >= statusDelay && now.Sub(p.statusRequestedAt[id]) >= statusReadInterval {
 			p.statusRequestedAt[id] = now
@@ -106,7 +109,7 @@
 // newServicePlan collects the replicas, copies, current loads and demand of a service.
 func (p *Planner) newServicePlan(now time.Time, input PlanInput, service *vrcatalog.Service, decision *Decision) *servicePlan {
 	s := &servicePlan{
-		now: now, planner: p, service: service, engine: service.Engine, servers: input.Fleet.ServersOf(service.ID),
+		capacity: capacity{now: now, engine: service.Engine}, planner: p, service: service, servers: input.Fleet.ServersOf(service.ID),
 		store: p.store(service.ID), decision: decision, copies: make(map[vrid.ModelID]int),
 		replicas: make(map[vrid.ModelID]int), totals: make(map[vrid.ModelID]demandTotal),
 		inFlight: p.inFlightByServer(now), unknownInFlight: p.unknownInFlight(now), nearestTier: make(map[serverModel]tier), copyElsewhere: make(map[vrid.ModelID]bool),
@@ -453,45 +456,6 @@
 	return cost
 }
 
-// freeMemory returns the memory of a server that is neither used nor reserved.
-func (s *servicePlan) freeMemory(server *vrfleet.Server, l *ledger) vrid.Bytes {
-	free := s.engine.Memory - s.reservedMemory(server)
-	for i := range l.holds {
-		free -= s.sizeOf(&l.holds[i])
-	}
-	return free
-}
-
-// reservedMemory is the memory that is kept free while an order to an earlier run of the
-// server may still be carried out. A restarted server counts its orders anew, so the count
-// that the old order expects may occur again.
-func (s *servicePlan) reservedMemory(server *vrfleet.Server) vrid.Bytes {
-	recent := s.now.Sub(server.SeenAt) < maxOrderDelay
-	if !recent || !server.Restarted {
-		return 0
-	}
-	return s.largestModel()
-}
-
-// sizeOf returns the memory that a loaded model and its adapters use. A model that is no longer
-// declared counts as much as the largest declared one.
-func (s *servicePlan) sizeOf(holding *vrfleet.LoadedModel) vrid.Bytes {
-	config := s.engine.Model(holding.Model)
-	if config == nil {
-		return s.largestModel() + vrid.Bytes(len(holding.Adapters))*s.largestAdapter()
-	}
-	return config.Weights + vrid.Bytes(len(holding.Adapters))*config.AdapterSize
-}
-
-// largestModel returns the size of the largest declared model.
-func (s *servicePlan) largestModel() vrid.Bytes {
-	var largest vrid.Bytes
-	for i := range s.engine.Models {
-		largest = max(largest, s.engine.Models[i].Weights)
-	}
-	return largest
-}
-
 // startLoad creates the job that loads a model on a candidate.
 func (s *servicePlan) startLoad(c *candidate, w wantedModel) {
 	j := &job{
--- a/verbenacore/vrresidence/plan_test.go
+++ b/verbenacore/vrresidence/plan_test.go
@@ -31,6 +31,10 @@
 	unloadPending bool
 	// slowUnloads makes every unload set unloadPending.
 	slowUnloads bool
+	// inUse are the adapters that requests use, unloading those to be dropped once they are not in use. repeats makes
+	// the server state that the unload of an adapter of unloading is done.
+	inUse, unloading map[vrid.AdapterID]bool
+	repeats          bool
 }
 
 func (f *fakeServer) busy() bool { return f.loading != "" || f.unloadPending }
@@ -51,6 +55,8 @@
 	// issued and refused count the orders. onNotice is called with the notices of each plan, unless nil.
 	issued, refused int
 	onNotice        func(vrresidence.Notice)
+	// unfit counts the loads that were not ordered because they did not fit.
+	unfit int
 }
 
 func newSimulation(t *testing.T, models, servers int) *simulation {
@@ -110,6 +116,7 @@
 	}
 	s.publish()
 	decision := s.planner.Plan(s.now, vrresidence.PlanInput{Fleet: s.fleet, Catalog: s.catalog})
+	s.unfit += len(decision.Unfit)
 	for _, notice := range decision.Notices {
 		if s.onNotice != nil {
 			s.onNotice(notice)
@@ -143,6 +150,9 @@
 		return vrevent.OrderConflict
 	}
 	server.orders++
+	if order.Adapter != "" {
+		return server.carryOutAdapter(order)
+	}
 	if order.Kind == vrevent.OrderUnload {
 		var left []vrfleet.LoadedModel
 		for _, held := range server.holds {
--- a/verbenacore/vrresidence/vrresidence.go
+++ b/verbenacore/vrresidence/vrresidence.go
@@ -56,6 +56,18 @@
 	Needs []ModelNeed
 	// EndedLoads are the loads that ended.
 	EndedLoads []LoadEnd
+	// Unfit are the loads that were planned and not ordered, because they would not have fitted.
+	Unfit []UnfitLoad
+}
+
+// UnfitLoad describes a load that its server has no room for, as of the moment before it would have been ordered.
+type UnfitLoad struct {
+	Server vrid.ServerID
+	Model  vrid.ModelID
+	// Adapter is empty for the load of a model.
+	Adapter          vrid.AdapterID
+	FreeMemory       vrid.Bytes
+	FreeAdapterSlots int
 }
 
 // LoadEnd describes a load of a model that has ended.
@@ -108,6 +120,11 @@
 	cooldownUntil map[vrid.ServerID]time.Time
 	stores        map[vrid.ServiceID]*storeLimiter
 	takeover      takeover
+	// ownerSince is the time of the first plan of this ownership, zero before it.
+	ownerSince time.Time
+	// knownRuns and doubtfulRuns hold runs of servers by their start: those of which this owner has had a ledger, and
+	// those of which an unload may have been accepted whose answer this owner has not got.
+	knownRuns, doubtfulRuns map[vrid.ServerID]int64
 	// loadedAt is when the planner saw that a load of a model on a server was done.
 	loadedAt map[serverModel]time.Time
 	// inFlight are the daemons' newest reports of their requests in flight.
@@ -128,6 +145,7 @@
 		opts: opts, demand: make(map[target]*demand), jobs: make(map[vrid.ServerID]*job),
 		ledgers: make(map[vrid.ServerID]*ledger), statusRequestedAt: make(map[vrid.ServerID]time.Time), answeredAt: make(map[vrid.ServerID]time.Time), cooldownUntil: make(map[vrid.ServerID]time.Time),
 		stores: make(map[vrid.ServiceID]*storeLimiter), loadedAt: make(map[serverModel]time.Time), reportedNeeds: make(map[target]int), inFlight: make(map[vrid.DaemonID]inFlightReport),
+		knownRuns: make(map[vrid.ServerID]int64), doubtfulRuns: make(map[vrid.ServerID]int64),
 	}
 }
 
@@ -136,6 +154,9 @@
 func (p *Planner) BecomeOwner(previousOwnerEnd time.Time) {
 	clear(p.jobs)
 	clear(p.ledgers)
+	clear(p.knownRuns)
+	clear(p.doubtfulRuns)
+	p.ownerSince = time.Time{}
 	p.takeover = newTakeover(previousOwnerEnd)
 }
 
@@ -145,4 +166,6 @@
 	delete(p.ledgers, id)
 	delete(p.cooldownUntil, id)
 	delete(p.answeredAt, id)
+	delete(p.knownRuns, id)
+	delete(p.doubtfulRuns, id)
 }
