Settings that a deployment may not state come by the environment

An operator whose platform does not know a setting that came later could not start a gateway: the template then has no value to fill in, and "cpu": , is no JSON.

The settings file goes first, then the variable, then the default; an empty variable is not set, and an invalid one is named by check-gateway. Weighed against sections in the template: they serve a platform that renders them, not one that knows placeholders alone.

--- a/verbenacore/vrsettings/gateway_test.go
+++ b/verbenacore/vrsettings/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -19,8 +20,10 @@
     "retryWindow": "10s", "ceilingFactor": 1.1, "ceilingWindow": "5s",},
 }`
 
+func noEnvironment(string) string { return "" }
+
 func TestParseGateway(t *testing.T) {
-	settings, err := vrsettings.ParseGateway([]byte(_validGateway))
+	settings, err := vrsettings.ParseGateway([]byte(_validGateway), noEnvironment)
 	require.NoError(t, err)
 	require.EqualValues(t, "r", settings.Regions["z"])
 	require.EqualValues(t, 58, settings.Bounds.RetrySlack)
@@ -28,19 +31,41 @@
 
 // Guards against a limit so small that every response of a server would count as broken.
 func TestParseGatewayChecksLimits(t *testing.T) {
-	settings, err := vrsettings.ParseGateway([]byte(_validGateway))
+	settings, err := vrsettings.ParseGateway([]byte(_validGateway), noEnvironment)
 	require.NoError(t, err)
 	require.Equal(t, 64*vrid.KiB, settings.Limits.ResponseHead)
-	_, err = vrsettings.ParseGateway([]byte(strings.Replace(_validGateway, `"bounds"`, `"limits": {"responseHead": 100}, "bounds"`, 1)))
+	_, err = vrsettings.ParseGateway([]byte(strings.Replace(_validGateway, `"bounds"`, `"limits": {"responseHead": 100}, "bounds"`, 1)), noEnvironment)
 	require.ErrorContains(t, err, "limits.responseHead")
 }
 
 // Guards against reporting only the first invalid field, which would make the operator
 // start the gateway once for each of them.
 func TestParseGatewayReportsEveryInvalidField(t *testing.T) {
-	_, err := vrsettings.ParseGateway([]byte(`{"zone": "z", "regions": {"z": 5}, "callers": "here", "odd": 1, "bounds": {"retryRatio": -1}}`))
+	_, err := vrsettings.ParseGateway([]byte(`{"zone": "z", "regions": {"z": 5}, "callers": "here", "odd": 1, "bounds": {"retryRatio": -1}}`), noEnvironment)
 	require.Error(t, err)
 	for _, name := range []string{"daemon", "regions.z", "callers", "odd", "store", "bounds.retryRatio"} {
 		require.ErrorContains(t, err, name)
 	}
 }
+
+// Guards against a gateway that can't start where the platform does not state a setting that came later, since the
+// template of the settings file then has no value to fill in (review case 3 in the tree).
+func TestSettingsThatADeploymentMayNotState(t *testing.T) {
+	environment := map[string]string{"VERBENAROUTE_CPU": "0.4", "VERBENAROUTE_CATALOG_APPLY": "4000ms", "VERBENAROUTE_QUOTA_SLACK": "3"}
+	get := func(name string) string { return environment[name] }
+	settings, err := vrsettings.ParseGateway([]byte(_validGateway), get)
+	require.NoError(t, err)
+	require.InDelta(t, 0.4, settings.CPU, 0)
+	require.Equal(t, vrid.Duration(4*time.Second), settings.Bounds.CatalogApply)
+	require.InDelta(t, 3, settings.Bounds.QuotaSlack, 0)
+	require.Equal(t, vrid.Duration(8*time.Second), settings.Bounds.QuotaWindow, "the default")
+
+	settings, err = vrsettings.ParseGateway([]byte(strings.Replace(_validGateway, `"memory"`, `"cpu": 2, "memory"`, 1)), get)
+	require.NoError(t, err)
+	require.InDelta(t, 2, settings.CPU, 0, "the file goes first")
+
+	environment["VERBENAROUTE_CPU"], environment["VERBENAROUTE_REVOCATION"] = "much", "5"
+	_, err = vrsettings.ParseGateway([]byte(_validGateway), get)
+	require.ErrorContains(t, err, "VERBENAROUTE_CPU")
+	require.ErrorContains(t, err, "VERBENAROUTE_REVOCATION")
+}
--- a/verbenacore/vrsettings/load.go
+++ b/verbenacore/vrsettings/load.go
@@ -28,12 +28,15 @@
 }
 
 // Load reads and validates a daemon's settings file.
-func Load(path string) (*Settings, error) { return load[Settings](path) }
+func Load(path string) (*Settings, error) { return load(path, Parse) }
 
-// LoadGateway reads and validates a gateway's settings file.
-func LoadGateway(path string) (*Gateway, error) { return load[Gateway](path) }
+// LoadGateway reads and validates a gateway's settings file. Fields that the file leaves out may come from the
+// environment.
+func LoadGateway(path string, environment Environment) (*Gateway, error) {
+	return load(path, func(data []byte) (*Gateway, error) { return ParseGateway(data, environment) })
+}
 
-func load[T any, P Document[T]](path string) (*T, error) {
+func load[T any](path string, parse func([]byte) (*T, error)) (*T, error) {
 	file, err := os.Open(path)
 	if err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
@@ -43,7 +46,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
 	}
-	settings, err := parse[T, P](data)
+	settings, err := parse(data)
 	if err != nil {
 		return nil, fmt.Errorf("settings %s:\n%w", path, err)
 	}
@@ -52,12 +55,16 @@
 
 // Parse decodes a daemon's settings, fills in the defaults and reports every invalid field
 // at once in a *vrconfig.ValidationError.
-func Parse(data []byte) (*Settings, error) { return parse[Settings](data) }
+func Parse(data []byte) (*Settings, error) { return parse(data, func(*Settings) error { return nil }) }
 
-// ParseGateway decodes a gateway's settings in the same way as Parse.
-func ParseGateway(data []byte) (*Gateway, error) { return parse[Gateway](data) }
+// ParseGateway decodes a gateway's settings in the same way as Parse. Fields that they leave out may come from the
+// environment.
+func ParseGateway(data []byte, environment Environment) (*Gateway, error) {
+	return parse(data, func(g *Gateway) error { return g.fillFrom(environment) })
+}
 
-func parse[T any, P Document[T]](data []byte) (*T, error) {
+// parse decodes a document. fill sets further fields before the defaults are filled in.
+func parse[T any, P Document[T]](data []byte, fill func(P) error) (*T, error) {
 	checker := &vrconfig.Checker{}
 	if len(data) > MaxFileBytes {
 		checker.Require(false, "file", fmt.Sprintf("more than %d bytes", MaxFileBytes), fmt.Sprintf("at most %d bytes", MaxFileBytes))
@@ -75,8 +82,11 @@
 	if err := vrcodec.DecodeStrictJSON(document.Pack(), settings); err != nil {
 		scanner.add("file", 0, err.Error(), "a settings document")
 	}
+	fillErr := fill(settings)
 	settings = P(settings).WithDefaults()
-	return settings, scanner.mergeValidation(P(settings).Validate())
+	checker.Merge(scanner.mergeValidation(P(settings).Validate()))
+	checker.Merge(fillErr)
+	return settings, checker.Err()
 }
 
 // syntaxFieldError converts an error of the parser. It extracts the position from the
--- a/verbenaroute/gateway.go
+++ b/verbenaroute/gateway.go
@@ -47,7 +47,7 @@
 		Short: "Check a gateway's settings file and print every mistake",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if _, err := vrsettings.LoadGateway(path); err != nil {
+			if _, err := vrsettings.LoadGateway(path, os.Getenv); err != nil {
 				return withSettingsPath(err, path)
 			}
 			fmt.Fprintln(cmd.OutOrStdout(), "the settings are valid")
@@ -63,7 +63,7 @@
 	// with it all open calls, during the start or a graceful shutdown.
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
-	settings, err := vrsettings.LoadGateway(path)
+	settings, err := vrsettings.LoadGateway(path, os.Getenv)
 	if err != nil {
 		return err
 	}
@@ -109,7 +109,7 @@
 			continue
 		}
 		lastRead = data
-		settings, err := vrsettings.ParseGateway(data)
+		settings, err := vrsettings.ParseGateway(data, os.Getenv)
 		if err != nil {
 			log.Error("cannot reload settings, using the previous ones", vrlog.Error(err))
 			continue
