vrresidence: victims of an adapter free enough for it

Cause: the planner compared free memory with the largest declared adapter and unloaded exactly one adapter, whatever its size. Since the last check before each load the order is not sent, but the adapter was unloaded in vain.

--- a/verbenacore/vrresidence/adapter_test.go
+++ b/verbenacore/vrresidence/adapter_test.go
@@ -7,22 +7,29 @@
 
 	"github.com/stretchr/testify/require"
 
+	"verbenaroute.example/verbenacore/vrcatalog"
 	"verbenaroute.example/verbenacore/vrevent"
 	"verbenaroute.example/verbenacore/vrfleet"
 	"verbenaroute.example/verbenacore/vrid"
+	"verbenaroute.example/verbenacore/vrresidence"
 	"verbenaroute.example/verbenacore/vrwire"
 )
 
-// adapterSlots is that of newSimulation.
-const adapterSlots = 2
-
-// carryOutAdapter executes an order about an adapter of the first model. As the platform's servers do, it drops an
-// adapter in use only once that has ended, and crashes if there are more adapters than slots.
-func (f *fakeServer) carryOutAdapter(order vrevent.PlacementOrder) vrevent.OrderOutcome {
-	held := &f.holds[0]
+// carryOutAdapter executes an order about an adapter. As the platform's servers do, it drops an
+// adapter in use only once that has ended, and crashes if there are more adapters than slots, or more weights than
+// memory.
+func (f *fakeServer) carryOutAdapter(order vrevent.PlacementOrder, engine *vrcatalog.Engine) vrevent.OrderOutcome {
 	if order.Kind == vrevent.OrderLoad {
-		held.Adapters = append(slices.Clone(held.Adapters), order.Adapter)
-		f.crashed = f.crashed || len(held.Adapters) > adapterSlots
+		used, count := vrid.Bytes(0), 0
+		for i := range f.holds {
+			held, model := &f.holds[i], engine.Model(f.holds[i].Model)
+			if held.Model == order.Model {
+				held.Adapters = append(slices.Clone(held.Adapters), order.Adapter)
+			}
+			used += model.Weights + vrid.Bytes(len(held.Adapters))*model.AdapterSize
+			count += len(held.Adapters)
+		}
+		f.crashed = f.crashed || count > engine.AdapterSlots || used > engine.Memory
 		return vrevent.OrderAccepted
 	}
 	if f.repeats && f.unloading[order.Adapter] {
@@ -37,7 +44,9 @@
 }
 
 func (f *fakeServer) drop(adapter vrid.AdapterID) {
-	f.holds[0].Adapters = slices.DeleteFunc(slices.Clone(f.holds[0].Adapters), func(a vrid.AdapterID) bool { return a == adapter })
+	for i := range f.holds {
+		f.holds[i].Adapters = slices.DeleteFunc(slices.Clone(f.holds[i].Adapters), func(a vrid.AdapterID) bool { return a == adapter })
+	}
 }
 
 // endUse ends the requests for an adapter.
@@ -60,9 +69,9 @@
 }
 
 // reportAdapter reports a daemon's requests for an adapter.
-func (s *simulation) reportAdapter(daemon vrid.DaemonID, adapter vrid.AdapterID, waiting, running uint32) {
+func (s *simulation) reportAdapter(daemon vrid.DaemonID, model vrid.ModelID, adapter vrid.AdapterID, waiting, running uint32) {
 	s.planner.HandleDemand(s.now, daemon, &vrwire.PlacementDemand{Full: true, Items: []vrwire.PlacementDemandItem{{
-		Service: "lm", Model: "m0", Adapter: adapter, Waiting: waiting, WithinTarget: waiting, Running: running, LongestRemaining: 15_000,
+		Service: "lm", Model: model, Adapter: adapter, Waiting: waiting, WithinTarget: waiting, Running: running, LongestRemaining: 15_000,
 	}}})
 }
 
@@ -70,9 +79,9 @@
 // over, and returns the server that holds it.
 func (s *simulation) wantAdapter(adapter vrid.AdapterID, d time.Duration) *fakeServer {
 	for until := s.now.Add(d); s.now.Before(until); s.step(50 * time.Millisecond) {
-		s.reportAdapter("d", adapter, 1, 0)
+		s.reportAdapter("d", "m0", adapter, 1, 0)
 		for _, server := range s.servers {
-			if slices.Contains(server.holds[0].Adapters, adapter) {
+			if slices.ContainsFunc(server.holds, func(h vrfleet.LoadedModel) bool { return slices.Contains(h.Adapters, adapter) }) {
 				return server
 			}
 		}
@@ -101,13 +110,13 @@
 	s := newAdapterSimulation(t, 1)
 	s.run(2 * time.Second)
 	for _, adapter := range []vrid.AdapterID{"a", "b"} {
-		s.reportAdapter(vrid.DaemonID("user-of-"+adapter), adapter, 0, 1)
+		s.reportAdapter(vrid.DaemonID("user-of-"+adapter), "m0", adapter, 0, 1)
 	}
 	require.Nil(t, s.wantAdapter("c", 4*time.Second))
 	require.Empty(t, s.servers["s0"].unloading)
 	// A report without the adapter shows that its requests have ended.
 	s.servers["s0"].endUse("a")
-	s.reportAdapter("user-of-a", "x", 0, 1)
+	s.reportAdapter("user-of-a", "m0", "x", 0, 1)
 	require.NotNil(t, s.wantAdapter("c", 3*time.Second))
 	require.Equal(t, []vrid.AdapterID{"b", "c"}, s.servers["s0"].holds[0].Adapters)
 }
@@ -172,3 +181,44 @@
 	require.Empty(t, s.loads)
 	require.Positive(t, s.unfit)
 }
+
+// Guards against an adapter that makes way for a larger one although that does not free enough memory: 12 MB were
+// unloaded for an adapter of 66 MB with 50 MB free, and the server crashed (review case 4).
+func TestVictimsFreeEnoughForAdapter(t *testing.T) {
+	const large = 30 * vrid.GiB
+	for _, test := range []struct {
+		name string
+		// free is the memory beside the two models.
+		free vrid.Bytes
+		// small are the adapters of 10 GiB that the server holds, the least recently used first, kept those that
+		// stay, and refused whether the callers are told that there will be no load.
+		small, kept []vrid.AdapterID
+		refused     bool
+	}{
+		{"room", 60 * vrid.GiB, []vrid.AdapterID{"a", "b", "c"}, []vrid.AdapterID{"a", "b", "c"}, false},
+		{"one", 60 * vrid.GiB, []vrid.AdapterID{"a", "b", "c", "d"}, []vrid.AdapterID{"b", "c", "d"}, false},
+		{"two", 60 * vrid.GiB, []vrid.AdapterID{"a", "b", "c", "d", "e"}, []vrid.AdapterID{"c", "d", "e"}, false},
+		{"none is enough", 25 * vrid.GiB, []vrid.AdapterID{"a"}, []vrid.AdapterID{"a"}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSimulation(t, 2, 1)
+			engine := s.catalog.Services[0].Engine
+			engine.Memory, engine.AdapterSlots = 2*weights+test.free, 8
+			engine.Models[0].AdapterSize, engine.Models[1].AdapterSize = large, 10*vrid.GiB
+			server := s.servers["s0"]
+			server.holds = []vrfleet.LoadedModel{{Model: "m0"}, {Model: "m1", Adapters: test.small}}
+			for _, adapter := range test.small {
+				s.step(100 * time.Millisecond)
+				s.reportAdapter("u", "m1", adapter, 0, 1)
+			}
+			s.reportAdapter("u", "m1", "", 0, 0)
+			refused := false
+			s.onNotice = func(n vrresidence.Notice) { refused = refused || n.Kind == vrwire.NoticeRefused }
+			require.Equal(t, !test.refused, s.wantAdapter("large", 4*time.Second) != nil)
+			require.Equal(t, test.kept, server.holds[1].Adapters)
+			require.Equal(t, test.refused, refused)
+			require.Zero(t, s.unfit)
+			s.requireNoCrash()
+		})
+	}
+}
--- a/verbenacore/vrresidence/plan_test.go
+++ b/verbenacore/vrresidence/plan_test.go
@@ -151,7 +151,7 @@
 	}
 	server.orders++
 	if order.Adapter != "" {
-		return server.carryOutAdapter(order)
+		return server.carryOutAdapter(order, s.catalog.Services[0].Engine)
 	}
 	if order.Kind == vrevent.OrderUnload {
 		var left []vrfleet.LoadedModel
