vrrelay: close the connections to servers that have left

Cause: the pool closed idle connections only when the same server was asked for again, which never happens once it has left. Nothing told the readiness that accept fails.

Without descriptors all idle connections are closed, and the daemon is not ready until nothing has failed for 1.5 s. Metrics verbena_server_connections_idle and verbena_accept_failures_total.

--- a/verbenaroute/internal/vrnode/metrics.go
+++ b/verbenaroute/internal/vrnode/metrics.go
@@ -85,6 +85,7 @@
 	gauge("verbena_quota_grants_expired_total", func() float64 { return float64(n.state.QuotaCounts().Expired) })
 	gauge("verbena_quota_refused_total", func() float64 { return float64(n.state.QuotaCounts().Refused) })
 	m.registerMemory()
+	m.registerConnections()
 	// The store's client holds its lock while it submits an event, so these gauges must not hold the
 	// node's.
 	m.set.NewGauge("verbena_store_restores_total", func() float64 { return float64(n.restores.Load()) })
@@ -92,6 +93,12 @@
 	return m
 }
 
+// registerConnections registers the gauges of the connections. They don't need the node's lock.
+func (m *metrics) registerConnections() {
+	m.set.NewGauge("verbena_server_connections_idle", func() float64 { return float64(m.node.proxy.Connections().Idle) })
+	m.set.NewGauge("verbena_accept_failures_total", func() float64 { return float64(m.node.proxy.Connections().AcceptFailures) })
+}
+
 // registerMemory registers the gauges of the memory that grows with the load. They don't need the node's
 // lock.
 func (m *metrics) registerMemory() {
--- a/verbenaroute/internal/vrnode/vrnode.go
+++ b/verbenaroute/internal/vrnode/vrnode.go
@@ -294,7 +294,7 @@
 
 // serveReady is the readiness check of the load balancer.
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if n.shuttingDown.Load() || !n.ready.Load() {
+	if n.shuttingDown.Load() || !n.ready.Load() || !n.proxy.CanAccept() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/verbenaroute/internal/vrrelay/client.go
+++ b/verbenaroute/internal/vrrelay/client.go
@@ -20,12 +20,16 @@
 const clientSendBuffer = maxBufferedResponse
 
 // clientListener accepts connections whose errors are recorded.
-type clientListener struct{ net.Listener }
+type clientListener struct {
+	net.Listener
+	onError func(error)
+}
 
 // Accept returns a *clientConn for a TCP connection, and any other connection as it is.
 func (l clientListener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
 	if err != nil {
+		l.onError(err)
 		return nil, err
 	}
 	if tcp, ok := accepted.(*net.TCPConn); ok {
--- a/verbenaroute/internal/vrrelay/conn.go
+++ b/verbenaroute/internal/vrrelay/conn.go
@@ -85,6 +85,8 @@
 type pool struct {
 	mu   sync.Mutex
 	idle map[backend][]*conn
+	// sweepScheduled is set while a sweep is scheduled, which is so while there are idle connections.
+	sweepScheduled bool
 }
 
 func newPool() *pool { return &pool{idle: make(map[backend][]*conn)} }
@@ -97,7 +99,7 @@
 		return c, nil
 	}
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod, Control: limitReceiveBuffer}
-	netConn, err := dialer.Dial("tcp", key.address)
+	netConn, err := p.dial(&dialer, key.address)
 	if err != nil {
 		return nil, err
 	}
@@ -221,6 +223,7 @@
 		idle = slices.Delete(idle, 0, 1)
 	}
 	p.idle[c.backend] = append(idle, c)
+	p.scheduleSweep()
 }
 
 // closeIdle closes the idle connections of a server. When one connection went silent or was
--- a/verbenaroute/internal/vrrelay/cut_test.go
+++ b/verbenaroute/internal/vrrelay/cut_test.go
@@ -203,7 +203,7 @@
 	defer func() { _ = listener.Close() }()
 	peer, err := net.Dial("tcp", listener.Addr().String())
 	require.NoError(t, err)
-	accepted, err := clientListener{listener}.Accept()
+	accepted, err := clientListener{Listener: listener}.Accept()
 	require.NoError(t, err)
 	c := clientConnOf(withClientConn(context.Background(), accepted))
 	defer func() { _ = c.Close() }()
--- a/verbenaroute/internal/vrrelay/vrrelay.go
+++ b/verbenaroute/internal/vrrelay/vrrelay.go
@@ -95,8 +95,9 @@
 	// draining is set once responses announce the close of their connection.
 	draining atomic.Bool
 	// sendsAborted is set once the time limit of a shutdown has nearly passed.
-	sendsAborted atomic.Bool
-	activeCalls  atomic.Int64
+	sendsAborted   atomic.Bool
+	activeCalls    atomic.Int64
+	acceptFailures acceptFailures
 
 	mu       sync.Mutex
 	handlers map[vrevent.CallID]*callHandler
@@ -129,7 +130,7 @@
 
 // Serve accepts connections until Close.
 func (p *Proxy) Serve(listener net.Listener) error {
-	if err := p.server.Serve(clientListener{listener}); err != nil && err != http.ErrServerClosed {
+	if err := p.server.Serve(clientListener{Listener: listener, onError: p.handleAcceptError}); err != nil && err != http.ErrServerClosed {
 		return err
 	}
 	return nil
