A refused connection is no proof that the placement owner has ended

Cause: a path that is cut may refuse connections, too.

Change: a candidate opens a connection to the owner's address and asks who listens there. Only the answer of another run or daemon proves that the process of the record has ended. A refusal is the occasion for the question.

TestOnlyRefusedConnectionProvesEnd held that a refusal is a proof, which is the fault; TestOnlyAnAnswerIdentifiesAProcess checks the same paths and that an answer names the run. TestKilledOwnerIsReplaced lets the process start again.

--- a/verbenabench/internal/vrgateworld/hold.go
+++ b/verbenabench/internal/vrgateworld/hold.go
@@ -34,8 +34,9 @@
 	}
 }
 
-// dialPeer opens a connection to a daemon. The machine of one that does not run refuses it, a suspended one's
-// accepts it, and a lost segment leaves it without an answer.
+// dialPeer asks the process at a daemon's address who it is. Without a process the machine refuses the connection,
+// a suspended one does not answer, nor does one of a former version, and a lost segment leaves the question without an
+// answer.
 func (p *Process) dialPeer(e vrevent.DialPeer) {
 	w := p.world
 	if w.chance(w.PeerLossRate) {
@@ -44,8 +45,8 @@
 	}
 	w.After(peerDelay+w.randomDuration(0, w.MaxPeerDelay), func() {
 		receiver := w.daemon(e.Peer)
-		refused := receiver != nil && receiver.Process == nil
-		w.After(peerDelay, func() { p.deliver(vrevent.PeerDialed{Peer: e.Peer, Boot: e.Boot, Refused: refused}) })
+		replaced := receiver != nil && receiver.Process != nil && !receiver.former && !receiver.Process.paused && receiver.Process.boot != e.Boot
+		w.After(peerDelay, func() { p.deliver(vrevent.PeerDialed{Peer: e.Peer, Boot: e.Boot, Replaced: replaced}) })
 	})
 }
 
--- a/verbenacore/vrevent/gateway.go
+++ b/verbenacore/vrevent/gateway.go
@@ -212,9 +212,10 @@
 	PeerDialed struct {
 		Peer vrid.DaemonID
 		Boot vrid.BootID
-		// Refused is set if the peer's machine refused the connection. This proves that the process of Boot
-		// has ended: it listens from before it first writes the lease until after its last order.
-		Refused bool
+		// Replaced is set if another process than that of Boot listens at the peer's address. This proves that the
+		// process of Boot has ended: it listens from before it first writes the lease until after its last order.
+		// A refused connection proves nothing: a path that is cut may refuse it, too.
+		Replaced bool
 	}
 
 	// ServerLeaving reports that a response to a send, an order, a reservation or a read of the status
@@ -410,8 +411,8 @@
 	// stands before the write that releases the lease.
 	StopOrders struct{}
 
-	// DialPeer opens a connection to a peer and closes it, to find out whether the process of Boot runs. Its
-	// answer is PeerDialed.
+	// DialPeer asks the process that listens at a peer's address who it is, to find out whether the process of Boot
+	// has ended. Its answer is PeerDialed.
 	DialPeer struct {
 		Peer    vrid.DaemonID
 		Address string
--- a/verbenacore/vrgateway/hold.go
+++ b/verbenacore/vrgateway/hold.go
@@ -89,7 +89,8 @@
 }
 
 // dialOwner dials the holder of the newest record of the lease, unless that was done less than an interval
-// ago. The dial begins after the record was seen, so a refusal proves that the holder's process has ended.
+// ago. The dial begins after the record was seen, so another process that answers proves that the holder's has
+// ended.
 func (s *State) dialOwner(now time.Time, interval time.Duration, out *vrevent.Effects) {
 	record, known := s.lease.Latest()
 	if !known || record.Holder == s.opts.Daemon || record.Peer == "" || s.shutdown.requested || now.Sub(s.ownerDialedAt) < interval ||
@@ -100,9 +101,8 @@
 	out.Add(vrevent.DialPeer{Peer: record.Holder, Address: record.Peer, Boot: record.Boot})
 }
 
-// handlePeerUnreachable records that a message to a peer could not be delivered. If the owner's machine has
-// refused the connection, this daemon makes sure at once that its process has ended: the message may have been
-// for another process than that of the newest record.
+// handlePeerUnreachable records that a message to a peer could not be delivered. If the connection to the owner was
+// refused, its process has probably ended, so this daemon asks at once whether another one has taken its place.
 func (s *State) handlePeerUnreachable(now time.Time, e vrevent.PeerUnreachable, out *vrevent.Effects) {
 	s.owner.markUnreachable(now, e.Peer)
 	if record, known := s.lease.Latest(); e.Refused && known && record.Holder == e.Peer {
@@ -112,7 +112,7 @@
 
 // handlePeerDialed records whether the owner's process has ended.
 func (s *State) handlePeerDialed(now time.Time, e vrevent.PeerDialed, out *vrevent.Effects) {
-	if (e.Refused || vrfault.On(vrfault.TrustAnyDial)) && s.lease.HolderEnded(now, e.Peer, e.Boot) {
+	if (e.Replaced || vrfault.On(vrfault.TrustAnyDial)) && s.lease.HolderEnded(now, e.Peer, e.Boot) {
 		out.Info("placement owner ended", text("owner", e.Peer), number("epoch", uint64(s.lease.Epoch())))
 	}
 }
--- a/verbenacore/vrpeer/link.go
+++ b/verbenacore/vrpeer/link.go
@@ -133,7 +133,7 @@
 	if existing != nil && !existing.session.IsClosed() {
 		return existing, nil
 	}
-	conn, err := h.dial(p.id, address)
+	conn, err := h.dial(h.ctx, p.id, address)
 	if err != nil {
 		return nil, err
 	}
@@ -151,8 +151,8 @@
 }
 
 // dial connects to a peer; with TLS, its certificate must name the expected daemon.
-func (h *Hub) dial(id vrid.DaemonID, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(h.ctx, _dialTimeout)
+func (h *Hub) dial(ctx context.Context, id vrid.DaemonID, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, _dialTimeout)
 	defer cancel()
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -295,7 +295,7 @@
 		case err != nil:
 			return
 		}
-		if err := l.receive(payload); err != nil && !l.refuse(err) {
+		if err := l.receive(stream, payload); err != nil && !l.refuse(err) {
 			l.close()
 			return
 		}
@@ -327,11 +327,15 @@
 	return l.refusedFrames.Add(1) < _maxRefusedFrames
 }
 
-func (l *link) receive(payload []byte) error {
+func (l *link) receive(stream *yamux.Stream, payload []byte) error {
 	envelope, err := vrwire.Unmarshal[vrwire.Envelope](payload)
 	if err != nil {
 		return err
 	}
+	if envelope.Identity != nil {
+		// The connection of a question is not one for messages.
+		return l.hub.answerIdentity(stream, envelope.Identity)
+	}
 	if err := l.identify(envelope.From); err != nil {
 		return err
 	}
--- a/verbenacore/vrwire/control.go
+++ b/verbenacore/vrwire/control.go
@@ -28,6 +28,15 @@
 // Validate accepts every version.
 func (c *ConfigFetch) Validate() error { return nil }
 
+// Identity asks which process listens at an address, or answers that: the sender of the answer's envelope. It is
+// the only message of its connection.
+type Identity struct {
+	IsAnswer bool `protobuf:"varint,1,opt,name=isAnswer,proto3"`
+}
+
+// Validate accepts every message.
+func (i *Identity) Validate() error { return nil }
+
 // RecordBatch carries entries of a daemon's record to a writer.
 type RecordBatch struct {
 	Daemon vrid.DaemonID `protobuf:"bytes,1,opt,name=daemon,proto3"`
--- a/verbenacore/vrwire/vrwire.go
+++ b/verbenacore/vrwire/vrwire.go
@@ -113,6 +113,7 @@
 	PlacementDemand *PlacementDemand `protobuf:"bytes,30,opt,name=wants,proto3"`
 	Notices         *Notices         `protobuf:"bytes,31,opt,name=notices,proto3"`
 	FleetChanges    *FleetChanges    `protobuf:"bytes,32,opt,name=fleetChanges,proto3"`
+	Identity        *Identity        `protobuf:"bytes,33,opt,name=identity,proto3"`
 }
 
 // setMessages returns the messages that are set; a valid envelope has exactly one.
@@ -145,6 +146,7 @@
 	add(e.PlacementDemand != nil, e.PlacementDemand)
 	add(e.Notices != nil, e.Notices)
 	add(e.FleetChanges != nil, e.FleetChanges)
+	add(e.Identity != nil, e.Identity)
 	return set
 }
 
