vrrelay: deliver the body of a request whose server answered early

Cause: the connection was closed as soon as the answer was complete.

Change: the rest of the body is delivered beside the answer until the deadline of the send, also if the client leaves. The body keeps its part of the memory budget meanwhile; a stop waits for it as for open calls. Metric verbena_bodies_unfinished.

--- a/verbenaroute/internal/vrnode/metrics.go
+++ b/verbenaroute/internal/vrnode/metrics.go
@@ -96,6 +96,7 @@
 // registerConnections registers the gauges of the connections. They don't need the node's lock.
 func (m *metrics) registerConnections() {
 	m.set.NewGauge("verbena_server_connections_idle", func() float64 { return float64(m.node.proxy.Connections().Idle) })
+	m.set.NewGauge("verbena_bodies_unfinished", func() float64 { return float64(m.node.proxy.Connections().Unfinished) })
 	m.set.NewGauge("verbena_accept_failures_total", func() float64 { return float64(m.node.proxy.Connections().AcceptFailures) })
 }
 
--- a/verbenaroute/internal/vrrelay/body.go
+++ b/verbenaroute/internal/vrrelay/body.go
@@ -59,6 +59,10 @@
 	mu       sync.Mutex
 	chunks   [][]byte
 	released bool
+	// writers counts the sends that are writing the body. Its memory is in use until the last of them has ended,
+	// and returned once it was given back.
+	writers  int
+	returned bool
 }
 
 // content returns the pieces of the body, unless it was released.
@@ -68,13 +72,35 @@
 	return b.chunks, !b.released
 }
 
-// release returns the memory of the body to the budget. The request can't be sent again.
+// release returns the memory of the body to the budget once nobody writes it. The request can't be sent again.
 func (b *requestBody) release() {
 	b.mu.Lock()
-	released := b.released
 	b.released, b.chunks = true, nil
 	b.mu.Unlock()
-	if !released && b.claim != nil {
+	b.returnMemory()
+}
+
+// beginWrite records that a send writes the body, endWrite that it has ended.
+func (b *requestBody) beginWrite() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.writers++
+}
+
+func (b *requestBody) endWrite() {
+	b.mu.Lock()
+	b.writers--
+	b.mu.Unlock()
+	b.returnMemory()
+}
+
+// returnMemory returns the memory to the budget if the body is released and nobody writes it.
+func (b *requestBody) returnMemory() {
+	b.mu.Lock()
+	isUnused := b.released && b.writers == 0 && !b.returned
+	b.returned = b.returned || isUnused
+	b.mu.Unlock()
+	if isUnused && b.claim != nil {
 		b.budget.release(b.claim)
 	}
 }
@@ -174,7 +200,9 @@
 		written <- err
 		return err
 	}
+	a.handler.body.beginWrite()
 	go func() {
+		defer a.handler.body.endWrite()
 		var err error
 		for i := 0; i < len(body) && err == nil; i++ {
 			_, err = c.Write(body[i])
--- a/verbenaroute/internal/vrrelay/descriptors.go
+++ b/verbenaroute/internal/vrrelay/descriptors.go
@@ -47,16 +47,16 @@
 	p.pool.closeAllIdle()
 }
 
-// Connections is the number of idle connections to servers, and that of clients' connections that could not be
-// accepted for want of descriptors.
+// Connections is the number of idle connections to servers, that of connections on which the rest of a body is
+// written after the answer, and that of clients' connections that could not be accepted for want of descriptors.
 type Connections struct {
-	Idle           int
-	AcceptFailures uint64
+	Idle, Unfinished int
+	AcceptFailures   uint64
 }
 
 // Connections returns the current numbers of connections.
 func (p *Proxy) Connections() Connections {
-	return Connections{Idle: p.pool.idleCount(), AcceptFailures: p.acceptFailures.count.Load()}
+	return Connections{Idle: p.pool.idleCount(), Unfinished: p.unfinished.count(), AcceptFailures: p.acceptFailures.count.Load()}
 }
 
 // dial opens a connection to a server. Without a descriptor for it, it frees those of idle connections first.
--- a/verbenaroute/internal/vrrelay/send.go
+++ b/verbenaroute/internal/vrrelay/send.go
@@ -92,8 +92,12 @@
 	continued bool
 	// format is that of the response, if it is a stream.
 	format *streamFormat
-	// reusable is set if the connection may carry another request.
-	reusable bool
+	// answerRead is set once an answer was read to its end. The body of the request is then delivered also if the
+	// client leaves.
+	answerRead atomic.Bool
+	// reusable is set if the connection may carry another request, answered once the answer of the server was
+	// forwarded to its end.
+	reusable, answered bool
 	// strays counts the responses to other requests that were skipped. A connection that
 	// delivered one carries no further request.
 	strays int
@@ -162,10 +166,18 @@
 func (a *sendAttempt) exchange(c *conn) (sent bool) {
 	c.requests = append(c.requests, hashRequestID(a.handler.call.Request))
 	a.conn.Store(c)
-	stop := context.AfterFunc(a.handler.request.Context(), func() { _ = c.SetDeadline(_past) })
+	stop := context.AfterFunc(a.handler.request.Context(), func() {
+		if !a.answerRead.Load() {
+			_ = c.SetDeadline(_past)
+		}
+	})
 	defer func() {
 		clientConnected := stop()
-		if a.reusable && a.strays == 0 && clientConnected && a.isBodyWritten() {
+		canReuse := a.reusable && a.strays == 0 && clientConnected
+		if !a.isBodyWritten() && a.finishBody(c, canReuse) {
+			return
+		}
+		if canReuse && a.isBodyWritten() {
 			// Once the connection is in the pool, it may carry another request, which must not be aborted.
 			a.handler.endAttempt(a)
 			if !a.superseded.Load() {
@@ -289,6 +301,7 @@
 // end sets the result of the send.
 func (a *sendAttempt) end(result vrevent.AttemptResult, err error) {
 	a.result.Result = result
+	a.answered = result == vrevent.AttemptAnswered
 	if err != nil {
 		a.result.Detail = err.Error()
 	}
@@ -554,6 +567,7 @@
 		return
 	}
 	a.reusable = allowsReuse(response)
+	a.answerRead.Store(true)
 	a.deliver(&bufferedResponse{status: response.StatusCode, header: response.Header, body: body})
 }
 
--- a/verbenaroute/internal/vrrelay/vrrelay.go
+++ b/verbenaroute/internal/vrrelay/vrrelay.go
@@ -98,6 +98,7 @@
 	sendsAborted   atomic.Bool
 	activeCalls    atomic.Int64
 	acceptFailures acceptFailures
+	unfinished     unfinishedBodies
 
 	mu       sync.Mutex
 	handlers map[vrevent.CallID]*callHandler
@@ -154,6 +155,7 @@
 func (p *Proxy) AbortSends() {
 	p.sendsAborted.Store(true)
 	p.bodies.abortWaits()
+	p.unfinished.abort()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, handler := range p.handlers {
@@ -164,7 +166,7 @@
 // Active returns the number of open calls.
 func (p *Proxy) Active() int { return int(p.activeCalls.Load()) }
 
-// Close stops accepting connections, waits for open calls until the context is done, and then
+// Close stops accepting connections, waits for open calls and unfinished bodies until the context is done, and then
 // closes the remaining connections.
 func (p *Proxy) Close(ctx context.Context) error {
 	if err := p.server.Shutdown(ctx); err != nil {
@@ -172,6 +174,7 @@
 		p.reportClosedConnections()
 		return err
 	}
+	p.unfinished.wait(ctx)
 	return nil
 }
 
