--- a/verbenacore/vrgateway/hold_test.go
+++ b/verbenacore/vrgateway/hold_test.go
@@ -312,7 +312,7 @@
 	f.run(6 * time.Second)
 	pause, next := f.since(killedAt)
 	require.NotEqual(t, owner.id, next)
-	require.Less(t, pause, restartTime+leaseBound+1800*time.Millisecond)
+	require.Less(t, pause, restartTime+leaseBound+1500*time.Millisecond)
 }
 
 // restartTime is the time from the end of a process until another one listens at its address.
