vrresidence: a plan examines a server once, not for each model

Cause: a plan examined each server for each wanted model, with the sizes and costs of all evictions anew, and a daemon's report looked at all targets. The placement owner, on a fifth of a core, took longer for a plan than the interval between two plans.

Change: what a server offers to a load is collected once in a plan; models that can't come from the weight store are tried on the servers with a copy only; speculative loads that can't fit are not tried; a daemon's targets are kept by daemon. The decisions stay the same. Metrics verbena_plans_total and verbena_plan_servers_examined_total.

--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -365,6 +365,8 @@
 	s.owner.nextPlanAt = now.Add(planInterval)
 	s.owner.lastPlanAt = now
 	decision := s.planner.Plan(now, vrresidence.PlanInput{Fleet: s.fleet, Catalog: s.catalog, FreshFrom: s.ordersFreshFrom(now)})
+	s.counts.Plans++
+	s.counts.ServersExamined += uint64(decision.Examined)
 	s.executeDecision(now, decision, out)
 }
 
--- a/verbenacore/vrgateway/vrgateway.go
+++ b/verbenacore/vrgateway/vrgateway.go
@@ -119,6 +119,8 @@
 	// UnfitLoads counts the loads that the placement owner planned and did not order, because the server had no
 	// room for them.
 	UnfitLoads uint64
+	// Plans counts the placement plans, ServersExamined how often they examined a server for the load of a model.
+	Plans, ServersExamined uint64
 	// LeavingByResponse and LeavingByDaemon count the servers of which this daemon first learned that they
 	// leave from a response, or from another daemon.
 	LeavingByResponse, LeavingByDaemon uint64
--- a/verbenacore/vrresidence/adapters.go
+++ b/verbenacore/vrresidence/adapters.go
@@ -54,12 +54,11 @@
 func (s *servicePlan) placeAdapter(w wantedAdapter) {
 	var best *adapterCandidate
 	wanted := modelAdapter{w.model, w.adapter}
-	awaited := s.awaitsUnload(wanted)
 	modelHeld := false
 	// delay is the shortest time until a server that holds the model can take the order, if none
 	// can now.
 	delay := neverFits
-	for _, server := range s.servers {
+	for _, server := range s.holders[w.model] {
 		if !server.AcceptsWork() || !s.keeps(server, w.model) {
 			continue
 		}
@@ -70,7 +69,7 @@
 		}
 		modelHeld = true
 		found, wait := s.adapterCandidateFor(server, w)
-		if found != nil && len(found.victims) > 0 && awaited {
+		if found != nil && len(found.victims) > 0 && s.awaitsUnload(wanted) {
 			found, wait = nil, minAdapterIdle
 		}
 		switch {
@@ -151,7 +150,7 @@
 		t.lastDeadline = w.total.lastDeadline
 	}
 	s.totals[w.model] = t
-	s.notifyAdapter(w, vrwire.NoticeLoading, "", s.estimateLoadDelay(wantedModel{model: s.engine.Model(w.model), total: t}))
+	s.notifyAdapter(w, vrwire.NoticeLoading, "", s.estimateLoadDelay(&wantedModel{model: s.engine.Model(w.model), total: t}))
 }
 
 // awaitsUnload reports whether the load of an adapter waits for an unload that a server has accepted of late. No
--- a/verbenacore/vrresidence/capacity.go
+++ b/verbenacore/vrresidence/capacity.go
@@ -55,11 +55,11 @@
 // sizeOf returns the memory that a loaded model and its adapters use. A model that is no longer
 // declared counts as much as the largest declared one.
 func (c capacity) sizeOf(holding *vrfleet.LoadedModel) vrid.Bytes {
-	weights := c.largestModel()
-	if config := c.engine.Model(holding.Model); config != nil {
-		weights = config.Weights
+	config := c.engine.Model(holding.Model)
+	if config == nil {
+		return c.largestModel() + vrid.Bytes(len(holding.Adapters))*c.largestAdapter()
 	}
-	return weights + vrid.Bytes(len(holding.Adapters))*c.adapterSize(holding.Model)
+	return config.Weights + vrid.Bytes(len(holding.Adapters))*config.AdapterSize
 }
 
 // adapterSize returns the size of an adapter of a model, or that of the largest declared one if the model is no
--- a/verbenacore/vrresidence/demand.go
+++ b/verbenacore/vrresidence/demand.go
@@ -1,6 +1,7 @@
 package vrresidence
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -75,12 +76,16 @@
 			reported[k] = true
 		}
 	}
+	before := p.reportedTargets[from]
 	if !report.Full {
+		maps.Copy(reported, before)
+		p.reportedTargets[from] = reported
 		return
 	}
+	p.reportedTargets[from] = reported
 	p.inFlight[from] = inFlightReport{reportedAt: now, servers: report.InFlight}
-	for k, d := range p.demand {
-		if !reported[k] {
+	for k := range before {
+		if d := p.demand[k]; d != nil && !reported[k] {
 			delete(d.daemons, from)
 		}
 	}
@@ -139,7 +144,11 @@
 
 // inFlightByServer returns the number of requests in flight per server and model.
 func (p *Planner) inFlightByServer(now time.Time) map[serverModel]int {
-	counts := make(map[serverModel]int)
+	size := 0
+	for _, report := range p.inFlight {
+		size += len(report.servers)
+	}
+	counts := make(map[serverModel]int, size)
 	for _, report := range p.inFlight {
 		if now.Sub(report.reportedAt) > demandTimeout {
 			continue
--- a/verbenacore/vrresidence/drain.go
+++ b/verbenacore/vrresidence/drain.go
@@ -123,9 +123,9 @@
 }
 
 // mayBeInUse reports whether requests are known or may be in flight for one of the victims at a server.
-func (s *servicePlan) mayBeInUse(server *vrfleet.Server, victims []vrid.ModelID) bool {
-	return slices.ContainsFunc(victims, func(model vrid.ModelID) bool {
-		key := serverModel{server.ID, model}
+func (s *servicePlan) mayBeInUse(server *vrfleet.Server, victims []victim) bool {
+	return slices.ContainsFunc(victims, func(v victim) bool {
+		key := serverModel{server.ID, v.model}
 		return s.inFlight[key]+s.unknownInFlight[key] > 0
 	})
 }
@@ -159,6 +159,7 @@
 		age := now.Sub(report.reportedAt)
 		if age > unknownReport {
 			delete(p.inFlight, daemon)
+			delete(p.reportedTargets, daemon)
 			continue
 		}
 		if age <= demandTimeout {
--- a/verbenacore/vrresidence/plan.go
+++ b/verbenacore/vrresidence/plan.go
@@ -65,9 +65,9 @@
 	totals          map[vrid.ModelID]demandTotal
 	inFlight        map[serverModel]int
 	unknownInFlight map[serverModel]int
-	// nearestTier is the tier of the nearest copy of a model on each server. A missing entry
-	// means the weight store.
-	nearestTier map[serverModel]tier
+	// serversWithCopy are the servers that have a copy of a model on their disk or in their host memory, and
+	// accept work. holders are all servers that hold it.
+	serversWithCopy, holders map[vrid.ModelID][]*vrfleet.Server
 	// blockedLoads holds the models whose load waits for the requests of a victim, see drain. Another server may
 	// load them only if it can begin at once.
 	blockedLoads map[vrid.ModelID]bool
@@ -77,6 +77,8 @@
 	wanted []wantedModel
 	// needs caches the results of need.
 	needs map[vrid.ModelID]int
+	// offers is nil until a model has to be placed.
+	offers *offers
 }
 
 // Plan decides which orders to give now, which daemons to notify and which status reports to
@@ -108,16 +110,21 @@
 
 // newServicePlan collects the replicas, copies, current loads and demand of a service.
 func (p *Planner) newServicePlan(now time.Time, input PlanInput, service *vrcatalog.Service, decision *Decision) *servicePlan {
+	models := len(service.Engine.Models)
 	s := &servicePlan{
 		capacity: capacity{now: now, engine: service.Engine}, planner: p, service: service, servers: input.Fleet.ServersOf(service.ID),
-		store: p.store(service.ID), decision: decision, copies: make(map[vrid.ModelID]int),
-		replicas: make(map[vrid.ModelID]int), totals: make(map[vrid.ModelID]demandTotal),
-		inFlight: p.inFlightByServer(now), unknownInFlight: p.unknownInFlight(now), nearestTier: make(map[serverModel]tier), copyElsewhere: make(map[vrid.ModelID]bool),
-		blockedLoads: make(map[vrid.ModelID]bool), needs: make(map[vrid.ModelID]int),
+		store: p.store(service.ID), decision: decision, copies: make(map[vrid.ModelID]int, models),
+		replicas: make(map[vrid.ModelID]int, models), totals: make(map[vrid.ModelID]demandTotal, models),
+		inFlight: p.inFlightByServer(now), unknownInFlight: p.unknownInFlight(now),
+		serversWithCopy: make(map[vrid.ModelID][]*vrfleet.Server, models), holders: make(map[vrid.ModelID][]*vrfleet.Server, models),
+		copyElsewhere: make(map[vrid.ModelID]bool), blockedLoads: make(map[vrid.ModelID]bool), needs: make(map[vrid.ModelID]int, models),
 	}
 	s.store.rate = service.Engine.LoadRate
 	s.store.running = 0
 	for _, server := range s.servers {
+		for _, holding := range server.LoadedModels() {
+			s.holders[holding.Model] = append(s.holders[holding.Model], server)
+		}
 		if !server.AcceptsWork() {
 			continue
 		}
@@ -172,38 +179,39 @@
 	return !dropped && server.HasModel(s.now, model)
 }
 
-// countCopies records which models a server has copies of, and in which tier.
+// countCopies records which models a server holds or has copies of.
 func (s *servicePlan) countCopies(server *vrfleet.Server) {
-	for _, model := range server.OnDisk {
-		s.nearestTier[serverModel{server.ID, model}] = tierDisk
-	}
-	for _, model := range server.InHost {
-		s.nearestTier[serverModel{server.ID, model}] = tierMemory
+	add := func(model vrid.ModelID) {
+		s.copies[model]++
+		s.serversWithCopy[model] = append(s.serversWithCopy[model], server)
 	}
-	counted := make(map[vrid.ModelID]bool, len(server.OnDisk)+len(server.LoadedModels()))
-	count := func(model vrid.ModelID) {
-		if !counted[model] {
-			counted[model] = true
-			s.copies[model]++
+	for i, model := range server.OnDisk {
+		if !slices.Contains(server.OnDisk[:i], model) {
+			add(model)
 		}
 	}
-	for _, model := range server.OnDisk {
-		count(model)
-	}
-	for _, model := range server.InHost {
-		count(model)
+	for i, model := range server.InHost {
+		if !slices.Contains(server.InHost[:i], model) && !slices.Contains(server.OnDisk, model) {
+			add(model)
+		}
 	}
 	for _, holding := range server.LoadedModels() {
-		count(holding.Model)
+		if tierOf(server, holding.Model) == tierStore {
+			s.copies[holding.Model]++
+		}
 	}
 }
 
 // tierOf returns the tier that a server would load a model from.
-func (s *servicePlan) tierOf(server *vrfleet.Server, model vrid.ModelID) tier {
-	if nearest, ok := s.nearestTier[serverModel{server.ID, model}]; ok {
-		return nearest
+func tierOf(server *vrfleet.Server, model vrid.ModelID) tier {
+	switch {
+	case slices.Contains(server.InHost, model):
+		return tierMemory
+	case slices.Contains(server.OnDisk, model):
+		return tierDisk
+	default:
+		return tierStore
 	}
-	return tierStore
 }
 
 // loadTime returns the declared time of loading a model from a tier.
@@ -266,10 +274,22 @@
 // planModels plans the loads of models.
 func (s *servicePlan) planModels() {
 	s.wanted = s.wantedModels()
-	for _, w := range s.wanted {
+	// refusedSize is the smallest model without a copy that no server has taken as a speculative load. Loads of
+	// lower value that need as much memory are not tried.
+	refusedSize := vrid.Bytes(math.MaxInt64)
+	for i := range s.wanted {
+		w := &s.wanted[i]
+		spreads := w.speculative && s.copies[w.model.ID] == 0 && !s.blockedLoads[w.model.ID]
+		if spreads && w.model.Weights >= refusedSize {
+			continue
+		}
 		if s.placeModel(w) {
+			refusedSize = math.MaxInt64
 			continue
 		}
+		if spreads {
+			refusedSize = w.model.Weights
+		}
 		if w.firstReplica && !w.speculative && !s.blockedLoads[w.model.ID] {
 			s.notifyUnavailable(w)
 		}
@@ -289,7 +309,7 @@
 		if model == nil || s.totals[model.ID].waiting == 0 {
 			continue
 		}
-		s.notify(wantedModel{model: model}, vrwire.NoticeLoading, server.ID, j.remaining(s.now))
+		s.notify(&wantedModel{model: model}, vrwire.NoticeLoading, server.ID, j.remaining(s.now))
 	}
 }
 
@@ -342,63 +362,74 @@
 
 // placeModel starts the load of a model on the server with the lowest cost and reports whether
 // there was one.
-func (s *servicePlan) placeModel(w wantedModel) bool {
+func (s *servicePlan) placeModel(w *wantedModel) bool {
 	if w.speculative && w.firstReplica && s.store.available() <= 0 {
 		return false
 	}
-	var best *candidate
-	for _, server := range s.servers {
-		if found := s.candidateFor(server, w); found != nil && (best == nil || found.cost < best.cost) {
-			best = found
+	inZone := s.replicasByZone(w.model.ID)
+	var best candidate
+	found := false
+	offered := s.offersTo(w)
+	s.decision.Examined += len(offered)
+	for _, o := range offered {
+		if c, ok := s.candidateFor(o, w, inZone); ok && (!found || c.cost < best.cost) {
+			best, found = c, true
 		}
 	}
-	if best == nil {
-		return false
+	if found {
+		s.startLoad(&best, w)
 	}
-	s.startLoad(best, w)
-	return true
+	return found
+}
+
+// replicasByZone counts the servers that hold a model and are not about to unload it.
+func (s *servicePlan) replicasByZone(model vrid.ModelID) map[vrid.ZoneID]int {
+	counts := make(map[vrid.ZoneID]int)
+	for _, server := range s.holders[model] {
+		if s.keeps(server, model) {
+			counts[server.Zone]++
+		}
+	}
+	return counts
 }
 
 // candidate is a server that can load a model after evicting victims.
 type candidate struct {
-	server  *vrfleet.Server
-	victims []vrid.ModelID
+	offer   *serverOffer
+	victims []victim
 	source  tier
 	cost    float64
 }
 
-// candidateFor returns the server as a candidate for loading a model, or nil if it can't or
-// should not load the model now.
-func (s *servicePlan) candidateFor(server *vrfleet.Server, w wantedModel) *candidate {
-	p := s.planner
-	if !server.AcceptsWork() || p.jobs[server.ID] != nil || s.now.Before(p.cooldownUntil[server.ID]) {
-		return nil
-	}
-	l := p.ledgerOf(s.now, server, s.decision)
-	if l == nil {
-		return nil
-	}
-	if l.find(w.model.ID) != nil {
-		if !hasModel(server, w.model.ID) {
+// candidateFor returns the server of an offer as a candidate for loading a model, or false if it can't or
+// should not load the model now. inZone counts the model's replicas by zone.
+func (s *servicePlan) candidateFor(o *serverOffer, w *wantedModel, inZone map[vrid.ZoneID]int) (candidate, bool) {
+	if o.withdrawn {
+		return candidate{}, false
+	}
+	if o.ledger.find(w.model.ID) != nil {
+		if !hasModel(o.server, w.model.ID) {
 			// There is no order in progress here, so an unanswered order must have unloaded the
 			// model.
-			delete(p.ledgers, server.ID)
+			delete(s.planner.ledgers, o.server.ID)
+			s.planner.requestStatus(s.now, o.server.ID, s.decision)
+			o.withdrawn = true
 		}
-		return nil
+		return candidate{}, false
 	}
-	source := s.tierOf(server, w.model.ID)
+	source := tierOf(o.server, w.model.ID)
 	if source == tierStore && (s.store.available() <= 0 || s.hasCopyElsewhere(w.model.ID)) {
-		return nil
+		return candidate{}, false
 	}
 	if w.speculative && w.firstReplica && source != tierStore {
-		return nil
+		return candidate{}, false
 	}
-	victims, evictionCost, ok := s.victims(server, l, w)
-	if !ok || (s.blockedLoads[w.model.ID] && (w.speculative || source == tierStore || s.mayBeInUse(server, victims))) {
-		return nil
+	victims, evictionCost, ok := s.victims(o, w)
+	if !ok || (s.blockedLoads[w.model.ID] && (w.speculative || source == tierStore || s.mayBeInUse(o.server, victims))) {
+		return candidate{}, false
 	}
-	cost := loadTime(w.model, source).Seconds() + evictionWeight*evictionCost + s.placementCost(server, w.model.ID)
-	return &candidate{server: server, victims: victims, source: source, cost: cost}
+	cost := loadTime(w.model, source).Seconds() + evictionWeight*evictionCost + zoneWeight*float64(inZone[o.server.Zone]) + s.loadCost(o)
+	return candidate{offer: o, victims: victims, source: source, cost: cost}, true
 }
 
 // hasCopyElsewhere reports whether a server that does not hold a model has a copy of it on its
@@ -415,56 +446,23 @@
 
 // findCopyElsewhere computes the result of hasCopyElsewhere.
 func (s *servicePlan) findCopyElsewhere(model vrid.ModelID) bool {
-	for _, server := range s.servers {
-		if !server.AcceptsWork() || hasModel(server, model) || s.now.Before(s.planner.cooldownUntil[server.ID]) {
-			continue
-		}
-		if j := s.planner.jobs[server.ID]; j != nil && j.loadStep().model == model {
-			continue
-		}
-		if s.tierOf(server, model) != tierStore {
-			return true
-		}
-	}
-	return false
-}
-
-// Weights in placementCost, in seconds of load time.
-const (
-	zoneWeight = 1.0
-	loadWeight = 2.0
-)
-
-// placementCost spreads the replicas of a model over the availability zones and away from
-// servers that hold other busy models.
-func (s *servicePlan) placementCost(server *vrfleet.Server, model vrid.ModelID) float64 {
-	cost := 0.0
-	for _, other := range s.servers {
-		if other.Zone == server.Zone && s.keeps(other, model) {
-			cost += zoneWeight
-		}
-	}
-	if s.planner.prefillRate <= 0 {
-		return cost
-	}
-	for _, holding := range server.LoadedModels() {
-		if s.keeps(server, holding.Model) {
-			share := s.totals[holding.Model].tokenRate / s.planner.prefillRate / float64(max(s.replicas[holding.Model], 1))
-			cost += loadWeight * share
-		}
-	}
-	return cost
+	return slices.ContainsFunc(s.serversWithCopy[model], func(server *vrfleet.Server) bool {
+		j := s.planner.jobs[server.ID]
+		loading := j != nil && j.loadStep().model == model
+		return !loading && !hasModel(server, model) && !s.now.Before(s.planner.cooldownUntil[server.ID])
+	})
 }
 
 // startLoad creates the job that loads a model on a candidate.
-func (s *servicePlan) startLoad(c *candidate, w wantedModel) {
+func (s *servicePlan) startLoad(c *candidate, w *wantedModel) {
+	server := c.offer.server
 	j := &job{
-		service: s.service.ID, startedAt: c.server.Born, source: c.source, retryAt: s.now, plannedAt: s.now,
+		service: s.service.ID, startedAt: server.Born, source: c.source, retryAt: s.now, plannedAt: s.now,
 		expectedTime: loadTime(w.model, c.source), concurrentLoads: s.store.running + 1,
 	}
 	for _, victim := range c.victims {
-		j.steps = append(j.steps, step{kind: vrevent.OrderUnload, model: victim})
-		s.replicas[victim]--
+		j.steps = append(j.steps, step{kind: vrevent.OrderUnload, model: victim.model})
+		s.replicas[victim.model]--
 	}
 	j.steps = append(j.steps, step{kind: vrevent.OrderLoad, model: w.model.ID})
 	if c.source == tierStore {
@@ -472,13 +470,15 @@
 	}
 	s.replicas[w.model.ID]++
 	s.copies[w.model.ID]++
-	s.planner.jobs[c.server.ID] = j
-	s.notify(w, vrwire.NoticeLoading, c.server.ID, j.expectedTime)
+	s.planner.jobs[server.ID] = j
+	c.offer.withdrawn = true
+	s.offers.forgetCosts()
+	s.notify(w, vrwire.NoticeLoading, server.ID, j.expectedTime)
 }
 
 // notifyUnavailable notifies the daemons about a model that can't be loaded now: when to expect
 // it, or that their requests are refused if all of them give up before that.
-func (s *servicePlan) notifyUnavailable(w wantedModel) {
+func (s *servicePlan) notifyUnavailable(w *wantedModel) {
 	delay := s.estimateLoadDelay(w)
 	if s.now.Add(delay + minAnswerTime).Before(w.total.lastDeadline) {
 		s.notify(w, vrwire.NoticeLoading, "", delay)
@@ -488,7 +488,7 @@
 }
 
 // estimateLoadDelay estimates the time until a model that no server is loading could be loaded.
-func (s *servicePlan) estimateLoadDelay(w wantedModel) time.Duration {
+func (s *servicePlan) estimateLoadDelay(w *wantedModel) time.Duration {
 	if s.copies[w.model.ID] > 0 {
 		return 2*w.model.DiskLoad + time.Second
 	}
@@ -506,7 +506,7 @@
 }
 
 // notify adds a notice about a model for the daemons whose requests wait for it.
-func (s *servicePlan) notify(w wantedModel, kind vrwire.NoticeKind, server vrid.ServerID, delay time.Duration) {
+func (s *servicePlan) notify(w *wantedModel, kind vrwire.NoticeKind, server vrid.ServerID, delay time.Duration) {
 	k := target{service: s.service.ID, model: w.model.ID}
 	to := s.planner.daemonsToNotify(s.now, k, noticeInterval)
 	if len(to) == 0 {
--- a/verbenacore/vrresidence/victims.go
+++ b/verbenacore/vrresidence/victims.go
@@ -1,9 +1,6 @@
 package vrresidence
 
 import (
-	"cmp"
-	"slices"
-
 	"verbenaroute.example/verbenacore/vrfleet"
 	"verbenaroute.example/verbenacore/vrid"
 )
@@ -18,34 +15,20 @@
 
 // victims returns the models to evict so that the wanted model fits, the cost of evicting
 // them, and whether the load fits and is worth the cost.
-func (s *servicePlan) victims(server *vrfleet.Server, l *ledger, w wantedModel) ([]vrid.ModelID, float64, bool) {
-	free := s.freeMemory(server, l)
-	var choices []victim
-	for _, holding := range l.holds {
-		if cost, ok := s.evictionCost(server, holding.Model, w); ok {
-			choices = append(choices, victim{holding.Model, cost, s.drainCost(server, holding.Model)})
-		}
-	}
-	for _, withDrain := range []bool{true, false} {
-		slices.SortFunc(choices, func(a, b victim) int {
-			if withDrain {
-				return cmp.Or(cmp.Compare(a.cost+a.drain, b.cost+b.drain), cmp.Compare(a.model, b.model))
-			}
-			return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.model, b.model))
-		})
-		chosen, ok := s.firstThatFree(l, choices, free, w.model.Weights)
+func (s *servicePlan) victims(o *serverOffer, w *wantedModel) ([]victim, float64, bool) {
+	choices := s.evictionChoices(o, w.speculative)
+	for _, ordered := range [][]victim{choices.byTotal, choices.byCost} {
+		chosen, ok := s.firstThatFree(o.ledger, ordered, o.free, w.model.Weights)
 		if !ok {
 			return nil, 0, false
 		}
-		var models []vrid.ModelID
 		cost, drain := 0.0, 0.0
 		for _, v := range chosen {
-			models = append(models, v.model)
 			cost += v.cost
 			drain += v.drain
 		}
 		if w.benefit() > cost {
-			return models, cost + drain, true
+			return chosen, cost + drain, true
 		}
 	}
 	return nil, 0, false
@@ -76,7 +59,7 @@
 
 // evictionCost returns the cost of evicting a model from a server, as the expected number of
 // requests during a reload, or false if the model has to stay.
-func (s *servicePlan) evictionCost(server *vrfleet.Server, model vrid.ModelID, w wantedModel) (float64, bool) {
+func (s *servicePlan) evictionCost(server *vrfleet.Server, model vrid.ModelID, speculative bool) (float64, bool) {
 	t := s.totals[model]
 	replicas, need := s.replicas[model], s.need(model)
 	if since, ok := s.planner.loadedAt[serverModel{server.ID, model}]; ok && s.now.Sub(since) < minResidency {
@@ -92,13 +75,13 @@
 	if config == nil {
 		return 0, true
 	}
-	reloadSeconds := loadTime(config, s.tierOf(server, model)).Seconds()
+	reloadSeconds := loadTime(config, tierOf(server, model)).Seconds()
 	cost := s.expectedRate(model) * reloadSeconds
 	if replicas > 1 {
 		cost *= 0.2
 	}
 	cost += inFlightEvictionCost * float64(s.inFlight[serverModel{server.ID, model}])
-	if w.speculative && s.tierOf(server, model) == tierStore && replicas <= 1 {
+	if speculative && tierOf(server, model) == tierStore && replicas <= 1 {
 		// A speculative load must not evict the only copy of another model.
 		return 0, false
 	}
--- a/verbenacore/vrresidence/vrresidence.go
+++ b/verbenacore/vrresidence/vrresidence.go
@@ -58,6 +58,9 @@
 	EndedLoads []LoadEnd
 	// Unfit are the loads that were planned and not ordered, because they would not have fitted.
 	Unfit []UnfitLoad
+	// Examined counts how often a server was examined for the load of a model. Most of the time of a plan goes
+	// there.
+	Examined int
 }
 
 // UnfitLoad describes a load that its server has no room for, as of the moment before it would have been ordered.
@@ -108,8 +111,11 @@
 	// it has not been measured.
 	prefillRate float64
 	demand      map[target]*demand
-	jobs        map[vrid.ServerID]*job
-	ledgers     map[vrid.ServerID]*ledger
+	// reportedTargets holds the targets that each daemon has reported demand for since its last full report, and
+	// in it.
+	reportedTargets map[vrid.DaemonID]map[target]bool
+	jobs            map[vrid.ServerID]*job
+	ledgers         map[vrid.ServerID]*ledger
 	// statusRequestedAt is when each server's status report was last requested.
 	statusRequestedAt map[vrid.ServerID]time.Time
 	// freshFrom is PlanInput.FreshFrom of the last plan, answeredAt when each server's last status report was
@@ -142,7 +148,7 @@
 // New returns a planner without any demand.
 func New(opts Options) *Planner {
 	return &Planner{
-		opts: opts, demand: make(map[target]*demand), jobs: make(map[vrid.ServerID]*job),
+		opts: opts, demand: make(map[target]*demand), reportedTargets: make(map[vrid.DaemonID]map[target]bool), jobs: make(map[vrid.ServerID]*job),
 		ledgers: make(map[vrid.ServerID]*ledger), statusRequestedAt: make(map[vrid.ServerID]time.Time), answeredAt: make(map[vrid.ServerID]time.Time), cooldownUntil: make(map[vrid.ServerID]time.Time),
 		stores: make(map[vrid.ServiceID]*storeLimiter), loadedAt: make(map[serverModel]time.Time), reportedNeeds: make(map[target]int), inFlight: make(map[vrid.DaemonID]inFlightReport),
 		knownRuns: make(map[vrid.ServerID]int64), doubtfulRuns: make(map[vrid.ServerID]int64),
--- a/verbenaroute/internal/vrnode/metrics.go
+++ b/verbenaroute/internal/vrnode/metrics.go
@@ -76,6 +76,8 @@
 	gauge("verbena_catalog_proof_age_seconds", func() float64 { return n.state.CatalogProofAge(n.clock.Now()).Seconds() })
 	gauge("verbena_orders_total", func() float64 { return float64(n.state.Counts().Orders) })
 	gauge("verbena_loads_unfit_total", func() float64 { return float64(n.state.Counts().UnfitLoads) })
+	gauge("verbena_plans_total", func() float64 { return float64(n.state.Counts().Plans) })
+	gauge("verbena_plan_servers_examined_total", func() float64 { return float64(n.state.Counts().ServersExamined) })
 	gauge("verbena_orders_unknown_total", func() float64 { return float64(n.state.Counts().OrdersUnknown) })
 	gauge(`verbena_servers_leaving_total{cause="response"}`, func() float64 { return float64(n.state.Counts().LeavingByResponse) })
 	gauge(`verbena_servers_leaving_total{cause="daemon"}`, func() float64 { return float64(n.state.Counts().LeavingByDaemon) })
