vrgateway: small daemons leave the placement of a large fleet to others

Cause: whichever daemon came first owned the placement. 277 of the 295 daemons of the large site have a fifth of a core.

--- a/verbenacore/vrgateway/heartbeat.go
+++ b/verbenacore/vrgateway/heartbeat.go
@@ -17,9 +17,8 @@
 // receiver's last demand report, which the receiver has sent at a time of its own clock.
 const (
 	heartbeatInterval = 800 * time.Millisecond
-	// maxDaemonsWithoutHeartbeat is the number of daemons up to which the owner sends no
-	// heartbeats.
-	maxDaemonsWithoutHeartbeat = 12
+	// maxSmallFleet is the number of daemons up to which a fleet is small: the owner sends no heartbeats.
+	maxSmallFleet = 12
 	// maxStoreAge is the maximum age of the store's proof when the owner sends a heartbeat.
 	maxStoreAge = time.Second
 	// maxProofAge is the maximum age of the store's proof while a daemon relies on it. It leaves a daemon
@@ -66,10 +65,13 @@
 	receivedAt time.Time
 }
 
+// inLargeFleet reports whether there are too many daemons for each to call the store often.
+func (s *State) inLargeFleet() bool { return len(s.peers) > maxSmallFleet }
+
 // VouchesForCatalog reports whether other daemons rely on this one for the newest catalog, as the
 // placement owner of a large fleet.
 func (s *State) VouchesForCatalog() bool {
-	return len(s.peers) > maxDaemonsWithoutHeartbeat && s.lease.Holding()
+	return s.inLargeFleet() && s.lease.Holding()
 }
 
 // handleCatalogChecked records a proof of the store that this daemon's catalog is the newest. One from
@@ -148,7 +150,7 @@
 // needsReport reports whether the owner needs a report of this daemon to repeat, because its heartbeats
 // prove nothing or repeat an old one.
 func (s *State) needsReport(now time.Time) bool {
-	return len(s.peers) > maxDaemonsWithoutHeartbeat && now.Sub(s.reportSentAt) >= s.reportPause(now)
+	return s.inLargeFleet() && now.Sub(s.reportSentAt) >= s.reportPause(now)
 }
 
 // reportPause returns the time between two reports of a daemon without demand.
--- a/verbenacore/vrgateway/owner.go
+++ b/verbenacore/vrgateway/owner.go
@@ -147,10 +147,11 @@
 	s.lease.Tick(now, params, out)
 }
 
-// Where ordered admission is active, the placement owner also allocates quotas and adds up loads. A daemon with less
-// than minOwnerCPU leaves that to others for ownerYieldTime after its start or the last renewal of the lease: in plays
-// of 65 daemons, an owner on a fifth of a core answered the calls of limited tenants too late, and a third of all calls
-// were refused.
+// Where ordered admission is active, the placement owner also allocates quotas and adds up loads, and in a large fleet
+// it plans for hundreds of servers and answers all other daemons. A daemon with less than minOwnerCPU leaves that to
+// others for ownerYieldTime after its start or the last renewal of the lease. In plays of 65 daemons, an owner on a fifth
+// of a core answered the calls of limited tenants too late, and a third of all calls were refused; in those of 295
+// daemons, its plans and heartbeats came late, and models that requests waited for were not loaded in time.
 const (
 	minOwnerCPU    = 0.4
 	ownerYieldTime = 2 * time.Second
@@ -158,7 +159,7 @@
 
 // yieldsOwnership reports whether the daemon leaves the lease to daemons with more processor time.
 func (s *State) yieldsOwnership(now time.Time) bool {
-	if s.opts.CPU <= 0 || s.opts.CPU >= minOwnerCPU || !s.sharesLoad() {
+	if s.opts.CPU <= 0 || s.opts.CPU >= minOwnerCPU || (!s.sharesLoad() && !s.inLargeFleet()) {
 		return false
 	}
 	return now.Sub(s.startedAt) < ownerYieldTime || now.Sub(s.lease.ChangedAt()) < ownerYieldTime
--- a/verbenacore/vrgateway/quarantine.go
+++ b/verbenacore/vrgateway/quarantine.go
@@ -198,7 +198,7 @@
 func (s *State) sendQuarantine(now time.Time, out *vrevent.Effects) {
 	q := s.quarantine.parts
 	age := now.Sub(s.quarantine.sentAt)
-	repeats := len(s.peers) <= maxDaemonsWithoutHeartbeat && !q.Empty()
+	repeats := !s.inLargeFleet() && !q.Empty()
 	due := (q.Changed() && age >= minQuarantineInterval) || (repeats && age >= quarantineInterval)
 	if due {
 		s.quarantine.sentAt = now
--- a/verbenacore/vrgateway/yield_test.go
+++ b/verbenacore/vrgateway/yield_test.go
@@ -1,6 +1,7 @@
 package vrgateway_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -18,11 +19,15 @@
 	for name, test := range map[string]struct {
 		cpu     float64
 		tenants bool
+		daemons int
 		within  time.Duration
 	}{
-		"small":               {0.2, true, 3 * time.Second},
-		"large":               {0.8, true, time.Second},
-		"small, not in force": {0.2, false, time.Second},
+		"small":                 {0.2, true, 1, 3 * time.Second},
+		"large":                 {0.8, true, 1, time.Second},
+		"small, not in force":   {0.2, false, 1, time.Second},
+		"small, in small fleet": {0.2, false, 12, time.Second},
+		"small, in large fleet": {0.2, false, 13, 3 * time.Second},
+		"large, in large fleet": {0.8, false, 13, time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newDaemon(t)
@@ -33,6 +38,11 @@
 			start := d.now
 			d.reduce(vrevent.CatalogSeen{Catalog: replayCatalog(test.tenants, 1000)})
 			d.reduce(vrevent.FleetListed{Entries: threeAppServers()})
+			peers := make([]vrevent.Peer, test.daemons)
+			for i := range peers {
+				peers[i] = vrevent.Peer{Daemon: vrid.DaemonID(fmt.Sprint("d", i+1)), Address: fmt.Sprint("10.0.0.", i+1, ":1")}
+			}
+			d.reduce(vrevent.PeersListed{Peers: peers})
 			var wroteAfter time.Duration
 			d.runFor(4*time.Second, func(effect vrevent.Effect) vrevent.Event {
 				switch e := effect.(type) {
