vrrelay: a cut response is reset for HTTP/1.0 clients

A stream that was broken off looked complete to an HTTP/1.0 client (ORDER).

Cause: a cut response ends with the close of its connection. In HTTP/1.1 the missing last chunk shows that it is cut; HTTP/1.0 has no chunks, so that close is the end of the body.

Change: if the request is of HTTP/1.0, the connection of a cut response is reset.

Measured: TestCutStreamIsResetForClientWithoutChunks/cut read the end of the connection without an error before, and ECONNRESET in 5 of 5 runs now; a whole stream still ends in order.

--- a/verbenaroute/internal/vrrelay/client.go
+++ b/verbenaroute/internal/vrrelay/client.go
@@ -126,6 +126,15 @@
 	return c.TCPConn.Close()
 }
 
+// breakOff makes the close of the connection tell the client that the response to its request is cut. In HTTP/1.1 the
+// missing rest of a length or of chunks does; a response without either, as HTTP/1.0 clients get it, would look
+// complete.
+func (c *clientConn) breakOff(r *http.Request) {
+	if c.TCPConn != nil && !r.ProtoAtLeast(1, 1) {
+		_ = c.SetLinger(0)
+	}
+}
+
 // hasLeft reports whether the client has closed the connection or its sending side. net/http takes both for a
 // client that has left, but notices them only once the body of the request was read. The state of the connection
 // shows them behind unread bytes.
--- a/verbenaroute/internal/vrrelay/cut_test.go
+++ b/verbenaroute/internal/vrrelay/cut_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"log"
 	"net"
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -323,3 +325,28 @@
 	require.Empty(t, p.cuts)
 	require.Len(t, p.ended, 4)
 }
+
+// Guards against a stream that was broken off and looks complete to an HTTP/1.0 client, whose responses end with
+// their connection.
+func TestCutStreamIsResetForClientWithoutChunks(t *testing.T) {
+	const event = "id: 1\ndata: a\n\n"
+	for _, test := range []struct {
+		name, body string
+		wantErr    error
+	}{
+		{"whole", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(event), event), nil},
+		{"cut", fmt.Sprintf("%x\r\n%s\r\n", len(event), event), syscall.ECONNRESET},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := newTestProxy(t, vrevent.SendCall{Stream: true, AtMostOnce: true},
+				startServer(t, replyWith("HTTP/1.1 200 OK\r\n"+signedHeaders+"Transfer-Encoding: chunked\r\n\r\n"+test.body)))
+			c, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
+			require.NoError(t, err)
+			defer func() { _ = c.Close() }()
+			_, err = io.WriteString(c, "GET / HTTP/1.0\r\nX-Request: req1\r\nX-Wait: 3000\r\n\r\n")
+			require.NoError(t, err)
+			_, err = io.ReadAll(c)
+			require.ErrorIs(t, err, test.wantErr)
+		})
+	}
+}
--- a/verbenaroute/internal/vrrelay/vrrelay.go
+++ b/verbenaroute/internal/vrrelay/vrrelay.go
@@ -234,6 +234,7 @@
 		value := recover()
 		record.end(value)
 		if value != nil {
+			record.conn.breakOff(r)
 			panic(value)
 		}
 	}()
