--- a/verbenaroute/gateway_test.go
+++ b/verbenaroute/gateway_test.go
@@ -43,32 +43,55 @@
 type gatewayProcess struct {
 	*exec.Cmd
 	callers, readiness string
+	settings           string
+	environment        []string
 }
 
 // startGateway starts a gateway on free addresses and waits until it is ready.
 func startGateway(t *testing.T, store *vrstandin.Store, environment ...string) *gatewayProcess {
 	storeServer := httptest.NewServer(store)
 	t.Cleanup(storeServer.Close)
+	g := newGateway(t, "edge-1", storeServer.URL, environment...)
+	g.start(t)
+	g.waitUntilReady(t)
+	return g
+}
+
+// newGateway returns a gateway on free addresses that has not started.
+func newGateway(t *testing.T, daemon, storeURL string, environment ...string) *gatewayProcess {
 	addresses := freeAddresses(t, 4)
 	data, err := json.Marshal(map[string]any{
-		"daemon": "edge-1", "zone": "z", "regions": map[string]string{"z": "r"}, "callers": addresses[0], "readiness": addresses[1],
-		"peers": addresses[2], "metrics": addresses[3], "store": strings.TrimPrefix(storeServer.URL, "http://"),
+		"daemon": daemon, "zone": "z", "regions": map[string]string{"z": "r"}, "callers": addresses[0], "readiness": addresses[1],
+		"peers": addresses[2], "metrics": addresses[3], "store": strings.TrimPrefix(storeURL, "http://"),
 		"bounds": map[string]any{"grace": "20s", "retrySlack": 1000},
 	})
 	require.NoError(t, err)
-	path := filepath.Join(t.TempDir(), "gateway.json")
-	require.NoError(t, os.WriteFile(path, data, 0o600))
+	settings := filepath.Join(t.TempDir(), "gateway.json")
+	require.NoError(t, os.WriteFile(settings, data, 0o600))
+	g := &gatewayProcess{callers: addresses[0], readiness: addresses[1], settings: settings, environment: environment}
+	t.Cleanup(g.kill)
+	return g
+}
+
+// start starts a process of the gateway.
+func (g *gatewayProcess) start(t *testing.T) {
 	executable, err := os.Executable()
 	require.NoError(t, err)
-	g := &gatewayProcess{Cmd: exec.Command(executable, "gateway", "--settings", path), callers: addresses[0], readiness: addresses[1]}
-	g.Env = append(append(os.Environ(), _commandEnv+"=1"), environment...)
+	g.Cmd = exec.Command(executable, "gateway", "--settings", g.settings)
+	g.Env = append(append(os.Environ(), _commandEnv+"=1"), g.environment...)
 	require.NoError(t, g.Start())
-	t.Cleanup(func() {
+}
+
+func (g *gatewayProcess) waitUntilReady(t *testing.T) {
+	require.Eventually(t, func() bool { return g.readyStatus() == http.StatusOK }, _waitTimeout, _waitInterval)
+}
+
+// kill ends the process if it runs.
+func (g *gatewayProcess) kill() {
+	if g.Cmd != nil {
 		_ = g.Process.Kill()
 		_ = g.Wait()
-	})
-	require.Eventually(t, func() bool { return g.readyStatus() == http.StatusOK }, _waitTimeout, _waitInterval)
-	return g
+	}
 }
 
 // freeAddresses returns loopback addresses that no process listens on at this moment.
