soak: uploads that block their writer

A part of an answer without a length reached its client as the whole, with status 200, while a long upload was being written (MIXED, reported by the users); TestSoak did not show it on code with the fault.

Cause: its longest upload, 0.9 MB, fitted into the buffers of the connection, so the write had ended when the reset came.

A variable of the plan is named after what it says.

--- a/verbenacore/vrresidence/plan.go
+++ b/verbenacore/vrresidence/plan.go
@@ -279,15 +279,15 @@
 	refusedSize := vrid.Bytes(math.MaxInt64)
 	for i := range s.wanted {
 		w := &s.wanted[i]
-		spreads := w.speculative && s.copies[w.model.ID] == 0 && !s.blockedLoads[w.model.ID]
-		if spreads && w.model.Weights >= refusedSize {
+		firstCopy := w.speculative && s.copies[w.model.ID] == 0 && !s.blockedLoads[w.model.ID]
+		if firstCopy && w.model.Weights >= refusedSize {
 			continue
 		}
 		if s.placeModel(w) {
 			refusedSize = math.MaxInt64
 			continue
 		}
-		if spreads {
+		if firstCopy {
 			refusedSize = w.model.Weights
 		}
 		if w.firstReplica && !w.speculative && !s.blockedLoads[w.model.ID] {
--- a/verbenaroute/soak_test.go
+++ b/verbenaroute/soak_test.go
@@ -134,8 +134,12 @@
 		route := _soakRoutes[r.IntN(len(_soakRoutes))].Name
 		id := fmt.Sprintf("%s-%d-%d-%d", route, s.seed, number, i)
 		size := r.IntN(500)
-		if r.IntN(3) == 0 {
-			size = r.IntN(900_000)
+		switch r.IntN(6) {
+		case 0:
+			size = r.IntN(100_000)
+		case 1:
+			// Its write is blocked while the server does not read.
+			size = 4_000_000
 		}
 		if !s.exchange(client, gateway, route, id, size, r.IntN(2) == 0) {
 			gateway = s.gateways[r.IntN(len(s.gateways))]
