verbenaroute tests: addresses that outgoing connections can't take

TestSoak/210 failed once: a gateway was not ready within 30 s.

Cause: the test closes its free ports before the gateways bind them, and an outgoing connection of a gateway that had started took one: "callers: listen tcp 127.0.0.1:36209: bind: address already in use".

Change: each gateway of a test listens on a loopback host of its own; outgoing connections come from 127.0.0.1.

--- a/verbenaroute/gateway_test.go
+++ b/verbenaroute/gateway_test.go
@@ -94,11 +94,19 @@
 	}
 }
 
-// freeAddresses returns loopback addresses that no process listens on at this moment.
+// _hosts counts the loopback hosts that freeAddresses has used.
+var _hosts atomic.Int64
+
+// freeAddresses returns addresses of one loopback host that no process listens on at this moment. Each call uses
+// another host: connections that are opened before the addresses are bound come from 127.0.0.1, and would
+// sometimes take one of its ports.
 func freeAddresses(t *testing.T, count int) []string {
+	const blocks, perBlock = 250, 250
+	n := _hosts.Add(1)
+	host := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%blocks, n/perBlock, 1+n%perBlock)
 	addresses := make([]string, count)
 	for i := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 		require.NoError(t, err)
 		defer func() { _ = listener.Close() }()
 		addresses[i] = listener.Addr().String()
