--- /dev/null
+++ b/review/standin-3/engine.go
@@ -0,0 +1,317 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Sizes and times of the models of the stand-ins.
+const (
+	serverMemoryMB = 100_000
+	modelMB        = 40_000
+	diskLoad       = 500 * time.Millisecond
+	storeLoad      = 2 * time.Second
+	heartbeat      = 1200 * time.Millisecond
+)
+
+// engine is a stand-in of a model server. A restart keeps its id, address and disk, and nothing else.
+type engine struct {
+	id, service, address string
+	store                *store
+	rec                  *record
+
+	mu       sync.Mutex
+	up       bool
+	born     int64
+	beats    uint64
+	sequence uint64
+	models   []string
+	onDisk   map[string]bool
+	loading  string
+	listener net.Listener
+	server   *http.Server
+	conns    map[net.Conn]bool
+	stop     chan struct{}
+	// overLimit is set once an order loads more than the server holds.
+	overLimit bool
+	// intercept may take an order from the wire: it then gets no answer. It may be nil.
+	intercept func(o *order) bool
+}
+
+type order struct {
+	Operation    string  `json:"operation"`
+	Model        string  `json:"model"`
+	Adapter      string  `json:"adapter"`
+	Expected     *uint64 `json:"expected"`
+	Holder       string  `json:"holder"`
+	FencingToken uint64  `json:"fencing_token"`
+}
+
+func (o *order) String() string {
+	expected := "-"
+	if o.Expected != nil {
+		expected = strconv.FormatUint(*o.Expected, 10)
+	}
+	return fmt.Sprintf("%s %s expected=%s holder=%s fencing_token=%d", o.Operation, o.Model, expected, o.Holder, o.FencingToken)
+}
+
+// start starts a process of the server. It holds the given models.
+func (e *engine) start(models ...string) {
+	var listener net.Listener
+	var err error
+	for range 50 {
+		if listener, err = net.Listen("tcp", e.address); err == nil {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if err != nil {
+		panic(err)
+	}
+	e.mu.Lock()
+	e.address = listener.Addr().String()
+	e.up, e.born, e.beats, e.sequence, e.loading = true, time.Now().UnixMilli(), 0, 0, ""
+	e.models = slices.Clone(models)
+	if e.onDisk == nil {
+		e.onDisk = map[string]bool{}
+	}
+	for _, m := range models {
+		e.onDisk[m] = true
+	}
+	e.listener, e.stop, e.conns = listener, make(chan struct{}), map[net.Conn]bool{}
+	stop := e.stop
+	e.server = &http.Server{Handler: http.HandlerFunc(e.serve), ConnState: e.trackConn}
+	server := e.server
+	e.mu.Unlock()
+	e.rec.note("server %s: process starts, born %d, holds %v", e.id, e.born, models)
+	go func() { _ = server.Serve(listener) }()
+	go e.beat(stop)
+}
+
+func (e *engine) trackConn(c net.Conn, state http.ConnState) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(e.conns, c)
+	} else {
+		e.conns[c] = true
+	}
+}
+
+// crash ends the process: it sends nothing, and its connections are reset. Its entry is removed after three
+// heartbeat intervals of silence.
+func (e *engine) crash(why string) {
+	e.mu.Lock()
+	if !e.up {
+		e.mu.Unlock()
+		return
+	}
+	e.up = false
+	close(e.stop)
+	born, lastBeats := e.born, e.beats
+	for c := range e.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	}
+	server := e.server
+	e.mu.Unlock()
+	_ = server.Close()
+	e.rec.note("server %s: crashes (%s)", e.id, why)
+	time.AfterFunc(3*heartbeat, func() {
+		e.mu.Lock()
+		silent := e.born == born && e.beats == lastBeats
+		e.mu.Unlock()
+		if silent && e.store.remove("servers", e.id) {
+			e.rec.note("store: the entry of %s is removed after three heartbeat intervals of silence", e.id)
+		}
+	})
+}
+
+// beat renews the entry in the store.
+func (e *engine) beat(stop chan struct{}) {
+	e.register()
+	ticker := time.NewTicker(heartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			e.register()
+		case <-stop:
+			return
+		}
+	}
+}
+
+func (e *engine) modelList() []map[string]any {
+	list := []map[string]any{}
+	for _, m := range e.models {
+		list = append(list, map[string]any{"name": m, "version": 1, "adapters": []string{}})
+	}
+	return list
+}
+
+func (e *engine) available() map[string]any {
+	disk := []string{}
+	for m := range e.onDisk {
+		disk = append(disk, m)
+	}
+	slices.Sort(disk)
+	return map[string]any{"in_memory": []string{}, "on_disk": disk}
+}
+
+func (e *engine) register() {
+	e.mu.Lock()
+	if !e.up {
+		e.mu.Unlock()
+		return
+	}
+	e.beats++
+	entry := map[string]any{
+		"service": e.service, "address": e.address, "zone": zone, "version": "v1", "slots": 64, "state": "ready",
+		"cold_remaining_ms": 0, "stage": "prefill_decode", "models": e.modelList(), "available": e.available(), "sequence": e.beats, "born": e.born,
+	}
+	e.mu.Unlock()
+	e.store.put("servers", e.id, entry)
+}
+
+func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
+	if want := r.Header.Get("Expected-Instance"); want != "" && want != e.id {
+		w.Header().Set("Instance-Id", e.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch r.URL.Path {
+	case "/report":
+		e.report(w)
+	case "/order":
+		e.takeOrder(w, r)
+	case "/healthz":
+		w.Header().Set("Instance-Id", e.id)
+		w.WriteHeader(http.StatusOK)
+	default:
+		e.generate(w, r)
+	}
+}
+
+func (e *engine) report(w http.ResponseWriter) {
+	e.mu.Lock()
+	body := map[string]any{
+		"stage": "prefill_decode", "models": e.modelList(), "busy": e.loading != "", "sequence": e.sequence, "waiting": 0, "in_flight": 0,
+		"kv_used": 0, "kv_total": 154135, "handles": 0, "born": e.born, "available": e.available(), "pending": []string{},
+	}
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, body)
+}
+
+func (e *engine) takeOrder(w http.ResponseWriter, r *http.Request) {
+	var o order
+	data, _ := io.ReadAll(r.Body)
+	if err := json.Unmarshal(data, &o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	intercept := e.intercept
+	e.mu.Unlock()
+	if intercept != nil && intercept(&o) {
+		// The order gets no answer.
+		<-r.Context().Done()
+		return
+	}
+	w.WriteHeader(e.carryOut(&o, ""))
+}
+
+// carryOut carries an order out and returns the status of the answer.
+func (e *engine) carryOut(o *order, remark string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.up {
+		e.rec.note("server %s: order%s [%s] finds no process", e.id, remark, o)
+		return 0
+	}
+	status := e.decide(o)
+	e.rec.note("server %s: order%s [%s] at sequence %d, holds %v -> %d", e.id, remark, o, e.sequence, e.models, status)
+	if status != http.StatusAccepted {
+		return status
+	}
+	e.sequence++
+	if o.Operation == "unload" {
+		e.models = slices.DeleteFunc(e.models, func(m string) bool { return m == o.Model })
+		go e.register()
+		return status
+	}
+	if (len(e.models)+1)*modelMB > serverMemoryMB {
+		e.overLimit = true
+		e.rec.note("LIMIT: server %s holds %v (%d MB) and is ordered to load %s (%d MB) beside it, %d MB are all it has",
+			e.id, e.models, len(e.models)*modelMB, o.Model, modelMB, serverMemoryMB)
+		go e.crash("ordered to load more than its weights_mb holds")
+		return status
+	}
+	e.loading = o.Model
+	took, born := storeLoad, e.born
+	if e.onDisk[o.Model] {
+		took = diskLoad
+	}
+	time.AfterFunc(took, func() {
+		e.mu.Lock()
+		if !e.up || e.born != born {
+			e.mu.Unlock()
+			return
+		}
+		e.models = append(e.models, o.Model)
+		e.onDisk[o.Model], e.loading = true, ""
+		e.rec.note("server %s: has loaded %s, holds %v", e.id, o.Model, e.models)
+		e.mu.Unlock()
+		e.register()
+	})
+	return status
+}
+
+func (e *engine) decide(o *order) int {
+	held := slices.Contains(e.models, o.Model)
+	switch {
+	case o.Holder == "" || o.FencingToken == 0:
+		return http.StatusBadRequest
+	case e.loading != "":
+		return http.StatusConflict
+	case o.Expected != nil && *o.Expected != e.sequence:
+		return http.StatusConflict
+	case held == (o.Operation == "load"):
+		return http.StatusOK
+	}
+	return http.StatusAccepted
+}
+
+// generate answers a request with a short stream.
+func (e *engine) generate(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	model, _, _ := strings.Cut(r.Header.Get("Model"), "/")
+	e.mu.Lock()
+	held := slices.Contains(e.models, model)
+	e.mu.Unlock()
+	if !held {
+		w.Header().Set("Instance-Id", e.id)
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	e.rec.note("server %s: runs %s (%s)", e.id, r.Header.Get("Request-Id"), model)
+	w.Header().Set("Response-Signature", "sig-"+r.Header.Get("Request-Id"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Server-Load", "1,0,64")
+	for id := 1; id <= 3; id++ {
+		fmt.Fprintf(w, "id: %d\ndata: token\n\n", id)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(20 * time.Millisecond)
+	}
+}
