--- a/review/standin-3/engine.go
+++ b/review/standin-3/engine.go
@@ -17,6 +17,8 @@
 const (
 	serverMemoryMB = 100_000
 	modelMB        = 40_000
+	adapterMB      = 3_000
+	adapterSlots   = 8
 	diskLoad       = 500 * time.Millisecond
 	storeLoad      = 2 * time.Second
 	heartbeat      = 1200 * time.Millisecond
@@ -28,24 +30,36 @@
 	store                *store
 	rec                  *record
 
-	mu       sync.Mutex
-	up       bool
-	born     int64
-	beats    uint64
+	mu    sync.Mutex
+	up    bool
+	born  int64
+	beats uint64
+	// beatAt is when the last regular heartbeat was written.
+	beatAt   time.Time
 	sequence uint64
 	models   []string
 	onDisk   map[string]bool
 	loading  string
+	adapters map[string]bool
+	reports  []pastReport
 	listener net.Listener
 	server   *http.Server
 	conns    map[net.Conn]bool
 	stop     chan struct{}
 	// overLimit is set once an order loads more than the server holds.
 	overLimit bool
+	// orderDelay is how long the server takes to answer an order, reportAge how old its reports are.
+	orderDelay, reportAge time.Duration
 	// intercept may take an order from the wire: it then gets no answer. It may be nil.
 	intercept func(o *order) bool
 }
 
+// pastReport is what the server reported from a time on.
+type pastReport struct {
+	at   time.Time
+	body map[string]any
+}
+
 type order struct {
 	Operation    string  `json:"operation"`
 	Model        string  `json:"model"`
@@ -60,7 +74,15 @@
 	if o.Expected != nil {
 		expected = strconv.FormatUint(*o.Expected, 10)
 	}
-	return fmt.Sprintf("%s %s expected=%s holder=%s fencing_token=%d", o.Operation, o.Model, expected, o.Holder, o.FencingToken)
+	return fmt.Sprintf("%s %s expected=%s holder=%s fencing_token=%d", o.Operation, o.name(), expected, o.Holder, o.FencingToken)
+}
+
+// name returns the model, with the adapter after a slash.
+func (o *order) name() string {
+	if o.Adapter == "" {
+		return o.Model
+	}
+	return o.Model + "/" + o.Adapter
 }
 
 // start starts a process of the server. It holds the given models.
@@ -79,6 +101,7 @@
 	e.mu.Lock()
 	e.address = listener.Addr().String()
 	e.up, e.born, e.beats, e.sequence, e.loading = true, time.Now().UnixMilli(), 0, 0, ""
+	e.adapters, e.reports = map[string]bool{}, nil
 	e.models = slices.Clone(models)
 	if e.onDisk == nil {
 		e.onDisk = map[string]bool{}
@@ -88,6 +111,7 @@
 	}
 	e.listener, e.stop, e.conns = listener, make(chan struct{}), map[net.Conn]bool{}
 	stop := e.stop
+	e.keepReport()
 	e.server = &http.Server{Handler: http.HandlerFunc(e.serve), ConnState: e.trackConn}
 	server := e.server
 	e.mu.Unlock()
@@ -139,22 +163,37 @@
 // beat renews the entry in the store.
 func (e *engine) beat(stop chan struct{}) {
 	e.register()
+	e.noteBeat()
 	ticker := time.NewTicker(heartbeat)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
 			e.register()
+			e.noteBeat()
 		case <-stop:
 			return
 		}
 	}
 }
 
+func (e *engine) noteBeat() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.beatAt = time.Now()
+}
+
 func (e *engine) modelList() []map[string]any {
 	list := []map[string]any{}
 	for _, m := range e.models {
-		list = append(list, map[string]any{"name": m, "version": 1, "adapters": []string{}})
+		adapters := []string{}
+		for a := range e.adapters {
+			if name, ok := strings.CutPrefix(a, m+"/"); ok {
+				adapters = append(adapters, name)
+			}
+		}
+		slices.Sort(adapters)
+		list = append(list, map[string]any{"name": m, "version": 1, "adapters": adapters})
 	}
 	return list
 }
@@ -202,11 +241,21 @@
 	}
 }
 
-func (e *engine) report(w http.ResponseWriter) {
-	e.mu.Lock()
-	body := map[string]any{
+// keepReport keeps the present report. The caller holds the mutex.
+func (e *engine) keepReport() {
+	e.reports = append(e.reports, pastReport{time.Now(), map[string]any{
 		"stage": "prefill_decode", "models": e.modelList(), "busy": e.loading != "", "sequence": e.sequence, "waiting": 0, "in_flight": 0,
 		"kv_used": 0, "kv_total": 154135, "handles": 0, "born": e.born, "available": e.available(), "pending": []string{},
+	}})
+}
+
+func (e *engine) report(w http.ResponseWriter) {
+	e.mu.Lock()
+	body := e.reports[0].body
+	for _, past := range e.reports {
+		if time.Since(past.at) >= e.reportAge {
+			body = past.body
+		}
 	}
 	e.mu.Unlock()
 	writeJSON(w, http.StatusOK, body)
@@ -227,13 +276,16 @@
 		<-r.Context().Done()
 		return
 	}
-	w.WriteHeader(e.carryOut(&o, ""))
+	status := e.carryOut(&o, "")
+	time.Sleep(e.orderDelay)
+	w.WriteHeader(status)
 }
 
 // carryOut carries an order out and returns the status of the answer.
 func (e *engine) carryOut(o *order, remark string) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	defer e.keepReport()
 	if !e.up {
 		e.rec.note("server %s: order%s [%s] finds no process", e.id, remark, o)
 		return 0
@@ -244,16 +296,22 @@
 		return status
 	}
 	e.sequence++
+	if o.Adapter != "" {
+		e.carryOutAdapter(o)
+		return status
+	}
 	if o.Operation == "unload" {
 		e.models = slices.DeleteFunc(e.models, func(m string) bool { return m == o.Model })
+		for a := range e.adapters {
+			if strings.HasPrefix(a, o.Model+"/") {
+				delete(e.adapters, a)
+			}
+		}
 		go e.register()
 		return status
 	}
-	if (len(e.models)+1)*modelMB > serverMemoryMB {
-		e.overLimit = true
-		e.rec.note("LIMIT: server %s holds %v (%d MB) and is ordered to load %s (%d MB) beside it, %d MB are all it has",
-			e.id, e.models, len(e.models)*modelMB, o.Model, modelMB, serverMemoryMB)
-		go e.crash("ordered to load more than its weights_mb holds")
+	if e.used()+modelMB > serverMemoryMB {
+		e.exceed(o, modelMB)
 		return status
 	}
 	e.loading = o.Model
@@ -269,6 +327,7 @@
 		}
 		e.models = append(e.models, o.Model)
 		e.onDisk[o.Model], e.loading = true, ""
+		e.keepReport()
 		e.rec.note("server %s: has loaded %s, holds %v", e.id, o.Model, e.models)
 		e.mu.Unlock()
 		e.register()
@@ -276,8 +335,39 @@
 	return status
 }
 
+// used returns the memory that is in use. The caller holds the mutex.
+func (e *engine) used() int { return len(e.models)*modelMB + len(e.adapters)*adapterMB }
+
+// exceed ends the process after an order to load more than it holds. The caller holds the mutex.
+func (e *engine) exceed(o *order, size int) {
+	e.overLimit = true
+	e.rec.note("LIMIT: server %s holds %v and %d adapters (%d MB) and is ordered to load %s (%d MB) beside it, %d MB and %d adapters are all it holds",
+		e.id, e.models, len(e.adapters), e.used(), o.name(), size, serverMemoryMB, adapterSlots)
+	go e.crash("ordered to load more than it holds")
+}
+
+// carryOutAdapter loads or unloads an adapter, which takes a few milliseconds. The caller holds the mutex.
+func (e *engine) carryOutAdapter(o *order) {
+	if o.Operation == "unload" {
+		delete(e.adapters, o.name())
+		return
+	}
+	if len(e.adapters) >= adapterSlots || e.used()+adapterMB > serverMemoryMB {
+		e.exceed(o, adapterMB)
+		return
+	}
+	e.adapters[o.name()] = true
+}
+
+// decide returns the status of the answer to an order.
 func (e *engine) decide(o *order) int {
 	held := slices.Contains(e.models, o.Model)
+	if o.Adapter != "" {
+		if !held {
+			return http.StatusBadRequest
+		}
+		held = e.adapters[o.name()]
+	}
 	switch {
 	case o.Holder == "" || o.FencingToken == 0:
 		return http.StatusBadRequest
@@ -295,9 +385,9 @@
 func (e *engine) generate(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-	model, _, _ := strings.Cut(r.Header.Get("Model"), "/")
+	model, adapter, _ := strings.Cut(r.Header.Get("Model"), "/")
 	e.mu.Lock()
-	held := slices.Contains(e.models, model)
+	held := slices.Contains(e.models, model) && (adapter == "" || e.adapters[model+"/"+adapter])
 	e.mu.Unlock()
 	if !held {
 		w.Header().Set("Instance-Id", e.id)
--- a/review/standin-3/lateorder.go
+++ b/review/standin-3/lateorder.go
@@ -23,7 +23,7 @@
 	for _, m := range []string{"a", "b", "c"} {
 		models = append(models, map[string]any{
 			"name": m, "weights_mb": modelMB, "load_time_s": storeLoad.Seconds(), "disk_s": diskLoad.Seconds(), "warm_s": diskLoad.Seconds(),
-			"adapters": 0, "adapter_size_mb": 12,
+			"adapters": 0, "adapter_size_mb": adapterMB,
 		})
 	}
 	s.put("config", "main", map[string]any{
@@ -124,7 +124,6 @@
 
 // askForModels sends four requests a second for each wanted model.
 func askForModels(g *gateway, wanted *atomic.Pointer[[]string], stop chan struct{}, rec *record, served, refused *atomic.Int64) {
-	client := &http.Client{Timeout: 16 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
@@ -132,30 +131,33 @@
 		case <-time.After(250 * time.Millisecond):
 		}
 		for _, m := range *wanted.Load() {
-			id := fmt.Sprintf("%s-%04d", m, n)
-			go func() {
-				request, _ := http.NewRequest(http.MethodPost, "http://"+g.callers+"/lohu930/2f", nil)
-				request.Host = host
-				request.Header.Set("Request-Id", id)
-				request.Header.Set("Model", m)
-				request.Header.Set("Token-Usage", "100,15")
-				request.Header.Set("Prompt-Prefix", "5c1e07a2:80,91bd"+fmt.Sprintf("%04x", n)+":20")
-				request.Header.Set("Deadline-Ms", "15000")
-				response, err := client.Do(request)
-				if err != nil {
-					rec.note("client: %s ends with %v", id, err)
-					refused.Add(1)
-					return
-				}
-				data, err := io.ReadAll(response.Body)
-				_ = response.Body.Close()
-				if response.StatusCode == http.StatusOK && err == nil {
-					served.Add(1)
-				} else {
-					refused.Add(1)
-				}
-				rec.note("client: %s gets %d, %d bytes, %v", id, response.StatusCode, len(data), err)
-			}()
+			go ask(g, m, fmt.Sprintf("%s-%04d", m, n), rec, served, refused)
 		}
 	}
 }
+
+// ask sends one request for a model, or an adapter of it after a slash.
+func ask(g *gateway, model, id string, rec *record, served, refused *atomic.Int64) {
+	client := &http.Client{Timeout: 16 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	request, _ := http.NewRequest(http.MethodPost, "http://"+g.callers+"/lohu930/2f", nil)
+	request.Host = host
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Model", model)
+	request.Header.Set("Token-Usage", "100,15")
+	request.Header.Set("Prompt-Prefix", fmt.Sprintf("5c1e07a2:80,%x:20", id))
+	request.Header.Set("Deadline-Ms", "15000")
+	response, err := client.Do(request)
+	if err != nil {
+		rec.note("client: %s ends with %v", id, err)
+		refused.Add(1)
+		return
+	}
+	data, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	if response.StatusCode == http.StatusOK && err == nil {
+		served.Add(1)
+	} else {
+		refused.Add(1)
+	}
+	rec.note("client: %s gets %d, %d bytes, %v", id, response.StatusCode, len(data), err)
+}
