--- a/review/standin-3/engine.go
+++ b/review/standin-3/engine.go
@@ -50,6 +50,8 @@
 	overLimit bool
 	// orderDelay is how long the server takes to answer an order, reportAge how old its reports are.
 	orderDelay, reportAge time.Duration
+	// quiet keeps the orders and runs out of the record.
+	quiet bool
 	// intercept may take an order from the wire: it then gets no answer. It may be nil.
 	intercept func(o *order) bool
 }
@@ -291,7 +293,9 @@
 		return 0
 	}
 	status := e.decide(o)
-	e.rec.note("server %s: order%s [%s] at sequence %d, holds %v -> %d", e.id, remark, o, e.sequence, e.models, status)
+	if !e.quiet {
+		e.rec.note("server %s: order%s [%s] at sequence %d, holds %v -> %d", e.id, remark, o, e.sequence, e.models, status)
+	}
 	if status != http.StatusAccepted {
 		return status
 	}
@@ -395,7 +399,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	e.rec.note("server %s: runs %s (%s)", e.id, r.Header.Get("Request-Id"), model)
+	if !e.quiet {
+		e.rec.note("server %s: runs %s (%s)", e.id, r.Header.Get("Request-Id"), model)
+	}
 	w.Header().Set("Response-Signature", "sig-"+r.Header.Get("Request-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Server-Load", "1,0,64")
--- a/review/standin-3/oddentry.go
+++ b/review/standin-3/oddentry.go
@@ -25,7 +25,7 @@
 	for _, m := range []string{"a", "b", "c"} {
 		models = append(models, map[string]any{
 			"name": m, "weights_mb": modelMB, "load_time_s": storeLoad.Seconds(), "disk_s": diskLoad.Seconds(), "warm_s": diskLoad.Seconds(),
-			"adapters": 28, "adapter_size_mb": 12,
+			"adapters": 28, "adapter_size_mb": adapterMB,
 		})
 	}
 	s.put("config", "main", map[string]any{
