--- a/review/standin-3/engine.go
+++ b/review/standin-3/engine.go
@@ -411,3 +411,10 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// exceeded reports whether an order has loaded more than the server holds.
+func (e *engine) exceeded() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.overLimit
+}
